--- /dev/null
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -0,0 +1,110 @@
+//! The settings text: `path=value` lines, read into the parts of the decision module.
+
+use mintlb::decide::{Buffers, Chance, ColdRule, Fleet, Follow, Repeats, Scheduler, Shares};
+use mintlb::{Effect, Group, ProjectType};
+use std::collections::BTreeMap;
+use std::str::FromStr;
+
+/// The text by path; keys that nobody asks for are passed over.
+pub struct Text<'a>(BTreeMap<&'a str, &'a str>);
+
+impl<'a> Text<'a> {
+    pub fn new(text: &'a str) -> Text<'a> {
+        Text(text.lines().filter_map(|line| line.split_once('=')).collect())
+    }
+
+    pub fn get<T: FromStr>(&self, path: &str) -> Result<T, String> {
+        let value = self.0.get(path).ok_or_else(|| format!("the setting {path} is missing"))?;
+        value.trim().parse().map_err(|_| format!("the setting {path}={value} cannot be read"))
+    }
+
+    fn seconds(&self, path: &str) -> Result<f64, String> {
+        let ms: f64 = self.get(path)?;
+        if ms.is_finite() { Ok(ms / 1000.0) } else { Err(format!("the setting {path}={ms} is no time")) }
+    }
+
+    fn or<T: FromStr>(&self, path: &str, absent: T) -> Result<T, String> {
+        if self.0.contains_key(path) { self.get(path) } else { Ok(absent) }
+    }
+
+    pub fn list(&self, path: &str) -> Vec<&'a str> {
+        let value = self.0.get(path).copied().unwrap_or("");
+        value.split(',').map(str::trim).filter(|v| !v.is_empty()).collect()
+    }
+
+    /// One of a list with an item for each project type.
+    fn item<T: FromStr>(&self, path: &str, i: usize) -> Result<Option<T>, String> {
+        let Some(value) = self.list(path).get(i).copied() else { return Ok(None) };
+        value.parse().map(Some).map_err(|_| format!("the setting {path}: {value} cannot be read"))
+    }
+
+    pub fn project_types(&self) -> Result<Vec<ProjectType>, String> {
+        let count: usize = self.get("project_types.count")?;
+        (0..count).map(|i| self.project_type(i)).collect()
+    }
+
+    fn project_type(&self, i: usize) -> Result<ProjectType, String> {
+        let at = |key: &str| format!("project_types.{i}.{key}");
+        let effect: String = self.get(&at("effect"))?;
+        let effect = match effect.as_str() {
+            "read_like" => Effect::Rerunnable,
+            "non_idempotent" => Effect::Exclusive,
+            "idempotency_key" => {
+                let group: String = self.get(&at("group"))?;
+                let group = match group.as_str() {
+                    "all" => Group::All,
+                    "zone" => Group::Zone,
+                    "cell" => Group::Cell,
+                    _ => return Err(format!("the setting {}={group} cannot be read", at("group"))),
+                };
+                Effect::Receipted { group, window: self.seconds(&at("window"))? }
+            }
+            _ => return Err(format!("the setting {}={effect} cannot be read", at("effect"))),
+        };
+        let own_stretch = self.or(&at("aim_stretch"), 0.0)?;
+        let kind: Option<i32> = self.item("family_info.class_kind", i)?;
+        Ok(ProjectType {
+            credit: self.get(&at("credit"))?,
+            late_credit: self.get(&at("late_credit"))?,
+            promised_turnaround: self.seconds(&at("promised_turnaround"))?,
+            stretch: self.item("family_info.class_stretch", i)?.unwrap_or(own_stretch),
+            hard_limit: self.seconds(&at("hard_limit"))?,
+            effect,
+            kind: kind.and_then(|k| u16::try_from(k).ok()),
+        })
+    }
+
+    pub fn customers(&self) -> Result<usize, String> {
+        self.or("tenants.count", 0)
+    }
+
+    fn quotas(&self) -> Result<Vec<f64>, String> {
+        (0..self.customers()?).map(|i| self.get(&format!("tenants.{i}.quota_per_s"))).collect()
+    }
+
+    pub fn scheduler(&self, seed: u64) -> Result<Scheduler, String> {
+        let schedulers: usize = self.get("balancers")?;
+        let cold = ColdRule {
+            from: self.get("rules.cold_from")?,
+            warm_after: self.seconds("rules.warm_after")?,
+            multiple: self.get("rules.fall_multiple")?,
+            span: self.seconds("rules.fall")?,
+        };
+        let discovery: String = self.get("discovery")?;
+        let by_work = self.or("credit_basis", String::new())? == "work";
+        let come_back = if self.get("permissions.retry_after")? {
+            self.seconds("permissions.max_retry_after")?
+        } else {
+            0.0
+        };
+        Ok(Scheduler::new(
+            Chance::new(seed),
+            Shares::new(self.quotas()?, schedulers),
+            Buffers::new(self.project_types()?, self.or("excess_credit", 1.0)?, by_work),
+            Repeats::new(self.get("permissions.parallel_tries")?, self.get("permissions.most_allocations")?),
+            Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?),
+            Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
+            come_back,
+        ))
+    }
+}
--- /dev/null
+++ b/crates/mintlb/src/lib.rs
@@ -0,0 +1,197 @@
+//! The nouns of mintlb, and the door through which its decisions act.
+//!
+//! A front (today the bench's adapter) makes the work units, hands them to
+//! [`decide::Scheduler`] and carries out what comes through its [`Door`].
+//! Times are seconds with fractions; `id` fields belong to the front.
+
+pub mod decide;
+
+use std::cell::{Cell, RefCell};
+use std::rc::{Rc, Weak};
+
+/// Which workers drop a repeat of a receipted work unit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Group {
+    All,
+    Zone,
+    Cell,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Effect {
+    Rerunnable,
+    Receipted { group: Group, window: f64 },
+    Exclusive,
+}
+
+#[derive(Clone, Debug)]
+pub struct ProjectType {
+    pub credit: f64,
+    /// The part of the credit still earned after the promised turnaround.
+    pub late_credit: f64,
+    pub promised_turnaround: f64,
+    /// The promise grows by this many times the work unit's own running time.
+    pub stretch: f64,
+    pub hard_limit: f64,
+    pub effect: Effect,
+    /// The only kind of machine that runs it, if there is one.
+    pub kind: Option<u16>,
+}
+
+/// How an allocation ended.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Outcome {
+    Completed,
+    Error,
+    Full,
+    TimedOut,
+    NoConnection,
+    Dropped,
+    Recalled,
+    Moot,
+}
+
+/// What a worker said of itself; absent values are `None`.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Report {
+    pub free_slots: Option<f64>,
+    pub free_memory: Option<f64>,
+    pub errors_per_s: Option<f64>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Listed {
+    Ready,
+    Draining,
+    Gone,
+}
+
+/// One line of the list of workers.
+#[derive(Clone, Debug)]
+pub struct Line {
+    pub id: u64,
+    pub weight: f64,
+    pub zone: u16,
+    pub cell: u16,
+    pub kind: u16,
+    pub listed: Listed,
+    /// When the process last started; 0 is long ago.
+    pub came_up: f64,
+}
+
+/// What the list service had to say.
+pub enum News<'a> {
+    Changes(&'a [Line]),
+    /// The full list: a worker that is not in it is gone.
+    Full(&'a [Line]),
+    /// The full list as last had, before this start; it may be old.
+    Cached(&'a [Line]),
+    Failed,
+}
+
+/// A process on a machine; one that starts again is another `Worker`.
+#[derive(Debug)]
+pub struct Worker {
+    pub line: Line,
+    pub(crate) listed: Cell<Listed>,
+    /// Our allocations there that have no outcome yet.
+    pub(crate) out: RefCell<Vec<Weak<Allocation>>>,
+    pub(crate) slots_out: Cell<f64>,
+    pub(crate) allowance: Cell<f64>,
+    /// Smoothed running time and its weight, for each project type.
+    pub(crate) heard: RefCell<Vec<(f64, f64)>>,
+    /// Smoothed time from sending to starting, and when it was last heard.
+    pub(crate) delay: Cell<(f64, f64)>,
+    pub(crate) failures: Cell<f64>,
+    pub(crate) suspect: Cell<bool>,
+    pub(crate) next_trial: Cell<f64>,
+    pub(crate) trial_wait: Cell<f64>,
+    /// Budget for a cold worker, and when it was last topped up.
+    pub(crate) budget: Cell<(f64, f64)>,
+    pub(crate) report: Cell<(Report, f64)>,
+    pub(crate) sent_since: Cell<(f64, f64)>,
+}
+
+#[derive(Debug)]
+pub struct WorkUnit {
+    pub id: u64,
+    pub project_type: usize,
+    pub customer: Option<usize>,
+    pub slots: f64,
+    pub memory: f64,
+    pub arrived: f64,
+    /// When this try's client gives up.
+    pub limit: f64,
+    pub(crate) excess: Cell<bool>,
+    pub(crate) ended: Cell<bool>,
+    pub(crate) waiting: Cell<bool>,
+    pub(crate) allocs: RefCell<Vec<Rc<Allocation>>>,
+}
+
+#[derive(Debug)]
+pub struct Allocation {
+    pub wu: Weak<WorkUnit>,
+    pub worker: Rc<Worker>,
+    pub number: u16,
+    pub sent: f64,
+    pub(crate) started: Cell<Option<f64>>,
+    pub(crate) outcome: Cell<Option<Outcome>>,
+}
+
+impl WorkUnit {
+    #[allow(clippy::too_many_arguments)]
+    pub fn new(
+        id: u64,
+        project_type: usize,
+        customer: Option<usize>,
+        slots: f64,
+        memory: f64,
+        arrived: f64,
+        time_budget: f64,
+    ) -> Rc<WorkUnit> {
+        Rc::new(WorkUnit {
+            id,
+            project_type,
+            customer,
+            slots: if slots.is_finite() { slots.max(1.0) } else { 1.0 },
+            memory: if memory.is_finite() { memory.max(0.0) } else { 0.0 },
+            arrived,
+            limit: arrived + time_budget,
+            excess: Cell::new(false),
+            ended: Cell::new(false),
+            waiting: Cell::new(false),
+            allocs: RefCell::default(),
+        })
+    }
+
+    pub fn allocation(&self, number: u16) -> Option<Rc<Allocation>> {
+        self.allocs.borrow().get(number as usize).cloned()
+    }
+
+    /// Ended, with no outcome outstanding: the front may forget it.
+    pub fn is_over(&self) -> bool {
+        self.ended.get() && self.allocs.borrow().iter().all(|a| a.outcome.get().is_some())
+    }
+}
+
+impl Worker {
+    /// Our slots there that have no outcome yet.
+    pub fn slots_out(&self) -> f64 {
+        self.slots_out.get()
+    }
+}
+
+/// All that the decisions can do.
+pub trait Door {
+    fn allocate(&mut self, alloc: &Allocation);
+    fn recall(&mut self, alloc: &Allocation);
+    /// A final answer: turned away, trying again is harmless.
+    fn defer(&mut self, wu: &WorkUnit, come_back: f64);
+    /// A final answer that promises nothing.
+    fn abort(&mut self, wu: &WorkUnit);
+    fn probe(&mut self, worker: &Worker);
+    fn follow_list(&mut self);
+    /// Asks for a call of `woke` this many seconds from now.
+    fn wake_in(&mut self, seconds: f64);
+    fn log(&mut self, line: &str);
+}
