--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -1,7 +1,7 @@
 //! The settings text: `path=value` lines, read into the parts of the decision module.
 
-use mintlb::decide::{Buffers, Chance, ColdRule, Fleet, Follow, Repeats, Scheduler, Shares};
-use mintlb::{Effect, Group, ProjectType};
+use mintlb::decide::{Buffers, Chance, Fleet, Follow, Repeats, Scheduler, Shares};
+use mintlb::{ColdRule, Effect, Group, ProjectType};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
@@ -91,7 +91,6 @@
             span: self.seconds("rules.fall")?,
         };
         let discovery: String = self.get("discovery")?;
-        let by_work = self.or("credit_basis", String::new())? == "work";
         let come_back = if self.get("permissions.retry_after")? {
             self.seconds("permissions.max_retry_after")?
         } else {
@@ -100,7 +99,7 @@
         Ok(Scheduler::new(
             Chance::new(seed),
             Shares::new(self.quotas()?, schedulers),
-            Buffers::new(self.project_types()?, self.or("excess_credit", 1.0)?, by_work),
+            Buffers::new(self.project_types()?, self.or("excess_credit", 1.0)?),
             Repeats::new(self.get("permissions.parallel_tries")?, self.get("permissions.most_allocations")?),
             Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?),
             Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -7,9 +7,9 @@
 //! workers with room, most room first; for each the runnable buffer of highest alpha x rate x length.
 
 use crate::{
-    Allocation, Door, Effect, Group, Line, Listed, News, Outcome, ProjectType, Report, WorkUnit, Worker,
+    Allocation, ColdRule, Door, Effect, Group, Line, Listed, News, Outcome, ProjectType, Report, WorkUnit,
+    Worker,
 };
-use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 
@@ -96,17 +96,16 @@
 pub struct Buffers {
     types: Vec<ProjectType>,
     excess_credit: f64,
-    by_work: bool,
     queues: Vec<VecDeque<Rc<WorkUnit>>>,
     /// Smoothed running time of each project type over all workers.
     running: Vec<f64>,
 }
 
 impl Buffers {
-    pub fn new(types: Vec<ProjectType>, excess_credit: f64, by_work: bool) -> Buffers {
+    pub fn new(types: Vec<ProjectType>, excess_credit: f64) -> Buffers {
         let queues = types.iter().flat_map(|_| [VecDeque::new(), VecDeque::new()]).collect();
         let running = types.iter().map(|t| t.promised_turnaround.max(t.hard_limit / 16.0)).collect();
-        Buffers { types, excess_credit, by_work, queues, running }
+        Buffers { types, excess_credit, queues, running }
     }
 
     fn of(wu: &WorkUnit) -> usize {
@@ -127,13 +126,12 @@
         }
     }
 
-    /// The weight of a buffer: the credit, less past a share. Where credit counts by the work done, a
-    /// work unit's credit grows with its running time.
+    /// The weight of a buffer: the credit, less past a share.
     fn alpha(&self, queue: usize) -> f64 {
         let t = &self.types[queue / 2];
         let credit = if t.credit > 0.0 { t.credit } else { 1.0 };
-        let size = if self.by_work { self.running[queue / 2] } else { 1.0 };
-        credit * size * if queue % 2 == 1 { self.excess_credit } else { 1.0 }
+
+        credit * if queue % 2 == 1 { self.excess_credit } else { 1.0 }
     }
 
     /// Past this moment even a work unit of usual size no longer ends in its promised turnaround.
@@ -213,15 +211,6 @@
     }
 }
 
-/// The figures of the rule on cold workers.
-#[derive(Clone, Copy)]
-pub struct ColdRule {
-    pub from: f64,
-    pub warm_after: f64,
-    pub multiple: f64,
-    pub span: f64,
-}
-
 /// The workers: the list, room, rates, health.
 pub struct Fleet {
     cold: ColdRule,
@@ -248,22 +237,8 @@
     fn add(&mut self, now: f64, line: &Line, types: usize) {
         let known = self.workers.iter().filter(|w| w.listed.get() == Listed::Ready);
         let (sum, n) = known.fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
-        self.workers.push(Rc::new(Worker {
-            line: line.clone(),
-            listed: Cell::new(line.listed),
-            out: RefCell::default(),
-            slots_out: Cell::new(0.0),
-            allowance: Cell::new(if n > 0.0 { sum / n } else { 2.0 }),
-            heard: RefCell::new(vec![(0.0, 0.0); types]),
-            delay: Cell::new((0.0, 0.0)),
-            failures: Cell::new(0.0),
-            suspect: Cell::new(false),
-            next_trial: Cell::new(0.0),
-            trial_wait: Cell::new(0.0),
-            budget: Cell::new((0.0, now)),
-            report: Cell::new((Report::default(), 0.0)),
-            sent_since: Cell::new((0.0, 0.0)),
-        }));
+        let allowance = if n > 0.0 { sum / n } else { 2.0 };
+        self.workers.push(Rc::new(Worker::new(line.clone(), allowance, types, now)));
     }
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void.
@@ -346,14 +321,7 @@
     }
 
     fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>) -> Rc<Allocation> {
-        let alloc = Rc::new(Allocation {
-            wu: Rc::downgrade(wu),
-            worker: w.clone(),
-            number: wu.allocs.borrow().len() as u16,
-            sent: now,
-            started: Cell::new(None),
-            outcome: Cell::new(None),
-        });
+        let alloc = Allocation::new(wu, w, now);
         wu.allocs.borrow_mut().push(alloc.clone());
         w.out.borrow_mut().push(Rc::downgrade(&alloc));
         w.slots_out.set(w.slots_out.get() + wu.slots);
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -79,6 +79,15 @@
     pub came_up: f64,
 }
 
+/// The figures of the rule on cold workers.
+#[derive(Clone, Copy)]
+pub struct ColdRule {
+    pub from: f64,
+    pub warm_after: f64,
+    pub multiple: f64,
+    pub span: f64,
+}
+
 /// What the list service had to say.
 pub enum News<'a> {
     Changes(&'a [Line]),
@@ -174,7 +183,40 @@
     }
 }
 
+impl Allocation {
+    pub(crate) fn new(wu: &Rc<WorkUnit>, worker: &Rc<Worker>, sent: f64) -> Rc<Allocation> {
+        Rc::new(Allocation {
+            wu: Rc::downgrade(wu),
+            worker: worker.clone(),
+            number: wu.allocs.borrow().len() as u16,
+            sent,
+            started: Cell::new(None),
+            outcome: Cell::new(None),
+        })
+    }
+}
+
 impl Worker {
+    /// A worker of which nothing is known but its line in the list.
+    pub(crate) fn new(line: Line, allowance: f64, types: usize, now: f64) -> Worker {
+        Worker {
+            listed: Cell::new(line.listed),
+            line,
+            out: RefCell::default(),
+            slots_out: Cell::new(0.0),
+            allowance: Cell::new(allowance),
+            heard: RefCell::new(vec![(0.0, 0.0); types]),
+            delay: Cell::new((0.0, 0.0)),
+            failures: Cell::new(0.0),
+            suspect: Cell::new(false),
+            next_trial: Cell::new(0.0),
+            trial_wait: Cell::new(0.0),
+            budget: Cell::new((0.0, now)),
+            report: Cell::new((Report::default(), 0.0)),
+            sent_since: Cell::new((0.0, 0.0)),
+        }
+    }
+
     /// Our slots there that have no outcome yet.
     pub fn slots_out(&self) -> f64 {
         self.slots_out.get()
