--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -223,7 +223,7 @@
     base_delay: f64,
 }
 
-const CEILING: f64 = 8.0;
+const CEILING: f64 = 4.0;
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
 const SUSPECT: f64 = 0.35;
