The allowance is learned from starts: ceiling at lanes seen, a late start halves it

Cause: a worker whose slots others have filled was seen as free. A start later than twice the quickest is the worker's word that its slots are taken, so it halves the allowance as 'full' does; the ceiling is the most of our slots seen running at once on one worker.

--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -223,7 +223,7 @@
     base_delay: f64,
 }
 
-const CEILING: f64 = 4.0;
+const EXPLORE: f64 = 0.0;
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
 const SUSPECT: f64 = 0.35;
@@ -231,7 +231,7 @@
 impl Fleet {
     pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool) -> Fleet {
         let schedulers = schedulers.max(1) as f64;
-        Fleet { cold, schedulers, tells_start, workers: Vec::new(), lanes: 1.0, base_delay: 0.0 }
+        Fleet { cold, schedulers, tells_start, workers: Vec::new(), lanes: 2.0, base_delay: 0.0 }
     }
 
     fn add(&mut self, now: f64, line: &Line, types: usize) {
@@ -344,9 +344,13 @@
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
+        if delay > self.base_delay * 2.0 + 0.02 {
+            w.allowance.set((w.allowance.get() / 2.0).max(1.0));
+        }
         self.base_delay = if self.base_delay == 0.0 { delay } else { self.base_delay.min(delay) };
-        let runs = |a: &Weak<Allocation>| a.upgrade().is_some_and(|a| a.started.get().is_some());
-        let running = w.out.borrow().iter().filter(|a| runs(a)).count() as f64;
+        let out = w.out.borrow();
+        let running = out.iter().filter_map(Weak::upgrade).filter(|a| a.started.get().is_some());
+        let running = running.filter_map(|a| a.wu.upgrade()).map(|wu| wu.slots).sum::<f64>();
         self.lanes = self.lanes.max(running);
     }
 
@@ -363,7 +367,7 @@
                 let mut heard = w.heard.borrow_mut();
                 let (sum, weight) = heard[wu.project_type];
                 heard[wu.project_type] = (sum * FORGET + took, weight * FORGET + 1.0);
-                w.allowance.set((w.allowance.get() + 1.0).min(CEILING));
+                w.allowance.set((w.allowance.get() + 1.0).min(self.lanes + EXPLORE));
                 ran = Some(took);
                 failed = Some(0.0);
             }
