--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -226,7 +226,8 @@
 const EXPLORE: f64 = 0.0;
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
-const SUSPECT: f64 = 0.35;
+const TRIAL: f64 = 0.5;
+const SUSPECT: f64 = 0.2;
 
 impl Fleet {
     pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool) -> Fleet {
@@ -329,10 +330,6 @@
         w.budget.set((budget - 1.0, at));
         let (slots, memory) = w.sent_since.get();
         w.sent_since.set((slots + wu.slots, memory + wu.memory));
-        if w.suspect.get() {
-            w.next_trial.set(now + w.trial_wait.get());
-            w.trial_wait.set(w.trial_wait.get() * 2.0);
-        }
         alloc
     }
 
@@ -377,27 +374,28 @@
             _ => {}
         }
         if let Some(failed) = failed {
-            w.failures.set(w.failures.get() + (failed - w.failures.get()) / 4.0);
-            self.judge(now, w);
+            self.judge(now, w, failed);
         }
         ran
     }
 
     /// A worker is a suspect when its share of failures is far over the fleet's median; a fleet that is bad
     /// all over has no suspects. One comes back by single trials, ever further apart while they fail.
-    fn judge(&mut self, now: f64, w: &Worker) {
+    fn judge(&mut self, now: f64, w: &Worker, failed: f64) {
+        w.failures.set(w.failures.get() + (failed - w.failures.get()) / 4.0);
         let ready = self.workers.iter().filter(|w| w.listed.get() == Listed::Ready);
         let mut shares: Vec<f64> = ready.map(|w| w.failures.get()).collect();
         shares.sort_by(f64::total_cmp);
         let median = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
         let over = w.failures.get() - median;
-        if !w.suspect.get() && over > SUSPECT {
+        let again = if failed > 0.0 { w.trial_wait.get() * 2.0 } else { 0.0 };
+        if over > SUSPECT {
             w.suspect.set(true);
-            w.trial_wait.set(0.5);
-            w.next_trial.set(now + 0.5);
-        } else if w.suspect.get() && over < SUSPECT / 2.0 {
+        } else if over < SUSPECT / 2.0 {
             w.suspect.set(false);
         }
+        w.trial_wait.set(again.clamp(TRIAL, 8.0 * TRIAL));
+        w.next_trial.set(now + again);
     }
 }
 
@@ -647,8 +645,12 @@
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
     fn pick(&self, now: f64, w: &Worker, slow: f64) -> Option<Rc<WorkUnit>> {
         let mut best: Option<(f64, Rc<WorkUnit>)> = None;
+        let spare = self.buffers.types.iter().any(|t| t.effect != Effect::Exclusive);
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
             let t = &self.buffers.types[i / 2];
+            if w.suspect.get() && t.effect == Effect::Exclusive && spare {
+                continue;
+            }
             let rate = self.fleet.rate(w, i / 2, &self.buffers.running, slow);
             let pressure = self.buffers.alpha(i) * rate * queue.len() as f64;
             if t.kind.is_some_and(|k| k != w.line.kind) || best.as_ref().is_some_and(|b| b.0 >= pressure) {
