--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -142,6 +142,10 @@
         (wu.arrived + slack).min(wu.limit - running.min(t.hard_limit / 4.0))
     }
 
+    fn mean_run(&self) -> f64 {
+        self.running.iter().sum::<f64>() / self.running.len() as f64
+    }
+
     fn learn(&mut self, project_type: usize, ran: f64) {
         self.running[project_type] += (ran - self.running[project_type]) / 32.0;
     }
@@ -224,8 +228,8 @@
 }
 
 const EXPLORE: f64 = 0.0;
-const PRIOR: f64 = 4.0;
-const FORGET: f64 = 15.0 / 16.0;
+const PRIOR: f64 = 2.0;
+const FORGET: f64 = 7.0 / 8.0;
 const TRIAL: f64 = 0.5;
 const SUSPECT: f64 = 0.2;
 
@@ -621,7 +625,7 @@
             return;
         }
         let running = &self.buffers.running;
-        let mean_run = running.iter().sum::<f64>() / running.len() as f64;
+        let mean_run = self.buffers.mean_run();
         let mean_weight = self.fleet.mean_weight();
         let mut ready: Vec<(f64, f64, f64, Rc<Worker>)> = Vec::new();
         for w in &self.fleet.workers {
