--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -138,8 +138,7 @@
     fn hope(&self, wu: &WorkUnit) -> f64 {
         let t = &self.types[wu.project_type];
         let running = self.running[wu.project_type];
-        let slack = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * running;
-        (wu.arrived + slack).min(wu.limit - running.min(t.hard_limit / 4.0))
+        (wu.arrived + t.promised_turnaround).min(wu.limit - running.min(t.hard_limit / 4.0))
     }
 
     fn mean_run(&self) -> f64 {
@@ -228,8 +227,8 @@
 }
 
 const EXPLORE: f64 = 0.0;
-const PRIOR: f64 = 2.0;
-const FORGET: f64 = 7.0 / 8.0;
+const PRIOR: f64 = 4.0;
+const FORGET: f64 = 15.0 / 16.0;
 const TRIAL: f64 = 0.5;
 const SUSPECT: f64 = 0.2;
 
