--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -96,11 +96,12 @@
         } else {
             0.0
         };
+        let parallel = self.get("permissions.parallel_tries")? && self.get("permissions.may_cancel")?;
         Ok(Scheduler::new(
             Chance::new(seed),
             Shares::new(self.quotas()?, schedulers),
             Buffers::new(self.project_types()?, self.or("excess_credit", 1.0)?),
-            Repeats::new(self.get("permissions.parallel_tries")?, self.get("permissions.most_allocations")?),
+            Repeats::new(parallel, self.get("permissions.most_allocations")?),
             Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?),
             Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
             come_back,
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -33,6 +33,8 @@
     Limit(Weak<WorkUnit>),
     /// A waiting work unit has no hope left.
     Patience(Weak<WorkUnit>),
+    /// An allocation should have started by now.
+    Start(Weak<Allocation>),
     /// Ask (again) to follow the list.
     Ask,
     /// The periodic work.
@@ -336,6 +338,11 @@
         alloc
     }
 
+    /// A start later than this says that the worker's slots were taken.
+    fn late(&self) -> f64 {
+        self.base_delay * 2.0 + 0.02
+    }
+
     fn started(&mut self, now: f64, alloc: &Allocation) {
         if alloc.started.replace(Some(now)).is_some() || alloc.outcome.get().is_some() {
             return;
@@ -344,7 +351,7 @@
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
-        if delay > self.base_delay * 2.0 + 0.02 {
+        if delay > self.late() {
             w.allowance.set((w.allowance.get() / 2.0).max(1.0));
         }
         self.base_delay = if self.base_delay == 0.0 { delay } else { self.base_delay.min(delay) };
@@ -504,6 +511,15 @@
 
     pub fn started(&mut self, door: &mut dyn Door, now: f64, alloc: &Rc<Allocation>) {
         self.fleet.started(now, alloc);
+        if let Some(wu) = alloc.wu.upgrade() {
+            if wu.waiting.get() {
+                self.buffers.take_out(&wu);
+            }
+            let allocs = wu.allocs.borrow();
+            let mut out: Vec<_> = allocs.iter().filter(|a| a.outcome.get().is_none()).collect();
+            out.sort_by_key(|a| a.started.get().map_or(u64::MAX, f64::to_bits));
+            out.iter().skip(1).for_each(|a| door.recall(a));
+        }
         self.press(door, now);
         self.agenda.arm(door, now);
     }
@@ -601,9 +617,14 @@
                         self.give_up(door, now, &wu);
                     }
                 }
-                Due::Patience(wu) => {
-                    if let Some(wu) = wu.upgrade().filter(|wu| wu.waiting.get()) {
-                        self.give_up(door, now, &wu);
+                Due::Patience(wu) => match wu.upgrade().filter(|wu| wu.waiting.get()) {
+                    Some(wu) if Repeats::out(&wu) => self.buffers.take_out(&wu),
+                    Some(wu) => self.give_up(door, now, &wu),
+                    None => {}
+                },
+                Due::Start(alloc) => {
+                    if let Some(alloc) = alloc.upgrade() {
+                        self.unstarted(&alloc);
                     }
                 }
                 Due::Ask => {
@@ -617,6 +638,15 @@
         self.agenda.arm(door, now);
     }
 
+    /// A work unit kept waiting at a worker that others have filled goes back to its buffer for a second
+    /// allocation beside the first, where its type permits that; the first to start calls the other off.
+    fn unstarted(&mut self, alloc: &Allocation) {
+        let Some(wu) = alloc.wu.upgrade().filter(|wu| !wu.ended.get() && !wu.waiting.get()) else { return };
+        if alloc.started.get().is_none() && alloc.outcome.get().is_none() && !self.repeats.spent(&wu) {
+            self.buffers.put(&wu, true);
+        }
+    }
+
     /// The rule. Workers with room, most room first; from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let waiting = self.buffers.queues.iter().any(|q| !q.is_empty());
@@ -642,6 +672,10 @@
             self.buffers.take_out(&wu);
             let alloc = self.fleet.send(now, &w, &wu);
             door.allocate(&alloc);
+            let repeats = self.buffers.types[wu.project_type].effect != Effect::Exclusive;
+            if self.fleet.tells_start && self.repeats.parallel && repeats {
+                self.agenda.add(now + self.fleet.late(), Due::Start(Rc::downgrade(&alloc)));
+            }
         }
     }
 
