--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -663,8 +663,7 @@
                 let slow = self.fleet.slowness(w, running, mean_weight);
                 let (delay, at) = w.delay.get();
                 let delay = delay / (1.0 + (now - at) / mean_run);
-                let spread = 0.8 + 0.4 * self.chance.draw();
-                ready.push((room * spread / (delay + slow * mean_run), 0.0, slow, w.clone()));
+                ready.push((room / (delay + slow * mean_run), self.chance.draw(), slow, w.clone()));
             }
         }
         ready.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
