--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -224,11 +224,11 @@
     workers: Vec<Rc<Worker>>,
     /// The most of our slots seen running at once on one worker.
     lanes: f64,
-    /// Smoothed time to start where nothing else held a job up.
-    base_delay: f64,
+    /// The quickest start seen in each zone: where nothing else held the job up.
+    quickest: BTreeMap<u16, f64>,
 }
 
-const EXPLORE: f64 = 0.0;
+const LATE: f64 = 0.02;
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
 const TRIAL: f64 = 0.5;
@@ -237,7 +237,7 @@
 impl Fleet {
     pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool) -> Fleet {
         let schedulers = schedulers.max(1) as f64;
-        Fleet { cold, schedulers, tells_start, workers: Vec::new(), lanes: 2.0, base_delay: 0.0 }
+        Fleet { cold, schedulers, tells_start, workers: Vec::new(), lanes: 2.0, quickest: BTreeMap::new() }
     }
 
     fn add(&mut self, now: f64, line: &Line, types: usize) {
@@ -339,8 +339,8 @@
     }
 
     /// A start later than this says that the worker's slots were taken.
-    fn late(&self) -> f64 {
-        self.base_delay * 2.0 + 0.02
+    fn late(&self, w: &Worker) -> f64 {
+        self.quickest.get(&w.line.zone).map_or(0.0, |q| q * 2.0) + LATE
     }
 
     fn started(&mut self, now: f64, alloc: &Allocation) {
@@ -351,10 +351,11 @@
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
-        if delay > self.late() {
+        if delay > self.late(w) {
             w.allowance.set((w.allowance.get() / 2.0).max(1.0));
         }
-        self.base_delay = if self.base_delay == 0.0 { delay } else { self.base_delay.min(delay) };
+        let quickest = self.quickest.entry(w.line.zone).or_insert(delay);
+        *quickest = quickest.min(delay);
         let out = w.out.borrow();
         let running = out.iter().filter_map(Weak::upgrade).filter(|a| a.started.get().is_some());
         let running = running.filter_map(|a| a.wu.upgrade()).map(|wu| wu.slots).sum::<f64>();
@@ -374,7 +375,7 @@
                 let mut heard = w.heard.borrow_mut();
                 let (sum, weight) = heard[wu.project_type];
                 heard[wu.project_type] = (sum * FORGET + took, weight * FORGET + 1.0);
-                w.allowance.set((w.allowance.get() + 1.0).min(self.lanes + EXPLORE));
+                w.allowance.set((w.allowance.get() + 1.0).min(self.lanes));
                 ran = Some(took);
                 failed = Some(0.0);
             }
@@ -674,7 +675,7 @@
             door.allocate(&alloc);
             let repeats = self.buffers.types[wu.project_type].effect != Effect::Exclusive;
             if self.fleet.tells_start && self.repeats.parallel && repeats {
-                self.agenda.add(now + self.fleet.late(), Due::Start(Rc::downgrade(&alloc)));
+                self.agenda.add(now + self.fleet.late(&w), Due::Start(Rc::downgrade(&alloc)));
             }
         }
     }
