--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -101,17 +101,8 @@
         if n > self.fields.len().min(4) {
             return Err(format!("a load report of {n} values, {} are named", self.fields.len()));
         }
-        let mut report = Report::default();
-        for (i, field) in self.fields.iter().take(n).enumerate() {
-            let value = Some(event.f32(at + 1 + 4 * i));
-            match field.as_str() {
-                "x0" => report.free_slots = value,
-                "x1" => report.free_memory = value,
-                "eps" => report.errors_per_s = value,
-                _ => {}
-            }
-        }
-        Ok(report)
+        let at_slot = self.fields.iter().take(n).position(|f| f == "x0");
+        Ok(Report { free_slots: at_slot.map(|i| event.f32(at + 1 + 4 * i)) })
     }
 
     fn event(
--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -96,13 +96,18 @@
         } else {
             0.0
         };
-        let parallel = self.get("permissions.parallel_tries")? && self.get("permissions.may_cancel")?;
+        let types = self.project_types()?;
+        let promise = types.iter().map(|t| t.promised_turnaround).fold(1.0, f64::min).max(0.01);
         Ok(Scheduler::new(
             Chance::new(seed),
-            Shares::new(self.quotas()?, schedulers),
-            Buffers::new(self.project_types()?, self.or("excess_credit", 1.0)?),
-            Repeats::new(parallel, self.get("permissions.most_allocations")?),
-            Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?),
+            Shares::new(&self.quotas()?, schedulers),
+            Buffers::new(types, self.or("excess_credit", 1.0)?),
+            Repeats::new(
+                self.get("permissions.parallel_tries")?,
+                self.get("permissions.may_cancel")?,
+                self.get("permissions.most_allocations")?,
+            ),
+            Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?, promise),
             Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
             come_back,
         ))
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -6,10 +6,8 @@
 //! leaves by `Fleet` (which worker has room); an outcome runs the other way. `press` is the rule itself:
 //! workers with room, most room first; for each the runnable buffer of highest alpha x rate x length.
 
-use crate::{
-    Allocation, ColdRule, Door, Effect, Group, Line, Listed, News, Outcome, ProjectType, Report, WorkUnit,
-    Worker,
-};
+use crate::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News};
+use crate::{Outcome, ProjectType, Report, WorkUnit, Worker};
 use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 
@@ -18,7 +16,7 @@
 
 impl Chance {
     pub fn new(seed: u64) -> Chance {
-        Chance((seed ^ (seed >> 32)) % 0xffff_da60_ffff_ffff | 1)
+        Chance(((seed ^ (seed >> 32)) % 0xffff_da60_ffff_ffff) | 1)
     }
 
     /// A number from 0 up to 1.
@@ -37,7 +35,7 @@
     Start(Weak<Allocation>),
     /// Ask (again) to follow the list.
     Ask,
-    /// The periodic work.
+    /// The periodic look for room that only time brings: trials, cold budgets.
     Round,
 }
 
@@ -70,25 +68,24 @@
     }
 }
 
-/// Customers: work beyond a customer's share is worth `excess_credit`, and alpha knows it.
+/// Customers: work beyond a customer's share is worth `excess_credit`, and alpha knows it. How much of a
+/// quota is ours can't be seen; the geometric mean of an equal part and the whole errs least either way.
 pub struct Shares {
-    quotas: Vec<f64>,
-    schedulers: f64,
+    parts: Vec<f64>,
     /// What is left of each customer's part, and when it was last topped up.
     left: Vec<(f64, f64)>,
 }
 
 impl Shares {
-    pub fn new(quotas: Vec<f64>, schedulers: usize) -> Shares {
-        let left = quotas.iter().map(|q| (*q, 0.0)).collect();
-        Shares { quotas, schedulers: schedulers as f64, left }
+    pub fn new(quotas: &[f64], schedulers: usize) -> Shares {
+        let parts: Vec<f64> = quotas.iter().map(|q| q / (schedulers.max(1) as f64).sqrt()).collect();
+        Shares { left: parts.iter().map(|p| (*p, 0.0)).collect(), parts }
     }
 
     fn pass(&mut self, now: f64, wu: &WorkUnit) {
-        let Some(c) = wu.customer.filter(|&c| c < self.quotas.len()) else { return };
-        let quota = self.quotas[c] / self.schedulers.sqrt();
+        let Some(c) = wu.customer.filter(|&c| c < self.parts.len()) else { return };
         let (left, at) = self.left[c];
-        let left = (left + quota * (now - at)).min(quota);
+        let left = (left + self.parts[c] * (now - at)).min(self.parts[c].max(1.0));
         wu.excess.set(left < 1.0);
         self.left[c] = (if left < 1.0 { left } else { left - 1.0 }, now);
     }
@@ -103,48 +100,52 @@
     running: Vec<f64>,
 }
 
+/// How far into a buffer the rule looks for a runnable work unit: one that is not must not block others.
+const LOOK: usize = 8;
+/// Until a project type is heard of, it is taken to run for this part of its hard limit.
+const UNHEARD: f64 = 1.0 / 16.0;
+
 impl Buffers {
     pub fn new(types: Vec<ProjectType>, excess_credit: f64) -> Buffers {
         let queues = types.iter().flat_map(|_| [VecDeque::new(), VecDeque::new()]).collect();
-        let running = types.iter().map(|t| t.promised_turnaround.max(t.hard_limit / 16.0)).collect();
+        let running = types.iter().map(|t| t.promised_turnaround.max(t.hard_limit * UNHEARD)).collect();
         Buffers { types, excess_credit, queues, running }
     }
 
-    fn of(wu: &WorkUnit) -> usize {
-        2 * wu.project_type + wu.excess.get() as usize
+    fn effect(&self, wu: &WorkUnit) -> Effect {
+        self.types[wu.project_type].effect
     }
 
     fn put(&mut self, wu: &Rc<WorkUnit>, first: bool) {
         wu.waiting.set(true);
-        let queue = &mut self.queues[Buffers::of(wu)];
+        let queue = &mut self.queues[2 * wu.project_type + wu.excess.get() as usize];
         if first { queue.push_front(wu.clone()) } else { queue.push_back(wu.clone()) }
     }
 
     fn take_out(&mut self, wu: &Rc<WorkUnit>) {
-        wu.waiting.set(false);
-        let queue = &mut self.queues[Buffers::of(wu)];
-        if let Some(at) = queue.iter().position(|w| Rc::ptr_eq(w, wu)) {
-            queue.remove(at);
+        if wu.waiting.replace(false) {
+            let queue = &mut self.queues[2 * wu.project_type + wu.excess.get() as usize];
+            queue.iter().position(|w| Rc::ptr_eq(w, wu)).map(|at| queue.remove(at));
         }
     }
 
-    /// The weight of a buffer: the credit, less past a share.
+    /// The weight of a buffer: the credit, 1 where none is set, less past a share.
     fn alpha(&self, queue: usize) -> f64 {
-        let t = &self.types[queue / 2];
-        let credit = if t.credit > 0.0 { t.credit } else { 1.0 };
-
-        credit * if queue % 2 == 1 { self.excess_credit } else { 1.0 }
+        let credit = self.types[queue / 2].credit;
+        let credit = if credit > 0.0 { credit } else { 1.0 };
+        if queue % 2 == 1 { credit * self.excess_credit } else { credit }
     }
 
-    /// Past this moment even a work unit of usual size no longer ends in its promised turnaround.
+    /// Past this moment waiting work is given up: what the promise leaves is less than it takes to run.
+    /// Longer patience makes fresh work wait behind stale work, and on crowded days all of it comes late.
     fn hope(&self, wu: &WorkUnit) -> f64 {
         let t = &self.types[wu.project_type];
-        let running = self.running[wu.project_type];
-        (wu.arrived + t.promised_turnaround).min(wu.limit - running.min(t.hard_limit / 4.0))
+        let takes = self.running[wu.project_type].min(t.hard_limit / 4.0);
+        (wu.arrived + t.promised_turnaround).min(wu.limit - takes)
     }
 
     fn mean_run(&self) -> f64 {
-        self.running.iter().sum::<f64>() / self.running.len() as f64
+        self.running.iter().sum::<f64>() / self.running.len().max(1) as f64
     }
 
     fn learn(&mut self, project_type: usize, ran: f64) {
@@ -155,15 +156,17 @@
 /// Rule 2: what may be sent again, and where.
 pub struct Repeats {
     parallel: bool,
+    may_recall: bool,
     most_allocations: usize,
 }
 
 impl Repeats {
-    pub fn new(parallel: bool, most_allocations: usize) -> Repeats {
-        Repeats { parallel, most_allocations }
+    pub fn new(parallel: bool, may_recall: bool, most_allocations: usize) -> Repeats {
+        Repeats { parallel, may_recall, most_allocations }
     }
 
-    /// Whether an outcome leaves open that the work was done. One called off by us may have run, too.
+    /// Whether an outcome, or none so far, leaves open that the work was done. One called off by us may
+    /// have run, too.
     fn may_have_run(outcome: Option<Outcome>) -> bool {
         !matches!(outcome, Some(Outcome::Full | Outcome::NoConnection | Outcome::Moot))
     }
@@ -171,31 +174,20 @@
     /// May this work unit go to this worker now?
     fn pass(&self, now: f64, effect: Effect, wu: &WorkUnit, worker: &Worker) -> bool {
         let allocs = wu.allocs.borrow();
-        if allocs.is_empty() {
-            return true;
-        }
-        if wu.ended.get() || allocs.len() >= self.most_allocations {
-            return false;
-        }
-        let out = allocs.iter().any(|a| a.outcome.get().is_none());
-        if (out && !self.parallel)
-            || allocs.iter().any(|a| Rc::as_ptr(&a.worker) == worker && a.outcome.get().is_none())
-        {
+        let out = |a: &&Rc<Allocation>| a.outcome.get().is_none();
+        let there = allocs.iter().filter(out).any(|a| std::ptr::eq(&*a.worker, worker));
+        if wu.ended.get() || self.spent(wu) || there || !self.parallel && allocs.iter().any(|a| out(&a)) {
             return false;
         }
         let Some(first) = allocs.iter().find(|a| Repeats::may_have_run(a.outcome.get())) else { return true };
+        let (a, b) = (&first.worker.line, &worker.line);
         match effect {
             Effect::Rerunnable => true,
             Effect::Exclusive => false,
-            Effect::Receipted { group, window } => {
-                let (a, b) = (&first.worker.line, &worker.line);
-                now < first.sent + window
-                    && match group {
-                        Group::All => true,
-                        Group::Zone => a.zone == b.zone,
-                        Group::Cell => a.cell == b.cell && a.zone == b.zone,
-                    }
-            }
+            Effect::Receipted { window, .. } if now >= first.sent + window => false,
+            Effect::Receipted { group: Group::All, .. } => true,
+            Effect::Receipted { group: Group::Zone, .. } => a.zone == b.zone,
+            Effect::Receipted { group: Group::Cell, .. } => a.zone == b.zone && a.cell == b.cell,
         }
     }
 
@@ -207,13 +199,25 @@
         }
     }
 
-    fn out(wu: &WorkUnit) -> bool {
-        wu.allocs.borrow().iter().any(|a| a.outcome.get().is_none())
+    /// Calls off, as far as that is permitted, all allocations still out but `kept`.
+    fn call_off(&self, door: &mut dyn Door, wu: &WorkUnit, kept: Option<&Rc<Allocation>>) {
+        let allocs = wu.allocs.borrow();
+        let out = allocs.iter().filter(|a| self.may_recall && a.outcome.get().is_none());
+        out.filter(|a| kept.is_none_or(|k| !Rc::ptr_eq(a, k))).for_each(|a| door.recall(a));
     }
 
     fn spent(&self, wu: &WorkUnit) -> bool {
         wu.allocs.borrow().len() >= self.most_allocations
     }
+
+    fn out(wu: &WorkUnit) -> bool {
+        wu.allocs.borrow().iter().any(|a| a.outcome.get().is_none())
+    }
+
+    /// May a second allocation run beside the first?
+    fn doubles(&self, effect: Effect) -> bool {
+        self.parallel && self.may_recall && effect != Effect::Exclusive
+    }
 }
 
 /// The workers: the list, room, rates, health.
@@ -221,48 +225,58 @@
     cold: ColdRule,
     schedulers: f64,
     tells_start: bool,
+    /// The shortest promised turnaround.
+    promise: f64,
     workers: Vec<Rc<Worker>>,
     /// The most of our slots seen running at once on one worker.
     lanes: f64,
-    /// The quickest start seen in each zone: where nothing else held the job up.
+    /// The quickest start seen in each zone: there nothing held the job up.
     quickest: BTreeMap<u16, f64>,
 }
 
-const LATE: f64 = 0.02;
+/// A start is late when it takes this part of the shortest promise longer than twice the quickest.
+const LATE: f64 = 0.2;
+/// Rates start as if so many work units had been heard at the usual speed, and forget 1 in 16 a unit.
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
-const TRIAL: f64 = 0.5;
+/// The weight of one outcome in a worker's share of failures, and how far over the median makes a
+/// suspect: one failure of a worker without any does.
+const FAILED: f64 = 0.25;
 const SUSPECT: f64 = 0.2;
+/// A failed suspect's next trial waits so many shortest promises, at the least and at the most.
+const TRIAL: [f64; 2] = [3.0, 24.0];
+/// The ceiling where workers don't tell starts, and the first guess where they do, in slots.
+const CEILING: f64 = 8.0;
+const LANES: f64 = 2.0;
 
 impl Fleet {
-    pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool) -> Fleet {
+    pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool, promise: f64) -> Fleet {
         let schedulers = schedulers.max(1) as f64;
-        Fleet { cold, schedulers, tells_start, workers: Vec::new(), lanes: 2.0, quickest: BTreeMap::new() }
+        let lanes = if tells_start { LANES } else { CEILING };
+        let (workers, quickest) = (Vec::new(), BTreeMap::new());
+        Fleet { cold, schedulers, tells_start, promise, workers, lanes, quickest }
     }
 
-    fn add(&mut self, now: f64, line: &Line, types: usize) {
-        let known = self.workers.iter().filter(|w| w.listed.get() == Listed::Ready);
-        let (sum, n) = known.fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
-        let allowance = if n > 0.0 { sum / n } else { 2.0 };
-        self.workers.push(Rc::new(Worker::new(line.clone(), allowance, types, now)));
+    fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
+        self.workers.iter().filter(|w| w.listed.get() == Listed::Ready)
     }
 
-    /// One line of the list. A worker with a new start time is a new one: old knowledge is void.
-    fn listed(&mut self, now: f64, line: &Line, types: usize) {
-        let known = self.workers.iter().position(|w| w.line.id == line.id);
-        if let Some(at) = known {
-            let same = self.workers[at].line.came_up == line.came_up || line.listed != Listed::Ready;
-            if same {
+    /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
+    /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
+    fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64) {
+        if let Some(at) = self.workers.iter().position(|w| w.line.id == line.id) {
+            if self.workers[at].line.came_up == line.came_up || line.listed != Listed::Ready {
                 return self.workers[at].listed.set(line.listed);
             }
             self.workers.remove(at);
         }
-        self.add(now, line, types);
+        let (sum, n) = self.ready().fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
+        let allowance = if n > 0.0 { sum / n } else { self.lanes };
+        self.workers.push(Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now))));
     }
 
     fn mean_weight(&self) -> f64 {
-        let ready = self.workers.iter().filter(|w| w.listed.get() == Listed::Ready);
-        let (sum, n) = ready.fold((0.0, 0.0), |(s, n), w| (s + w.line.weight, n + 1.0));
+        let (sum, n) = self.ready().fold((0.0, 0.0), |(s, n), w| (s + w.line.weight, n + 1.0));
         if n > 0.0 && sum > 0.0 { sum / n } else { 1.0 }
     }
 
@@ -279,72 +293,60 @@
     fn rate(&self, w: &Worker, project_type: usize, running: &[f64], slowness: f64) -> f64 {
         let (sum, weight) = w.heard.borrow()[project_type];
         let usual = running[project_type] * slowness;
-        (weight + PRIOR) / (sum + PRIOR * usual).max(1e-6)
+        (weight + PRIOR) / (sum + PRIOR * usual).max(f64::MIN_POSITIVE)
     }
 
     /// How much of our own we may have there now; zero or less is no room.
     fn room(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
-        if w.listed.get() != Listed::Ready {
-            return 0.0;
-        }
         let out = w.slots_out.get();
-        if w.suspect.get() && (out > 0.0 || now < w.next_trial.get()) {
-            return 0.0;
-        }
+        let trial = !w.suspect.get() || out == 0.0 && now >= w.next_trial.get();
+        // Work of ours that has not started there says that its slots are taken, by others or for good.
         let kept = |a: &Weak<Allocation>| a.upgrade().is_some_and(|a| a.started.get().is_none());
-        if self.tells_start && w.out.borrow().iter().any(kept) {
-            return 0.0;
-        }
-        if self.is_cold(now, w) && self.budget(now, w, mean_run) < 1.0 {
+        let kept = self.tells_start && w.out.borrow().iter().any(kept);
+        let cold = w.line.came_up > 0.0 && now < w.line.came_up + self.cold.warm_after;
+        if w.listed.get() != Listed::Ready || !trial || kept || cold && self.budget(now, w) <= 0.0 {
             return 0.0;
         }
-        if out == 0.0 {
-            return w.allowance.get().max(1.0);
+        let (Report { free_slots }, at) = w.report.get();
+        let told_full = free_slots.is_some_and(|f| f <= w.sent_since.get()) && now - at < mean_run;
+        match out {
+            0.0 => w.allowance.get().max(1.0),
+            _ if told_full => 0.0,
+            _ => w.allowance.get() - out,
         }
-        if let (Report { free_slots: Some(free), .. }, at) = w.report.get()
-            && now - at < mean_run
-            && free - w.sent_since.get().0 <= 0.0
-        {
-            return 0.0;
-        }
-        w.allowance.get() - out
-    }
-
-    fn is_cold(&self, now: f64, w: &Worker) -> bool {
-        w.line.came_up > 0.0 && now < w.line.came_up + self.cold.warm_after
     }
 
-    /// Rule 4: our part of what a cold worker may be sent, in work units of usual size. It fills at the
-    /// rate the worker can surely bear, is never more than a span's worth, and each send spends one.
-    fn budget(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
+    /// Rule 4: our part of what a cold worker may be sent, in slots x usual running time. It fills at half
+    /// the rate that the rule allows for the least it can do now, up to half a span's worth; each send
+    /// spends what the work takes as a rule, also where it is turned away.
+    fn budget(&self, now: f64, w: &Worker) -> f64 {
         let (left, at) = w.budget.get();
         let age = ((now - w.line.came_up) / self.cold.warm_after).clamp(0.0, 1.0);
         let share = self.cold.from + (1.0 - self.cold.from) * age;
-        let rate = self.cold.multiple * share * self.lanes / mean_run / self.schedulers / 2.0;
-        let left = (left + rate * (now - at)).min((rate * self.cold.span / 2.0).max(1.0));
+        let rate = self.cold.multiple * share * self.lanes / self.schedulers / 2.0;
+        let left = (left + rate * (now - at)).min(rate * self.cold.span / 2.0);
         w.budget.set((left, now));
         left
     }
 
-    fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>) -> Rc<Allocation> {
+    fn send(&self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
         let alloc = Allocation::new(wu, w, now);
         wu.allocs.borrow_mut().push(alloc.clone());
         w.out.borrow_mut().push(Rc::downgrade(&alloc));
         w.slots_out.set(w.slots_out.get() + wu.slots);
         let (budget, at) = w.budget.get();
-        w.budget.set((budget - 1.0, at));
-        let (slots, memory) = w.sent_since.get();
-        w.sent_since.set((slots + wu.slots, memory + wu.memory));
+        w.budget.set((budget - wu.slots * usual, at));
+        w.sent_since.set(w.sent_since.get() + wu.slots);
         alloc
     }
 
     /// A start later than this says that the worker's slots were taken.
     fn late(&self, w: &Worker) -> f64 {
-        self.quickest.get(&w.line.zone).map_or(0.0, |q| q * 2.0) + LATE
+        self.quickest.get(&w.line.zone).map_or(0.0, |q| q * 2.0) + LATE * self.promise
     }
 
     fn started(&mut self, now: f64, alloc: &Allocation) {
-        if alloc.started.replace(Some(now)).is_some() || alloc.outcome.get().is_some() {
+        if alloc.outcome.get().is_some() || alloc.started.replace(Some(now)).is_some() {
             return;
         }
         let w = &alloc.worker;
@@ -352,61 +354,53 @@
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
         if delay > self.late(w) {
-            w.allowance.set((w.allowance.get() / 2.0).max(1.0));
+            w.halve_allowance();
         }
         let quickest = self.quickest.entry(w.line.zone).or_insert(delay);
         *quickest = quickest.min(delay);
         let out = w.out.borrow();
         let running = out.iter().filter_map(Weak::upgrade).filter(|a| a.started.get().is_some());
-        let running = running.filter_map(|a| a.wu.upgrade()).map(|wu| wu.slots).sum::<f64>();
-        self.lanes = self.lanes.max(running);
+        self.lanes = running.filter_map(|a| a.wu.upgrade()).map(|wu| wu.slots).sum::<f64>().max(self.lanes);
     }
 
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
-    fn back(&mut self, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) -> Option<f64> {
+    fn back(&self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
-        w.out.borrow_mut().retain(|a| a.as_ptr() != std::ptr::from_ref(alloc));
+        w.out.borrow_mut().retain(|a| !std::ptr::eq(a.as_ptr(), alloc));
         w.slots_out.set(if w.out.borrow().is_empty() { 0.0 } else { w.slots_out.get() - wu.slots });
-        let mut ran = None;
-        let mut failed = None;
         match outcome {
             Outcome::Completed => {
-                let took = now - alloc.started.get().unwrap_or(alloc.sent);
-                let mut heard = w.heard.borrow_mut();
-                let (sum, weight) = heard[wu.project_type];
-                heard[wu.project_type] = (sum * FORGET + took, weight * FORGET + 1.0);
+                let (sum, weight) = w.heard.borrow()[wu.project_type];
+                let heard = (sum * FORGET + alloc.ran(now), weight * FORGET + 1.0);
+                w.heard.borrow_mut()[wu.project_type] = heard;
                 w.allowance.set((w.allowance.get() + 1.0).min(self.lanes));
-                ran = Some(took);
-                failed = Some(0.0);
+                self.judge(door, now, w, 0.0);
             }
-            Outcome::Full => w.allowance.set((w.allowance.get() / 2.0).max(1.0)),
-            Outcome::Error | Outcome::NoConnection | Outcome::Dropped => failed = Some(1.0),
-            Outcome::TimedOut if alloc.started.get().is_none() => failed = Some(1.0),
-            _ => {}
+            Outcome::Full => w.halve_allowance(),
+            Outcome::Error | Outcome::NoConnection | Outcome::Dropped => self.judge(door, now, w, 1.0),
+            // Taken and never started, it tells of a silent worker; a long run tells nothing.
+            Outcome::TimedOut if alloc.started.get().is_none() => self.judge(door, now, w, 1.0),
+            Outcome::TimedOut | Outcome::Recalled | Outcome::Moot => {}
         }
-        if let Some(failed) = failed {
-            self.judge(now, w, failed);
-        }
-        ran
     }
 
-    /// A worker is a suspect when its share of failures is far over the fleet's median; a fleet that is bad
-    /// all over has no suspects. One comes back by single trials, ever further apart while they fail.
-    fn judge(&mut self, now: f64, w: &Worker, failed: f64) {
-        w.failures.set(w.failures.get() + (failed - w.failures.get()) / 4.0);
-        let ready = self.workers.iter().filter(|w| w.listed.get() == Listed::Ready);
-        let mut shares: Vec<f64> = ready.map(|w| w.failures.get()).collect();
+    /// A worker is a suspect when its share of failures is far over the fleet's median: quick failures free
+    /// slots, and would draw more work. A fleet that is bad all over has no suspects. One comes back by
+    /// single trials, further apart while they fail, at once while they succeed.
+    fn judge(&self, door: &mut dyn Door, now: f64, w: &Worker, failed: f64) {
+        w.failures.set(w.failures.get() + (failed - w.failures.get()) * FAILED);
+        let mut shares: Vec<f64> = self.ready().map(|w| w.failures.get()).collect();
         shares.sort_by(f64::total_cmp);
-        let median = shares.get(shares.len() / 2).copied().unwrap_or(0.0);
-        let over = w.failures.get() - median;
-        let again = if failed > 0.0 { w.trial_wait.get() * 2.0 } else { 0.0 };
-        if over > SUSPECT {
-            w.suspect.set(true);
-        } else if over < SUSPECT / 2.0 {
-            w.suspect.set(false);
+        let over = w.failures.get() - shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        let was = w.suspect.replace(over > SUSPECT || w.suspect.get() && over > SUSPECT / 2.0);
+        if was != w.suspect.get() {
+            let now_is = if was { "trusted again" } else { "a suspect, sent single trials only" };
+            let id = w.line.id;
+            door.log(&format!("worker {id:012x} is {now_is}: {over:.2} over the median share of failures"));
         }
-        w.trial_wait.set(again.clamp(TRIAL, 8.0 * TRIAL));
-        w.next_trial.set(now + again);
+        let wait = (2.0 * w.trial_wait.get()).clamp(TRIAL[0] * self.promise, TRIAL[1] * self.promise);
+        w.trial_wait.set(if failed > 0.0 { wait } else { 0.0 });
+        w.next_trial.set(now + w.trial_wait.get());
     }
 }
 
@@ -415,14 +409,15 @@
     on_request: bool,
     ask_within: f64,
     failed: i32,
-    asked: bool,
+    asking: bool,
 }
 
 impl Follow {
     pub fn new(on_request: bool, ask_within: f64) -> Follow {
-        Follow { on_request, ask_within, failed: 0, asked: false }
+        Follow { on_request, ask_within, failed: 0, asking: false }
     }
 
+    /// From a 64th to a quarter of the time within which we must ask.
     fn wait(&self, chance: &mut Chance) -> f64 {
         let most = self.ask_within / 4.0;
         (most / 16.0 * 2f64.powi(self.failed.min(4))).min(most) * (0.5 + chance.draw() / 2.0)
@@ -439,11 +434,9 @@
     follow: Follow,
     /// How long clients heed advice on when to come back; 0 where they get none.
     most_come_back: f64,
-    round: f64,
 }
 
 impl Scheduler {
-    #[allow(clippy::too_many_arguments)]
     pub fn new(
         chance: Chance,
         shares: Shares,
@@ -453,10 +446,8 @@
         follow: Follow,
         most_come_back: f64,
     ) -> Scheduler {
-        let shortest = buffers.types.iter().map(|t| t.promised_turnaround).fold(1.0, f64::min);
-        let round = shortest.max(0.02) / 2.0;
         let agenda = Agenda::default();
-        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, most_come_back, round }
+        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, most_come_back }
     }
 
     pub fn workers(&self) -> &[Rc<Worker>] {
@@ -465,64 +456,62 @@
 
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         if self.follow.on_request {
-            let wait = self.follow.wait(&mut self.chance);
-            self.agenda.add(now + wait, Due::Ask);
+            self.ask_later(now);
         }
-        self.agenda.add(now + self.round * self.chance.draw(), Due::Round);
+        self.agenda.add(now + self.fleet.promise * self.chance.draw(), Due::Round);
         self.agenda.arm(door, now);
     }
 
+    /// One question at a time, however many failures are told.
+    fn ask_later(&mut self, now: f64) {
+        if !self.follow.asking {
+            self.follow.asking = true;
+            self.agenda.add(now + self.follow.wait(&mut self.chance), Due::Ask);
+        }
+    }
+
     pub fn news(&mut self, door: &mut dyn Door, now: f64, news: News) {
-        let types = self.buffers.types.len();
-        match news {
+        let (lines, full) = match news {
             News::Failed => {
+                self.ask_later(now);
                 self.follow.failed += 1;
-                if !self.follow.asked {
-                    self.follow.asked = true;
-                    let wait = self.follow.wait(&mut self.chance);
-                    self.agenda.add(now + wait, Due::Ask);
-                }
-            }
-            News::Changes(lines) => {
-                self.follow.failed = 0;
-                lines.iter().for_each(|l| self.fleet.listed(now, l, types));
-            }
-            News::Full(lines) | News::Cached(lines) => {
-                self.follow.failed = 0;
-                for w in &self.fleet.workers {
-                    if !lines.iter().any(|l| l.id == w.line.id) {
-                        w.listed.set(Listed::Gone);
-                    }
-                }
-                lines.iter().for_each(|l| self.fleet.listed(now, l, types));
+                return door.log("the list is out of reach: the last one holds");
             }
+            News::Changes(lines) => (lines, false),
+            News::Full(lines) | News::Cached(lines) => (lines, true),
+        };
+        self.follow.failed = 0;
+        let gone = |w: &&Rc<Worker>| full && !lines.iter().any(|l| l.id == w.line.id);
+        self.fleet.workers.iter().filter(gone).for_each(|w| w.listed.set(Listed::Gone));
+        for line in lines {
+            let debt = 2.0 * self.chance.draw() * self.buffers.mean_run();
+            self.fleet.listed(now, line, self.buffers.types.len(), debt);
         }
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        if self.fleet.ready().next().is_none() {
+            door.log("the list has no ready worker: work is deferred once its patience is out");
+        }
+        self.settle(door, now);
     }
 
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(now, wu);
         self.buffers.put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
-        self.agenda.add(self.buffers.hope(wu).max(now), Due::Patience(Rc::downgrade(wu)));
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
+        self.settle(door, now);
     }
 
+    /// A job has started. Of allocations side by side the first to start is kept.
     pub fn started(&mut self, door: &mut dyn Door, now: f64, alloc: &Rc<Allocation>) {
         self.fleet.started(now, alloc);
         if let Some(wu) = alloc.wu.upgrade() {
-            if wu.waiting.get() {
-                self.buffers.take_out(&wu);
-            }
+            self.buffers.take_out(&wu);
             let allocs = wu.allocs.borrow();
-            let mut out: Vec<_> = allocs.iter().filter(|a| a.outcome.get().is_none()).collect();
-            out.sort_by_key(|a| a.started.get().map_or(u64::MAX, f64::to_bits));
-            out.iter().skip(1).for_each(|a| door.recall(a));
+            let running = allocs.iter().filter(|a| a.outcome.get().is_none() && a.started.get().is_some());
+            let first = running.min_by_key(|a| a.started.get().map(f64::to_bits));
+            self.repeats.call_off(door, &wu, first);
         }
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        self.settle(door, now);
     }
 
     pub fn came_back(
@@ -535,32 +524,28 @@
         report: Report,
     ) {
         let Some(wu) = alloc.wu.upgrade() else { return };
-        if alloc.outcome.replace(Some(outcome)).is_some() {
+        if alloc.outcome.get().is_some() {
             return;
         }
-        self.heard(now, &alloc.worker, report);
-        if let Some(ran) = self.fleet.back(now, alloc, &wu, outcome) {
-            self.buffers.learn(wu.project_type, ran);
+        alloc.outcome.set(Some(outcome));
+        self.sampled(now, &alloc.worker, Some(report));
+        self.fleet.back(door, now, alloc, &wu, outcome);
+        if outcome == Outcome::Completed {
+            self.buffers.learn(wu.project_type, alloc.ran(now));
         }
         if ended {
             self.close(door, &wu);
-        } else if !wu.ended.get() {
+        } else if !wu.ended.get() && !wu.waiting.get() && !Repeats::out(&wu) {
             self.again(door, now, &wu, outcome);
         }
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        self.settle(door, now);
     }
 
-    /// What becomes of a work unit one of whose allocations has failed.
+    /// What becomes of a work unit that has come back undone: first in its buffer, or its final answer.
     fn again(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>, outcome: Outcome) {
-        if wu.waiting.get() || Repeats::out(wu) {
-            return;
-        }
-        let effect = self.buffers.types[wu.project_type].effect;
-        let somewhere =
-            |w: &&Rc<Worker>| w.listed.get() == Listed::Ready && self.repeats.pass(now, effect, wu, w);
-        let over = outcome == Outcome::Moot || now >= self.buffers.hope(wu) || self.repeats.spent(wu);
-        if over || self.fleet.workers.iter().find(somewhere).is_none() {
+        let effect = self.buffers.effect(wu);
+        let over = outcome == Outcome::Moot || now >= self.buffers.hope(wu);
+        if over || !self.fleet.ready().any(|w| self.repeats.pass(now, effect, wu, w)) {
             self.give_up(door, now, wu);
         } else {
             self.buffers.put(wu, true);
@@ -569,10 +554,8 @@
 
     /// The final answer for work that waits or has come back, given at once.
     fn give_up(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
-        let t = &self.buffers.types[wu.project_type];
-        if self.repeats.harmless(t.effect, wu) && now < wu.limit {
-            let come_back = self.buffers.running[wu.project_type];
-            door.defer(wu, come_back.min(self.most_come_back));
+        if self.repeats.harmless(self.buffers.effect(wu), wu) && now < wu.limit {
+            door.defer(wu, self.buffers.running[wu.project_type].min(self.most_come_back));
         } else {
             door.abort(wu);
         }
@@ -581,32 +564,23 @@
 
     /// Nothing more is sent for it; what is still out is called off.
     fn close(&mut self, door: &mut dyn Door, wu: &Rc<WorkUnit>) {
-        if wu.waiting.get() {
-            self.buffers.take_out(wu);
-        }
+        self.buffers.take_out(wu);
         if !wu.ended.replace(true) {
-            for alloc in wu.allocs.borrow().iter().filter(|a| a.outcome.get().is_none()) {
-                door.recall(alloc);
-            }
+            self.repeats.call_off(door, wu, None);
         }
     }
 
+    /// The client has left, or was answered by the front itself.
     pub fn left(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.close(door, wu);
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        self.settle(door, now);
     }
 
     pub fn sampled(&mut self, now: f64, worker: &Worker, report: Option<Report>) {
-        if let Some(report) = report {
-            self.heard(now, worker, report);
-        }
-    }
-
-    fn heard(&mut self, now: f64, worker: &Worker, report: Report) {
-        if report.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0) {
+        // Reports may be absurd: what is no number of slots is no report.
+        if let Some(report) = report.filter(|r| r.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0)) {
             worker.report.set((report, now));
-            worker.sent_since.set((0.0, 0.0));
+            worker.sent_since.set(0.0);
         }
     }
 
@@ -625,43 +599,48 @@
                 },
                 Due::Start(alloc) => {
                     if let Some(alloc) = alloc.upgrade() {
-                        self.unstarted(&alloc);
+                        self.unstarted(now, &alloc);
                     }
                 }
                 Due::Ask => {
-                    self.follow.asked = false;
+                    self.follow.asking = false;
                     door.follow_list();
                 }
-                Due::Round => self.agenda.add(now + self.round, Due::Round),
+                Due::Round => self.agenda.add(now + self.fleet.promise / 2.0, Due::Round),
             }
         }
-        self.press(door, now);
-        self.agenda.arm(door, now);
+        self.settle(door, now);
     }
 
-    /// A work unit kept waiting at a worker that others have filled goes back to its buffer for a second
-    /// allocation beside the first, where its type permits that; the first to start calls the other off.
-    fn unstarted(&mut self, alloc: &Allocation) {
+    /// Work kept waiting at a worker that others have filled, or that has gone silent, goes back to its
+    /// buffer for a second allocation beside the first, if the time left exceeds what that takes.
+    fn unstarted(&mut self, now: f64, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade().filter(|wu| !wu.ended.get() && !wu.waiting.get()) else { return };
-        if alloc.started.get().is_none() && alloc.outcome.get().is_none() && !self.repeats.spent(&wu) {
+        let kept = alloc.started.get().is_none() && alloc.outcome.get().is_none();
+        let in_time = now + self.buffers.running[wu.project_type] < wu.limit;
+        if kept && in_time && !self.repeats.spent(&wu) {
             self.buffers.put(&wu, true);
         }
     }
 
-    /// The rule. Workers with room, most room first; from the runnable buffer of highest pressure.
-    fn press(&mut self, door: &mut dyn Door, now: f64) {
-        let waiting = self.buffers.queues.iter().any(|q| !q.is_empty());
-        if !waiting {
-            return;
+    /// After each arrival and outcome: the rule, then the one timer.
+    fn settle(&mut self, door: &mut dyn Door, now: f64) {
+        if self.buffers.queues.iter().any(|q| !q.is_empty()) {
+            self.press(door, now);
         }
-        let running = &self.buffers.running;
+        self.agenda.arm(door, now);
+    }
+
+    /// The rule. Workers with room, most room first, where room counts for what it can do: over the time to
+    /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
+    fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
         let mean_weight = self.fleet.mean_weight();
         let mut ready: Vec<(f64, f64, f64, Rc<Worker>)> = Vec::new();
         for w in &self.fleet.workers {
             let room = self.fleet.room(now, w, mean_run);
             if room > 0.0 {
-                let slow = self.fleet.slowness(w, running, mean_weight);
+                let slow = self.fleet.slowness(w, &self.buffers.running, mean_weight);
                 let (delay, at) = w.delay.get();
                 let delay = delay / (1.0 + (now - at) / mean_run);
                 ready.push((room / (delay + slow * mean_run), self.chance.draw(), slow, w.clone()));
@@ -671,10 +650,9 @@
         for (_, _, slow, w) in ready {
             let Some(wu) = self.pick(now, &w, slow) else { continue };
             self.buffers.take_out(&wu);
-            let alloc = self.fleet.send(now, &w, &wu);
+            let alloc = self.fleet.send(now, &w, &wu, self.buffers.running[wu.project_type]);
             door.allocate(&alloc);
-            let repeats = self.buffers.types[wu.project_type].effect != Effect::Exclusive;
-            if self.fleet.tells_start && self.repeats.parallel && repeats {
+            if self.fleet.tells_start && self.repeats.doubles(self.buffers.effect(&wu)) {
                 self.agenda.add(now + self.fleet.late(&w), Due::Start(Rc::downgrade(&alloc)));
             }
         }
@@ -682,25 +660,22 @@
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
     fn pick(&self, now: f64, w: &Worker, slow: f64) -> Option<Rc<WorkUnit>> {
-        let mut best: Option<(f64, Rc<WorkUnit>)> = None;
-        let spare = self.buffers.types.iter().any(|t| t.effect != Effect::Exclusive);
+        let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
+        let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
+        // A trial that fails must not cost work that can't be repeated, if other work there is.
+        let spare = w.suspect.get() && self.buffers.types.iter().any(|t| t.effect != Effect::Exclusive);
+        let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
             let t = &self.buffers.types[i / 2];
-            if w.suspect.get() && t.effect == Effect::Exclusive && spare {
-                continue;
-            }
             let rate = self.fleet.rate(w, i / 2, &self.buffers.running, slow);
             let pressure = self.buffers.alpha(i) * rate * queue.len() as f64;
-            if t.kind.is_some_and(|k| k != w.line.kind) || best.as_ref().is_some_and(|b| b.0 >= pressure) {
-                continue;
-            }
-            let free = w.allowance.get() - w.slots_out.get();
-            let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free.max(1.0);
-            let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
-            if let Some(wu) = queue.iter().take(8).find(runnable) {
-                best = Some((pressure, wu.clone()));
+            let elsewhere =
+                t.kind.is_some_and(|k| k != w.line.kind) || spare && t.effect == Effect::Exclusive;
+            if !elsewhere && best.is_none_or(|b| pressure > b.0) {
+                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
+                best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
-        best.map(|b| b.1)
+        best.map(|b| b.1.clone())
     }
 }
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -51,12 +51,10 @@
     Moot,
 }
 
-/// What a worker said of itself; absent values are `None`.
+/// What a worker said of its load; an absent value is `None`.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Report {
     pub free_slots: Option<f64>,
-    pub free_memory: Option<f64>,
-    pub errors_per_s: Option<f64>,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -118,7 +116,8 @@
     /// Budget for a cold worker, and when it was last topped up.
     pub(crate) budget: Cell<(f64, f64)>,
     pub(crate) report: Cell<(Report, f64)>,
-    pub(crate) sent_since: Cell<(f64, f64)>,
+    /// Our slots sent since the last report.
+    pub(crate) sent_since: Cell<f64>,
 }
 
 #[derive(Debug)]
@@ -148,7 +147,6 @@
 }
 
 impl WorkUnit {
-    #[allow(clippy::too_many_arguments)]
     pub fn new(
         id: u64,
         project_type: usize,
@@ -184,6 +182,11 @@
 }
 
 impl Allocation {
+    /// How long it has run, from its start where that was told.
+    pub(crate) fn ran(&self, now: f64) -> f64 {
+        now - self.started.get().unwrap_or(self.sent)
+    }
+
     pub(crate) fn new(wu: &Rc<WorkUnit>, worker: &Rc<Worker>, sent: f64) -> Rc<Allocation> {
         Rc::new(Allocation {
             wu: Rc::downgrade(wu),
@@ -198,7 +201,7 @@
 
 impl Worker {
     /// A worker of which nothing is known but its line in the list.
-    pub(crate) fn new(line: Line, allowance: f64, types: usize, now: f64) -> Worker {
+    pub(crate) fn new(line: Line, allowance: f64, types: usize, budget: (f64, f64)) -> Worker {
         Worker {
             listed: Cell::new(line.listed),
             line,
@@ -211,12 +214,16 @@
             suspect: Cell::new(false),
             next_trial: Cell::new(0.0),
             trial_wait: Cell::new(0.0),
-            budget: Cell::new((0.0, now)),
+            budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
-            sent_since: Cell::new((0.0, 0.0)),
+            sent_since: Cell::new(0.0),
         }
     }
 
+    pub(crate) fn halve_allowance(&self) {
+        self.allowance.set((self.allowance.get() / 2.0).max(1.0));
+    }
+
     /// Our slots there that have no outcome yet.
     pub fn slots_out(&self) -> f64 {
         self.slots_out.get()
