--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -39,6 +39,10 @@
     Round,
 }
 
+/// A timer may ring a rounding error early; without this grace it would pass for one still to ring, no other
+/// would be asked for, and all that waits would be forgotten.
+const HAIR: f64 = 1e-6;
+
 /// All due times, in order; the door is asked for one timer only.
 #[derive(Default)]
 struct Agenda {
@@ -55,13 +59,13 @@
 
     fn next(&mut self, now: f64) -> Option<Due> {
         let first = self.due.first_entry()?;
-        (f64::from_bits(first.key().0) <= now).then(|| first.remove())
+        (f64::from_bits(first.key().0) <= now + HAIR).then(|| first.remove())
     }
 
     fn arm(&mut self, door: &mut dyn Door, now: f64) {
         let Some((&(at, _), _)) = self.due.first_key_value() else { return };
         let at = f64::from_bits(at);
-        if self.armed <= now || at < self.armed {
+        if self.armed <= now + HAIR || at < self.armed {
             self.armed = at;
             door.wake_in((at - now).max(0.0));
         }
@@ -535,7 +539,8 @@
         }
         if ended {
             self.close(door, &wu);
-        } else if !wu.ended.get() && !wu.waiting.get() && !Repeats::out(&wu) {
+        } else if !wu.ended.get() && !Repeats::out(&wu) {
+            self.buffers.take_out(&wu);
             self.again(door, now, &wu, outcome);
         }
         self.settle(door, now);
