--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -643,19 +643,19 @@
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
         let mean_weight = self.fleet.mean_weight();
-        let mut ready: Vec<(f64, f64, f64, Rc<Worker>)> = Vec::new();
+        let mut ready: Vec<(f64, f64, (f64, f64), Rc<Worker>)> = Vec::new();
         for w in &self.fleet.workers {
             let room = self.fleet.room(now, w, mean_run);
             if room > 0.0 {
                 let slow = self.fleet.slowness(w, &self.buffers.running, mean_weight);
                 let (delay, at) = w.delay.get();
                 let delay = delay / (1.0 + (now - at) / mean_run);
-                ready.push((room / (delay + slow * mean_run), self.chance.draw(), slow, w.clone()));
+                ready.push((room / (delay + slow * mean_run), self.chance.draw(), (slow, delay), w.clone()));
             }
         }
         ready.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, slow, w) in ready {
-            let Some(wu) = self.pick(now, &w, slow) else { continue };
+        for (_, _, (slow, delay), w) in ready {
+            let Some(wu) = self.pick(now, &w, slow, delay) else { continue };
             self.buffers.take_out(&wu);
             let alloc = self.fleet.send(now, &w, &wu, self.buffers.running[wu.project_type]);
             door.allocate(&alloc);
@@ -666,7 +666,7 @@
     }
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
-    fn pick(&self, now: f64, w: &Worker, slow: f64) -> Option<Rc<WorkUnit>> {
+    fn pick(&self, now: f64, w: &Worker, slow: f64, delay: f64) -> Option<Rc<WorkUnit>> {
         let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
         // A trial that fails must not cost work that can't be repeated, if other work there is.
@@ -678,6 +678,8 @@
             let pressure = self.buffers.alpha(i) * rate * queue.len() as f64;
             let elsewhere =
                 t.kind.is_some_and(|k| k != w.line.kind) || spare && t.effect == Effect::Exclusive;
+            // Where late answers earn nothing, work is not sent to wait out its promise there.
+            let elsewhere = elsewhere || t.late_credit == 0.0 && delay > t.promised_turnaround;
             if !elsewhere && best.is_none_or(|b| pressure > b.0) {
                 let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
                 best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
