--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -72,7 +72,7 @@
     }
 }
 
-/// Customers: work beyond a customer's share is worth `excess_credit`, and alpha knows it. How much of a
+/// Customers: work beyond a customer's share earns `excess_credit`, and alpha knows it. How much of a
 /// quota is ours can't be seen; the geometric mean of an equal part and the whole errs least either way.
 pub struct Shares {
     parts: Vec<f64>,
@@ -321,7 +321,7 @@
     }
 
     /// Rule 4: our part of what a cold worker may be sent, in slots x usual running time. It fills at half
-    /// the rate that the rule allows for the least it can do now, up to half a span's worth; each send
+    /// the rate that the rule allows for the least it can do now, up to half a span of it; each send
     /// spends what the work takes as a rule, also where it is turned away.
     fn budget(&self, now: f64, w: &Worker) -> f64 {
         let (left, at) = w.budget.get();
@@ -643,7 +643,7 @@
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
         let mean_weight = self.fleet.mean_weight();
-        let mut ready: Vec<(f64, f64, (f64, f64), Rc<Worker>)> = Vec::new();
+        let mut ready = Vec::new();
         for w in &self.fleet.workers {
             let room = self.fleet.room(now, w, mean_run);
             if room > 0.0 {
