Room in another zone counts six tenths

Cause: three of four allocations crossed zones for nothing, and schedulers of all zones met at the same few fast workers. More than the price explains: who keeps to fewer workers knows them better.

--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -107,7 +107,13 @@
                 self.get("permissions.may_cancel")?,
                 self.get("permissions.most_allocations")?,
             ),
-            Fleet::new(cold, schedulers, self.or("family_info.tells_start", false)?, promise),
+            Fleet::new(
+                cold,
+                schedulers,
+                self.get("zone")?,
+                self.or("family_info.tells_start", false)?,
+                promise,
+            ),
             Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
             come_back,
         ))
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -228,6 +228,7 @@
 pub struct Fleet {
     cold: ColdRule,
     schedulers: f64,
+    zone: u16,
     tells_start: bool,
     /// The shortest promised turnaround.
     promise: f64,
@@ -240,6 +241,8 @@
 
 /// A start is late when it takes this part of the shortest promise longer than twice the quickest.
 const LATE: f64 = 0.2;
+/// Room in another zone counts this part: crossing costs points, and time that is learned only later.
+const FAR: f64 = 0.6;
 /// Rates start as if so many work units had been heard at the usual speed, and forget 1 in 16 a unit.
 const PRIOR: f64 = 4.0;
 const FORGET: f64 = 15.0 / 16.0;
@@ -254,11 +257,11 @@
 const LANES: f64 = 2.0;
 
 impl Fleet {
-    pub fn new(cold: ColdRule, schedulers: usize, tells_start: bool, promise: f64) -> Fleet {
+    pub fn new(cold: ColdRule, schedulers: usize, zone: u16, tells_start: bool, promise: f64) -> Fleet {
         let schedulers = schedulers.max(1) as f64;
         let lanes = if tells_start { LANES } else { CEILING };
         let (workers, quickest) = (Vec::new(), BTreeMap::new());
-        Fleet { cold, schedulers, tells_start, promise, workers, lanes, quickest }
+        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes, quickest }
     }
 
     fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
@@ -650,6 +653,7 @@
                 let slow = self.fleet.slowness(w, &self.buffers.running, mean_weight);
                 let (delay, at) = w.delay.get();
                 let delay = delay / (1.0 + (now - at) / mean_run);
+                let room = if w.line.zone == self.fleet.zone { room } else { room * FAR };
                 ready.push((room / (delay + slow * mean_run), self.chance.draw(), (slow, delay), w.clone()));
             }
         }
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -72,7 +72,7 @@
         Shares::new(&[1e6, 1e-6], 4),
         Buffers::new(types.map(|(c, e)| project_type(c, e)).to_vec(), 0.1),
         Repeats::new(parallel, true, 3),
-        Fleet::new(cold, 4, true, 0.2),
+        Fleet::new(cold, 4, 0, true, 0.2),
         Follow::new(on_request, 10.0),
         2.0,
     );
