What is known of a worker's delay fades to the usual delay, not to none

Cause: a worker not heard of for a while looked as if it would start at once, better than one known to be quick. 18 days a site: lj 0.939 -> 0.948, mb 0.777 -> 0.785, ce 0.919 -> 0.922; incidents 16x30 0.52 -> 0.49, 4x14 0.55 -> 0.64, 15x49 0.31 -> 0.35, the others as before.

--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -235,6 +235,8 @@
     workers: Vec<Rc<Worker>>,
     /// The most of our slots seen running at once on one worker.
     lanes: f64,
+    /// Smoothed time to start over all workers.
+    delay: f64,
     /// The quickest start seen in each zone: there nothing held the job up.
     quickest: BTreeMap<u16, f64>,
 }
@@ -261,7 +263,7 @@
         let schedulers = schedulers.max(1) as f64;
         let lanes = if tells_start { LANES } else { CEILING };
         let (workers, quickest) = (Vec::new(), BTreeMap::new());
-        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes, quickest }
+        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes, delay: 0.0, quickest }
     }
 
     fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
@@ -360,6 +362,7 @@
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
+        self.delay += (delay - self.delay) / 32.0;
         if delay > self.late(w) {
             w.halve_allowance();
         }
@@ -652,7 +655,8 @@
             if room > 0.0 {
                 let slow = self.fleet.slowness(w, &self.buffers.running, mean_weight);
                 let (delay, at) = w.delay.get();
-                let delay = delay / (1.0 + (now - at) / mean_run);
+                let usual = self.fleet.delay;
+                let delay = usual + (delay - usual) / (1.0 + (now - at) / mean_run);
                 let room = if w.line.zone == self.fleet.zone { room } else { room * FAR };
                 ready.push((room / (delay + slow * mean_run), self.chance.draw(), (slow, delay), w.clone()));
             }
