--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -568,7 +568,8 @@
     /// The final answer for work that waits or has come back, given at once.
     fn give_up(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         if self.repeats.harmless(self.buffers.effect(wu), wu) && now < wu.limit {
-            door.defer(wu, (self.buffers.running[wu.project_type] / 4.0).min(self.most_come_back));
+            let promise = self.buffers.types[wu.project_type].promised_turnaround;
+            door.defer(wu, (promise / 2.0).min(self.most_come_back));
         } else {
             door.abort(wu);
         }
