--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -284,17 +284,11 @@
         self.workers.push(Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now))));
     }
 
-    fn mean_weight(&self) -> f64 {
-        let (sum, n) = self.ready().fold((0.0, 0.0), |(s, n), w| (s + w.line.weight, n + 1.0));
-        if n > 0.0 && sum > 0.0 { sum / n } else { 1.0 }
-    }
-
     /// How many times the usual a worker takes for the same work.
-    fn slowness(&self, w: &Worker, running: &[f64], mean_weight: f64) -> f64 {
-        let prior = if w.line.weight > 0.0 { mean_weight / w.line.weight } else { 1.0 };
+    fn slowness(&self, w: &Worker, running: &[f64]) -> f64 {
         let heard = w.heard.borrow();
         let both = heard.iter().zip(running);
-        let (took, usual) = both.fold((PRIOR * prior, PRIOR), |(t, u), (h, r)| (t + h.0 / r, u + h.1));
+        let (took, usual) = both.fold((PRIOR, PRIOR), |(t, u), (h, r)| (t + h.0 / r, u + h.1));
         took / usual
     }
 
@@ -649,12 +643,11 @@
     /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
-        let mean_weight = self.fleet.mean_weight();
         let mut ready = Vec::new();
         for w in &self.fleet.workers {
             let room = self.fleet.room(now, w, mean_run);
             if room > 0.0 {
-                let slow = self.fleet.slowness(w, &self.buffers.running, mean_weight);
+                let slow = self.fleet.slowness(w, &self.buffers.running);
                 let (delay, at) = w.delay.get();
                 let usual = self.fleet.delay;
                 let delay = usual + (delay - usual) / (1.0 + (now - at) / mean_run);
