Read-through: decisions back in the module, unread settings out, one log line an outage

The adapter picked and bounded the shortest promise: the module does now. A cold worker's budget no longer counts eight lanes where starts aren't told. Stretch and listed size, which no decision reads, are gone. A failed list call arms the timer itself. A repeated start note counts once.

--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -19,7 +19,7 @@
 
 struct Instance {
     scheduler: Scheduler,
-    /// The work units held, by id; looked up only, never walked.
+    /// The work units held, by id; walked only to forget those that a timer has ended.
     held: HashMap<u64, Rc<WorkUnit>>,
     types: usize,
     customers: usize,
@@ -159,9 +159,9 @@
             27 => {
                 let report = self.report(event, 19)?;
                 let id = event.worker(3);
-                if let Some(worker) = self.scheduler.workers().iter().find(|w| w.line.id == id).cloned() {
-                    let told = (event.u16(9) == 200).then_some(report);
-                    self.scheduler.sampled(now, &worker, told);
+                let worker = self.scheduler.workers().iter().find(|w| w.line.id == id).cloned();
+                if let Some(worker) = worker.filter(|_| event.u16(9) == 200) {
+                    self.scheduler.sampled(now, &worker, report);
                 }
             }
             19 => {
@@ -201,7 +201,7 @@
         };
         let (zone, cell, kind) = (e.u16(10), e.u16(12), e.u16(15));
         let came_up = e.f64(17) / 1000.0;
-        Ok(Line { id: e.worker(4), weight: e.f32(0), zone, cell, kind, listed, came_up })
+        Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up })
     });
     lines.collect()
 }
--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -61,13 +61,11 @@
             }
             _ => return Err(format!("the setting {}={effect} cannot be read", at("effect"))),
         };
-        let own_stretch = self.or(&at("aim_stretch"), 0.0)?;
         let kind: Option<i32> = self.item("family_info.class_kind", i)?;
         Ok(ProjectType {
             credit: self.get(&at("credit"))?,
             late_credit: self.get(&at("late_credit"))?,
             promised_turnaround: self.seconds(&at("promised_turnaround"))?,
-            stretch: self.item("family_info.class_stretch", i)?.unwrap_or(own_stretch),
             hard_limit: self.seconds(&at("hard_limit"))?,
             effect,
             kind: kind.and_then(|k| u16::try_from(k).ok()),
@@ -97,7 +95,13 @@
             0.0
         };
         let types = self.project_types()?;
-        let promise = types.iter().map(|t| t.promised_turnaround).fold(1.0, f64::min).max(0.01);
+        let fleet = Fleet::new(
+            cold,
+            schedulers,
+            self.get("zone")?,
+            self.or("family_info.tells_start", false)?,
+            &types,
+        );
         Ok(Scheduler::new(
             Chance::new(seed),
             Shares::new(&self.quotas()?, schedulers),
@@ -107,13 +111,7 @@
                 self.get("permissions.may_cancel")?,
                 self.get("permissions.most_allocations")?,
             ),
-            Fleet::new(
-                cold,
-                schedulers,
-                self.get("zone")?,
-                self.or("family_info.tells_start", false)?,
-                promise,
-            ),
+            fleet,
             Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?),
             come_back,
         ))
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -140,8 +140,9 @@
         if queue % 2 == 1 { credit * self.excess_credit } else { credit }
     }
 
-    /// Past this moment waiting work is given up: what the promise leaves is less than it takes to run.
-    /// Longer patience makes fresh work wait behind stale work, and on crowded days all of it comes late.
+    /// Past this moment waiting work is given up: its promise is over, or the time left is what it takes to
+    /// run (some long runs must not make that seem most of the limit). Longer patience makes
+    /// fresh work wait behind stale work, and on crowded days all of it comes late.
     fn hope(&self, wu: &WorkUnit) -> f64 {
         let t = &self.types[wu.project_type];
         let takes = self.running[wu.project_type].min(t.hard_limit / 4.0);
@@ -153,7 +154,7 @@
     }
 
     fn learn(&mut self, project_type: usize, ran: f64) {
-        self.running[project_type] += (ran - self.running[project_type]) / 32.0;
+        self.running[project_type] += (ran - self.running[project_type]) * SLOWLY;
     }
 }
 
@@ -254,16 +255,27 @@
 const SUSPECT: f64 = 0.2;
 /// A failed suspect's next trial waits so many shortest promises, at the least and at the most.
 const TRIAL: [f64; 2] = [3.0, 24.0];
-/// The ceiling where workers don't tell starts, and the first guess where they do, in slots.
+/// Slots: the ceiling where workers don't tell starts; and the lanes that any worker is taken to have.
 const CEILING: f64 = 8.0;
 const LANES: f64 = 2.0;
+/// Within these seconds the shortest promise is believed: the rounds hang on it.
+const PROMISE: [f64; 2] = [0.01, 10.0];
+/// What is learned over all workers moves by this part with each work unit.
+const SLOWLY: f64 = 1.0 / 32.0;
 
 impl Fleet {
-    pub fn new(cold: ColdRule, schedulers: usize, zone: u16, tells_start: bool, promise: f64) -> Fleet {
+    pub fn new(
+        cold: ColdRule,
+        schedulers: usize,
+        zone: u16,
+        tells_start: bool,
+        types: &[ProjectType],
+    ) -> Fleet {
         let schedulers = schedulers.max(1) as f64;
-        let lanes = if tells_start { LANES } else { CEILING };
+        let shortest = types.iter().map(|t| t.promised_turnaround).fold(f64::INFINITY, f64::min);
+        let promise = shortest.clamp(PROMISE[0], PROMISE[1]);
         let (workers, quickest) = (Vec::new(), BTreeMap::new());
-        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes, delay: 0.0, quickest }
+        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes: LANES, delay: 0.0, quickest }
     }
 
     fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
@@ -286,9 +298,8 @@
 
     /// How many times the usual a worker takes for the same work.
     fn slowness(&self, w: &Worker, running: &[f64]) -> f64 {
-        let heard = w.heard.borrow();
-        let both = heard.iter().zip(running);
-        let (took, usual) = both.fold((PRIOR, PRIOR), |(t, u), (h, r)| (t + h.0 / r, u + h.1));
+        let sums = |(t, u): (f64, f64), (h, r): (&(f64, f64), &f64)| (t + h.0 / r, u + h.1);
+        let (took, usual) = w.heard.borrow().iter().zip(running).fold((PRIOR, PRIOR), sums);
         took / usual
     }
 
@@ -349,14 +360,12 @@
     }
 
     fn started(&mut self, now: f64, alloc: &Allocation) {
-        if alloc.started.replace(Some(now)).is_some() {
-            return;
-        }
+        alloc.started.set(Some(now));
         let w = &alloc.worker;
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
-        self.delay += (delay - self.delay) / 32.0;
+        self.delay += (delay - self.delay) * SLOWLY;
         if delay > self.late(w) {
             w.halve_allowance();
         }
@@ -377,7 +386,8 @@
                 let (sum, weight) = w.heard.borrow()[wu.project_type];
                 let heard = (sum * FORGET + alloc.ran(now), weight * FORGET + 1.0);
                 w.heard.borrow_mut()[wu.project_type] = heard;
-                w.allowance.set((w.allowance.get() + 1.0).min(self.lanes));
+                let ceiling = if self.tells_start { self.lanes } else { CEILING };
+                w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
                 self.judge(door, now, w, 0.0);
             }
             Outcome::Full => w.halve_allowance(),
@@ -477,9 +487,12 @@
     pub fn news(&mut self, door: &mut dyn Door, now: f64, news: News) {
         let (lines, full) = match news {
             News::Failed => {
+                if self.follow.failed == 0 {
+                    door.log("the list is out of reach: the last one holds");
+                }
                 self.ask_later(now);
                 self.follow.failed += 1;
-                return door.log("the list is out of reach: the last one holds");
+                return self.settle(door, now);
             }
             News::Changes(lines) => (lines, false),
             News::Full(lines) | News::Cached(lines) => (lines, true),
@@ -507,8 +520,9 @@
 
     /// A job has started. Of allocations side by side the first to start is kept.
     pub fn started(&mut self, door: &mut dyn Door, now: f64, alloc: &Rc<Allocation>) {
-        // A note that comes after the outcome tells nothing of what was sent since.
-        if let Some(wu) = alloc.wu.upgrade().filter(|_| alloc.outcome.get().is_none()) {
+        // A note that comes again, or after the outcome, tells nothing of what was sent since.
+        let news = alloc.outcome.get().is_none() && alloc.started.get().is_none();
+        if let Some(wu) = alloc.wu.upgrade().filter(|_| news) {
             self.fleet.started(now, alloc);
             self.buffers.take_out(&wu);
             let allocs = wu.allocs.borrow();
@@ -529,12 +543,9 @@
         ended: bool,
         report: Report,
     ) {
-        let Some(wu) = alloc.wu.upgrade() else { return };
-        if alloc.outcome.get().is_some() {
-            return;
-        }
+        let Some(wu) = alloc.wu.upgrade().filter(|_| alloc.outcome.get().is_none()) else { return };
         alloc.outcome.set(Some(outcome));
-        self.sampled(now, &alloc.worker, Some(report));
+        self.sampled(now, &alloc.worker, report);
         self.fleet.back(door, now, alloc, &wu, outcome);
         if outcome == Outcome::Completed {
             self.buffers.learn(wu.project_type, alloc.ran(now));
@@ -584,9 +595,9 @@
         self.settle(door, now);
     }
 
-    pub fn sampled(&mut self, now: f64, worker: &Worker, report: Option<Report>) {
+    pub fn sampled(&mut self, now: f64, worker: &Worker, report: Report) {
         // Reports may be absurd: what is no number of slots is no report.
-        if let Some(report) = report.filter(|r| r.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0)) {
+        if report.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0) {
             worker.report.set((report, now));
             worker.sent_since.set(0.0);
         }
@@ -605,11 +616,7 @@
                     Some(wu) => self.give_up(door, now, &wu),
                     None => {}
                 },
-                Due::Start(alloc) => {
-                    if let Some(alloc) = alloc.upgrade() {
-                        self.unstarted(now, &alloc);
-                    }
-                }
+                Due::Start(alloc) => self.unstarted(now, alloc),
                 Due::Ask => {
                     self.follow.asking = false;
                     door.follow_list();
@@ -622,11 +629,11 @@
 
     /// Work kept waiting at a worker that others have filled, or that has gone silent, goes back to its
     /// buffer for a second allocation beside the first, if the time left exceeds what that takes.
-    fn unstarted(&mut self, now: f64, alloc: &Allocation) {
-        let Some(wu) = alloc.wu.upgrade().filter(|wu| !wu.ended.get() && !wu.waiting.get()) else { return };
-        let kept = alloc.started.get().is_none() && alloc.outcome.get().is_none();
+    fn unstarted(&mut self, now: f64, alloc: Weak<Allocation>) {
+        let kept = alloc.upgrade().filter(|a| a.started.get().is_none() && a.outcome.get().is_none());
+        let Some(wu) = kept.and_then(|a| a.wu.upgrade()) else { return };
         let in_time = now + self.buffers.running[wu.project_type] < wu.limit;
-        if kept && in_time && !self.repeats.spent(&wu) {
+        if in_time && !wu.ended.get() && !wu.waiting.get() && !self.repeats.spent(&wu) {
             self.buffers.put(&wu, true);
         }
     }
@@ -648,8 +655,7 @@
             let room = self.fleet.room(now, w, mean_run);
             if room > 0.0 {
                 let slow = self.fleet.slowness(w, &self.buffers.running);
-                let (delay, at) = w.delay.get();
-                let usual = self.fleet.delay;
+                let ((delay, at), usual) = (w.delay.get(), self.fleet.delay);
                 let delay = usual + (delay - usual) / (1.0 + (now - at) / mean_run);
                 let room = if w.line.zone == self.fleet.zone { room } else { room * FAR };
                 ready.push((room / (delay + slow * mean_run), self.chance.draw(), (slow, delay), w.clone()));
@@ -678,11 +684,11 @@
             let t = &self.buffers.types[i / 2];
             let rate = self.fleet.rate(w, i / 2, &self.buffers.running, slow);
             let pressure = self.buffers.alpha(i) * rate * queue.len() as f64;
-            let elsewhere =
-                t.kind.is_some_and(|k| k != w.line.kind) || spare && t.effect == Effect::Exclusive;
+            let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
             // Where late answers earn nothing, work is not sent to wait out its promise there.
-            let elsewhere = elsewhere || t.late_credit == 0.0 && delay > t.promised_turnaround;
-            if !elsewhere && best.is_none_or(|b| pressure > b.0) {
+            let hopeless = t.late_credit == 0.0 && delay > t.promised_turnaround;
+            let not_here = other_kind || hopeless || spare && t.effect == Effect::Exclusive;
+            if !not_here && best.is_none_or(|b| pressure > b.0) {
                 let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
                 best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -30,8 +30,6 @@
     /// The part of the credit still earned after the promised turnaround.
     pub late_credit: f64,
     pub promised_turnaround: f64,
-    /// The promise grows by this many times the work unit's own running time.
-    pub stretch: f64,
     pub hard_limit: f64,
     pub effect: Effect,
     /// The only kind of machine that runs it, if there is one.
@@ -68,7 +66,6 @@
 #[derive(Clone, Debug)]
 pub struct Line {
     pub id: u64,
-    pub weight: f64,
     pub zone: u16,
     pub cell: u16,
     pub kind: u16,
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -264,7 +264,7 @@
             w.scheduler.came_back(&mut w.acts, w.now, &alloc, outcome, ended, report);
             w.scheduler.came_back(&mut w.acts, w.now, &alloc, outcome, ended, report);
             w.scheduler.started(&mut w.acts, w.now, &alloc);
-            w.scheduler.sampled(w.now, &alloc.worker, Some(report));
+            w.scheduler.sampled(w.now, &alloc.worker, report);
         }
     }
     w.now += 10.0;
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -43,15 +43,7 @@
 
 fn project_type(credit: f64, effect: Effect) -> ProjectType {
     let (promised_turnaround, hard_limit) = (0.2, 3.2);
-    ProjectType {
-        credit,
-        late_credit: 0.0,
-        promised_turnaround,
-        stretch: 2.0,
-        hard_limit,
-        effect,
-        kind: None,
-    }
+    ProjectType { credit, late_credit: 0.0, promised_turnaround, hard_limit, effect, kind: None }
 }
 
 /// Types: 0 rerunnable, 1 receipted in its cell, 2 exclusive, 3 receipted everywhere, 4 and 5 the same as
@@ -66,13 +58,15 @@
         (1.0, receipted(Group::Cell, 0.05)),
         (1.0, receipted(Group::All, 0.05)),
     ];
+    let types = types.map(|(c, e)| project_type(c, e)).to_vec();
     let cold = ColdRule { from: 0.2, warm_after: 20.0, multiple: 3.0, span: SPAN };
+    let fleet = Fleet::new(cold, 4, 0, true, &types);
     let scheduler = Scheduler::new(
         Chance::new(7),
         Shares::new(&[1e6, 1e-6], 4),
-        Buffers::new(types.map(|(c, e)| project_type(c, e)).to_vec(), 0.1),
+        Buffers::new(types, 0.1),
         Repeats::new(parallel, true, 3),
-        Fleet::new(cold, 4, 0, true, 0.2),
+        fleet,
         Follow::new(on_request, 10.0),
         2.0,
     );
@@ -80,7 +74,7 @@
 }
 
 pub fn line(id: u64, listed: Listed, came_up: f64) -> Line {
-    Line { id, weight: 1.0, zone: (id / 100) as u16, cell: (id / 10) as u16, kind: 0, listed, came_up }
+    Line { id, zone: (id / 100) as u16, cell: (id / 10) as u16, kind: 0, listed, came_up }
 }
 
 impl World {
