--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -159,7 +159,7 @@
             27 => {
                 let report = self.report(event, 19)?;
                 let id = event.worker(3);
-                let worker = self.scheduler.workers().iter().find(|w| w.line.id == id).cloned();
+                let worker = self.scheduler.worker(id).cloned();
                 if let Some(worker) = worker.filter(|_| event.u16(9) == 200) {
                     self.scheduler.sampled(now, &worker, report);
                 }
--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings text: `path=value` lines, read into the parts of the decision module.
 
-use mintlb::decide::{Buffers, Chance, Fleet, Follow, Repeats, Scheduler, Shares};
+use mintlb::agenda::Chance;
+use mintlb::decide::{Buffers, Fleet, Follow, Repeats, Scheduler, Shares};
 use mintlb::{ColdRule, Effect, Group, ProjectType};
 use std::collections::BTreeMap;
 use std::str::FromStr;
@@ -65,6 +66,7 @@
         Ok(ProjectType {
             credit: self.get(&at("credit"))?,
             late_credit: self.get(&at("late_credit"))?,
+            stretch: self.item("family_info.class_stretch", i)?.unwrap_or(0.0),
             promised_turnaround: self.seconds(&at("promised_turnaround"))?,
             hard_limit: self.seconds(&at("hard_limit"))?,
             effect,
@@ -87,6 +89,7 @@
             warm_after: self.seconds("rules.warm_after")?,
             multiple: self.get("rules.fall_multiple")?,
             span: self.seconds("rules.fall")?,
+            among: schedulers as f64,
         };
         let discovery: String = self.get("discovery")?;
         let come_back = if self.get("permissions.retry_after")? {
@@ -95,13 +98,8 @@
             0.0
         };
         let types = self.project_types()?;
-        let fleet = Fleet::new(
-            cold,
-            schedulers,
-            self.get("zone")?,
-            self.or("family_info.tells_start", false)?,
-            &types,
-        );
+        let tells_start = self.or("family_info.tells_start", false)?;
+        let fleet = Fleet::new(cold, self.get("zone")?, tells_start, &types);
         Ok(Scheduler::new(
             Chance::new(seed),
             Shares::new(&self.quotas()?, schedulers),
--- /dev/null
+++ b/crates/mintlb/src/agenda.rs
@@ -0,0 +1,60 @@
+//! Two tools of the decisions that decide nothing: due times in order, and chance.
+
+use crate::Door;
+use std::collections::BTreeMap;
+
+/// Chance: multiply-with-carry, from the seed the instance was started with.
+pub struct Chance(u64);
+
+impl Chance {
+    pub fn new(seed: u64) -> Chance {
+        Chance(((seed ^ (seed >> 32)) % 0xffff_da60_ffff_ffff) | 1)
+    }
+
+    /// A number from 0 up to 1.
+    pub fn draw(&mut self) -> f64 {
+        self.0 = (self.0 & 0xffff_ffff) * 0xffff_da61 + (self.0 >> 32);
+        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
+    }
+}
+
+/// A timer may ring a rounding error early; without this grace it would pass for one still to ring, no other
+/// would be asked for, and all that waits would be forgotten.
+const HAIR: f64 = 1e-6;
+
+/// All due times, in order; the door is asked for one timer only.
+pub struct Agenda<T> {
+    due: BTreeMap<(u64, u64), T>,
+    added: u64,
+    armed: f64,
+}
+
+impl<T> Agenda<T> {
+    pub fn new() -> Agenda<T> {
+        Agenda { due: BTreeMap::new(), added: 0, armed: 0.0 }
+    }
+
+    pub fn add(&mut self, at: f64, due: T) {
+        self.added += 1;
+        // The bits of positive numbers are in the numbers' order.
+        self.due.insert((at.max(0.0).to_bits(), self.added), due);
+    }
+
+    pub fn next(&mut self, now: f64) -> Option<T> {
+        let first = self.due.first_entry()?;
+        (f64::from_bits(first.key().0) <= now + HAIR).then(|| first.remove())
+    }
+
+    /// Asks for the timer. What has ended meanwhile needs none: most work ends long before its limit.
+    pub fn arm(&mut self, door: &mut dyn Door, now: f64, is_void: impl Fn(&T) -> bool) {
+        while self.due.first_entry().is_some_and(|first| is_void(first.get())) {
+            self.due.pop_first();
+        }
+        let Some((&(at, _), _)) = self.due.first_key_value() else { return };
+        let at = f64::from_bits(at);
+        if self.armed <= now + HAIR || at < self.armed {
+            self.armed = at;
+            door.wake_in((at - now).max(0.0));
+        }
+    }
+}
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -6,26 +6,12 @@
 //! leaves by `Fleet` (which worker has room); an outcome runs the other way. `press` is the rule itself:
 //! workers with room, most room first; for each the runnable buffer of highest alpha x rate x length.
 
+use crate::agenda::{Agenda, Chance};
 use crate::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News};
 use crate::{Outcome, ProjectType, Report, WorkUnit, Worker};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
 use std::rc::{Rc, Weak};
 
-/// Chance: multiply-with-carry, from the seed the instance was started with.
-pub struct Chance(u64);
-
-impl Chance {
-    pub fn new(seed: u64) -> Chance {
-        Chance(((seed ^ (seed >> 32)) % 0xffff_da60_ffff_ffff) | 1)
-    }
-
-    /// A number from 0 up to 1.
-    fn draw(&mut self) -> f64 {
-        self.0 = (self.0 & 0xffff_ffff) * 0xffff_da61 + (self.0 >> 32);
-        (self.0 & 0xffff_ffff) as f64 / 4_294_967_296.0
-    }
-}
-
 enum Due {
     /// The client of this work unit gives up now.
     Limit(Weak<WorkUnit>),
@@ -39,35 +25,12 @@
     Round,
 }
 
-/// A timer may ring a rounding error early; without this grace it would pass for one still to ring, no other
-/// would be asked for, and all that waits would be forgotten.
-const HAIR: f64 = 1e-6;
-
-/// All due times, in order; the door is asked for one timer only.
-#[derive(Default)]
-struct Agenda {
-    due: BTreeMap<(u64, u64), Due>,
-    added: u64,
-    armed: f64,
-}
-
-impl Agenda {
-    fn add(&mut self, at: f64, due: Due) {
-        self.added += 1;
-        self.due.insert((at.max(0.0).to_bits(), self.added), due);
-    }
-
-    fn next(&mut self, now: f64) -> Option<Due> {
-        let first = self.due.first_entry()?;
-        (f64::from_bits(first.key().0) <= now + HAIR).then(|| first.remove())
-    }
-
-    fn arm(&mut self, door: &mut dyn Door, now: f64) {
-        let Some((&(at, _), _)) = self.due.first_key_value() else { return };
-        let at = f64::from_bits(at);
-        if self.armed <= now + HAIR || at < self.armed {
-            self.armed = at;
-            door.wake_in((at - now).max(0.0));
+impl Due {
+    fn is_void(&self) -> bool {
+        match self {
+            Due::Limit(wu) | Due::Patience(wu) => wu.strong_count() == 0,
+            Due::Start(alloc) => alloc.strong_count() == 0,
+            Due::Ask | Due::Round => false,
         }
     }
 }
@@ -120,6 +83,10 @@
         self.types[wu.project_type].effect
     }
 
+    fn any(&self) -> bool {
+        self.queues.iter().any(|q| !q.is_empty())
+    }
+
     fn put(&mut self, wu: &Rc<WorkUnit>, first: bool) {
         wu.waiting.set(true);
         let queue = &mut self.queues[2 * wu.project_type + wu.excess.get() as usize];
@@ -149,6 +116,14 @@
         (wu.arrived + t.promised_turnaround).min(wu.limit - takes)
     }
 
+    /// How long work may be kept from its start: a promise that is stretched by the running time leaves
+    /// that much more, and the part of the credit that is still earned late makes it less pressing.
+    fn bearable(&self, project_type: usize) -> f64 {
+        let t = &self.types[project_type];
+        let in_time = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * self.running[project_type];
+        in_time / (1.0 - t.late_credit).max(UNHEARD)
+    }
+
     fn mean_run(&self) -> f64 {
         self.running.iter().sum::<f64>() / self.running.len().max(1) as f64
     }
@@ -226,20 +201,32 @@
 }
 
 /// The workers: the list, room, rates, health.
+#[derive(Default)]
 pub struct Fleet {
     cold: ColdRule,
-    schedulers: f64,
     zone: u16,
     tells_start: bool,
     /// The shortest promised turnaround.
     promise: f64,
-    workers: Vec<Rc<Worker>>,
+    workers: BTreeMap<u64, Rc<Worker>>,
+    /// Workers that were sent something: each is ranked by what is known of it.
+    met: Vec<Rc<Worker>>,
+    /// The others, by zone and kind: one is as good as another, and to rank them all would only cost.
+    unmet: BTreeMap<(u16, u16), Vec<Rc<Worker>>>,
     /// The most of our slots seen running at once on one worker.
     lanes: f64,
-    /// Smoothed time to start over all workers.
-    delay: f64,
-    /// The quickest start seen in each zone: there nothing held the job up.
-    quickest: BTreeMap<u16, f64>,
+    zones: BTreeMap<u16, Starts>,
+    /// Ours that have not started, all workers together, and how many there may be.
+    unstarted: Vec<Rc<Allocation>>,
+    window: f64,
+}
+
+/// What is known of all workers of a zone: few are met often enough to be known each by itself.
+struct Starts {
+    /// The quickest start seen: there nothing held the job up.
+    quickest: f64,
+    /// Smoothed time to start, and when it was last heard.
+    delay: (f64, f64),
 }
 
 /// A start is late when it takes this part of the shortest promise longer than twice the quickest.
@@ -260,53 +247,79 @@
 const LANES: f64 = 2.0;
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
+/// The window of unstarted work, at the least and at the most.
+const WINDOW: [f64; 2] = [1.0, 8.0];
 /// What is learned over all workers moves by this part with each work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 
 impl Fleet {
-    pub fn new(
-        cold: ColdRule,
-        schedulers: usize,
-        zone: u16,
-        tells_start: bool,
-        types: &[ProjectType],
-    ) -> Fleet {
-        let schedulers = schedulers.max(1) as f64;
+    pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
         let shortest = types.iter().map(|t| t.promised_turnaround).fold(f64::INFINITY, f64::min);
         let promise = shortest.clamp(PROMISE[0], PROMISE[1]);
-        let (workers, quickest) = (Vec::new(), BTreeMap::new());
-        Fleet { cold, schedulers, zone, tells_start, promise, workers, lanes: LANES, delay: 0.0, quickest }
+        Fleet { cold, zone, tells_start, promise, lanes: LANES, window: WINDOW[1], ..Fleet::default() }
     }
 
     fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
-        self.workers.iter().filter(|w| w.listed.get() == Listed::Ready)
+        self.workers.values().filter(|w| w.listed.get() == Listed::Ready)
     }
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
     /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
     fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64) {
-        if let Some(at) = self.workers.iter().position(|w| w.line.id == line.id) {
-            if self.workers[at].line.came_up == line.came_up || line.listed != Listed::Ready {
-                return self.workers[at].listed.set(line.listed);
+        let known = self.workers.get(&line.id);
+        if let Some(w) = known.filter(|w| line.listed != Listed::Ready || w.line.came_up == line.came_up) {
+            w.listed.set(line.listed);
+            if line.listed != Listed::Gone {
+                return;
             }
-            self.workers.remove(at);
         }
-        let (sum, n) = self.ready().fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
-        let allowance = if n > 0.0 { sum / n } else { self.lanes };
-        self.workers.push(Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now))));
+        if let Some(old) = self.workers.remove(&line.id) {
+            self.met.retain(|w| !Rc::ptr_eq(w, &old));
+            self.unmet.entry(old.kin()).or_default().retain(|w| !Rc::ptr_eq(w, &old));
+        }
+        if line.listed != Listed::Gone {
+            let (sum, n) = self.met.iter().fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
+            let allowance = if n > 0.0 { sum / n } else { self.lanes };
+            let worker = Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now)));
+            self.unmet.entry(worker.kin()).or_default().push(worker.clone());
+            self.workers.insert(line.id, worker);
+        }
+    }
+
+    /// One worker with room, from a random place on, of each group that we have not met.
+    fn strangers(&self, now: f64, chance: &mut Chance, mean_run: f64) -> Vec<Rc<Worker>> {
+        let mut one = |group: &Vec<Rc<Worker>>| {
+            let start = (chance.draw() * group.len() as f64) as usize;
+            let from_there = group[start..].iter().chain(&group[..start]);
+            from_there.cloned().find(|w| self.room(now, w, mean_run) > 0.0)
+        };
+        self.unmet.values().filter_map(&mut one).collect()
     }
 
-    /// How many times the usual a worker takes for the same work.
-    fn slowness(&self, w: &Worker, running: &[f64]) -> f64 {
+    /// Learns how many times the usual a worker takes for the same work.
+    fn learn(&self, w: &Worker, project_type: usize, ran: f64, running: &[f64]) {
+        let mut heard = w.heard.borrow_mut();
+        let (sum, weight) = heard[project_type];
+        heard[project_type] = (sum * FORGET + ran, weight * FORGET + 1.0);
         let sums = |(t, u): (f64, f64), (h, r): (&(f64, f64), &f64)| (t + h.0 / r, u + h.1);
-        let (took, usual) = w.heard.borrow().iter().zip(running).fold((PRIOR, PRIOR), sums);
-        took / usual
+        let (took, usual) = heard.iter().zip(running).fold((PRIOR, PRIOR), sums);
+        w.slowness.set(took / usual);
+    }
+
+    /// The time to start that is expected there: what was last heard of the worker fades to what is usual
+    /// in its zone, and that to none: where nothing is sent nothing is heard, and one long wait would keep
+    /// all work back for good.
+    fn delay_at(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
+        let faded =
+            |(delay, at): (f64, f64), to: f64, time: f64| to + (delay - to) / (1.0 + (now - at) / time);
+        let usual = self.zones.get(&w.line.zone).map_or(0.0, |z| faded(z.delay, 0.0, 16.0 * mean_run));
+        faded(w.delay.get(), usual, mean_run)
     }
 
     /// The rate of a project type at a worker: the inverse of the smoothed running time, unheard at the mean.
-    fn rate(&self, w: &Worker, project_type: usize, running: &[f64], slowness: f64) -> f64 {
+    fn rate(&self, w: &Worker, project_type: usize, running: &[f64]) -> f64 {
         let (sum, weight) = w.heard.borrow()[project_type];
-        let usual = running[project_type] * slowness;
+        let usual = running[project_type] * w.slowness.get();
         (weight + PRIOR) / (sum + PRIOR * usual).max(f64::MIN_POSITIVE)
     }
 
@@ -315,8 +328,7 @@
         let out = w.slots_out.get();
         let trial = !w.suspect.get() || out == 0.0 && now >= w.next_trial.get();
         // Work of ours that has not started there says that its slots are taken, by others or for good.
-        let kept = |a: &Weak<Allocation>| a.upgrade().is_some_and(|a| a.started.get().is_none());
-        let kept = self.tells_start && w.out.borrow().iter().any(kept);
+        let kept = self.tells_start && w.unstarted.get() > 0;
         let cold = w.line.came_up > 0.0 && now < w.line.came_up + self.cold.warm_after;
         if w.listed.get() != Listed::Ready || !trial || kept || cold && self.budget(now, w) <= 0.0 {
             return 0.0;
@@ -337,55 +349,72 @@
         let (left, at) = w.budget.get();
         let age = ((now - w.line.came_up) / self.cold.warm_after).clamp(0.0, 1.0);
         let share = self.cold.from + (1.0 - self.cold.from) * age;
-        let rate = self.cold.multiple * share * self.lanes / self.schedulers / 2.0;
+        let rate = self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 2.0;
         let left = (left + rate * (now - at)).min(rate * self.cold.span / 2.0);
         w.budget.set((left, now));
         left
     }
 
-    fn send(&self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
+    /// Every scheduler leaves work to wait at workers that others have filled, and many of them make long
+    /// queues. The window does for the fleet what an allowance does for a worker. What has not started for
+    /// long is stuck there, not in a queue, and must not stop all else.
+    fn open(&self, now: f64, buffers: &Buffers) -> bool {
+        let queued = |a: &&Rc<Allocation>| {
+            a.wu.upgrade().is_some_and(|wu| now - a.sent < buffers.bearable(wu.project_type))
+        };
+        !self.tells_start || (self.unstarted.iter().filter(queued).count() as f64) < self.window
+    }
+
+    /// A late start closes the window by a quarter, one in time opens it by as much, where it is used.
+    fn steer(&mut self, late: bool) {
+        if late {
+            self.window = (self.window * 0.75).max(WINDOW[0]);
+        } else if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 {
+            self.window = (self.window * 1.25).min(WINDOW[1]);
+        }
+    }
+
+    fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
         let alloc = Allocation::new(wu, w, now);
         wu.allocs.borrow_mut().push(alloc.clone());
-        w.out.borrow_mut().push(Rc::downgrade(&alloc));
-        w.slots_out.set(w.slots_out.get() + wu.slots);
-        let (budget, at) = w.budget.get();
-        w.budget.set((budget - wu.slots * usual, at));
-        w.sent_since.set(w.sent_since.get() + wu.slots);
+        self.unstarted.push(alloc.clone());
+        let strangers = self.unmet.entry(w.kin()).or_default();
+        if let Some(at) = strangers.iter().position(|s| Rc::ptr_eq(s, w)) {
+            self.met.push(strangers.swap_remove(at));
+        }
+        w.took(wu.slots, usual);
         alloc
     }
 
     /// A start later than this says that the worker's slots were taken.
     fn late(&self, w: &Worker) -> f64 {
-        self.quickest.get(&w.line.zone).map_or(0.0, |q| q * 2.0) + LATE * self.promise
+        self.zones.get(&w.line.zone).map_or(0.0, |z| z.quickest * 2.0) + LATE * self.promise
     }
 
-    fn started(&mut self, now: f64, alloc: &Allocation) {
+    fn started(&mut self, now: f64, alloc: &Allocation, slots: f64) {
         alloc.started.set(Some(now));
         let w = &alloc.worker;
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
-        self.delay += (delay - self.delay) * SLOWLY;
         if delay > self.late(w) {
             w.halve_allowance();
         }
-        let quickest = self.quickest.entry(w.line.zone).or_insert(delay);
-        *quickest = quickest.min(delay);
-        let out = w.out.borrow();
-        let running = out.iter().filter_map(Weak::upgrade).filter(|a| a.started.get().is_some());
-        self.lanes = running.filter_map(|a| a.wu.upgrade()).map(|wu| wu.slots).sum::<f64>().max(self.lanes);
+        let zone = self.zones.entry(w.line.zone).or_insert(Starts { quickest: delay, delay: (0.0, now) });
+        zone.quickest = zone.quickest.min(delay);
+        zone.delay = (zone.delay.0 + (delay - zone.delay.0) * SLOWLY, now);
+        self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
+        w.began(slots);
+        self.lanes = self.lanes.max(w.running.get());
     }
 
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
-    fn back(&self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
+    fn back(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
-        w.out.borrow_mut().retain(|a| !std::ptr::eq(a.as_ptr(), alloc));
-        w.slots_out.set(if w.out.borrow().is_empty() { 0.0 } else { w.slots_out.get() - wu.slots });
+        w.gave_back(wu.slots, alloc.started.get().is_some());
+        self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         match outcome {
             Outcome::Completed => {
-                let (sum, weight) = w.heard.borrow()[wu.project_type];
-                let heard = (sum * FORGET + alloc.ran(now), weight * FORGET + 1.0);
-                w.heard.borrow_mut()[wu.project_type] = heard;
                 let ceiling = if self.tells_start { self.lanes } else { CEILING };
                 w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
                 self.judge(door, now, w, 0.0);
@@ -403,9 +432,15 @@
     /// single trials, further apart while they fail, at once while they succeed.
     fn judge(&self, door: &mut dyn Door, now: f64, w: &Worker, failed: f64) {
         w.failures.set(w.failures.get() + (failed - w.failures.get()) * FAILED);
-        let mut shares: Vec<f64> = self.ready().map(|w| w.failures.get()).collect();
-        shares.sort_by(f64::total_cmp);
-        let over = w.failures.get() - shares.get(shares.len() / 2).copied().unwrap_or(0.0);
+        let mut over = w.failures.get();
+        if over > SUSPECT / 2.0 {
+            // Only then can the median matter; most have no failures, and looking at the whole fleet costs.
+            let mut shares: Vec<f64> = self.ready().map(|w| w.failures.get()).collect();
+            let middle = shares.len() / 2;
+            if !shares.is_empty() {
+                over -= *shares.select_nth_unstable_by(middle, f64::total_cmp).1;
+            }
+        }
         let was = w.suspect.replace(over > SUSPECT || w.suspect.get() && over > SUSPECT / 2.0);
         if was != w.suspect.get() {
             let now_is = if was { "trusted again" } else { "a suspect, sent single trials only" };
@@ -440,7 +475,7 @@
 
 pub struct Scheduler {
     chance: Chance,
-    agenda: Agenda,
+    agenda: Agenda<Due>,
     shares: Shares,
     buffers: Buffers,
     repeats: Repeats,
@@ -448,6 +483,8 @@
     follow: Follow,
     /// How long clients heed advice on when to come back; 0 where they get none.
     most_come_back: f64,
+    /// A round is due.
+    looking: bool,
 }
 
 impl Scheduler {
@@ -460,20 +497,24 @@
         follow: Follow,
         most_come_back: f64,
     ) -> Scheduler {
-        let agenda = Agenda::default();
-        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, most_come_back }
+        let agenda = Agenda::new();
+        let looking = false;
+        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, most_come_back, looking }
     }
 
-    pub fn workers(&self) -> &[Rc<Worker>] {
-        &self.fleet.workers
+    pub fn workers(&self) -> impl Iterator<Item = &Rc<Worker>> {
+        self.fleet.workers.values()
+    }
+
+    pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
+        self.fleet.workers.get(&id)
     }
 
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         if self.follow.on_request {
             self.ask_later(now);
         }
-        self.agenda.add(now + self.fleet.promise * self.chance.draw(), Due::Round);
-        self.agenda.arm(door, now);
+        self.agenda.arm(door, now, Due::is_void);
     }
 
     /// One question at a time, however many failures are told.
@@ -498,9 +539,10 @@
             News::Full(lines) | News::Cached(lines) => (lines, true),
         };
         self.follow.failed = 0;
-        let gone = |w: &&Rc<Worker>| full && !lines.iter().any(|l| l.id == w.line.id);
-        self.fleet.workers.iter().filter(gone).for_each(|w| w.listed.set(Listed::Gone));
-        for line in lines {
+        let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
+        let gone = self.fleet.workers.values().filter(|w| full && !named.contains(&w.line.id));
+        let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
+        for line in gone.iter().chain(lines) {
             let debt = 2.0 * self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt);
         }
@@ -523,7 +565,8 @@
         // A note that comes again, or after the outcome, tells nothing of what was sent since.
         let news = alloc.outcome.get().is_none() && alloc.started.get().is_none();
         if let Some(wu) = alloc.wu.upgrade().filter(|_| news) {
-            self.fleet.started(now, alloc);
+            self.fleet.started(now, alloc, wu.slots);
+            self.fleet.steer(now - alloc.sent > self.buffers.bearable(wu.project_type));
             self.buffers.take_out(&wu);
             let allocs = wu.allocs.borrow();
             // The other, if it runs: two that start in one batch must not call each other off.
@@ -548,7 +591,9 @@
         self.sampled(now, &alloc.worker, report);
         self.fleet.back(door, now, alloc, &wu, outcome);
         if outcome == Outcome::Completed {
-            self.buffers.learn(wu.project_type, alloc.ran(now));
+            let ran = alloc.ran(now);
+            self.buffers.learn(wu.project_type, ran);
+            self.fleet.learn(&alloc.worker, wu.project_type, ran, &self.buffers.running);
         }
         if ended {
             self.close(door, &wu);
@@ -621,7 +666,7 @@
                     self.follow.asking = false;
                     door.follow_list();
                 }
-                Due::Round => self.agenda.add(now + self.fleet.promise / 2.0, Due::Round),
+                Due::Round => self.looking = false,
             }
         }
         self.settle(door, now);
@@ -640,30 +685,40 @@
 
     /// After each arrival and outcome: the rule, then the one timer.
     fn settle(&mut self, door: &mut dyn Door, now: f64) {
-        if self.buffers.queues.iter().any(|q| !q.is_empty()) {
+        if self.buffers.any() {
             self.press(door, now);
+            if self.buffers.any() && !self.looking {
+                self.looking = true;
+                self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
+            }
         }
-        self.agenda.arm(door, now);
+        self.agenda.arm(door, now, Due::is_void);
     }
 
     /// The rule. Workers with room, most room first, where room counts for what it can do: over the time to
     /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
-        let mut ready = Vec::new();
-        for w in &self.fleet.workers {
+        if !self.fleet.open(now, &self.buffers) {
+            return;
+        }
+        let mut ready = BinaryHeap::new();
+        let mut workers = self.fleet.strangers(now, &mut self.chance, mean_run);
+        workers.extend(self.fleet.met.iter().filter(|w| self.fleet.room(now, w, mean_run) > 0.0).cloned());
+        for (i, w) in workers.iter().enumerate() {
             let room = self.fleet.room(now, w, mean_run);
-            if room > 0.0 {
-                let slow = self.fleet.slowness(w, &self.buffers.running);
-                let ((delay, at), usual) = (w.delay.get(), self.fleet.delay);
-                let delay = usual + (delay - usual) / (1.0 + (now - at) / mean_run);
-                let room = if w.line.zone == self.fleet.zone { room } else { room * FAR };
-                ready.push((room / (delay + slow * mean_run), self.chance.draw(), (slow, delay), w.clone()));
-            }
+            let room = if w.line.zone == self.fleet.zone { room } else { room * FAR };
+            let speed = room / (self.fleet.delay_at(now, w, mean_run) + w.slowness.get() * mean_run);
+            // The bits of positive numbers are in the numbers' order.
+            ready.push((speed.to_bits(), self.chance.draw().to_bits(), i));
         }
-        ready.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.total_cmp(&b.1)));
-        for (_, _, (slow, delay), w) in ready {
-            let Some(wu) = self.pick(now, &w, slow, delay) else { continue };
+        while let Some((_, _, i)) = ready.pop() {
+            if !self.buffers.any() || !self.fleet.open(now, &self.buffers) {
+                return;
+            }
+            let w = workers[i].clone();
+            let delay = self.fleet.delay_at(now, &w, mean_run);
+            let Some(wu) = self.pick(now, &w, delay) else { continue };
             self.buffers.take_out(&wu);
             let alloc = self.fleet.send(now, &w, &wu, self.buffers.running[wu.project_type]);
             door.allocate(&alloc);
@@ -674,7 +729,7 @@
     }
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
-    fn pick(&self, now: f64, w: &Worker, slow: f64, delay: f64) -> Option<Rc<WorkUnit>> {
+    fn pick(&self, now: f64, w: &Worker, delay: f64) -> Option<Rc<WorkUnit>> {
         let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
         // A trial that fails must not cost work that can't be repeated, if other work there is.
@@ -682,7 +737,7 @@
         let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
             let t = &self.buffers.types[i / 2];
-            let rate = self.fleet.rate(w, i / 2, &self.buffers.running, slow);
+            let rate = self.fleet.rate(w, i / 2, &self.buffers.running);
             let pressure = self.buffers.alpha(i) * rate * queue.len() as f64;
             let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
             // Where late answers earn nothing, work is not sent to wait out its promise there.
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`decide::Scheduler`] and carries out what comes through its [`Door`].
 //! Times are seconds with fractions; `id` fields belong to the front.
 
+pub mod agenda;
 pub mod decide;
 
 use std::cell::{Cell, RefCell};
@@ -30,6 +31,8 @@
     /// The part of the credit still earned after the promised turnaround.
     pub late_credit: f64,
     pub promised_turnaround: f64,
+    /// The promise is longer by this many times the work's own running time.
+    pub stretch: f64,
     pub hard_limit: f64,
     pub effect: Effect,
     /// The only kind of machine that runs it, if there is one.
@@ -75,12 +78,14 @@
 }
 
 /// The figures of the rule on cold workers.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Default)]
 pub struct ColdRule {
     pub from: f64,
     pub warm_after: f64,
     pub multiple: f64,
     pub span: f64,
+    /// How many schedulers there are to keep it together.
+    pub among: f64,
 }
 
 /// What the list service had to say.
@@ -98,12 +103,17 @@
 pub struct Worker {
     pub line: Line,
     pub(crate) listed: Cell<Listed>,
-    /// Our allocations there that have no outcome yet.
-    pub(crate) out: RefCell<Vec<Weak<Allocation>>>,
+    /// Our allocations there that have no outcome yet, those of them not told to have started, and slots.
+    pub(crate) out: Cell<usize>,
+    pub(crate) unstarted: Cell<usize>,
     pub(crate) slots_out: Cell<f64>,
+    /// Slots of ours seen running.
+    pub(crate) running: Cell<f64>,
     pub(crate) allowance: Cell<f64>,
     /// Smoothed running time and its weight, for each project type.
     pub(crate) heard: RefCell<Vec<(f64, f64)>>,
+    /// How many times the usual it takes for the same work.
+    pub(crate) slowness: Cell<f64>,
     /// Smoothed time from sending to starting, and when it was last heard.
     pub(crate) delay: Cell<(f64, f64)>,
     pub(crate) failures: Cell<f64>,
@@ -202,10 +212,13 @@
         Worker {
             listed: Cell::new(line.listed),
             line,
-            out: RefCell::default(),
+            out: Cell::new(0),
+            unstarted: Cell::new(0),
             slots_out: Cell::new(0.0),
+            running: Cell::new(0.0),
             allowance: Cell::new(allowance),
             heard: RefCell::new(vec![(0.0, 0.0); types]),
+            slowness: Cell::new(1.0),
             delay: Cell::new((0.0, 0.0)),
             failures: Cell::new(0.0),
             suspect: Cell::new(false),
@@ -217,6 +230,37 @@
         }
     }
 
+    /// Its zone and kind.
+    pub(crate) fn kin(&self) -> (u16, u16) {
+        (self.line.zone, self.line.kind)
+    }
+
+    pub(crate) fn took(&self, slots: f64, work: f64) {
+        self.out.set(self.out.get() + 1);
+        self.unstarted.set(self.unstarted.get() + 1);
+        self.slots_out.set(self.slots_out.get() + slots);
+        self.sent_since.set(self.sent_since.get() + slots);
+        let (budget, at) = self.budget.get();
+        self.budget.set((budget - slots * work, at));
+    }
+
+    pub(crate) fn began(&self, slots: f64) {
+        self.unstarted.set(self.unstarted.get() - 1);
+        self.running.set(self.running.get() + slots);
+    }
+
+    pub(crate) fn gave_back(&self, slots: f64, had_started: bool) {
+        self.out.set(self.out.get() - 1);
+        // Empty is empty, whatever sums of fractions leave.
+        let left = if self.out.get() == 0 { 0.0 } else { 1.0 };
+        self.slots_out.set((self.slots_out.get() - slots) * left);
+        if had_started {
+            self.running.set((self.running.get() - slots) * left);
+        } else {
+            self.unstarted.set(self.unstarted.get() - 1);
+        }
+    }
+
     pub(crate) fn halve_allowance(&self) {
         self.allowance.set((self.allowance.get() / 2.0).max(1.0));
     }
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -1,6 +1,7 @@
 //! A scheduler behind a door that writes down what is asked of it, driven by short scripts.
 
-use mintlb::decide::{Buffers, Chance, Fleet, Follow, Repeats, Scheduler, Shares};
+use mintlb::agenda::Chance;
+use mintlb::decide::{Buffers, Fleet, Follow, Repeats, Scheduler, Shares};
 use mintlb::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News, Outcome, ProjectType, Report};
 use mintlb::{WorkUnit, Worker};
 use std::collections::BTreeMap;
@@ -43,7 +44,15 @@
 
 fn project_type(credit: f64, effect: Effect) -> ProjectType {
     let (promised_turnaround, hard_limit) = (0.2, 3.2);
-    ProjectType { credit, late_credit: 0.0, promised_turnaround, hard_limit, effect, kind: None }
+    ProjectType {
+        credit,
+        late_credit: 0.0,
+        promised_turnaround,
+        stretch: 0.0,
+        hard_limit,
+        effect,
+        kind: None,
+    }
 }
 
 /// Types: 0 rerunnable, 1 receipted in its cell, 2 exclusive, 3 receipted everywhere, 4 and 5 the same as
@@ -59,8 +68,8 @@
         (1.0, receipted(Group::All, 0.05)),
     ];
     let types = types.map(|(c, e)| project_type(c, e)).to_vec();
-    let cold = ColdRule { from: 0.2, warm_after: 20.0, multiple: 3.0, span: SPAN };
-    let fleet = Fleet::new(cold, 4, 0, true, &types);
+    let cold = ColdRule { from: 0.2, warm_after: 20.0, multiple: 3.0, span: SPAN, among: 4.0 };
+    let fleet = Fleet::new(cold, 0, true, &types);
     let scheduler = Scheduler::new(
         Chance::new(7),
         Shares::new(&[1e6, 1e-6], 4),
