Wide jobs to their own part of the workers, by an order all schedulers share

One at the head of a queue waits until all of its worker is free and stops all behind it; with fifty blind schedulers about a third of the workers stood so at any time, and label-render (slack 0.36 s) was late behind them: 34 to 55% in time, at half the capacity. Change: jobs over half a worker go first to their part of the workers, in an order of the scattered ids that is the same everywhere, all else first to the others; anywhere only if no worker of theirs has room.

--- a/crates/mintlb-simhost/src/settings.rs
+++ b/crates/mintlb-simhost/src/settings.rs
@@ -106,7 +106,11 @@
             most_allocations: self.get("permissions.most_allocations")?,
         };
         let buffers = Buffers::new(types, self.or("excess_credit", 1.0)?, come_back);
-        let follow = Follow::new(discovery == "on_request", self.seconds("rules.ask_within")?);
+        let follow = Follow {
+            on_request: discovery == "on_request",
+            ask_within: self.seconds("rules.ask_within")?,
+            ..Follow::default()
+        };
         Ok(Scheduler::new(Chance::new(seed), (Shares::new(&self.quotas()?), buffers, repeats, fleet), follow))
     }
 }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -9,7 +9,7 @@
 use crate::tools::{Agenda, Chance, Mean};
 use crate::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News};
 use crate::{Outcome, ProjectType, Report, WorkUnit, Worker};
-use std::collections::{BTreeMap, BTreeSet, BinaryHeap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::rc::{Rc, Weak};
 
 enum Due {
@@ -24,12 +24,6 @@
     Round,
 }
 
-impl Due {
-    fn is_void(&self) -> bool {
-        matches!(self, Due::Limit(wu) | Due::Patience(wu) if wu.strong_count() == 0)
-    }
-}
-
 /// Customers: work beyond a share earns `excess_credit`, and alpha knows it. How much of a quota is ours
 /// can't be seen; what can be is each customer's part of our own work, against its part of all quotas.
 pub struct Shares {
@@ -78,10 +72,6 @@
         Buffers { types, excess_credit, most_come_back, queues, running }
     }
 
-    fn effect(&self, wu: &WorkUnit) -> Effect {
-        self.types[wu.project_type].effect
-    }
-
     fn any(&self) -> bool {
         self.queues.iter().any(|q| !q.is_empty())
     }
@@ -146,7 +136,11 @@
         let allocs = wu.allocs.borrow();
         let out = |a: &&Rc<Allocation>| a.outcome.get().is_none();
         let there = allocs.iter().filter(out).any(|a| std::ptr::eq(&*a.worker, worker));
-        if wu.ended.get() || self.spent(wu) || there || !self.parallel && allocs.iter().any(|a| out(&a)) {
+        if wu.ended.get()
+            || allocs.len() >= self.most_allocations
+            || there
+            || !self.parallel && allocs.iter().any(|a| out(&a))
+        {
             return false;
         }
         let Some(first) = allocs.iter().find(|a| Repeats::may_have_run(a.outcome.get())) else { return true };
@@ -175,10 +169,6 @@
         let out = allocs.iter().filter(|a| self.may_recall && a.outcome.get().is_none());
         out.filter(|a| kept.is_none_or(|k| !Rc::ptr_eq(a, k))).for_each(|a| door.recall(a));
     }
-
-    fn spent(&self, wu: &WorkUnit) -> bool {
-        wu.allocs.borrow().len() >= self.most_allocations
-    }
 }
 
 /// The workers: the list, room, rates, health.
@@ -202,6 +192,8 @@
     /// Ours that have not started, all workers together, and how many there may be.
     unstarted: Vec<Rc<Allocation>>,
     window: f64,
+    /// Wide and narrow work that came, in slots x usual running time.
+    work: (f64, f64),
 }
 
 /// A start is late when it takes this part of the shortest promise longer than twice the quickest.
@@ -218,14 +210,15 @@
 const SUSPECT: f64 = 0.2;
 /// A failed suspect's next trial waits so many shortest promises.
 const TRIAL: f64 = 12.0;
-/// Slots: the ceiling where workers don't tell starts; and the lanes that any worker is taken to have.
-const CEILING: f64 = 8.0;
+/// The lanes that any worker is taken to have.
 const LANES: f64 = 2.0;
+/// So much of their part in the work is wide jobs' part of the workers: they come one after another there.
+const WIDE: f64 = 0.7;
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
 /// The window of unstarted work, at the least and at the most.
 const WINDOW: [f64; 2] = [1.0, 8.0];
-/// What is learned over all workers moves by this part with each work unit.
+/// What is learned over many workers moves by this part with each work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 
 impl Fleet {
@@ -242,16 +235,15 @@
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
     /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
     fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64) {
-        let known = self.workers.get(&line.id);
-        if let Some(w) = known.filter(|w| line.listed != Listed::Ready || w.line.came_up == line.came_up) {
-            w.listed.set(line.listed);
-            if line.listed != Listed::Gone {
-                return;
+        if let Some(w) = self.workers.get(&line.id).cloned() {
+            let same = line.listed == Listed::Ready && w.line.came_up == line.came_up;
+            if same || line.listed == Listed::Draining {
+                return w.listed.set(line.listed);
             }
-        }
-        if let Some(old) = self.workers.remove(&line.id) {
-            self.met.retain(|w| !Rc::ptr_eq(w, &old));
-            self.unmet.entry(old.kin()).or_default().retain(|w| !Rc::ptr_eq(w, &old));
+            w.listed.set(Listed::Gone);
+            self.workers.remove(&line.id);
+            self.met.retain(|met| !Rc::ptr_eq(met, &w));
+            self.unmet.entry(w.kin()).or_default().retain(|unmet| !Rc::ptr_eq(unmet, &w));
         }
         if line.listed != Listed::Gone {
             let (sum, n) = self.met.iter().fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
@@ -262,25 +254,6 @@
         }
     }
 
-    /// One worker with room, from a random place on, of each group that we have not met.
-    fn strangers(&self, now: f64, chance: &mut Chance, mean_run: f64) -> Vec<Rc<Worker>> {
-        let mut one = |group: &Vec<Rc<Worker>>| {
-            let start = (chance.draw() * group.len() as f64) as usize;
-            let mut from_there = group[start..].iter().chain(&group[..start]);
-            from_there.find(|w| self.room(now, w, mean_run) > 0.0).cloned()
-        };
-        self.unmet.values().filter_map(&mut one).collect()
-    }
-
-    /// Learns how many times the usual a worker takes for the same work.
-    fn learn(&self, w: &Worker, project_type: usize, ran: f64, running: &[f64]) {
-        let mut heard = w.heard.borrow_mut();
-        heard[project_type].learn(ran, FORGET);
-        let sums = |(t, u): (f64, f64), (h, r): (&Mean, &f64)| (t + h.sum / r, u + h.weight);
-        let (took, usual) = heard.iter().zip(running).fold((PRIOR, PRIOR), sums);
-        w.slowness.set(took / usual);
-    }
-
     /// The time to start that is expected there: what was last heard of the worker fades to what is usual
     /// in its zone, and that to none, or one long wait would keep work away for good.
     fn delay_at(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
@@ -332,11 +305,23 @@
 
     /// A late start closes the window by a quarter, one in time opens it by a tenth, where it is used.
     fn steer(&mut self, late: bool) {
-        if late {
-            self.window = (self.window * 0.75).max(WINDOW[0]);
-        } else if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 {
-            self.window = (self.window * 1.1).min(WINDOW[1]);
-        }
+        let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.1 } else { 1.0 };
+        let step = if late { 0.75 } else { opens };
+        self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
+    }
+
+    /// Jobs that take over half a worker run alone, and what is behind them in a queue waits until all is
+    /// free: where schedulers are many, some such would stop most workers. So they go first to their part
+    /// of the workers, by an order that is the same at all schedulers, and all else first to the others.
+    fn is_own(&self, w: &Worker, wu: &WorkUnit) -> bool {
+        let (wide, narrow) = (WIDE * self.work.0, self.work.1);
+        (wu.slots > self.lanes / 2.0) == (w.place.get() < wide / (wide + narrow).max(f64::MIN_POSITIVE))
+    }
+
+    fn weigh(&mut self, wu: &WorkUnit, usual: f64) {
+        self.lanes = self.lanes.max(wu.slots);
+        let work = if wu.slots > self.lanes / 2.0 { &mut self.work.0 } else { &mut self.work.1 };
+        *work += wu.slots * usual;
     }
 
     fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
@@ -380,7 +365,7 @@
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         match outcome {
             Outcome::Completed => {
-                let ceiling = if self.tells_start { self.lanes } else { CEILING };
+                let ceiling = if self.tells_start { self.lanes } else { 4.0 * LANES };
                 w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
                 self.judge(door, now, w, 0.0);
             }
@@ -398,7 +383,6 @@
         w.failures.set(w.failures.get() + (failed - w.failures.get()) * FAILED);
         let mut over = w.failures.get();
         if over > SUSPECT / 2.0 {
-            // Only then can the median matter, and looking at the whole fleet costs.
             let mut shares: Vec<f64> = self.ready().map(|w| w.failures.get()).chain([over]).collect();
             let middle = (shares.len() - 1) / 2;
             over -= *shares.select_nth_unstable_by(middle, f64::total_cmp).1;
@@ -415,17 +399,13 @@
 /// Follows the list: asks at start with spread, and again after a failure with spread and growing waits.
 #[derive(Default)]
 pub struct Follow {
-    on_request: bool,
-    ask_within: f64,
-    failed: i32,
-    asking: bool,
+    pub on_request: bool,
+    pub ask_within: f64,
+    pub failed: i32,
+    pub asking: bool,
 }
 
 impl Follow {
-    pub fn new(on_request: bool, ask_within: f64) -> Follow {
-        Follow { on_request, ask_within, ..Follow::default() }
-    }
-
     /// From a 64th to a quarter of the time within which we must ask.
     fn wait(&self, chance: &mut Chance) -> f64 {
         let most = self.ask_within / 4.0;
@@ -456,7 +436,7 @@
 
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         self.ask_later(now);
-        self.agenda.arm(door, now, Due::is_void);
+        self.settle(door, now);
     }
 
     /// One question at a time, however many failures are told.
@@ -488,6 +468,9 @@
             let debt = 2.0 * self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt);
         }
+        let mut places: Vec<_> = self.fleet.ready().collect();
+        places.sort_unstable_by_key(|w| w.line.scattered());
+        places.iter().enumerate().for_each(|(i, w)| w.place.set(i as f64 / places.len() as f64));
         if self.fleet.ready().next().is_none() {
             door.log("the list has no ready worker: work is deferred once its patience is out");
         }
@@ -496,6 +479,7 @@
 
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
+        self.fleet.weigh(wu, self.buffers.running[wu.project_type]);
         self.buffers.put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
@@ -534,7 +518,8 @@
             let ran = alloc.ran(now);
             let usual = &mut self.buffers.running[wu.project_type];
             *usual += (ran - *usual) * SLOWLY;
-            self.fleet.learn(&alloc.worker, wu.project_type, ran, &self.buffers.running);
+            alloc.worker.heard.borrow_mut()[wu.project_type].learn(ran, FORGET);
+            alloc.worker.pace.borrow_mut().learn(ran / *usual, FORGET);
         }
         if ended {
             self.close(door, &wu);
@@ -547,7 +532,7 @@
 
     /// What becomes of a work unit that has come back undone: first in its buffer, or its final answer.
     fn again(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>, outcome: Outcome) {
-        let effect = self.buffers.effect(wu);
+        let effect = self.buffers.types[wu.project_type].effect;
         let over = outcome == Outcome::Moot || now >= self.buffers.hope(wu);
         if over || !self.fleet.ready().any(|w| self.repeats.pass(now, effect, wu, w)) {
             self.give_up(door, now, wu);
@@ -558,7 +543,7 @@
 
     /// The final answer for work that waits or has come back, given at once.
     fn give_up(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
-        if self.repeats.harmless(self.buffers.effect(wu), wu) && now < wu.limit {
+        if self.repeats.harmless(self.buffers.types[wu.project_type].effect, wu) && now < wu.limit {
             let promise = self.buffers.types[wu.project_type].promised_turnaround;
             door.defer(wu, (promise / 2.0).min(self.buffers.most_come_back));
         } else {
@@ -593,9 +578,8 @@
         while let Some(due) = self.agenda.next(now) {
             match due {
                 Due::Limit(wu) => {
-                    if let Some(wu) = wu.upgrade().filter(|wu| !wu.ended.get()) {
-                        self.give_up(door, now, &wu);
-                    }
+                    let open = wu.upgrade().filter(|wu| !wu.ended.get());
+                    open.iter().for_each(|wu| self.give_up(door, now, wu));
                 }
                 Due::Patience(wu) => match wu.upgrade().filter(|wu| wu.waiting.get()) {
                     Some(wu) if wu.is_out() => self.buffers.take_out(&wu),
@@ -619,7 +603,7 @@
         let kept = alloc.upgrade().filter(|a| a.started.get().is_none() && a.outcome.get().is_none());
         let Some(wu) = kept.and_then(|a| a.wu.upgrade()) else { return };
         let in_time = now + self.buffers.running[wu.project_type] < wu.limit;
-        if in_time && !wu.ended.get() && !wu.waiting.get() && !self.repeats.spent(&wu) {
+        if in_time && !wu.ended.get() && !wu.waiting.get() {
             self.buffers.put(&wu, true);
         }
     }
@@ -633,43 +617,52 @@
                 self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
             }
         }
-        self.agenda.arm(door, now, Due::is_void);
+        let void = |due: &Due| matches!(due, Due::Limit(w) | Due::Patience(w) if w.strong_count() == 0);
+        self.agenda.arm(door, now, void);
     }
 
     /// The rule. Workers with room, most room first, where room counts for what it can do: over the time to
     /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
-        let mut workers = self.fleet.strangers(now, &mut self.chance, mean_run);
-        workers.extend(self.fleet.met.iter().cloned());
-        let mut ready = BinaryHeap::new();
+        let mut workers = self.fleet.met.clone();
+        let strangers = self.fleet.unmet.values().filter(|group| !group.is_empty());
+        workers.extend(strangers.map(|g| g[(self.chance.draw() * g.len() as f64) as usize].clone()));
+        let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
             let far = if w.line.zone == self.fleet.zone { 1.0 } else { FAR };
             let room = far * self.fleet.room(now, w, mean_run);
             if room > 0.0 {
-                let speed = room / (self.fleet.delay_at(now, w, mean_run) + w.slowness.get() * mean_run);
+                let speed = room
+                    / (self.fleet.delay_at(now, w, mean_run) + w.pace.borrow().or(1.0, PRIOR) * mean_run);
                 // The bits of positive numbers are in the numbers' order.
                 ready.push((speed.to_bits(), self.chance.draw().to_bits(), i));
             }
         }
-        while let Some((_, _, i)) = ready.pop() {
-            if !self.buffers.any() || !self.fleet.open(now, &self.buffers) {
-                return;
-            }
-            let w = &workers[i];
-            let Some(wu) = self.pick(now, w) else { continue };
-            self.buffers.take_out(&wu);
-            let alloc = self.fleet.send(now, w, &wu, self.buffers.running[wu.project_type]);
-            door.allocate(&alloc);
-            let copies = self.repeats.parallel && self.repeats.may_recall && self.fleet.tells_start;
-            if copies && self.buffers.effect(&wu) != Effect::Exclusive {
-                self.agenda.add(now + self.fleet.late(w), Due::Start(Rc::downgrade(&alloc)));
-            }
+        ready.sort_unstable_by(|a, b| b.cmp(a));
+        for own in [true, false] {
+            ready.retain(|&(_, _, i)| !self.offer(door, now, &workers[i], own));
+        }
+    }
+
+    /// Sends one work unit to this worker, if there is one for it.
+    fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, own: bool) -> bool {
+        if !self.buffers.any() || !self.fleet.open(now, &self.buffers) {
+            return false;
+        }
+        let Some(wu) = self.pick(now, w, own) else { return false };
+        self.buffers.take_out(&wu);
+        let alloc = self.fleet.send(now, w, &wu, self.buffers.running[wu.project_type]);
+        door.allocate(&alloc);
+        let copies = self.repeats.parallel && self.repeats.may_recall && self.fleet.tells_start;
+        if copies && self.buffers.types[wu.project_type].effect != Effect::Exclusive {
+            self.agenda.add(now + self.fleet.late(w), Due::Start(Rc::downgrade(&alloc)));
         }
+        true
     }
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
-    fn pick(&self, now: f64, w: &Worker) -> Option<Rc<WorkUnit>> {
+    fn pick(&self, now: f64, w: &Worker, own: bool) -> Option<Rc<WorkUnit>> {
         let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
         // A trial that fails must not cost work that can't be repeated, if other work there is.
@@ -678,13 +671,14 @@
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
             let t = &self.buffers.types[i / 2];
             // The rate is the inverse of the smoothed running time, unheard at the mean.
-            let usual = self.buffers.running[i / 2] * w.slowness.get();
+            let usual = self.buffers.running[i / 2] * w.pace.borrow().or(1.0, PRIOR);
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
             let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
             let not_here = other_kind || spare && t.effect == Effect::Exclusive;
             if !not_here && best.is_none_or(|b| pressure > b.0) {
-                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
+                let here = |wu: &WorkUnit| fits(wu) && own == self.fleet.is_own(w, wu);
+                let runnable = |wu: &&Rc<WorkUnit>| here(wu) && self.repeats.pass(now, t.effect, wu, w);
                 best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -78,6 +78,13 @@
     pub came_up: f64,
 }
 
+impl Line {
+    /// The id scattered evenly, the same everywhere.
+    pub(crate) fn scattered(&self) -> u64 {
+        self.id.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    }
+}
+
 /// The figures of the rule on cold workers.
 #[derive(Clone, Copy, Default)]
 pub struct ColdRule {
@@ -114,11 +121,13 @@
     /// Smoothed running time and its weight, for each project type.
     pub(crate) heard: RefCell<Vec<Mean>>,
     /// How many times the usual it takes for the same work.
-    pub(crate) slowness: Cell<f64>,
+    pub(crate) pace: RefCell<Mean>,
     /// Smoothed time from sending to starting, and when it was last heard.
     pub(crate) delay: Cell<(f64, f64)>,
     pub(crate) failures: Cell<f64>,
     pub(crate) suspect: Cell<bool>,
+    /// Its place in an order of the ready workers that is the same at all schedulers, from 0 up to 1.
+    pub(crate) place: Cell<f64>,
     pub(crate) next_trial: Cell<f64>,
     /// Budget for a cold worker, and when it was last topped up.
     pub(crate) budget: Cell<(f64, f64)>,
@@ -223,10 +232,11 @@
             running: Cell::new(0.0),
             allowance: Cell::new(allowance),
             heard: RefCell::new(vec![Mean::default(); types]),
-            slowness: Cell::new(1.0),
+            pace: RefCell::default(),
             delay: Cell::new((0.0, 0.0)),
             failures: Cell::new(0.0),
             suspect: Cell::new(false),
+            place: Cell::new(0.0),
             next_trial: Cell::new(0.0),
             budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
