--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -192,6 +192,8 @@
     /// Ours that have not started, all workers together, and how many there may be.
     unstarted: Vec<Rc<Allocation>>,
     window: f64,
+    /// Until when a window below one keeps us from sending.
+    paused: f64,
     /// Wide and narrow work that came, in slots x usual running time.
     work: (f64, f64),
 }
@@ -217,7 +219,7 @@
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
 /// The window of unstarted work, at the least and at the most.
-const WINDOW: [f64; 2] = [1.0, 8.0];
+const WINDOW: [f64; 2] = [1.0 / 8.0, 8.0];
 /// What is learned over many workers moves by this part with each work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 
@@ -300,13 +302,15 @@
     fn open(&self, now: f64, buffers: &Buffers) -> bool {
         let bearable = |wu: Rc<WorkUnit>| buffers.bearable(wu.project_type);
         let queued = |a: &&Rc<Allocation>| a.wu.upgrade().is_some_and(|wu| now - a.sent < bearable(wu));
-        !self.tells_start || (self.unstarted.iter().filter(queued).count() as f64) < self.window
+        let queued = self.unstarted.iter().filter(queued).count() as f64;
+        !self.tells_start || queued < self.window.max(1.0) && now >= self.paused
     }
 
-    /// A late start closes the window by a quarter, one in time opens it by a tenth, where it is used.
+    /// A late start closes the window by a quarter, one in time opens it by a tenth, where it is used; below
+    /// one, where it is a pause between sends, by a third.
     fn steer(&mut self, late: bool) {
         let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.1 } else { 1.0 };
-        let step = if late { 0.75 } else { opens };
+        let step = if late { 0.75 } else { f64::max(opens, (1.0 / self.window).min(4.0 / 3.0)) };
         self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
     }
 
@@ -319,7 +323,6 @@
     }
 
     fn weigh(&mut self, wu: &WorkUnit, usual: f64) {
-        self.lanes = self.lanes.max(wu.slots);
         let work = if wu.slots > self.lanes / 2.0 { &mut self.work.0 } else { &mut self.work.1 };
         *work += wu.slots * usual;
     }
@@ -328,6 +331,7 @@
         let alloc = Allocation::new(wu, w, now);
         wu.allocs.borrow_mut().push(alloc.clone());
         self.unstarted.push(alloc.clone());
+        self.paused = now + usual * (1.0 / self.window - 1.0).max(0.0);
         let strangers = self.unmet.entry(w.kin()).or_default();
         if let Some(at) = strangers.iter().position(|s| Rc::ptr_eq(s, w)) {
             self.met.push(strangers.swap_remove(at));
