--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -210,9 +210,8 @@
 /// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
 const FAILED: f64 = 0.25;
 const SUSPECT: f64 = 0.2;
-/// A failed suspect's next trial waits so many shortest promises.
+/// A failed suspect's next trial waits so many shortest promises; any worker is taken to have so many lanes.
 const TRIAL: f64 = 12.0;
-/// The lanes that any worker is taken to have.
 const LANES: f64 = 2.0;
 /// So much of their part in the work is wide jobs' part of the workers: they come one after another there.
 const WIDE: f64 = 0.7;
@@ -220,7 +219,7 @@
 const PROMISE: [f64; 2] = [0.01, 10.0];
 /// The window of unstarted work, at the least and at the most.
 const WINDOW: [f64; 2] = [1.0 / 8.0, 8.0];
-/// What is learned over many workers moves by this part with each work unit.
+/// What is learned over many workers moves by this part a work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 
 impl Fleet {
