--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -194,7 +194,7 @@
     window: f64,
     /// Until when a window below one keeps us from sending.
     paused: f64,
-    /// Wide and narrow work that came, in slots x usual running time.
+    /// Wide and narrow work that came, in slots x usual runs.
     work: (f64, f64),
 }
 
@@ -207,20 +207,20 @@
 /// The usual time to start fades to none in so many times the usual running time.
 const SLOW_FADE: f64 = 16.0;
 const FORGET: f64 = 15.0 / 16.0;
+/// What is learned over many workers moves by this part a work unit.
+const SLOWLY: f64 = 1.0 / 32.0;
 /// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
 const FAILED: f64 = 0.25;
 const SUSPECT: f64 = 0.2;
 /// A failed suspect's next trial waits so many shortest promises; any worker is taken to have so many lanes.
 const TRIAL: f64 = 12.0;
 const LANES: f64 = 2.0;
-/// So much of their part in the work is wide jobs' part of the workers: they come one after another there.
+/// Wide jobs' part of the workers, to their part of the work: one comes after another there.
 const WIDE: f64 = 0.7;
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
 /// The window of unstarted work, at the least and at the most.
 const WINDOW: [f64; 2] = [1.0 / 8.0, 8.0];
-/// What is learned over many workers moves by this part a work unit.
-const SLOWLY: f64 = 1.0 / 32.0;
 
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
@@ -307,23 +307,19 @@
 
     /// A late start closes the window by a quarter, one in time opens it by a tenth, where it is used; below
     /// one, where it is a pause between sends, by a third.
-    fn steer(&mut self, late: bool) {
+    fn steer(&mut self, late: bool, cost: f64) {
         let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.1 } else { 1.0 };
-        let step = if late { 0.75 } else { f64::max(opens, (1.0 / self.window).min(4.0 / 3.0)) };
+        let step = if late { 1.0 - cost / 4.0 } else { f64::max(opens, (1.0 / self.window).min(4.0 / 3.0)) };
         self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
     }
 
-    /// Jobs that take over half a worker run alone, and what is behind them in a queue waits until all is
-    /// free: where schedulers are many, some such would stop most workers. So they go first to their part
-    /// of the workers, by an order that is the same at all schedulers, and all else first to the others.
+    /// Jobs that take over half a worker run alone, and hold up a queue until all is free: where schedulers
+    /// are many, some such would stop most workers. So they go first to their part of the workers, by an
+    /// order that all schedulers share, and all else to the others; what is not yet known belongs to both.
     fn is_own(&self, w: &Worker, wu: &WorkUnit) -> bool {
-        let (wide, narrow) = (WIDE * self.work.0, self.work.1);
-        (wu.slots > self.lanes / 2.0) == (w.place.get() < wide / (wide + narrow).max(f64::MIN_POSITIVE))
-    }
-
-    fn weigh(&mut self, wu: &WorkUnit, usual: f64) {
-        let work = if wu.slots > self.lanes / 2.0 { &mut self.work.0 } else { &mut self.work.1 };
-        *work += wu.slots * usual;
+        let (wide, all) = (WIDE * self.work.0, WIDE * self.work.0 + self.work.1 + PRIOR);
+        let place = w.place.get();
+        if wu.slots > self.lanes / 2.0 { place < (wide + PRIOR) / all } else { place >= wide / all }
     }
 
     fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
@@ -482,7 +478,9 @@
 
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
-        self.fleet.weigh(wu, self.buffers.running[wu.project_type]);
+        let wide = wu.slots > self.fleet.lanes / 2.0;
+        let work = if wide { &mut self.fleet.work.0 } else { &mut self.fleet.work.1 };
+        *work += wu.slots * self.buffers.running[wu.project_type] / self.buffers.mean_run();
         self.buffers.put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
@@ -495,7 +493,8 @@
         let news = alloc.outcome.get().is_none() && alloc.started.get().is_none();
         if let Some(wu) = alloc.wu.upgrade().filter(|_| news) {
             self.fleet.started(now, alloc, wu.slots);
-            self.fleet.steer(now - alloc.sent > self.buffers.bearable(wu.project_type));
+            let late = now - alloc.sent > self.buffers.bearable(wu.project_type);
+            self.fleet.steer(late, 1.0 - self.buffers.types[wu.project_type].late_credit);
             self.buffers.take_out(&wu);
             let allocs = wu.allocs.borrow();
             // The other, if it runs: two that start in one batch must not call each other off.
@@ -680,7 +679,7 @@
             let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
             let not_here = other_kind || spare && t.effect == Effect::Exclusive;
             if !not_here && best.is_none_or(|b| pressure > b.0) {
-                let here = |wu: &WorkUnit| fits(wu) && own == self.fleet.is_own(w, wu);
+                let here = |wu: &WorkUnit| fits(wu) && (w.suspect.get() || own == self.fleet.is_own(w, wu));
                 let runnable = |wu: &&Rc<WorkUnit>| here(wu) && self.repeats.pass(now, t.effect, wu, w);
                 best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -230,14 +230,15 @@
             if i >= 100 {
                 to[(id.parse::<u64>().unwrap() % 20 == 0) as usize].insert(worker.to_string());
             }
-            w.run(&format!("start {id}.0; back {id}.0 ok"));
+            w.run(&format!("start {id}.0"));
+            w.now += 0.1;
+            w.run(&format!("back {id}.0 ok"));
         }
-        w.now += 0.05;
     }
     assert!(to[1].len() == 1 && to[0].is_disjoint(&to[1]), "{to:?}");
     // With no worker of their part left they go anywhere.
     let part = to[1].first().unwrap();
-    assert!(w.run(&format!("change {part}d; call 900 0 0 4; at 111; wake")).contains("send 900>"));
+    assert!(w.run(&format!("change {part}d; call 900 0 0 4; at 121; wake")).contains("send 900>"));
 }
 
 #[test]
