--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -521,7 +521,7 @@
             let usual = &mut self.buffers.running[wu.project_type];
             *usual += (ran - *usual) * SLOWLY;
             alloc.worker.heard.borrow_mut()[wu.project_type].learn(ran, FORGET);
-            alloc.worker.pace.borrow_mut().learn(ran / *usual, FORGET);
+            alloc.worker.pace.borrow_mut().learn(ran / *usual, 1.0 - SLOWLY);
         }
         if ended {
             self.close(door, &wu);
