--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -1,10 +1,9 @@
-//! All decisions of mintlb. A front makes one `Scheduler` from its parts, calls it (`power_on`, `news`,
-//! `arrived`, `started`, `came_back`, `left`, `sampled`, `woke`) as things happen, and carries out what it
-//! asks for through the `Door` (lib.rs, where the nouns are too). The clock is the `now` of each call.
-//!
-//! The chain: a work unit passes `Shares`, waits in `Buffers`, passes `Repeats` (may it go there?) and
-//! leaves by `Fleet` (which worker has room); an outcome runs the other way. `press` is the rule itself:
-//! workers with room, most room first; for each the runnable buffer of highest alpha x rate x length.
+//! All decisions of mintlb. A front makes a `Scheduler`, calls it (`power_on`, `news`, `arrived`, `started`,
+//! `came_back`, `left`, `sampled`, `woke`) and carries out what it asks for through the `Door` (lib.rs, with
+//! the nouns); the clock is the `now` of each call. The chain: work passes `Shares`, waits in `Buffers`,
+//! passes `Repeats` (may it go there?), leaves by `Fleet` (who has room); an outcome runs the other way.
+//! `press` is the rule: workers with room, most room first; for each the runnable buffer of highest
+//! alpha x rate x length.
 
 use crate::tools::{Agenda, Chance, Mean};
 use crate::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News};
@@ -28,8 +27,7 @@
 /// can't be seen; what can be is each customer's part of our own work, against its part of all quotas.
 pub struct Shares {
     parts: Vec<f64>,
-    /// What each customer may still send within its part.
-    left: Vec<f64>,
+    left: Vec<f64>, // What each customer may still send within its part.
 }
 
 /// So many work units a customer may be ahead of its part.
@@ -224,8 +222,7 @@
 
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
-        let promises = types.iter().map(|t| t.promised_turnaround);
-        let promise = promises.fold(PROMISE[1], f64::min).max(PROMISE[0]);
+        let promise = types.iter().map(|t| t.promised_turnaround).fold(PROMISE[1], f64::min).max(PROMISE[0]);
         Fleet { cold, zone, tells_start, promise, lanes: LANES, window: WINDOW[1], ..Fleet::default() }
     }
 
@@ -604,8 +601,7 @@
     fn unstarted(&mut self, now: f64, alloc: Weak<Allocation>) {
         let kept = alloc.upgrade().filter(|a| a.started.get().is_none() && a.outcome.get().is_none());
         let Some(wu) = kept.and_then(|a| a.wu.upgrade()) else { return };
-        let in_time = now + self.buffers.running[wu.project_type] < wu.limit;
-        if in_time && !wu.ended.get() && !wu.waiting.get() {
+        if now + self.buffers.running[wu.project_type] < wu.limit && !wu.ended.get() && !wu.waiting.get() {
             self.buffers.put(&wu, true);
         }
     }
@@ -669,6 +665,7 @@
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
         // A trial that fails must not cost work that can't be repeated, if other work there is.
         let spare = w.suspect.get() && self.buffers.types.iter().any(|t| t.effect != Effect::Exclusive);
+        let delay = self.fleet.delay_at(now, w, self.buffers.mean_run());
         let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
             let t = &self.buffers.types[i / 2];
@@ -677,7 +674,10 @@
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
             let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
-            let not_here = other_kind || spare && t.effect == Effect::Exclusive;
+            // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
+            let bears = (t.promised_turnaround + self.buffers.bearable(i / 2)) / 2.0;
+            let not_here =
+                other_kind || t.late_credit == 0.0 && delay > bears || spare && t.effect == Effect::Exclusive;
             if !not_here && best.is_none_or(|b| pressure > b.0) {
                 let here = |wu: &WorkUnit| fits(wu) && (w.suspect.get() || own == self.fleet.is_own(w, wu));
                 let runnable = |wu: &&Rc<WorkUnit>| here(wu) && self.repeats.pass(now, t.effect, wu, w);
