--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -264,6 +264,7 @@
     w.run("wake");
     assert_eq!(burst(&mut w, 100).len(), 1);
     w.now += 0.25;
+    w.run("wake");
     assert_eq!(burst(&mut w, 200).len(), 1, "what is stuck stops nothing else for long");
 }
 
