--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -402,10 +402,10 @@
 }
 
 impl Follow {
-    /// From a 64th to a quarter of the time within which we must ask.
+    /// Spread over an eighth of the time within which we must ask, over half of it after failures: the list
+    /// service does not grow with its callers, and all that start together call together.
     fn wait(&self, chance: &mut Chance) -> f64 {
-        let most = self.ask_within / 4.0;
-        (most / 16.0 * 2f64.powi(self.failed.min(4))).min(most) * (0.5 + chance.draw() / 2.0)
+        self.ask_within / 8.0 * 2f64.powi(self.failed.min(2)) * chance.draw()
     }
 }
 
@@ -446,7 +446,7 @@
     pub fn news(&mut self, door: &mut dyn Door, now: f64, news: News) {
         let (lines, full) = match news {
             News::Failed => {
-                if self.follow.failed == 0 {
+                if self.follow.failed == 2 {
                     door.log("the list is out of reach: the last one holds");
                 }
                 self.ask_later(now);
