--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -302,10 +302,10 @@
         !self.tells_start || queued < self.window.max(1.0) && now >= self.paused
     }
 
-    /// A late start closes the window by a quarter, one in time opens it by a tenth, where it is used; below
+    /// A late start closes the window by a quarter, one in time opens it by as much, where it is used; below
     /// one, where it is a pause between sends, by a third.
     fn steer(&mut self, late: bool, cost: f64) {
-        let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.1 } else { 1.0 };
+        let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.25 } else { 1.0 };
         let step = if late { 1.0 - cost / 4.0 } else { f64::max(opens, (1.0 / self.window).min(4.0 / 3.0)) };
         self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
     }
