--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -134,11 +134,8 @@
         let allocs = wu.allocs.borrow();
         let out = |a: &&Rc<Allocation>| a.outcome.get().is_none();
         let there = allocs.iter().filter(out).any(|a| std::ptr::eq(&*a.worker, worker));
-        if wu.ended.get()
-            || allocs.len() >= self.most_allocations
-            || there
-            || !self.parallel && allocs.iter().any(|a| out(&a))
-        {
+        let spent = wu.ended.get() || allocs.len() >= self.most_allocations;
+        if spent || there || !self.parallel && allocs.iter().any(|a| out(&a)) {
             return false;
         }
         let Some(first) = allocs.iter().find(|a| Repeats::may_have_run(a.outcome.get())) else { return true };
@@ -192,7 +189,7 @@
     window: f64,
     /// Until when a window below one keeps us from sending.
     paused: f64,
-    /// Wide and narrow work that came, in slots x usual runs.
+    /// Wide and narrow work that came, in slots x usual runs, slowly forgotten.
     work: (f64, f64),
 }
 
@@ -337,6 +334,10 @@
         self.zones.get(&w.line.zone).map_or(0.0, |z| z.0 * 2.0) + LATE * self.promise
     }
 
+    fn halve(w: &Worker) {
+        w.allowance.set((w.allowance.get() / 2.0).max(1.0));
+    }
+
     fn started(&mut self, now: f64, alloc: &Allocation, slots: f64) {
         alloc.started.set(Some(now));
         let w = &alloc.worker;
@@ -344,7 +345,7 @@
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
         if delay > self.late(w) {
-            w.halve_allowance();
+            Fleet::halve(w);
         }
         let zone = self.zones.entry(w.line.zone).or_insert((delay, Mean::default(), now));
         (zone.0, zone.2) = (zone.0.min(delay), now);
@@ -365,7 +366,7 @@
                 w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
                 self.judge(door, now, w, 0.0);
             }
-            Outcome::Full => w.halve_allowance(),
+            Outcome::Full => Fleet::halve(w),
             Outcome::Error | Outcome::NoConnection | Outcome::Dropped => self.judge(door, now, w, 1.0),
             // Taken and never started, it tells of a silent worker; a long run tells nothing.
             Outcome::TimedOut if alloc.started.get().is_none() => self.judge(door, now, w, 1.0),
@@ -402,8 +403,7 @@
 }
 
 impl Follow {
-    /// Spread over an eighth of the time within which we must ask, over half of it after failures: the list
-    /// service does not grow with its callers, and all that start together call together.
+    /// The list service does not grow with its callers, and all that start together would call together.
     fn wait(&self, chance: &mut Chance) -> f64 {
         self.ask_within / 8.0 * 2f64.powi(self.failed.min(2)) * chance.draw()
     }
@@ -467,7 +467,7 @@
         let mut places: Vec<_> = self.fleet.ready().collect();
         places.sort_unstable_by_key(|w| w.line.scattered());
         places.iter().enumerate().for_each(|(i, w)| w.place.set(i as f64 / places.len() as f64));
-        if self.fleet.ready().next().is_none() {
+        if places.is_empty() {
             door.log("the list has no ready worker: work is deferred once its patience is out");
         }
         self.settle(door, now);
@@ -475,9 +475,10 @@
 
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
-        let wide = wu.slots > self.fleet.lanes / 2.0;
-        let work = if wide { &mut self.fleet.work.0 } else { &mut self.fleet.work.1 };
-        *work += wu.slots * self.buffers.running[wu.project_type] / self.buffers.mean_run();
+        let work = wu.slots * self.buffers.running[wu.project_type] / self.buffers.mean_run();
+        let (wide, narrow) = if wu.slots > self.fleet.lanes / 2.0 { (work, 0.0) } else { (0.0, work) };
+        let (old, keep) = (self.fleet.work, 1.0 - SLOWLY * SLOWLY);
+        self.fleet.work = (old.0 * keep + wide, old.1 * keep + narrow);
         self.buffers.put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
@@ -673,11 +674,11 @@
             let usual = self.buffers.running[i / 2] * w.pace.borrow().or(1.0, PRIOR);
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
-            let other_kind = t.kind.is_some_and(|k| k != w.line.kind);
+            let unfit = t.kind.is_some_and(|k| k != w.line.kind);
             // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
             let bears = (t.promised_turnaround + self.buffers.bearable(i / 2)) / 2.0;
             let not_here =
-                other_kind || t.late_credit == 0.0 && delay > bears || spare && t.effect == Effect::Exclusive;
+                unfit || t.late_credit == 0.0 && delay > bears || spare && t.effect == Effect::Exclusive;
             if !not_here && best.is_none_or(|b| pressure > b.0) {
                 let here = |wu: &WorkUnit| fits(wu) && (w.suspect.get() || own == self.fleet.is_own(w, wu));
                 let runnable = |wu: &&Rc<WorkUnit>| here(wu) && self.repeats.pass(now, t.effect, wu, w);
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -275,10 +275,6 @@
         }
     }
 
-    pub(crate) fn halve_allowance(&self) {
-        self.allowance.set((self.allowance.get() / 2.0).max(1.0));
-    }
-
     /// Our slots there that have no outcome yet.
     pub fn slots_out(&self) -> f64 {
         self.slots_out.get()
