SIGHUP is caught: the file is checked whole and the list followed at its new address

Cause: cli.rs installed handlers for SIGTERM and SIGINT only, and the default of SIGHUP ends a program. Ruled out: memory (1 of 48 MB), descriptors (50 of 384), a panic (the log ends in the middle, exit code 128+1). Change: signals become words to serve(); a bad file is logged with its field and the old configuration stays; the watch moves at once, and a question still due for the old address no longer ends it. Test: a_new_configuration_is_taken_while_it_serves ends on the first SIGHUP without the change.

--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -2,11 +2,13 @@
 
 use crate::log;
 use crate::placement::Placement;
-use crate::serve::{Plan, serve};
+use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
+use slog::{Logger, warn};
 use std::io::{ErrorKind, Write};
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
 /// Dispatches work units to workers, by the max-pressure rule.
 #[derive(FromArgs)]
@@ -23,7 +25,7 @@
     Version(Version),
 }
 
-/// Serves until SIGTERM.
+/// Serves until SIGTERM; SIGHUP has it read its configuration again.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "serve")]
 struct Serve {
@@ -49,32 +51,60 @@
 #[argh(subcommand, name = "version")]
 struct Version {}
 
-fn plan(path: Option<String>) -> Result<Plan, String> {
-    let path = path.or_else(|| std::env::var("ROUTER_CONFIG").ok());
-    let path = path.ok_or("no configuration: give --config FILE or set ROUTER_CONFIG")?;
-    Plan::new(Placement::read(&path)?).map_err(|e| format!("{path}: {e}"))
+fn path(given: Option<String>) -> Result<String, String> {
+    let path = given.or_else(|| std::env::var("ROUTER_CONFIG").ok());
+    path.ok_or_else(|| "no configuration: give --config FILE or set ROUTER_CONFIG".to_string())
+}
+
+fn plan(path: &str) -> Result<Plan, String> {
+    Plan::new(Placement::read(path)?).map_err(|e| format!("{path}: {e}"))
+}
+
+/// Turns signals into words to the scheduler. A SIGHUP that is not caught would end the program, and a bad
+/// configuration must not: the one that holds stays.
+fn follow_signals(path: String, log: Logger) -> Result<UnboundedReceiver<Told>, String> {
+    let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
+    let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
+    let mut changed = on(SignalKind::hangup())?;
+    let (tell, told) = unbounded_channel();
+    tokio::spawn(async move {
+        loop {
+            let word = tokio::select! {
+                _ = stop.recv() => Told::Stop,
+                _ = interrupt.recv() => Told::Stop,
+                _ = changed.recv() => match plan(&path) {
+                    Ok(plan) => Told::Moved(Box::new(plan.placement)),
+                    Err(why) => {
+                        warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
+                        continue;
+                    }
+                },
+            };
+            if tell.send(word).is_err() {
+                return;
+            }
+        }
+    });
+    Ok(told)
 }
 
 fn run(verb: Verb) -> Result<(), String> {
     match verb {
         Verb::Serve(Serve { config, verbose }) => {
-            let plan = plan(config)?;
+            let path = path(config)?;
+            let plan = plan(&path)?;
             let (log, last_lines) = log::to_stderr(plan.limits.log_lines, verbose);
             let wait = plan.limits.dial;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let served = runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(async {
-                let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
-                let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
-                let told = async {
-                    tokio::select! { _ = stop.recv() => (), _ = interrupt.recv() => () }
-                };
+                let told = follow_signals(path, log.clone())?;
                 serve(plan, log, told).await
             });
             log::finish(last_lines, wait);
             served
         }
         Verb::Check(Check { config }) => {
-            let plan = plan(config)?;
+            let plan = plan(&path(config)?)?;
             let Placement { name, listen, discovery, known, .. } = &plan.placement;
             let workers = known.as_ref().map_or(0, |k| k.workers.len());
             let types = plan.types.join(", ");
--- a/crates/mintlb-node/src/hands.rs
+++ b/crates/mintlb-node/src/hands.rs
@@ -51,6 +51,12 @@
         self.out.remove(&alloc);
     }
 
+    /// The list is watched there from now on; a watch of the old address ends.
+    pub fn follow(&mut self, list: List) {
+        self.list = list;
+        self.watch.take().iter().for_each(AbortHandle::abort);
+    }
+
     /// One line of counts, where there is something to count.
     pub fn count(&mut self, held: usize) {
         let Tally { sent, closed, completed, deferred, aborted } = std::mem::take(&mut self.tally);
@@ -87,15 +93,15 @@
                 let (workers, tell) = (self.workers.clone(), self.tell.clone());
                 tokio::spawn(async move { workers.probe(worker, to, &tell).await });
             }
+            // A question that was due before the list moved must not end the watch that has begun since.
+            Act::Watch { .. } if self.watch.as_ref().is_some_and(|watch| !watch.is_finished()) => {}
             Act::Watch { after } => {
                 let (list, tell, log) = (self.list.clone(), self.tell.clone(), self.log.clone());
                 let task = async move {
                     let why = list.watch(after, &tell).await;
                     warn!(log, "the watch of the list ended"; "why" => why);
                 };
-                if let Some(old) = self.watch.replace(tokio::spawn(task).abort_handle()) {
-                    old.abort();
-                }
+                self.watch = Some(tokio::spawn(task).abort_handle());
             }
             Act::WakeIn(after) => self.due = Some(self.clock.instant(self.clock.now()) + seconds(after)),
             Act::Log(line) => info!(self.log, "{}", line),
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -18,7 +18,7 @@
     pub settings: Value,
 }
 
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
 pub struct Machine {
     pub memory_mb: usize,
     pub sockets: usize,
@@ -64,6 +64,18 @@
         Ok(placement)
     }
 
+    /// What of another configuration can't hold before the next start. The seed is new each time, and the
+    /// list that is known is older than the one that is followed.
+    pub fn differs(&self, new: &Placement) -> Vec<&'static str> {
+        let fields = [
+            ("name", self.name != new.name),
+            ("listen", self.listen != new.listen),
+            ("limits", self.limits != new.limits),
+            ("settings", self.settings != new.settings),
+        ];
+        fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+    }
+
     pub fn seed(&self) -> Result<u64, String> {
         u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed: {:?} is no number: {e}", self.seed))
     }
--- a/crates/mintlb-node/src/reducer.rs
+++ b/crates/mintlb-node/src/reducer.rs
@@ -24,6 +24,8 @@
     Sampled(u64, Report),
     /// The list service has told something, or failed.
     List(Option<Listing>),
+    /// The list service is at another address.
+    ListMoved,
     Woke,
     /// The program ends: what is still held gets its answer now.
     LastCall,
@@ -267,6 +269,8 @@
                 let news = if full { News::Full(&lines) } else { News::Changes(&lines) };
                 self.with_door(now, |s, door| s.news(door, now, news))
             }
+            // At once, whatever was to be asked of the old one: nothing it says from now on is heard.
+            Event::ListMoved => vec![Act::Watch { after: self.version }],
             Event::Woke => self.with_door(now, |s, door| s.woke(door, now)),
             Event::LastCall => self.last_call(now),
         }
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -10,10 +10,9 @@
 use crate::worker::Workers;
 use mintlb::decide::Scheduler;
 use mintlb::settings::Text;
-use slog::{Logger, info};
-use std::pin::pin;
+use slog::{Logger, info, warn};
 use tokio::net::TcpListener;
-use tokio::sync::mpsc;
+use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::{Instant, interval, sleep_until};
 
 /// All that a start needs, read and found good.
@@ -40,13 +39,21 @@
     }
 }
 
-/// Serves until `stop` is over, and then until all that was taken is answered.
-pub async fn serve(plan: Plan, log: Logger, stop: impl Future<Output = ()>) -> Result<(), String> {
-    let Plan { placement, text, limits, scheduler, types, customers } = plan;
+/// What a scheduler is told from outside while it serves.
+pub enum Told {
+    /// A new configuration, read and found good; of it the list service's address holds from now on.
+    Moved(Box<Placement>),
+    /// Answer what is held and what still comes, and end.
+    Stop,
+}
+
+/// Serves until it is told to stop, and then until all that was taken is answered.
+pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
+    let Plan { mut placement, text, limits, scheduler, types, customers } = plan;
     let listen = placement.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     let clock = Clock::start();
-    let (tell, mut events) = mpsc::unbounded_channel();
+    let (tell, mut events) = unbounded_channel();
     let workers = Workers::new(&limits, clock, &text.list("stats.fields"), log.clone());
     let list = List::new(&limits, placement.discovery);
     let mut hands = Hands::new(workers, list, clock, tell.clone(), log.clone());
@@ -56,11 +63,10 @@
     let names = Names { zones: own("zones"), kinds: own("machine_types") };
     let mut reducer = Reducer::new(scheduler, names, limits.out, limits.margin);
 
-    reducer.start(clock.now(), placement.known).into_iter().for_each(|act| hands.carry_out(act));
+    reducer.start(clock.now(), placement.known.take()).into_iter().for_each(|act| hands.carry_out(act));
     tokio::spawn(front.clone().listen(listener));
     info!(log, "serving"; "name" => &placement.name, "listen" => %listen);
 
-    let mut stop = pin!(stop);
     let mut stopped: Option<Instant> = None;
     let mut tally = interval(limits.tally);
     loop {
@@ -76,12 +82,24 @@
                 hands.count(reducer.held());
                 None
             }
-            () = &mut stop, if stopped.is_none() => {
-                info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
-                front.stop();
-                stopped = Some(Instant::now());
-                None
-            }
+            Some(word) = told.recv() => match word {
+                Told::Moved(new) => {
+                    let later = placement.differs(&new).join(", ");
+                    if !later.is_empty() {
+                        warn!(log, "part of the new configuration waits for the next start"; "fields" => later);
+                    }
+                    placement.discovery = new.discovery;
+                    info!(log, "the list is followed at another address"; "discovery" => %placement.discovery);
+                    hands.follow(List::new(&limits, placement.discovery));
+                    Some(Event::ListMoved)
+                }
+                Told::Stop => {
+                    info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
+                    front.stop();
+                    stopped.get_or_insert_with(Instant::now);
+                    None
+                }
+            },
             () = sleep_until(look), if stopped.is_some() => None,
         };
         let since = stopped.map(|at| at.elapsed()).unwrap_or_default();
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -14,12 +14,14 @@
 const PAUSE: Duration = Duration::from_millis(100);
 
 /// A listener whose connections are each served by a thread; what that returns is told.
-fn stand_in(serve: fn(&mut TcpStream) -> String) -> (SocketAddr, Receiver<String>) {
+fn stand_in(
+    serve: impl Fn(&mut TcpStream) -> String + Clone + Send + 'static,
+) -> (SocketAddr, Receiver<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     let (at, (tell, told)) = (listener.local_addr().unwrap(), channel());
     std::thread::spawn(move || {
         for stream in listener.incoming() {
-            let (mut stream, tell) = (stream.unwrap(), tell.clone());
+            let (mut stream, tell, serve) = (stream.unwrap(), tell.clone(), serve.clone());
             std::thread::spawn(move || tell.send(serve(&mut stream)).ok());
         }
     });
@@ -28,6 +30,10 @@
 
 /// Answers each work unit: at once, after a while (`slow` in its path) or never (`hold`).
 fn work(stream: &mut TcpStream) -> String {
+    work_as("yes", stream)
+}
+
+fn work_as(result: &str, stream: &mut TcpStream) -> String {
     let mut piece = [0; 4096];
     loop {
         let n = stream.read(&mut piece).unwrap_or(0);
@@ -39,7 +45,7 @@
             std::thread::sleep(4 * PAUSE);
         }
         if !request.contains("hold") {
-            let line = format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"yes\"}}\n");
+            let line = format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"{result}\"}}\n");
             let chunk = format!("{:x}\r\n{line}\r\n0\r\n\r\n", line.len());
             let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
             stream.write_all((head.to_string() + &chunk).as_bytes()).ok();
@@ -51,6 +57,7 @@
     child: Child,
     at: SocketAddr,
     workers: Receiver<String>,
+    path: std::path::PathBuf,
 }
 
 impl Drop for Program {
@@ -84,18 +91,16 @@
     let listen = at.to_string();
     let mut all = vec![("127.0.0.1:7070", &*listen), ("\"limits\"", &known)];
     all.extend(changes);
-    let command = format!(
-        "{limits} exec {} serve --verbose --config {}",
-        env!("CARGO_BIN_EXE_mintlb"),
-        written(&all).display()
-    );
+    let path = written(&all);
+    let command =
+        format!("{limits} exec {} serve --verbose --config {}", env!("CARGO_BIN_EXE_mintlb"), path.display());
     let child = Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap();
     let began = Instant::now();
     while TcpStream::connect(at).is_err() {
         assert!(began.elapsed() < Duration::from_secs(5), "it does not listen");
         std::thread::sleep(PAUSE / 10);
     }
-    Program { child, at, workers }
+    Program { child, at, workers, path }
 }
 
 /// All that comes back until the connection is closed or an answer of known length is whole.
@@ -138,10 +143,22 @@
         answer(&mut stream)
     }
 
+    fn signal(&self, name: &str) {
+        assert!(Command::new("kill").args([name, &self.child.id().to_string()]).status().unwrap().success());
+    }
+
     fn terminate(&self) {
-        assert!(
-            Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status().unwrap().success()
-        );
+        self.signal("-TERM");
+    }
+
+    /// Replaces the configuration as an operator would, and says so.
+    fn replace(&self, old: &str, new: &str) {
+        let text = std::fs::read_to_string(&self.path).unwrap();
+        assert!(text.contains(old), "nothing to replace: {old}");
+        let fresh = self.path.with_extension("new");
+        std::fs::write(&fresh, text.replace(old, new)).unwrap();
+        std::fs::rename(&fresh, &self.path).unwrap();
+        self.signal("-HUP");
     }
 
     /// Waits for its end: whether it was a clean one, and how long it took.
@@ -321,6 +338,54 @@
     assert!(program.workers.try_recv().is_err(), "the worker that is gone was not connected to");
 }
 
+/// A list service of one worker, whose results are its name.
+fn list_of_one(name: &'static str) -> String {
+    let (worker, _) = stand_in(move |stream| work_as(name, stream));
+    let line = format!(
+        r#"{{"version":9,"full":true,"servers":[{{"id":"{name}","addr":"{worker}","zone":"north","kind":"small","state":"SERVING"}}]}}"#
+    );
+    let watch = move |stream: &mut TcpStream| {
+        stream.read_exact(&mut [0; 64]).ok();
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).ok();
+        stream.read_exact(&mut [0; 1]).ok();
+        "ended".into()
+    };
+    stand_in(watch).0.to_string()
+}
+
+/// SIGHUP, more than once and just before the end: the list moves, a bad file is passed over, work lives on.
+#[test]
+fn a_new_configuration_is_taken_while_it_serves() {
+    let (one, two) = (list_of_one("s-8"), list_of_one("s-9"));
+    let soon = ("10000.0, \"cold_from\"", "400.0, \"cold_from\"");
+    let mut program = start("", &[("127.0.0.1:8500", &one), soon]);
+    std::thread::sleep(3 * PAUSE);
+    let mut held = program.connect();
+    held.write_all(post("/charge/slow", "").as_bytes()).unwrap();
+    std::thread::sleep(PAUSE);
+    for (shown, from, to, worker) in [
+        ("moved", &*one, &*two, "s-9"),
+        ("a bad file", "\"fall\": 3000.0, ", "", "s-9"),
+        ("mended", "\"fall_multiple\"", "\"fall\": 3000.0, \"fall_multiple\"", "s-9"),
+        ("moved back", &*two, &*one, "s-8"),
+        ("and again", &*one, &*two, "s-9"),
+    ] {
+        program.replace(from, to);
+        std::thread::sleep(2 * PAUSE);
+        let got = program.ask(&post("/charge/1", ""));
+        assert!(got.ends_with(worker), "{shown}: {got}");
+    }
+    assert!(answer(&mut held).ends_with("s-8"), "what was held is answered");
+    program.replace(&two, &one);
+    program.terminate();
+    assert!(program.ask(&post("/charge/1", "")).contains("200 OK"), "late arrivals, too");
+    assert!(program.end().0, "a clean end");
+    let mut log = String::new();
+    program.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    assert!(log.contains("not taken") && log.contains("rules.fall is missing"), "{log}");
+}
+
 #[test]
 fn a_bad_configuration_is_named() {
     let cases = [
