--- a/crates/mintlb-node/src/front.rs
+++ b/crates/mintlb-node/src/front.rs
@@ -23,7 +23,7 @@
 use std::collections::HashMap;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
@@ -50,7 +50,9 @@
     clients: Arc<Semaphore>,
     /// Each new number closes the connections that are idle, the others after their answers.
     tidy: watch::Sender<u64>,
-    stopping: watch::Sender<bool>,
+    /// Told to stop: still serving, but not for long. Then closing: each answer ends its connection.
+    stopping: AtomicBool,
+    closing: AtomicBool,
 }
 
 /// Tells the reducer that the client has left, if it is dropped before the answer has come.
@@ -94,7 +96,8 @@
             open: Semaphore::new(limits.open),
             clients: Arc::new(Semaphore::new(limits.clients)),
             tidy: watch::Sender::new(0),
-            stopping: watch::Sender::new(false),
+            stopping: AtomicBool::new(false),
+            closing: AtomicBool::new(false),
             limits,
         })
     }
@@ -127,9 +130,14 @@
         self.tidy.send_modify(|n| *n += 1);
     }
 
-    /// From now on each answer ends its connection, and idle ones close; new ones still come.
+    /// From now on nobody new should come; those who are here or come all the same are served on.
     pub fn stop(&self) {
-        self.stopping.send_replace(true);
+        self.stopping.store(true, Relaxed);
+    }
+
+    /// From now on each answer ends its connection, and idle ones close; new ones are still answered.
+    pub fn close(&self) {
+        self.closing.store(true, Relaxed);
         self.close_idle();
     }
 
@@ -238,13 +246,12 @@
 }
 
 async fn healthz(State(front): State<Arc<Front>>) -> StatusCode {
-    let stopping = *front.stopping.borrow();
-    if stopping { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
+    if front.stopping.load(Relaxed) { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
 }
 
 async fn hand_in(State(front): State<Arc<Front>>, request: Request) -> Response {
     let mut answer = front.answer(request).await;
-    if *front.stopping.borrow() {
+    if front.closing.load(Relaxed) {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
--- a/crates/mintlb-node/src/limits.rs
+++ b/crates/mintlb-node/src/limits.rs
@@ -40,6 +40,8 @@
     pub tally: Duration,
     /// After the word to stop, clients still come for so long.
     pub late_arrivals: Duration,
+    /// After the word to stop, clients' connections stay open for so long, as others may be starting again.
+    pub keep_open: Duration,
     /// After the word to stop, all is answered by then.
     pub last_answer: Duration,
 }
@@ -71,6 +73,7 @@
         let clients = part(4).min(double / 3);
         let max_open: usize = text.get("permissions.max_open")?;
         let hard = text.project_types()?.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
+        let last_answer = hard.min(STOP) + LATE_ARRIVALS / 2.0;
         let (dial, keepalive) =
             (text.seconds("permissions.dial_timeout")?, text.seconds("permissions.keepalive")?);
         Ok(Limits {
@@ -91,7 +94,8 @@
             margin: text.seconds("quantum")?,
             tally: seconds(TALLY),
             late_arrivals: seconds(LATE_ARRIVALS),
-            last_answer: seconds(hard.min(STOP) + LATE_ARRIVALS / 2.0),
+            keep_open: seconds((last_answer / 2.0).max(LATE_ARRIVALS)),
+            last_answer: seconds(last_answer),
         })
     }
 }
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -110,14 +110,15 @@
             }
             reducer.reduce(clock.now(), event).into_iter().for_each(|act| hands.carry_out(act));
         }
-        if since >= limits.late_arrivals && reducer.held() == 0 {
-            // Those that came late and say nothing are closed, too.
-            front.stop();
-            if front.connected() == 0 || since >= limits.last_answer + limits.late_arrivals / 4 {
-                hands.count(reducer.held());
-                info!(log, "stopped"; "connected" => front.connected());
-                return Ok(());
-            }
+        if since >= limits.keep_open {
+            // Again and again: those that came late and say nothing are closed, too.
+            front.close();
+        }
+        let deserted = front.connected() == 0 || since >= limits.last_answer + limits.late_arrivals / 4;
+        if since >= limits.late_arrivals && reducer.held() == 0 && deserted {
+            hands.count(reducer.held());
+            info!(log, "stopped"; "connected" => front.connected());
+            return Ok(());
         }
     }
 }
