Bad clients are refused before a worker hears of them; places go to those who bring work

A probe that logged each request passed on found two kinds: ids of other clients' open requests (up to four times each), and heads with both lengths, of which hyper shows the handler only Transfer-Encoding (32). Ruled out: memory (12 of 192 MB), a lack of descriptors for workers. At fault: Front::take (no check of ids, no sight of raw heads), Limits.read (the hard limit), Front::close_idle.

--- a/crates/mintlb-node/src/front.rs
+++ b/crates/mintlb-node/src/front.rs
@@ -1,13 +1,15 @@
 //! The sockets towards clients: axum's router on hyper's connections.
 //!
 //! A handler hands its work unit to the reducer and waits for the one answer. If its client leaves, the
-//! handler is dropped, and the reducer is told.
+//! handler is dropped, and the reducer is told. A client that sends what can't be taken gets an error, and one
+//! that sends no whole request in time is closed; either loses its connection, and none of it goes anywhere.
 
 use crate::clock::Clock;
 use crate::limits::Limits;
 use crate::log::causes;
+use crate::places::{Place, Places};
 use crate::reducer::{Answer, Arrival, Event, Handed};
-use axum::Router;
+use crate::seen::{Phase, Seen};
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
 use axum::http::header::{CONNECTION, RETRY_AFTER};
@@ -15,20 +17,30 @@
 use axum::http::{HeaderValue, Method, StatusCode};
 use axum::response::{IntoResponse, Response};
 use axum::routing::get;
+use axum::{Extension, Router};
+use bytes::Bytes;
+use http_body_util::LengthLimitError;
+use hyper::body::{Body as _, Incoming};
 use hyper::server::conn::http1;
+use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use hyper_util::service::TowerToHyperService;
 use mintlb::{Effect, ProjectType};
-use slog::{Logger, debug, warn};
+use slog::{Logger, debug, info, warn};
 use std::collections::HashMap;
-use std::pin::pin;
+use std::error::Error;
+use std::future::{Future, poll_fn};
+use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::task::Poll;
 use std::time::Duration;
+use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch};
-use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio::sync::{Semaphore, oneshot};
+use tokio::time::{sleep, timeout, timeout_at};
+use tokio_util::io::InspectReader;
+use tower_service::Service;
 
 /// What the front must know of a project type.
 struct Entry {
@@ -45,14 +57,16 @@
     tell: UnboundedSender<Event>,
     log: Logger,
     next: AtomicU64,
-    /// Work units that may still be taken, and connections.
+    /// Work units that may still be taken, and kilobytes of their bodies.
     open: Semaphore,
-    clients: Arc<Semaphore>,
-    /// Each new number closes the connections that are idle, the others after their answers.
-    tidy: watch::Sender<u64>,
+    bodies: Semaphore,
+    places: Arc<Places>,
     /// Told to stop: still serving, but not for long. Then closing: each answer ends its connection.
     stopping: AtomicBool,
     closing: AtomicBool,
+    /// Requests that were not taken and connections closed to make room, since the last line of counts.
+    not_taken: AtomicU64,
+    closed: AtomicU64,
 }
 
 /// Tells the reducer that the client has left, if it is dropped before the answer has come.
@@ -94,42 +108,39 @@
             log,
             next: AtomicU64::new(1),
             open: Semaphore::new(limits.open),
-            clients: Arc::new(Semaphore::new(limits.clients)),
-            tidy: watch::Sender::new(0),
+            bodies: Semaphore::new(limits.bodies / KILO),
+            places: Places::new(limits.clients, limits.read / 16),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
+            not_taken: AtomicU64::new(0),
+            closed: AtomicU64::new(0),
             limits,
         })
     }
 
     pub async fn listen(self: Arc<Front>, listener: TcpListener) {
         let router = Router::new().route("/healthz", get(healthz)).fallback(hand_in).with_state(self.clone());
-        loop {
-            // With no connection to spare, idle ones make room.
-            if self.clients.available_permits() == 0 {
-                self.close_idle();
-            }
-            // Only this loop takes permits, so one that is free now is still free after the wait.
-            drop(self.clients.acquire().await);
-            match listener.accept().await {
-                Ok((stream, _)) => {
-                    let Ok(permit) = self.clients.clone().try_acquire_owned() else { continue };
-                    tokio::spawn(self.clone().connection(stream, router.clone(), permit));
-                }
-                Err(e) => {
-                    // Most often there is no descriptor left: those of idle connections make room.
+        let mut failing = false;
+        for number in 0.. {
+            self.closed.fetch_add(self.places.wait().await, Relaxed);
+            let accepted = listener.accept().await;
+            if let Err(e) = &accepted {
+                // Most often there is no descriptor left: who is missed least makes room. A flood fails often,
+                // and must not fill the log.
+                if !failing {
                     warn!(self.log, "a connection could not be accepted"; "why" => %e);
-                    self.close_idle();
-                    sleep(self.limits.dial / 16).await;
                 }
+                self.places.make_room();
+                sleep(self.limits.dial / 16).await;
+            }
+            failing = accepted.is_err();
+            if let Ok((stream, _)) = accepted {
+                let place = self.places.take(number);
+                tokio::spawn(self.clone().connection(stream, router.clone(), place));
             }
         }
     }
 
-    fn close_idle(&self) {
-        self.tidy.send_modify(|n| *n += 1);
-    }
-
     /// From now on nobody new should come; those who are here or come all the same are served on.
     pub fn stop(&self) {
         self.stopping.store(true, Relaxed);
@@ -138,61 +149,92 @@
     /// From now on each answer ends its connection, and idle ones close; new ones are still answered.
     pub fn close(&self) {
         self.closing.store(true, Relaxed);
-        self.close_idle();
+        self.places.close_idle();
     }
 
     /// How many connections clients have.
     pub fn connected(&self) -> usize {
-        self.limits.clients - self.clients.available_permits()
+        self.places.count()
     }
 
-    async fn connection(self: Arc<Front>, stream: TcpStream, router: Router, _permit: OwnedSemaphorePermit) {
+    /// One line of counts, where there is something to count.
+    pub fn count(&self) {
+        let (not_taken, closed) = (self.not_taken.swap(0, Relaxed), self.closed.swap(0, Relaxed));
+        if not_taken + closed > 0 {
+            info!(self.log, "clients"; "closed to make room" => closed, "requests not taken" => not_taken,
+                "connected" => self.connected());
+        }
+    }
+
+    async fn connection(self: Arc<Front>, stream: TcpStream, router: Router, place: Place) {
         stream.set_nodelay(true).ok();
-        let mut tidy = self.tidy.subscribe();
-        let served = http1::Builder::new()
+        let (seen, read) = (place.seen.clone(), self.limits.read);
+        let looking = seen.clone();
+        let stream = InspectReader::new(stream, move |bytes: &[u8]| looking.look(bytes));
+        let service = service_fn(|mut request: Request<Incoming>| {
+            request.extensions_mut().insert(seen.clone());
+            router.clone().call(request)
+        });
+        let mut served = http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.read)
-            .max_buf_size(self.limits.body)
-            .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router));
-        let mut served = pin!(served);
-        // Once asked to close, it may still read a head and a body and wait for an answer, each bounded by
-        // `read`. A client that then takes no answer must not keep its place.
-        let mut last: Option<Instant> = None;
-        let ended = loop {
-            tokio::select! {
-                ended = served.as_mut() => break ended,
-                Ok(()) = tidy.changed() => {
-                    served.as_mut().graceful_shutdown();
-                    last.get_or_insert(Instant::now() + 3 * self.limits.read);
-                }
-                () = sleep_until(last.unwrap_or_else(Instant::now)), if last.is_some() => break Ok(()),
+            .header_read_timeout(None)
+            .max_buf_size(self.limits.head)
+            .serve_connection(TokioIo::new(stream), service);
+        let (mut called, mut alarm) = (pin!(place.seen.called()), pin!(sleep(read)));
+        let ended = poll_fn(|cx| {
+            if let Poll::Ready(ended) = Pin::new(&mut served).poll(cx) {
+                return Poll::Ready(Some(ended));
             }
-        };
+            if called.as_mut().poll(cx).is_ready() {
+                return Poll::Ready(None);
+            }
+            let Phase::Coming(since) = place.seen.phase() else { return Poll::Pending };
+            // What is left of a body gets an error first.
+            let due = since + read + read / 8;
+            if alarm.deadline() != due {
+                alarm.as_mut().reset(due);
+            }
+            alarm.as_mut().poll(cx).map(|()| None)
+        });
+        let Some(ended) = ended.await else { return };
         if let Err(e) = ended {
             debug!(self.log, "a client's connection broke"; "why" => causes(&e));
         }
+        // Closed with bytes unread, it would be reset, and the answer lost on its way.
+        let mut stream = served.into_parts().io.into_inner().into_inner();
+        let mut unread = vec![0; self.limits.head];
+        let rest = async { while stream.read(&mut unread).await.is_ok_and(|n| n > 0) {} };
+        tokio::select! { _ = timeout(read, rest) => (), () = called => () }
     }
 
     /// Reads what the decisions need out of a request; all else stays as it came.
-    async fn take(&self, request: Request) -> Result<(Arrival, oneshot::Receiver<Answer>), Unfit> {
+    async fn take(
+        &self,
+        request: Request,
+        seen: &Seen,
+    ) -> Result<(Arrival, oneshot::Receiver<Answer>), Unfit> {
         let arrived = self.clock.now();
         let (head, body) = request.into_parts();
         let unfit = |status, why: &str| (status, why.to_string());
-        let body = timeout(self.limits.read, to_bytes(body, self.limits.body)).await;
-        let body = body.map_err(|_| unfit(StatusCode::REQUEST_TIMEOUT, "the body did not come"))?;
-        let body = body.map_err(|e| unfit(StatusCode::PAYLOAD_TOO_LARGE, &format!("the body: {e}")))?;
+        if let Some(why) = seen.fault() {
+            return Err(unfit(StatusCode::BAD_REQUEST, why));
+        }
         if head.method != Method::POST {
             return Err(unfit(StatusCode::METHOD_NOT_ALLOWED, "work units come by POST"));
         }
+        // Workers close on what they can't read.
+        if !head.uri.path_and_query().is_some_and(|p| p.as_str().bytes().all(|b| b.is_ascii_graphic())) {
+            return Err(unfit(StatusCode::BAD_REQUEST, "the path is no text"));
+        }
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
         let Some(entry) = self.types.get(name) else {
-            return Err((StatusCode::NOT_FOUND, format!("there is no project type {name:?}")));
+            return Err((StatusCode::NOT_FOUND, "there is no such project type".to_string()));
         };
-        if text(&head, "request-id").is_none() {
-            return Err(unfit(StatusCode::BAD_REQUEST, "Request-Id is missing"));
+        if one(&head, "request-id").is_none() {
+            return Err(unfit(StatusCode::BAD_REQUEST, "one Request-Id is needed"));
         }
-        if entry.receipted && text(&head, "idempotency-key").is_none() {
-            return Err(unfit(StatusCode::BAD_REQUEST, "Idempotency-Key is missing"));
+        if entry.receipted && one(&head, "idempotency-key").is_none() {
+            return Err(unfit(StatusCode::BAD_REQUEST, "one Idempotency-Key is needed"));
         }
         let time_budget = match text(&head, "request-timeout") {
             None => entry.hard_limit,
@@ -203,6 +245,7 @@
         };
         let customer = text(&head, "tenant").and_then(|t| self.customers.iter().position(|c| c == t));
         let (slots, memory) = (info(&head, "slots").unwrap_or(1.0), info(&head, "memory").unwrap_or(0.0));
+        let body = self.body(body, seen).await?;
         let (answer, receiver) = oneshot::channel();
         let (id, project_type) = (self.next.fetch_add(1, Relaxed), entry.number);
         let handed = Arc::new(Handed { head, body });
@@ -211,32 +254,64 @@
         Ok((arrival, receiver))
     }
 
-    async fn answer(&self, request: Request) -> Response {
-        let (arrival, receiver) = match self.take(request).await {
+    /// The whole body, if it comes in time and is as long as was said.
+    async fn body(&self, body: Body, seen: &Seen) -> Result<Bytes, Unfit> {
+        let large = (StatusCode::PAYLOAD_TOO_LARGE, format!("a body of over {} bytes", self.limits.body));
+        if body.size_hint().lower() > self.limits.body as u64 {
+            return Err(large);
+        }
+        let Phase::Coming(since) = seen.phase() else {
+            return Err((StatusCode::BAD_REQUEST, "a request before the answer to the last".to_string()));
+        };
+        let body = timeout_at(since + self.limits.read, to_bytes(body, self.limits.body)).await;
+        let body = body.map_err(|_| (StatusCode::REQUEST_TIMEOUT, "the body did not come".to_string()))?;
+        let body = body.map_err(|e| match e.source().is_some_and(|e| e.is::<LengthLimitError>()) {
+            true => large,
+            false => (StatusCode::BAD_REQUEST, format!("the body: {}", causes(&e))),
+        })?;
+        match seen.fault() {
+            Some(why) => Err((StatusCode::BAD_REQUEST, why.to_string())),
+            None => Ok(body),
+        }
+    }
+
+    async fn answer(&self, request: Request, seen: &Seen) -> Response {
+        // What may be held at once is bounded; a body whose length is not told may be as long as allowed.
+        let most = request.body().size_hint().upper().unwrap_or(u64::MAX).min(self.limits.body as u64);
+        let room = self.bodies.try_acquire_many((most as usize).div_ceil(KILO) as u32);
+        let (arrival, receiver) = match self.take(request, seen).await {
             Ok(taken) => taken,
             Err((status, why)) => {
+                self.not_taken.fetch_add(1, Relaxed);
                 debug!(self.log, "a request was not taken"; "status" => status.as_u16(), "why" => &why);
                 return (status, why).into_response();
             }
         };
-        let Ok(_open) = self.open.try_acquire() else {
-            return deferred(0.0);
+        seen.taken();
+        let (Ok(_room), Ok(_open)) = (room, self.open.try_acquire()) else {
+            return deferred(self.limits.come_back);
         };
         let mut waiting = Waiting { id: arrival.id, tell: Some(&self.tell) };
         if self.tell.send(Event::Arrived(arrival)).is_err() {
-            return deferred(0.0);
+            return deferred(self.limits.come_back);
         }
         let answer = receiver.await;
         waiting.tell = None;
         match answer {
             Ok(Answer::Completed(result)) => Body::from(result).into_response(),
             Ok(Answer::Deferred(come_back)) => deferred(come_back),
+            Ok(Answer::Repeated) => {
+                self.not_taken.fetch_add(1, Relaxed);
+                (StatusCode::CONFLICT, "this Request-Id has been here").into_response()
+            }
             // It may have run: never a status that says that trying again is harmless.
             Ok(Answer::Aborted) | Err(_) => StatusCode::BAD_GATEWAY.into_response(),
         }
     }
 }
 
+const KILO: usize = 1024;
+
 fn deferred(come_back: f64) -> Response {
     let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
     if let Some(after) = Some(come_back).filter(|&s| s > 0.0).and_then(|s| format!("{s:.3}").parse().ok()) {
@@ -245,13 +320,21 @@
     answer
 }
 
-async fn healthz(State(front): State<Arc<Front>>) -> StatusCode {
-    if front.stopping.load(Relaxed) { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK }
+/// Who asks for this has no work to bring, and needs no place for longer.
+async fn healthz(State(front): State<Arc<Front>>) -> impl IntoResponse {
+    let stopping = front.stopping.load(Relaxed);
+    let status = if stopping { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+    (status, [(CONNECTION, "close")])
 }
 
-async fn hand_in(State(front): State<Arc<Front>>, request: Request) -> Response {
-    let mut answer = front.answer(request).await;
-    if front.closing.load(Relaxed) {
+async fn hand_in(
+    State(front): State<Arc<Front>>,
+    Extension(seen): Extension<Arc<Seen>>,
+    request: Request,
+) -> Response {
+    let mut answer = front.answer(request, &seen).await;
+    let goes_on = seen.answered() && !answer.status().is_client_error();
+    if front.closing.load(Relaxed) || !goes_on {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
@@ -261,6 +344,12 @@
     head.headers.get(name)?.to_str().ok().map(str::trim)
 }
 
+/// A header that must be there once, and say something.
+fn one<'a>(head: &'a Parts, name: &str) -> Option<&'a str> {
+    let single = head.headers.get_all(name).iter().count() == 1;
+    text(head, name).filter(|value| single && !value.is_empty())
+}
+
 /// A figure out of `Request-Info: name=value,name=value`.
 fn info(head: &Parts, wanted: &str) -> Option<f64> {
     let pairs = text(head, "request-info")?.split(',').filter_map(|pair| pair.split_once('='));
--- a/crates/mintlb-node/src/hands.rs
+++ b/crates/mintlb-node/src/hands.rs
@@ -86,6 +86,7 @@
                     Answer::Completed(_) => self.tally.completed += 1,
                     Answer::Deferred(_) => self.tally.deferred += 1,
                     Answer::Aborted => self.tally.aborted += 1,
+                    Answer::Repeated => {}
                 }
                 to.send(answer).ok();
             }
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -35,6 +35,8 @@
 pub mod list;
 pub mod log;
 pub mod placement;
+pub mod places;
 pub mod reducer;
+pub mod seen;
 pub mod serve;
 pub mod worker;
--- /dev/null
+++ b/crates/mintlb-node/src/places.rs
@@ -0,0 +1,77 @@
+//! The places for clients' connections. When all are taken, the one that is missed least makes room: a flood
+//! of connections must not keep out those that bring work.
+
+use crate::seen::{Missed, Seen};
+use parking_lot::Mutex;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::timeout;
+
+pub struct Places {
+    most: usize,
+    /// A request that has not come whole by then is not one of a usual client.
+    takes: Duration,
+    taken: Mutex<BTreeMap<u64, Arc<Seen>>>,
+    left: Notify,
+}
+
+/// Held by a connection for as long as it lasts.
+pub struct Place {
+    number: u64,
+    pub seen: Arc<Seen>,
+    places: Arc<Places>,
+}
+
+impl Drop for Place {
+    fn drop(&mut self) {
+        self.places.taken.lock().remove(&self.number);
+        self.places.left.notify_one();
+    }
+}
+
+impl Places {
+    pub fn new(most: usize, takes: Duration) -> Arc<Places> {
+        let (taken, left) = Default::default();
+        Arc::new(Places { most, takes, taken, left })
+    }
+
+    pub fn count(&self) -> usize {
+        self.taken.lock().len()
+    }
+
+    /// Waits until there is a place; how many connections were ended for it.
+    pub async fn wait(&self) -> u64 {
+        let mut ended = 0;
+        while self.count() >= self.most {
+            ended += u64::from(self.make_room());
+            timeout(self.takes / 4, self.left.notified()).await.ok();
+        }
+        ended
+    }
+
+    /// Ends the connection that is missed least. Before those that bring work go, it waits to see who else
+    /// brings none.
+    pub fn make_room(&self) -> bool {
+        let taken = self.taken.lock();
+        let missed = taken.values().filter_map(|seen| Some((seen.missed(self.takes)?, seen)));
+        let least = missed.min_by_key(|&(missed, _)| missed);
+        let least = least.filter(|((missed, _), _)| *missed != Missed::Perhaps);
+        least.map(|(_, seen)| seen.call()).is_some()
+    }
+
+    /// Ends all connections but those that wait for an answer, or whose request may be on its way.
+    pub fn close_idle(&self) {
+        let taken = self.taken.lock();
+        let missed = |seen: &Seen| seen.missed(self.takes).map_or(Missed::Perhaps, |(missed, _)| missed);
+        taken.values().filter(|seen| missed(seen) != Missed::Perhaps).for_each(|seen| seen.call());
+    }
+
+    /// Only the one loop that accepts takes places, so one that was free is still free.
+    pub fn take(self: &Arc<Places>, number: u64) -> Place {
+        let seen = Arc::new(Seen::default());
+        self.taken.lock().insert(number, seen.clone());
+        Place { number, seen, places: self.clone() }
+    }
+}
--- a/crates/mintlb-node/src/reducer.rs
+++ b/crates/mintlb-node/src/reducer.rs
@@ -8,7 +8,8 @@
 use bytes::Bytes;
 use mintlb::decide::Scheduler;
 use mintlb::{Allocation, Door, Line, Listed, News, Outcome, Report, WorkUnit, Worker};
-use std::collections::{HashMap, HashSet};
+use std::collections::hash_map::Entry;
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -104,6 +105,8 @@
     Deferred(f64),
     /// No promise either way.
     Aborted,
+    /// Not taken: the client's id is another's, whose work unit it leaves alone.
+    Repeated,
 }
 
 struct Held {
@@ -126,6 +129,9 @@
     most_out: usize,
     margin: f64,
     held: HashMap<u64, Held>,
+    /// The clients' ids of what is held, and of what is over, up to when its client would have given up.
+    ids: HashSet<Box<[u8]>>,
+    over: VecDeque<(f64, Box<[u8]>)>,
     out: HashSet<AllocId>,
     addresses: HashMap<u64, SocketAddr>,
     version: u64,
@@ -206,8 +212,8 @@
 
 impl Reducer {
     pub fn new(scheduler: Scheduler, names: Names, most_out: usize, margin: f64) -> Reducer {
-        let (held, out, addresses, said) = Default::default();
-        Reducer { scheduler, names, most_out, margin, held, out, addresses, version: 0, said }
+        let (held, ids, over, out, addresses, said) = Default::default();
+        Reducer { scheduler, names, most_out, margin, held, ids, over, out, addresses, version: 0, said }
     }
 
     /// How many work units are held.
@@ -226,6 +232,9 @@
 
     pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Act> {
         match event {
+            Event::Arrived(a) if !self.is_new(now, &a.handed) => {
+                vec![Act::Answer { to: a.answer, answer: Answer::Repeated }]
+            }
             Event::Arrived(a) => {
                 let wu = WorkUnit::new(
                     a.id,
@@ -276,6 +285,15 @@
         }
     }
 
+    /// Each request has an id of its own. Who sends another's must not reach a worker with it, which would
+    /// take it for the same work, nor touch the answer that the other is owed.
+    fn is_new(&mut self, now: f64, handed: &Handed) -> bool {
+        while let Some((_, id)) = self.over.pop_front_if(|(until, _)| *until <= now) {
+            self.ids.remove(&id);
+        }
+        client_id(handed).is_none_or(|id| self.ids.insert(id))
+    }
+
     /// What is still unanswered is given up; how, the decisions know.
     fn last_call(&mut self, now: f64) -> Vec<Act> {
         let open = self.held.values().filter(|held| held.answer.is_some());
@@ -304,8 +322,11 @@
         }
         let SocketDoor { acts, touched, .. } = door;
         for id in touched {
-            if self.held.get(&id).is_some_and(|held| held.wu.is_over()) {
-                self.held.remove(&id);
+            if let Entry::Occupied(held) = self.held.entry(id)
+                && held.get().wu.is_over()
+            {
+                let Held { wu, handed, .. } = held.remove();
+                self.over.extend(client_id(&handed).map(|id| (wu.limit, id)));
             }
         }
         acts
@@ -348,6 +369,10 @@
     }
 }
 
+fn client_id(handed: &Handed) -> Option<Box<[u8]>> {
+    handed.head.headers.get("request-id").map(|id| id.as_bytes().into())
+}
+
 /// An outcome, once for each allocation: a later word on it says nothing.
 fn back(scheduler: &mut Scheduler, door: &mut SocketDoor, told: Back) {
     let now = door.now;
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -80,6 +80,7 @@
             }
             _ = tally.tick() => {
                 hands.count(reducer.held());
+                front.count();
                 None
             }
             Some(word) = told.recv() => match word {
@@ -117,6 +118,7 @@
         let deserted = front.connected() == 0 || since >= limits.last_answer + limits.late_arrivals / 4;
         if since >= limits.late_arrivals && reducer.held() == 0 && deserted {
             hands.count(reducer.held());
+            front.count();
             info!(log, "stopped"; "connected" => front.connected());
             return Ok(());
         }
--- a/crates/mintlb-node/src/worker.rs
+++ b/crates/mintlb-node/src/worker.rs
@@ -21,6 +21,7 @@
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use mintlb::{Outcome, Report};
+use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::value::RawValue;
 use slog::{Logger, debug};
@@ -29,7 +30,7 @@
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -77,7 +78,7 @@
                 .pool_idle_timeout(limits.idle)
                 .pool_timer(TokioTimer::new())
                 .pool_max_idle_per_host(idle)
-                .http1_max_buf_size(limits.body)
+                .http1_max_buf_size(limits.head)
                 .build(dialer.clone())
         };
         let (dialling, keeping, quickest) = (client(0), client(limits.idle_per_worker), Arc::default());
@@ -154,7 +155,7 @@
         let length = least_length(&request);
         let captured = capture_connection(&mut request);
         let began = Instant::now();
-        let quickest = lock(&self.quickest).get(&to).copied();
+        let quickest = self.quickest.lock().get(&to).copied();
         // Where it is not known yet, the first connection is there to be kept.
         let keep = quickest.is_none_or(|q| q > self.dear);
         let mut sending = pin!(if keep { &self.keeping } else { &self.dialling }.request(request));
@@ -178,7 +179,7 @@
             Ok(answer) => {
                 if on.is_some_and(|(_, before)| before == 0) {
                     let took = began.elapsed();
-                    lock(&self.quickest).entry(to).and_modify(|q| *q = took.min(*q)).or_insert(took);
+                    self.quickest.lock().entry(to).and_modify(|q| *q = took.min(*q)).or_insert(took);
                 }
                 return Ok(answer);
             }
@@ -209,11 +210,6 @@
     }
 }
 
-/// One thread holds it, never over a wait.
-fn lock<T>(held: &Mutex<T>) -> MutexGuard<'_, T> {
-    held.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
 /// The client's request as it goes on: all as it came, but for what belongs to the connection and the time.
 fn onward(to: SocketAddr, handed: &Handed, left: f64) -> Result<Request<Full<Bytes>>, axum::http::Error> {
     let head = &handed.head;
