The last byte of work that may not simply run again waits until its connection is sound

All bytes had been written in one call by then, so 'may have run' was all that could be said, and exclusive work was aborted for nothing. Ruled out: kept connections (none used), silence, the list. At fault: worker.rs wrote the last byte before the connection had had a round trip to prove itself. Test: 'reset under it, while its last byte waits' in what_never_ran_is_proven; with no wait it is Dropped.

--- a/crates/mintlb-node/src/front.rs
+++ b/crates/mintlb-node/src/front.rs
@@ -47,6 +47,7 @@
     number: usize,
     hard_limit: f64,
     receipted: bool,
+    once: bool,
 }
 
 pub struct Front {
@@ -98,7 +99,10 @@
     ) -> Arc<Front> {
         let entries = names.into_iter().zip(types).enumerate().map(|(number, (name, t))| {
             let receipted = matches!(t.effect, Effect::Receipted { .. });
-            (name, Entry { number, hard_limit: t.hard_limit, receipted })
+            (
+                name,
+                Entry { number, hard_limit: t.hard_limit, receipted, once: t.effect != Effect::Rerunnable },
+            )
         });
         Arc::new(Front {
             types: entries.collect(),
@@ -248,7 +252,7 @@
         let body = self.body(body, seen).await?;
         let (answer, receiver) = oneshot::channel();
         let (id, project_type) = (self.next.fetch_add(1, Relaxed), entry.number);
-        let handed = Arc::new(Handed { head, body });
+        let handed = Arc::new(Handed { head, body, once: entry.once });
         let arrival =
             Arrival { id, project_type, customer, slots, memory, arrived, time_budget, handed, answer };
         Ok((arrival, receiver))
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod dial;
 pub mod front;
 pub mod hands;
+pub mod last_byte;
 pub mod limits;
 pub mod lines;
 pub mod list;
--- a/crates/mintlb-node/src/limits.rs
+++ b/crates/mintlb-node/src/limits.rs
@@ -28,6 +28,8 @@
     pub log_lines: usize,
     /// A connection that is not up by then never comes up.
     pub dial: Duration,
+    /// A connection that is to be reset as it comes up, or under a request, is by then.
+    pub sound: Duration,
     /// Idle connections to workers are kept shorter than workers keep theirs.
     pub idle: Duration,
     /// A new connection that takes longer is worth keeping.
@@ -100,6 +102,7 @@
             out: part(2).min(memory(2) / (2 * BODY)),
             log_lines: LOG_LINES,
             dial: seconds(dial),
+            sound: seconds(dial / 32.0),
             idle: seconds(keepalive * 0.75),
             dear: seconds(promise / 8.0),
             read: seconds(OWED / 3.0 * 2.0),
--- a/crates/mintlb-node/src/reducer.rs
+++ b/crates/mintlb-node/src/reducer.rs
@@ -83,6 +83,8 @@
 pub struct Handed {
     pub head: Parts,
     pub body: Bytes,
+    /// It may not simply run again, so that whether it ran is worth knowing.
+    pub once: bool,
 }
 
 pub struct Arrival {
--- a/crates/mintlb-node/src/worker.rs
+++ b/crates/mintlb-node/src/worker.rs
@@ -8,6 +8,7 @@
 
 use crate::clock::Clock;
 use crate::dial::{Dialer, Written};
+use crate::last_byte::LastByte;
 use crate::limits::Limits;
 use crate::lines::Lines;
 use crate::log::causes;
@@ -15,7 +16,7 @@
 use axum::http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use axum::http::{HeaderMap, Request, Response, StatusCode};
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::capture_connection;
@@ -38,12 +39,14 @@
 /// What dials the workers, shared by the allocations.
 #[derive(Clone)]
 pub struct Workers {
-    dialling: Client<Dialer, Full<Bytes>>,
-    keeping: Client<Dialer, Full<Bytes>>,
+    dialling: Client<Dialer, LastByte>,
+    keeping: Client<Dialer, LastByte>,
     /// The quickest that a worker took an allocation on a new connection, its handshake and way included, and
     /// from where on that is dear.
     quickest: Arc<Mutex<HashMap<SocketAddr, Duration>>>,
     dear: Duration,
+    /// A connection that lasts so long under a request is sound.
+    sound: Duration,
     clock: Clock,
     log: Logger,
     /// The longest line of an answer.
@@ -83,8 +86,8 @@
         };
         let (dialling, keeping, quickest) = (client(0), client(limits.idle_per_worker), Arc::default());
         let free_slots = fields.contains(&"x0").then_some("x0");
-        let Limits { line, dial, probe, dear, .. } = *limits;
-        Workers { dialling, keeping, quickest, dear, clock, log, line, dial, probe, free_slots }
+        let Limits { line, dial, probe, dear, sound, .. } = *limits;
+        Workers { dialling, keeping, quickest, dear, sound, clock, log, line, dial, probe, free_slots }
     }
 
     /// One allocation, from its first byte to its outcome. Dropped, it closes its connection.
@@ -105,7 +108,8 @@
     async fn run(&self, order: &Order, tell: &UnboundedSender<Event>) -> (Back, Option<Lines>) {
         let mut back = Back::with(order.alloc, Outcome::Moot);
         let left = order.until - self.clock.now();
-        let Ok(request) = onward(order.to, &order.handed, left) else { return (back, None) };
+        let wait = if order.handed.once { self.sound } else { Duration::ZERO };
+        let Ok(request) = onward(order.to, &order.handed, left, wait) else { return (back, None) };
         let answer = match self.send(order.to, request).await {
             Ok(answer) => answer,
             Err(outcome) => return (Back { outcome, ..back }, None),
@@ -150,7 +154,7 @@
     async fn send(
         &self,
         to: SocketAddr,
-        mut request: Request<Full<Bytes>>,
+        mut request: Request<LastByte>,
     ) -> Result<Response<Incoming>, Outcome> {
         let length = least_length(&request);
         let captured = capture_connection(&mut request);
@@ -211,7 +215,12 @@
 }
 
 /// The client's request as it goes on: all as it came, but for what belongs to the connection and the time.
-fn onward(to: SocketAddr, handed: &Handed, left: f64) -> Result<Request<Full<Bytes>>, axum::http::Error> {
+fn onward(
+    to: SocketAddr,
+    handed: &Handed,
+    left: f64,
+    wait: Duration,
+) -> Result<Request<LastByte>, axum::http::Error> {
     let head = &handed.head;
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let mut request = Request::builder().method(&head.method).uri(format!("http://{to}{path}"));
@@ -225,19 +234,18 @@
         }
     }
     let request = request.header(CONTENT_LENGTH, handed.body.len()).header(HOST, to.to_string());
-    let mut request = request.body(Full::new(handed.body.clone()))?;
+    let mut request = request.body(LastByte::new(handed.body.clone(), wait))?;
     let left = format!("{}u", (left.max(0.0) * 1e6) as u64);
     request.headers_mut().insert("request-timeout", left.parse()?);
     Ok(request)
 }
 
 /// No less than this is written of a request once its last byte is.
-fn least_length(request: &Request<Full<Bytes>>) -> u64 {
+fn least_length(request: &Request<LastByte>) -> u64 {
     let path = request.uri().path_and_query().map_or(1, |p| p.as_str().len());
     let line = request.method().as_str().len() + path + "  HTTP/1.1\r\n\r\n".len();
     let headers: usize = request.headers().iter().map(|(name, v)| name.as_str().len() + v.len() + 4).sum();
-    let body = hyper::body::Body::size_hint(request.body()).lower();
-    (line + headers) as u64 + body
+    (line + headers) as u64 + request.body().left()
 }
 
 /// What an answer without a stream means. Only a marked one proves that nothing ran.
--- a/crates/mintlb-node/tests/outcomes.rs
+++ b/crates/mintlb-node/tests/outcomes.rs
@@ -26,7 +26,7 @@
 
 fn order(n: u16, to: SocketAddr, body: usize, until: f64) -> Order {
     let head = axum::http::Request::post("/charge/7?x=1").header("request-id", "a1").body(()).unwrap();
-    let handed = Arc::new(Handed { head: head.into_parts().0, body: vec![b'x'; body].into() });
+    let handed = Arc::new(Handed { head: head.into_parts().0, body: vec![b'x'; body].into(), once: true });
     Order { alloc: (1, n), to, handed, until }
 }
 
@@ -235,12 +235,14 @@
     let _queued: Vec<_> =
         (0..4).map(|_| TcpStream::connect_timeout(&never_up, Duration::from_millis(50))).collect();
     let short = Limits { links: 0, ..limits() };
+    let hasty = Limits { sound: Duration::ZERO, ..limits() };
     let cases = [
         ("refused", refused, 10, limits(), "NoConnection"),
         ("never up", never_up, 10, limits(), "NoConnection"),
         ("no descriptor to spare", breaks, 10, short, "NoConnection"),
         ("broken off before the last byte was written", breaks, 32 << 20, limits(), "NoConnection"),
-        ("broken off after it", breaks, 10, limits(), "Dropped"),
+        ("reset under it, while its last byte waits", breaks, 10, limits(), "NoConnection"),
+        ("broken off after it", breaks, 10, hasty, "Dropped"),
         ("broken off after it, without a body", breaks, 0, limits(), "Dropped"),
     ];
     for (shown, at, body, limits, outcome) in cases {
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -53,7 +53,8 @@
                 // The client's id, where it is not the work unit's number.
                 let id = *words.get(3).unwrap_or(&words[1]);
                 let request = axum::http::Request::post("/x").header("request-id", id).body(()).unwrap();
-                let handed = Arc::new(Handed { head: request.into_parts().0, body: Bytes::new() });
+                let handed =
+                    Arc::new(Handed { head: request.into_parts().0, body: Bytes::new(), once: true });
                 let (answer, receiver) = channel();
                 self.clients.push(receiver);
                 Event::Arrived(Arrival {
