--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -34,13 +34,18 @@
 }
 
 fn work_as(result: &str, stream: &mut TcpStream) -> String {
-    let mut piece = [0; 4096];
+    let (mut request, mut piece) = (String::new(), [0; 4096]);
     loop {
         let n = stream.read(&mut piece).unwrap_or(0);
-        let request = String::from_utf8_lossy(&piece[..n]).to_lowercase();
-        let Some(id) = request.split("request-id: ").nth(1).and_then(|r| r.lines().next()) else {
+        if n == 0 {
             return "closed".into();
-        };
+        }
+        request += &String::from_utf8_lossy(&piece[..n]).to_lowercase();
+        // Each body ends like this, and its last byte may come later.
+        if !request.ends_with("\r\n\r\nhi") {
+            continue;
+        }
+        let id = request.split("request-id: ").nth(1).and_then(|r| r.lines().next()).unwrap_or_default();
         if request.contains("slow") {
             std::thread::sleep(4 * PAUSE);
         }
@@ -50,6 +55,7 @@
             let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
             stream.write_all((head.to_string() + &chunk).as_bytes()).ok();
         }
+        request.clear();
     }
 }
 
