No connection is kept once a kept one has died; want of our own descriptors blames nobody

And by reading: a dial that failed for want of descriptors was NoConnection, which the decisions count against the worker.

--- a/crates/mintlb-node/src/dial.rs
+++ b/crates/mintlb-node/src/dial.rs
@@ -4,6 +4,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
 use hyper_util::rt::TokioIo;
+use std::error::Error;
+use std::fmt::{Display, Formatter};
 use std::future::Future;
 use std::io;
 use std::pin::Pin;
@@ -76,6 +78,25 @@
     }
 }
 
+/// Nothing was dialled for want of descriptors or the like. That is no fault of who would have been called.
+#[derive(Debug)]
+pub struct NoRoom;
+
+impl Display for NoRoom {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        f.write_str("no descriptor to spare")
+    }
+}
+
+impl Error for NoRoom {}
+
+/// Whether this scheduler's own system had nothing left for it.
+fn is_short(error: &(dyn Error + 'static)) -> bool {
+    let code = error.downcast_ref::<io::Error>().and_then(io::Error::raw_os_error);
+    code.is_some_and(|c| [libc::EMFILE, libc::ENFILE, libc::ENOBUFS, libc::EADDRNOTAVAIL].contains(&c))
+        || error.source().is_some_and(is_short)
+}
+
 /// Dials with a limit in time, as what never comes up must be known as such, and in number, as descriptors
 /// run out.
 #[derive(Clone)]
@@ -87,7 +108,7 @@
 
 impl tower_service::Service<Uri> for Dialer {
     type Response = Watched;
-    type Error = Box<dyn std::error::Error + Send + Sync>;
+    type Error = Box<dyn Error + Send + Sync>;
     type Future = Pin<Box<dyn Future<Output = Result<Watched, Self::Error>> + Send>>;
 
     fn poll_ready(&mut self, cx: &mut Context) -> Poll<Result<(), Self::Error>> {
@@ -96,8 +117,12 @@
     fn call(&mut self, to: Uri) -> Self::Future {
         let (links, wait, mut connector) = (self.links.clone(), self.wait, self.connector.clone());
         Box::pin(async move {
-            let _link = timeout(wait, links.acquire_owned()).await??;
-            Ok(Watched { io: connector.call(to).await?, written: Written::default(), _link })
+            let Ok(link) = timeout(wait, links.acquire_owned()).await else { return Err(NoRoom.into()) };
+            let io = connector.call(to).await.map_err(|e| match is_short(&e) {
+                true => NoRoom.into(),
+                false => Self::Error::from(e),
+            })?;
+            Ok(Watched { io, written: Written::default(), _link: link? })
         })
     }
 }
--- a/crates/mintlb-node/src/worker.rs
+++ b/crates/mintlb-node/src/worker.rs
@@ -4,10 +4,10 @@
 //! the bytes that the system took of it: an allocation whose last byte was never written never ran.
 //!
 //! A kept connection may have died, or be closing, and what is written to it may have run. So each allocation
-//! dials, unless a new connection to that worker has been seen to be dear.
+//! dials, unless a new connection to that worker has been seen to be dear and kept ones to have lasted.
 
 use crate::clock::Clock;
-use crate::dial::{Dialer, Written};
+use crate::dial::{Dialer, NoRoom, Written};
 use crate::last_byte::LastByte;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -25,13 +25,15 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::value::RawValue;
-use slog::{Logger, debug};
+use slog::{Logger, debug, info};
 use std::borrow::Cow;
 use std::collections::HashMap;
+use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::{Instant, timeout, timeout_at};
@@ -45,6 +47,8 @@
     /// from where on that is dear.
     quickest: Arc<Mutex<HashMap<SocketAddr, Duration>>>,
     dear: Duration,
+    /// A kept connection has died under an allocation: none is kept any more.
+    died: Arc<AtomicBool>,
     /// A connection that lasts so long under a request is sound.
     sound: Duration,
     clock: Clock,
@@ -84,10 +88,11 @@
                 .http1_max_buf_size(limits.head)
                 .build(dialer.clone())
         };
-        let (dialling, keeping, quickest) = (client(0), client(limits.idle_per_worker), Arc::default());
+        let (dialling, keeping) = (client(0), client(limits.idle_per_worker));
+        let (quickest, died) = Default::default();
         let free_slots = fields.contains(&"x0").then_some("x0");
         let Limits { line, dial, probe, dear, sound, .. } = *limits;
-        Workers { dialling, keeping, quickest, dear, sound, clock, log, line, dial, probe, free_slots }
+        Workers { dialling, keeping, quickest, dear, died, sound, clock, log, line, dial, probe, free_slots }
     }
 
     /// One allocation, from its first byte to its outcome. Dropped, it closes its connection.
@@ -161,7 +166,7 @@
         let began = Instant::now();
         let quickest = self.quickest.lock().get(&to).copied();
         // Where it is not known yet, the first connection is there to be kept.
-        let keep = quickest.is_none_or(|q| q > self.dear);
+        let keep = quickest.is_none_or(|q| q > self.dear) && !self.died.load(Relaxed);
         let mut sending = pin!(if keep { &self.keeping } else { &self.dialling }.request(request));
         let mut on: Option<(Written, u64)> = None;
         // The connection is known as soon as the client has picked it, in the same poll, and before its own
@@ -190,6 +195,12 @@
             Err(error) => error,
         };
         debug!(self.log, "no answer to an allocation"; "why" => causes(&error));
+        if short(&error) {
+            return Err(Outcome::Moot);
+        }
+        if on.as_ref().is_some_and(|(_, before)| *before > 0) && !self.died.swap(true, Relaxed) {
+            info!(self.log, "a kept connection died under an allocation: from now on each dials"; "worker" => %to);
+        }
         let whole = on.is_some_and(|(written, before)| written.so_far() - before >= length);
         Err(if whole { Outcome::Dropped } else { Outcome::NoConnection })
     }
@@ -214,6 +225,11 @@
     }
 }
 
+/// It was never sent, and not for any fault of the worker's.
+fn short(error: &(dyn Error + 'static)) -> bool {
+    error.is::<NoRoom>() || error.source().is_some_and(short)
+}
+
 /// The client's request as it goes on: all as it came, but for what belongs to the connection and the time.
 fn onward(
     to: SocketAddr,
