Standing by project type; exclusive work that never starts frees its slot

Need: a worker that fails one project type kept exclusive work of others coming, and one that swallowed exclusive work held a slot until the hard limit. Change: Standing for each worker and project type; lose(); roll.rs holds the list of workers, which decides nothing.

--- a/crates/mintlb-node/src/reducer.rs
+++ b/crates/mintlb-node/src/reducer.rs
@@ -270,7 +270,7 @@
             Event::Back(told) => self.with_door(now, |scheduler, door| back(scheduler, door, told)),
             Event::Sampled(worker, report) => {
                 if let Some(worker) = self.scheduler.worker(worker).cloned() {
-                    self.scheduler.sampled(now, &worker, report);
+                    worker.told(now, report);
                 }
                 Vec::new()
             }
@@ -388,7 +388,7 @@
     if completed {
         door.answer(wu.id, Answer::Completed(told.result));
     }
-    scheduler.sampled(now, &alloc.worker, told.report);
+    alloc.worker.told(now, told.report);
     scheduler.came_back(door, now, &alloc, told.outcome, completed);
 }
 
--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -140,7 +140,7 @@
                 let report = self.report(event, 31)?;
                 let Some(wu) = self.held.get(&event.u64(3)).cloned() else { return Ok(()) };
                 if let Some(alloc) = wu.allocation(event.u16(11)) {
-                    self.scheduler.sampled(now, &alloc.worker, report);
+                    alloc.worker.told(now, report);
                     self.scheduler.came_back(door, now, &alloc, outcome, event.u8(29) != 0);
                 }
                 self.forget(&wu);
@@ -162,7 +162,7 @@
                 let id = event.worker(3);
                 let worker = self.scheduler.worker(id).cloned();
                 if let Some(worker) = worker.filter(|_| event.u16(9) == 200) {
-                    self.scheduler.sampled(now, &worker, report);
+                    worker.told(now, report);
                 }
             }
             19 => {
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -1,14 +1,15 @@
 //! All decisions of mintlb. A front makes a `Scheduler`, calls it (`power_on`, `news`, `arrived`, `started`,
-//! `came_back`, `left`, `sampled`, `woke`; to end, `give_up`) and carries out what it asks for through the
-//! `Door` (lib.rs, with the nouns); the clock is the `now` of each call. The chain: work passes `Shares`,
+//! `came_back`, `left`, `woke`; to end, `give_up`) and carries out what it asks for through the `Door`
+//! (lib.rs, with the nouns); the clock is the `now` of each call. The chain: work passes `Shares`,
 //! waits in `Buffers`, passes `Repeats` (may it go there?), leaves by `Fleet` (who has room); an outcome runs
 //! the other way. `press` is the rule: workers with room, most room first; for each the runnable buffer of
 //! highest alpha x rate x length.
 
-use crate::tools::{Agenda, Chance, Mean};
-use crate::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News};
-use crate::{Outcome, ProjectType, Report, WorkUnit, Worker};
-use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use crate::roll::Roll;
+use crate::tools::{Agenda, Chance, Mean, median};
+use crate::{Allocation, Buffer, ColdRule, Door, Effect, Group, Line, Listed, News};
+use crate::{Outcome, ProjectType, Report, Standing, WorkUnit, Worker};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
 
 enum Due {
@@ -53,7 +54,7 @@
     excess_credit: f64,
     /// How long clients heed advice on when to come back; 0 where they get none.
     most_come_back: f64,
-    queues: Vec<VecDeque<Rc<WorkUnit>>>,
+    queues: Vec<Buffer>,
     /// Smoothed running time of each project type over all workers.
     running: Vec<f64>,
 }
@@ -65,26 +66,17 @@
 
 impl Buffers {
     pub fn new(types: Vec<ProjectType>, excess_credit: f64, most_come_back: f64) -> Buffers {
-        let queues = types.iter().flat_map(|_| [VecDeque::new(), VecDeque::new()]).collect();
+        let queues = types.iter().flat_map(|_| [Buffer::default(), Buffer::default()]).collect();
         let running = types.iter().map(|t| t.promised_turnaround.max(t.hard_limit * UNHEARD)).collect();
         Buffers { types, excess_credit, most_come_back, queues, running }
     }
 
     fn any(&self) -> bool {
-        self.queues.iter().any(|q| !q.is_empty())
+        self.queues.iter().any(|q| q.len() > 0)
     }
 
-    fn put(&mut self, wu: &Rc<WorkUnit>, first: bool) {
-        wu.waiting.set(true);
-        let queue = &mut self.queues[2 * wu.project_type + wu.excess.get() as usize];
-        if first { queue.push_front(wu.clone()) } else { queue.push_back(wu.clone()) }
-    }
-
-    fn take_out(&mut self, wu: &Rc<WorkUnit>) {
-        if wu.waiting.replace(false) {
-            let queue = &mut self.queues[2 * wu.project_type + wu.excess.get() as usize];
-            queue.iter().position(|w| Rc::ptr_eq(w, wu)).map(|at| queue.remove(at));
-        }
+    fn of(&mut self, wu: &WorkUnit) -> &mut Buffer {
+        &mut self.queues[2 * wu.project_type + wu.excess.get() as usize]
     }
 
     /// The weight of a buffer: the credit, 1 where none is set, less past a share.
@@ -174,11 +166,7 @@
     tells_start: bool,
     /// The shortest promised turnaround.
     promise: f64,
-    workers: BTreeMap<u64, Rc<Worker>>,
-    /// Workers that were sent something: each is ranked by what is known of it.
-    met: Vec<Rc<Worker>>,
-    /// The others, by zone and kind: one is as good as another, and to rank them all would only cost.
-    unmet: BTreeMap<(u16, u16), Vec<Rc<Worker>>>,
+    workers: Roll,
     /// The most of our slots seen running at once on one worker.
     lanes: f64,
     /// What is known of a zone, as few workers are met often: the quickest start, where nothing held the job
@@ -189,6 +177,11 @@
     window: f64,
     /// Until when a window below one keeps us from sending.
     paused: f64,
+    /// The share of failures over all; by project type, how long a suspect rests, and when what was last lost
+    /// had been sent.
+    failing: Mean,
+    trials: Vec<f64>,
+    doubts: Vec<f64>,
     /// Wide and narrow work that came, in slots x usual runs, slowly forgotten.
     work: (f64, f64),
 }
@@ -197,11 +190,10 @@
 const LATE: f64 = 0.2;
 /// Room in another zone counts this part: crossing costs points, and time that is learned only later.
 const FAR: f64 = 0.6;
-/// Rates start as if so many work units had been heard at the usual speed, and forget 1 in 16 a unit.
+/// Rates start as if so many work units had been heard at the usual speed.
 const PRIOR: f64 = 4.0;
-/// The usual time to start fades to none in so many times the usual running time.
-const SLOW_FADE: f64 = 16.0;
-const FORGET: f64 = 15.0 / 16.0;
+/// So many work units of a worker, or usual running times, are remembered.
+const MEMORY: f64 = 16.0;
 /// What is learned over many workers moves by this part a work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 /// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
@@ -220,32 +212,28 @@
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
         let promise = types.iter().map(|t| t.promised_turnaround).fold(PROMISE[1], f64::min).max(PROMISE[0]);
-        Fleet { cold, zone, tells_start, promise, lanes: LANES, window: WINDOW[1], ..Fleet::default() }
-    }
-
-    fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
-        self.workers.values().filter(|w| w.listed.get() == Listed::Ready)
+        // A trial that fails must not often cost work that can't be repeated.
+        let dear = |t: &ProjectType| t.effect == Effect::Exclusive;
+        let trials = types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * promise }).collect();
+        let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
+        Fleet { cold, zone, tells_start, promise, trials, doubts, lanes, window, ..Fleet::default() }
     }
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
     /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
     fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64) {
-        if let Some(w) = self.workers.get(&line.id).cloned() {
+        if let Some(w) = self.workers.get(line.id).cloned() {
             let same = line.listed == Listed::Ready && w.line.came_up == line.came_up;
             if same || line.listed == Listed::Draining {
                 return w.listed.set(line.listed);
             }
-            w.listed.set(Listed::Gone);
-            self.workers.remove(&line.id);
-            self.met.retain(|met| !Rc::ptr_eq(met, &w));
-            self.unmet.entry(w.kin()).or_default().retain(|unmet| !Rc::ptr_eq(unmet, &w));
+            self.workers.strike(&w);
         }
         if line.listed != Listed::Gone {
-            let (sum, n) = self.met.iter().fold((0.0, 0.0), |(s, n), w| (s + w.allowance.get(), n + 1.0));
-            let allowance = if n > 0.0 { sum / n } else { self.lanes };
-            let worker = Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now)));
-            self.unmet.entry(worker.kin()).or_default().push(worker.clone());
-            self.workers.insert(line.id, worker);
+            let (met, mut mean) = (self.workers.met(), Mean::default());
+            met.iter().for_each(|w| mean.learn(w.allowance.get(), 1.0));
+            let allowance = mean.or(self.lanes, f64::MIN_POSITIVE);
+            self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now))));
         }
     }
 
@@ -254,7 +242,7 @@
     fn delay_at(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
         let fades = |over: f64, since: f64| 1.0 / (1.0 + (now - since) / over);
         let zone = self.zones.get(&w.line.zone);
-        let usual = zone.map_or(0.0, |z| z.1.or(0.0, 0.0) * fades(SLOW_FADE * mean_run, z.2));
+        let usual = zone.map_or(0.0, |z| z.1.or(0.0, 0.0) * fades(MEMORY * mean_run, z.2));
         let (delay, at) = w.delay.get();
         usual + (delay - usual) * fades(mean_run, at)
     }
@@ -262,11 +250,10 @@
     /// How much of our own we may have there now; zero or less is no room.
     fn room(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
         let out = w.slots_out.get();
-        let trial = !w.suspect.get() || out == 0.0 && now >= w.next_trial.get();
         // Work of ours that has not started there says that its slots are taken, by others or for good.
         let kept = self.tells_start && w.unstarted.get() > 0;
         let cold = w.line.came_up > 0.0 && now < w.line.came_up + self.cold.warm_after;
-        if w.listed.get() != Listed::Ready || !trial || kept || cold && self.budget(now, w) <= 0.0 {
+        if w.listed.get() != Listed::Ready || kept || cold && self.budget(now, w) <= 0.0 {
             return 0.0;
         }
         let (Report { free_slots }, at) = w.report.get();
@@ -316,17 +303,14 @@
         if wu.slots > self.lanes / 2.0 { place < (wide + PRIOR) / all } else { place >= wide / all }
     }
 
-    fn send(&mut self, now: f64, w: &Rc<Worker>, wu: &Rc<WorkUnit>, usual: f64) -> Rc<Allocation> {
-        let alloc = Allocation::new(wu, w, now);
+    fn send(&mut self, now: f64, alloc: &Rc<Allocation>, wu: &WorkUnit, usual: f64) {
+        let w = &alloc.worker;
         wu.allocs.borrow_mut().push(alloc.clone());
         self.unstarted.push(alloc.clone());
         self.paused = now + usual * (1.0 / self.window - 1.0).max(0.0);
-        let strangers = self.unmet.entry(w.kin()).or_default();
-        if let Some(at) = strangers.iter().position(|s| Rc::ptr_eq(s, w)) {
-            self.met.push(strangers.swap_remove(at));
-        }
+        self.workers.meet(w);
+        w.standing.borrow_mut()[wu.project_type].next_trial = now + self.trials[wu.project_type];
         w.took(wu.slots, usual);
-        alloc
     }
 
     /// A start later than this says that the worker's slots were taken.
@@ -334,62 +318,74 @@
         self.zones.get(&w.line.zone).map_or(0.0, |z| z.0 * 2.0) + LATE * self.promise
     }
 
-    fn halve(w: &Worker) {
-        w.allowance.set((w.allowance.get() / 2.0).max(1.0));
+    /// Exclusive work that does not start while it is worth it tells of a worker, or of a connection, that
+    /// swallows it. It must not keep others from there for as long as its client waits.
+    fn lose(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit) {
+        alloc.lose(wu.slots);
+        self.doubts[wu.project_type] = alloc.sent;
+        self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
+        self.judge(door, now, &alloc.worker, wu.project_type, 1.0);
     }
 
     fn started(&mut self, now: f64, alloc: &Allocation, slots: f64) {
-        alloc.started.set(Some(now));
+        alloc.start(now, slots);
         let w = &alloc.worker;
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
         if delay > self.late(w) {
-            Fleet::halve(w);
+            w.halve();
         }
         let zone = self.zones.entry(w.line.zone).or_insert((delay, Mean::default(), now));
         (zone.0, zone.2) = (zone.0.min(delay), now);
         zone.1.learn(delay, 1.0 - SLOWLY);
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
-        w.began(slots);
         self.lanes = self.lanes.max(w.running.get());
     }
 
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
     fn back(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
-        w.gave_back(wu.slots, alloc.started.get().is_some());
+        alloc.free(wu.slots);
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
-        match outcome {
-            Outcome::Completed => {
-                let ceiling = if self.tells_start { self.lanes } else { 4.0 * LANES };
-                w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
-                self.judge(door, now, w, 0.0);
-            }
-            Outcome::Full => Fleet::halve(w),
-            Outcome::Error | Outcome::NoConnection | Outcome::Dropped => self.judge(door, now, w, 1.0),
+        let failed = match outcome {
+            Outcome::Completed => 0.0,
+            Outcome::Error | Outcome::NoConnection | Outcome::Dropped => 1.0,
             // Taken and never started, it tells of a silent worker; a long run tells nothing.
-            Outcome::TimedOut if alloc.started.get().is_none() => self.judge(door, now, w, 1.0),
-            Outcome::TimedOut | Outcome::Recalled | Outcome::Moot => {}
+            Outcome::TimedOut if alloc.started.get().is_none() && !alloc.lost.get() => 1.0,
+            Outcome::Full => return w.halve(),
+            Outcome::TimedOut | Outcome::Recalled | Outcome::Moot => return,
+        };
+        if outcome == Outcome::Completed {
+            let ceiling = if self.tells_start { self.lanes } else { 4.0 * LANES };
+            w.allowance.set((w.allowance.get() + 1.0).min(ceiling));
         }
-    }
-
-    /// A worker is a suspect when its share of failures is far over the fleet's median: quick failures free
-    /// slots, and would draw more work. It comes back by single trials, apart while they fail.
-    fn judge(&self, door: &mut dyn Door, now: f64, w: &Worker, failed: f64) {
-        w.failures.set(w.failures.get() + (failed - w.failures.get()) * FAILED);
-        let mut over = w.failures.get();
+        self.judge(door, now, w, wu.project_type, failed);
+    }
+
+    /// A worker is a suspect for a project type when its share of failures is far over the fleet's median:
+    /// quick failures free slots, and would draw more work. It comes back by single trials, apart while they
+    /// fail. Where all workers fail now and then, one failure tells less, and the bar is higher.
+    fn judge(&mut self, door: &mut dyn Door, now: f64, w: &Worker, i: usize, failed: f64) {
+        let bar = SUSPECT + self.failing.or(0.0, 1.0 / SLOWLY);
+        self.failing.learn(failed, 1.0 - SLOWLY);
+        let mut standing = w.standing.borrow()[i];
+        standing.failures += (failed - standing.failures) * FAILED;
+        w.standing.borrow_mut()[i] = standing;
+        let mut over = standing.failures;
         if over > SUSPECT / 2.0 {
-            let mut shares: Vec<f64> = self.ready().map(|w| w.failures.get()).chain([over]).collect();
-            let middle = (shares.len() - 1) / 2;
-            over -= *shares.select_nth_unstable_by(middle, f64::total_cmp).1;
+            over -=
+                median(self.workers.ready().map(|w| w.standing.borrow()[i].failures).chain([over]).collect());
         }
-        let was = w.suspect.replace(over > SUSPECT || w.suspect.get() && over > SUSPECT / 2.0);
-        if was != w.suspect.get() {
+        let was = standing.suspect;
+        standing.suspect = over > bar || was && over > SUSPECT / 2.0;
+        if was != standing.suspect {
             let now_is = if was { "trusted again" } else { "a suspect, sent single trials only" };
-            door.log(&format!("worker {:012x} is {now_is}: {over:.2} over the fleet's median", w.line.id));
+            let text = format!("is {now_is}, project type {i}: {over:.2} over the fleet's median");
+            door.log(&format!("worker {:012x} {text}", w.line.id));
         }
-        w.next_trial.set(now + failed * TRIAL * self.promise);
+        standing.next_trial = now + failed * self.trials[i];
+        w.standing.borrow_mut()[i] = standing;
     }
 }
 
@@ -402,13 +398,6 @@
     pub asking: bool,
 }
 
-impl Follow {
-    /// The list service does not grow with its callers, and all that start together would call together.
-    fn wait(&self, chance: &mut Chance) -> f64 {
-        self.ask_within / 8.0 * 2f64.powi(self.failed.min(2)) * chance.draw()
-    }
-}
-
 pub struct Scheduler {
     chance: Chance,
     agenda: Agenda<Due>,
@@ -427,7 +416,7 @@
     }
 
     pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
-        self.fleet.workers.get(&id)
+        self.fleet.workers.get(id)
     }
 
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
@@ -439,7 +428,9 @@
     fn ask_later(&mut self, now: f64) {
         if self.follow.on_request && !self.follow.asking {
             self.follow.asking = true;
-            self.agenda.add(now + self.follow.wait(&mut self.chance), Due::Ask);
+            // The list service does not grow with its callers, and who starts together would call together.
+            let within = self.follow.ask_within / 8.0 * 2f64.powi(self.follow.failed.min(2));
+            self.agenda.add(now + within * self.chance.draw(), Due::Ask);
         }
     }
 
@@ -458,13 +449,13 @@
         };
         self.follow.failed = 0;
         let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
-        let gone = self.fleet.workers.values().filter(|w| full && !named.contains(&w.line.id));
+        let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
         for line in gone.iter().chain(lines) {
             let debt = 2.0 * self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt);
         }
-        let mut places: Vec<_> = self.fleet.ready().collect();
+        let mut places: Vec<_> = self.fleet.workers.ready().collect();
         places.sort_unstable_by_key(|w| w.line.scattered());
         places.iter().enumerate().for_each(|(i, w)| w.place.set(i as f64 / places.len() as f64));
         if places.is_empty() {
@@ -479,7 +470,7 @@
         let (wide, narrow) = if wu.slots > self.fleet.lanes / 2.0 { (work, 0.0) } else { (0.0, work) };
         let (old, keep) = (self.fleet.work, 1.0 - SLOWLY * SLOWLY);
         self.fleet.work = (old.0 * keep + wide, old.1 * keep + narrow);
-        self.buffers.put(wu, false);
+        self.buffers.of(wu).put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
         self.settle(door, now);
@@ -490,10 +481,11 @@
         // A note that comes again, or after the outcome, tells nothing of what was sent since.
         let news = alloc.outcome.get().is_none() && alloc.started.get().is_none();
         if let Some(wu) = alloc.wu.upgrade().filter(|_| news) {
+            alloc.worker.standing.borrow_mut()[wu.project_type].started = now;
             self.fleet.started(now, alloc, wu.slots);
             let late = now - alloc.sent > self.buffers.bearable(wu.project_type);
             self.fleet.steer(late, 1.0 - self.buffers.types[wu.project_type].late_credit);
-            self.buffers.take_out(&wu);
+            self.buffers.of(&wu).take_out(&wu);
             let allocs = wu.allocs.borrow();
             // The other, if it runs: two that start in one batch must not call each other off.
             let runs = |a: &&Rc<Allocation>| a.outcome.get().is_none() && a.started.get().is_some();
@@ -518,13 +510,13 @@
             let ran = alloc.ran(now);
             let usual = &mut self.buffers.running[wu.project_type];
             *usual += (ran - *usual) * SLOWLY;
-            alloc.worker.heard.borrow_mut()[wu.project_type].learn(ran, FORGET);
+            alloc.worker.heard.borrow_mut()[wu.project_type].learn(ran, 1.0 - 1.0 / MEMORY);
             alloc.worker.pace.borrow_mut().learn(ran / *usual, 1.0 - SLOWLY);
         }
         if ended {
             self.close(door, &wu);
         } else if !wu.ended.get() && !wu.is_out() {
-            self.buffers.take_out(&wu);
+            self.buffers.of(&wu).take_out(&wu);
             self.again(door, now, &wu, outcome);
         }
         self.settle(door, now);
@@ -534,10 +526,10 @@
     fn again(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>, outcome: Outcome) {
         let effect = self.buffers.types[wu.project_type].effect;
         let over = outcome == Outcome::Moot || now >= self.buffers.hope(wu);
-        if over || !self.fleet.ready().any(|w| self.repeats.pass(now, effect, wu, w)) {
+        if over || !self.fleet.workers.ready().any(|w| self.repeats.pass(now, effect, wu, w)) {
             self.give_up(door, now, wu);
         } else {
-            self.buffers.put(wu, true);
+            self.buffers.of(wu).put(wu, true);
         }
     }
 
@@ -554,7 +546,7 @@
 
     /// Nothing more is sent for it; what is still out is called off.
     fn close(&mut self, door: &mut dyn Door, wu: &Rc<WorkUnit>) {
-        self.buffers.take_out(wu);
+        self.buffers.of(wu).take_out(wu);
         if !wu.ended.replace(true) {
             self.repeats.call_off(door, wu, None);
         }
@@ -566,14 +558,6 @@
         self.settle(door, now);
     }
 
-    pub fn sampled(&mut self, now: f64, worker: &Worker, report: Report) {
-        // Reports may be absurd: what is no number of slots is no report.
-        if report.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0) {
-            worker.report.set((report, now));
-            worker.sent_since.set(0.0);
-        }
-    }
-
     pub fn woke(&mut self, door: &mut dyn Door, now: f64) {
         while let Some(due) = self.agenda.next(now) {
             match due {
@@ -582,11 +566,11 @@
                     open.iter().for_each(|wu| self.give_up(door, now, wu));
                 }
                 Due::Patience(wu) => match wu.upgrade().filter(|wu| wu.waiting.get()) {
-                    Some(wu) if wu.is_out() => self.buffers.take_out(&wu),
+                    Some(wu) if wu.is_out() => self.buffers.of(&wu).take_out(&wu),
                     Some(wu) => self.give_up(door, now, &wu),
                     None => {}
                 },
-                Due::Start(alloc) => self.unstarted(now, alloc),
+                Due::Start(alloc) => self.unstarted(door, now, alloc),
                 Due::Ask => {
                     self.follow.asking = false;
                     door.follow_list();
@@ -597,13 +581,16 @@
         self.settle(door, now);
     }
 
-    /// Work kept waiting at a worker that others have filled, or that has gone silent, goes back to its
-    /// buffer for a second allocation beside the first, if the time left exceeds what that takes.
-    fn unstarted(&mut self, now: f64, alloc: Weak<Allocation>) {
+    /// Work kept waiting at a worker that others have filled, or that has gone silent, is taken for lost if
+    /// exclusive, else buffered for a second allocation, if the time left exceeds what that takes.
+    fn unstarted(&mut self, door: &mut dyn Door, now: f64, alloc: Weak<Allocation>) {
         let kept = alloc.upgrade().filter(|a| a.started.get().is_none() && a.outcome.get().is_none());
-        let Some(wu) = kept.and_then(|a| a.wu.upgrade()) else { return };
-        if now + self.buffers.running[wu.project_type] < wu.limit && !wu.ended.get() && !wu.waiting.get() {
-            self.buffers.put(&wu, true);
+        let Some((alloc, wu)) = kept.and_then(|a| Some((a.clone(), a.wu.upgrade()?))) else { return };
+        let (i, open) = (wu.project_type, !wu.ended.get() && !wu.waiting.get());
+        if self.buffers.types[i].effect == Effect::Exclusive {
+            self.fleet.lose(door, now, &alloc, &wu);
+        } else if open && now + self.buffers.running[i] < wu.limit {
+            self.buffers.of(&wu).put(&wu, true);
         }
     }
 
@@ -624,9 +611,7 @@
     /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
-        let mut workers = self.fleet.met.clone();
-        let strangers = self.fleet.unmet.values().filter(|group| !group.is_empty());
-        workers.extend(strangers.map(|g| g[(self.chance.draw() * g.len() as f64) as usize].clone()));
+        let workers = self.fleet.workers.drawn(&mut self.chance);
         let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
             let far = if w.line.zone == self.fleet.zone { 1.0 } else { FAR };
@@ -650,12 +635,16 @@
             return false;
         }
         let Some(wu) = self.pick(now, w, own) else { return false };
-        self.buffers.take_out(&wu);
-        let alloc = self.fleet.send(now, w, &wu, self.buffers.running[wu.project_type]);
+        self.buffers.of(&wu).take_out(&wu);
+        let i = wu.project_type;
+        let alloc = Allocation::new(&wu, w, now);
+        self.fleet.send(now, &alloc, &wu, self.buffers.running[i]);
         door.allocate(&alloc);
-        let copies = self.repeats.parallel && self.repeats.may_recall && self.fleet.tells_start;
-        if copies && self.buffers.types[wu.project_type].effect != Effect::Exclusive {
-            self.agenda.add(now + self.fleet.late(w), Due::Start(Rc::downgrade(&alloc)));
+        // Work that may repeat is moved away, so only such that may not can hold up a worker for good.
+        if self.repeats.parallel && self.repeats.may_recall && self.fleet.tells_start {
+            let exclusive = self.buffers.types[i].effect == Effect::Exclusive;
+            let within = if exclusive { self.buffers.bearable(i) } else { self.fleet.late(w) };
+            self.agenda.add(now + within, Due::Start(Rc::downgrade(&alloc)));
         }
         true
     }
@@ -664,11 +653,10 @@
     fn pick(&self, now: f64, w: &Worker, own: bool) -> Option<Rc<WorkUnit>> {
         let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
-        // A trial that fails must not cost work that can't be repeated, if other work there is.
-        let spare = w.suspect.get() && self.buffers.types.iter().any(|t| t.effect != Effect::Exclusive);
+        let standing = w.standing.borrow();
         let delay = self.fleet.delay_at(now, w, self.buffers.mean_run());
         let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
-        for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| !q.is_empty()) {
+        for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| q.len() > 0) {
             let t = &self.buffers.types[i / 2];
             // The rate is the inverse of the smoothed running time, unheard at the mean.
             let usual = self.buffers.running[i / 2] * w.pace.borrow().or(1.0, PRIOR);
@@ -677,12 +665,20 @@
             let unfit = t.kind.is_some_and(|k| k != w.line.kind);
             // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
             let bears = (t.promised_turnaround + self.buffers.bearable(i / 2)) / 2.0;
-            let not_here =
-                unfit || t.late_credit == 0.0 && delay > bears || spare && t.effect == Effect::Exclusive;
+            let Standing { suspect, next_trial, started, .. } = standing[i / 2];
+            let exclusive = t.effect == Effect::Exclusive;
+            // What can't be repeated keeps away from where another project type fails; while some was lost
+            // lately, it first goes to where some has started since.
+            let spared = exclusive && (0..).zip(&*standing).any(|(j, s)| j != i / 2 && s.suspect);
+            let doubt = self.fleet.doubts[i / 2];
+            let unproven = exclusive && started < doubt && now < doubt + self.fleet.trials[i / 2];
+            let outlasts = t.late_credit == 0.0 && delay > bears;
+            let not_here = unfit || outlasts || spared || suspect && now < next_trial;
             if !not_here && best.is_none_or(|b| pressure > b.0) {
-                let here = |wu: &WorkUnit| fits(wu) && (w.suspect.get() || own == self.fleet.is_own(w, wu));
-                let runnable = |wu: &&Rc<WorkUnit>| here(wu) && self.repeats.pass(now, t.effect, wu, w);
-                best = queue.iter().take(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
+                let first = |wu: &WorkUnit| suspect || own == (!unproven && self.fleet.is_own(w, wu));
+                let pass = |wu: &WorkUnit| self.repeats.pass(now, t.effect, wu, w);
+                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && first(wu) && pass(wu);
+                best = queue.first(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
         best.map(|b| b.1.clone())
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -5,10 +5,12 @@
 //! Times are seconds with fractions; `id` fields belong to the front.
 
 pub mod decide;
+pub mod roll;
 pub mod settings;
 pub mod tools;
 
 use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 use tools::Mean;
 
@@ -107,6 +109,16 @@
     Failed,
 }
 
+/// How a worker does with a project type: its smoothed share of failures, whether that makes it a suspect,
+/// when it may be tried next, and when work of the type last started there.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Standing {
+    pub(crate) failures: f64,
+    pub(crate) suspect: bool,
+    pub(crate) next_trial: f64,
+    pub(crate) started: f64,
+}
+
 /// A process on a machine; one that starts again is another `Worker`.
 #[derive(Debug)]
 pub struct Worker {
@@ -125,11 +137,9 @@
     pub(crate) pace: RefCell<Mean>,
     /// Smoothed time from sending to starting, and when it was last heard.
     pub(crate) delay: Cell<(f64, f64)>,
-    pub(crate) failures: Cell<f64>,
-    pub(crate) suspect: Cell<bool>,
+    pub(crate) standing: RefCell<Vec<Standing>>,
     /// Its place in an order of the ready workers that is the same at all schedulers, from 0 up to 1.
     pub(crate) place: Cell<f64>,
-    pub(crate) next_trial: Cell<f64>,
     /// Budget for a cold worker, and when it was last topped up.
     pub(crate) budget: Cell<(f64, f64)>,
     pub(crate) report: Cell<(Report, f64)>,
@@ -137,6 +147,31 @@
     pub(crate) sent_since: Cell<f64>,
 }
 
+/// A buffer, first come first served.
+#[derive(Debug, Default)]
+pub struct Buffer(VecDeque<Rc<WorkUnit>>);
+
+impl Buffer {
+    pub(crate) fn put(&mut self, wu: &Rc<WorkUnit>, first: bool) {
+        wu.waiting.set(true);
+        if first { self.0.push_front(wu.clone()) } else { self.0.push_back(wu.clone()) }
+    }
+
+    pub(crate) fn take_out(&mut self, wu: &Rc<WorkUnit>) {
+        if wu.waiting.replace(false) {
+            self.0.iter().position(|w| Rc::ptr_eq(w, wu)).map(|at| self.0.remove(at));
+        }
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.0.len()
+    }
+
+    pub(crate) fn first(&self, most: usize) -> impl Iterator<Item = &Rc<WorkUnit>> {
+        self.0.iter().take(most)
+    }
+}
+
 #[derive(Debug)]
 pub struct WorkUnit {
     pub id: u64,
@@ -160,6 +195,8 @@
     pub number: u16,
     pub sent: f64,
     pub(crate) started: Cell<Option<f64>>,
+    /// Its slot at the worker is counted no more, as no start was told for too long.
+    pub(crate) lost: Cell<bool>,
     pub(crate) outcome: Cell<Option<Outcome>>,
 }
 
@@ -204,6 +241,27 @@
 }
 
 impl Allocation {
+    /// It has started at its worker, also after it was taken for lost there.
+    pub(crate) fn start(&self, now: f64, slots: f64) {
+        self.started.set(Some(now));
+        if self.lost.replace(false) {
+            self.worker.found(slots);
+        }
+        self.worker.began(slots);
+    }
+
+    /// It holds no slot at its worker any more, as far as we count them.
+    pub(crate) fn free(&self, slots: f64) {
+        if !self.lost.get() {
+            self.worker.gave_back(slots, self.started.get().is_some());
+        }
+    }
+
+    pub(crate) fn lose(&self, slots: f64) {
+        self.free(slots);
+        self.lost.set(true);
+    }
+
     /// How long it has run, from its start where that was told.
     pub(crate) fn ran(&self, now: f64) -> f64 {
         now - self.started.get().unwrap_or(self.sent)
@@ -216,6 +274,7 @@
             number: wu.allocs.borrow().len() as u16,
             sent,
             started: Cell::new(None),
+            lost: Cell::new(false),
             outcome: Cell::new(None),
         })
     }
@@ -235,10 +294,8 @@
             heard: RefCell::new(vec![Mean::default(); types]),
             pace: RefCell::default(),
             delay: Cell::new((0.0, 0.0)),
-            failures: Cell::new(0.0),
-            suspect: Cell::new(false),
+            standing: RefCell::new(vec![Standing::default(); types]),
             place: Cell::new(0.0),
-            next_trial: Cell::new(0.0),
             budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
             sent_since: Cell::new(0.0),
@@ -259,6 +316,25 @@
         self.budget.set((budget - slots * work, at));
     }
 
+    /// What was lost has started after all.
+    pub(crate) fn found(&self, slots: f64) {
+        self.out.set(self.out.get() + 1);
+        self.unstarted.set(self.unstarted.get() + 1);
+        self.slots_out.set(self.slots_out.get() + slots);
+    }
+
+    pub(crate) fn halve(&self) {
+        self.allowance.set((self.allowance.get() / 2.0).max(1.0));
+    }
+
+    /// What it has told of its load. Reports may be absurd: what is no number of slots is no report.
+    pub fn told(&self, now: f64, report: Report) {
+        if report.free_slots.is_some_and(|f| f.is_finite() && f >= 0.0) {
+            self.report.set((report, now));
+            self.sent_since.set(0.0);
+        }
+    }
+
     pub(crate) fn began(&self, slots: f64) {
         self.unstarted.set(self.unstarted.get() - 1);
         self.running.set(self.running.get() + slots);
--- /dev/null
+++ b/crates/mintlb/src/roll.rs
@@ -0,0 +1,61 @@
+//! The workers that the list names, as one holds a roll: nothing is decided here.
+
+use crate::tools::Chance;
+use crate::{Listed, Worker};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+#[derive(Default)]
+pub struct Roll {
+    workers: BTreeMap<u64, Rc<Worker>>,
+    /// Workers that were sent something: each is ranked by what is known of it.
+    met: Vec<Rc<Worker>>,
+    /// The others, by zone and kind: one is as good as another, and to rank them all would only cost.
+    unmet: BTreeMap<(u16, u16), Vec<Rc<Worker>>>,
+}
+
+impl Roll {
+    pub fn get(&self, id: u64) -> Option<&Rc<Worker>> {
+        self.workers.get(&id)
+    }
+
+    pub fn all(&self) -> impl Iterator<Item = &Rc<Worker>> {
+        self.workers.values()
+    }
+
+    pub fn ready(&self) -> impl Iterator<Item = &Rc<Worker>> {
+        self.all().filter(|w| w.listed.get() == Listed::Ready)
+    }
+
+    pub fn met(&self) -> &[Rc<Worker>] {
+        &self.met
+    }
+
+    pub fn add(&mut self, worker: Rc<Worker>) {
+        self.unmet.entry(worker.kin()).or_default().push(worker.clone());
+        self.workers.insert(worker.line.id, worker);
+    }
+
+    pub fn strike(&mut self, worker: &Rc<Worker>) {
+        worker.listed.set(Listed::Gone);
+        self.workers.remove(&worker.line.id);
+        self.met.retain(|met| !Rc::ptr_eq(met, worker));
+        self.unmet.entry(worker.kin()).or_default().retain(|unmet| !Rc::ptr_eq(unmet, worker));
+    }
+
+    /// It is sent something.
+    pub fn meet(&mut self, worker: &Rc<Worker>) {
+        let strangers = self.unmet.entry(worker.kin()).or_default();
+        if let Some(at) = strangers.iter().position(|s| Rc::ptr_eq(s, worker)) {
+            self.met.push(strangers.swap_remove(at));
+        }
+    }
+
+    /// Those met, and of the others one drawn by chance for each zone and kind.
+    pub fn drawn(&self, chance: &mut Chance) -> Vec<Rc<Worker>> {
+        let mut workers = self.met.clone();
+        let strangers = self.unmet.values().filter(|group| !group.is_empty());
+        workers.extend(strangers.map(|g| g[(chance.draw() * g.len() as f64) as usize].clone()));
+        workers
+    }
+}
--- a/crates/mintlb/src/tools.rs
+++ b/crates/mintlb/src/tools.rs
@@ -37,6 +37,12 @@
     }
 }
 
+/// The lower one of the two in the middle, if they are even in number.
+pub fn median(mut values: Vec<f64>) -> f64 {
+    let middle = values.len().saturating_sub(1) / 2;
+    if values.is_empty() { 0.0 } else { *values.select_nth_unstable_by(middle, f64::total_cmp).1 }
+}
+
 /// A timer may ring a rounding error early; without this grace it would pass for one still to ring, no other
 /// would be asked for, and all that waits would be forgotten.
 const HAIR: f64 = 1e-6;
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -93,6 +93,22 @@
                 "send 1>1",
             ),
             ("exclusive never", "list 1 2; call 1 2; at 0.05; wake", "send 1>1"),
+            ("what has not started fills a worker", "list 1; call 1 2; at 0.1; call 2 0", "send 1>1"),
+            (
+                "but exclusive work that starts too late is taken for lost there",
+                "list 1; call 1 2; at 0.15; call 2 0; at 0.21; wake",
+                "send 1>1, send 2>1",
+            ),
+            (
+                "and no more of its type is sent there",
+                "list 1 2 3; call 1 2; call 2 1; call 3 1; at 0.15; call 4 2; call 5 0; at 0.21; wake",
+                "send 1>1, send 2>3, send 3>2, send 5>1",
+            ),
+            (
+                "then it first goes to where some has started since, however far",
+                "list 1 101; call 1 2; at 0.1; call 2 2; start 2.0; back 2.0 ok; at 0.21; wake; call 3 2; call 4 0",
+                "send 1>1, send 2>101, send 3>101, send 4>1",
+            ),
             (
                 "it looks no longer than its patience",
                 "list 1; call 1 0; at 0.1; wake; at 0.2; wake; change 2",
@@ -218,6 +234,16 @@
                 "list 1 100 101; call 1 0; back 1.0 error; call 2 0",
                 "send 1>1, send 1>100, send 2>101",
             ),
+            (
+                "though only for the project type that fails",
+                "list 1 100 101; call 1 0; back 1.0 error; call 2 1",
+                "send 1>1, send 1>100, send 2>1",
+            ),
+            (
+                "and for what can't be repeated",
+                "list 1 100 101; call 1 0; back 1.0 error; call 2 2",
+                "send 1>1, send 1>100, send 2>101",
+            ),
             (
                 "and tried with what may repeat",
                 "list 1 100 101; call 1 0; back 1.0 error; change 100g 101g; back 1.1 error ended; at 5; call 2 2; call 3 0",
@@ -227,6 +253,30 @@
     );
 }
 
+/// Where all workers fail now and then, as with resets on the way, a single failure must not rest one.
+#[test]
+fn one_failure_tells_less_where_all_fail() {
+    for (every, suspect) in [(1000, true), (8, false)] {
+        let mut w = world(false, false);
+        w.run("list 1 2 3 4 5 6 7 8 9");
+        for id in 0..200 {
+            w.now += 0.05;
+            w.run(&format!("call {id} 0; start {id}.0"));
+            w.run(&if id % every == 5 {
+                format!("back {id}.0 error ended")
+            } else {
+                format!("back {id}.0 ok")
+            });
+        }
+        // Newcomers: none of them has failed before.
+        w.run("list 11 12 13 14 15 16 17 18 19");
+        let to = w.run("call 900 0; back 900.0 error ended").replace("send 900>", "");
+        let others = (11..20).map(|id| format!("{id}d")).filter(|id| *id != format!("{to}d"));
+        w.run(&format!("change {}", others.collect::<Vec<_>>().join(" ")));
+        assert_eq!(w.run("call 901 0").is_empty(), suspect, "one failure in {every}");
+    }
+}
+
 #[test]
 fn wide_jobs_keep_to_their_part_first() {
     // Of four workers, wide jobs that are a fifth of the work have one, the same at every scheduler.
@@ -339,7 +389,7 @@
             w.scheduler.came_back(&mut w.acts, w.now, &alloc, outcome, ended);
             w.scheduler.came_back(&mut w.acts, w.now, &alloc, outcome, ended);
             w.scheduler.started(&mut w.acts, w.now, &alloc);
-            w.scheduler.sampled(w.now, &alloc.worker, report);
+            alloc.worker.told(w.now, report);
         }
     }
     w.now += 10.0;
