--- a/crates/mintlb-node/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -3,28 +3,31 @@
 //! The decisions act through their door; here it writes down [`Act`]s. Nothing in this file reads, writes or
 //! waits, so that each case can be played in a test.
 
-use crate::placement::{Listing, WorkerLine};
-use axum::http::request::Parts;
-use bytes::Bytes;
+use crate::members::{Members, Source, Told};
+use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
 use mintlb::decide::Scheduler;
-use mintlb::{Allocation, Door, Line, Listed, News, Outcome, Report, WorkUnit, Worker};
+use mintlb::{Allocation, Door, News, Outcome, Report, WorkUnit, Worker};
 use std::collections::hash_map::Entry;
 use std::collections::{HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use tokio::sync::oneshot;
 
 /// What was read.
 pub enum Event {
     Arrived(Arrival),
     /// The client has gone away.
     Left(u64),
+    /// Nothing more is to be tried for it: its answer is due now.
+    GivenUp(u64),
     Started(AllocId),
     Back(Back),
     Sampled(u64, Report),
-    /// The list service has told something, or failed.
-    List(Option<Listing>),
+    /// A worker that fetches its work asks for so many more work units now.
+    Asks(u64, usize),
+    /// A source has told of workers; the list service also which version that was.
+    Members(Option<u64>, Told),
+    /// The list service has failed.
+    ListFailed,
     /// The list service is at another address.
     ListMoved,
     Woke,
@@ -34,16 +37,19 @@
 
 /// What is to be done.
 pub enum Act {
-    Send(Order),
-    /// Gives up an allocation: its connection is closed.
-    Close(AllocId),
+    Send {
+        to: Arc<dyn Reach>,
+        order: Order,
+    },
+    /// Gives up an allocation.
+    Recall(AllocId),
     Answer {
-        to: oneshot::Sender<Answer>,
+        to: Box<dyn Settle>,
         answer: Answer,
     },
     Probe {
         worker: u64,
-        to: SocketAddr,
+        to: Arc<dyn Reach>,
     },
     Watch {
         after: u64,
@@ -52,81 +58,16 @@
     Log(String),
 }
 
-/// A work unit's number at this scheduler, and the allocation's among the work unit's.
-pub type AllocId = (u64, u16);
-
-/// An allocation to be sent, which ends at `until`.
-pub struct Order {
-    pub alloc: AllocId,
-    pub to: SocketAddr,
-    pub handed: Arc<Handed>,
-    pub until: f64,
-}
-
-/// An allocation that has come back.
-pub struct Back {
-    pub alloc: AllocId,
-    pub outcome: Outcome,
-    pub report: Report,
-    pub result: Bytes,
-}
-
-impl Back {
-    /// With nothing else told.
-    pub fn with(alloc: AllocId, outcome: Outcome) -> Back {
-        Back { alloc, outcome, report: Report::default(), result: Bytes::new() }
-    }
-}
-
-/// What the client sent, kept as it came.
-#[derive(Debug)]
-pub struct Handed {
-    pub head: Parts,
-    pub body: Bytes,
-    /// It may not simply run again, so that whether it ran is worth knowing.
-    pub once: bool,
-}
-
-pub struct Arrival {
-    pub id: u64,
-    pub project_type: usize,
-    pub customer: Option<usize>,
-    pub slots: f64,
-    pub memory: f64,
-    pub arrived: f64,
-    pub time_budget: f64,
-    pub handed: Arc<Handed>,
-    pub answer: oneshot::Sender<Answer>,
-}
-
-/// A final answer.
-#[derive(Debug, PartialEq)]
-pub enum Answer {
-    Completed(Bytes),
-    /// Trying again is harmless, best after so many seconds.
-    Deferred(f64),
-    /// No promise either way.
-    Aborted,
-    /// Not taken: the client's id is another's, whose work unit it leaves alone.
-    Repeated,
-}
-
 struct Held {
     wu: Rc<WorkUnit>,
-    handed: Arc<Handed>,
+    client_id: Option<Box<[u8]>>,
+    payload: Payload,
     /// Where the final answer goes, until it is given.
-    answer: Option<oneshot::Sender<Answer>>,
-}
-
-/// The places that the list's names stand for.
-pub struct Names {
-    pub zones: Vec<String>,
-    pub kinds: Vec<String>,
+    answer: Option<Box<dyn Settle>>,
 }
 
 pub struct Reducer {
     scheduler: Scheduler,
-    names: Names,
     /// Allocations that may be out at once, and how many seconds before its client's limit one ends.
     most_out: usize,
     margin: f64,
@@ -135,21 +76,19 @@
     ids: HashSet<Box<[u8]>>,
     over: VecDeque<(f64, Box<[u8]>)>,
     out: HashSet<AllocId>,
-    addresses: HashMap<u64, SocketAddr>,
+    members: Members,
     version: u64,
-    /// What the log is to say of the list, with the next acts.
-    said: Vec<Act>,
 }
 
-/// The module's door onto the sockets.
-struct SocketDoor<'a> {
+/// The module's door onto the backs.
+struct OpenDoor<'a> {
     now: f64,
     most_out: usize,
     margin: f64,
     version: u64,
     held: &'a mut HashMap<u64, Held>,
     out: &'a mut HashSet<AllocId>,
-    addresses: &'a HashMap<u64, SocketAddr>,
+    members: &'a Members,
     acts: Vec<Act>,
     /// Allocations whose outcome is known without a word from the worker.
     known: Vec<Back>,
@@ -157,7 +96,7 @@
     touched: Vec<u64>,
 }
 
-impl SocketDoor<'_> {
+impl OpenDoor<'_> {
     fn answer(&mut self, id: u64, answer: Answer) {
         self.touched.push(id);
         if let Some(to) = self.held.get_mut(&id).and_then(|held| held.answer.take()) {
@@ -166,19 +105,20 @@
     }
 }
 
-impl Door for SocketDoor<'_> {
+impl Door for OpenDoor<'_> {
     fn allocate(&mut self, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade() else { return };
         let id = (wu.id, alloc.number);
         let full = self.out.len() >= self.most_out;
         self.out.insert(id);
-        match (self.addresses.get(&alloc.worker.line.id), self.held.get(&wu.id)) {
+        match (self.members.reach(alloc.worker.line.id), self.held.get(&wu.id)) {
             // Without a descriptor to spare it is not sent, and that is known at once.
             (Some(_), Some(_)) if full => self.known.push(Back::with(id, Outcome::Moot)),
-            (Some(&to), Some(held)) => {
-                let until = wu.limit - self.margin;
-                let handed = held.handed.clone();
-                self.acts.push(Act::Send(Order { alloc: id, to, handed, until }));
+            (Some(to), Some(held)) => {
+                let (project_type, customer) = (wu.project_type, wu.customer);
+                let (payload, until) = (held.payload.clone(), wu.limit - self.margin);
+                let order = Order { alloc: id, project_type, customer, payload, until };
+                self.acts.push(Act::Send { to: to.clone(), order });
             }
             _ => self.known.push(Back::with(id, Outcome::NoConnection)),
         }
@@ -186,7 +126,7 @@
     fn recall(&mut self, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade() else { return };
         let id = (wu.id, alloc.number);
-        self.acts.push(Act::Close(id));
+        self.acts.push(Act::Recall(id));
         self.known.push(Back::with(id, Outcome::Recalled));
     }
     fn defer(&mut self, wu: &WorkUnit, come_back: f64) {
@@ -197,8 +137,8 @@
     }
     fn probe(&mut self, worker: &Worker) {
         let worker = worker.line.id;
-        if let Some(&to) = self.addresses.get(&worker) {
-            self.acts.push(Act::Probe { worker, to });
+        if let Some(to) = self.members.reach(worker) {
+            self.acts.push(Act::Probe { worker, to: to.clone() });
         }
     }
     fn follow_list(&mut self) {
@@ -213,9 +153,9 @@
 }
 
 impl Reducer {
-    pub fn new(scheduler: Scheduler, names: Names, most_out: usize, margin: f64) -> Reducer {
-        let (held, ids, over, out, addresses, said) = Default::default();
-        Reducer { scheduler, names, most_out, margin, held, ids, over, out, addresses, version: 0, said }
+    pub fn new(scheduler: Scheduler, most_out: usize, margin: f64) -> Reducer {
+        let (held, ids, over, out, members) = Default::default();
+        Reducer { scheduler, most_out, margin, held, ids, over, out, members, version: 0 }
     }
 
     /// How many work units are held.
@@ -223,9 +163,10 @@
         self.held.len()
     }
 
-    /// The start: what the list last said, then whatever the decisions ask for first.
-    pub fn start(&mut self, now: f64, known: Option<Listing>) -> Vec<Act> {
-        let lines = known.map(|listing| self.lines(listing).1).unwrap_or_default();
+    /// The start: what the list last said, and which version that was, then whatever the decisions ask for first.
+    pub fn start(&mut self, now: f64, known: Option<(u64, Told)>) -> Vec<Act> {
+        self.version = known.as_ref().map_or(0, |(version, _)| *version);
+        let lines = known.map(|(_, told)| self.members.hear(told).1).unwrap_or_default();
         self.with_door(now, |scheduler, door| {
             scheduler.power_on(door, now);
             scheduler.news(door, now, News::Cached(&lines));
@@ -234,7 +175,7 @@
 
     pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Act> {
         match event {
-            Event::Arrived(a) if !self.is_new(now, &a.handed) => {
+            Event::Arrived(a) if !self.is_new(now, a.client_id.as_deref()) => {
                 vec![Act::Answer { to: a.answer, answer: Answer::Repeated }]
             }
             Event::Arrived(a) => {
@@ -247,7 +188,8 @@
                     a.arrived,
                     a.time_budget,
                 );
-                let held = Held { wu: wu.clone(), handed: a.handed, answer: Some(a.answer) };
+                let (client_id, payload) = (a.client_id, a.payload);
+                let held = Held { wu: wu.clone(), client_id, payload, answer: Some(a.answer) };
                 self.held.insert(a.id, held);
                 self.with_door(now, |scheduler, door| scheduler.arrived(door, now, &wu))
             }
@@ -260,6 +202,11 @@
                     scheduler.left(door, now, &wu);
                 })
             }
+            Event::GivenUp(id) => {
+                let open = self.held.get(&id).filter(|held| held.answer.is_some());
+                let Some(wu) = open.map(|held| held.wu.clone()) else { return Vec::new() };
+                self.with_door(now, |scheduler, door| scheduler.give_up(door, now, &wu))
+            }
             Event::Started((id, number)) => {
                 let alloc = self.held.get(&id).and_then(|held| held.wu.allocation(number));
                 let Some(alloc) = alloc.filter(|_| self.out.contains(&(id, number))) else {
@@ -274,10 +221,21 @@
                 }
                 Vec::new()
             }
-            Event::List(None) => self.with_door(now, |s, door| s.news(door, now, News::Failed)),
-            Event::List(Some(listing)) => {
-                let (full, lines) = self.lines(listing);
-                let news = if full { News::Full(&lines) } else { News::Changes(&lines) };
+            Event::Asks(worker, times) => {
+                let Some(worker) = self.scheduler.worker(worker).cloned() else { return Vec::new() };
+                self.with_door(now, |scheduler, door| scheduler.asked(door, now, &worker, times))
+            }
+            Event::ListFailed => self.with_door(now, |s, door| s.news(door, now, News::Failed)),
+            Event::Members(version, told) => {
+                self.version = version.unwrap_or(self.version);
+                // Only what the list says is a sign of life of the list.
+                let from_list = told.source == Source::List;
+                let (full, lines) = self.members.hear(told);
+                let news = match full {
+                    true => News::Full(&lines),
+                    false if from_list => News::Changes(&lines),
+                    false => News::Callers(&lines),
+                };
                 self.with_door(now, |s, door| s.news(door, now, news))
             }
             // At once, whatever was to be asked of the old one: nothing it says from now on is heard.
@@ -289,11 +247,11 @@
 
     /// Each request has an id of its own. Who sends another's must not reach a worker with it, which would
     /// take it for the same work, nor touch the answer that the other is owed.
-    fn is_new(&mut self, now: f64, handed: &Handed) -> bool {
+    fn is_new(&mut self, now: f64, client_id: Option<&[u8]>) -> bool {
         while let Some((_, id)) = self.over.pop_front_if(|(until, _)| *until <= now) {
             self.ids.remove(&id);
         }
-        client_id(handed).is_none_or(|id| self.ids.insert(id))
+        client_id.is_none_or(|id| self.ids.insert(id.into()))
     }
 
     /// What is still unanswered is given up; how, the decisions know.
@@ -305,16 +263,17 @@
         })
     }
 
-    fn with_door(&mut self, now: f64, call: impl FnOnce(&mut Scheduler, &mut SocketDoor)) -> Vec<Act> {
-        let mut door = SocketDoor {
+    fn with_door(&mut self, now: f64, call: impl FnOnce(&mut Scheduler, &mut OpenDoor)) -> Vec<Act> {
+        let acts = self.members.said().into_iter().map(Act::Log).collect();
+        let mut door = OpenDoor {
             now,
             most_out: self.most_out,
             margin: self.margin,
             version: self.version,
             held: &mut self.held,
             out: &mut self.out,
-            addresses: &self.addresses,
-            acts: std::mem::take(&mut self.said),
+            members: &self.members,
+            acts,
             known: Vec::new(),
             touched: Vec::new(),
         };
@@ -322,61 +281,21 @@
         while let Some(told) = door.known.pop() {
             back(&mut self.scheduler, &mut door, told);
         }
-        let SocketDoor { acts, touched, .. } = door;
+        let OpenDoor { acts, touched, .. } = door;
         for id in touched {
             if let Entry::Occupied(held) = self.held.entry(id)
                 && held.get().wu.is_over()
             {
-                let Held { wu, handed, .. } = held.remove();
-                self.over.extend(client_id(&handed).map(|id| (wu.limit, id)));
+                let Held { wu, client_id, .. } = held.remove();
+                self.over.extend(client_id.map(|id| (wu.limit, id)));
             }
         }
         acts
     }
-
-    /// The list's lines for the decisions, whether they are the whole list; addresses are kept here.
-    fn lines(&mut self, listing: Listing) -> (bool, Vec<Line>) {
-        self.version = listing.version;
-        let lines: Vec<Line> = listing.workers.iter().map(|worker| self.line(worker)).collect();
-        if listing.full {
-            let named: HashSet<u64> = lines.iter().map(|line| line.id).collect();
-            self.addresses.retain(|id, _| named.contains(id));
-        }
-        (listing.full, lines)
-    }
-
-    fn line(&mut self, worker: &WorkerLine) -> Line {
-        let place = |names: &[String], name: &str| {
-            names.iter().position(|n| n == name).map_or(u16::MAX, |at| at as u16)
-        };
-        let id = worker_id(&worker.id);
-        let listed = match worker.state.as_str() {
-            "SERVING" => Listed::Ready,
-            "DELETED" => Listed::Gone,
-            // What a state unknown to us means for new work is unknown, too.
-            _ => Listed::Draining,
-        };
-        match worker.addr.parse() {
-            Ok(addr) if listed != Listed::Gone => {
-                if self.addresses.insert(id, addr) != Some(addr) {
-                    let line = format!("worker {id:012x} is {} at {addr}", worker.id);
-                    self.said.push(Act::Log(line));
-                }
-            }
-            _ => drop(self.addresses.remove(&id)),
-        }
-        let (zone, kind) = (place(&self.names.zones, &worker.zone), place(&self.names.kinds, &worker.kind));
-        let came_up = if worker.started_ms.is_finite() { worker.started_ms.max(0.0) / 1000.0 } else { 0.0 };
-        Line { id, zone, cell: worker.cell as u16, kind, listed, came_up }
-    }
-}
-
-fn client_id(handed: &Handed) -> Option<Box<[u8]>> {
-    handed.head.headers.get("request-id").map(|id| id.as_bytes().into())
 }
 
 /// An outcome, once for each allocation: a later word on it says nothing.
-fn back(scheduler: &mut Scheduler, door: &mut SocketDoor, told: Back) {
+fn back(scheduler: &mut Scheduler, door: &mut OpenDoor, told: Back) {
     let now = door.now;
     if !door.out.remove(&told.alloc) {
         return;
@@ -391,11 +310,3 @@
     alloc.worker.told(now, told.report);
     scheduler.came_back(door, now, &alloc, told.outcome, completed);
 }
-
-/// A worker's name as a number of 48 bits, the same at all schedulers (FNV-1a, folded).
-pub fn worker_id(name: &str) -> u64 {
-    let hash = name
-        .bytes()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3));
-    (hash ^ (hash >> 48)) & 0xffff_ffff_ffff
-}
--- /dev/null
+++ b/crates/mintlb-core/src/room.rs
@@ -0,0 +1,32 @@
+//! What may be held at once, by all fronts together: one grant of the machine's, whoever brings the work.
+
+use std::sync::Arc;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+/// Work units that may still be taken, and kilobytes of their bodies.
+#[derive(Clone)]
+pub struct Room {
+    open: Arc<Semaphore>,
+    bodies: Arc<Semaphore>,
+}
+
+/// Held for a body; and for a work unit. Dropped, it is free again.
+pub type Held = OwnedSemaphorePermit;
+
+const KILO: usize = 1024;
+
+impl Room {
+    /// For so many work units, and so many bytes of their bodies.
+    pub fn new(open: usize, bodies: usize) -> Room {
+        Room { open: Arc::new(Semaphore::new(open)), bodies: Arc::new(Semaphore::new(bodies / KILO)) }
+    }
+
+    /// For a body of so many bytes.
+    pub fn body(&self, bytes: usize) -> Option<Held> {
+        self.bodies.clone().try_acquire_many_owned(bytes.div_ceil(KILO) as u32).ok()
+    }
+
+    pub fn work_unit(&self) -> Option<Held> {
+        self.open.clone().try_acquire_owned().ok()
+    }
+}
--- /dev/null
+++ b/crates/mintlb-http/src/causes.rs
@@ -0,0 +1,13 @@
+//! An error's causes, for the log.
+
+use std::error::Error;
+
+/// An error with what lies behind it: a library's outermost one seldom tells the cause.
+pub fn causes(error: &dyn Error) -> String {
+    let (mut text, mut behind) = (error.to_string(), error.source());
+    while let Some(cause) = behind {
+        text += &format!(": {cause}");
+        behind = cause.source();
+    }
+    text
+}
--- a/crates/mintlb-node/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -4,11 +4,9 @@
 //! handler is dropped, and the reducer is told. A client that sends what can't be taken gets an error, and one
 //! that sends no whole request in time is closed; either loses its connection, and none of it goes anywhere.
 
-use crate::clock::Clock;
+use crate::causes::causes;
 use crate::limits::Limits;
-use crate::log::causes;
 use crate::places::{Place, Places};
-use crate::reducer::{Answer, Arrival, Event, Handed};
 use crate::seen::{Phase, Seen};
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
@@ -25,6 +23,10 @@
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use mintlb::{Effect, ProjectType};
+use mintlb_core::clock::Clock;
+use mintlb_core::reducer::Event;
+use mintlb_core::room::Room;
+use mintlb_core::work::{Answer, Arrival, Numbers, Payload};
 use slog::{Logger, debug, info, warn};
 use std::collections::HashMap;
 use std::error::Error;
@@ -37,7 +39,7 @@
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::{Semaphore, oneshot};
+use tokio::sync::oneshot;
 use tokio::time::{sleep, timeout, timeout_at};
 use tokio_util::io::InspectReader;
 use tower_service::Service;
@@ -57,10 +59,8 @@
     clock: Clock,
     tell: UnboundedSender<Event>,
     log: Logger,
-    next: AtomicU64,
-    /// Work units that may still be taken, and kilobytes of their bodies.
-    open: Semaphore,
-    bodies: Semaphore,
+    numbers: Numbers,
+    room: Room,
     places: Arc<Places>,
     /// Told to stop: still serving, but not for long. Then closing: each answer ends its connection.
     stopping: AtomicBool,
@@ -93,10 +93,11 @@
         types: &[ProjectType],
         customers: Vec<String>,
         limits: Limits,
-        clock: Clock,
+        shared: (Numbers, Room, Clock),
         tell: UnboundedSender<Event>,
         log: Logger,
     ) -> Arc<Front> {
+        let (numbers, room, clock) = shared;
         let entries = names.into_iter().zip(types).enumerate().map(|(number, (name, t))| {
             let receipted = matches!(t.effect, Effect::Receipted { .. });
             (
@@ -110,9 +111,8 @@
             clock,
             tell,
             log,
-            next: AtomicU64::new(1),
-            open: Semaphore::new(limits.open),
-            bodies: Semaphore::new(limits.bodies / KILO),
+            numbers,
+            room,
             places: Places::new(limits.clients, limits.read / 16),
             stopping: AtomicBool::new(false),
             closing: AtomicBool::new(false),
@@ -251,10 +251,22 @@
         let (slots, memory) = (info(&head, "slots").unwrap_or(1.0), info(&head, "memory").unwrap_or(0.0));
         let body = self.body(body, seen).await?;
         let (answer, receiver) = oneshot::channel();
-        let (id, project_type) = (self.next.fetch_add(1, Relaxed), entry.number);
-        let handed = Arc::new(Handed { head, body, once: entry.once });
-        let arrival =
-            Arrival { id, project_type, customer, slots, memory, arrived, time_budget, handed, answer };
+        let (id, project_type) = (self.numbers.next(), entry.number);
+        let client_id = head.headers.get("request-id").map(|id| id.as_bytes().into());
+        let payload = Payload { body, once: entry.once, own: Arc::new(head) };
+        let answer = Box::new(answer);
+        let arrival = Arrival {
+            id,
+            client_id,
+            project_type,
+            customer,
+            slots,
+            memory,
+            arrived,
+            time_budget,
+            payload,
+            answer,
+        };
         Ok((arrival, receiver))
     }
 
@@ -282,7 +294,7 @@
     async fn answer(&self, request: Request, seen: &Seen) -> Response {
         // What may be held at once is bounded; a body whose length is not told may be as long as allowed.
         let most = request.body().size_hint().upper().unwrap_or(u64::MAX).min(self.limits.body as u64);
-        let room = self.bodies.try_acquire_many((most as usize).div_ceil(KILO) as u32);
+        let room = self.room.body(most as usize);
         let (arrival, receiver) = match self.take(request, seen).await {
             Ok(taken) => taken,
             Err((status, why)) => {
@@ -292,7 +304,7 @@
             }
         };
         seen.taken();
-        let (Ok(_room), Ok(_open)) = (room, self.open.try_acquire()) else {
+        let (Some(_room), Some(_open)) = (room, self.room.work_unit()) else {
             return deferred(self.limits.come_back);
         };
         let mut waiting = Waiting { id: arrival.id, tell: Some(&self.tell) };
@@ -314,8 +326,6 @@
     }
 }
 
-const KILO: usize = 1024;
-
 fn deferred(come_back: f64) -> Response {
     let mut answer = StatusCode::SERVICE_UNAVAILABLE.into_response();
     if let Some(after) = Some(come_back).filter(|&s| s > 0.0).and_then(|s| format!("{s:.3}").parse().ok()) {
--- a/crates/mintlb-node/src/lines.rs
+++ b/crates/mintlb-http/src/lines.rs
@@ -1,6 +1,6 @@
 //! Lines out of a chunked body, bounded, as the bytes that came.
 
-use crate::log::causes;
+use crate::causes::causes;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
--- /dev/null
+++ b/crates/mintlb-http/src/list.rs
@@ -0,0 +1,181 @@
+//! Watches the list of workers: one call that lasts, each line of it a message.
+
+use crate::causes::causes;
+use crate::dial::Dialer;
+use crate::limits::Limits;
+use crate::lines::Lines;
+use crate::worker::{Way, Workers};
+use axum::http::StatusCode;
+use bytes::Bytes;
+use http_body_util::Empty;
+use hyper_util::client::legacy::Client;
+use hyper_util::rt::TokioExecutor;
+use mintlb::{Line, Listed, Runs};
+use mintlb_core::hands::Watcher;
+use mintlb_core::members::{Member, Source, Told, worker_id};
+use mintlb_core::reducer::Event;
+use mintlb_core::work::Reach;
+use serde::Deserialize;
+use slog::{Logger, warn};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// One message of the list service.
+#[derive(Debug, Default, Deserialize)]
+pub struct Listing {
+    pub version: u64,
+    pub full: bool,
+    #[serde(rename = "servers")]
+    pub workers: Vec<WorkerLine>,
+}
+
+/// A worker, as the list service has it.
+#[derive(Debug, Deserialize)]
+pub struct WorkerLine {
+    pub id: String,
+    #[serde(default)]
+    pub addr: String,
+    #[serde(default)]
+    pub zone: String,
+    #[serde(default)]
+    pub kind: String,
+    #[serde(default)]
+    pub cell: u64,
+    #[serde(default)]
+    pub state: String,
+    #[serde(default)]
+    pub started_ms: f64,
+}
+
+impl WorkerLine {
+    pub fn listed(&self) -> Listed {
+        match self.state.as_str() {
+            "SERVING" => Listed::Ready,
+            "DELETED" => Listed::Gone,
+            // What a state unknown to us means for new work is unknown, too.
+            _ => Listed::Draining,
+        }
+    }
+}
+
+/// What the list's words stand for, and the way to the workers that it names.
+#[derive(Clone)]
+pub struct Reading {
+    pub zones: Vec<String>,
+    pub kinds: Vec<String>,
+    /// The project types that workers of the list run.
+    pub runs: Runs,
+    pub workers: Workers,
+}
+
+impl Reading {
+    /// What a message of the list tells of the workers.
+    pub fn told(&self, listing: &Listing) -> Told {
+        let members = listing.workers.iter().map(|worker| self.member(worker)).collect();
+        Told { source: Source::List, full: listing.full, members }
+    }
+
+    fn member(&self, worker: &WorkerLine) -> Member {
+        let place = |names: &[String], name: &str| {
+            names.iter().position(|n| n == name).map_or(u16::MAX, |at| at as u16)
+        };
+        let (zone, kind) = (place(&self.zones, &worker.zone), place(&self.kinds, &worker.kind));
+        let came_up = if worker.started_ms.is_finite() { worker.started_ms.max(0.0) / 1000.0 } else { 0.0 };
+        let (id, cell, listed) = (worker_id(&worker.id), worker.cell as u16, worker.listed());
+        let way = worker.addr.parse().ok().map(|at| Way { workers: self.workers.clone(), at });
+        Member {
+            name: worker.id.clone(),
+            line: Line { id, zone, cell, kind, listed, came_up, runs: self.runs },
+            reach: way.map(|way| Arc::new(way) as Arc<dyn Reach>),
+        }
+    }
+}
+
+/// Keeps one watch of the list alive at a time.
+pub struct Watch {
+    list: List,
+    reading: Reading,
+    tell: UnboundedSender<Event>,
+    log: Logger,
+    alive: Option<AbortHandle>,
+}
+
+impl Watch {
+    pub fn new(list: List, reading: Reading, tell: UnboundedSender<Event>, log: Logger) -> Watch {
+        Watch { list, reading, tell, log, alive: None }
+    }
+
+    /// The list is watched there from now on; a watch of the old address ends.
+    pub fn follow(&mut self, list: List) {
+        self.list = list;
+        self.alive.take().iter().for_each(AbortHandle::abort);
+    }
+}
+
+impl Watcher for Watch {
+    fn watch(&mut self, after: u64) {
+        // A question that was due before the list moved must not end the watch that has begun since.
+        if self.alive.as_ref().is_some_and(|watch| !watch.is_finished()) {
+            return;
+        }
+        let (list, reading) = (self.list.clone(), self.reading.clone());
+        let (tell, log) = (self.tell.clone(), self.log.clone());
+        let task = async move {
+            let hear = |listing: Listing| {
+                tell.send(Event::Members(Some(listing.version), reading.told(&listing))).ok();
+            };
+            let why = list.watch(after, hear).await;
+            tell.send(Event::ListFailed).ok();
+            warn!(log, "the watch of the list ended"; "why" => why);
+        };
+        self.alive = Some(tokio::spawn(task).abort_handle());
+    }
+}
+
+#[derive(Clone)]
+pub struct List {
+    client: Client<Dialer, Empty<Bytes>>,
+    at: SocketAddr,
+    line: usize,
+    silence: Duration,
+}
+
+impl List {
+    pub fn new(limits: &Limits, at: SocketAddr) -> List {
+        // An old watch may end only while the new one is dialled.
+        let dialer = Dialer::new(2, limits.dial);
+        let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(dialer);
+        List { client, at, line: limits.list_line, silence: limits.list_silence }
+    }
+
+    /// Has what changes after this version heard until the watch ends; the cause of that.
+    pub async fn watch(&self, after: u64, hear: impl Fn(Listing)) -> String {
+        match self.follow(after, hear).await {
+            Ok(()) => "it ended".to_string(),
+            Err(why) => why,
+        }
+    }
+
+    async fn follow(&self, after: u64, hear: impl Fn(Listing)) -> Result<(), String> {
+        let url = format!("http://{}/v1/servers?watch=1&after={after}", self.at);
+        let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
+        let quiet = |_| format!("silent for {} s", self.silence.as_secs_f64());
+        let answer = timeout(self.silence, self.client.get(url)).await.map_err(quiet)?;
+        let answer = answer.map_err(|e| format!("no answer: {}", causes(&e)))?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        let mut lines = Lines::new(answer.into_body(), self.line);
+        while let Some(line) = timeout(self.silence, lines.next()).await.map_err(quiet)?? {
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            hear(serde_json::from_slice(&line).map_err(|e| format!("a bad line: {e}"))?);
+        }
+        Ok(())
+    }
+}
--- a/crates/mintlb-node/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -6,15 +6,14 @@
 //! A kept connection may have died, or be closing, and what is written to it may have run. So each allocation
 //! dials, unless a new connection to that worker has been seen to be dear and kept ones to have lasted.
 
-use crate::clock::Clock;
+use crate::causes::causes;
 use crate::dial::{Dialer, NoRoom, Written};
 use crate::last_byte::LastByte;
 use crate::limits::Limits;
 use crate::lines::Lines;
-use crate::log::causes;
-use crate::reducer::{Back, Event, Handed, Order};
 use axum::http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
-use axum::http::{HeaderMap, Request, Response, StatusCode};
+use axum::http::request::Parts;
+use axum::http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use bytes::Bytes;
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -22,6 +21,9 @@
 use hyper_util::client::legacy::connect::capture_connection;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 use mintlb::{Outcome, Report};
+use mintlb_core::clock::Clock;
+use mintlb_core::reducer::Event;
+use mintlb_core::work::{Back, Order, Reach, Recall};
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::value::RawValue;
@@ -29,6 +31,7 @@
 use std::borrow::Cow;
 use std::collections::HashMap;
 use std::error::Error;
+use std::fmt::{Display, Formatter};
 use std::future::{Future, poll_fn};
 use std::net::SocketAddr;
 use std::pin::pin;
@@ -36,6 +39,7 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, timeout, timeout_at};
 
 /// What dials the workers, shared by the allocations.
@@ -52,6 +56,7 @@
     /// A connection that lasts so long under a request is sound.
     sound: Duration,
     clock: Clock,
+    tell: UnboundedSender<Event>,
     log: Logger,
     /// The longest line of an answer.
     line: usize,
@@ -59,6 +64,63 @@
     probe: Duration,
     /// The report's field for free slots, where reports have one.
     free_slots: Option<&'static str>,
+    /// How work is worded that came by another protocol.
+    worded: Arc<Worded>,
+}
+
+/// What HTTP needs to word work that was not handed in by HTTP: a name for it that no other scheduler gives,
+/// and the names of project types and customers, by their numbers.
+#[derive(Debug, Default)]
+pub struct Worded {
+    pub scheduler: String,
+    pub types: Vec<String>,
+    pub customers: Vec<String>,
+}
+
+impl Worded {
+    fn head(&self, order: &Order) -> Option<Parts> {
+        let id = format!("{}-{}", self.scheduler, order.alloc.0);
+        let request = Request::post(format!("/{}", self.types.get(order.project_type)?));
+        let request = request.header("request-id", &id).header("idempotency-key", &id);
+        let customer = order.customer.and_then(|customer| self.customers.get(customer));
+        let request = match customer {
+            Some(customer) => request.header("tenant", customer),
+            None => request,
+        };
+        request.body(()).ok().map(|request| request.into_parts().0)
+    }
+}
+
+/// The way to a worker that listens at an address.
+pub struct Way {
+    pub workers: Workers,
+    pub at: SocketAddr,
+}
+
+impl Display for Way {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        self.at.fmt(f)
+    }
+}
+
+impl Reach for Way {
+    fn send(&self, order: Order) -> Box<dyn Recall> {
+        let (workers, at) = (self.workers.clone(), self.at);
+        Box::new(Out(tokio::spawn(async move { workers.allocate(&order, at).await }).abort_handle()))
+    }
+    fn probe(&self, worker: u64) {
+        let (workers, at) = (self.workers.clone(), self.at);
+        tokio::spawn(async move { workers.probe(worker, at).await });
+    }
+}
+
+/// Closing its connection is the protocol's only way to call an allocation off.
+struct Out(AbortHandle);
+
+impl Recall for Out {
+    fn recall(self: Box<Self>) {
+        self.0.abort();
+    }
 }
 
 /// A line of a worker's answer.
@@ -75,7 +137,14 @@
 }
 
 impl Workers {
-    pub fn new(limits: &Limits, clock: Clock, fields: &[&str], log: Logger) -> Workers {
+    pub fn new(
+        limits: &Limits,
+        clock: Clock,
+        tell: UnboundedSender<Event>,
+        fields: &[&str],
+        worded: Worded,
+        log: Logger,
+    ) -> Workers {
         let dialer = Dialer::new(limits.links, limits.dial);
         let client = |idle| {
             Client::builder(TokioExecutor::new())
@@ -92,30 +161,51 @@
         let (quickest, died) = Default::default();
         let free_slots = fields.contains(&"x0").then_some("x0");
         let Limits { line, dial, probe, dear, sound, .. } = *limits;
-        Workers { dialling, keeping, quickest, dear, died, sound, clock, log, line, dial, probe, free_slots }
+        let worded = Arc::new(worded);
+        Workers {
+            dialling,
+            keeping,
+            quickest,
+            dear,
+            died,
+            sound,
+            clock,
+            tell,
+            log,
+            line,
+            dial,
+            probe,
+            free_slots,
+            worded,
+        }
     }
 
     /// One allocation, from its first byte to its outcome. Dropped, it closes its connection.
-    pub async fn allocate(&self, order: &Order, tell: &UnboundedSender<Event>) {
+    pub async fn allocate(&self, order: &Order, to: SocketAddr) {
         let end = self.clock.instant(order.until);
-        let run = timeout_at(end, self.run(order, tell)).await;
+        let run = timeout_at(end, self.run(order, to)).await;
         let (back, rest) = run.unwrap_or_else(|_| (Back::with(order.alloc, Outcome::TimedOut), None));
         if back.outcome != Outcome::Completed {
-            debug!(self.log, "an allocation came back undone"; "worker" => %order.to, "outcome" => ?back.outcome);
+            debug!(self.log, "an allocation came back undone"; "worker" => %to, "outcome" => ?back.outcome);
         }
-        tell.send(Event::Back(back)).ok();
+        self.tell.send(Event::Back(back)).ok();
         if let Some(rest) = rest {
             timeout(self.dial, rest.finish()).await.ok();
         }
     }
 
     /// What came back, and what of the answer is still to be read.
-    async fn run(&self, order: &Order, tell: &UnboundedSender<Event>) -> (Back, Option<Lines>) {
+    async fn run(&self, order: &Order, to: SocketAddr) -> (Back, Option<Lines>) {
         let mut back = Back::with(order.alloc, Outcome::Moot);
         let left = order.until - self.clock.now();
-        let wait = if order.handed.once { self.sound } else { Duration::ZERO };
-        let Ok(request) = onward(order.to, &order.handed, left, wait) else { return (back, None) };
-        let answer = match self.send(order.to, request).await {
+        let wait = if order.payload.once { self.sound } else { Duration::ZERO };
+        let worded = match order.payload.own.downcast_ref::<Parts>() {
+            Some(head) => Some(Cow::Borrowed(head)),
+            None => self.worded.head(order).map(Cow::Owned),
+        };
+        let Some(head) = worded else { return (back, None) };
+        let Ok(request) = onward(to, &head, &order.payload.body, left, wait) else { return (back, None) };
+        let answer = match self.send(to, request).await {
             Ok(answer) => answer,
             Err(outcome) => return (Back { outcome, ..back }, None),
         };
@@ -127,7 +217,7 @@
         if let Some(outcome) = refused {
             return (Back { outcome, ..back }, Some(lines));
         }
-        let id = order.handed.head.headers.get("request-id").map(|v| v.as_bytes()).unwrap_or_default();
+        let id = head.headers.get("request-id").map(HeaderValue::as_bytes).unwrap_or_default();
         // An end without a last word, a broken line, another's line: it may have run.
         while let Ok(Some(line)) = lines.next().await {
             if line.iter().all(u8::is_ascii_whitespace) {
@@ -139,7 +229,7 @@
             }
             back.outcome = match &*said.state {
                 "started" => {
-                    tell.send(Event::Started(order.alloc)).ok();
+                    self.tell.send(Event::Started(order.alloc)).ok();
                     continue;
                 }
                 "done" => Outcome::Completed,
@@ -206,7 +296,7 @@
     }
 
     /// Asks a worker for its load report.
-    pub async fn probe(&self, worker: u64, to: SocketAddr, tell: &UnboundedSender<Event>) {
+    pub async fn probe(&self, worker: u64, to: SocketAddr) {
         let asked = async {
             let answer = self.keeping.get(format!("http://{to}/load").parse().ok()?).await.ok()?;
             let good = answer.status() == StatusCode::OK;
@@ -214,7 +304,7 @@
             good.then(|| self.report(&body))
         };
         if let Ok(Some(report)) = timeout(self.probe, asked).await {
-            tell.send(Event::Sampled(worker, report)).ok();
+            self.tell.send(Event::Sampled(worker, report)).ok();
         }
     }
 
@@ -233,11 +323,11 @@
 /// The client's request as it goes on: all as it came, but for what belongs to the connection and the time.
 fn onward(
     to: SocketAddr,
-    handed: &Handed,
+    head: &Parts,
+    body: &Bytes,
     left: f64,
     wait: Duration,
 ) -> Result<Request<LastByte>, axum::http::Error> {
-    let head = &handed.head;
     let path = head.uri.path_and_query().map_or("/", |p| p.as_str());
     let mut request = Request::builder().method(&head.method).uri(format!("http://{to}{path}"));
     if let Some(headers) = request.headers_mut() {
@@ -249,8 +339,8 @@
             headers.remove(own);
         }
     }
-    let request = request.header(CONTENT_LENGTH, handed.body.len()).header(HOST, to.to_string());
-    let mut request = request.body(LastByte::new(handed.body.clone(), wait))?;
+    let request = request.header(CONTENT_LENGTH, body.len()).header(HOST, to.to_string());
+    let mut request = request.body(LastByte::new(body.clone(), wait))?;
     let left = format!("{}u", (left.max(0.0) * 1e6) as u64);
     request.headers_mut().insert("request-timeout", left.parse()?);
     Ok(request)
--- a/crates/mintlb-node/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -1,13 +1,13 @@
 //! One allocation against a stand-in worker on loopback: what comes back, and what that means.
 
 use mintlb::Outcome;
-use mintlb_node::clock::Clock;
-use mintlb_node::limits::Limits;
-use mintlb_node::list::List;
-use mintlb_node::placement::Placement;
-use mintlb_node::reducer::{Back, Event, Handed, Order};
-use mintlb_node::serve::Plan;
-use mintlb_node::worker::Workers;
+use mintlb_core::clock::Clock;
+use mintlb_core::reducer::Event;
+use mintlb_core::work::{Back, Order, Payload};
+use mintlb_http::limits::Limits;
+use mintlb_http::list::List;
+use mintlb_http::worker::{Worded, Workers};
+use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
@@ -15,19 +15,37 @@
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::unbounded_channel;
 
+/// As a machine of 192 MB and 1024 descriptors has them, where dials take 250 ms at most.
 fn limits() -> Limits {
-    let placement = Placement::parse(include_str!("../../../examples/config.json")).unwrap();
-    Plan::new(placement).unwrap().limits
+    let time = Duration::from_millis;
+    Limits {
+        body: 64 << 10,
+        head: 16 << 10,
+        line: 128 << 10,
+        list_line: 4 << 20,
+        clients: 512,
+        links: 384,
+        idle_per_worker: 8,
+        dial: time(250),
+        sound: time(250) / 32,
+        idle: time(3750),
+        dear: time(50),
+        read: time(2000),
+        probe: time(500),
+        list_silence: time(4000),
+        come_back: 0.2,
+    }
 }
 
 fn quiet() -> slog::Logger {
     slog::Logger::root(slog::Discard, slog::o!())
 }
 
-fn order(n: u16, to: SocketAddr, body: usize, until: f64) -> Order {
+fn order(n: u16, body: usize, until: f64) -> Order {
     let head = axum::http::Request::post("/charge/7?x=1").header("request-id", "a1").body(()).unwrap();
-    let handed = Arc::new(Handed { head: head.into_parts().0, body: vec![b'x'; body].into(), once: true });
-    Order { alloc: (1, n), to, handed, until }
+    let own = Arc::new(head.into_parts().0);
+    let payload = Payload { body: vec![b'x'; body].into(), once: true, own };
+    Order { alloc: (1, n), project_type: 0, customer: None, payload, until }
 }
 
 /// Reads a request, its head and body; `None` if the connection ends before.
@@ -79,12 +97,12 @@
 /// Plays allocations one after another; what is told of each is its outcome, and of a start before.
 async fn play(at: SocketAddr, limits: &Limits, body: usize, times: u16, left: f64) -> Vec<String> {
     let clock = Clock::start();
-    let workers = Workers::new(limits, clock, &["util", "x0"], quiet());
     let (tell, mut told) = unbounded_channel();
+    let workers = Workers::new(limits, clock, tell, &["util", "x0"], Worded::default(), quiet());
     for n in 0..times {
-        workers.allocate(&order(n, at, body, clock.now() + left), &tell).await;
+        workers.allocate(&order(n, body, clock.now() + left), at).await;
     }
-    drop(tell);
+    drop(workers);
     let mut said = Vec::new();
     while let Some(event) = told.recv().await {
         said.push(match event {
@@ -208,10 +226,10 @@
     for (idle, closed) in [(Duration::from_millis(50), true), (ours.idle, false)] {
         let (at, told) = worker(stream(&[DONE]) + "+");
         let limits = Limits { idle, dear: Duration::ZERO, ..limits() };
-        let workers = Workers::new(&limits, Clock::start(), &[], quiet());
         let (tell, _kept) = unbounded_channel();
+        let workers = Workers::new(&limits, Clock::start(), tell, &[], Worded::default(), quiet());
         for n in 0..2 {
-            workers.allocate(&order(n, at, 0, Clock::start().now() + 1.0), &tell).await;
+            workers.allocate(&order(n, 0, Clock::start().now() + 1.0), at).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
         let order: Vec<String> = told.try_iter().collect();
@@ -260,10 +278,10 @@
     for (shown, answer) in [("before an answer", "|"), ("after its head", "HTTP/1.1 200 OK\r\n\r\n|")] {
         let (at, told) = worker(answer.into());
         let clock = Clock::start();
-        let workers = Workers::new(&limits(), clock, &[], quiet());
         let (tell, _kept) = unbounded_channel();
+        let workers = Workers::new(&limits(), clock, tell, &[], Worded::default(), quiet());
         let task = tokio::spawn(async move {
-            workers.allocate(&order(0, at, 0, clock.now() + 9.0), &tell).await;
+            workers.allocate(&order(0, 0, clock.now() + 9.0), at).await;
         });
         // Waits without stopping the client, which shares the thread.
         let next = async |most: u64| {
@@ -300,14 +318,10 @@
     for (shown, answer, lists, why) in cases {
         let (at, _told) = worker(answer);
         let limits = Limits { list_silence: Duration::from_millis(200), list_line: 500, ..limits() };
-        let (tell, mut told) = unbounded_channel();
-        let said = List::new(&limits, at).watch(7, &tell).await;
+        let heard = Cell::new(0);
+        let said = List::new(&limits, at).watch(7, |_| heard.set(heard.get() + 1)).await;
         assert!(said.contains(why), "{shown}: {said}");
-        let mut heard = 0;
-        while let Ok(Event::List(Some(_))) = told.try_recv() {
-            heard += 1;
-        }
-        assert_eq!(heard, lists, "{shown}");
+        assert_eq!(heard.get(), lists, "{shown}");
     }
 }
 
--- a/crates/mintlb-node/tests/seen.rs
+++ b/crates/mintlb-http/tests/seen.rs
@@ -1,6 +1,6 @@
 //! What is made of a client's bytes before the library has them.
 
-use mintlb_node::seen::{Missed, Phase, Seen};
+use mintlb_http::seen::{Missed, Phase, Seen};
 use std::time::Duration;
 
 const HEAD: &str = "POST /x HTTP/1.1\r\nhost: x\r\n";
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -93,8 +93,8 @@
         Verb::Serve(Serve { config, verbose }) => {
             let path = path(config)?;
             let plan = plan(&path)?;
-            let (log, last_lines) = log::to_stderr(plan.limits.log_lines, verbose);
-            let wait = plan.limits.dial;
+            let (log, last_lines) = log::to_stderr(plan.grants.log_lines, verbose);
+            let wait = plan.grants.http.dial;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let served = runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(async {
                 let told = follow_signals(path, log.clone())?;
@@ -111,7 +111,7 @@
             print(format_args!(
                 "{name} would listen on {listen} and ask {discovery} for the list\n\
                  project types: {types}\nworkers known: {workers}\n{:#?}\n",
-                plan.limits
+                plan.grants
             ))
         }
         Verb::Version(Version {}) => print(format_args!("mintlb {}\n", env!("CARGO_PKG_VERSION"))),
--- a/crates/mintlb-node/src/limits.rs
+++ b/crates/mintlb-node/src/grants.rs
@@ -1,49 +1,25 @@
-//! Every size, count and time that bounds the program, filled at start and handed down.
+//! The machine's grant, parted among what the program holds and how long it waits.
 
-use crate::clock::seconds;
 use crate::placement::Machine;
 use mintlb::settings::Text;
+use mintlb_core::clock::seconds;
+use mintlb_http::limits::{BODY, HEAD, LIST_BEAT, Limits, OWED};
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
-pub struct Limits {
-    /// Bytes of a body, and of a head, which is also what a connection buffers.
-    pub body: usize,
-    pub head: usize,
-    /// Bytes of one line of a worker: a body, escaped, and some words.
-    pub line: usize,
-    /// Bytes of one line that the list service writes.
-    pub list_line: usize,
-    /// Connections from clients; more than `open`, so that what is too much still gets its answer.
-    pub clients: usize,
+pub struct Grants {
+    pub http: Limits,
+    /// Connections of beanstalkd's clients and workers, taken from HTTP's clients; 0 where it is not spoken.
+    pub sessions: usize,
     /// Work units held, and bytes of their bodies.
     pub open: usize,
     pub bodies: usize,
-    /// Connections to workers, and of them idle ones to one worker.
-    pub links: usize,
-    pub idle_per_worker: usize,
     /// Allocations out.
     pub out: usize,
-    /// Log lines that wait for a slow sink; more are dropped, and counted.
-    pub log_lines: usize,
-    /// A connection that is not up by then never comes up.
-    pub dial: Duration,
-    /// A connection that is to be reset as it comes up, or under a request, is by then.
-    pub sound: Duration,
-    /// Idle connections to workers are kept shorter than workers keep theirs.
-    pub idle: Duration,
-    /// A new connection that takes longer is worth keeping.
-    pub dear: Duration,
-    /// A client's request is whole by then, from the connection's begin or from its first byte on.
-    pub read: Duration,
-    /// A probe is answered by then, or never.
-    pub probe: Duration,
-    /// The list service is never silent for so long, while it is there.
-    pub list_silence: Duration,
     /// An allocation ends this many seconds before its client gives up, so that the answer is in time.
     pub margin: f64,
-    /// A client that is turned away for want of room is told to come back after so many seconds, or 0.
-    pub come_back: f64,
+    /// Log lines that wait for a slow sink; more are dropped, and counted.
+    pub log_lines: usize,
     /// Between two lines of counts in the log.
     pub tally: Duration,
     /// After the word to stop, clients still come for so long.
@@ -54,22 +30,19 @@
     pub last_answer: Duration,
 }
 
-/// The protocol's largest body; a head needs far less.
-const BODY: usize = 64 << 10;
-const HEAD: usize = BODY / 4;
-/// A client that sends no whole request is owed an error or a close by then.
-const OWED: f64 = 3.0;
-/// The protocol's pause between empty lines of a watch, and the longest wait of the platform's stop.
-const LIST_BEAT: f64 = 2.0;
+/// The longest wait of the platform's stop.
 const STOP: f64 = 3.0;
 const TALLY: f64 = 10.0;
 const LOG_LINES: usize = 4096;
 /// More descriptors or megabytes than this are taken for no limit.
 const MOST: usize = 1 << 20;
 const LATE_ARRIVALS: f64 = 0.7;
+/// What one of beanstalkd's connections buffers at the most that has not come to a whole job, in bytes.
+pub const SESSION: usize = 4 << 10;
 
-impl Limits {
-    pub fn new(machine: &Machine, text: &Text) -> Result<Limits, String> {
+impl Grants {
+    /// With `sessions` connections of beanstalkd's.
+    pub fn new(machine: &Machine, text: &Text, sessions: usize) -> Result<Grants, String> {
         let Machine { memory_mb, sockets } = *machine;
         for (field, value, least) in [("memory_mb", memory_mb, 8), ("sockets", sockets, 32)] {
             if value < least {
@@ -81,7 +54,12 @@
         // At the worst, heads and what is buffered fill three eighths of the memory, workers' lines two, the
         // buffers of links one, bodies one.
         let memory = |eighths: usize| (memory_mb.min(MOST) << 20) / 8 * eighths;
-        let clients = part(4).min(memory(3) / (2 * HEAD));
+        // Of the descriptors for clients and their share of the memory at least a quarter stays HTTP's.
+        let most = (part(3)).min(memory(3) / 4 * 3 / SESSION);
+        if sessions > most {
+            return Err(format!("{sessions} connections are too many here, {most} at most"));
+        }
+        let clients = (part(4) - sessions).min((memory(3) - sessions * SESSION) / (2 * HEAD));
         let max_open: usize = text.get("permissions.max_open")?;
         let types = text.project_types()?;
         let hard = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
@@ -89,18 +67,14 @@
         let last_answer = hard.min(STOP) + LATE_ARRIVALS / 2.0;
         let (dial, keepalive) =
             (text.seconds("permissions.dial_timeout")?, text.seconds("permissions.keepalive")?);
-        Ok(Limits {
+        let http = Limits {
             body: BODY,
             head: HEAD,
             line: 2 * BODY,
             list_line: 64 * BODY,
             clients,
-            open: (clients / 8 * 7).min(max_open),
-            bodies: memory(1),
             links: part(3).min(memory(1) / HEAD),
             idle_per_worker: (part(1) / 16).max(1),
-            out: part(2).min(memory(2) / (2 * BODY)),
-            log_lines: LOG_LINES,
             dial: seconds(dial),
             sound: seconds(dial / 32.0),
             idle: seconds(keepalive * 0.75),
@@ -113,7 +87,16 @@
             } else {
                 0.0
             },
+        };
+        Ok(Grants {
+            http,
+            sessions,
+            // More may connect than work may be open, so that what is too much gets its answer.
+            open: ((clients + sessions) / 8 * 7).min(max_open),
+            bodies: memory(1),
+            out: part(2).min(memory(2) / (2 * BODY)) + sessions,
             margin: text.seconds("quantum")?,
+            log_lines: LOG_LINES,
             tally: seconds(TALLY),
             late_arrivals: seconds(LATE_ARRIVALS),
             keep_open: seconds((last_answer / 2.0).max(LATE_ARRIVALS)),
--- a/crates/mintlb-node/src/log.rs
+++ b/crates/mintlb-node/src/log.rs
@@ -2,7 +2,6 @@
 
 use slog::{Drain, Level, LevelFilter, Logger, o};
 use slog_async::{Async, AsyncGuard, OverflowStrategy};
-use std::error::Error;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -26,13 +25,3 @@
     });
     told.recv_timeout(wait).ok();
 }
-
-/// An error with what lies behind it: a library's outermost one seldom tells the cause.
-pub fn causes(error: &dyn Error) -> String {
-    let (mut text, mut behind) = (error.to_string(), error.source());
-    while let Some(cause) = behind {
-        text += &format!(": {cause}");
-        behind = cause.source();
-    }
-    text
-}
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -1,6 +1,7 @@
 //! What the platform tells a scheduler at its start.
 
 use mintlb::settings::Text;
+use mintlb_http::list::Listing;
 use serde::Deserialize;
 use serde_json::Value;
 use std::net::SocketAddr;
@@ -24,33 +25,6 @@
     pub sockets: usize,
 }
 
-/// One message of the list service.
-#[derive(Debug, Default, Deserialize)]
-pub struct Listing {
-    pub version: u64,
-    pub full: bool,
-    #[serde(rename = "servers")]
-    pub workers: Vec<WorkerLine>,
-}
-
-/// A worker, as the list service has it.
-#[derive(Debug, Deserialize)]
-pub struct WorkerLine {
-    pub id: String,
-    #[serde(default)]
-    pub addr: String,
-    #[serde(default)]
-    pub zone: String,
-    #[serde(default)]
-    pub kind: String,
-    #[serde(default)]
-    pub cell: u64,
-    #[serde(default)]
-    pub state: String,
-    #[serde(default)]
-    pub started_ms: f64,
-}
-
 impl Placement {
     pub fn read(path: &str) -> Result<Placement, String> {
         let json = std::fs::read_to_string(path).map_err(|e| format!("{path} cannot be read: {e}"))?;
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -1,10 +1,10 @@
 //! The program as it is started in service, against stand-ins for clients, workers and the list service.
 
-use mintlb_node::limits::Limits;
+use mintlb_node::grants::Grants;
 use mintlb_node::placement::{Machine, Placement};
-use std::io::{ErrorKind, Read, Write};
+use std::io::{BufRead, BufReader, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStderr, Command, Stdio};
 use std::sync::LazyLock;
 use std::sync::atomic::{AtomicU32, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
@@ -61,6 +61,7 @@
 
 struct Program {
     child: Child,
+    log: BufReader<ChildStderr>,
     at: SocketAddr,
     workers: Receiver<String>,
     path: std::path::PathBuf,
@@ -90,23 +91,24 @@
 /// Starts the program under the shell, after `limits`, with one worker.
 fn start(limits: &str, changes: &[(&str, &str)]) -> Program {
     let (worker, workers) = stand_in(work);
-    let at = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
     let known = format!(
         r#""known":{{"version":1,"full":true,"servers":[{{"id":"s-1","addr":"{worker}","zone":"north","kind":"small","state":"SERVING"}}]}},"limits""#
     );
-    let listen = at.to_string();
-    let mut all = vec![("127.0.0.1:7070", &*listen), ("\"limits\"", &known)];
+    let mut all = vec![("127.0.0.1:7070", "127.0.0.1:0"), ("\"limits\"", &known)];
     all.extend(changes);
     let path = written(&all);
     let command =
         format!("{limits} exec {} serve --verbose --config {}", env!("CARGO_BIN_EXE_mintlb"), path.display());
-    let child = Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap();
-    let began = Instant::now();
-    while TcpStream::connect(at).is_err() {
-        assert!(began.elapsed() < Duration::from_secs(5), "it does not listen");
-        std::thread::sleep(PAUSE / 10);
+    let mut child = Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap();
+    // A port that was free a moment ago may be another test's by now, so the program takes one and tells it.
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let mut line = String::new();
+    while !line.contains("serving") {
+        line.clear();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it does not listen");
     }
-    Program { child, at, workers, path }
+    let at = line.split("listen: ").nth(1).and_then(|l| l.split([',', '\n']).next()).unwrap();
+    Program { at: at.parse().unwrap(), child, log, workers, path }
 }
 
 /// All that comes back until the connection is closed or an answer of known length is whole.
@@ -466,7 +468,7 @@
     assert!(program.ask(&post("/charge/1", "")).contains("200 OK"), "late arrivals, too");
     assert!(program.end().0, "a clean end");
     let mut log = String::new();
-    program.child.stderr.take().unwrap().read_to_string(&mut log).unwrap();
+    program.log.read_to_string(&mut log).unwrap();
     assert!(log.contains("not taken") && log.contains("rules.fall is missing"), "{log}");
 }
 
@@ -516,10 +518,11 @@
     let text = Placement::parse(BASE).unwrap().text();
     let sizes = [(192, 1024), (8, 32), (24, 1024), (2048, 40), (64, 65_536), (usize::MAX, usize::MAX)];
     for (memory_mb, sockets) in sizes {
-        let l = Limits::new(&Machine { memory_mb, sockets }, &text).unwrap();
-        let bytes = l.clients * 2 * l.head + l.links * l.head + l.out * l.line + l.bodies;
-        assert!(bytes >> 20 <= memory_mb / 8 * 7, "{memory_mb} MB: {l:?}");
-        assert!(l.clients + l.links <= sockets / 8 * 7, "{sockets} descriptors: {l:?}");
-        assert!(l.open < l.clients && l.out < l.links && l.open > 0 && l.out > 0, "{l:?}");
+        let g = Grants::new(&Machine { memory_mb, sockets }, &text, 0).unwrap();
+        let h = &g.http;
+        let bytes = h.clients * 2 * h.head + h.links * h.head + g.out * h.line + g.bodies;
+        assert!(bytes >> 20 <= memory_mb / 8 * 7, "{memory_mb} MB: {g:?}");
+        assert!(h.clients + h.links <= sockets / 8 * 7, "{sockets} descriptors: {g:?}");
+        assert!(g.open < h.clients && g.out < h.links && g.open > 0 && g.out > 0, "{g:?}");
     }
 }
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -1,23 +1,35 @@
 //! The reducer by itself: what was read goes in as words, what is to be done comes out as words.
 
 use bytes::Bytes;
-use mintlb::Outcome;
-use mintlb_node::placement::{Listing, Placement};
-use mintlb_node::reducer::{Act, Answer, Arrival, Back, Event, Handed, Names, Order, Reducer, worker_id};
+use mintlb::{Outcome, Runs};
+use mintlb_core::clock::Clock;
+use mintlb_core::members::worker_id;
+use mintlb_core::reducer::{Act, Event, Reducer};
+use mintlb_core::work::{Answer, Arrival, Back, Order, Payload};
+use mintlb_http::list::{Listing, Reading};
+use mintlb_http::worker::{Worded, Workers};
+use mintlb_node::placement::Placement;
 use mintlb_node::serve::Plan;
 use std::sync::Arc;
+use tokio::sync::mpsc::unbounded_channel;
 use tokio::sync::oneshot::{Receiver, channel};
 
 struct Bench {
     reducer: Reducer,
+    reading: Reading,
     now: f64,
     clients: Vec<Receiver<Answer>>,
 }
 
 fn bench(most_out: usize) -> Bench {
     let plan = Plan::new(Placement::parse(include_str!("../../../examples/config.json")).unwrap()).unwrap();
-    let names = Names { zones: vec!["north".into(), "south".into()], kinds: vec!["small".into()] };
-    Bench { reducer: Reducer::new(plan.scheduler, names, most_out, 0.002), now: 1e9, clients: Vec::new() }
+    let quiet = slog::Logger::root(slog::Discard, slog::o!());
+    let (tell, _) = unbounded_channel();
+    let workers = Workers::new(&plan.grants.http, Clock::start(), tell, &[], Worded::default(), quiet);
+    let (zones, kinds) = (vec!["north".into(), "south".into()], vec!["small".into()]);
+    let reading = Reading { zones, kinds, runs: Runs::default(), workers };
+    let reducer = Reducer::new(plan.scheduler, most_out, 0.002);
+    Bench { reducer, reading, now: 1e9, clients: Vec::new() }
 }
 
 fn listing(full: bool, version: u64, states: &[&str]) -> Listing {
@@ -42,7 +54,8 @@
         };
         let event = match words[0] {
             "known" => {
-                let acts = self.reducer.start(self.now, Some(listing(true, 7, &words[1..])));
+                let told = self.reading.told(&listing(true, 7, &words[1..]));
+                let acts = self.reducer.start(self.now, Some((7, told)));
                 return self.say(acts);
             }
             "in" => {
@@ -52,21 +65,20 @@
             "call" => {
                 // The client's id, where it is not the work unit's number.
                 let id = *words.get(3).unwrap_or(&words[1]);
-                let request = axum::http::Request::post("/x").header("request-id", id).body(()).unwrap();
-                let handed =
-                    Arc::new(Handed { head: request.into_parts().0, body: Bytes::new(), once: true });
+                let payload = Payload { body: Bytes::new(), once: true, own: Arc::new(()) };
                 let (answer, receiver) = channel();
                 self.clients.push(receiver);
                 Event::Arrived(Arrival {
                     id: words[1].parse().unwrap(),
+                    client_id: Some(id.as_bytes().into()),
                     project_type: words[2].parse().unwrap(),
                     customer: None,
                     slots: 1.0,
                     memory: 0.0,
                     arrived: self.now,
                     time_budget: 3.0,
-                    handed,
-                    answer,
+                    payload,
+                    answer: Box::new(answer),
                 })
             }
             "left" => Event::Left(words[1].parse().unwrap()),
@@ -83,9 +95,9 @@
                 let result = Bytes::from_static(b"r");
                 Event::Back(Back { result, ..Back::with(alloc(words[1]), outcome) })
             }
-            "list" => Event::List(Some(listing(true, 8, &words[1..]))),
-            "change" => Event::List(Some(listing(false, 9, &words[1..]))),
-            "lost" => Event::List(None),
+            "list" => Event::Members(Some(8), self.reading.told(&listing(true, 8, &words[1..]))),
+            "change" => Event::Members(Some(9), self.reading.told(&listing(false, 9, &words[1..]))),
+            "lost" => Event::ListFailed,
             "last" => Event::LastCall,
             other => panic!("no step {other}"),
         };
@@ -98,12 +110,12 @@
         let mut said = Vec::new();
         for act in acts {
             match act {
-                Act::Send(Order { alloc: (id, n), to, .. }) => {
-                    said.push(format!("send {id}.{n} {}", to.port()))
+                Act::Send { to, order: Order { alloc: (id, n), .. } } => {
+                    said.push(format!("send {id}.{n} {}", to.to_string().split(':').next_back().unwrap()))
                 }
-                Act::Close((id, n)) => said.push(format!("close {id}.{n}")),
+                Act::Recall((id, n)) => said.push(format!("close {id}.{n}")),
                 Act::Answer { to, answer } => {
-                    to.send(answer).ok();
+                    to.settle(answer);
                     said.push("answer".into());
                 }
                 Act::Watch { after } => said.push(format!("watch {after}")),
--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -3,7 +3,7 @@
 use crate::frame::{Batch, Bytes, Reply};
 use mintlb::decide::Scheduler;
 use mintlb::settings::Text;
-use mintlb::{Allocation, Door, Line, Listed, News, Outcome, Report, WorkUnit, Worker};
+use mintlb::{Allocation, Door, Line, Listed, News, Outcome, Report, Runs, WorkUnit, Worker};
 use std::any::Any;
 use std::collections::{BTreeMap, HashMap};
 use std::panic::{AssertUnwindSafe, catch_unwind};
@@ -202,7 +202,7 @@
         };
         let (zone, cell, kind) = (e.u16(10), e.u16(12), e.u16(15));
         let came_up = e.f64(17) / 1000.0;
-        Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up })
+        Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up, runs: Runs::default() })
     });
     lines.collect()
 }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -256,6 +256,10 @@
         if w.listed.get() != Listed::Ready || kept || cold && self.budget(now, w) <= 0.0 {
             return 0.0;
         }
+        // Who fetches its work has room for what it asks for, whatever else is known of it.
+        if let Some(asks) = w.asks.get() {
+            return asks as f64;
+        }
         let (Report { free_slots }, at) = w.report.get();
         let told_full = free_slots.is_some_and(|f| f <= w.sent_since.get()) && now - at < mean_run;
         match out {
@@ -340,7 +344,9 @@
         (zone.0, zone.2) = (zone.0.min(delay), now);
         zone.1.learn(delay, 1.0 - SLOWLY);
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
-        self.lanes = self.lanes.max(w.running.get());
+        if w.asks.get().is_none() {
+            self.lanes = self.lanes.max(w.running.get());
+        }
     }
 
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
@@ -398,6 +404,13 @@
     pub asking: bool,
 }
 
+impl Follow {
+    fn heard<'a>(&mut self, lines: &'a [Line]) -> &'a [Line] {
+        self.failed = 0;
+        lines
+    }
+}
+
 pub struct Scheduler {
     chance: Chance,
     agenda: Agenda<Due>,
@@ -444,10 +457,10 @@
                 self.follow.failed += 1;
                 return self.settle(door, now);
             }
-            News::Changes(lines) => (lines, false),
-            News::Full(lines) | News::Cached(lines) => (lines, true),
+            News::Callers(lines) => (lines, false),
+            News::Changes(lines) => (self.follow.heard(lines), false),
+            News::Full(lines) | News::Cached(lines) => (self.follow.heard(lines), true),
         };
-        self.follow.failed = 0;
         let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
         let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
@@ -552,6 +565,12 @@
         }
     }
 
+    /// A worker that fetches its work asks for so many more work units than it was sent.
+    pub fn asked(&mut self, door: &mut dyn Door, now: f64, worker: &Worker, times: usize) {
+        worker.asks.set(Some(times));
+        self.settle(door, now);
+    }
+
     /// The client has left, or was answered by the front itself.
     pub fn left(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.close(door, wu);
@@ -651,7 +670,7 @@
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
     fn pick(&self, now: f64, w: &Worker, own: bool) -> Option<Rc<WorkUnit>> {
-        let free = (w.allowance.get() - w.slots_out.get()).max(1.0);
+        let free = w.asks.get().map_or((w.allowance.get() - w.slots_out.get()).max(1.0), |_| f64::MAX);
         let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
         let standing = w.standing.borrow();
         let delay = self.fleet.delay_at(now, w, self.buffers.mean_run());
@@ -662,7 +681,7 @@
             let usual = self.buffers.running[i / 2] * w.pace.borrow().or(1.0, PRIOR);
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
-            let unfit = t.kind.is_some_and(|k| k != w.line.kind);
+            let unfit = !w.line.runs.has(i / 2) || t.kind.is_some_and(|k| k != w.line.kind);
             // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
             let bears = (t.promised_turnaround + self.buffers.bearable(i / 2)) / 2.0;
             let Standing { suspect, next_trial, started, .. } = standing[i / 2];
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -69,6 +69,37 @@
     Gone,
 }
 
+/// The project types that a worker runs, of the first 64.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Runs(u64);
+
+impl Default for Runs {
+    /// All of them.
+    fn default() -> Runs {
+        Runs(u64::MAX)
+    }
+}
+
+impl Runs {
+    pub fn has(self, project_type: usize) -> bool {
+        self.0 == u64::MAX || self.0.checked_shr(project_type as u32).is_some_and(|bits| bits & 1 == 1)
+    }
+
+    pub fn without(self, other: Runs) -> Runs {
+        Runs(self.0 & !other.0)
+    }
+
+    pub fn is_none(self) -> bool {
+        self.0 == 0
+    }
+}
+
+impl FromIterator<usize> for Runs {
+    fn from_iter<I: IntoIterator<Item = usize>>(types: I) -> Runs {
+        Runs(types.into_iter().filter(|t| *t < 64).fold(0, |bits, t| bits | 1 << t))
+    }
+}
+
 /// One line of the list of workers.
 #[derive(Clone, Debug)]
 pub struct Line {
@@ -79,6 +110,7 @@
     pub listed: Listed,
     /// When the process last started; 0 is long ago.
     pub came_up: f64,
+    pub runs: Runs,
 }
 
 impl Line {
@@ -106,6 +138,8 @@
     Full(&'a [Line]),
     /// The full list as last had, before this start; it may be old.
     Cached(&'a [Line]),
+    /// Changes of workers that the list service does not name.
+    Callers(&'a [Line]),
     Failed,
 }
 
@@ -145,6 +179,8 @@
     pub(crate) report: Cell<(Report, f64)>,
     /// Our slots sent since the last report.
     pub(crate) sent_since: Cell<f64>,
+    /// One that fetches its work: how many work units it asks for now.
+    pub(crate) asks: Cell<Option<usize>>,
 }
 
 /// A buffer, first come first served.
@@ -299,12 +335,13 @@
             budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
             sent_since: Cell::new(0.0),
+            asks: Cell::new(None),
         }
     }
 
-    /// Its zone and kind.
-    pub(crate) fn kin(&self) -> (u16, u16) {
-        (self.line.zone, self.line.kind)
+    /// Its zone and kind, and what it runs.
+    pub(crate) fn kin(&self) -> (u16, u16, Runs) {
+        (self.line.zone, self.line.kind, self.line.runs)
     }
 
     pub(crate) fn took(&self, slots: f64, work: f64) {
@@ -312,6 +349,7 @@
         self.unstarted.set(self.unstarted.get() + 1);
         self.slots_out.set(self.slots_out.get() + slots);
         self.sent_since.set(self.sent_since.get() + slots);
+        self.asks.set(self.asks.get().map(|asks| asks.saturating_sub(1)));
         let (budget, at) = self.budget.get();
         self.budget.set((budget - slots * work, at));
     }
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -1,7 +1,7 @@
 //! The workers that the list names, as one holds a roll: nothing is decided here.
 
 use crate::tools::Chance;
-use crate::{Listed, Worker};
+use crate::{Listed, Runs, Worker};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -10,8 +10,8 @@
     workers: BTreeMap<u64, Rc<Worker>>,
     /// Workers that were sent something: each is ranked by what is known of it.
     met: Vec<Rc<Worker>>,
-    /// The others, by zone and kind: one is as good as another, and to rank them all would only cost.
-    unmet: BTreeMap<(u16, u16), Vec<Rc<Worker>>>,
+    /// The others, by zone, kind and what they run: one is as good as another, and to rank them all would only cost.
+    unmet: BTreeMap<(u16, u16, Runs), Vec<Rc<Worker>>>,
 }
 
 impl Roll {
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -3,7 +3,7 @@
 use mintlb::decide::{Buffers, Fleet, Follow, Repeats, Scheduler, Shares};
 use mintlb::tools::Chance;
 use mintlb::{Allocation, ColdRule, Door, Effect, Group, Line, Listed, News, Outcome, ProjectType};
-use mintlb::{WorkUnit, Worker};
+use mintlb::{Runs, WorkUnit, Worker};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -78,7 +78,15 @@
 }
 
 pub fn line(id: u64, listed: Listed, came_up: f64) -> Line {
-    Line { id, zone: (id / 100) as u16, cell: (id / 10) as u16, kind: 0, listed, came_up }
+    Line {
+        id,
+        zone: (id / 100) as u16,
+        cell: (id / 10) as u16,
+        kind: 0,
+        listed,
+        came_up,
+        runs: Runs::default(),
+    }
 }
 
 impl World {
