beanstalkd is spoken: producers' puts are work units, a waiting reserve is room

Partner warehouses queue jobs through beanstalkd, bridged by a script that loses track of them. Change: crate mintlb-beanstalkd: codec, hub (all of the protocol's state, no I/O), machines (whose workers wait), front (sockets). The module: a worker that fetches has room for what it asks for. List workers do not run types that only beanstalkd's do.

--- a/crates/mintlb-core/src/members.rs
+++ b/crates/mintlb-core/src/members.rs
@@ -5,6 +5,7 @@
 use crate::work::Reach;
 use mintlb::{Line, Listed};
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::sync::Arc;
 
 /// Who tells of workers.
@@ -21,6 +22,8 @@
 pub struct Member {
     pub name: String,
     pub line: Line,
+    /// The machine that it runs on, where its address tells.
+    pub host: Option<IpAddr>,
     pub reach: Option<Arc<dyn Reach>>,
 }
 
@@ -63,7 +66,7 @@
             self.known.retain(|_, known| known.source != source);
             lines.extend(self.known.values().map(|known| known.line.clone()));
         }
-        for Member { name, line, reach } in members {
+        for Member { name, line, reach, .. } in members {
             if line.listed == Listed::Gone {
                 self.known.remove(&line.id);
                 continue;
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -22,8 +22,12 @@
     Started(AllocId),
     Back(Back),
     Sampled(u64, Report),
-    /// A worker that fetches its work asks for so many more work units now.
-    Asks(u64, usize),
+    /// A worker that fetches its work waits for so many work units; it had heard of so many orders by then.
+    Asks {
+        worker: u64,
+        waiting: u64,
+        orders: u64,
+    },
     /// A source has told of workers; the list service also which version that was.
     Members(Option<u64>, Told),
     /// The list service has failed.
@@ -175,7 +179,9 @@
 
     pub fn reduce(&mut self, now: f64, event: Event) -> Vec<Act> {
         match event {
-            Event::Arrived(a) if !self.is_new(now, a.client_id.as_deref()) => {
+            Event::Arrived(a)
+                if self.held.contains_key(&a.id) || !self.is_new(now, a.client_id.as_deref()) =>
+            {
                 vec![Act::Answer { to: a.answer, answer: Answer::Repeated }]
             }
             Event::Arrived(a) => {
@@ -221,9 +227,10 @@
                 }
                 Vec::new()
             }
-            Event::Asks(worker, times) => {
+            Event::Asks { worker, waiting, orders } => {
                 let Some(worker) = self.scheduler.worker(worker).cloned() else { return Vec::new() };
-                self.with_door(now, |scheduler, door| scheduler.asked(door, now, &worker, times))
+                worker.asked(waiting, orders);
+                self.with_door(now, |scheduler, door| scheduler.asked(door, now))
             }
             Event::ListFailed => self.with_door(now, |s, door| s.news(door, now, News::Failed)),
             Event::Members(version, told) => {
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -86,10 +86,12 @@
         let (zone, kind) = (place(&self.zones, &worker.zone), place(&self.kinds, &worker.kind));
         let came_up = if worker.started_ms.is_finite() { worker.started_ms.max(0.0) / 1000.0 } else { 0.0 };
         let (id, cell, listed) = (worker_id(&worker.id), worker.cell as u16, worker.listed());
-        let way = worker.addr.parse().ok().map(|at| Way { workers: self.workers.clone(), at });
+        let at: Option<SocketAddr> = worker.addr.parse().ok();
+        let way = at.map(|at| Way { workers: self.workers.clone(), at });
         Member {
             name: worker.id.clone(),
-            line: Line { id, zone, cell, kind, listed, came_up, runs: self.runs },
+            line: Line { id, zone, cell, kind, listed, came_up, runs: self.runs, fetches: false },
+            host: at.map(|at| at.ip().to_canonical()),
             reach: way.map(|way| Arc::new(way) as Arc<dyn Reach>),
         }
     }
@@ -100,13 +102,24 @@
     list: List,
     reading: Reading,
     tell: UnboundedSender<Event>,
+    /// Who else must hear what the list tells.
+    besides: Besides,
     log: Logger,
     alive: Option<AbortHandle>,
 }
 
+/// Hears what the list tells, beside the core.
+pub type Besides = Arc<dyn Fn(&Told) + Send + Sync>;
+
 impl Watch {
-    pub fn new(list: List, reading: Reading, tell: UnboundedSender<Event>, log: Logger) -> Watch {
-        Watch { list, reading, tell, log, alive: None }
+    pub fn new(
+        list: List,
+        reading: Reading,
+        tell: UnboundedSender<Event>,
+        besides: Besides,
+        log: Logger,
+    ) -> Watch {
+        Watch { list, reading, tell, besides, log, alive: None }
     }
 
     /// The list is watched there from now on; a watch of the old address ends.
@@ -123,10 +136,12 @@
             return;
         }
         let (list, reading) = (self.list.clone(), self.reading.clone());
-        let (tell, log) = (self.tell.clone(), self.log.clone());
+        let (tell, besides, log) = (self.tell.clone(), self.besides.clone(), self.log.clone());
         let task = async move {
             let hear = |listing: Listing| {
-                tell.send(Event::Members(Some(listing.version), reading.told(&listing))).ok();
+                let told = reading.told(&listing);
+                besides(&told);
+                tell.send(Event::Members(Some(listing.version), told)).ok();
             };
             let why = list.watch(after, hear).await;
             tell.send(Event::ListFailed).ok();
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -1,6 +1,7 @@
 //! The command line.
 
 use crate::log;
+use crate::operator::Operator;
 use crate::placement::Placement;
 use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
@@ -32,6 +33,9 @@
     /// the configuration; by default what ROUTER_CONFIG names
     #[argh(option)]
     config: Option<String>,
+    /// the operator's own file; without it only what the configuration names is served
+    #[argh(option)]
+    operator: Option<String>,
     /// log each single failure, too
     #[argh(switch)]
     verbose: bool,
@@ -44,6 +48,9 @@
     /// the configuration; by default what ROUTER_CONFIG names
     #[argh(option)]
     config: Option<String>,
+    /// the operator's own file
+    #[argh(option)]
+    operator: Option<String>,
 }
 
 /// Prints the version.
@@ -56,13 +63,20 @@
     path.ok_or_else(|| "no configuration: give --config FILE or set ROUTER_CONFIG".to_string())
 }
 
-fn plan(path: &str) -> Result<Plan, String> {
-    Plan::new(Placement::read(path)?).map_err(|e| format!("{path}: {e}"))
+/// From the configuration and the operator's file, at these paths.
+fn plan(path: &str, operator: Option<&str>) -> Result<Plan, String> {
+    let read = operator.map(Operator::read).transpose()?.unwrap_or_default();
+    let both = operator.map_or_else(|| path.to_string(), |operator| format!("{path} with {operator}"));
+    Plan::new(Placement::read(path)?, read).map_err(|e| format!("{both}: {e}"))
 }
 
 /// Turns signals into words to the scheduler. A SIGHUP that is not caught would end the program, and a bad
 /// configuration must not: the one that holds stays.
-fn follow_signals(path: String, log: Logger) -> Result<UnboundedReceiver<Told>, String> {
+fn follow_signals(
+    path: String,
+    operator: Option<String>,
+    log: Logger,
+) -> Result<UnboundedReceiver<Told>, String> {
     let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
     let mut changed = on(SignalKind::hangup())?;
@@ -72,7 +86,7 @@
             let word = tokio::select! {
                 _ = stop.recv() => Told::Stop,
                 _ = interrupt.recv() => Told::Stop,
-                _ = changed.recv() => match plan(&path) {
+                _ = changed.recv() => match plan(&path, operator.as_deref()) {
                     Ok(plan) => Told::Moved(Box::new(plan.placement)),
                     Err(why) => {
                         warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
@@ -90,21 +104,21 @@
 
 fn run(verb: Verb) -> Result<(), String> {
     match verb {
-        Verb::Serve(Serve { config, verbose }) => {
+        Verb::Serve(Serve { config, operator, verbose }) => {
             let path = path(config)?;
-            let plan = plan(&path)?;
+            let plan = plan(&path, operator.as_deref())?;
             let (log, last_lines) = log::to_stderr(plan.grants.log_lines, verbose);
             let wait = plan.grants.http.dial;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let served = runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(async {
-                let told = follow_signals(path, log.clone())?;
+                let told = follow_signals(path, operator, log.clone())?;
                 serve(plan, log, told).await
             });
             log::finish(last_lines, wait);
             served
         }
-        Verb::Check(Check { config }) => {
-            let plan = plan(&path(config)?)?;
+        Verb::Check(Check { config, operator }) => {
+            let plan = plan(&path(config)?, operator.as_deref())?;
             let Placement { name, listen, discovery, known, .. } = &plan.placement;
             let workers = known.as_ref().map_or(0, |k| k.workers.len());
             let types = plan.types.join(", ");
@@ -112,7 +126,8 @@
                 "{name} would listen on {listen} and ask {discovery} for the list\n\
                  project types: {types}\nworkers known: {workers}\n{:#?}\n",
                 plan.grants
-            ))
+            ))?;
+            plan.beanstalkd.as_ref().map_or(Ok(()), |plan| print(format_args!("{plan:#?}\n")))
         }
         Verb::Version(Version {}) => print(format_args!("mintlb {}\n", env!("CARGO_PKG_VERSION"))),
     }
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -11,11 +11,11 @@
 //! To embed a scheduler, give it a thread with a runtime of its own; it ends some time after `Told::Stop`:
 //!
 //! ```no_run
-//! use mintlb_node::{log, placement::Placement, serve::{Plan, Told, serve}};
+//! use mintlb_node::{log, operator::Operator, placement::Placement, serve::{Plan, Told, serve}};
 //! use tokio::sync::mpsc::UnboundedReceiver;
 //!
 //! fn scheduler(path: &str, told: UnboundedReceiver<Told>) -> Result<(), String> {
-//!     let plan = Plan::new(Placement::read(path)?)?;
+//!     let plan = Plan::new(Placement::read(path)?, Operator::default())?;
 //!     let (log, last_lines) = log::to_stderr(plan.grants.log_lines, false);
 //!     let wait = plan.grants.http.dial;
 //!     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -28,5 +28,6 @@
 pub mod cli;
 pub mod grants;
 pub mod log;
+pub mod operator;
 pub mod placement;
 pub mod serve;
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -1,19 +1,23 @@
 //! Start-up, the one loop round the reducer, and the end.
 
 use crate::grants::Grants;
+use crate::operator::Operator;
 use crate::placement::Placement;
 use mintlb::Runs;
 use mintlb::decide::Scheduler;
 use mintlb::settings::Text;
+use mintlb_beanstalkd::front::{Bounds, Front as Beanstalkd};
+use mintlb_beanstalkd::hub::Hub;
 use mintlb_core::clock::Clock;
 use mintlb_core::hands::Hands;
 use mintlb_core::reducer::{Event, Reducer};
 use mintlb_core::room::Room;
 use mintlb_core::work::Numbers;
 use mintlb_http::front::Front;
-use mintlb_http::list::{List, Reading, Watch};
+use mintlb_http::list::{Besides, List, Reading, Watch};
 use mintlb_http::worker::{Worded, Workers};
 use slog::{Logger, info, warn};
+use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::time::{Instant, interval, sleep_until};
@@ -27,18 +31,26 @@
     /// The project types' and customers' names, in the order of their numbers.
     pub types: Vec<String>,
     pub customers: Vec<String>,
+    /// Where beanstalkd is spoken.
+    pub beanstalkd: Option<mintlb_beanstalkd::table::Plan>,
 }
 
 impl Plan {
-    pub fn new(placement: Placement) -> Result<Plan, String> {
+    pub fn new(placement: Placement, operator: Operator) -> Result<Plan, String> {
         let text = placement.text();
         let scheduler = text.scheduler(placement.seed()?)?;
-        let grants = Grants::new(&placement.limits, &text, 0)?;
-        let count = text.project_types()?.len();
-        let types = (0..count).map(|i| text.get(&format!("project_types.{i}.name")));
+        let sessions = operator.beanstalkd.as_ref().map_or(0, |table| table.connections);
+        let grants = Grants::new(&placement.limits, &text, sessions)?;
+        let project_types = text.project_types()?;
+        let types = (0..project_types.len()).map(|i| text.get(&format!("project_types.{i}.name")));
         let customers = (0..text.customers()?).map(|i| text.get(&format!("tenants.{i}.name")));
-        let (types, customers) = (types.collect::<Result<_, _>>()?, customers.collect::<Result<_, _>>()?);
-        Ok(Plan { placement, grants, scheduler, types, customers, text })
+        let types: Vec<String> = types.collect::<Result<_, _>>()?;
+        let customers: Vec<String> = customers.collect::<Result<_, _>>()?;
+        let beanstalkd = operator
+            .beanstalkd
+            .map(|table| mintlb_beanstalkd::table::Plan::new(table, &types, &project_types, &customers));
+        let beanstalkd = beanstalkd.transpose()?;
+        Ok(Plan { placement, grants, scheduler, types, customers, beanstalkd, text })
     }
 }
 
@@ -52,7 +64,7 @@
 
 /// Serves until it is told to stop, and then until all that was taken is answered.
 pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
-    let Plan { mut placement, text, grants, scheduler, types, customers } = plan;
+    let Plan { mut placement, text, grants, scheduler, types, customers, beanstalkd } = plan;
     let listen = placement.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     // Port 0 is any free one, so the log tells which.
@@ -65,12 +77,36 @@
     let fields = text.list("stats.fields");
     let workers = Workers::new(&grants.http, clock, tell.clone(), &fields, worded, log.clone());
     let own = |path| text.list(path).into_iter().map(str::to_string).collect();
-    let reading =
-        Reading { zones: own("zones"), kinds: own("machine_types"), runs: Runs::default(), workers };
+    let only = beanstalkd.as_ref().map_or(Runs::NONE, |plan| plan.only);
+    let runs = Runs::default().without(only);
+    let reading = Reading { zones: own("zones"), kinds: own("machine_types"), runs, workers };
     let known = placement.known.take().map(|known| (known.version, reading.told(&known)));
-    let list = List::new(&grants.http, placement.discovery);
-    let mut hands = Hands::new(Watch::new(list, reading, tell.clone(), log.clone()), clock, log.clone());
     let project_types = text.project_types()?;
+    let beanstalkd = match beanstalkd {
+        Some(plan) => {
+            let listen = plan.table.listen;
+            let no = |e| format!("beanstalkd.listen: {listen}: {e}");
+            let listener = TcpListener::bind(listen).await.map_err(no)?;
+            let listen = listener.local_addr().map_err(no)?;
+            let name = placement.name.clone();
+            let hub = Hub::new(plan, name, clock.now(), grants.http.body, numbers.clone(), room.clone());
+            let (connections, read, pause) = (grants.sessions, grants.http.read, grants.http.dial / 16);
+            let bounds = Bounds { connections, read, pause };
+            let front = Beanstalkd::new(hub, &project_types, bounds, clock, tell.clone(), log.clone());
+            known.iter().for_each(|(_, told)| front.hear(told));
+            tokio::spawn(front.clone().listen(listener));
+            info!(log, "beanstalkd is spoken"; "listen" => %listen);
+            Some(front)
+        }
+        None => None,
+    };
+    let besides: Besides = match beanstalkd.clone() {
+        Some(front) => Arc::new(move |told| front.hear(told)),
+        None => Arc::new(|_| {}),
+    };
+    let list = List::new(&grants.http, placement.discovery);
+    let watch = Watch::new(list, reading, tell.clone(), besides, log.clone());
+    let mut hands = Hands::new(watch, clock, log.clone());
     let shared = (numbers, room, clock);
     let front = Front::new(types, &project_types, customers, grants.http.clone(), shared, tell, log.clone());
     let mut reducer = Reducer::new(scheduler, grants.out, grants.margin);
@@ -93,6 +129,7 @@
             _ = tally.tick() => {
                 hands.count(reducer.held());
                 front.count();
+                beanstalkd.iter().for_each(|front| front.count());
                 None
             }
             Some(word) = told.recv() => match word {
@@ -109,6 +146,7 @@
                 Told::Stop => {
                     info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
                     front.stop();
+                    beanstalkd.iter().for_each(|front| front.stop());
                     stopped.get_or_insert_with(Instant::now);
                     None
                 }
@@ -128,7 +166,9 @@
             front.close();
         }
         let deserted = front.connected() == 0 || since >= grants.last_answer + grants.late_arrivals / 4;
-        if since >= grants.late_arrivals && reducer.held() == 0 && deserted {
+        // What was said must have gone out; but who takes nothing can't keep the program.
+        let quiet = since >= grants.last_answer || beanstalkd.iter().all(|front| front.is_quiet());
+        if since >= grants.late_arrivals && reducer.held() == 0 && deserted && quiet {
             hands.count(reducer.held());
             front.count();
             info!(log, "stopped"; "connected" => front.connected());
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -8,6 +8,7 @@
 use mintlb_core::work::{Answer, Arrival, Back, Order, Payload};
 use mintlb_http::list::{Listing, Reading};
 use mintlb_http::worker::{Worded, Workers};
+use mintlb_node::operator::Operator;
 use mintlb_node::placement::Placement;
 use mintlb_node::serve::Plan;
 use std::sync::Arc;
@@ -22,7 +23,11 @@
 }
 
 fn bench(most_out: usize) -> Bench {
-    let plan = Plan::new(Placement::parse(include_str!("../../../examples/config.json")).unwrap()).unwrap();
+    let plan = Plan::new(
+        Placement::parse(include_str!("../../../examples/config.json")).unwrap(),
+        Operator::default(),
+    )
+    .unwrap();
     let quiet = slog::Logger::root(slog::Discard, slog::o!());
     let (tell, _) = unbounded_channel();
     let workers = Workers::new(&plan.grants.http, Clock::start(), tell, &[], Worded::default(), quiet);
--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -202,7 +202,7 @@
         };
         let (zone, cell, kind) = (e.u16(10), e.u16(12), e.u16(15));
         let came_up = e.f64(17) / 1000.0;
-        Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up, runs: Runs::default() })
+        Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up, runs: Runs::default(), fetches: false })
     });
     lines.collect()
 }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -258,7 +258,7 @@
         }
         // Who fetches its work has room for what it asks for, whatever else is known of it.
         if let Some(asks) = w.asks.get() {
-            return asks as f64;
+            return asks.max(0) as f64;
         }
         let (Report { free_slots }, at) = w.report.get();
         let told_full = free_slots.is_some_and(|f| f <= w.sent_since.get()) && now - at < mean_run;
@@ -565,9 +565,8 @@
         }
     }
 
-    /// A worker that fetches its work asks for so many more work units than it was sent.
-    pub fn asked(&mut self, door: &mut dyn Door, now: f64, worker: &Worker, times: usize) {
-        worker.asks.set(Some(times));
+    /// A worker that fetches its work has asked.
+    pub fn asked(&mut self, door: &mut dyn Door, now: f64) {
         self.settle(door, now);
     }
 
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -70,7 +70,7 @@
 }
 
 /// The project types that a worker runs, of the first 64.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Runs(u64);
 
 impl Default for Runs {
@@ -81,6 +81,8 @@
 }
 
 impl Runs {
+    pub const NONE: Runs = Runs(0);
+
     pub fn has(self, project_type: usize) -> bool {
         self.0 == u64::MAX || self.0.checked_shr(project_type as u32).is_some_and(|bits| bits & 1 == 1)
     }
@@ -94,6 +96,14 @@
     }
 }
 
+/// The types by their numbers.
+impl std::fmt::Display for Runs {
+    fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
+        let types: Vec<String> = (0..64).filter(|t| self.0 >> t & 1 == 1).map(|t| t.to_string()).collect();
+        f.write_str(&types.join("+"))
+    }
+}
+
 impl FromIterator<usize> for Runs {
     fn from_iter<I: IntoIterator<Item = usize>>(types: I) -> Runs {
         Runs(types.into_iter().filter(|t| *t < 64).fold(0, |bits, t| bits | 1 << t))
@@ -111,6 +121,8 @@
     /// When the process last started; 0 is long ago.
     pub came_up: f64,
     pub runs: Runs,
+    /// It fetches its work: it has room for what it asks for, and for nothing else.
+    pub fetches: bool,
 }
 
 impl Line {
@@ -179,8 +191,10 @@
     pub(crate) report: Cell<(Report, f64)>,
     /// Our slots sent since the last report.
     pub(crate) sent_since: Cell<f64>,
-    /// One that fetches its work: how many work units it asks for now.
-    pub(crate) asks: Cell<Option<usize>>,
+    /// One that fetches its work: how many work units it asks for beyond those it was sent.
+    pub(crate) asks: Cell<Option<i64>>,
+    /// How many it was ever sent.
+    pub(crate) sends: Cell<u64>,
 }
 
 /// A buffer, first come first served.
@@ -321,6 +335,7 @@
     pub(crate) fn new(line: Line, allowance: f64, types: usize, budget: (f64, f64)) -> Worker {
         Worker {
             listed: Cell::new(line.listed),
+            asks: Cell::new(line.fetches.then_some(0)),
             line,
             out: Cell::new(0),
             unstarted: Cell::new(0),
@@ -335,7 +350,7 @@
             budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
             sent_since: Cell::new(0.0),
-            asks: Cell::new(None),
+            sends: Cell::new(0),
         }
     }
 
@@ -349,7 +364,8 @@
         self.unstarted.set(self.unstarted.get() + 1);
         self.slots_out.set(self.slots_out.get() + slots);
         self.sent_since.set(self.sent_since.get() + slots);
-        self.asks.set(self.asks.get().map(|asks| asks.saturating_sub(1)));
+        self.asks.set(self.asks.get().map(|asks| asks - 1));
+        self.sends.set(self.sends.get() + 1);
         let (budget, at) = self.budget.get();
         self.budget.set((budget - slots * work, at));
     }
@@ -373,6 +389,12 @@
         }
     }
 
+    /// One that fetches its work waits for so many work units. Of those it was sent it had heard of so many by
+    /// then; the others are on their way, and take up as many.
+    pub fn asked(&self, waiting: u64, orders: u64) {
+        self.asks.set(Some(waiting as i64 + orders as i64 - self.sends.get() as i64));
+    }
+
     pub(crate) fn began(&self, slots: f64) {
         self.unstarted.set(self.unstarted.get() - 1);
         self.running.set(self.running.get() + slots);
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -86,6 +86,7 @@
         listed,
         came_up,
         runs: Runs::default(),
+        fetches: false,
     }
 }
 
