--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -87,7 +87,8 @@
     pub(crate) pauses: HashMap<Tube, (f64, f64)>,
     due: BTreeMap<(u64, u64), Due>,
     counter: u64,
-    usual: Tube,
+    /// The tube that each session uses and watches at first.
+    pub(crate) usual: Tube,
     pub(crate) stopping: bool,
     pub totals: Totals,
     deeds: Vec<Deed>,
@@ -632,7 +633,8 @@
 
     /// Tubes come with the operator's file, and with being used or watched.
     pub(crate) fn is_tube(&self, tube: &str) -> bool {
-        self.jobs.tube(tube).is_some()
+        tube == &*self.usual
+            || self.jobs.tube(tube).is_some()
             || self.plan.route(tube).is_some()
             || self.plan.tells_ends(tube)
             || self.sessions.values().any(|s| &*s.used == tube || s.watched.iter().any(|w| &**w == tube))
--- a/crates/mintlb-beanstalkd/src/stats.rs
+++ b/crates/mintlb-beanstalkd/src/stats.rs
@@ -35,6 +35,7 @@
         let mut tubes: BTreeSet<Tube> = self.plan.routes.iter().map(|route| route.tube.clone()).collect();
         tubes.extend(self.plan.routes.iter().filter_map(|route| route.ends.clone()));
         tubes.extend(self.jobs.tubes().cloned());
+        tubes.insert(self.usual.clone());
         for session in self.sessions.values() {
             tubes.insert(session.used.clone());
             tubes.extend(session.watched.iter().cloned());
