--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -1005,9 +1005,14 @@
         self.sessions.get(&session).map_or(0, |s| s.out.waiting.len())
     }
 
-    /// All that was said to sessions is written, and nothing is on its way to one.
+    /// All that was said to sessions is written, nothing is on its way to one, and no end waits for somebody who
+    /// is there to be told.
     pub fn is_quiet(&self) -> bool {
-        self.sessions.values().all(|s| s.coming.is_none() && s.out.written == s.out.queued)
+        let untold = |tube: &Tube| {
+            self.plan.tells_ends(tube) && self.jobs.tube(tube).is_some_and(|t| !t.ready.is_empty())
+        };
+        let settled = |s: &Session| s.coming.is_none() && s.out.written == s.out.queued;
+        self.sessions.values().all(|s| settled(s) && !s.watched.iter().any(untold))
     }
 
     /// The session ends once what was said to it is written.
