--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -11,8 +11,9 @@
 use mintlb_core::room::Held;
 use mintlb_core::work::{AllocId, Answer, Arrival, Order, Payload, Reach, Recall, Settle};
 use parking_lot::Mutex;
+use rustc_hash::FxHashMap;
 use slog::{Logger, debug, info, warn};
-use std::collections::HashMap;
+use std::any::Any;
 use std::fmt::{Display, Formatter};
 use std::future::pending;
 use std::io::ErrorKind;
@@ -28,6 +29,8 @@
 /// What a connection may hold of commands that it can't be given yet, and of replies not yet written, in bytes.
 const AHEAD: usize = 4 << 10;
 const REPLIES: usize = 16 << 10;
+/// What is read at once where only commands are to come.
+const LITTLE: usize = 512;
 
 /// Times and counts that bound the sockets.
 #[derive(Clone, Debug)]
@@ -41,7 +44,9 @@
 
 struct Inside {
     hub: Hub,
-    bells: HashMap<u64, Arc<Notify>>,
+    bells: FxHashMap<u64, Arc<Notify>>,
+    /// An empty vector, to be filled again.
+    spare: Vec<Deed>,
     /// When the timer will ring, by the clock.
     armed: f64,
 }
@@ -51,6 +56,8 @@
     timer: Notify,
     places: Arc<Semaphore>,
     bounds: Bounds,
+    /// What a job has beside its body.
+    nothing: Arc<dyn Any + Send + Sync>,
     /// By project type: it may not simply run again.
     once: Vec<bool>,
     clock: Clock,
@@ -68,8 +75,14 @@
         log: Logger,
     ) -> Arc<Front> {
         Arc::new(Front {
-            inside: Mutex::new(Inside { hub, bells: HashMap::new(), armed: f64::MAX }),
+            inside: Mutex::new(Inside {
+                hub,
+                bells: FxHashMap::default(),
+                spare: Vec::new(),
+                armed: f64::MAX,
+            }),
             timer: Notify::new(),
+            nothing: Arc::new(()),
             places: Arc::new(Semaphore::new(bounds.connections)),
             bounds,
             once: types.iter().map(|t| t.effect != Effect::Rerunnable).collect(),
@@ -84,12 +97,14 @@
         let now = self.clock.now();
         let mut inside = self.inside.lock();
         let result = call(&mut inside.hub, now);
-        for deed in inside.hub.deeds() {
+        let spare = std::mem::take(&mut inside.spare);
+        let mut deeds = inside.hub.deeds(spare);
+        for deed in deeds.drain(..) {
             match deed {
                 Deed::Arrive { id, project_type, customer, arrived, time_budget, body } => {
                     let once = self.once[project_type];
                     let answer = Box::new(JobEnd { front: self.clone(), id });
-                    let payload = Payload { body, once, own: Arc::new(()) };
+                    let payload = Payload { body, once, own: self.nothing.clone() };
                     let (client_id, slots, memory) = (None, 1.0, 0.0);
                     let arrival = Arrival {
                         id,
@@ -125,6 +140,7 @@
                 }
             }
         }
+        inside.spare = deeds;
         if inside.hub.next_due().is_some_and(|due| due < inside.armed) {
             self.timer.notify_one();
         }
@@ -200,29 +216,30 @@
         let (mut out, mut sent, mut left) = (Vec::new(), 0, false);
         // Since when a command has come in part, and since when its replies have not been taken.
         let (mut part, mut stuck): (Option<Instant>, Option<Instant>) = (None, None);
+        let mut wrote = 0;
         loop {
             let (blocked, over) = self.with(|hub, now| {
+                if wrote > 0 {
+                    hub.wrote(id, std::mem::take(&mut wrote));
+                }
                 self.commands(hub, now, id, &mut reader, &mut bytes, &mut body_room);
                 if sent == out.len() {
-                    (out, sent) = (hub.take_out(now, id), 0);
+                    out.clear();
+                    (out, sent) = (hub.take_out(now, id, std::mem::take(&mut out)), 0);
                 }
                 (hub.is_blocked(id), hub.is_over(id))
             });
-            let mut wrote = 0;
             while sent < out.len() {
                 match stream.try_write(&out[sent..]) {
-                    Ok(n) => wrote += n,
+                    Ok(n) => (sent, wrote) = (sent + n, wrote + n),
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(_) => return "it broke",
                 }
-                sent += wrote;
-                self.with(|hub, _| hub.wrote(id, std::mem::take(&mut wrote)));
-                stuck = None;
             }
             let written = sent == out.len();
-            if written && !out.is_empty() {
-                // More may have been waiting for this.
-                (out, sent) = (Vec::new(), 0);
+            if wrote > 0 {
+                // It must be known before anything else, and more may have been waiting for this.
+                stuck = None;
                 continue;
             }
             if over && (written || left) {
@@ -231,13 +248,13 @@
             if left && (blocked || written) {
                 return "the other side has left";
             }
-            if bytes.is_empty() {
-                bytes = BytesMut::new();
+            if blocked && written && bytes.is_empty() && bytes.capacity().max(out.capacity()) > 2 * LITTLE {
+                // Idle for long, perhaps: it keeps no large buffers.
+                (bytes, out, sent) = (BytesMut::new(), Vec::new(), 0);
             }
-            let now = Instant::now();
             let partial = !blocked && (!bytes.is_empty() || reader.is_within());
-            part = if partial { part.or(Some(now)) } else { None };
-            stuck = if written { None } else { stuck.or(Some(now)) };
+            part = if partial { part.or_else(|| Some(Instant::now())) } else { None };
+            stuck = if written { None } else { stuck.or_else(|| Some(Instant::now())) };
             let slow = part.map(|at| at + self.bounds.read);
             let due = slow.into_iter().chain(stuck.map(|at| at + self.bounds.read * 8)).min();
             let most = if blocked { AHEAD } else { reader.wants().max(AHEAD) };
@@ -248,7 +265,8 @@
                     if ready.is_err() {
                         return "it broke";
                     }
-                    bytes.reserve(most - bytes.len());
+                    let part = if reader.is_within() { most - bytes.len() } else { LITTLE };
+                    bytes.reserve(part);
                     match stream.try_read_buf(&mut bytes) {
                         Ok(0) => left = true,
                         Ok(_) => {}
@@ -261,7 +279,7 @@
                         return "it broke";
                     }
                 }
-                () = sleep_until(due.unwrap_or(now)), if due.is_some() => {
+                () = sleep_until_some(due), if due.is_some() => {
                     return if written { "a command did not come whole" } else { "it takes no replies" };
                 }
             }
@@ -335,6 +353,13 @@
     }
 }
 
+async fn sleep_until_some(due: Option<Instant>) {
+    match due {
+        Some(due) => sleep_until(due).await,
+        None => pending().await,
+    }
+}
+
 /// Where a job's final answer goes.
 struct JobEnd {
     front: Arc<Front>,
--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -14,6 +14,7 @@
 use mintlb_core::reducer::Event;
 use mintlb_core::room::{Held, Room};
 use mintlb_core::work::{AllocId, Answer, Back, Numbers, Order};
+use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
 
@@ -58,7 +59,7 @@
 /// All that `stats` counts since the start.
 #[derive(Default)]
 pub struct Totals {
-    pub commands: BTreeMap<&'static str, u64>,
+    pub commands: FxHashMap<&'static str, u64>,
     pub connections: u64,
     pub timeouts: u64,
     pub taken: u64,
@@ -78,10 +79,10 @@
     most: usize,
     numbers: Numbers,
     room: Room,
-    pub(crate) sessions: HashMap<u64, Session>,
+    pub(crate) sessions: FxHashMap<u64, Session>,
     pub(crate) jobs: Jobs,
     machines: Machines,
-    allocs: HashMap<AllocId, At>,
+    allocs: FxHashMap<AllocId, At>,
     /// Waiting sessions by the tube that tells of ends, in their row.
     hopeful: HashMap<Tube, BTreeSet<(u64, u64)>>,
     pub(crate) pauses: HashMap<Tube, (f64, f64)>,
@@ -114,9 +115,9 @@
             room,
             machines,
             usual: "default".into(),
-            sessions: HashMap::new(),
+            sessions: FxHashMap::default(),
             jobs: Jobs::default(),
-            allocs: HashMap::new(),
+            allocs: FxHashMap::default(),
             hopeful: HashMap::new(),
             pauses: HashMap::new(),
             due: BTreeMap::new(),
@@ -127,9 +128,9 @@
         }
     }
 
-    /// What was decided since this was last asked.
-    pub fn deeds(&mut self) -> Vec<Deed> {
-        std::mem::take(&mut self.deeds)
+    /// What was decided since this was last asked; the vector that is handed in must be empty, and is used again.
+    pub fn deeds(&mut self, empty: Vec<Deed>) -> Vec<Deed> {
+        std::mem::replace(&mut self.deeds, empty)
     }
 
     /// When it wants to be woken.
@@ -179,8 +180,9 @@
 
     /// The bytes that it is to be sent, all before them being written. Work on its way to it is worded only now:
     /// a machine that drains meanwhile gets nothing new, and what was not worded never ran.
-    pub fn take_out(&mut self, now: f64, id: u64) -> Vec<u8> {
-        let Some(session) = self.sessions.get_mut(&id) else { return Vec::new() };
+    /// The vector that is handed in must be empty, and is used again.
+    pub fn take_out(&mut self, now: f64, id: u64, empty: Vec<u8>) -> Vec<u8> {
+        let Some(session) = self.sessions.get_mut(&id) else { return empty };
         if session.out.waiting.is_empty()
             && session.out.written == session.out.queued
             && let Some((order, until)) = session.coming.take()
@@ -193,7 +195,10 @@
                 self.wait(now, id, until);
             }
         }
-        self.sessions.get_mut(&id).map(|s| std::mem::take(&mut s.out.waiting)).unwrap_or_default()
+        match self.sessions.get_mut(&id) {
+            Some(session) => std::mem::replace(&mut session.out.waiting, empty),
+            None => empty,
+        }
     }
 
     /// So many more bytes were written to it.
--- a/crates/mintlb-beanstalkd/src/job.rs
+++ b/crates/mintlb-beanstalkd/src/job.rs
@@ -4,7 +4,8 @@
 use bytes::Bytes;
 use mintlb_core::room::Held;
 use mintlb_core::work::Answer;
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, VecDeque};
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
@@ -76,8 +77,8 @@
 /// All jobs by number, and in each tube those that stand in one state, in the protocol's order.
 #[derive(Default)]
 pub struct Jobs {
-    all: HashMap<u64, Job>,
-    tubes: HashMap<Tube, InTube>,
+    all: FxHashMap<u64, Job>,
+    tubes: FxHashMap<Tube, InTube>,
     /// Ended jobs, and those that tell of ends, oldest first, with the time they may go.
     passing: VecDeque<(f64, u64)>,
 }
--- a/crates/mintlb-beanstalkd/src/session.rs
+++ b/crates/mintlb-beanstalkd/src/session.rs
@@ -3,7 +3,7 @@
 use crate::codec::Tube;
 use mintlb::Runs;
 use mintlb_core::work::{AllocId, Order};
-use std::collections::HashMap;
+use rustc_hash::FxHashMap;
 use std::net::IpAddr;
 
 pub struct Session {
@@ -17,7 +17,7 @@
     pub coming: Option<(Order, Option<f64>)>,
     /// The work that was last given to it, until its last byte, at this place, is written.
     pub fresh: Option<(u64, u64)>,
-    pub held: HashMap<u64, Reservation>,
+    pub held: FxHashMap<u64, Reservation>,
     pub out: Out,
     /// It has put, or reserved, or been told to end.
     pub produces: bool,
@@ -79,7 +79,7 @@
             waits: None,
             coming: None,
             fresh: None,
-            held: HashMap::new(),
+            held: FxHashMap::default(),
             out: Out::default(),
             produces: false,
             works: false,
--- a/crates/mintlb-core/src/hands.rs
+++ b/crates/mintlb-core/src/hands.rs
@@ -3,8 +3,8 @@
 use crate::clock::{Clock, seconds};
 use crate::reducer::Act;
 use crate::work::{AllocId, Answer, Recall};
+use rustc_hash::FxHashMap;
 use slog::{Logger, info};
-use std::collections::HashMap;
 use tokio::time::Instant;
 
 /// Follows the list service; each call begins a watch, unless one is alive.
@@ -17,7 +17,7 @@
     clock: Clock,
     log: Logger,
     /// What gives up an allocation that is out.
-    out: HashMap<AllocId, Box<dyn Recall>>,
+    out: FxHashMap<AllocId, Box<dyn Recall>>,
     /// When the decisions want to be woken.
     pub due: Option<Instant>,
     tally: Tally,
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -7,8 +7,9 @@
 use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
 use mintlb::decide::Scheduler;
 use mintlb::{Allocation, Door, News, Outcome, Report, WorkUnit, Worker};
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -75,11 +76,11 @@
     /// Allocations that may be out at once, and how many seconds before its client's limit one ends.
     most_out: usize,
     margin: f64,
-    held: HashMap<u64, Held>,
+    held: FxHashMap<u64, Held>,
     /// The clients' ids of what is held, and of what is over, up to when its client would have given up.
     ids: HashSet<Box<[u8]>>,
     over: VecDeque<(f64, Box<[u8]>)>,
-    out: HashSet<AllocId>,
+    out: FxHashSet<AllocId>,
     members: Members,
     version: u64,
 }
@@ -90,8 +91,8 @@
     most_out: usize,
     margin: f64,
     version: u64,
-    held: &'a mut HashMap<u64, Held>,
-    out: &'a mut HashSet<AllocId>,
+    held: &'a mut FxHashMap<u64, Held>,
+    out: &'a mut FxHashSet<AllocId>,
     members: &'a Members,
     acts: Vec<Act>,
     /// Allocations whose outcome is known without a word from the worker.
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -165,11 +165,13 @@
             // Again and again: those that came late and say nothing are closed, too.
             front.close();
         }
-        // What was said must have gone out, and ends be told; but who takes nothing can't keep the program.
-        let overdue = since >= grants.last_answer + grants.late_arrivals / 4;
-        let deserted = overdue || front.connected() == 0;
-        let quiet = overdue || beanstalkd.iter().all(|front| front.is_quiet());
-        if since >= grants.late_arrivals && reducer.held() == 0 && deserted && quiet {
+        if since >= grants.late_arrivals && reducer.held() == 0 {
+            // What was said must have gone out, and ends be told; but who takes nothing can't keep the program.
+            let overdue = since >= grants.last_answer + grants.late_arrivals / 4;
+            let quiet = || beanstalkd.iter().all(|front| front.is_quiet());
+            if !(overdue || front.connected() == 0 && quiet()) {
+                continue;
+            }
             hands.count(reducer.held());
             front.count();
             info!(log, "stopped"; "connected" => front.connected());
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -144,7 +144,7 @@
     pub fn pump(&mut self) {
         loop {
             let mut moved = false;
-            for deed in self.hub.deeds() {
+            for deed in self.hub.deeds(Vec::new()) {
                 moved = true;
                 match deed {
                     Deed::Arrive { id, project_type, customer, arrived, time_budget, body } => {
@@ -226,7 +226,7 @@
             self.hub.wrote(peer.id, std::mem::take(&mut peer.pending));
             moved = true;
         }
-        let out = self.hub.take_out(self.now, peer.id);
+        let out = self.hub.take_out(self.now, peer.id, Vec::new());
         peer.got.extend_from_slice(&out);
         peer.pending += out.len();
         if !peer.stuck && peer.pending > 0 {
