--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -20,7 +20,7 @@
 use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::{Notify, Semaphore};
@@ -217,6 +217,8 @@
         // Since when a command has come in part, and since when its replies have not been taken.
         let (mut part, mut stuck): (Option<Instant>, Option<Instant>) = (None, None);
         let mut wrote = 0;
+        // Read by the library, which knows from a short read that no more has come: one system call less.
+        let (mut reading, writing) = stream.split();
         loop {
             let (blocked, over) = self.with(|hub, now| {
                 if wrote > 0 {
@@ -230,7 +232,7 @@
                 (hub.is_blocked(id), hub.is_over(id))
             });
             while sent < out.len() {
-                match stream.try_write(&out[sent..]) {
+                match writing.try_write(&out[sent..]) {
                     Ok(n) => (sent, wrote) = (sent + n, wrote + n),
                     Err(e) if e.kind() == ErrorKind::WouldBlock => break,
                     Err(_) => return "it broke",
@@ -259,22 +261,19 @@
             let due = slow.into_iter().chain(stuck.map(|at| at + self.bounds.read * 8)).min();
             let most = if blocked { AHEAD } else { reader.wants().max(AHEAD) };
             let reads = !left && bytes.len() < most && (written || blocked);
+            if reads {
+                bytes.reserve(if reader.is_within() { most - bytes.len() } else { LITTLE });
+            }
             tokio::select! {
                 () = bell.notified() => {}
-                ready = stream.readable(), if reads => {
-                    if ready.is_err() {
-                        return "it broke";
-                    }
-                    let part = if reader.is_within() { most - bytes.len() } else { LITTLE };
-                    bytes.reserve(part);
-                    match stream.try_read_buf(&mut bytes) {
+                read = reading.read_buf(&mut bytes), if reads => {
+                    match read {
                         Ok(0) => left = true,
                         Ok(_) => {}
-                        Err(e) if e.kind() == ErrorKind::WouldBlock => {}
                         Err(_) => return "it broke",
                     }
                 }
-                ready = stream.writable(), if !written => {
+                ready = writing.writable(), if !written => {
                     if ready.is_err() {
                         return "it broke";
                     }
--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -222,8 +222,7 @@
         self.stop_waiting(id);
         let Some(session) = self.sessions.remove(&id) else { return };
         if let Some(runs) = session.runs {
-            self.machines.leave(now, session.machine, runs);
-            self.at(now + self.plan.table.keep_ends, Due::Forget);
+            self.leave(now, session.machine, runs);
         }
         if let Some((order, _)) = session.coming {
             self.allocs.remove(&order.alloc);
@@ -304,7 +303,10 @@
                 self.found(id, first);
             }
             Command::PeekBuried => {
-                let first = self.jobs.tube(&session.used).and_then(|t| t.buried.front().copied());
+                let first = self
+                    .jobs
+                    .tube(&session.used)
+                    .and_then(|t| t.buried.first_key_value().map(|(_, job)| *job));
                 self.found(id, first);
             }
             Command::Kick(bound) => {
@@ -386,6 +388,7 @@
             tells: false,
             foreign: false,
             holders: 0,
+            holder: None,
             end: None,
             goes: None,
             room: Some(room),
@@ -440,7 +443,7 @@
         session.runs = (!runs.is_none()).then_some(runs);
         let now_runs = session.runs;
         if was != now_runs {
-            was.iter().for_each(|runs| self.machines.leave(now, machine, *runs));
+            was.iter().for_each(|runs| self.leave(now, machine, *runs));
             let joins = now_runs.and_then(|runs| self.machines.join(now, machine, runs));
             self.deeds.extend(joins.map(Deed::Member));
         }
@@ -452,6 +455,13 @@
         when.map(|when| self.at(when, Due::Reserve(id, place)));
     }
 
+    /// A connection is none of a group's any more; the last one leaves it to be forgotten.
+    fn leave(&mut self, now: f64, machine: IpAddr, runs: Runs) {
+        if self.machines.leave(now, machine, runs) {
+            self.at(now + self.plan.table.keep_ends, Due::Forget);
+        }
+    }
+
     /// How many jobs a group asks for, and how many orders it had heard by then: what was sent it since is on
     /// its way and will take one each.
     fn asks(&mut self, machine: IpAddr, runs: Runs) {
@@ -557,7 +567,8 @@
         if let Given::Work(_) = reservation.given {
             self.tell(Event::GivenUp(job));
         }
-        self.give_back(now, job, reservation.given, Outcome::Error, Some(State::Buried));
+        let place = self.next();
+        self.give_back(now, job, reservation.given, Outcome::Error, Some(State::Buried(place)));
         b"BURIED\r\n"
     }
 
@@ -578,7 +589,7 @@
         let Some(found) = self.jobs.tube(tube) else { return 0 };
         let of = |buried: bool| -> Vec<u64> {
             if buried {
-                found.buried.iter().take(MANY).copied().collect()
+                found.buried.values().take(MANY).copied().collect()
             } else {
                 found.delayed.keys().take(bound.min(MANY)).map(|(_, id)| *id).collect()
             }
@@ -598,7 +609,7 @@
         let Some(job) = self.jobs.get(id) else { return false };
         let effect = self.plan.route(&job.tube).map(|route| route.effect);
         match job.state {
-            State::Buried | State::Delayed { .. } if job.tells => self.news_ready(now, id),
+            State::Buried(_) | State::Delayed { .. } if job.tells => self.news_ready(now, id),
             // The core has it: it rests until its allocation is back.
             State::Delayed { .. } if job.counts.releases > 0 => {
                 let rests = |(alloc, at): &(&AllocId, &At)| alloc.0 == id && matches!(at, At::Resting(_));
@@ -610,7 +621,7 @@
             State::Delayed { .. } => self.arrive(now, id),
             // A new work unit for the same job: only where running again is harmless, whatever ran before, and
             // once the core has done with the first.
-            State::Buried
+            State::Buried(_)
                 if effect == Some(Effect::Rerunnable) && job.end.is_some() && job.room.is_some() =>
             {
                 if let Some(job) = self.jobs.get_mut(id) {
@@ -659,6 +670,7 @@
         }
         let Some(found) = self.jobs.get_mut(job) else { return };
         found.holders += 1;
+        found.holder = Some(id);
         found.counts.reserves += 1;
         let ttr = f64::from(found.put.ttr);
         // Ended early, exclusive work could only be aborted; up to its hard limit it may still be done.
@@ -690,6 +702,7 @@
             tells: false,
             foreign: true,
             holders: 0,
+            holder: None,
             end: None,
             goes: None,
             room: None,
@@ -699,6 +712,7 @@
     fn give_news(&mut self, now: f64, id: u64, job: u64) {
         let Some(found) = self.jobs.get_mut(job) else { return };
         found.holders += 1;
+        found.holder = Some(id);
         found.counts.reserves += 1;
         let ttr = f64::from(found.put.ttr);
         let text = bodied(&format!("RESERVED {job}"), &found.body);
@@ -824,9 +838,10 @@
         if answer == Answer::Repeated {
             // Kicked before the core had done with it: it stays as it was.
             self.totals.taken -= 1;
+            let place = self.next();
             if let Some(job) = self.jobs.get_mut(id) {
                 (job.end, job.goes) = (Some(End::Deferred(0.0)), Some(now + self.plan.table.keep_ends));
-                self.jobs.set(id, State::Buried);
+                self.jobs.set(id, State::Buried(place));
                 self.passes(id, now + self.plan.table.keep_ends);
             }
             return;
@@ -841,7 +856,7 @@
         let goes = now + self.plan.table.keep_ends;
         (job.end, job.goes) = (Some(end), Some(goes));
         let tube = job.tube.clone();
-        if job.state == State::Buried {
+        if matches!(job.state, State::Buried(_)) {
             let kickable = self.plan.route(&tube).is_some_and(|route| route.effect == Effect::Rerunnable);
             if !kickable {
                 job.room = None;
@@ -875,6 +890,7 @@
             tells: true,
             foreign: false,
             holders: 0,
+            holder: None,
             end: None,
             goes: Some(goes),
             room: None,
--- a/crates/mintlb-beanstalkd/src/job.rs
+++ b/crates/mintlb-beanstalkd/src/job.rs
@@ -9,10 +9,13 @@
 
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum State {
-    Delayed { until: f64 },
+    Delayed {
+        until: f64,
+    },
     Ready,
     Reserved,
-    Buried,
+    /// Buried as the one at this place in the row of all.
+    Buried(u64),
     Ended(End),
 }
 
@@ -65,8 +68,9 @@
     pub tells: bool,
     /// It came by another front, which has its answer; here it is known only while a worker holds it.
     pub foreign: bool,
-    /// How many hold it: a work unit may have an allocation beside another.
+    /// How many hold it: a work unit may have an allocation beside another; and the last session that was given it.
     pub holders: usize,
+    pub holder: Option<u64>,
     /// How its work unit ended, once it has, and when the record may go.
     pub end: Option<End>,
     pub goes: Option<f64>,
@@ -88,7 +92,7 @@
 pub struct InTube {
     pub ready: BTreeMap<(u32, u64), ()>,
     pub delayed: BTreeMap<(u64, u64), ()>,
-    pub buried: VecDeque<u64>,
+    pub buried: BTreeMap<u64, u64>,
     pub reserved: usize,
     pub urgent: usize,
     pub total: u64,
@@ -184,7 +188,7 @@
                 self.ready.insert((job.put.priority, id), ());
             }
             State::Reserved => self.reserved += 1,
-            State::Buried => self.buried.push_back(id),
+            State::Buried(place) => drop(self.buried.insert(place, id)),
             State::Ended(_) => {}
         }
     }
@@ -197,7 +201,7 @@
                 self.ready.remove(&(job.put.priority, id));
             }
             State::Reserved => self.reserved -= 1,
-            State::Buried => self.buried.retain(|other| *other != id),
+            State::Buried(place) => drop(self.buried.remove(&place)),
             State::Ended(_) => {}
         }
     }
--- a/crates/mintlb-beanstalkd/src/machines.rs
+++ b/crates/mintlb-beanstalkd/src/machines.rs
@@ -34,7 +34,8 @@
     /// Connections in it, and since when there is none.
     pub sessions: usize,
     pub empty_since: f64,
-    came_up: f64,
+    /// As it was told to the decisions.
+    told: Place,
 }
 
 #[derive(Default)]
@@ -84,12 +85,11 @@
             return None;
         }
         let zone = u16::MAX - (self.generations % (u16::MAX as u64 / 2)) as u16;
-        let (first, _) = *self.seen.entry(machine).or_insert((now, zone));
-        let unlisted = if self.cold { first } else { 0.0 };
-        let came_up = self.places.get(&machine).map_or(unlisted, |place| place.came_up);
+        self.seen.entry(machine).or_insert((now, zone));
+        let told = self.place(machine);
         self.generations += 1;
         let group = Group {
-            worker: worker_id(&name(machine, runs)),
+            worker: worker_id(&name(machine, runs, told)),
             machine,
             runs,
             generation: self.generations,
@@ -97,19 +97,31 @@
             orders: 0,
             sessions: 1,
             empty_since: now,
-            came_up,
+            told,
         };
-        let change = self.change(&group);
+        let change = group.change(told.listed);
         self.groups.insert((machine, runs), group);
         Some(change)
     }
 
-    /// A connection has gone, or watches others.
-    pub fn leave(&mut self, now: f64, machine: IpAddr, runs: Runs) {
-        if let Some(group) = self.groups.get_mut(&(machine, runs)) {
-            group.sessions -= 1;
-            group.empty_since = now;
-        }
+    /// Where a machine is taken to be, and whether it may have anything: by the list, or else by when it was seen.
+    fn place(&self, machine: IpAddr) -> Place {
+        let (first, zone) = self.seen.get(&machine).copied().unwrap_or((0.0, u16::MAX));
+        let listed = if self.listed_only { Listed::Draining } else { Listed::Ready };
+        let came_up = if self.cold { first } else { 0.0 };
+        let unlisted = Place { zone, cell: 0, kind: u16::MAX, listed, came_up };
+        let place = self.places.get(&machine).copied().unwrap_or(unlisted);
+        // Its connections live on and may finish what they hold, so it is drained rather than struck out.
+        let listed = if place.listed == Listed::Ready { Listed::Ready } else { Listed::Draining };
+        Place { listed, ..place }
+    }
+
+    /// A connection has gone, or watches others; whether it was the group's last.
+    pub fn leave(&mut self, now: f64, machine: IpAddr, runs: Runs) -> bool {
+        let Some(group) = self.groups.get_mut(&(machine, runs)) else { return false };
+        group.sessions -= 1;
+        group.empty_since = now;
+        group.sessions == 0
     }
 
     /// Groups that have had no connection for so long: the decisions may forget them.
@@ -125,11 +137,11 @@
                 left.push(machine);
             }
         }
-        let changes: Vec<Change> = gone.iter().map(|group| self.change(group)).collect();
+        let changes: Vec<Change> = gone.iter().map(|group| group.change(Listed::Gone)).collect();
         let groups = &self.groups;
         self.places.retain(|m, p| p.listed != Listed::Gone || groups.keys().any(|(machine, _)| machine == m));
         self.seen.retain(|machine, _| !left.contains(machine));
-        changes.into_iter().map(|c| Change { line: Line { listed: Listed::Gone, ..c.line }, ..c }).collect()
+        changes
     }
 
     /// What the list tells of machines; with `full`, those it does not name have left it. Of several processes
@@ -153,17 +165,22 @@
             if self.places.insert(machine, place) == Some(place) {
                 continue;
             }
-            let (mut generations, places) = (self.generations, &self.places);
+            let place = self.place(machine);
             for group in self.groups.values_mut().filter(|g| g.machine == machine) {
-                let came_up = places[&machine].came_up;
-                if group.came_up != came_up {
-                    generations += 1;
-                    (group.came_up, group.generation, group.orders) = (came_up, generations, 0);
+                let moved =
+                    Place { listed: group.told.listed, came_up: group.told.came_up, ..place } != group.told;
+                if moved {
+                    // The decisions believe where a worker is for as long as they know it.
+                    changes.push(group.change(Listed::Gone));
+                    group.worker = worker_id(&name(machine, group.runs, place));
+                }
+                if moved || group.told.came_up != place.came_up {
+                    self.generations += 1;
+                    (group.generation, group.orders) = (self.generations, 0);
                 }
+                group.told = place;
+                changes.push(group.change(place.listed));
             }
-            self.generations = generations;
-            let groups = self.groups.values().filter(|g| g.machine == machine);
-            changes.extend(groups.map(|group| self.change(group)));
         }
         changes
     }
@@ -175,35 +192,25 @@
     pub fn is_empty(&self) -> bool {
         self.groups.is_empty()
     }
+}
 
-    fn change(&self, group: &Group) -> Change {
-        let place = self.places.get(&group.machine).copied();
-        let zone = self.seen.get(&group.machine).map_or(u16::MAX, |(_, zone)| *zone);
-        let closed = if self.listed_only { Listed::Draining } else { Listed::Ready };
-        let unlisted = Place { zone, cell: 0, kind: u16::MAX, listed: closed, came_up: group.came_up };
-        let place = place.unwrap_or(unlisted);
-        // Its connections live on and may finish what they hold, so it is drained rather than struck out.
-        let listed = if place.listed == Listed::Ready { Listed::Ready } else { Listed::Draining };
-        let (zone, cell, kind) = (place.zone, place.cell, place.kind);
+impl Group {
+    fn change(&self, listed: Listed) -> Change {
+        let Place { zone, cell, kind, came_up, .. } = self.told;
+        let (id, runs) = (self.worker, self.runs);
         Change {
-            name: name(group.machine, group.runs),
-            line: Line {
-                id: group.worker,
-                zone,
-                cell,
-                kind,
-                listed,
-                came_up: group.came_up,
-                runs: group.runs,
-                fetches: true,
-            },
-            generation: group.generation,
-            machine: group.machine,
-            runs: group.runs,
+            name: name(self.machine, runs, self.told),
+            line: Line { id, zone, cell, kind, listed, came_up, runs, fetches: true },
+            generation: self.generation,
+            machine: self.machine,
+            runs,
         }
     }
 }
 
-fn name(machine: IpAddr, runs: Runs) -> String {
-    format!("beanstalkd/{machine}/{runs}")
+fn name(machine: IpAddr, runs: Runs, place: Place) -> String {
+    let Place { zone, cell, kind, .. } = place;
+    // An unlisted machine's zone is made up, and may be another after a restart; its name must not be.
+    let place = if kind == u16::MAX { String::new() } else { format!("/{zone}.{cell}.{kind}") };
+    format!("beanstalkd/{machine}/{runs}{place}")
 }
--- a/crates/mintlb-beanstalkd/src/stats.rs
+++ b/crates/mintlb-beanstalkd/src/stats.rs
@@ -45,12 +45,12 @@
 
     pub(crate) fn stats_job(&self, now: f64, id: u64) -> Vec<u8> {
         let Some(job) = self.jobs.get(id) else { return NOT_FOUND.to_vec() };
-        let holders = self.sessions.values().filter_map(|session| session.held.get(&id));
+        let holder = job.holder.and_then(|session| self.sessions.get(&session)?.held.get(&id));
         let (state, left) = match job.state {
             State::Delayed { until } => ("delayed", until - now),
             State::Ready => ("ready", 0.0),
-            State::Reserved => ("reserved", holders.map(|held| held.deadline - now).fold(0.0, f64::max)),
-            State::Buried => ("buried", 0.0),
+            State::Reserved => ("reserved", holder.map_or(0.0, |held| held.deadline - now)),
+            State::Buried(_) => ("buried", 0.0),
             State::Ended(end) => (end.word(), 0.0),
         };
         let counts = job.counts;
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{BASE, PAUSE, answer, post, post_as, stand_in, start, work, work_as, written};
-use mintlb_node::grants::Grants;
+use mintlb_node::grants::{Grants, SESSION};
 use mintlb_node::placement::{Machine, Placement};
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
@@ -345,11 +345,22 @@
     let text = Placement::parse(BASE).unwrap().text();
     let sizes = [(192, 1024), (8, 32), (24, 1024), (2048, 40), (64, 65_536), (usize::MAX, usize::MAX)];
     for (memory_mb, sockets) in sizes {
-        let g = Grants::new(&Machine { memory_mb, sockets }, &text, 0).unwrap();
-        let h = &g.http;
-        let bytes = h.clients * 2 * h.head + h.links * h.head + g.out * h.line + g.bodies;
-        assert!(bytes >> 20 <= memory_mb / 8 * 7, "{memory_mb} MB: {g:?}");
-        assert!(h.clients + h.links <= sockets / 8 * 7, "{sockets} descriptors: {g:?}");
-        assert!(g.open < h.clients && g.out < h.links && g.open > 0 && g.out > 0, "{g:?}");
+        // Without beanstalkd, with some of its connections, and with the most that are let in.
+        for sessions in [0, 1, usize::MAX] {
+            let machine = Machine { memory_mb, sockets };
+            let asked = Grants::new(&machine, &text, sessions);
+            let most = asked
+                .as_ref()
+                .err()
+                .and_then(|why| why.split("here, ").nth(1)?.split(' ').next()?.parse().ok());
+            let g = most.map_or(asked, |most| Grants::new(&machine, &text, most)).unwrap();
+            let h = &g.http;
+            let bytes = h.clients * 2 * h.head + h.links * h.head + (g.out - g.sessions) * h.line + g.bodies;
+            let bytes = bytes + g.sessions * SESSION;
+            assert!(bytes >> 20 <= memory_mb / 8 * 7, "{memory_mb} MB: {g:?}");
+            assert!(h.clients + g.sessions + h.links <= sockets / 8 * 7, "{sockets} descriptors: {g:?}");
+            assert!(g.open < h.clients + g.sessions && g.open > 0 && g.out > 0 && h.clients > 0, "{g:?}");
+            assert!(g.out - g.sessions < h.links, "{g:?}");
+        }
     }
 }
--- a/crates/mintlb-node/tests/protocol.rs
+++ b/crates/mintlb-node/tests/protocol.rs
@@ -458,6 +458,21 @@
                 ],
             ),
         ),
+        (
+            "a time-to-run past the hard limit",
+            vec![
+                ("w2 watch lookup", "WATCHING 2"),
+                ("p use lookup", "USING lookup"),
+                ("p put 0 0 60 hi", "INSERTED 1"),
+                ("w2 reserve", "RESERVED 1 2 hi"),
+                ("p stats-job 1", "ttr: 60, time-left: 2"),
+                ("in 2.99", ""),
+                ("end 1", ""),
+                ("in 0.02", ""),
+                ("end 1", "Deferred(0.2)"),
+                ("w2 delete 1", "NOT_FOUND"),
+            ],
+        ),
         (
             "a release that rests",
             with(
--- a/examples/measure.rs
+++ b/examples/measure.rs
@@ -277,14 +277,16 @@
 
 #[tokio::main]
 async fn main() -> Result<(), Fault> {
-    // One kind alone, to profile it.
+    // One kind alone, and one number of clients, to profile it.
     let only = std::env::args().nth(1);
     if TcpStream::connect(HTTP).await.is_ok() {
         return Err(format!("something listens at {HTTP} already").into());
     }
     println!("CPU of the scheduler, whole process; medians of 3 runs of {} s", SECONDS.as_secs());
     println!("{:<11} {:>7} {:>7} {:>12} {:>12}", "protocol", "clients", "workers", "us a unit", "units a s");
-    for (clients, workers) in [(4, 8), (16, 32), (64, 128)] {
+    let clients_only: Option<usize> = std::env::args().nth(2).and_then(|n| n.parse().ok());
+    let sizes = [(4, 8), (16, 32), (64, 128)];
+    for (clients, workers) in sizes.into_iter().filter(|(n, _)| clients_only.is_none_or(|only| only == *n)) {
         for kind in ["http", "beanstalkd", "pipelined"] {
             if only.as_deref().is_none_or(|only| only == kind) {
                 median_cost(kind, clients, workers).await?;
