A reserve whose last second was called off still ends in its time; SIGHUP tells of the operator's file

Cause, by reading: a reserve that waits beside a held job was due only by the second before that job's end; when the job was called off meanwhile, nothing was due any more and its own timeout never came. Change: what is due is set anew (hub.rs, waited). Test: 'its client leaves, and another reserve still ends in its time', red without it. Besides: on SIGHUP the operator's file was checked, and a change of it passed over in silence; it is logged now.

--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -1018,7 +1018,12 @@
             self.stop_waiting(id);
             self.say(id, if soon { b"DEADLINE_SOON\r\n" } else { b"TIMED_OUT\r\n" });
             self.deeds.push(Deed::Wake(id));
+            return;
         }
+        // What was due soon has been taken from it: there is another time to wake for.
+        let soon = session.soonest().map(|deadline| deadline - SOON);
+        let when = wait.until.into_iter().chain(soon).reduce(f64::min);
+        when.map(|when| self.at(when, Due::Reserve(id, place)));
     }
 
     /// Bytes that wait to be written to a session.
--- a/crates/mintlb-beanstalkd/src/table.rs
+++ b/crates/mintlb-beanstalkd/src/table.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 /// The table as it is written. Times are seconds.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Table {
     pub listen: SocketAddr,
@@ -34,7 +34,7 @@
     pub tubes: Vec<TubeTable>,
 }
 
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct TubeTable {
     pub tube: String,
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -87,7 +87,7 @@
                 _ = stop.recv() => Told::Stop,
                 _ = interrupt.recv() => Told::Stop,
                 _ = changed.recv() => match plan(&path, operator.as_deref()) {
-                    Ok(plan) => Told::Moved(Box::new(plan.placement)),
+                    Ok(plan) => Told::Moved(Box::new((plan.placement, plan.operator))),
                     Err(why) => {
                         warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
                         continue;
--- a/crates/mintlb-node/src/operator.rs
+++ b/crates/mintlb-node/src/operator.rs
@@ -4,7 +4,7 @@
 use serde::Deserialize;
 use std::ops::Range;
 
-#[derive(Clone, Debug, Default, Deserialize)]
+#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     pub beanstalkd: Option<Table>,
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -25,6 +25,7 @@
 /// All that a start needs, read and found good.
 pub struct Plan {
     pub placement: Placement,
+    pub operator: Operator,
     pub text: Text,
     pub grants: Grants,
     pub scheduler: Scheduler,
@@ -48,23 +49,25 @@
         let customers: Vec<String> = customers.collect::<Result<_, _>>()?;
         let beanstalkd = operator
             .beanstalkd
+            .clone()
             .map(|table| mintlb_beanstalkd::table::Plan::new(table, &types, &project_types, &customers));
         let beanstalkd = beanstalkd.transpose()?;
-        Ok(Plan { placement, grants, scheduler, types, customers, beanstalkd, text })
+        Ok(Plan { placement, operator, grants, scheduler, types, customers, beanstalkd, text })
     }
 }
 
 /// What a scheduler is told from outside while it serves.
 pub enum Told {
-    /// A new configuration, read and found good; of it the list service's address holds from now on.
-    Moved(Box<Placement>),
+    /// A new configuration and operator's file, read and found good; of them the list service's address holds from
+    /// now on.
+    Moved(Box<(Placement, Operator)>),
     /// Answer what is held and what still comes, and end.
     Stop,
 }
 
 /// Serves until it is told to stop, and then until all that was taken is answered.
 pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
-    let Plan { mut placement, text, grants, scheduler, types, customers, beanstalkd } = plan;
+    let Plan { mut placement, operator, text, grants, scheduler, types, customers, beanstalkd } = plan;
     let listen = placement.listen;
     let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
     // Port 0 is any free one, so the log tells which.
@@ -133,8 +136,13 @@
                 None
             }
             Some(word) = told.recv() => match word {
-                Told::Moved(new) => {
-                    let later = placement.differs(&new).join(", ");
+                Told::Moved(moved) => {
+                    let (new, file) = *moved;
+                    let mut later = placement.differs(&new);
+                    if file != operator {
+                        later.push("the operator's file");
+                    }
+                    let later = later.join(", ");
                     if !later.is_empty() {
                         warn!(log, "part of the new configuration waits for the next start"; "fields" => later);
                     }
--- a/crates/mintlb-node/tests/jobs.rs
+++ b/crates/mintlb-node/tests/jobs.rs
@@ -476,6 +476,26 @@
     assert!(producer.pause_tube("lookup", Duration::from_secs(1)).is_ok());
 }
 
+/// SIGHUP: a changed operator's file is checked, waits for the next start, and that is said.
+#[test]
+fn a_new_operators_file_waits_for_the_next_start() {
+    let mut program = started();
+    let path = program.path.with_extension("toml");
+    for text in [table("cold = true"), table("cold = maybe")] {
+        std::fs::write(&path, text).unwrap();
+        program.signal("-HUP");
+        std::thread::sleep(PAUSE);
+    }
+    let mut producer = Peer::new(&program, 1);
+    assert_eq!(producer.ask("use lookup"), "USING lookup", "it serves on");
+    program.terminate();
+    assert!(program.end().0);
+    let mut log = String::new();
+    program.log.read_to_string(&mut log).unwrap();
+    assert!(log.contains("waits for the next start, fields: the operator's file"), "{log}");
+    assert!(log.contains("not taken, the old one holds") && log.contains("line 4"), "{log}");
+}
+
 #[test]
 fn a_bad_operators_file_is_named() {
     let good = table("");
--- a/crates/mintlb-node/tests/protocol.rs
+++ b/crates/mintlb-node/tests/protocol.rs
@@ -35,6 +35,10 @@
                 world.arrive(words[1].parse().unwrap(), words[2].parse().unwrap(), b"web");
                 String::new()
             }
+            "left" => {
+                world.leave(words[1].parse().unwrap());
+                String::new()
+            }
             "end" => {
                 let answers = world.answers.get(&words[1].parse().unwrap());
                 let said = answers.map(|a| a.iter().map(|a| format!("{a:?}")).collect::<Vec<_>>().join(" "));
@@ -702,6 +706,22 @@
                 ("w2 stats-job 900", "NOT_FOUND"),
             ],
         ),
+        (
+            "its client leaves, and another reserve still ends in its time",
+            &[
+                ("w2 watch lookup", "WATCHING 2"),
+                ("w2 reserve", ""),
+                ("http 900 0", ""),
+                ("w2 ?", "RESERVED 900 3 web"),
+                ("w2 reserve-with-timeout 9", ""),
+                ("left 900", ""),
+                ("in 8.9", ""),
+                ("w2 ?", ""),
+                ("in 0.2", ""),
+                ("w2 ?", "TIMED_OUT"),
+                ("w2 delete 900", "NOT_FOUND"),
+            ],
+        ),
         (
             "released, exclusive",
             &[
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -346,6 +346,12 @@
         String::from_utf8_lossy(&got).split_ascii_whitespace().collect::<Vec<_>>().join(" ")
     }
 
+    /// Its client has left.
+    pub fn leave(&mut self, id: u64) {
+        self.reduce(Event::Left(id));
+        self.pump();
+    }
+
     /// How many work units the core holds.
     pub fn held(&self) -> usize {
         self.reducer.held()
