--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! beanstalkd's hub and the core in virtual time: sessions without sockets, played step by step.
 #![allow(dead_code, reason = "each of the tests that share it uses a part")]
 
-use bytes::BytesMut;
+use bytes::{Bytes, BytesMut};
 use mintlb::{Listed, Runs};
 use mintlb_beanstalkd::codec::{Command, Fault, Item, Reader};
 use mintlb_beanstalkd::hub::{Deed, Hub};
@@ -148,21 +148,8 @@
                 moved = true;
                 match deed {
                     Deed::Arrive { id, project_type, customer, arrived, time_budget, body } => {
-                        let payload = Payload { body, once: true, own: Arc::new(()) };
-                        let answer = Box::new(JobEnd(id, self.words.clone()));
-                        let (client_id, slots, memory) = (None, 1.0, 0.0);
-                        self.reduce(Event::Arrived(Arrival {
-                            id,
-                            client_id,
-                            project_type,
-                            customer,
-                            slots,
-                            memory,
-                            arrived,
-                            time_budget,
-                            payload,
-                            answer,
-                        }));
+                        assert!(customer.is_none() && arrived == self.now && time_budget == 3.0);
+                        self.arrives(id, project_type, body);
                     }
                     Deed::Member(change) => {
                         let way = Way(change.machine, change.runs, change.generation, self.words.clone());
@@ -319,28 +306,28 @@
         self.pump();
     }
 
-    /// A client of another protocol brings work, as the HTTP front would.
-    pub fn arrive(&mut self, id: u64, project_type: usize, body: &'static [u8]) {
-        let payload = Payload { body: body.into(), once: true, own: Arc::new(()) };
-        let answer = Box::new(JobEnd(id, self.words.clone()));
-        let (client_id, customer, slots, memory) = (None, None, 1.0, 0.0);
-        let (arrived, time_budget) = (self.now, 3.0);
+    fn arrives(&mut self, id: u64, project_type: usize, body: Bytes) {
         self.reduce(Event::Arrived(Arrival {
             id,
-            client_id,
+            client_id: None,
             project_type,
-            customer,
-            slots,
-            memory,
-            arrived,
-            time_budget,
-            payload,
-            answer,
+            customer: None,
+            slots: 1.0,
+            memory: 0.0,
+            arrived: self.now,
+            time_budget: 3.0,
+            payload: Payload { body, once: true, own: Arc::new(()) },
+            answer: Box::new(JobEnd(id, self.words.clone())),
         }));
+    }
+
+    /// A client of another protocol brings work, as the HTTP front would.
+    pub fn arrive(&mut self, id: u64, project_type: usize, body: &'static [u8]) {
+        self.arrives(id, project_type, Bytes::from_static(body));
         self.pump();
     }
 
-    /// What a peer was sent since it was last asked, its lines in a row.
+    /// What a peer was sent since it was last asked, its words in a row.
     pub fn heard(&mut self, name: &str) -> String {
         let got = self.peers.get_mut(name).map(|peer| std::mem::take(&mut peer.got)).unwrap_or_default();
         String::from_utf8_lossy(&got).split_ascii_whitespace().collect::<Vec<_>>().join(" ")
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -322,7 +322,7 @@
         self.zones.get(&w.line.zone).map_or(0.0, |z| z.0 * 2.0) + LATE * self.promise
     }
 
-    /// Exclusive work that does not start while it is worth it tells of a worker, or of a connection, that
+    /// Exclusive work that does not start in bearable time tells of a worker, or of a connection, that
     /// swallows it. It must not keep others from there for as long as its client waits.
     fn lose(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit) {
         alloc.lose(wu.slots);
