A job that was written in part when its time ended may have run, until its connection is closed

Change: it is a time-out, which may have run. No kick makes a new work unit after the word to stop. Test: 'exclusive: not taken from the wire', deferred before, aborted now.

--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -622,7 +622,10 @@
             // A new work unit for the same job: only where running again is harmless, whatever ran before, and
             // once the core has done with the first.
             State::Buried(_)
-                if effect == Some(Effect::Rerunnable) && job.end.is_some() && job.room.is_some() =>
+                if effect == Some(Effect::Rerunnable)
+                    && !self.stopping
+                    && job.end.is_some()
+                    && job.room.is_some() =>
             {
                 if let Some(job) = self.jobs.get_mut(id) {
                     (job.end, job.goes) = (None, None);
@@ -995,12 +998,11 @@
         }
         let Some(reservation) = self.let_go(id, job) else { return };
         if !reservation.written && reservation.given != Given::News {
-            // It was never read to its end, and must not be from now on.
+            // It must not come whole from now on; until the connection is closed it may, so it may have run.
             if let Some(session) = self.sessions.get_mut(&id) {
                 session.ends = true;
             }
             self.deeds.push(Deed::Wake(id));
-            return self.give_back(now, job, reservation.given, Outcome::NoConnection, None);
         }
         self.totals.timeouts += 1;
         if let Some(job) = self.jobs.get_mut(job) {
--- a/crates/mintlb-node/tests/protocol.rs
+++ b/crates/mintlb-node/tests/protocol.rs
@@ -206,6 +206,13 @@
     let cases: Vec<(&str, String)> = vec![
         ("exclusive: done", with(&charge, r#"w2 delete 1 -> DELETED; end 1 -> Completed(b"")"#)),
         ("exclusive: the connection closed", with(&charge, "cut w2; end 1 -> Aborted")),
+        // Part of it may be written, and the rest be on its way until the connection is closed.
+        (
+            "exclusive: not taken from the wire",
+            "w2 watch charge -> WATCHING 2; w2 reserve; stick w2; p use charge -> USING charge;
+                p put 0 0 1 hi -> INSERTED 1; in 3.01; end 1 -> Aborted"
+                .to_string(),
+        ),
         ("exclusive: released", with(&charge, "w2 release 1 0 0 -> RELEASED; end 1 -> Aborted")),
         (
             "exclusive: buried",
