What is left of a job that was called off is not written any more

Cause: a session that was to end still wrote what it had before it looked. Change: Session::cut is looked at before each write.

--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -220,7 +220,7 @@
         // Read by the library, which knows from a short read that no more has come: one system call less.
         let (mut reading, writing) = stream.split();
         loop {
-            let (blocked, over) = self.with(|hub, now| {
+            let (blocked, over, cut) = self.with(|hub, now| {
                 if wrote > 0 {
                     hub.wrote(id, std::mem::take(&mut wrote));
                 }
@@ -229,8 +229,11 @@
                     out.clear();
                     (out, sent) = (hub.take_out(now, id, std::mem::take(&mut out)), 0);
                 }
-                (hub.is_blocked(id), hub.is_over(id))
+                (hub.is_blocked(id), hub.is_over(id), hub.is_cut(id))
             });
+            if cut {
+                return "what it was sent was called off";
+            }
             while sent < out.len() {
                 match writing.try_write(&out[sent..]) {
                     Ok(n) => (sent, wrote) = (sent + n, wrote + n),
--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -174,6 +174,11 @@
         self.sessions.get(&session).is_none_or(Session::is_blocked)
     }
 
+    /// Nothing more may be written to it.
+    pub fn is_cut(&self, session: u64) -> bool {
+        self.sessions.get(&session).is_none_or(|s| s.cut)
+    }
+
     pub fn is_over(&self, session: u64) -> bool {
         self.sessions.get(&session).is_none_or(|s| s.ends)
     }
@@ -828,7 +833,7 @@
         if held.is_some_and(|reservation| reservation.given == Given::Work(alloc)) {
             if held.is_some_and(|reservation| !reservation.written) {
                 // Part of it may be on its way: it must not come whole, and later.
-                session.ends = true;
+                (session.ends, session.cut) = (true, true);
                 self.deeds.push(Deed::Wake(id));
             }
             self.let_go(id, alloc.0);
@@ -1000,7 +1005,7 @@
         if !reservation.written && reservation.given != Given::News {
             // It must not come whole from now on; until the connection is closed it may, so it may have run.
             if let Some(session) = self.sessions.get_mut(&id) {
-                session.ends = true;
+                (session.ends, session.cut) = (true, true);
             }
             self.deeds.push(Deed::Wake(id));
         }
--- a/crates/mintlb-beanstalkd/src/session.rs
+++ b/crates/mintlb-beanstalkd/src/session.rs
@@ -23,6 +23,8 @@
     pub produces: bool,
     pub works: bool,
     pub ends: bool,
+    /// Not even what it was to be sent may be written any more.
+    pub cut: bool,
 }
 
 /// A reserve that waits, since a place in the row, until a time if it has one.
@@ -84,6 +86,7 @@
             produces: false,
             works: false,
             ends: false,
+            cut: false,
         }
     }
 
