--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -17,6 +17,8 @@
     Limit(Weak<WorkUnit>),
     /// A waiting work unit has no hope left.
     Patience(Weak<WorkUnit>),
+    /// Work that has not started by now is of no worth.
+    Stale(Weak<WorkUnit>),
     /// An allocation should have started by now.
     Start(Weak<Allocation>),
     Ask,
@@ -470,7 +472,7 @@
         let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
         for line in gone.iter().chain(lines) {
-            let debt = 2.0 * self.chance.draw() * self.buffers.mean_run();
+            let debt = self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt);
         }
         let mut places: Vec<_> = self.fleet.workers.ready().collect();
@@ -490,6 +492,10 @@
         self.fleet.work = (old.0 * keep + wide, old.1 * keep + narrow);
         self.buffers.of(wu).put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
+        if self.repeats.may_recall && self.fleet.tells_start {
+            let bearable = self.buffers.bearable(wu.project_type);
+            self.agenda.add(wu.arrived + bearable, Due::Stale(Rc::downgrade(wu)));
+        }
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
         self.settle(door, now);
     }
@@ -593,6 +599,7 @@
                     Some(wu) => self.give_up(door, now, &wu),
                     None => {}
                 },
+                Due::Stale(wu) => wu.upgrade().iter().for_each(|wu| self.stale(door, now, wu)),
                 Due::Start(alloc) => self.unstarted(door, now, alloc),
                 Due::Ask => {
                     self.follow.asking = false;
@@ -604,6 +611,17 @@
         self.settle(door, now);
     }
 
+    /// Work that has not started while it is worth anything leaves the workers' queues, where a repeat is
+    /// harmless: hundreds of schedulers that leave it there make all that comes behind it late, too.
+    fn stale(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
+        let t = &self.buffers.types[wu.project_type];
+        let runs = wu.allocs.borrow().iter().any(|a| a.outcome.get().is_none() && a.started.get().is_some());
+        let harmless = matches!(t.effect, Effect::Rerunnable | Effect::Receipted { group: Group::All, .. });
+        if harmless && t.late_credit == 0.0 && !runs && !wu.ended.get() {
+            self.give_up(door, now, wu);
+        }
+    }
+
     /// Work kept waiting at a worker that others have filled, or that has gone silent, is taken for lost if
     /// exclusive, else buffered for a second allocation, if the time left exceeds what that takes.
     fn unstarted(&mut self, door: &mut dyn Door, now: f64, alloc: Weak<Allocation>) {
@@ -626,7 +644,8 @@
                 self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
             }
         }
-        let void = |due: &Due| matches!(due, Due::Limit(w) | Due::Patience(w) if w.strong_count() == 0);
+        use Due::{Limit, Patience, Stale};
+        let void = |due: &Due| matches!(due, Limit(w) | Patience(w) | Stale(w) if w.strong_count() == 0);
         self.agenda.arm(door, now, void);
     }
 
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -111,12 +111,22 @@
             ),
             (
                 "it looks no longer than its patience",
+                "list 1; call 1 1; at 0.1; wake; at 0.2; wake; change 2",
+                "send 1>1",
+            ),
+            (
+                "where a repeat is harmless it is given up while it has not started and can earn nothing any more",
                 "list 1; call 1 0; at 0.1; wake; at 0.2; wake; change 2",
+                "send 1>1, defer 1, recall 1.0",
+            ),
+            (
+                "not so once it has started",
+                "list 1; call 1 0; at 0.1; start 1.0; at 0.2; wake; change 2",
                 "send 1>1",
             ),
             (
                 "what fails meanwhile past hope ends",
-                "list 1; call 1 0; at 0.3; wake; back 1.0 error",
+                "list 1; call 1 0; at 0.1; start 1.0; at 0.3; wake; back 1.0 error",
                 "send 1>1, defer 1",
             ),
         ],
--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -54,6 +54,10 @@
     Ends(u64),
     /// News of the list for all schedulers.
     Told(Vec<Line>),
+    /// Nothing comes back any more from these, and what is sent to them never arrives.
+    Silent(Vec<u64>),
+    /// A dial that nobody took.
+    NotUp(usize, u64, u16),
 }
 
 struct Job {
@@ -70,6 +74,7 @@
     cold_from: f64,
     /// It answers this share of its jobs with an error, at once.
     errors: f64,
+    silent: bool,
     queue: VecDeque<u64>,
     running: usize,
     /// When it was sent how many seconds of work.
@@ -93,6 +98,7 @@
     deferred: usize,
     aborted: usize,
     errors: usize,
+    not_up: usize,
     sent: usize,
 }
 
@@ -173,6 +179,11 @@
         self.at(after, Event::Told(lines));
     }
 
+    /// What is sent to these is not taken from then on, and nothing that they hold comes back.
+    fn silent(&mut self, after: f64, workers: &[u64]) {
+        self.at(after, Event::Silent(workers.to_vec()));
+    }
+
     fn run(&mut self) -> &Ends {
         while let Some(((at, _), event)) = self.due.pop_first() {
             self.now = f64::from_bits(at);
@@ -184,6 +195,14 @@
                     (0..self.schedulers.len())
                         .for_each(|i| self.call(i, |s, door, now| s.news(door, now, News::Changes(&lines))));
                 }
+                Event::Silent(workers) => {
+                    workers.iter().for_each(|w| self.machines.get_mut(w).unwrap().silent = true);
+                    self.jobs.retain(|_, job| !workers.contains(&job.alloc.worker.line.id));
+                }
+                Event::NotUp(from, id, number) => {
+                    self.ends.not_up += 1;
+                    self.back(from, id, number, Outcome::NoConnection);
+                }
             }
         }
         &self.ends
@@ -234,9 +253,12 @@
     fn sends(&mut self, from: usize, alloc: Rc<Allocation>) {
         let wu = alloc.wu.upgrade().unwrap();
         let run = self.held[&wu.id].2;
-        let worker = alloc.worker.line.id;
+        let (worker, number) = (alloc.worker.line.id, alloc.number);
         let machine = self.machines.get_mut(&worker).unwrap();
         self.ends.sent += 1;
+        if machine.silent {
+            return self.at(0.25, Event::NotUp(from, wu.id, number));
+        }
         machine.sent.push((self.now, run));
         self.row += 1;
         machine.queue.push_back(self.row);
@@ -317,3 +339,25 @@
     assert!(in_time * 4 > offered * 3, "{:?}", world.ends);
     assert!(sent > 360 && most < 3.0, "{sent} sent in 6 s, at the most {most:.2} times what one could run");
 }
+
+#[test]
+fn work_that_can_earn_nothing_any_more_leaves_the_queues() {
+    // 80 seconds of work a second are asked for, and 60 can be run.
+    let workers: Vec<u64> = (1..=15).chain(101..=115).collect();
+    let mut world = World::new(100, &workers, 160.0, 12.0, Effect::Rerunnable);
+    let Ends { offered, in_time, late, .. } = *world.run();
+    assert!(in_time * 2 > offered && late * 4 < offered, "{:?}", world.ends);
+}
+
+#[test]
+fn each_gets_its_one_answer_when_half_of_the_workers_fall_silent() {
+    let workers: Vec<u64> = (1..=30).chain(101..=130).collect();
+    let lost: Vec<u64> = (101..=130).collect();
+    for effect in [Effect::Rerunnable, Effect::Exclusive] {
+        let mut world = World::new(100, &workers, 160.0, 12.0, effect);
+        world.silent(3.0, &lost);
+        let Ends { offered, in_time, late, deferred, aborted, not_up, .. } = *world.run();
+        assert_eq!(in_time + late + deferred + aborted, offered, "{:?}", world.ends);
+        assert!(not_up > 0, "{:?}", world.ends);
+    }
+}
