mintlb count: what many schedulers did together, by second, from their logs

One scheduler of a hundred sees a work unit or two a second, so no single log shows what all do at once.

--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -1,5 +1,6 @@
 //! The command line.
 
+use crate::count::Counts;
 use crate::log;
 use crate::operator::Operator;
 use crate::placement::Placement;
@@ -23,6 +24,7 @@
 enum Verb {
     Serve(Serve),
     Check(Check),
+    Count(Count),
     Version(Version),
 }
 
@@ -53,6 +55,15 @@
     operator: Option<String>,
 }
 
+/// Counts over many schedulers' logs, by second; they must have been written with --verbose.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "count")]
+struct Count {
+    /// what `serve` wrote to standard error, a file a scheduler
+    #[argh(positional)]
+    logs: Vec<String>,
+}
+
 /// Prints the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -129,6 +140,17 @@
             ))?;
             plan.beanstalkd.as_ref().map_or(Ok(()), |plan| print(format_args!("{plan:#?}\n")))
         }
+        Verb::Count(Count { logs }) => {
+            let mut counts = Counts::default();
+            for path in &logs {
+                let bytes = std::fs::read(path).map_err(|e| format!("{path} cannot be read: {e}"))?;
+                counts.read(String::from_utf8_lossy(&bytes).lines());
+            }
+            if counts.is_empty() {
+                return Err("no allocation in these logs: serve writes them with --verbose".to_string());
+            }
+            print(format_args!("{counts}"))
+        }
         Verb::Version(Version {}) => print(format_args!("mintlb {}\n", env!("CARGO_PKG_VERSION"))),
     }
 }
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -26,6 +26,7 @@
 //! ```
 
 pub mod cli;
+pub mod count;
 pub mod grants;
 pub mod log;
 pub mod operator;
