The read-through: strangers drawn without a list of all, one test of harmless, house words

Roll::drawn collected each group of strangers at every press before it drew one, which at ten thousand workers costs what the drawing was made to save; now it draws an index, and looks at the group only where the drawn one has no room. Scheduler::stale had a second wording of what may be deferred; it asks Repeats::harmless, as give_up does. MEMORY stood for a number of schedulers, too; that is MANY now. A tally that nobody read is gone. Words: credit, not worth. Test rows: receipted work known everywhere is given up, exclusive is not.

--- a/crates/mintlb-core/src/hands.rs
+++ b/crates/mintlb-core/src/hands.rs
@@ -31,8 +31,6 @@
     completed: u64,
     deferred: u64,
     aborted: u64,
-    /// Not taken, as the client's id is another's.
-    repeated: u64,
 }
 
 impl<W: Watcher> Hands<W> {
@@ -55,7 +53,7 @@
 
     /// One line of counts, where there is something to count.
     pub fn count(&mut self, held: usize) {
-        let Tally { sent, closed, completed, deferred, aborted, .. } = std::mem::take(&mut self.tally);
+        let Tally { sent, closed, completed, deferred, aborted } = std::mem::take(&mut self.tally);
         if sent + completed + deferred + aborted > 0 {
             info!(self.log, "counts"; "aborted" => aborted, "deferred" => deferred, "completed" => completed,
                 "allocations closed" => closed, "allocations sent" => sent, "held" => held);
@@ -79,14 +77,14 @@
                 }
             }
             Act::Answer { wu, to, answer } => {
-                let what = match answer {
-                    Answer::Completed(_) => (&mut self.tally.completed, "completed"),
-                    Answer::Deferred(_) => (&mut self.tally.deferred, "deferred"),
-                    Answer::Aborted => (&mut self.tally.aborted, "aborted"),
-                    Answer::Repeated => (&mut self.tally.repeated, "repeated"),
+                let (count, what) = match answer {
+                    Answer::Completed(_) => (Some(&mut self.tally.completed), "completed"),
+                    Answer::Deferred(_) => (Some(&mut self.tally.deferred), "deferred"),
+                    Answer::Aborted => (Some(&mut self.tally.aborted), "aborted"),
+                    Answer::Repeated => (None, "repeated"),
                 };
-                *what.0 += 1;
-                debug!(self.log, "answered"; "answer" => what.1, "wu" => wu);
+                count.into_iter().for_each(|count| *count += 1);
+                debug!(self.log, "answered"; "answer" => what, "wu" => wu);
                 to.settle(answer);
             }
             Act::Probe { worker, to } => to.probe(worker),
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -17,7 +17,7 @@
     Limit(Weak<WorkUnit>),
     /// A waiting work unit has no hope left.
     Patience(Weak<WorkUnit>),
-    /// Work that has not started by now is of no worth.
+    /// Work that has not started by now can earn no credit any more.
     Stale(Weak<WorkUnit>),
     /// An allocation should have started by now.
     Start(Weak<Allocation>),
@@ -194,8 +194,10 @@
 const FAR: f64 = 0.6;
 /// Rates start as if so many work units had been heard at the usual speed.
 const PRIOR: f64 = 4.0;
-/// So many work units of a worker, or running times, are remembered; more schedulers than that are many.
+/// So many work units of a worker, or usual running times, are remembered.
 const MEMORY: f64 = 16.0;
+/// From so many schedulers on, their questions for the list spread over more time.
+const MANY: f64 = 16.0;
 /// What is learned over many workers moves by this part a work unit.
 const SLOWLY: f64 = 1.0 / 32.0;
 /// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
@@ -449,7 +451,7 @@
         if self.follow.on_request && !self.follow.asking {
             self.follow.asking = true;
             // The list service does not grow with its callers, and who starts together would call together.
-            let many = (self.fleet.cold.among / MEMORY).max(1.0) * 2f64.powi(self.follow.failed) / 8.0;
+            let many = (self.fleet.cold.among / MANY).max(1.0) * 2f64.powi(self.follow.failed) / 8.0;
             self.agenda.add(now + self.follow.ask_within * many.min(0.5) * self.chance.draw(), Due::Ask);
         }
     }
@@ -611,13 +613,12 @@
         self.settle(door, now);
     }
 
-    /// Work that has not started while it is worth anything leaves the workers' queues, where a repeat is
+    /// Work that has not started while it can earn its credit leaves the workers' queues, where a repeat is
     /// harmless: left there by hundreds of schedulers it makes all behind it late, too.
     fn stale(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         let t = &self.buffers.types[wu.project_type];
         let runs = wu.allocs.borrow().iter().any(|a| a.outcome.get().is_none() && a.started.get().is_some());
-        let harmless = matches!(t.effect, Effect::Rerunnable | Effect::Receipted { group: Group::All, .. });
-        if harmless && t.late_credit == 0.0 && !runs && !wu.ended.get() {
+        if self.repeats.harmless(t.effect, wu) && t.late_credit == 0.0 && !runs && !wu.ended.get() {
             self.give_up(door, now, wu);
         }
     }
@@ -653,8 +654,7 @@
     /// start and run there. Each gets one work unit at a time, from the runnable buffer of highest pressure.
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
-        let has_room = |w: &Worker| self.fleet.room(now, w, mean_run) > 0.0;
-        let workers = self.fleet.workers.drawn(&mut self.chance, has_room);
+        let workers = self.fleet.workers.drawn(&mut self.chance, |w| self.fleet.room(now, w, mean_run) > 0.0);
         let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
             let far = if w.line.zone == self.fleet.zone { 1.0 } else { FAR };
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -56,16 +56,15 @@
     pub fn drawn(&self, chance: &mut Chance, has_room: impl Fn(&Worker) -> bool) -> Vec<Rc<Worker>> {
         let mut workers = self.met.clone();
         for group in self.unmet.values().filter(|group| !group.is_empty()) {
-            let mut draw = |from: &[&Rc<Worker>]| from[(chance.draw() * from.len() as f64) as usize].clone();
-            let all: Vec<_> = group.iter().collect();
-            let one = draw(&all);
-            if has_room(&one) {
-                workers.push(one);
+            let mut draw = |of: usize| (chance.draw() * of as f64) as usize;
+            let one = &group[draw(group.len())];
+            if has_room(one) {
+                workers.push(one.clone());
                 continue;
             }
             let open: Vec<_> = group.iter().filter(|w| has_room(w)).collect();
             if !open.is_empty() {
-                workers.push(draw(&open));
+                workers.push(open[draw(open.len())].clone());
             }
         }
         workers
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -119,6 +119,16 @@
                 "list 1; call 1 0; at 0.1; wake; at 0.2; wake; change 2",
                 "send 1>1, defer 1, recall 1.0",
             ),
+            (
+                "receipted work known everywhere, too",
+                "list 1; call 1 3; at 0.2; wake",
+                "send 1>1, defer 1, recall 1.0",
+            ),
+            (
+                "never exclusive work that may have run",
+                "list 1; call 1 2; at 0.2; wake; at 3; wake",
+                "send 1>1",
+            ),
             (
                 "not so once it has started",
                 "list 1; call 1 0; at 0.1; start 1.0; at 0.2; wake; change 2",
