A test of a hundred schedulers whose list service only hangs and fails

The issue's hard case of an overbooked list service had a test for one scheduler only. A hundred now call a service that holds each call for 3 s and answers 503, for a minute: each goes on asking within 8 s, and never do 40 of them ask in one second. No change of code.

--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -395,3 +395,33 @@
         assert!(last <= most_wait && crowd <= most_share, "{schedulers}: {last} {crowd}");
     }
 }
+
+#[test]
+fn a_list_service_that_only_fails_is_asked_without_end_but_never_in_step() {
+    let asks: Vec<Vec<f64>> = (0..100)
+        .map(|number| {
+            let follow = Follow { on_request: true, ask_within: 10.0, ..Follow::default() };
+            let mut scheduler = scheduler(number, 100, Effect::Rerunnable, follow);
+            let mut now = 100.0;
+            scheduler.power_on(&mut Asked::default(), now);
+            let mut asked = Vec::new();
+            while now < 160.0 {
+                now += 0.05;
+                let mut door = Asked::default();
+                scheduler.woke(&mut door, now);
+                if door.follows {
+                    asked.push(now);
+                    // The call hangs for three seconds, and ends with 503.
+                    now += 3.0;
+                    scheduler.news(&mut Asked::default(), now, News::Failed);
+                }
+            }
+            asked
+        })
+        .collect();
+    let gap = |a: &Vec<f64>| a.windows(2).map(|w| w[1] - w[0]).fold(0.0, f64::max);
+    assert!(asks.iter().all(|a| a.len() >= 6 && gap(a) <= 8.1), "{asks:?}");
+    let at = |second: usize| asks.iter().flatten().filter(|a| **a as usize == second).count();
+    let most = (100..160).map(at).max().unwrap();
+    assert!(most < 40, "{most} of a hundred ask in one second");
+}
