--- a/crates/mintlb-core/src/lib.rs
+++ b/crates/mintlb-core/src/lib.rs
@@ -10,8 +10,11 @@
 //! [`reducer::Reducer`], alone changes state, on one thread; [`hands::Hands`] carries out what it asks for.
 
 pub mod clock;
+pub mod figures;
 pub mod hands;
 pub mod members;
 pub mod reducer;
 pub mod room;
+pub mod standing;
+pub mod types;
 pub mod work;
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -3,6 +3,7 @@
 //! The decisions act through their door; here it writes down [`Act`]s. Nothing in this file reads, writes or
 //! waits, so that each case can be played in a test.
 
+use crate::figures::Now;
 use crate::members::{Members, Source, Told};
 use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
 use mintlb::decide::Scheduler;
@@ -50,6 +51,8 @@
     Recall(AllocId),
     Answer {
         wu: u64,
+        /// `None` if the work unit was not taken.
+        project_type: Option<usize>,
         to: Box<dyn Settle>,
         answer: Answer,
     },
@@ -78,6 +81,8 @@
     most_out: usize,
     margin: f64,
     held: FxHashMap<u64, Held>,
+    /// Those of them that wait for their answer.
+    open: usize,
     /// The clients' ids of what is held, and of what is over, up to when its client would have given up.
     ids: HashSet<Box<[u8]>>,
     over: VecDeque<(f64, Box<[u8]>)>,
@@ -93,6 +98,7 @@
     margin: f64,
     version: u64,
     held: &'a mut FxHashMap<u64, Held>,
+    open: &'a mut usize,
     out: &'a mut FxHashSet<AllocId>,
     members: &'a Members,
     acts: Vec<Act>,
@@ -105,8 +111,11 @@
 impl OpenDoor<'_> {
     fn answer(&mut self, id: u64, answer: Answer) {
         self.touched.push(id);
-        if let Some(to) = self.held.get_mut(&id).and_then(|held| held.answer.take()) {
-            self.acts.push(Act::Answer { wu: id, to, answer });
+        let held = self.held.get_mut(&id);
+        if let Some((to, wu)) = held.and_then(|held| Some((held.answer.take()?, &held.wu))) {
+            *self.open -= 1;
+            let project_type = Some(wu.project_type);
+            self.acts.push(Act::Answer { wu: id, project_type, to, answer });
         }
     }
 }
@@ -161,7 +170,7 @@
 impl Reducer {
     pub fn new(scheduler: Scheduler, most_out: usize, margin: f64) -> Reducer {
         let (held, ids, over, out, members) = Default::default();
-        Reducer { scheduler, most_out, margin, held, ids, over, out, members, version: 0 }
+        Reducer { scheduler, most_out, margin, held, open: 0, ids, over, out, members, version: 0 }
     }
 
     /// How many work units are held.
@@ -169,6 +178,12 @@
         self.held.len()
     }
 
+    /// What is so now, for the figures.
+    pub fn now(&self) -> Now {
+        let (listed, avoided) = self.scheduler.cluster();
+        Now { open: self.open, listed, avoided }
+    }
+
     /// The start: what the list last said, and which version that was, then whatever the decisions ask for first.
     pub fn start(&mut self, now: f64, known: Option<(u64, Told)>) -> Vec<Act> {
         self.version = known.as_ref().map_or(0, |(version, _)| *version);
@@ -184,7 +199,7 @@
             Event::Arrived(a)
                 if self.held.contains_key(&a.id) || !self.is_new(now, a.client_id.as_deref()) =>
             {
-                vec![Act::Answer { wu: a.id, to: a.answer, answer: Answer::Repeated }]
+                vec![Act::Answer { wu: a.id, project_type: None, to: a.answer, answer: Answer::Repeated }]
             }
             Event::Arrived(a) => {
                 let wu = WorkUnit::new(
@@ -199,11 +214,12 @@
                 let (client_id, payload) = (a.client_id, a.payload);
                 let held = Held { wu: wu.clone(), client_id, payload, answer: Some(a.answer) };
                 self.held.insert(a.id, held);
+                self.open += 1;
                 self.with_door(now, |scheduler, door| scheduler.arrived(door, now, &wu))
             }
             Event::Left(id) => {
                 let Some(held) = self.held.get_mut(&id) else { return Vec::new() };
-                held.answer = None;
+                self.open -= usize::from(held.answer.take().is_some());
                 let wu = held.wu.clone();
                 self.with_door(now, |scheduler, door| {
                     door.touched.push(id);
@@ -280,6 +296,7 @@
             margin: self.margin,
             version: self.version,
             held: &mut self.held,
+            open: &mut self.open,
             out: &mut self.out,
             members: &self.members,
             acts,
--- a/crates/mintlb-http/src/dial.rs
+++ b/crates/mintlb-http/src/dial.rs
@@ -17,19 +17,36 @@
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
 
-/// The bytes of a connection that the system took so far.
+/// The bytes of a connection that the system took so far, and at how many of them a request will be whole.
 #[derive(Clone, Default)]
-pub struct Written(Arc<AtomicU64>);
+pub struct Written(Arc<AtomicU64>, Arc<AtomicU64>);
 
 impl Written {
     pub fn so_far(&self) -> u64 {
         self.0.load(Relaxed)
     }
+
+    /// A request of so many bytes is written next.
+    pub fn expect(&self, length: u64) {
+        self.1.store(self.so_far() + length, Relaxed);
+    }
+
+    /// So many more bytes were taken; whether they make a request whole.
+    fn count(&self, bytes: u64) -> bool {
+        let so_far = self.0.fetch_add(bytes, Relaxed) + bytes;
+        let whole = self.1.load(Relaxed);
+        let makes_whole = whole > 0 && so_far >= whole;
+        if makes_whole {
+            self.1.store(0, Relaxed);
+        }
+        makes_whole
+    }
 }
 
 pub struct Watched {
     io: TokioIo<TcpStream>,
     written: Written,
+    sends: Arc<AtomicU64>,
     _link: OwnedSemaphorePermit,
 }
 
@@ -42,7 +59,7 @@
 impl Watched {
     fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
         if let Poll::Ready(Ok(n)) = written {
-            self.written.0.fetch_add(n as u64, Relaxed);
+            self.sends.fetch_add(self.written.count(n as u64).into(), Relaxed);
         }
         written
     }
@@ -104,6 +121,8 @@
     connector: HttpConnector,
     links: Arc<Semaphore>,
     wait: Duration,
+    /// Counts the requests written whole that were expected.
+    sends: Arc<AtomicU64>,
 }
 
 impl tower_service::Service<Uri> for Dialer {
@@ -116,22 +135,23 @@
     }
     fn call(&mut self, to: Uri) -> Self::Future {
         let (links, wait, mut connector) = (self.links.clone(), self.wait, self.connector.clone());
+        let sends = self.sends.clone();
         Box::pin(async move {
             let Ok(link) = timeout(wait, links.acquire_owned()).await else { return Err(NoRoom.into()) };
             let io = connector.call(to).await.map_err(|e| match is_short(&e) {
                 true => NoRoom.into(),
                 false => Self::Error::from(e),
             })?;
-            Ok(Watched { io, written: Written::default(), _link: link? })
+            Ok(Watched { io, written: Written::default(), sends, _link: link? })
         })
     }
 }
 
 impl Dialer {
-    pub fn new(links: usize, wait: Duration) -> Dialer {
+    pub fn new(links: usize, wait: Duration, sends: Arc<AtomicU64>) -> Dialer {
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(wait));
         connector.set_nodelay(true);
-        Dialer { connector, links: Arc::new(Semaphore::new(links)), wait }
+        Dialer { connector, links: Arc::new(Semaphore::new(links)), wait, sends }
     }
 }
--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -22,18 +22,22 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use mintlb::{Effect, ProjectType};
+use mintlb::Effect;
 use mintlb_core::clock::Clock;
+use mintlb_core::figures::{Ends, Figures};
 use mintlb_core::reducer::Event;
 use mintlb_core::room::Room;
+use mintlb_core::standing::Standing;
+use mintlb_core::types::Named;
 use mintlb_core::work::{Answer, Arrival, Numbers, Payload};
+use parking_lot::Mutex;
 use slog::{Logger, debug, info, warn};
 use std::collections::HashMap;
 use std::error::Error;
 use std::future::{Future, poll_fn};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::task::Poll;
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
@@ -50,10 +54,11 @@
     hard_limit: f64,
     receipted: bool,
     once: bool,
+    ends: Arc<Ends>,
 }
 
 pub struct Front {
-    types: HashMap<String, Entry>,
+    types: Mutex<HashMap<String, Arc<Entry>>>,
     customers: Vec<String>,
     limits: Limits,
     clock: Clock,
@@ -62,9 +67,8 @@
     numbers: Numbers,
     room: Room,
     places: Arc<Places>,
-    /// Told to stop: still serving, but not for long. Then closing: each answer ends its connection.
-    stopping: AtomicBool,
-    closing: AtomicBool,
+    /// Whether clients are to come here, and to stay.
+    standing: Arc<Mutex<Standing>>,
     /// Requests that were not taken and connections closed to make room, since the last line of counts.
     not_taken: AtomicU64,
     closed: AtomicU64,
@@ -89,24 +93,15 @@
 
 impl Front {
     pub fn new(
-        names: Vec<String>,
-        types: &[ProjectType],
         customers: Vec<String>,
         limits: Limits,
-        shared: (Numbers, Room, Clock),
+        shared: (Numbers, Room, Clock, Arc<Mutex<Standing>>),
         tell: UnboundedSender<Event>,
         log: Logger,
     ) -> Arc<Front> {
-        let (numbers, room, clock) = shared;
-        let entries = names.into_iter().zip(types).enumerate().map(|(number, (name, t))| {
-            let receipted = matches!(t.effect, Effect::Receipted { .. });
-            (
-                name,
-                Entry { number, hard_limit: t.hard_limit, receipted, once: t.effect != Effect::Rerunnable },
-            )
-        });
+        let (numbers, room, clock, standing) = shared;
         Arc::new(Front {
-            types: entries.collect(),
+            types: Mutex::default(),
             customers,
             clock,
             tell,
@@ -114,14 +109,25 @@
             numbers,
             room,
             places: Places::new(limits.clients, limits.read / 16),
-            stopping: AtomicBool::new(false),
-            closing: AtomicBool::new(false),
+            standing,
             not_taken: AtomicU64::new(0),
             closed: AtomicU64::new(0),
             limits,
         })
     }
 
+    /// From now on work of these project types is taken, and of no others.
+    pub fn take_types(&self, types: &[Named], figures: &Figures) {
+        let entry = |named: &Named| Entry {
+            number: named.number,
+            hard_limit: named.project_type.hard_limit,
+            receipted: matches!(named.project_type.effect, Effect::Receipted { .. }),
+            once: named.project_type.effect != Effect::Rerunnable,
+            ends: figures.of(&named.name),
+        };
+        *self.types.lock() = types.iter().map(|named| (named.name.clone(), Arc::new(entry(named)))).collect();
+    }
+
     pub async fn listen(self: Arc<Front>, listener: TcpListener) {
         let router = Router::new().route("/healthz", get(healthz)).fallback(hand_in).with_state(self.clone());
         let mut failing = false;
@@ -145,15 +151,14 @@
         }
     }
 
-    /// From now on nobody new should come; those who are here or come all the same are served on.
-    pub fn stop(&self) {
-        self.stopping.store(true, Relaxed);
+    /// Idle connections close. New ones are still answered, so this is to be said again and again.
+    pub fn close_idle(&self) {
+        self.places.close_idle();
     }
 
-    /// From now on each answer ends its connection, and idle ones close; new ones are still answered.
-    pub fn close(&self) {
-        self.closing.store(true, Relaxed);
-        self.places.close_idle();
+    /// Whether each answer is to end its connection.
+    fn closes(&self) -> bool {
+        self.standing.lock().closes(self.clock.now(), self.limits.leave, self.limits.stop)
     }
 
     /// How many connections clients have.
@@ -216,7 +221,7 @@
         &self,
         request: Request,
         seen: &Seen,
-    ) -> Result<(Arrival, oneshot::Receiver<Answer>), Unfit> {
+    ) -> Result<(Arrival, Arc<Ends>, oneshot::Receiver<Answer>), Unfit> {
         let arrived = self.clock.now();
         let (head, body) = request.into_parts();
         let unfit = |status, why: &str| (status, why.to_string());
@@ -231,7 +236,7 @@
             return Err(unfit(StatusCode::BAD_REQUEST, "the path is no text"));
         }
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let Some(entry) = self.types.get(name) else {
+        let Some(entry) = self.types.lock().get(name).cloned() else {
             return Err((StatusCode::NOT_FOUND, "there is no such project type".to_string()));
         };
         if one(&head, "request-id").is_none() {
@@ -267,7 +272,7 @@
             payload,
             answer,
         };
-        Ok((arrival, receiver))
+        Ok((arrival, entry.ends.clone(), receiver))
     }
 
     /// The whole body, if it comes in time and is as long as was said.
@@ -295,7 +300,7 @@
         // What may be held at once is bounded; a body whose length is not told may be as long as allowed.
         let most = request.body().size_hint().upper().unwrap_or(u64::MAX).min(self.limits.body as u64);
         let room = self.room.body(most as usize);
-        let (arrival, receiver) = match self.take(request, seen).await {
+        let (arrival, ends, receiver) = match self.take(request, seen).await {
             Ok(taken) => taken,
             Err((status, why)) => {
                 self.not_taken.fetch_add(1, Relaxed);
@@ -305,6 +310,7 @@
         };
         seen.taken();
         let (Some(_room), Some(_open)) = (room, self.room.work_unit()) else {
+            ends.deferred.fetch_add(1, Relaxed);
             return deferred(self.limits.come_back);
         };
         let mut waiting = Waiting { id: arrival.id, tell: Some(&self.tell) };
@@ -336,8 +342,8 @@
 
 /// Who asks for this has no work to bring, and needs no place for longer.
 async fn healthz(State(front): State<Arc<Front>>) -> impl IntoResponse {
-    let stopping = front.stopping.load(Relaxed);
-    let status = if stopping { StatusCode::SERVICE_UNAVAILABLE } else { StatusCode::OK };
+    let ready = front.standing.lock().is_ready();
+    let status = if ready { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
     (status, [(CONNECTION, "close")])
 }
 
@@ -348,7 +354,7 @@
 ) -> Response {
     let mut answer = front.answer(request, &seen).await;
     let goes_on = seen.answered() && !answer.status().is_client_error();
-    if front.closing.load(Relaxed) || !goes_on {
+    if front.closes() || !goes_on {
         answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     answer
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -162,7 +162,7 @@
 impl List {
     pub fn new(limits: &Limits, at: SocketAddr) -> List {
         // An old watch may end only while the new one is dialled.
-        let dialer = Dialer::new(2, limits.dial);
+        let dialer = Dialer::new(2, limits.dial, Arc::default());
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(dialer);
         List { client, at, line: limits.list_line, silence: limits.list_silence }
     }
--- a/crates/mintlb-http/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -36,7 +36,7 @@
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
@@ -143,9 +143,10 @@
         tell: UnboundedSender<Event>,
         fields: &[&str],
         worded: Worded,
+        sends: Arc<AtomicU64>,
         log: Logger,
     ) -> Workers {
-        let dialer = Dialer::new(limits.links, limits.dial);
+        let dialer = Dialer::new(limits.links, limits.dial, sends);
         let client = |idle| {
             Client::builder(TokioExecutor::new())
                 // The library must never send again by itself: that would be a second allocation (rule 2).
@@ -269,6 +270,7 @@
                     connected.get_extras(&mut extras);
                     let written: Written = extras.remove()?;
                     let before = written.so_far();
+                    written.expect(length);
                     Some((written, before))
                 });
             }
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -32,6 +32,8 @@
         dear: time(50),
         read: time(2000),
         probe: time(500),
+        leave: 0.7,
+        stop: 1.7,
         list_silence: time(4000),
         come_back: 0.2,
     }
@@ -98,7 +100,8 @@
 async fn play(at: SocketAddr, limits: &Limits, body: usize, times: u16, left: f64) -> Vec<String> {
     let clock = Clock::start();
     let (tell, mut told) = unbounded_channel();
-    let workers = Workers::new(limits, clock, tell, &["util", "x0"], Worded::default(), quiet());
+    let workers =
+        Workers::new(limits, clock, tell, &["util", "x0"], Worded::default(), Arc::default(), quiet());
     for n in 0..times {
         workers.allocate(&order(n, body, clock.now() + left), at).await;
     }
@@ -227,7 +230,8 @@
         let (at, told) = worker(stream(&[DONE]) + "+");
         let limits = Limits { idle, dear: Duration::ZERO, ..limits() };
         let (tell, _kept) = unbounded_channel();
-        let workers = Workers::new(&limits, Clock::start(), tell, &[], Worded::default(), quiet());
+        let workers =
+            Workers::new(&limits, Clock::start(), tell, &[], Worded::default(), Arc::default(), quiet());
         for n in 0..2 {
             workers.allocate(&order(n, 0, Clock::start().now() + 1.0), at).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
@@ -279,7 +283,7 @@
         let (at, told) = worker(answer.into());
         let clock = Clock::start();
         let (tell, _kept) = unbounded_channel();
-        let workers = Workers::new(&limits(), clock, tell, &[], Worded::default(), quiet());
+        let workers = Workers::new(&limits(), clock, tell, &[], Worded::default(), Arc::default(), quiet());
         let task = tokio::spawn(async move {
             workers.allocate(&order(0, 0, clock.now() + 9.0), at).await;
         });
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -3,11 +3,13 @@
 use crate::count::Counts;
 use crate::log;
 use crate::operator::Operator;
+use crate::passed;
 use crate::placement::Placement;
 use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
 use slog::{Logger, warn};
 use std::io::{ErrorKind, Write};
+use std::net::TcpListener;
 use std::process::ExitCode;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
@@ -74,11 +76,17 @@
     path.ok_or_else(|| "no configuration: give --config FILE or set ROUTER_CONFIG".to_string())
 }
 
-/// From the configuration and the operator's file, at these paths.
-fn plan(path: &str, operator: Option<&str>) -> Result<Plan, String> {
+/// From the configuration and the operator's file, at these paths, with the socket that was passed on.
+fn plan(path: &str, operator: Option<&str>, passed: Option<TcpListener>) -> Result<Plan, String> {
     let read = operator.map(Operator::read).transpose()?.unwrap_or_default();
     let both = operator.map_or_else(|| path.to_string(), |operator| format!("{path} with {operator}"));
-    Plan::new(Placement::read(path)?, read).map_err(|e| format!("{both}: {e}"))
+    let mut placement = Placement::read(path)?;
+    // The environment is each process's own, while two of them may share one file.
+    if let Ok(ops) = std::env::var("ROUTER_OPS") {
+        placement.ops = Some(ops.trim().parse().map_err(|e| format!("ROUTER_OPS: {ops:?}: {e}"))?);
+    }
+    placement.passed = passed;
+    Plan::new(placement, read).map_err(|e| format!("{both}: {e}"))
 }
 
 /// Turns signals into words to the scheduler. A SIGHUP that is not caught would end the program, and a bad
@@ -97,7 +105,7 @@
             let word = tokio::select! {
                 _ = stop.recv() => Told::Stop,
                 _ = interrupt.recv() => Told::Stop,
-                _ = changed.recv() => match plan(&path, operator.as_deref()) {
+                _ = changed.recv() => match plan(&path, operator.as_deref(), None) {
                     Ok(plan) => Told::Moved(Box::new((plan.placement, plan.operator))),
                     Err(why) => {
                         warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
@@ -117,7 +125,9 @@
     match verb {
         Verb::Serve(Serve { config, operator, verbose }) => {
             let path = path(config)?;
-            let plan = plan(&path, operator.as_deref())?;
+            let passed = std::env::var(passed::VARIABLE).ok();
+            let passed = passed.map(|value| passed::listener(&value)).transpose()?;
+            let plan = plan(&path, operator.as_deref(), passed)?;
             let (log, last_lines) = log::to_stderr(plan.grants.log_lines, verbose);
             let wait = plan.grants.http.dial;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -129,7 +139,7 @@
             served
         }
         Verb::Check(Check { config, operator }) => {
-            let plan = plan(&path(config)?, operator.as_deref())?;
+            let plan = plan(&path(config)?, operator.as_deref(), None)?;
             let Placement { name, listen, discovery, known, .. } = &plan.placement;
             let workers = known.as_ref().map_or(0, |k| k.workers.len());
             let types = plan.types.join(", ");
--- a/crates/mintlb-node/src/grants.rs
+++ b/crates/mintlb-node/src/grants.rs
@@ -4,6 +4,7 @@
 use mintlb::settings::Text;
 use mintlb_core::clock::seconds;
 use mintlb_http::limits::{BODY, HEAD, LIST_BEAT, Limits, OWED};
+use mintlb_ops::door::Bounds;
 use std::time::Duration;
 
 #[derive(Clone, Debug)]
@@ -18,14 +19,16 @@
     pub out: usize,
     /// An allocation ends this many seconds before its client gives up, so that the answer is in time.
     pub margin: f64,
+    /// The operators' door.
+    pub door: Bounds,
     /// Log lines that wait for a slow sink; more are dropped, and counted.
     pub log_lines: usize,
     /// Between two lines of counts in the log.
     pub tally: Duration,
     /// After the word to stop, clients still come for so long.
     pub late_arrivals: Duration,
-    /// After the word to stop, clients' connections stay open for so long, as others may be starting again.
-    pub keep_open: Duration,
+    /// One that takes over waits so long for the list before it takes clients.
+    pub first_list: Duration,
     /// After the word to stop, all is answered by then.
     pub last_answer: Duration,
 }
@@ -41,14 +44,17 @@
 pub const SESSION: usize = 4 << 10;
 
 impl Grants {
-    /// With `sessions` connections of beanstalkd's.
-    pub fn new(machine: &Machine, text: &Text, sessions: usize) -> Result<Grants, String> {
+    /// With `sessions` connections of beanstalkd's; `shared` with another process of the same name, which may be
+    /// there at any time: together they must not take more than the machine has.
+    pub fn new(machine: &Machine, text: &Text, sessions: usize, shared: bool) -> Result<Grants, String> {
         let Machine { memory_mb, sockets } = *machine;
         for (field, value, least) in [("memory_mb", memory_mb, 8), ("sockets", sockets, 32)] {
             if value < least {
                 return Err(format!("limits.{field}: {value} is too little, {least} at least"));
             }
         }
+        let among = if shared { 2 } else { 1 };
+        let (memory_mb, sockets) = (memory_mb / among, sockets / among);
         // An eighth of the descriptors is left for the list, the log and the like.
         let part = |eighths: usize| sockets.min(MOST) / 8 * eighths;
         // At the worst, heads and what is buffered fill three eighths of the memory, workers' lines two, the
@@ -81,6 +87,9 @@
             dear: seconds(promise / 8.0),
             read: seconds(OWED / 3.0 * 2.0),
             probe: seconds(2.0 * dial),
+            leave: LATE_ARRIVALS,
+            // Others may be starting again.
+            stop: (last_answer / 2.0).max(LATE_ARRIVALS),
             list_silence: seconds(LIST_BEAT * 2.0),
             come_back: if text.get("permissions.retry_after")? {
                 (promise / 2.0).min(text.seconds("permissions.max_retry_after")?)
@@ -99,7 +108,8 @@
             log_lines: LOG_LINES,
             tally: seconds(TALLY),
             late_arrivals: seconds(LATE_ARRIVALS),
-            keep_open: seconds((last_answer / 2.0).max(LATE_ARRIVALS)),
+            door: Bounds { callers: (part(1) / 4).max(1), line: 256, wait: seconds(OWED / 3.0 * 2.0) },
+            first_list: seconds(STOP),
             last_answer: seconds(last_answer),
         })
     }
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -28,7 +28,9 @@
 pub mod cli;
 pub mod count;
 pub mod grants;
+pub mod kin;
 pub mod log;
 pub mod operator;
+pub mod passed;
 pub mod placement;
 pub mod serve;
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -4,7 +4,7 @@
 use mintlb_http::list::Listing;
 use serde::Deserialize;
 use serde_json::Value;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
 
 /// Where this scheduler runs, and as what.
 #[derive(Debug, Deserialize)]
@@ -12,11 +12,16 @@
     pub name: String,
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
+    /// Where operators call, if they can.
+    pub ops: Option<SocketAddr>,
     pub seed: String,
     pub limits: Machine,
     /// The list of workers as it was last had; it may be old.
     pub known: Option<Listing>,
     pub settings: Value,
+    /// The clients' listening socket, where the platform has passed it on.
+    #[serde(skip)]
+    pub passed: Option<TcpListener>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -44,6 +49,7 @@
         let fields = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
+            ("ops", self.ops != new.ops),
             ("limits", self.limits != new.limits),
             ("settings", self.settings != new.settings),
         ];
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -1,6 +1,7 @@
 //! Start-up, the one loop round the reducer, and the end.
 
 use crate::grants::Grants;
+use crate::kin::Kin;
 use crate::operator::Operator;
 use crate::placement::Placement;
 use mintlb::Runs;
@@ -8,18 +9,26 @@
 use mintlb::settings::Text;
 use mintlb_beanstalkd::front::{Bounds, Front as Beanstalkd};
 use mintlb_beanstalkd::hub::Hub;
-use mintlb_core::clock::Clock;
+use mintlb_core::clock::{Clock, seconds};
+use mintlb_core::figures::Figures;
 use mintlb_core::hands::Hands;
 use mintlb_core::reducer::{Event, Reducer};
 use mintlb_core::room::Room;
+use mintlb_core::standing::{Standing, Word};
+use mintlb_core::types::Named;
 use mintlb_core::work::Numbers;
 use mintlb_http::front::Front;
 use mintlb_http::list::{Besides, List, Reading, Watch};
 use mintlb_http::worker::{Worded, Workers};
+use mintlb_ops::call::{Call, Reply};
+use mintlb_ops::door::Door;
+use parking_lot::Mutex;
 use slog::{Logger, info, warn};
+use std::path::Path;
 use std::sync::Arc;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
+use tokio::task::AbortHandle;
 use tokio::time::{Instant, interval, sleep_until};
 
 /// All that a start needs, read and found good.
@@ -41,7 +50,7 @@
         let text = placement.text();
         let scheduler = text.scheduler(placement.seed()?)?;
         let sessions = operator.beanstalkd.as_ref().map_or(0, |table| table.connections);
-        let grants = Grants::new(&placement.limits, &text, sessions)?;
+        let grants = Grants::new(&placement.limits, &text, sessions, placement.passed.is_some())?;
         let project_types = text.project_types()?;
         let types = (0..project_types.len()).map(|i| text.get(&format!("project_types.{i}.name")));
         let customers = (0..text.customers()?).map(|i| text.get(&format!("tenants.{i}.name")));
@@ -65,26 +74,65 @@
     Stop,
 }
 
+/// What an operator's call is answered, and what follows from it.
+fn operate(call: Call, standing: &Mutex<Standing>, now: f64, page: impl FnOnce() -> String) -> Reply {
+    let mut standing = standing.lock();
+    let word = match call {
+        Call::Dump => return Reply::Figures(page()),
+        Call::Health => None,
+        Call::Leave => Some(Word::Leave),
+        Call::Join => Some(Word::Join),
+    };
+    let heard = word.map_or(Ok(()), |word| standing.hear(now, word));
+    let shown = standing.shown().to_string();
+    match heard {
+        Err(why) => Reply::Failure(why.to_string()),
+        Ok(()) if call == Call::Health && !standing.is_ready() => Reply::Failure(shown),
+        Ok(()) => Reply::Success(shown),
+    }
+}
+
 /// Serves until it is told to stop, and then until all that was taken is answered.
 pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
     let Plan { mut placement, operator, text, grants, scheduler, types, customers, beanstalkd } = plan;
     let listen = placement.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|e| format!("listen: {listen}: {e}"))?;
+    // A socket that is passed on is one that others of this name may listen on, too.
+    let temporary = std::env::var_os("TMPDIR").filter(|_| placement.passed.is_some());
+    let mut kin = temporary.map(|folder| Kin::new(Path::new(&folder), &placement.name));
+    let listener = match placement.passed.take() {
+        Some(passed) => TcpListener::from_std(passed),
+        None => TcpListener::bind(listen).await,
+    };
+    let listener = listener.map_err(|e| format!("listen: {listen}: {e}"))?;
     // Port 0 is any free one, so the log tells which.
     let listen = listener.local_addr().map_err(|e| format!("listen: {listen}: {e}"))?;
+    let mut listener = Some(listener);
     let clock = Clock::start();
     let (tell, mut events) = unbounded_channel();
     let (numbers, room) = (Numbers::default(), Room::new(grants.open, grants.bodies));
+    let (figures, standing) = (Arc::new(Figures::default()), Arc::new(Mutex::new(Standing::default())));
+    let (ask, mut asked) = unbounded_channel();
+    if let Some(at) = placement.ops {
+        let no = |e| format!("ops: {at}: {e}");
+        let door = TcpListener::bind(at).await.map_err(no)?;
+        let at = door.local_addr().map_err(no)?;
+        tokio::spawn(Door::new(grants.door, ask.clone(), log.clone()).listen(door));
+        info!(log, "operators can call"; "ops" => %at);
+    }
     let worded =
         Worded { scheduler: placement.name.clone(), types: types.clone(), customers: customers.clone() };
     let fields = text.list("stats.fields");
-    let workers = Workers::new(&grants.http, clock, tell.clone(), &fields, worded, log.clone());
+    let workers =
+        Workers::new(&grants.http, clock, tell.clone(), &fields, worded, figures.sends(), log.clone());
     let own = |path| text.list(path).into_iter().map(str::to_string).collect();
     let only = beanstalkd.as_ref().map_or(Runs::NONE, |plan| plan.only);
     let runs = Runs::default().without(only);
     let reading = Reading { zones: own("zones"), kinds: own("machine_types"), runs, workers };
     let known = placement.known.take().map(|known| (known.version, reading.told(&known)));
     let project_types = text.project_types()?;
+    let numbered = types.iter().cloned().zip(project_types.iter().cloned()).enumerate();
+    let named: Vec<Named> =
+        numbered.map(|(number, (name, project_type))| Named { name, number, project_type }).collect();
     let beanstalkd = match beanstalkd {
         Some(plan) => {
             let listen = plan.table.listen;
@@ -109,20 +157,34 @@
     };
     let list = List::new(&grants.http, placement.discovery);
     let watch = Watch::new(list, reading, tell.clone(), besides, log.clone());
-    let mut hands = Hands::new(watch, clock, log.clone());
-    let shared = (numbers, room, clock);
-    let front = Front::new(types, &project_types, customers, grants.http.clone(), shared, tell, log.clone());
+    let mut hands = Hands::new(watch, clock, log.clone(), figures.clone());
+    hands.take_types(&named);
+    let shared = (numbers, room, clock, standing.clone());
+    let limits = grants.http.clone();
+    let front = Front::new(customers, limits, shared, tell, log.clone());
+    front.take_types(&named, &figures);
     let mut reducer = Reducer::new(scheduler, grants.out, grants.margin);
 
     reducer.start(clock.now(), known).into_iter().for_each(|act| hands.carry_out(act));
-    tokio::spawn(front.clone().listen(listener));
-    info!(log, "serving"; "name" => &placement.name, "listen" => %listen);
-
-    let mut stopped: Option<Instant> = None;
+    // Who takes over first hears what has changed: what the old one was told, it was told, too.
+    let takes_over = kin.as_ref().is_some_and(|kin| kin.others() > 0);
+    let mut ready_by = takes_over.then(|| Instant::now() + grants.first_list);
+    let mut listening: Option<AbortHandle> = None;
     let mut tally = interval(grants.tally);
     loop {
-        // While it stops, it looks often whether it has ended.
+        let now = clock.now();
+        if listener.is_some() && ready_by.is_none_or(|by| Instant::now() >= by) {
+            listening = listener.take().map(|l| tokio::spawn(front.clone().listen(l)).abort_handle());
+            standing.lock().hear(now, Word::Ready).ok();
+            if let Some(Err(e)) = kin.as_mut().map(Kin::enter) {
+                warn!(log, "another process of this name will not see this one"; "why" => %e);
+            }
+            info!(log, "serving"; "name" => &placement.name, "listen" => %listen);
+        }
+        let stands = *standing.lock();
+        // While it turns clients away, it looks often whether they have gone.
         let look = Instant::now() + grants.late_arrivals / 32;
+        let looks = stands.turned().is_some() || listener.is_some();
         let event = tokio::select! {
             event = events.recv() => event,
             () = sleep_until(hands.due.unwrap_or(look)), if hands.due.is_some() => {
@@ -153,16 +215,34 @@
                 }
                 Told::Stop => {
                     info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
-                    front.stop();
+                    let succeeded = kin.as_ref().is_some_and(|kin| kin.others() > 0);
+                    standing.lock().hear(now, Word::Stop { succeeded }).ok();
+                    if succeeded {
+                        // Whoever connects from now on is the successor's; who is here already is served here.
+                        info!(log, "another process of this name takes the clients");
+                        listening.iter().for_each(AbortHandle::abort);
+                    }
                     beanstalkd.iter().for_each(|front| front.stop());
-                    stopped.get_or_insert_with(Instant::now);
                     None
                 }
             },
-            () = sleep_until(look), if stopped.is_some() => None,
+            Some((call, answer)) = asked.recv() => {
+                let reply = operate(call, &standing, now, || figures.page(reducer.now()));
+                if matches!(call, Call::Leave | Call::Join) {
+                    info!(log, "an operator's call"; "answer" => ?reply, "call" => ?call);
+                }
+                answer.send(reply).ok();
+                None
+            }
+            () = sleep_until(look), if looks => None,
         };
-        let since = stopped.map(|at| at.elapsed()).unwrap_or_default();
-        let last = since >= grants.last_answer;
+        if matches!(&event, Some(Event::Members(Some(_), _))) {
+            ready_by = None;
+        }
+        let stands = *standing.lock();
+        let since = seconds(stands.stopped().map_or(0.0, |at| clock.now() - at));
+        let stopped = stands.stopped().is_some();
+        let last = stopped && since >= grants.last_answer;
         for event in event.into_iter().chain(last.then_some(Event::LastCall)) {
             match &event {
                 Event::Back(back) => hands.back(back),
@@ -171,11 +251,11 @@
             }
             reducer.reduce(clock.now(), event).into_iter().for_each(|act| hands.carry_out(act));
         }
-        if since >= grants.keep_open {
+        if stands.closes_idle(clock.now(), grants.http.leave, grants.http.stop) {
             // Again and again: those that came late and say nothing are closed, too.
-            front.close();
+            front.close_idle();
         }
-        if since >= grants.late_arrivals && reducer.held() == 0 {
+        if stopped && since >= grants.late_arrivals && reducer.held() == 0 {
             // What was said must have gone out, and ends be told; but who takes nothing can't keep the program.
             let overdue = since >= grants.last_answer + grants.late_arrivals / 4;
             let quiet = || beanstalkd.iter().all(|front| front.is_quiet());
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -348,12 +348,12 @@
         // Without beanstalkd, with some of its connections, and with the most that are let in.
         for sessions in [0, 1, usize::MAX] {
             let machine = Machine { memory_mb, sockets };
-            let asked = Grants::new(&machine, &text, sessions);
+            let asked = Grants::new(&machine, &text, sessions, false);
             let most = asked
                 .as_ref()
                 .err()
                 .and_then(|why| why.split("here, ").nth(1)?.split(' ').next()?.parse().ok());
-            let g = most.map_or(asked, |most| Grants::new(&machine, &text, most)).unwrap();
+            let g = most.map_or(asked, |most| Grants::new(&machine, &text, most, false)).unwrap();
             let h = &g.http;
             let bytes = h.clients * 2 * h.head + h.links * h.head + (g.out - g.sessions) * h.line + g.bodies;
             let bytes = bytes + g.sessions * SESSION;
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -30,7 +30,8 @@
     .unwrap();
     let quiet = slog::Logger::root(slog::Discard, slog::o!());
     let (tell, _) = unbounded_channel();
-    let workers = Workers::new(&plan.grants.http, Clock::start(), tell, &[], Worded::default(), quiet);
+    let workers =
+        Workers::new(&plan.grants.http, Clock::start(), tell, &[], Worded::default(), Arc::default(), quiet);
     let (zones, kinds) = (vec!["north".into(), "south".into()], vec!["small".into()]);
     let reading = Reading { zones, kinds, runs: Runs::default(), workers };
     let reducer = Reducer::new(plan.scheduler, most_out, 0.002);
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -441,6 +441,12 @@
         self.fleet.workers.get(id)
     }
 
+    /// How many workers are listed, and how many of them are suspects for some project type.
+    pub fn cluster(&self) -> (usize, usize) {
+        let avoided = |w: &&Rc<Worker>| w.standing.borrow().iter().any(|s| s.suspect);
+        (self.fleet.workers.all().count(), self.fleet.workers.all().filter(avoided).count())
+    }
+
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         self.ask_later(now);
         self.settle(door, now);
