--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -5,9 +5,11 @@
 
 use crate::figures::Now;
 use crate::members::{Members, Source, Told};
+use crate::types::{Named, Types};
 use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
 use mintlb::decide::Scheduler;
-use mintlb::{Allocation, Door, News, Outcome, Report, WorkUnit, Worker};
+use mintlb::settings::Terms;
+use mintlb::{Allocation, Door, News, Outcome, ProjectType, Report, WorkUnit, Worker};
 use rustc_hash::{FxHashMap, FxHashSet};
 use std::collections::hash_map::Entry;
 use std::collections::{HashSet, VecDeque};
@@ -77,6 +79,7 @@
 
 pub struct Reducer {
     scheduler: Scheduler,
+    types: Types,
     /// Allocations that may be out at once, and how many seconds before its client's limit one ends.
     most_out: usize,
     margin: f64,
@@ -168,9 +171,9 @@
 }
 
 impl Reducer {
-    pub fn new(scheduler: Scheduler, most_out: usize, margin: f64) -> Reducer {
+    pub fn new(scheduler: Scheduler, types: Types, most_out: usize, margin: f64) -> Reducer {
         let (held, ids, over, out, members) = Default::default();
-        Reducer { scheduler, most_out, margin, held, open: 0, ids, over, out, members, version: 0 }
+        Reducer { scheduler, types, most_out, margin, held, open: 0, ids, over, out, members, version: 0 }
     }
 
     /// How many work units are held.
@@ -178,6 +181,21 @@
         self.held.len()
     }
 
+    /// The project types in service.
+    pub fn types(&self) -> &[Named] {
+        self.types.served()
+    }
+
+    /// New work is of these project types and under these terms from now on; an error, and nothing has changed. All
+    /// that was read before must have been reduced before, as it goes by the numbers of then.
+    pub fn retune(&mut self, types: &[(String, ProjectType)], terms: &Terms) -> Result<(), String> {
+        let held: FxHashSet<usize> = self.held.values().map(|held| held.wu.project_type).collect();
+        let changes = self.types.change(types, |number| held.contains(&number))?;
+        let Terms { repeats, excess_credit, come_back } = terms.clone();
+        self.scheduler.retune(&changes, repeats, excess_credit, come_back);
+        Ok(())
+    }
+
     /// What is so now, for the figures.
     pub fn now(&self) -> Now {
         let (listed, avoided) = self.scheduler.cluster();
--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -236,12 +236,19 @@
             return Err(unfit(StatusCode::BAD_REQUEST, "the path is no text"));
         }
         let name = head.uri.path().split('/').nth(1).unwrap_or_default();
-        let Some(entry) = self.types.lock().get(name).cloned() else {
-            return Err((StatusCode::NOT_FOUND, "there is no such project type".to_string()));
+        let entry = || {
+            let none = || unfit(StatusCode::NOT_FOUND, "there is no such project type");
+            self.types.lock().get(name).cloned().ok_or_else(none)
         };
+        entry()?;
         if one(&head, "request-id").is_none() {
             return Err(unfit(StatusCode::BAD_REQUEST, "one Request-Id is needed"));
         }
+        let customer = text(&head, "tenant").and_then(|t| self.customers.iter().position(|c| c == t));
+        let (slots, memory) = (info(&head, "slots").unwrap_or(1.0), info(&head, "memory").unwrap_or(0.0));
+        let body = self.body(body, seen).await?;
+        // While the body came, the project type may have changed: what holds is what holds when the work is taken.
+        let entry = entry()?;
         if entry.receipted && one(&head, "idempotency-key").is_none() {
             return Err(unfit(StatusCode::BAD_REQUEST, "one Idempotency-Key is needed"));
         }
@@ -252,9 +259,6 @@
                 .ok_or_else(|| (StatusCode::BAD_REQUEST, format!("Request-Timeout {value:?} is no time")))?
                 .min(entry.hard_limit),
         };
-        let customer = text(&head, "tenant").and_then(|t| self.customers.iter().position(|c| c == t));
-        let (slots, memory) = (info(&head, "slots").unwrap_or(1.0), info(&head, "memory").unwrap_or(0.0));
-        let body = self.body(body, seen).await?;
         let (answer, receiver) = oneshot::channel();
         let (id, project_type) = (self.numbers.next(), entry.number);
         let client_id = head.headers.get("request-id").map(|id| id.as_bytes().into());
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -7,7 +7,6 @@
 use crate::placement::Placement;
 use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
-use slog::{Logger, warn};
 use std::io::{ErrorKind, Write};
 use std::net::TcpListener;
 use std::process::ExitCode;
@@ -91,11 +90,7 @@
 
 /// Turns signals into words to the scheduler. A SIGHUP that is not caught would end the program, and a bad
 /// configuration must not: the one that holds stays.
-fn follow_signals(
-    path: String,
-    operator: Option<String>,
-    log: Logger,
-) -> Result<UnboundedReceiver<Told>, String> {
+fn follow_signals(path: String, operator: Option<String>) -> Result<UnboundedReceiver<Told>, String> {
     let on = |kind| signal(kind).map_err(|e| format!("no signals: {e}"));
     let (mut stop, mut interrupt) = (on(SignalKind::terminate())?, on(SignalKind::interrupt())?);
     let mut changed = on(SignalKind::hangup())?;
@@ -106,11 +101,8 @@
                 _ = stop.recv() => Told::Stop,
                 _ = interrupt.recv() => Told::Stop,
                 _ = changed.recv() => match plan(&path, operator.as_deref(), None) {
-                    Ok(plan) => Told::Moved(Box::new((plan.placement, plan.operator))),
-                    Err(why) => {
-                        warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
-                        continue;
-                    }
+                    Ok(plan) => Told::Changed(Box::new(plan.into())),
+                    Err(why) => Told::Bad(why),
                 },
             };
             if tell.send(word).is_err() {
@@ -132,7 +124,7 @@
             let wait = plan.grants.http.dial;
             let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
             let served = runtime.map_err(|e| format!("no runtime: {e}"))?.block_on(async {
-                let told = follow_signals(path, operator, log.clone())?;
+                let told = follow_signals(path, operator)?;
                 serve(plan, log, told).await
             });
             log::finish(last_lines, wait);
@@ -142,7 +134,8 @@
             let plan = plan(&path(config)?, operator.as_deref(), None)?;
             let Placement { name, listen, discovery, known, .. } = &plan.placement;
             let workers = known.as_ref().map_or(0, |k| k.workers.len());
-            let types = plan.types.join(", ");
+            let types: Vec<&str> = plan.types.iter().map(|(name, _)| name.as_str()).collect();
+            let types = types.join(", ");
             print(format_args!(
                 "{name} would listen on {listen} and ask {discovery} for the list\n\
                  project types: {types}\nworkers known: {workers}\n{:#?}\n",
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -4,6 +4,7 @@
 use mintlb_http::list::Listing;
 use serde::Deserialize;
 use serde_json::Value;
+use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 
 /// Where this scheduler runs, and as what.
@@ -22,6 +23,9 @@
     /// The clients' listening socket, where the platform has passed it on.
     #[serde(skip)]
     pub passed: Option<TcpListener>,
+    /// The keys of the file, those of objects within objects by their path.
+    #[serde(skip)]
+    keys: BTreeSet<String>,
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq)]
@@ -30,6 +34,13 @@
     pub sockets: usize,
 }
 
+/// The settings that a new configuration may change while it serves, by the table that they stand in.
+const CHANGING: [(&str, &[&str]); 3] = [
+    ("", &["project_types", "excess_credit"]),
+    ("family_info", &["class_kind", "class_stretch"]),
+    ("permissions", &["most_allocations", "parallel_tries", "may_cancel", "retry_after", "max_retry_after"]),
+];
+
 impl Placement {
     pub fn read(path: &str) -> Result<Placement, String> {
         let json = std::fs::read_to_string(path).map_err(|e| format!("{path} cannot be read: {e}"))?;
@@ -37,23 +48,49 @@
     }
 
     pub fn parse(json: &str) -> Result<Placement, String> {
-        let mut json = serde_json::Deserializer::from_str(json);
-        let placement: Placement = serde_path_to_error::deserialize(&mut json).map_err(|e| e.to_string())?;
+        let mut read = serde_json::Deserializer::from_str(json);
+        let mut placement: Placement =
+            serde_path_to_error::deserialize(&mut read).map_err(|e| e.to_string())?;
+        read.end().map_err(|e| e.to_string())?;
         placement.seed()?;
+        let whole: Value = serde_json::from_str(json).map_err(|e| e.to_string())?;
+        keys("", &whole, &mut placement.keys);
         Ok(placement)
     }
 
-    /// What of another configuration can't hold before the next start. The seed is new each time, and the
-    /// list that is known is older than the one that is followed.
-    pub fn differs(&self, new: &Placement) -> Vec<&'static str> {
+    /// A key that this one has and another lacks. What may be left out at a start may not be lost on the way: a
+    /// file without it is not whole. `known` is for a start only.
+    pub fn lost<'a>(&'a self, new: &'a Placement) -> Option<&'a str> {
+        let lost = self.keys.difference(&new.keys).map(String::as_str);
+        lost.filter(|key| *key != "known" && !key.starts_with("known.")).min_by_key(|key| key.len())
+    }
+
+    /// What of another configuration can't hold before the next start. The seed is new each time, the list that is
+    /// known is older than the one that is followed, and of the settings the project types and their terms are taken.
+    pub fn differs(&self, new: &Placement) -> Vec<String> {
         let fields = [
             ("name", self.name != new.name),
             ("listen", self.listen != new.listen),
             ("ops", self.ops != new.ops),
             ("limits", self.limits != new.limits),
-            ("settings", self.settings != new.settings),
         ];
-        fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field).collect()
+        let fields = fields.into_iter().filter(|(_, differs)| *differs).map(|(field, _)| field.to_string());
+        let (old, new) = (self.lasting(), new.lasting());
+        let mut differing = Vec::new();
+        differ("settings", &old, &new, &mut differing);
+        fields.chain(differing).collect()
+    }
+
+    /// The settings that hold until the next start.
+    fn lasting(&self) -> Value {
+        let mut settings = self.settings.clone();
+        for (table, fields) in CHANGING {
+            let of = if table.is_empty() { Some(&mut settings) } else { settings.get_mut(table) };
+            if let Some(of) = of.and_then(Value::as_object_mut) {
+                fields.iter().for_each(|field| drop(of.remove(*field)));
+            }
+        }
+        settings
     }
 
     pub fn seed(&self) -> Result<u64, String> {
@@ -69,6 +106,29 @@
     }
 }
 
+/// The paths at which two values differ, as deep as both are objects.
+fn differ(path: &str, old: &Value, new: &Value, found: &mut Vec<String>) {
+    match (old, new) {
+        (Value::Object(a), Value::Object(b)) => {
+            let all: BTreeSet<&String> = a.keys().chain(b.keys()).collect();
+            let of =
+                |fields: &serde_json::Map<String, Value>, key| fields.get(key).cloned().unwrap_or_default();
+            all.iter().for_each(|key| differ(&format!("{path}.{key}"), &of(a, key), &of(b, key), found));
+        }
+        _ if old != new => found.push(path.to_string()),
+        _ => {}
+    }
+}
+
+/// The keys of objects within objects; what lists hold has its own fields.
+fn keys(path: &str, value: &Value, found: &mut BTreeSet<String>) {
+    for (key, value) in value.as_object().into_iter().flatten() {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        keys(&path, value, found);
+        found.insert(path);
+    }
+}
+
 /// Nested values by path: plain lists joined with commas, lists of objects counted and numbered.
 fn flatten(path: &str, value: &Value, pairs: &mut Vec<(String, String)>) {
     let below = |key: &str| if path.is_empty() { key.to_string() } else { format!("{path}.{key}") };
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -4,9 +4,9 @@
 use crate::kin::Kin;
 use crate::operator::Operator;
 use crate::placement::Placement;
-use mintlb::Runs;
 use mintlb::decide::Scheduler;
-use mintlb::settings::Text;
+use mintlb::settings::{Terms, Text};
+use mintlb::{ProjectType, Runs};
 use mintlb_beanstalkd::front::{Bounds, Front as Beanstalkd};
 use mintlb_beanstalkd::hub::Hub;
 use mintlb_core::clock::{Clock, seconds};
@@ -15,7 +15,7 @@
 use mintlb_core::reducer::{Event, Reducer};
 use mintlb_core::room::Room;
 use mintlb_core::standing::{Standing, Word};
-use mintlb_core::types::Named;
+use mintlb_core::types::Types;
 use mintlb_core::work::Numbers;
 use mintlb_http::front::Front;
 use mintlb_http::list::{Besides, List, Reading, Watch};
@@ -26,6 +26,8 @@
 use slog::{Logger, info, warn};
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
+use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 use tokio::task::AbortHandle;
@@ -38,42 +40,70 @@
     pub text: Text,
     pub grants: Grants,
     pub scheduler: Scheduler,
-    /// The project types' and customers' names, in the order of their numbers.
-    pub types: Vec<String>,
+    pub terms: Terms,
+    /// The project types by name, and the customers' names, in the order of their numbers.
+    pub types: Vec<(String, ProjectType)>,
     pub customers: Vec<String>,
     /// Where beanstalkd is spoken.
     pub beanstalkd: Option<mintlb_beanstalkd::table::Plan>,
 }
 
+/// Of a plan what can hold while a scheduler serves, and what must be the same.
+pub struct Change {
+    placement: Placement,
+    operator: Operator,
+    types: Vec<(String, ProjectType)>,
+    terms: Terms,
+    last_answer: Duration,
+}
+
+impl From<Plan> for Change {
+    fn from(plan: Plan) -> Change {
+        let Plan { placement, operator, types, terms, grants, .. } = plan;
+        Change { placement, operator, types, terms, last_answer: grants.last_answer }
+    }
+}
+
 impl Plan {
     pub fn new(placement: Placement, operator: Operator) -> Result<Plan, String> {
         let text = placement.text();
         let scheduler = text.scheduler(placement.seed()?)?;
         let sessions = operator.beanstalkd.as_ref().map_or(0, |table| table.connections);
         let grants = Grants::new(&placement.limits, &text, sessions, placement.passed.is_some())?;
-        let project_types = text.project_types()?;
-        let types = (0..project_types.len()).map(|i| text.get(&format!("project_types.{i}.name")));
+        let (types, terms) = (text.named_types()?, text.terms()?);
         let customers = (0..text.customers()?).map(|i| text.get(&format!("tenants.{i}.name")));
-        let types: Vec<String> = types.collect::<Result<_, _>>()?;
+        let (names, project_types): (Vec<String>, Vec<ProjectType>) = types.iter().cloned().unzip();
         let customers: Vec<String> = customers.collect::<Result<_, _>>()?;
         let beanstalkd = operator
             .beanstalkd
             .clone()
-            .map(|table| mintlb_beanstalkd::table::Plan::new(table, &types, &project_types, &customers));
+            .map(|table| mintlb_beanstalkd::table::Plan::new(table, &names, &project_types, &customers));
         let beanstalkd = beanstalkd.transpose()?;
-        Ok(Plan { placement, operator, grants, scheduler, types, customers, beanstalkd, text })
+        Ok(Plan { placement, operator, grants, scheduler, terms, types, customers, beanstalkd, text })
     }
 }
 
 /// What a scheduler is told from outside while it serves.
 pub enum Told {
-    /// A new configuration and operator's file, read and found good; of them the list service's address holds from
-    /// now on.
-    Moved(Box<(Placement, Operator)>),
+    /// A new configuration and operator's file, read and found good. Of them the list service's address, the project
+    /// types and their terms hold from now on.
+    Changed(Box<Change>),
+    /// A new configuration that can't be read, or is not good, and why.
+    Bad(String),
     /// Answer what is held and what still comes, and end.
     Stop,
 }
 
+/// One event, and what follows from it.
+fn step(hands: &mut Hands<Watch>, reducer: &mut Reducer, now: f64, event: Event) {
+    match &event {
+        Event::Back(back) => hands.back(back),
+        Event::Started(alloc) => hands.started(*alloc),
+        _ => {}
+    }
+    reducer.reduce(now, event).into_iter().for_each(|act| hands.carry_out(act));
+}
+
 /// What an operator's call is answered, and what follows from it.
 fn operate(call: Call, standing: &Mutex<Standing>, now: f64, page: impl FnOnce() -> String) -> Reply {
     let mut standing = standing.lock();
@@ -94,7 +124,8 @@
 
 /// Serves until it is told to stop, and then until all that was taken is answered.
 pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
-    let Plan { mut placement, operator, text, grants, scheduler, types, customers, beanstalkd } = plan;
+    let Plan { mut placement, operator, text, mut grants, scheduler, types, customers, beanstalkd, .. } =
+        plan;
     let listen = placement.listen;
     // A socket that is passed on is one that others of this name may listen on, too.
     let temporary = std::env::var_os("TMPDIR").filter(|_| placement.passed.is_some());
@@ -119,8 +150,11 @@
         tokio::spawn(Door::new(grants.door, ask.clone(), log.clone()).listen(door));
         info!(log, "operators can call"; "ops" => %at);
     }
-    let worded =
-        Worded { scheduler: placement.name.clone(), types: types.clone(), customers: customers.clone() };
+    let worded = Worded {
+        scheduler: placement.name.clone(),
+        types: types.iter().map(|(name, _)| name.clone()).collect(),
+        customers: customers.clone(),
+    };
     let fields = text.list("stats.fields");
     let workers =
         Workers::new(&grants.http, clock, tell.clone(), &fields, worded, figures.sends(), log.clone());
@@ -130,9 +164,6 @@
     let reading = Reading { zones: own("zones"), kinds: own("machine_types"), runs, workers };
     let known = placement.known.take().map(|known| (known.version, reading.told(&known)));
     let project_types = text.project_types()?;
-    let numbered = types.iter().cloned().zip(project_types.iter().cloned()).enumerate();
-    let named: Vec<Named> =
-        numbered.map(|(number, (name, project_type))| Named { name, number, project_type }).collect();
     let beanstalkd = match beanstalkd {
         Some(plan) => {
             let listen = plan.table.listen;
@@ -158,12 +189,12 @@
     let list = List::new(&grants.http, placement.discovery);
     let watch = Watch::new(list, reading, tell.clone(), besides, log.clone());
     let mut hands = Hands::new(watch, clock, log.clone(), figures.clone());
-    hands.take_types(&named);
     let shared = (numbers, room, clock, standing.clone());
     let limits = grants.http.clone();
     let front = Front::new(customers, limits, shared, tell, log.clone());
-    front.take_types(&named, &figures);
-    let mut reducer = Reducer::new(scheduler, grants.out, grants.margin);
+    let mut reducer = Reducer::new(scheduler, Types::new(types), grants.out, grants.margin);
+    hands.take_types(reducer.types());
+    front.take_types(reducer.types(), &figures);
 
     reducer.start(clock.now(), known).into_iter().for_each(|act| hands.carry_out(act));
     // Who takes over first hears what has changed: what the old one was told, it was told, too.
@@ -198,20 +229,51 @@
                 None
             }
             Some(word) = told.recv() => match word {
-                Told::Moved(moved) => {
-                    let (new, file) = *moved;
-                    let mut later = placement.differs(&new);
-                    if file != operator {
-                        later.push("the operator's file");
+                Told::Changed(new) => {
+                    // What was read before goes by the project types of then.
+                    while let Ok(event) = events.try_recv() {
+                        step(&mut hands, &mut reducer, clock.now(), event);
+                    }
+                    let lost = placement.lost(&new.placement).map(|key| format!("{key} is missing"));
+                    let retyped = reducer.types().iter().map(|named| (&named.name, &named.project_type));
+                    let retyped = !retyped.eq(new.types.iter().map(|(name, t)| (name, t)));
+                    let stuck = beanstalkd.is_some() && retyped;
+                    let stuck = stuck.then(|| "project types can't change where beanstalkd is spoken".to_string());
+                    let retuned = match lost.or(stuck) {
+                        Some(why) => Err(why),
+                        None => reducer.retune(&new.types, &new.terms),
+                    };
+                    if let Err(why) = retuned {
+                        figures.turned_down.fetch_add(1, Relaxed);
+                        warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
+                        continue;
+                    }
+                    figures.taken.fetch_add(1, Relaxed);
+                    hands.take_types(reducer.types());
+                    front.take_types(reducer.types(), &figures);
+                    grants.last_answer = new.last_answer;
+                    let mut later = placement.differs(&new.placement);
+                    if new.operator != operator {
+                        later.push("the operator's file".to_string());
                     }
                     let later = later.join(", ");
                     if !later.is_empty() {
                         warn!(log, "part of the new configuration waits for the next start"; "fields" => later);
                     }
-                    placement.discovery = new.discovery;
-                    info!(log, "the list is followed at another address"; "discovery" => %placement.discovery);
-                    hands.list.follow(List::new(&grants.http, placement.discovery));
-                    Some(Event::ListMoved)
+                    let types: Vec<&str> = new.types.iter().map(|(name, _)| name.as_str()).collect();
+                    info!(log, "the new configuration holds"; "project types" => types.join(", "));
+                    let moved = new.placement.discovery != placement.discovery;
+                    placement.discovery = new.placement.discovery;
+                    if moved {
+                        info!(log, "the list is followed at another address"; "discovery" => %placement.discovery);
+                        hands.list.follow(List::new(&grants.http, placement.discovery));
+                    }
+                    moved.then_some(Event::ListMoved)
+                }
+                Told::Bad(why) => {
+                    figures.turned_down.fetch_add(1, Relaxed);
+                    warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
+                    None
                 }
                 Told::Stop => {
                     info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
@@ -244,12 +306,7 @@
         let stopped = stands.stopped().is_some();
         let last = stopped && since >= grants.last_answer;
         for event in event.into_iter().chain(last.then_some(Event::LastCall)) {
-            match &event {
-                Event::Back(back) => hands.back(back),
-                Event::Started(alloc) => hands.started(*alloc),
-                _ => {}
-            }
-            reducer.reduce(clock.now(), event).into_iter().for_each(|act| hands.carry_out(act));
+            step(&mut hands, &mut reducer, clock.now(), event);
         }
         if stands.closes_idle(clock.now(), grants.http.leave, grants.http.stop) {
             // Again and again: those that came late and say nothing are closed, too.
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -1,10 +1,12 @@
 //! The reducer by itself: what was read goes in as words, what is to be done comes out as words.
 
 use bytes::Bytes;
-use mintlb::{Outcome, Runs};
+use mintlb::settings::Terms;
+use mintlb::{Effect, Group, Outcome, ProjectType, Runs};
 use mintlb_core::clock::Clock;
 use mintlb_core::members::worker_id;
 use mintlb_core::reducer::{Act, Event, Reducer};
+use mintlb_core::types::Types;
 use mintlb_core::work::{Answer, Arrival, Back, Order, Payload};
 use mintlb_http::list::{Listing, Reading};
 use mintlb_http::worker::{Worded, Workers};
@@ -20,6 +22,8 @@
     reading: Reading,
     now: f64,
     clients: Vec<Receiver<Answer>>,
+    types: Vec<(String, ProjectType)>,
+    terms: Terms,
 }
 
 fn bench(most_out: usize) -> Bench {
@@ -34,8 +38,9 @@
         Workers::new(&plan.grants.http, Clock::start(), tell, &[], Worded::default(), Arc::default(), quiet);
     let (zones, kinds) = (vec!["north".into(), "south".into()], vec!["small".into()]);
     let reading = Reading { zones, kinds, runs: Runs::default(), workers };
-    let reducer = Reducer::new(plan.scheduler, most_out, 0.002);
-    Bench { reducer, reading, now: 1e9, clients: Vec::new() }
+    let types = plan.types.clone();
+    let reducer = Reducer::new(plan.scheduler, Types::new(plan.types), most_out, 0.002);
+    Bench { reducer, reading, now: 1e9, clients: Vec::new(), types, terms: plan.terms }
 }
 
 fn listing(full: bool, version: u64, states: &[&str]) -> Listing {
@@ -77,7 +82,7 @@
                 Event::Arrived(Arrival {
                     id: words[1].parse().unwrap(),
                     client_id: Some(id.as_bytes().into()),
-                    project_type: words[2].parse().unwrap(),
+                    project_type: words[2].parse().unwrap_or_else(|_| self.number(words[2])),
                     customer: None,
                     slots: 1.0,
                     memory: 0.0,
@@ -87,6 +92,15 @@
                     answer: Box::new(answer),
                 })
             }
+            // The project types, each with its effect, and before them how many allocations work may have.
+            "retune" => {
+                self.terms.repeats.most_allocations = words[1].parse().unwrap();
+                let types: Vec<_> = words[2..].iter().map(|word| self.named(word)).collect();
+                return match self.reducer.retune(&types, &self.terms) {
+                    Ok(()) => String::new(),
+                    Err(why) => why,
+                };
+            }
             "left" => Event::Left(words[1].parse().unwrap()),
             "start" => Event::Started(alloc(words[1])),
             "back" => {
@@ -111,6 +125,22 @@
         self.say(acts)
     }
 
+    /// `NAME=EFFECT`: a project type that is otherwise as the lookup of the example.
+    fn named(&self, word: &str) -> (String, ProjectType) {
+        let (name, effect) = word.split_once('=').unwrap();
+        let effect = match effect {
+            "rerunnable" => Effect::Rerunnable,
+            "receipted" => Effect::Receipted { group: Group::Cell, window: 15.0 },
+            "exclusive" => Effect::Exclusive,
+            other => panic!("no effect {other}"),
+        };
+        (name.to_string(), ProjectType { effect, ..self.types[0].1.clone() })
+    }
+
+    fn number(&self, name: &str) -> usize {
+        self.reducer.types().iter().find(|named| named.name == name).unwrap().number
+    }
+
     /// Timers and log lines are left out.
     fn say(&mut self, acts: Vec<Act>) -> String {
         let mut said = Vec::new();
@@ -261,6 +291,97 @@
     }
 }
 
+/// Work keeps the terms that it came with, whether it waits or is out, and new work has the new ones.
+#[test]
+fn each_effect_becomes_each_other() {
+    // What becomes of work whose one allocation may have run: it goes again, or is aborted.
+    let effects =
+        [("rerunnable", "send 1.1", "-"), ("receipted", "send 1.1", "-"), ("exclusive", "answer", "aborted")];
+    for (old, does, answers) in effects {
+        for (new, does_then, answers_then) in effects {
+            let shown = format!("{old} becomes {new}");
+            let play = |script: &str, acts: &str, answers: &str| {
+                let mut bench = bench(8);
+                let last = script.split(';').map(|step| bench.step(step)).last().unwrap();
+                assert!(last.starts_with(acts), "{shown}: {script}: {last}");
+                assert_eq!(bench.answers(), answers, "{shown}: {script}");
+            };
+            let (was, is) = (format!("retune 3 w={old}"), format!("retune 3 w={new}"));
+            play(&format!("known SERVING; {was}; call 1 w; {is}; back 1.0 dropped"), does, answers);
+            play(&format!("known SERVING; {was}; {is}; call 1 w; back 1.0 dropped"), does_then, answers_then);
+            // It waited while the terms changed, and was sent under its own.
+            let waits = format!("known DRAINING; {was}; call 1 w; {is}; list SERVING; back 1.0 dropped");
+            play(&waits, does, answers);
+            play(&format!("known SERVING; {was}; call 1 w; {is}; back 1.0 done"), "answer", "r");
+            // Dropped, and back under its name: held work knows neither.
+            let back = format!("known SERVING; {was}; call 1 w; retune 3 v={new}; {is}; back 1.0 dropped");
+            play(&back, does, answers);
+        }
+    }
+}
+
+#[test]
+fn terms_change_for_what_comes_then() {
+    let cases = [
+        (
+            "fewer allocations, also for what is here",
+            "retune 1 w=rerunnable; call 1 w; back 1.0 dropped",
+            "answer",
+            "deferred",
+        ),
+        (
+            "more, but not for what was here",
+            "retune 1 w=rerunnable; call 1 w; retune 3 w=rerunnable; back 1.0 dropped",
+            "answer",
+            "deferred",
+        ),
+        (
+            "more, for what comes",
+            "retune 1 w=rerunnable; retune 3 w=rerunnable; call 1 w; back 1.0 dropped",
+            "send 1.1",
+            "-",
+        ),
+        (
+            "another order moves no one",
+            "retune 3 v=rerunnable w=exclusive; call 1 w; retune 3 w=exclusive v=rerunnable; call 2 v; back 1.0 dropped",
+            "answer",
+            "aborted -",
+        ),
+    ];
+    for (shown, script, acts, answers) in cases {
+        let mut bench = bench(8);
+        bench.step("known SERVING SERVING");
+        let last = script.split(';').map(|step| bench.step(step)).last().unwrap();
+        assert!(last.starts_with(acts), "{shown}: {last}");
+        assert_eq!(bench.answers(), answers, "{shown}");
+    }
+}
+
+/// As many files as one likes, with work held from each: what is there is served, and what is too much changes nothing.
+#[test]
+fn changes_without_end() {
+    let mut bench = bench(1000);
+    bench.step("known DRAINING");
+    for n in 0..1000 {
+        let effect = ["rerunnable", "exclusive"][n % 2];
+        assert_eq!(bench.step(&format!("retune 3 w={effect} v{n}=exclusive")), "", "nothing is held");
+    }
+    let number = bench.number("w");
+    let refused = (0..1000).map(|n| {
+        bench.step(&format!("call {} w", n + 1));
+        bench.step(&format!("retune 3 w={}", ["exclusive", "rerunnable"][n % 2]))
+    });
+    let refused = refused.filter(|why| !why.is_empty()).count();
+    assert!(refused > 0 && number < 8, "{refused} refused, number {number}");
+    let held = bench.number("w");
+    assert!(held < 256, "{held}");
+    bench.step("in 10");
+    assert_eq!(bench.reducer.held(), 0);
+    assert_eq!(bench.step("retune 3 w=receipted u=exclusive"), "", "all is over");
+    bench.step("list SERVING");
+    assert!(bench.step("call 2000 u").starts_with("send 2000.0"));
+}
+
 #[test]
 fn a_worker_has_one_number_everywhere() {
     // The schedulers' shared order of the workers hangs on it, so it must not change between versions.
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -9,6 +9,7 @@
 use mintlb_core::members::{Member, Source, Told};
 use mintlb_core::reducer::{Act, Event, Reducer};
 use mintlb_core::room::Room;
+use mintlb_core::types::Types;
 use mintlb_core::work::{AllocId, Answer, Arrival, Numbers, Order, Payload, Reach, Recall, Settle};
 use mintlb_node::operator::Operator;
 use mintlb_node::placement::Placement;
@@ -119,7 +120,7 @@
         let now = 1e9;
         let room = Room::new(jobs, 8 << 20);
         let hub = Hub::new(plan.beanstalkd.unwrap(), "w".into(), now, 1 << 16, Numbers::default(), room);
-        let mut reducer = Reducer::new(plan.scheduler, 1 << 20, 0.002);
+        let mut reducer = Reducer::new(plan.scheduler, Types::new(plan.types), 1 << 20, 0.002);
         reducer.start(now, None);
         let (out, words, peers, active, names, answers) = Default::default();
         World { hub, reducer, out, words, now, wake: f64::MAX, peers, active, names, answers }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -53,6 +53,8 @@
 /// The buffers, first come first served: one a project type, and one beside it for work past a share.
 pub struct Buffers {
     types: Vec<ProjectType>,
+    /// Those that new work may be of; the others are kept for work that was of them when it came.
+    served: Vec<bool>,
     excess_credit: f64,
     /// How long clients heed advice on when to come back; 0 where they get none.
     most_come_back: f64,
@@ -69,8 +71,25 @@
 impl Buffers {
     pub fn new(types: Vec<ProjectType>, excess_credit: f64, most_come_back: f64) -> Buffers {
         let queues = types.iter().flat_map(|_| [Buffer::default(), Buffer::default()]).collect();
-        let running = types.iter().map(|t| t.promised_turnaround.max(t.hard_limit * UNHEARD)).collect();
-        Buffers { types, excess_credit, most_come_back, queues, running }
+        let (running, served) = (types.iter().map(Buffers::unheard).collect(), vec![true; types.len()]);
+        Buffers { types, served, excess_credit, most_come_back, queues, running }
+    }
+
+    fn unheard(t: &ProjectType) -> f64 {
+        t.promised_turnaround.max(t.hard_limit * UNHEARD)
+    }
+
+    /// No work is of the one that had this number before, if one had.
+    fn take(&mut self, Numbered { number, continues, project_type }: &Numbered) {
+        let running = continues.map_or_else(|| Buffers::unheard(project_type), |old| self.running[old]);
+        if *number == self.types.len() {
+            self.types.push(project_type.clone());
+            self.served.push(true);
+            self.running.push(running);
+            self.queues.extend([Buffer::default(), Buffer::default()]);
+        }
+        (self.running[*number], self.served[*number]) = (running, true);
+        self.types[*number] = project_type.clone();
     }
 
     fn any(&self) -> bool {
@@ -105,11 +124,13 @@
     }
 
     fn mean_run(&self) -> f64 {
-        self.running.iter().sum::<f64>() / self.running.len().max(1) as f64
+        let served = || self.running.iter().zip(&self.served).filter(|(_, served)| **served);
+        served().map(|(running, _)| running).sum::<f64>() / served().count().max(1) as f64
     }
 }
 
 /// Rule 2: what may be sent again, and where.
+#[derive(Clone, Debug, PartialEq)]
 pub struct Repeats {
     pub parallel: bool,
     pub may_recall: bool,
@@ -128,7 +149,7 @@
         let allocs = wu.allocs.borrow();
         let out = |a: &&Rc<Allocation>| a.outcome.get().is_none();
         let there = allocs.iter().filter(out).any(|a| std::ptr::eq(&*a.worker, worker));
-        let spent = wu.ended.get() || allocs.len() >= self.most_allocations;
+        let spent = wu.ended.get() || allocs.len() >= self.most_allocations.min(wu.most.get());
         if spent || there || !self.parallel && allocs.iter().any(|a| out(&a)) {
             return false;
         }
@@ -215,12 +236,28 @@
 
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
-        let promise = types.iter().map(|t| t.promised_turnaround).fold(PROMISE[1], f64::min).max(PROMISE[0]);
+        let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
+        let mut fleet = Fleet { cold, zone, tells_start, doubts, lanes, window, ..Fleet::default() };
+        fleet.measure(types, &vec![true; types.len()]);
+        fleet
+    }
+
+    /// The times that hang on the project types.
+    fn measure(&mut self, types: &[ProjectType], served: &[bool]) {
+        let promises = types.iter().zip(served).filter(|(_, served)| **served);
+        let promises = promises.map(|(t, _)| t.promised_turnaround);
+        self.promise = promises.fold(PROMISE[1], f64::min).max(PROMISE[0]);
         // A trial that fails must not often cost work that can't be repeated.
         let dear = |t: &ProjectType| t.effect == Effect::Exclusive;
-        let trials = types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * promise }).collect();
-        let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
-        Fleet { cold, zone, tells_start, promise, trials, doubts, lanes, window, ..Fleet::default() }
+        self.trials =
+            types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * self.promise }).collect();
+    }
+
+    fn take(&mut self, Numbered { number, continues, .. }: &Numbered) {
+        let doubt = continues.map_or(f64::MIN, |old| self.doubts[old]);
+        self.doubts.resize(self.doubts.len().max(number + 1), doubt);
+        self.doubts[*number] = doubt;
+        self.workers.all().for_each(|w| w.take_type(*number, *continues));
     }
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
@@ -420,6 +457,14 @@
     }
 }
 
+/// A project type, its number from now on, and the number of the one that it continues with other terms, of which
+/// all that was learned holds for it, too.
+pub struct Numbered {
+    pub number: usize,
+    pub continues: Option<usize>,
+    pub project_type: ProjectType,
+}
+
 pub struct Scheduler {
     chance: Chance,
     agenda: Agenda<Due>,
@@ -443,10 +488,23 @@
 
     /// How many workers are listed, and how many of them are suspects for some project type.
     pub fn cluster(&self) -> (usize, usize) {
-        let avoided = |w: &&Rc<Worker>| w.standing.borrow().iter().any(|s| s.suspect);
+        let serves = |(j, s): (usize, &Standing)| s.suspect && self.buffers.served[j];
+        let avoided = |w: &&Rc<Worker>| (0..).zip(&*w.standing.borrow()).any(serves);
         (self.fleet.workers.all().count(), self.fleet.workers.all().filter(avoided).count())
     }
 
+    /// New work is of these project types from now on, and of no others; what came before keeps its own.
+    pub fn retune(&mut self, types: &[Numbered], repeats: Repeats, excess_credit: f64, most_come_back: f64) {
+        self.buffers.served.fill(false);
+        for one in types {
+            self.fleet.take(one);
+            self.buffers.take(one);
+        }
+        self.fleet.measure(&self.buffers.types, &self.buffers.served);
+        (self.buffers.excess_credit, self.buffers.most_come_back) = (excess_credit, most_come_back);
+        self.repeats = repeats;
+    }
+
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         self.ask_later(now);
         self.settle(door, now);
@@ -494,6 +552,7 @@
 
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
+        wu.most.set(self.repeats.most_allocations);
         let work = wu.slots * self.buffers.running[wu.project_type] / self.buffers.mean_run();
         let (wide, narrow) = if wu.slots > self.fleet.lanes / 2.0 { (work, 0.0) } else { (0.0, work) };
         let (old, keep) = (self.fleet.work, 1.0 - SLOWLY * SLOWLY);
@@ -719,7 +778,8 @@
             let exclusive = t.effect == Effect::Exclusive;
             // What can't be repeated keeps away from where another project type fails; while some was lost
             // lately, it first goes to where some has started since.
-            let spared = exclusive && (0..).zip(&*standing).any(|(j, s)| j != i / 2 && s.suspect);
+            let served = |j: usize| j != i / 2 && self.buffers.served[j];
+            let spared = exclusive && (0..).zip(&*standing).any(|(j, s)| s.suspect && served(j));
             let doubt = self.fleet.doubts[i / 2];
             let unproven = exclusive && started < doubt && now < doubt + self.fleet.trials[i / 2];
             let outlasts = t.late_credit == 0.0 && delay > bears;
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -29,7 +29,7 @@
     Exclusive,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct ProjectType {
     pub credit: f64,
     /// The part of the credit still earned after the promised turnaround.
@@ -232,6 +232,8 @@
     pub arrived: f64,
     /// When this try's client gives up.
     pub limit: f64,
+    /// How many allocations it may have, as it was when it came.
+    pub(crate) most: Cell<usize>,
     pub(crate) excess: Cell<bool>,
     pub(crate) ended: Cell<bool>,
     pub(crate) waiting: Cell<bool>,
@@ -268,6 +270,7 @@
             memory: if memory.is_finite() { memory.max(0.0) } else { 0.0 },
             arrived,
             limit: arrived + time_budget,
+            most: Cell::new(usize::MAX),
             excess: Cell::new(false),
             ended: Cell::new(false),
             waiting: Cell::new(false),
@@ -354,6 +357,17 @@
         }
     }
 
+    /// A project type has this number from now on, and what was heard of the one that it continues.
+    pub(crate) fn take_type(&self, number: usize, continues: Option<usize>) {
+        fn take<T: Copy + Default>(of: &mut Vec<T>, number: usize, continues: Option<usize>) {
+            let heard = continues.map_or_else(T::default, |old| of[old]);
+            of.resize(of.len().max(number + 1), T::default());
+            of[number] = heard;
+        }
+        take(&mut self.heard.borrow_mut(), number, continues);
+        take(&mut self.standing.borrow_mut(), number, continues);
+    }
+
     /// Its zone and kind, and what it runs.
     pub(crate) fn kin(&self) -> (u16, u16, Runs) {
         (self.line.zone, self.line.kind, self.line.runs)
--- a/crates/mintlb/src/settings.rs
+++ b/crates/mintlb/src/settings.rs
@@ -7,6 +7,15 @@
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+/// What may change while a scheduler serves, beside the project types.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Terms {
+    pub repeats: Repeats,
+    pub excess_credit: f64,
+    /// How long clients heed advice on when to come back; 0 where they get none.
+    pub come_back: f64,
+}
+
 /// The values by path; those that nobody asks for are passed over.
 pub struct Text(BTreeMap<String, String>);
 
@@ -52,6 +61,49 @@
         (0..count).map(|i| self.project_type(i)).collect()
     }
 
+    /// By their names, each of which is there once.
+    pub fn named_types(&self) -> Result<Vec<(String, ProjectType)>, String> {
+        let types = self.project_types()?.into_iter().enumerate();
+        let name = |i: usize| self.get::<String>(&format!("project_types.{i}.name"));
+        let named = types.map(|(i, t)| Ok((name(i)?, t))).collect::<Result<Vec<_>, String>>()?;
+        for (i, (name, _)) in named.iter().enumerate() {
+            if name.is_empty() {
+                return Err(format!("the setting project_types.{i}.name is empty"));
+            }
+            if named[..i].iter().any(|(other, _)| other == name) {
+                return Err(format!("the setting project_types.{i}.name={name} is there twice"));
+            }
+        }
+        Ok(named)
+    }
+
+    /// A number that counts or measures something: absent, endless or below 0 it means nothing.
+    fn amount(&self, path: &str) -> Result<f64, String> {
+        let value: f64 = self.get(path)?;
+        let good = value.is_finite() && value >= 0.0;
+        good.then_some(value).ok_or_else(|| format!("the setting {path}={value} is no amount"))
+    }
+
+    /// What may change while a scheduler serves.
+    pub fn terms(&self) -> Result<Terms, String> {
+        let most_allocations = self.get("permissions.most_allocations")?;
+        if most_allocations == 0 {
+            return Err("the setting permissions.most_allocations=0 lets no work go anywhere".to_string());
+        }
+        Ok(Terms {
+            repeats: Repeats {
+                parallel: self.get("permissions.parallel_tries")?,
+                may_recall: self.get("permissions.may_cancel")?,
+                most_allocations,
+            },
+            excess_credit: self.or("excess_credit", 1.0)?,
+            come_back: match self.get("permissions.retry_after")? {
+                true => self.seconds("permissions.max_retry_after")?,
+                false => 0.0,
+            },
+        })
+    }
+
     fn project_type(&self, i: usize) -> Result<ProjectType, String> {
         let at = |key: &str| format!("project_types.{i}.{key}");
         let effect: String = self.get(&at("effect"))?;
@@ -70,13 +122,21 @@
             }
             _ => return Err(format!("the setting {}={effect} cannot be read", at("effect"))),
         };
+        let hard_limit = self.seconds(&at("hard_limit"))?;
+        if hard_limit <= 0.0 {
+            return Err(format!(
+                "the setting {}={} is no time to do work in",
+                at("hard_limit"),
+                hard_limit * 1e3
+            ));
+        }
         let kind: Option<i32> = self.item("family_info.class_kind", i)?;
         Ok(ProjectType {
-            credit: self.get(&at("credit"))?,
-            late_credit: self.get(&at("late_credit"))?,
+            credit: self.amount(&at("credit"))?,
+            late_credit: self.amount(&at("late_credit"))?,
             stretch: self.item("family_info.class_stretch", i)?.unwrap_or(0.0),
-            promised_turnaround: self.seconds(&at("promised_turnaround"))?,
-            hard_limit: self.seconds(&at("hard_limit"))?,
+            promised_turnaround: self.amount(&at("promised_turnaround"))? / 1000.0,
+            hard_limit,
             effect,
             kind: kind.and_then(|k| u16::try_from(k).ok()),
         })
@@ -100,20 +160,11 @@
             among: schedulers as f64,
         };
         let discovery: String = self.get("discovery")?;
-        let come_back = if self.get("permissions.retry_after")? {
-            self.seconds("permissions.max_retry_after")?
-        } else {
-            0.0
-        };
+        let Terms { repeats, excess_credit, come_back } = self.terms()?;
         let types = self.project_types()?;
         let tells_start = self.or("family_info.tells_start", false)?;
         let fleet = Fleet::new(cold, self.get("zone")?, tells_start, &types);
-        let repeats = Repeats {
-            parallel: self.get("permissions.parallel_tries")?,
-            may_recall: self.get("permissions.may_cancel")?,
-            most_allocations: self.get("permissions.most_allocations")?,
-        };
-        let buffers = Buffers::new(types, self.or("excess_credit", 1.0)?, come_back);
+        let buffers = Buffers::new(types, excess_credit, come_back);
         let follow = Follow {
             on_request: discovery == "on_request",
             ask_within: self.seconds("rules.ask_within")?,
