--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -111,8 +111,9 @@
     match (old, new) {
         (Value::Object(a), Value::Object(b)) => {
             let all: BTreeSet<&String> = a.keys().chain(b.keys()).collect();
-            let of =
-                |fields: &serde_json::Map<String, Value>, key| fields.get(key).cloned().unwrap_or_default();
+            let of = |fields: &serde_json::Map<String, Value>, key: &String| {
+                fields.get(key).cloned().unwrap_or_default()
+            };
             all.iter().for_each(|key| differ(&format!("{path}.{key}"), &of(a, key), &of(b, key), found));
         }
         _ if old != new => found.push(path.to_string()),
