Slow clients keep their places and requests that cross a close are read; tests of all operators' parts

Change: what has come in part is never closed for leaving, its own time bounds it (seen.rs is_busy); one that still says something keeps its place for as long as a request is given, of the others the one that has said nothing for longest goes first. An idle connection is looked at once more before it ends (front.rs has_come): bytes that came while this process stood still would have been closed on unread. The price: a crowd that trickles can hold places for two seconds, where it lost them after an eighth of one. Not picked for the look: a second handle of each connection, which doubles descriptors; a second reading pass, which the library does not offer.

--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -30,11 +30,13 @@
 use mintlb_core::standing::Standing;
 use mintlb_core::types::Named;
 use mintlb_core::work::{Answer, Arrival, Numbers, Payload};
+use nix::sys::socket::{MsgFlags, recv};
 use parking_lot::Mutex;
 use slog::{Logger, debug, info, warn};
 use std::collections::HashMap;
 use std::error::Error;
 use std::future::{Future, poll_fn};
+use std::os::fd::{AsRawFd, RawFd};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -177,7 +179,7 @@
 
     async fn connection(self: Arc<Front>, stream: TcpStream, router: Router, place: Place) {
         stream.set_nodelay(true).ok();
-        let (seen, read) = (place.seen.clone(), self.limits.read);
+        let (seen, read, socket) = (place.seen.clone(), self.limits.read, stream.as_raw_fd());
         let looking = seen.clone();
         let stream = InspectReader::new(stream, move |bytes: &[u8]| looking.look(bytes));
         let service = service_fn(|mut request: Request<Incoming>| {
@@ -194,8 +196,12 @@
             if let Poll::Ready(ended) = Pin::new(&mut served).poll(cx) {
                 return Poll::Ready(Some(ended));
             }
-            if called.as_mut().poll(cx).is_ready() {
-                return Poll::Ready(None);
+            while called.as_mut().poll(cx).is_ready() {
+                // What came since was read last would be lost with the connection, and answers it is to end with.
+                if !(matches!(place.seen.phase(), Phase::Idle(_)) && has_come(socket)) {
+                    return Poll::Ready(None);
+                }
+                called.set(place.seen.called());
             }
             let Phase::Coming(since) = place.seen.phase() else { return Poll::Pending };
             // What is left of a body gets an error first.
@@ -344,6 +350,12 @@
     answer
 }
 
+/// Whether bytes wait to be read there, also such as we have not been told of.
+fn has_come(socket: RawFd) -> bool {
+    let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    recv(socket, &mut [0], look).is_ok_and(|bytes| bytes > 0)
+}
+
 /// Who asks for this has no work to bring, and needs no place for longer.
 async fn healthz(State(front): State<Arc<Front>>) -> impl IntoResponse {
     let ready = front.standing.lock().is_ready();
--- a/crates/mintlb-http/src/places.rs
+++ b/crates/mintlb-http/src/places.rs
@@ -61,11 +61,13 @@
         least.map(|(_, seen)| seen.call()).is_some()
     }
 
-    /// Ends all connections but those that wait for an answer, or whose request may be on its way.
+    /// Ends all connections but those that wait for an answer, or whose request is or may be on its way: one that
+    /// comes slowly is bounded by the time that any request is given.
     pub fn close_idle(&self) {
         let taken = self.taken.lock();
         let missed = |seen: &Seen| seen.missed(self.takes).map_or(Missed::Perhaps, |(missed, _)| missed);
-        taken.values().filter(|seen| missed(seen) != Missed::Perhaps).for_each(|seen| seen.call());
+        let idle = |seen: &&Arc<Seen>| !seen.is_busy() && missed(seen) != Missed::Perhaps;
+        taken.values().filter(idle).for_each(|seen| seen.call());
     }
 
     /// Only the one loop that accepts takes places, so one that was free is still free.
--- a/crates/mintlb-http/src/seen.rs
+++ b/crates/mintlb-http/src/seen.rs
@@ -19,6 +19,8 @@
     at: At,
     phase: Phase,
     fault: Option<&'static str>,
+    /// When bytes last came, if any did.
+    heard: Option<Instant>,
     /// It has handed in work that was taken.
     worked: bool,
 }
@@ -47,7 +49,7 @@
 /// How much a connection would be missed if its place went to another, least first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Missed {
-    /// It has sent no whole request in the time that one takes.
+    /// It has sent no whole request, and nothing at all for the time that one takes.
     Late,
     /// It is idle, and has handed in no work.
     Idle,
@@ -100,7 +102,7 @@
 impl Default for Seen {
     fn default() -> Seen {
         let (at, phase) = (At::Head(Vec::new()), Phase::Coming(Instant::now()));
-        let state = State { at, phase, fault: None, worked: false };
+        let state = State { at, phase, fault: None, heard: None, worked: false };
         Seen { state: Mutex::new(state), called: Notify::new() }
     }
 }
@@ -109,6 +111,7 @@
     /// The bytes that came, in their order.
     pub fn look(&self, mut bytes: &[u8]) {
         let mut state = self.state.lock();
+        state.heard = Some(Instant::now());
         if let Phase::Idle(_) = state.phase {
             state.phase = Phase::Coming(Instant::now());
         }
@@ -169,19 +172,34 @@
         goes_on
     }
 
-    /// How much it would be missed, and since when; `None` while it waits for an answer. A request that has
-    /// not come whole in the time that one takes is not one of a usual client.
+    /// How much it would be missed, and since when; `None` while it waits for an answer. Of a usual client
+    /// something comes in the time that a request takes.
     pub fn missed(&self, takes: Duration) -> Option<(Missed, Instant)> {
         let state = self.state.lock();
         match state.phase {
-            Phase::Coming(since) if since.elapsed() < takes => Some((Missed::Perhaps, since)),
-            Phase::Coming(since) => Some((Missed::Late, since)),
+            // A slow client still says something now and then, and its request may be on its way for as long as one
+            // is given; of the others who says nothing for longest goes first.
+            Phase::Coming(since) => {
+                let heard = state.heard.map_or(since, |heard| heard.max(since));
+                let missed = if heard.elapsed() < takes { Missed::Perhaps } else { Missed::Late };
+                Some((missed, heard))
+            }
             Phase::Idle(since) if state.worked => Some((Missed::Much, since)),
             Phase::Idle(since) => Some((Missed::Idle, since)),
             Phase::Open => None,
         }
     }
 
+    /// Whether it would be read by nobody if it were to end now: a request of it has come in part, or waits.
+    pub fn is_busy(&self) -> bool {
+        let state = self.state.lock();
+        match state.phase {
+            Phase::Coming(_) => state.heard.is_some(),
+            Phase::Open => true,
+            Phase::Idle(_) => false,
+        }
+    }
+
     /// The connection is to end.
     pub fn call(&self) {
         self.called.notify_one();
--- a/crates/mintlb-node/tests/harness/mod.rs
+++ b/crates/mintlb-node/tests/harness/mod.rs
@@ -63,6 +63,8 @@
     pub at: SocketAddr,
     /// Where beanstalkd is spoken.
     pub jobs: Option<SocketAddr>,
+    /// Where operators call.
+    pub ops: Option<SocketAddr>,
     pub workers: Receiver<String>,
     pub path: std::path::PathBuf,
 }
@@ -96,6 +98,18 @@
 /// And with this operator's file.
 pub fn start_with(limits: &str, changes: &[(&str, &str)], operator: Option<&str>) -> Program {
     let (worker, workers) = stand_in(work);
+    let mut program = start_at(worker, limits, changes, operator);
+    program.workers = workers;
+    program
+}
+
+/// With a worker that is there already.
+pub fn start_at(
+    worker: SocketAddr,
+    limits: &str,
+    changes: &[(&str, &str)],
+    operator: Option<&str>,
+) -> Program {
     let known = format!(
         r#""known":{{"version":1,"full":true,"servers":[{{"id":"s-1","addr":"{worker}","zone":"north","kind":"small","state":"SERVING"}}]}},"limits""#
     );
@@ -116,19 +130,22 @@
     let mut child = Command::new("sh").args(["-c", &command]).stderr(Stdio::piped()).spawn().unwrap();
     // A port that was free a moment ago may be another test's by now, so the program takes one and tells it.
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let (mut line, mut jobs) = (String::new(), None);
-    let told = |line: &str| -> SocketAddr {
-        let at = line.split("listen: ").nth(1).and_then(|l| l.split([',', '\n']).next());
+    let (mut line, mut jobs, mut ops) = (String::new(), None, None);
+    let told = |line: &str, what: &str| -> SocketAddr {
+        let at = line.split(what).nth(1).and_then(|l| l.split([',', '\n']).next());
         at.unwrap().parse().unwrap()
     };
     while !line.contains("serving") {
         line.clear();
         assert!(log.read_line(&mut line).unwrap() > 0, "it does not listen");
         if line.contains("beanstalkd is spoken") {
-            jobs = Some(told(&line));
+            jobs = Some(told(&line, "listen: "));
+        }
+        if line.contains("operators can call") {
+            ops = Some(told(&line, "ops: "));
         }
     }
-    Program { at: told(&line), child, log, jobs, workers, path }
+    Program { at: told(&line, "listen: "), child, log, jobs, ops, workers: channel().1, path }
 }
 
 /// All that comes back until the connection is closed or an answer of known length is whole.
--- /dev/null
+++ b/crates/mintlb-node/tests/operators.rs
@@ -0,0 +1,492 @@
+//! The program as operators run it day to day: their door, its figures, leaving and coming back, new settings, and a
+//! new version under load; against stand-ins for clients, workers and the list service.
+
+mod harness;
+
+use harness::{PAUSE, Program, answer, post, post_as, stand_in, start, start_at, work};
+use std::collections::HashMap;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::AsRawFd;
+use std::process::Command;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const OPS: (&str, &str) = ("\"seed\"", "\"ops\": \"127.0.0.1:0\", \"seed\"");
+const HEALTHZ: &str = "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n";
+
+fn call(program: &Program, line: &str) -> String {
+    let mut stream = TcpStream::connect(program.ops.unwrap()).unwrap();
+    stream.write_all(line.as_bytes()).unwrap();
+    stream.write_all(b"\n").unwrap();
+    stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+    let mut got = String::new();
+    stream.read_to_string(&mut got).unwrap();
+    got
+}
+
+fn figures(program: &Program) -> HashMap<String, u64> {
+    let page = call(program, "DUMP");
+    let lines = page.strip_suffix("EOT\n").unwrap_or_else(|| panic!("{page}")).lines();
+    let figure = |line: &str| {
+        let (name, value) = line.strip_prefix("edge_router.").unwrap().split_once('=').unwrap();
+        (name.to_string(), value.parse().unwrap())
+    };
+    lines.map(figure).collect()
+}
+
+#[test]
+fn clients_are_sent_away_and_come_again() {
+    let program = start("", &[OPS]);
+    for (line, says, health, healthz) in [
+        ("HEALTH", "SUCCESS ready", "SUCCESS ready", "200"),
+        ("JOIN", "SUCCESS ready", "SUCCESS ready", "200"),
+        ("LEAVE", "SUCCESS leaving", "FAILURE leaving", "503"),
+        ("LEAVE", "SUCCESS leaving", "FAILURE leaving", "503"),
+        ("STAY", "FAILURE there is no call \"STAY\"", "FAILURE leaving", "503"),
+        ("JOIN", "SUCCESS ready", "SUCCESS ready", "200"),
+    ] {
+        let got = call(&program, line);
+        assert!(got.starts_with(says), "{line}: {got}");
+        assert!(call(&program, "HEALTH").starts_with(health), "after {line}");
+        let got = program.ask(HEALTHZ);
+        assert!(got.starts_with(&format!("HTTP/1.1 {healthz}")), "after {line}: {got}");
+    }
+    assert!(program.ask(&post("/charge/1", "")).ends_with("yes"));
+}
+
+/// What clients of each kind see after LEAVE: none loses anything, and none stays.
+#[test]
+fn every_client_leaves_and_loses_nothing() {
+    let program = start("", &[OPS]);
+    let whole = post("/charge/1", "");
+    let (first, rest) = whole.split_at(20);
+    let keeps = |shown: &str, got: &str, keeps: bool| {
+        assert!(got.contains("200 OK") && got.ends_with("yes"), "{shown}: {got}");
+        assert_eq!(got.contains("connection: close"), !keeps, "{shown}: {got}");
+    };
+    let connect = |work: Option<&str>| {
+        let mut stream = program.connect();
+        if let Some(path) = work {
+            stream.write_all(post(path, "").as_bytes()).unwrap();
+            keeps("before", &answer(&mut stream), true);
+        }
+        stream
+    };
+    let (mut idle, mut next, mut halfway, mut fresh) =
+        (connect(Some("/charge/1")), connect(Some("/charge/2")), connect(Some("/charge/3")), connect(None));
+    let mut long = connect(None);
+    long.write_all(post("/charge/slow", "").as_bytes()).unwrap();
+    std::thread::sleep(PAUSE);
+    let left = Instant::now();
+    assert!(call(&program, "LEAVE").starts_with("SUCCESS"));
+    next.write_all(post("/charge/4", "").as_bytes()).unwrap();
+    keeps("at once, as the front may not have noticed", &answer(&mut next), true);
+    keeps("long-running", &answer(&mut long), true);
+    std::thread::sleep(Duration::from_millis(600).saturating_sub(left.elapsed()));
+    halfway.write_all(first.as_bytes()).unwrap();
+    std::thread::sleep(2 * PAUSE);
+    halfway.write_all(rest.as_bytes()).unwrap();
+    keeps("half written as connections close", &answer(&mut halfway), false);
+    keeps("who comes all the same", &program.ask(&post("/charge/5", "")), false);
+    for (shown, stream) in [("idle", &mut idle), ("again idle", &mut next), ("without a word", &mut fresh)] {
+        stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+        let closed = stream.read(&mut [0; 1]);
+        assert!(matches!(closed, Ok(0)), "{shown}: {closed:?}");
+        assert!(left.elapsed() < Duration::from_secs(2), "{shown}: {:?}", left.elapsed());
+    }
+    assert!(call(&program, "JOIN").starts_with("SUCCESS"));
+    let mut stream = program.connect();
+    for path in ["/charge/6", "/charge/7"] {
+        stream.write_all(post(path, "").as_bytes()).unwrap();
+        keeps("joined again", &answer(&mut stream), true);
+    }
+}
+
+#[test]
+fn a_leave_and_a_stop_cross() {
+    let mut program = start("", &[OPS]);
+    assert!(call(&program, "LEAVE").starts_with("SUCCESS"));
+    program.terminate();
+    std::thread::sleep(PAUSE);
+    assert!(call(&program, "JOIN").starts_with("FAILURE it is stopping"));
+    assert!(call(&program, "HEALTH").starts_with("FAILURE stopping"));
+    assert!(program.ask(&post("/charge/1", "")).ends_with("yes"), "late arrivals are served");
+    assert!(program.end().0);
+}
+
+/// Every kind of end, and each figure beside what clients and the worker saw.
+#[test]
+fn figures_are_what_the_stand_ins_saw() {
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    let (worker, _) = stand_in(|stream| {
+        let (mut request, mut piece) = (String::new(), [0; 4096]);
+        loop {
+            let n = stream.read(&mut piece).unwrap_or(0);
+            if n == 0 {
+                return "closed".into();
+            }
+            request += &String::from_utf8_lossy(&piece[..n]).to_lowercase();
+            if !request.ends_with("\r\n\r\nhi") {
+                continue;
+            }
+            TAKEN.fetch_add(1, Relaxed);
+            let id = request.split("request-id: ").nth(1).and_then(|r| r.lines().next()).unwrap();
+            let state = ["done", "failed", "returned", "lost"].into_iter().find(|s| request.contains(s));
+            let Some(state) = state else { continue };
+            let line = format!("{{\"id\":\"{id}\",\"state\":\"{state}\",\"result\":\"yes\"}}\n");
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            let chunk = format!("{head}{:x}\r\n{line}\r\n0\r\n\r\n", line.len());
+            stream.write_all(chunk.as_bytes()).ok();
+            request.clear();
+        }
+    });
+    let program = start_at(worker, "", &[OPS], None);
+    let mut seen: HashMap<String, u64> = HashMap::new();
+    let paths =
+        ["/lookup/done", "/charge/done", "/charge/failed", "/charge/lost", "/lookup/hold", "/charge/hold"];
+    for round in 0..5 {
+        for path in paths {
+            let got = program.ask(&post(path, "request-timeout: 150m\r\n"));
+            let figure = match got.split(' ').nth(1).unwrap() {
+                "200" => "answered",
+                "429" | "503" => "deferred",
+                _ => "errored",
+            };
+            let name = path.split('/').nth(1).unwrap();
+            *seen.entry(format!("transactions.{name}.{figure}")).or_default() += 1;
+        }
+        // What is no work of ours counts nowhere.
+        program.ask(&post("/nothing", ""));
+        program.ask(&post("/create", ""));
+        program.ask(HEALTHZ);
+        let open: Vec<TcpStream> = (0..3)
+            .map(|_| {
+                let mut stream = program.connect();
+                stream.write_all(post("/charge/hold", "").as_bytes()).unwrap();
+                stream
+            })
+            .collect();
+        std::thread::sleep(PAUSE);
+        let now = figures(&program);
+        assert!(now["current"] > 0 && now["current"] <= 3, "round {round}: {now:?}");
+        drop(open);
+        std::thread::sleep(PAUSE);
+        let now = figures(&program);
+        assert_eq!(now["current"], 0, "round {round}: who has gone is not waited for");
+        assert_eq!(now["sends"], u64::from(TAKEN.load(Relaxed)), "round {round}");
+        assert_eq!(now["cluster_size"], 1, "round {round}");
+        assert!(now["cluster_unhealthy"] <= 1, "round {round}");
+        for (name, count) in &seen {
+            assert_eq!(now[name], *count, "round {round}: {name} of {now:?}");
+        }
+        let answers: u64 = now.iter().filter(|(n, _)| n.starts_with("transactions.")).map(|(_, v)| v).sum();
+        assert_eq!(answers, seen.values().sum::<u64>(), "round {round}: nothing else is counted");
+    }
+    assert!(
+        seen.keys().any(|k| k.ends_with("deferred")) && seen.keys().any(|k| k.ends_with("errored")),
+        "{seen:?}"
+    );
+}
+
+/// A worker that fails is counted among those avoided, and a list's size is what the list says.
+#[test]
+fn the_cluster_is_as_the_list_and_the_decisions_have_it() {
+    let (dead, refused) = (TcpListener::bind("127.0.0.1:0").unwrap(), "s-3");
+    let gone = dead.local_addr().unwrap();
+    drop(dead);
+    let (alive, _) = stand_in(work);
+    let member = |id: &str, at: SocketAddr| {
+        format!(r#"{{"id":"{id}","addr":"{at}","zone":"north","kind":"small","state":"SERVING"}}"#)
+    };
+    let (one, two, three) = (member("s-1", alive), member("s-2", alive), member(refused, gone));
+    let (list, _) = stand_in(move |stream| {
+        stream.read_exact(&mut [0; 64]).ok();
+        let line = format!(r#"{{"version":9,"full":true,"servers":[{one},{two},{three}]}}"#);
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).ok();
+        stream.read_exact(&mut [0; 1]).ok();
+        "ended".into()
+    });
+    let soon = ("10000.0, \"cold_from\"", "400.0, \"cold_from\"");
+    let program = start("", &[OPS, ("127.0.0.1:8500", &list.to_string()), soon]);
+    std::thread::sleep(5 * PAUSE);
+    let mut avoided = 0;
+    for _ in 0..4 {
+        // As many at once as all three have room for.
+        let connections = (0..12).map(|_| {
+            let mut stream = program.connect();
+            stream.write_all(post("/lookup/slow", "").as_bytes()).unwrap();
+            stream
+        });
+        let connections: Vec<TcpStream> = connections.collect();
+        std::thread::sleep(PAUSE);
+        avoided = avoided.max(figures(&program)["cluster_unhealthy"]);
+        drop(connections);
+    }
+    let now = figures(&program);
+    assert_eq!((now["cluster_size"], avoided), (3, 1), "{now:?}");
+}
+
+/// A class added is served under its own rules, one dropped as one that doesn't exist; what is broken changes nothing.
+#[test]
+fn settings_change_while_it_serves() {
+    let program = start("", &[OPS]);
+    let whole = std::fs::read_to_string(&program.path).unwrap();
+    let charge = r#"{"name": "charge", "credit": 10.0, "effect": "non_idempotent""#;
+    let added = format!(
+        r#"{{"name": "refund", "credit": 10.0, "effect": "idempotency_key", "group": "cell", "window": 9.0, "promised_turnaround": 400.0, "hard_limit": 3000.0, "late_credit": 0.0}}, {charge}"#
+    );
+    let lists = (
+        "\"class_kind\": [-1, -1, -1], \"class_stretch\": [2.0, 1.75, 2.5]",
+        "\"class_kind\": [-1, -1, -1, -1], \"class_stretch\": [2.0, 1.75, 2.5, 2.5]",
+    );
+    let with = whole.replace(charge, &added).replace(lists.0, lists.1);
+    let key = "idempotency-key: 5\r\n";
+    let mut held = program.connect();
+    held.write_all(post("/charge/slow", "").as_bytes()).unwrap();
+    std::thread::sleep(PAUSE);
+    let (mut loaded, mut invalid) = (0, 0);
+    let mut change = |shown: &str, text: &str, good: bool| {
+        std::fs::write(program.path.with_extension("new"), text).unwrap();
+        std::fs::rename(program.path.with_extension("new"), &program.path).unwrap();
+        program.signal("-HUP");
+        std::thread::sleep(PAUSE);
+        *(if good { &mut loaded } else { &mut invalid }) += 1;
+        let now = figures(&program);
+        assert_eq!((now["conf_loaded"], now["conf_invalid"]), (loaded, invalid), "{shown}");
+    };
+    let status =
+        |path: &str, more: &str| program.ask(&post(path, more)).split(' ').nth(1).unwrap().to_string();
+    assert_eq!(status("/refund", key), "404", "not there yet");
+    change("added", &with, true);
+    assert_eq!(
+        (status("/refund", key).as_str(), status("/refund", "").as_str()),
+        ("200", "400"),
+        "added, receipted"
+    );
+    assert_eq!(status("/charge", ""), "200", "though its place in the order has changed");
+    let cut = |part: usize| whole[..whole.len() * part / 16].to_string();
+    let broken: Vec<(String, String)> = [
+        ("empty", String::new()),
+        ("no JSON", "hello".to_string()),
+        ("a list", "[]".to_string()),
+        ("more than one", format!("{with} {with}")),
+        ("without settings", with.replace("\"settings\"", "\"sett\"")),
+        ("without limits", with.replace("\"limits\"", "\"limit\"")),
+        ("without the door", with.replace("\"ops\"", "\"opts\"")),
+        ("without cores", with.replace("\"cores\": 1.0, ", "")),
+        ("without a zone", with.replace("    \"zone\": 0,\n", "")),
+        ("a name twice", with.replace("\"refund\"", "\"charge\"")),
+        ("a name that is empty", with.replace("\"refund\"", "\"\"")),
+    ]
+    .map(|(shown, text)| (shown.to_string(), text))
+    .into_iter()
+    .chain((1..16).map(|part| (format!("cut at {part} of 16"), cut(part))))
+    .chain(["0", "-1", "-5.5", "1e999", "\"soon\"", "null", "[]"].map(|limit| {
+        (
+            format!("a hard limit of {limit}"),
+            with.replacen("\"hard_limit\": 3000.0", &format!("\"hard_limit\": {limit}"), 1),
+        )
+    }))
+    .chain(["0", "-1", "1.5", "\"three\"", "null"].map(|most| {
+        (
+            format!("{most} allocations"),
+            with.replace("\"most_allocations\": 3", &format!("\"most_allocations\": {most}")),
+        )
+    }))
+    .collect();
+    for (shown, text) in &broken {
+        assert_ne!(*text, with, "{shown}: nothing is broken");
+        change(shown, text, false);
+        assert_eq!(status("/refund", key), "200", "{shown}: the old one holds");
+    }
+    change("dropped", &whole, true);
+    assert_eq!((status("/refund", key).as_str(), status("/charge", "").as_str()), ("404", "200"), "dropped");
+    assert!(answer(&mut held).ends_with("yes"), "what was held is answered");
+    // Good and bad in turn, faster than they can all be read: what holds in the end is the last good one.
+    for n in 0..100 {
+        std::fs::write(
+            program.path.with_extension("new"),
+            if n % 2 == 0 { with.clone() } else { cut(n % 16) },
+        )
+        .unwrap();
+        std::fs::rename(program.path.with_extension("new"), &program.path).unwrap();
+        program.signal("-HUP");
+    }
+    std::fs::write(&program.path, &with).unwrap();
+    program.signal("-HUP");
+    std::thread::sleep(2 * PAUSE);
+    assert_eq!(status("/refund", key), "200", "after a hundred files");
+}
+
+#[test]
+fn a_wrong_door_or_socket_is_named() {
+    let taken = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at = taken.local_addr().unwrap().to_string();
+    let no_socket = std::fs::File::open("/dev/null").unwrap();
+    let (silent, file) = (TcpStream::connect(&at).unwrap(), no_socket.as_raw_fd());
+    let connected = silent.as_raw_fd();
+    for fd in [file, connected] {
+        inherit(fd);
+    }
+    let (file, connected) = (file.to_string(), connected.to_string());
+    let cases = [
+        ("ROUTER_OPS", at.as_str(), "ops: 127.0.0.1"),
+        ("ROUTER_OPS", "here", "ROUTER_OPS: \"here\""),
+        ("ROUTER_PASSED_SOCKET", "five", "ROUTER_PASSED_SOCKET: \"five\" is no descriptor's number"),
+        ("ROUTER_PASSED_SOCKET", "-1", "ROUTER_PASSED_SOCKET: \"-1\""),
+        ("ROUTER_PASSED_SOCKET", "1", "ROUTER_PASSED_SOCKET: \"1\""),
+        ("ROUTER_PASSED_SOCKET", "999", "ROUTER_PASSED_SOCKET: \"999\" is no listening socket"),
+        ("ROUTER_PASSED_SOCKET", &file, "is no listening socket"),
+        ("ROUTER_PASSED_SOCKET", &connected, "is a socket that does not listen"),
+    ];
+    for (variable, value, named) in cases {
+        let path = harness::written(&[("127.0.0.1:7070", "127.0.0.1:0")]);
+        let run = Command::new(env!("CARGO_BIN_EXE_mintlb"))
+            .args(["serve", "--config"])
+            .arg(path)
+            .env(variable, value)
+            .output()
+            .unwrap();
+        let said = String::from_utf8(run.stderr).unwrap();
+        assert!(!run.status.success() && said.contains(named) && !said.contains("panic"), "{value}: {said}");
+    }
+}
+
+/// Has the descriptor passed on to programs that are started.
+fn inherit(fd: i32) {
+    nix::fcntl::fcntl(
+        unsafe { std::os::fd::BorrowedFd::borrow_raw(fd) },
+        nix::fcntl::F_SETFD(nix::fcntl::FdFlag::empty()),
+    )
+    .unwrap();
+}
+
+/// The real program, again and again in its own place on one socket, under load: nothing is lost, doubled, reset,
+/// refused or left unread.
+#[test]
+fn a_new_version_takes_over_under_load() {
+    let ran: Arc<Mutex<HashMap<String, u32>>> = Arc::default();
+    let count = ran.clone();
+    let (worker, _) = stand_in(move |stream| {
+        let (mut request, mut piece) = (String::new(), [0; 4096]);
+        loop {
+            let n = stream.read(&mut piece).unwrap_or(0);
+            if n == 0 {
+                return "closed".into();
+            }
+            request += &String::from_utf8_lossy(&piece[..n]).to_lowercase();
+            if !request.ends_with("\r\n\r\nhi") {
+                continue;
+            }
+            let id = request.split("request-id: ").nth(1).and_then(|r| r.lines().next()).unwrap().to_string();
+            *count.lock().unwrap().entry(id.clone()).or_default() += 1;
+            std::thread::sleep(Duration::from_millis(20));
+            let line = format!("{{\"id\":\"{id}\",\"state\":\"done\",\"result\":\"yes\"}}\n");
+            let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+            stream.write_all(format!("{head}{:x}\r\n{line}\r\n0\r\n\r\n", line.len()).as_bytes()).ok();
+            request.clear();
+        }
+    });
+    let (list, _) = stand_in(move |stream| {
+        stream.read_exact(&mut [0; 64]).ok();
+        let line = format!(
+            r#"{{"version":9,"full":true,"servers":[{{"id":"s-1","addr":"{worker}","zone":"north","kind":"small","state":"SERVING"}}]}}"#
+        );
+        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+        stream.write_all(format!("{head}{:x}\r\n{line}\n\r\n", line.len() + 1).as_bytes()).ok();
+        stream.read_exact(&mut [0; 1]).ok();
+        "ended".into()
+    });
+    let socket = TcpListener::bind("127.0.0.1:0").unwrap();
+    let at_socket = socket.local_addr().unwrap();
+    inherit(socket.as_raw_fd());
+    let folder =
+        std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("takes-over-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    let passed = format!("export ROUTER_PASSED_SOCKET={} TMPDIR={};", socket.as_raw_fd(), folder.display());
+    let soon = ("10000.0, \"cold_from\"", "400.0, \"cold_from\"");
+    let start = || start_at(worker, &passed, &[OPS, ("127.0.0.1:8500", &list.to_string()), soon], None);
+    let mut serving = start();
+
+    let over = Arc::new(AtomicBool::new(false));
+    let asked = Arc::new(AtomicU32::new(0));
+    // Some ask without a pause, some seldom enough to be idle when connections close.
+    let clients = (0..8).map(|n: u32| {
+        let (over, asked) = (over.clone(), asked.clone());
+        std::thread::spawn(move || {
+            let (mut connection, mut faults): (Option<TcpStream>, Vec<(Instant, String)>) =
+                (None, Vec::new());
+            while !over.load(Relaxed) {
+                let id = 50_000 + asked.fetch_add(1, Relaxed);
+                let request = post_as(id, "/charge/1", "");
+                let kept = connection.is_some();
+                let mut stream = connection.take().unwrap_or_else(|| TcpStream::connect(at_socket).unwrap());
+                let sent = stream.write_all(request.as_bytes());
+                let got = answer(&mut stream);
+                if got.is_empty() && kept {
+                    faults.push((Instant::now(), format!("{id}: closed under a request, {sent:?}")));
+                } else if !(got.starts_with("HTTP/1.1 200") && got.ends_with("yes")) {
+                    faults.push((Instant::now(), format!("{id}: {got:?}, {sent:?}")));
+                }
+                let goes_on = got.starts_with("HTTP/1.1 200") && !got.contains("connection: close");
+                connection = goes_on.then_some(stream);
+                std::thread::sleep(PAUSE * n / 2);
+                // One that was closed while it was idle is dialled anew, as clients do.
+                if let Some(stream) = &connection {
+                    stream.set_nonblocking(true).unwrap();
+                    let open = matches!(stream.peek(&mut [0]), Err(e) if e.kind() == ErrorKind::WouldBlock);
+                    stream.set_nonblocking(false).unwrap();
+                    connection = connection.filter(|_| open);
+                }
+            }
+            faults
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    std::thread::sleep(3 * PAUSE);
+    let mut killed = None;
+    for swap in 0..4 {
+        let mut next = start();
+        assert!(call(&next, "HEALTH").starts_with("SUCCESS"), "swap {swap}: it says so once it serves");
+        assert!(call(&serving, "HEALTH").starts_with("SUCCESS"), "swap {swap}: and so does the old one");
+        if swap == 3 {
+            // The new one dies, and the old one goes on; told to stop then, it has no successor.
+            killed = Some(Instant::now());
+            next.child.kill().unwrap();
+            next.child.wait().unwrap();
+            std::thread::sleep(5 * PAUSE);
+            break;
+        }
+        serving.terminate();
+        let (clean, took) = serving.end();
+        assert!(clean && took < Duration::from_millis(3700), "swap {swap}: {clean}, {took:?}");
+        serving = next;
+    }
+    over.store(true, Relaxed);
+    let faults: Vec<(Instant, String)> =
+        clients.into_iter().flat_map(|client| client.join().unwrap()).collect();
+    let doubled: Vec<String> = ran
+        .lock()
+        .unwrap()
+        .iter()
+        .filter(|(_, times)| **times != 1)
+        .map(|(id, times)| format!("{id}: {times} times"))
+        .collect();
+    let asked = asked.load(Relaxed);
+    // Of the one that was killed each of the clients may have lost what it waited for, and no more than that.
+    let killed = killed.unwrap();
+    let (before, at): (Vec<_>, Vec<_>) = faults.iter().partition(|(when, _)| *when < killed);
+    assert!(asked > 80, "only {asked} asked");
+    assert!(before.is_empty() && doubled.is_empty(), "of {asked}: {before:?}; {doubled:?}");
+    assert!(at.len() <= 8 && at.iter().all(|(when, _)| *when - killed < 3 * PAUSE), "{at:?}");
+    serving.terminate();
+    std::thread::sleep(PAUSE);
+    let mut late = TcpStream::connect(at_socket).unwrap();
+    late.write_all(post("/charge/1", "").as_bytes()).unwrap();
+    assert!(answer(&mut late).ends_with("yes"), "without a successor late arrivals are still served");
+    assert!(serving.end().0);
+    std::fs::remove_dir_all(&folder).ok();
+}
