--- a/crates/mintlb-node/src/grants.rs
+++ b/crates/mintlb-node/src/grants.rs
@@ -70,7 +70,7 @@
         let types = text.project_types()?;
         let hard = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
         let promise = types.iter().map(|t| t.promised_turnaround).fold(hard, f64::min);
-        let last_answer = hard.min(STOP) + LATE_ARRIVALS / 2.0;
+        let last_answer = hard.min(STOP) + LATE_ARRIVALS * 0.75;
         let (dial, keepalive) =
             (text.seconds("permissions.dial_timeout")?, text.seconds("permissions.keepalive")?);
         let http = Limits {
