--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -338,6 +338,11 @@
         self.with(|hub, now| hub.stop(now));
     }
 
+    /// Whether producers are to go elsewhere; what is here already runs on.
+    pub fn leave(self: &Arc<Front>, leaving: bool) {
+        self.with(|hub, _| hub.leaving = leaving);
+    }
+
     /// Nothing waits to be written.
     pub fn is_quiet(&self) -> bool {
         self.inside.lock().hub.is_quiet()
--- a/crates/mintlb-beanstalkd/src/hub.rs
+++ b/crates/mintlb-beanstalkd/src/hub.rs
@@ -17,6 +17,8 @@
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::IpAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 
 /// What is to be done outside.
 pub enum Deed {
@@ -91,6 +93,10 @@
     /// The tube that each session uses and watches at first.
     pub(crate) usual: Tube,
     pub(crate) stopping: bool,
+    /// Producers are to go elsewhere, for now.
+    pub leaving: bool,
+    /// Counts the work written whole to workers.
+    pub sends: Arc<AtomicU64>,
     pub totals: Totals,
     deeds: Vec<Deed>,
 }
@@ -123,6 +129,8 @@
             due: BTreeMap::new(),
             counter: 0,
             stopping: false,
+            leaving: false,
+            sends: Arc::default(),
             totals: Totals::default(),
             deeds: Vec::new(),
         }
@@ -216,6 +224,7 @@
         if let Some(reservation) = session.held.get_mut(&job) {
             reservation.written = true;
             if let Given::Work(alloc) = reservation.given {
+                self.sends.fetch_add(1, Relaxed);
                 // It was waiting for this, so nothing is before it there.
                 self.tell(Event::Started(alloc));
             }
@@ -369,7 +378,7 @@
         let Some(session) = self.sessions.get_mut(&id) else { return String::new() };
         session.produces = true;
         let tube = session.used.clone();
-        if self.stopping {
+        if self.stopping || self.leaving {
             return refused(self, "DRAINING\r\n");
         }
         let delay = f64::from(put.delay);
--- a/crates/mintlb-core/src/standing.rs
+++ b/crates/mintlb-core/src/standing.rs
@@ -45,6 +45,11 @@
         self.left.into_iter().chain(stopped).reduce(f64::min)
     }
 
+    /// Whether clients are sent away for now.
+    pub fn is_leaving(&self) -> bool {
+        self.left.is_some()
+    }
+
     /// Since when it is to end.
     pub fn stopped(&self) -> Option<f64> {
         self.stopped.map(|(since, _)| since)
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -7,12 +7,17 @@
 use crate::placement::Placement;
 use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
-use std::io::{ErrorKind, Write};
-use std::net::TcpListener;
+use mintlb_ops::call::FAILURE;
+use std::io::{ErrorKind, Read, Write};
+use std::net::{TcpListener, TcpStream};
 use std::process::ExitCode;
+use std::time::Duration;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::mpsc::{UnboundedReceiver, unbounded_channel};
 
+/// How long a door may take for a call before it is held for dead.
+const PATIENCE: Duration = Duration::from_secs(3);
+
 /// Dispatches work units to workers, by the max-pressure rule.
 #[derive(FromArgs)]
 struct Mintlb {
@@ -26,6 +31,7 @@
     Serve(Serve),
     Check(Check),
     Count(Count),
+    Call(Call),
     Version(Version),
 }
 
@@ -65,6 +71,18 @@
     logs: Vec<String>,
 }
 
+/// Calls a scheduler's operators' door and prints the answer: HEALTH, DUMP, LEAVE or JOIN.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "call")]
+struct Call {
+    /// the call
+    #[argh(positional)]
+    call: String,
+    /// the door's address; by default what ROUTER_OPS names
+    #[argh(option)]
+    ops: Option<String>,
+}
+
 /// Prints the version.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "version")]
@@ -154,10 +172,32 @@
             }
             print(format_args!("{counts}"))
         }
+        Verb::Call(Call { call, ops }) => {
+            let ops = ops.or_else(|| std::env::var("ROUTER_OPS").ok());
+            let ops = ops.ok_or("no door: give --ops ADDRESS or set ROUTER_OPS")?;
+            let answer = ask(&ops, &call).map_err(|e| format!("{ops}: {e}"))?;
+            print(format_args!("{answer}"))?;
+            match answer.starts_with(FAILURE) {
+                true => Err(format!("{ops}: {call} failed")),
+                false => Ok(()),
+            }
+        }
         Verb::Version(Version {}) => print(format_args!("mintlb {}\n", env!("CARGO_PKG_VERSION"))),
     }
 }
 
+/// What a door answers within the time that it has for that.
+fn ask(at: &str, call: &str) -> std::io::Result<String> {
+    let at = at.parse().map_err(|e| std::io::Error::new(ErrorKind::InvalidInput, e))?;
+    let mut door = TcpStream::connect_timeout(&at, PATIENCE)?;
+    door.set_read_timeout(Some(PATIENCE))?;
+    door.set_write_timeout(Some(PATIENCE))?;
+    door.write_all(format!("{call}\n").as_bytes())?;
+    let mut answer = String::new();
+    door.read_to_string(&mut answer)?;
+    Ok(answer)
+}
+
 /// A reader that has seen enough is no fault.
 fn print(text: std::fmt::Arguments) -> Result<(), String> {
     match std::io::stdout().write_fmt(text) {
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -171,7 +171,8 @@
             let listener = TcpListener::bind(listen).await.map_err(no)?;
             let listen = listener.local_addr().map_err(no)?;
             let name = placement.name.clone();
-            let hub = Hub::new(plan, name, clock.now(), grants.http.body, numbers.clone(), room.clone());
+            let mut hub = Hub::new(plan, name, clock.now(), grants.http.body, numbers.clone(), room.clone());
+            hub.sends = figures.sends();
             let (connections, read, pause) = (grants.sessions, grants.http.read, grants.http.dial / 16);
             let bounds = Bounds { connections, read, pause };
             let front = Beanstalkd::new(hub, &project_types, bounds, clock, tell.clone(), log.clone());
@@ -291,6 +292,8 @@
             Some((call, answer)) = asked.recv() => {
                 let reply = operate(call, &standing, now, || figures.page(reducer.now()));
                 if matches!(call, Call::Leave | Call::Join) {
+                    let leaving = standing.lock().is_leaving();
+                    beanstalkd.iter().for_each(|front| front.leave(leaving));
                     info!(log, "an operator's call"; "answer" => ?reply, "call" => ?call);
                 }
                 answer.send(reply).ok();
--- a/crates/mintlb-node/tests/operators.rs
+++ b/crates/mintlb-node/tests/operators.rs
@@ -190,6 +190,31 @@
     );
 }
 
+/// Neither idle clients nor half-written requests by the hundred, nor callers that say nothing, keep an operator waiting.
+#[test]
+fn the_door_is_open_when_all_places_are_taken() {
+    let program = start("", &[OPS, ("\"sockets\": 1024", "\"sockets\": 128")]);
+    let crowd = |at: SocketAddr, says: &'static str| {
+        (0..200).map(move |_| {
+            let mut stream = TcpStream::connect(at).unwrap();
+            stream.write_all(says.as_bytes()).ok();
+            stream
+        })
+    };
+    let mut all: Vec<TcpStream> =
+        crowd(program.at, "").chain(crowd(program.at, "POST /charge HTTP/1.1\r\n")).collect();
+    for line in ["HEALTH", "DUMP", "LEAVE", "JOIN"] {
+        let began = Instant::now();
+        let got = call(&program, line);
+        assert!(got.starts_with("SUCCESS") || got.ends_with("EOT\n"), "{line}: {got}");
+        assert!(began.elapsed() < Duration::from_secs(1), "{line}: {:?}", began.elapsed());
+        all.extend(crowd(program.ops.unwrap(), ["", "HEAL"][all.len() % 2]).take(12));
+    }
+    let files = std::fs::read_dir(format!("/proc/{}/fd", program.child.id())).unwrap().count();
+    assert!(files <= 128, "{files} descriptors");
+    assert!(program.ask(&post("/charge/1", "")).ends_with("yes"));
+}
+
 /// A worker that fails is counted among those avoided, and a list's size is what the list says.
 #[test]
 fn the_cluster_is_as_the_list_and_the_decisions_have_it() {
--- a/crates/mintlb-ops/src/call.rs
+++ b/crates/mintlb-ops/src/call.rs
@@ -30,6 +30,10 @@
     }
 }
 
+/// What an answer begins with.
+pub const SUCCESS: &str = "SUCCESS";
+pub const FAILURE: &str = "FAILURE";
+
 /// What a call is answered.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Reply {
@@ -45,8 +49,8 @@
     /// As it is written.
     pub fn text(&self) -> String {
         match self {
-            Reply::Success(why) => format!("SUCCESS {why}\n"),
-            Reply::Failure(why) => format!("FAILURE {why}\n"),
+            Reply::Success(why) => format!("{SUCCESS} {why}\n"),
+            Reply::Failure(why) => format!("{FAILURE} {why}\n"),
             Reply::Figures(lines) => format!("{lines}EOT\n"),
         }
     }
