A request that comes piece by piece keeps its place though it pauses

A client that pauses longer than an eighth of a second between pieces was first to go when a crowd of half-written requests came behind it. Those who fill places write once and stay; so what has come in two pieces or more goes only when nobody else is left. Test: pauses of 0.4 s beside 80 half-written requests and 32 places; it was cut off before.

--- a/crates/mintlb-http/src/places.rs
+++ b/crates/mintlb-http/src/places.rs
@@ -51,8 +51,8 @@
         ended
     }
 
-    /// Ends the connection that is missed least. Before those that bring work go, it waits to see who else
-    /// brings none.
+    /// Ends the connection that is missed least. Before those that bring work go, or may yet, it waits to see who
+    /// else brings none.
     pub fn make_room(&self) -> bool {
         let taken = self.taken.lock();
         let missed = taken.values().filter_map(|seen| Some((seen.missed(self.takes)?, seen)));
--- a/crates/mintlb-http/src/seen.rs
+++ b/crates/mintlb-http/src/seen.rs
@@ -21,6 +21,8 @@
     fault: Option<&'static str>,
     /// When bytes last came, if any did.
     heard: Option<Instant>,
+    /// In how many pieces the request has come so far.
+    pieces: u32,
     /// It has handed in work that was taken.
     worked: bool,
 }
@@ -49,12 +51,14 @@
 /// How much a connection would be missed if its place went to another, least first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Missed {
-    /// It has sent no whole request, and nothing at all for the time that one takes.
+    /// It has sent no whole request, and after its first bytes nothing for the time that one takes.
     Late,
     /// It is idle, and has handed in no work.
     Idle,
     /// Its request may be on its way.
     Perhaps,
+    /// Its request comes piece by piece: whoever fills places with half of one does not go on with it.
+    Slow,
     /// It is idle, and has handed in work before.
     Much,
 }
@@ -102,7 +106,7 @@
 impl Default for Seen {
     fn default() -> Seen {
         let (at, phase) = (At::Head(Vec::new()), Phase::Coming(Instant::now()));
-        let state = State { at, phase, fault: None, heard: None, worked: false };
+        let state = State { at, phase, fault: None, heard: None, pieces: 0, worked: false };
         Seen { state: Mutex::new(state), called: Notify::new() }
     }
 }
@@ -113,8 +117,9 @@
         let mut state = self.state.lock();
         state.heard = Some(Instant::now());
         if let Phase::Idle(_) = state.phase {
-            state.phase = Phase::Coming(Instant::now());
+            (state.phase, state.pieces) = (Phase::Coming(Instant::now()), 0);
         }
+        state.pieces += 1;
         while !bytes.is_empty() {
             match &mut state.at {
                 At::Head(held) => {
@@ -177,11 +182,14 @@
     pub fn missed(&self, takes: Duration) -> Option<(Missed, Instant)> {
         let state = self.state.lock();
         match state.phase {
-            // A slow client still says something now and then, and its request may be on its way for as long as one
-            // is given; of the others who says nothing for longest goes first.
+            // Of those that say nothing who has for longest goes first.
             Phase::Coming(since) => {
                 let heard = state.heard.map_or(since, |heard| heard.max(since));
-                let missed = if heard.elapsed() < takes { Missed::Perhaps } else { Missed::Late };
+                let missed = match state.pieces {
+                    _ if heard.elapsed() < takes => Missed::Perhaps,
+                    0 | 1 => Missed::Late,
+                    _ => Missed::Slow,
+                };
                 Some((missed, heard))
             }
             Phase::Idle(since) if state.worked => Some((Missed::Much, since)),
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -198,18 +198,19 @@
     let program = start("", &[("\"sockets\": 1024", "\"sockets\": 64")]);
     let whole = post("/charge/1", "");
     let mut slow = program.connect();
-    slow.write_all(&whole.as_bytes()[..1]).unwrap();
-    std::thread::sleep(PAUSE);
+    for piece in [0..10, 10..20] {
+        slow.write_all(&whole.as_bytes()[piece]).unwrap();
+        std::thread::sleep(PAUSE);
+    }
     let rude = (0..80).map(|_| {
         let mut stream = program.connect();
         stream.write_all(&whole.as_bytes()[..20]).ok();
         stream
     });
     let rude: Vec<TcpStream> = rude.collect();
-    let pieces = whole.as_bytes()[1..].chunks(8);
-    for piece in pieces {
+    for piece in whole.as_bytes()[20..].chunks(20) {
+        std::thread::sleep(4 * PAUSE);
         slow.write_all(piece).unwrap_or_else(|e| panic!("it was cut off: {e}"));
-        std::thread::sleep(PAUSE);
     }
     assert!(answer(&mut slow).ends_with("yes"));
     drop(rude);
