LEAVE and SIGTERM count from their own time: after a quiet while clients were cut off at once

Ruled out: the lock of the successor (it was seen, and named). At fault: serve.rs read the clock at the head of the loop, before it waited for the next event, and gave the standing that time. Change: the clock is read when the word is heard. Test: 2.5 quiet seconds, then LEAVE or SIGTERM, then a request on an open connection: closed before.

--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -204,10 +204,9 @@
     let mut listening: Option<AbortHandle> = None;
     let mut tally = interval(grants.tally);
     loop {
-        let now = clock.now();
         if listener.is_some() && ready_by.is_none_or(|by| Instant::now() >= by) {
             listening = listener.take().map(|l| tokio::spawn(front.clone().listen(l)).abort_handle());
-            standing.lock().hear(now, Word::Ready).ok();
+            standing.lock().hear(clock.now(), Word::Ready).ok();
             if let Some(Err(e)) = kin.as_mut().map(Kin::enter) {
                 warn!(log, "another process of this name will not see this one"; "why" => %e);
             }
@@ -279,7 +278,7 @@
                 Told::Stop => {
                     info!(log, "told to stop: answering what is held and what still comes"; "held" => reducer.held());
                     let succeeded = kin.as_ref().is_some_and(|kin| kin.others() > 0);
-                    standing.lock().hear(now, Word::Stop { succeeded }).ok();
+                    standing.lock().hear(clock.now(), Word::Stop { succeeded }).ok();
                     if succeeded {
                         // Whoever connects from now on is the successor's; who is here already is served here.
                         info!(log, "another process of this name takes the clients");
@@ -290,7 +289,7 @@
                 }
             },
             Some((call, answer)) = asked.recv() => {
-                let reply = operate(call, &standing, now, || figures.page(reducer.now()));
+                let reply = operate(call, &standing, clock.now(), || figures.page(reducer.now()));
                 if matches!(call, Call::Leave | Call::Join) {
                     let leaving = standing.lock().is_leaving();
                     beanstalkd.iter().for_each(|front| front.leave(leaving));
--- a/crates/mintlb-node/tests/operators.rs
+++ b/crates/mintlb-node/tests/operators.rs
@@ -104,6 +104,28 @@
     }
 }
 
+/// The time of a word is its own, not that of what was read before it: after a quiet while nobody is cut off at once.
+#[test]
+fn a_word_after_a_quiet_while_counts_from_then() {
+    for stops in [true, false] {
+        let mut program = start("", &[OPS]);
+        let mut idle = program.connect();
+        idle.write_all(post("/charge/1", "").as_bytes()).unwrap();
+        assert!(answer(&mut idle).ends_with("yes"));
+        std::thread::sleep(25 * PAUSE);
+        match stops {
+            true => program.terminate(),
+            false => assert!(call(&program, "LEAVE").starts_with("SUCCESS")),
+        }
+        std::thread::sleep(3 * PAUSE);
+        idle.write_all(post("/charge/2", "").as_bytes()).unwrap();
+        let got = answer(&mut idle);
+        assert!(got.ends_with("yes") && !got.contains("connection: close"), "stops: {stops}: {got}");
+        program.terminate();
+        assert!(program.end().0);
+    }
+}
+
 #[test]
 fn a_leave_and_a_stop_cross() {
     let mut program = start("", &[OPS]);
