An old and a new process are one scheduler for cold workers, too: the new one's budgets begin spent

At fault: decide.rs `listed`: each process begins with its own budget, while the old one spends what it had saved up. Change: News::Inherited; a cold worker's budget begins as if a full one had just been spent. Not picked: twice as many schedulers in the rule for as long as both live, which neither knows the end of.

--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -200,12 +200,14 @@
     }
 
     /// The start: what the list last said, and which version that was, then whatever the decisions ask for first.
-    pub fn start(&mut self, now: f64, known: Option<(u64, Told)>) -> Vec<Act> {
+    /// `takes_over` from a process that still sends.
+    pub fn start(&mut self, now: f64, known: Option<(u64, Told)>, takes_over: bool) -> Vec<Act> {
         self.version = known.as_ref().map_or(0, |(version, _)| *version);
         let lines = known.map(|(_, told)| self.members.hear(told).1).unwrap_or_default();
         self.with_door(now, |scheduler, door| {
             scheduler.power_on(door, now);
-            scheduler.news(door, now, News::Cached(&lines));
+            let news = if takes_over { News::Inherited(&lines) } else { News::Cached(&lines) };
+            scheduler.news(door, now, news);
         })
     }
 
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -193,13 +193,13 @@
     hands.take_types(reducer.types());
     front.take_types(reducer.types(), &figures);
 
-    reducer.start(clock.now(), told_first).into_iter().for_each(|act| hands.carry_out(act));
+    // Who takes over first hears what has changed: what the old one was told, it was told, too.
+    let takes_over = kin.as_ref().is_some_and(|kin| kin.others() > 0);
+    reducer.start(clock.now(), told_first, takes_over).into_iter().for_each(|act| hands.carry_out(act));
     let turned_down = |why: String| {
         figures.turned_down.fetch_add(1, Relaxed);
         warn!(log, "the new configuration is not taken, the old one holds"; "why" => why);
     };
-    // Who takes over first hears what has changed: what the old one was told, it was told, too.
-    let takes_over = kin.as_ref().is_some_and(|kin| kin.others() > 0);
     let mut ready_by = takes_over.then(|| Instant::now() + grants.first_list);
     let mut listening: Option<AbortHandle> = None;
     let mut tally = interval(grants.tally);
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -66,7 +66,7 @@
         let event = match words[0] {
             "known" => {
                 let told = self.reading.told(&listing(true, 7, &words[1..]));
-                let acts = self.reducer.start(self.now, Some((7, told)));
+                let acts = self.reducer.start(self.now, Some((7, told)), false);
                 return self.say(acts);
             }
             "in" => {
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -121,7 +121,7 @@
         let room = Room::new(jobs, 8 << 20);
         let hub = Hub::new(plan.beanstalkd.unwrap(), "w".into(), now, 1 << 16, Numbers::default(), room);
         let mut reducer = Reducer::new(plan.scheduler, Types::new(plan.types), 1 << 20, 0.002);
-        reducer.start(now, None);
+        reducer.start(now, None, false);
         let (out, words, peers, active, names, answers) = Default::default();
         World { hub, reducer, out, words, now, wake: f64::MAX, peers, active, names, answers }
     }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -262,7 +262,7 @@
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
     /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
-    fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64) {
+    fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64, inherited: bool) {
         if let Some(w) = self.workers.get(line.id).cloned() {
             let same = line.listed == Listed::Ready && w.line.came_up == line.came_up;
             if same || line.listed == Listed::Draining {
@@ -274,7 +274,10 @@
             let (met, mut mean) = (self.workers.met(), Mean::default());
             met.iter().for_each(|w| mean.learn(w.allowance.get(), 1.0));
             let allowance = mean.or(self.lanes, f64::MIN_POSITIVE);
-            self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, (-debt, now))));
+            // What the one before this process may have saved up and sent is unknown, so it counts as sent.
+            let spent = if inherited { self.pace(now, line) * self.cold.span / 2.0 } else { 0.0 };
+            let budget = (-debt - spent, now);
+            self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, budget)));
         }
     }
 
@@ -319,14 +322,19 @@
     /// that the rule allows for the least it can do now. Each send spends it, also one turned away.
     fn budget(&self, now: f64, w: &Worker) -> f64 {
         let (left, at) = w.budget.get();
-        let age = ((now - w.line.came_up) / self.cold.warm_after).clamp(0.0, 1.0);
-        let share = self.cold.from + (1.0 - self.cold.from) * age;
-        let rate = self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 2.0;
+        let rate = self.pace(now, &w.line);
         let left = (left + rate * (now - at)).min(rate * self.cold.span / 2.0);
         w.budget.set((left, now));
         left
     }
 
+    /// What of that a second brings.
+    fn pace(&self, now: f64, line: &Line) -> f64 {
+        let age = ((now - line.came_up) / self.cold.warm_after).clamp(0.0, 1.0);
+        let share = self.cold.from + (1.0 - self.cold.from) * age;
+        self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 2.0
+    }
+
     /// Many schedulers that each leave work to wait at filled workers make long queues: the window does for
     /// the fleet what an allowance does for a worker. What is kept for long must not stop all else.
     fn open(&self, now: f64, buffers: &Buffers) -> bool {
@@ -524,14 +532,17 @@
             }
             News::Callers(lines) => (lines, false),
             News::Changes(lines) => (self.follow.heard(lines), false),
-            News::Full(lines) | News::Cached(lines) => (self.follow.heard(lines), true),
+            News::Full(lines) | News::Cached(lines) | News::Inherited(lines) => {
+                (self.follow.heard(lines), true)
+            }
         };
+        let inherited = matches!(news, News::Inherited(_));
         let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
         let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
         for line in gone.iter().chain(lines) {
             let debt = self.chance.draw() * self.buffers.mean_run();
-            self.fleet.listed(now, line, self.buffers.types.len(), debt);
+            self.fleet.listed(now, line, self.buffers.types.len(), debt, inherited);
         }
         let mut places: Vec<_> = self.fleet.workers.ready().collect();
         places.sort_unstable_by_key(|w| w.line.scattered());
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -158,6 +158,8 @@
     Full(&'a [Line]),
     /// The full list as last had, before this start; it may be old.
     Cached(&'a [Line]),
+    /// The same, of a process that takes over from one that still sends.
+    Inherited(&'a [Line]),
     /// Changes of workers that the list service does not name.
     Callers(&'a [Line]),
     Failed,
--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -2,7 +2,7 @@
 //! harmless for one and harmful when all do it. Workers start jobs in order, as many at once as they have slots.
 
 use mintlb::decide::{Buffers, Fleet, Follow, Repeats, Scheduler, Shares};
-use mintlb::tools::Chance;
+use mintlb::tools::{Chance, median};
 use mintlb::{
     Allocation, ColdRule, Door, Effect, Line, Listed, News, Outcome, ProjectType, Runs, WorkUnit, Worker,
 };
@@ -60,6 +60,8 @@
     Told(Vec<Line>),
     /// Nothing comes back any more from these, and what is sent to them never arrives.
     Silent(Vec<u64>),
+    /// New versions take the place of all schedulers; the old ones end what they hold.
+    Replaced,
     /// A dial that nobody took.
     NotUp(usize, u64, u16),
 }
@@ -111,6 +113,8 @@
     due: BTreeMap<(u64, u64), Event>,
     row: u64,
     schedulers: Vec<Scheduler>,
+    /// How many of them, the last, take what comes.
+    taking: usize,
     held: BTreeMap<u64, (usize, Rc<WorkUnit>, f64)>,
     machines: BTreeMap<u64, Machine>,
     jobs: BTreeMap<u64, Job>,
@@ -162,6 +166,7 @@
             due: BTreeMap::new(),
             row: 0,
             schedulers: (0..schedulers).map(one).collect(),
+            taking: schedulers,
             held: BTreeMap::new(),
             machines,
             jobs: BTreeMap::new(),
@@ -195,6 +200,16 @@
         self.at(after, Event::Silent(workers.to_vec()));
     }
 
+    fn replaced(&mut self) {
+        let came_up = |m: &Machine| if m.came_up > self.now { 0.0 } else { m.came_up };
+        let lines = self.machines.iter().map(|(id, m)| line(*id, Listed::Ready, came_up(m)));
+        let (lines, old): (Vec<Line>, _) = (lines.collect(), self.schedulers.len());
+        for number in old..old + self.taking {
+            self.schedulers.push(scheduler(number, self.taking, Effect::Rerunnable, Follow::default()));
+            self.call(number, |s, door, now| s.news(door, now, News::Inherited(&lines)));
+        }
+    }
+
     fn run(&mut self) -> &Ends {
         while let Some(((at, _), event)) = self.due.pop_first() {
             self.now = f64::from_bits(at);
@@ -210,6 +225,7 @@
                     workers.iter().for_each(|w| self.machines.get_mut(w).unwrap().silent = true);
                     self.jobs.retain(|_, job| !workers.contains(&job.alloc.worker.line.id));
                 }
+                Event::Replaced => self.replaced(),
                 Event::NotUp(from, id, number) => {
                     self.ends.not_up += 1;
                     self.back(from, id, number, Outcome::NoConnection);
@@ -225,7 +241,8 @@
         }
         let gap = -(1.0 - self.chance.draw()).ln() / self.rate;
         self.at(gap, Event::Arrives);
-        let from = (self.chance.draw() * self.schedulers.len() as f64) as usize;
+        let old = self.schedulers.len() - self.taking;
+        let from = old + (self.chance.draw() * self.taking as f64) as usize;
         let run = -(1.0 - self.chance.draw()).ln() * RUN;
         self.row += 1;
         let wu = WorkUnit::new(self.row, 0, None, 1.0, 0.0, self.now, LIMIT);
@@ -352,6 +369,26 @@
     assert!(sent > 360 && most < 3.0, "{sent} sent in 6 s, at the most {most:.2} times what one could run");
 }
 
+/// Two processes of one scheduler, the one that ends and its successor, send the cold no more than the one alone would: at
+/// the worst moment, with all schedulers replaced while all workers are cold and more work comes than can be run.
+#[test]
+fn an_old_and_a_new_process_together_are_one_for_the_cold() {
+    let workers: Vec<u64> = (1..=30).chain(101..=130).collect();
+    let typical = |schedulers: usize, replaced: Option<f64>| {
+        let mut world = World::new(schedulers, &workers, 120.0, 12.0, Effect::Rerunnable);
+        world.anew(3.0, &workers);
+        replaced.into_iter().for_each(|after| world.at(3.0 + after, Event::Replaced));
+        world.run();
+        median(workers.iter().map(|w| world.pressure(*w)).collect())
+    };
+    // The fewer they are, the larger each one's part.
+    for schedulers in [2, 4] {
+        let alone = typical(schedulers, None);
+        let with: f64 = [0.5, 1.0, 2.0].map(|after| typical(schedulers, Some(after)) / 3.0).iter().sum();
+        assert!(with < 1.15 * alone, "{schedulers}: {with:.2} and {alone:.2} times what one could run");
+    }
+}
+
 #[test]
 fn work_that_can_earn_nothing_any_more_leaves_the_queues() {
     // 80 seconds of work a second are asked for, and 60 can be run.
