Schedulers tell one another what they hold; no copies where workers tell of room

So: none once any worker has told of free slots (lj's tell them to probes only).

One bar for all: no work goes where the start, the pace heard or the silence of what runs would make it late.

--- a/crates/mintlb-simhost/src/frame.rs
+++ b/crates/mintlb-simhost/src/frame.rs
@@ -116,6 +116,13 @@
         self.act(code, scheduler, &[&start.to_be_bytes(), &length.to_be_bytes()]);
     }
 
+    /// Adds a message to all other instances.
+    pub fn tell(&mut self, scheduler: u16, bytes: &[u8]) {
+        let (start, length) = (self.tail.len() as u32, bytes.len() as u32);
+        self.tail.extend_from_slice(bytes);
+        self.act(23, scheduler, &[&[0xff, 0xff], &start.to_be_bytes(), &length.to_be_bytes()]);
+    }
+
     pub fn finish(self, number: u32) -> Vec<u8> {
         let length = (4 + self.records.len() + self.tail.len()) as u32;
         let count = (self.records.len() / ACTION) as u32;
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -7,7 +7,8 @@
 
 use crate::roll::Roll;
 use crate::tools::{Agenda, Chance, Mean, median};
-use crate::{Allocation, Buffer, ColdRule, Door, Effect, Group, Line, Listed, News, Numbered};
+use crate::word::{self, Word};
+use crate::{Allocation, Buffer, ColdRule, Costs, Door, Effect, Group, Line, Listed, News, Numbered};
 use crate::{Outcome, ProjectType, Report, Standing, WorkUnit, Worker};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
@@ -22,6 +23,8 @@
     /// An allocation should have started by now.
     Start(Weak<Allocation>),
     Ask,
+    /// The others are told what we hold.
+    Tell,
     /// The periodic look for room that only time brings: trials, cold budgets.
     Round,
 }
@@ -187,6 +190,16 @@
     cold: ColdRule,
     zone: u16,
     tells_start: bool,
+    /// What room in another zone counts.
+    far: f64,
+    /// Whether schedulers tell one another what they hold; where that has changed; when each last told.
+    shares: bool,
+    changed: Vec<Rc<Worker>>,
+    heard: BTreeMap<usize, f64>,
+    /// A worker has told of free slots.
+    told: bool,
+    /// The longest hard limit: what was told longer ago holds no more.
+    longest: f64,
     /// The shortest promised turnaround.
     promise: f64,
     workers: Roll,
@@ -205,14 +218,18 @@
     failing: Mean,
     trials: Vec<f64>,
     doubts: Vec<f64>,
-    /// Wide and narrow work that came, in slots x usual runs, slowly forgotten.
-    work: (f64, f64),
 }
 
 /// A start is late when it takes this part of the shortest promise longer than twice the quickest.
 const LATE: f64 = 0.2;
-/// Room in another zone counts this part: crossing costs points, and time that is learned only later.
-const FAR: f64 = 0.6;
+/// Room in another zone counts the less, the more points crossing costs; it takes time, too.
+const CROSSING: f64 = 32.0;
+/// Each scheduler tells the others what changed, so many times in a shortest promise over how many they are;
+/// but not at all where that costs more points a work unit.
+const WORDS: f64 = 128.0;
+const DEAR: f64 = 1.0 / 64.0;
+/// Reports are a little noisy: this part of the most free slots told is believed.
+const CLEAR: f64 = 0.9;
 /// Rates start as if so many work units had been heard at the usual speed.
 const PRIOR: f64 = 4.0;
 /// So many work units of a worker, or usual running times, are remembered.
@@ -227,17 +244,20 @@
 /// A failed suspect's next trial waits so many shortest promises; any worker is taken to have so many lanes.
 const TRIAL: f64 = 12.0;
 const LANES: f64 = 2.0;
-/// Wide jobs' part of the workers, to their part of the work: one comes after another there.
-const WIDE: f64 = 0.7;
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
 /// The window of unstarted work, at the least and at the most.
 const WINDOW: [f64; 2] = [1.0 / 8.0, 8.0];
 
 impl Fleet {
-    pub fn new(cold: ColdRule, zone: u16, tells_start: bool, types: &[ProjectType]) -> Fleet {
+    pub fn new(cold: ColdRule, zone: u16, tells_start: bool, costs: Costs, types: &[ProjectType]) -> Fleet {
         let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
-        let mut fleet = Fleet { cold, zone, tells_start, doubts, lanes, window, ..Fleet::default() };
+        // Each work unit is told of twice, when it is sent and when it has ended.
+        let words = (cold.among - 1.0) * 2.0 * word::ENTRY as f64 / word::LONGEST as f64;
+        let shares = costs.message.is_some_and(|points| points * words < DEAR);
+        let far = 1.0 / (1.0 + CROSSING * costs.crossing);
+        let mut fleet =
+            Fleet { cold, zone, tells_start, doubts, lanes, window, far, shares, ..Fleet::default() };
         fleet.measure(types, &vec![true; types.len()]);
         fleet
     }
@@ -247,6 +267,7 @@
         let promises = types.iter().zip(served).filter(|(_, served)| **served);
         let promises = promises.map(|(t, _)| t.promised_turnaround);
         self.promise = promises.fold(PROMISE[1], f64::min).max(PROMISE[0]);
+        self.longest = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
         // A trial that fails must not often cost work that can't be repeated.
         let dear = |t: &ProjectType| t.effect == Effect::Exclusive;
         self.trials =
@@ -284,6 +305,10 @@
     /// The time to start that is expected there: what was last heard of the worker fades to what is usual
     /// in its zone, and that to none, or one long wait would keep work away for good.
     fn delay_at(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
+        if self.shares {
+            let over = (self.held(w, mean_run) + 1.0 - self.lanes).max(0.0) / self.lanes;
+            return over * mean_run * w.pace.borrow().or(1.0, PRIOR);
+        }
         let fades = |over: f64, since: f64| 1.0 / (1.0 + (now - since) / over);
         let zone = self.zones.get(&w.line.zone);
         // The budgets keep a cold worker from being filled, so what is usual for the others is not for it.
@@ -293,9 +318,50 @@
         usual + (delay - usual) * fades(mean_run, at)
     }
 
+    /// Between two words of ours to the others.
+    fn apart(&self) -> f64 {
+        self.promise * self.cold.among / WORDS
+    }
+
+    /// Our slots there, and the others' where they tell; some of what they told has ended since.
+    fn held(&self, w: &Worker, mean_run: f64) -> f64 {
+        w.slots_out.get() + w.others.get() / (1.0 + self.apart() / mean_run)
+    }
+
+    fn note(&mut self, w: &Rc<Worker>) {
+        if self.shares && !w.noted.replace(true) {
+            self.changed.push(w.clone());
+        }
+    }
+
+    /// What one word has room for; of the rest the next one tells.
+    fn word(&mut self, now: f64) -> Word {
+        let most = self.changed.len().min(word::MOST);
+        let told = |w: Rc<Worker>| (w.line.key(), w.tell());
+        Word { sent: now, holds: self.changed.drain(..most).map(told).collect() }
+    }
+
+    /// A later word of one of us. Who has told nothing for longer than work may last holds nothing.
+    fn hear(&mut self, now: f64, from: usize, word: &Word) {
+        let ours = self.shares && (from as f64) < self.cold.among;
+        if !ours || self.heard.get(&from).is_some_and(|last| word.sent <= *last) {
+            return;
+        }
+        self.heard.insert(from, word.sent);
+        for (key, slots) in &word.holds {
+            if let Some(w) = self.workers.keyed(*key).cloned() {
+                w.hear(from, *slots);
+                self.workers.meet(&w);
+            }
+        }
+        while let Some((&silent, _)) = self.heard.iter().find(|(_, last)| **last + self.longest < now) {
+            self.heard.remove(&silent);
+            self.workers.all().for_each(|w| w.hear(silent, 0));
+        }
+    }
+
     /// How much of our own we may have there now; zero or less is no room.
     fn room(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
-        let out = w.slots_out.get();
         // Work of ours that has not started there says that its slots are taken, by others or for good.
         let kept = self.tells_start && w.unstarted.get() > 0;
         if w.listed.get() != Listed::Ready || kept || self.is_cold(now, w) && self.budget(now, w) <= 0.0 {
@@ -305,12 +371,10 @@
         if let Some(asks) = w.asks.get() {
             return asks.max(0) as f64;
         }
-        let (Report { free_slots }, at) = w.report.get();
-        let told_full = free_slots.is_some_and(|f| f <= w.sent_since.get()) && now - at < mean_run;
-        match out {
-            0.0 => w.allowance.get().max(1.0),
-            _ if told_full => 0.0,
-            _ => w.allowance.get() - out,
+        let most = if self.shares { self.lanes } else { w.allowance.get() };
+        match self.held(w, mean_run) {
+            0.0 => most.max(1.0),
+            held => (most - held).round(),
         }
     }
 
@@ -352,15 +416,6 @@
         self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
     }
 
-    /// Jobs that take over half a worker run alone, and hold up a queue until all is free: where schedulers
-    /// are many, some such would stop most workers. So they go first to their part of the workers, by an
-    /// order that all schedulers share, and all else to the others; what is not yet known belongs to both.
-    fn is_own(&self, w: &Worker, wu: &WorkUnit) -> bool {
-        let (wide, all) = (WIDE * self.work.0, WIDE * self.work.0 + self.work.1 + PRIOR);
-        let place = w.place.get();
-        if wu.slots > self.lanes / 2.0 { place < (wide + PRIOR) / all } else { place >= wide / all }
-    }
-
     fn send(&mut self, now: f64, alloc: &Rc<Allocation>, wu: &WorkUnit, usual: f64) {
         let w = &alloc.worker;
         wu.allocs.borrow_mut().push(alloc.clone());
@@ -369,6 +424,7 @@
         self.workers.meet(w);
         w.standing.borrow_mut()[wu.project_type].next_trial = now + self.trials[wu.project_type];
         w.took(wu.slots, usual);
+        self.note(w);
     }
 
     /// A start later than this says that the worker's slots were taken.
@@ -380,6 +436,7 @@
     /// swallows it. It must not keep others from there for as long as its client waits.
     fn lose(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit) {
         alloc.lose(wu.slots);
+        self.note(&alloc.worker);
         self.doubts[wu.project_type] = alloc.sent;
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         self.judge(door, now, &alloc.worker, wu.project_type, 1.0);
@@ -388,6 +445,7 @@
     fn started(&mut self, now: f64, alloc: &Allocation, slots: f64) {
         alloc.start(now, slots);
         let w = &alloc.worker;
+        w.sign.set(now);
         let delay = now - alloc.sent;
         let (old, _) = w.delay.get();
         w.delay.set((old + (delay - old) / 2.0, now));
@@ -406,7 +464,12 @@
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
     fn back(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
+        w.sign.set(now);
         alloc.free(wu.slots);
+        self.note(&alloc.worker);
+        if let (Report { free_slots: Some(free) }, _) = w.report.get() {
+            (self.told, self.lanes) = (true, self.lanes.max((free * CLEAR).round()));
+        }
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         let failed = match outcome {
             Outcome::Completed => 0.0,
@@ -474,12 +537,13 @@
     fleet: Fleet,
     follow: Follow,
     looking: bool,
+    telling: bool,
 }
 
 impl Scheduler {
     pub fn new(chance: Chance, chain: (Shares, Buffers, Repeats, Fleet), follow: Follow) -> Scheduler {
         let ((shares, buffers, repeats, fleet), agenda) = (chain, Agenda::default());
-        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, looking: false }
+        Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, looking: false, telling: false }
     }
 
     pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
@@ -544,10 +608,7 @@
             let debt = self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt, inherited);
         }
-        let mut places: Vec<_> = self.fleet.workers.ready().collect();
-        places.sort_unstable_by_key(|w| w.line.scattered());
-        places.iter().enumerate().for_each(|(i, w)| w.place.set(i as f64 / places.len() as f64));
-        if places.is_empty() {
+        if self.fleet.workers.ready().next().is_none() {
             door.log("the list has no ready worker: work is deferred once its patience is out");
         }
         self.settle(door, now);
@@ -556,10 +617,6 @@
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
         wu.most.set(self.repeats.most_allocations);
-        let work = wu.slots * self.buffers.running[wu.project_type] / self.buffers.mean_run();
-        let (wide, narrow) = if wu.slots > self.fleet.lanes / 2.0 { (work, 0.0) } else { (0.0, work) };
-        let (old, keep) = (self.fleet.work, 1.0 - SLOWLY * SLOWLY);
-        self.fleet.work = (old.0 * keep + wide, old.1 * keep + narrow);
         self.buffers.of(wu).put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         if self.repeats.may_recall && self.fleet.tells_start {
@@ -646,6 +703,14 @@
         }
     }
 
+    /// Another scheduler has told something.
+    pub fn told(&mut self, door: &mut dyn Door, now: f64, from: usize, bytes: &[u8]) {
+        if let Some(word) = Word::read(now, bytes) {
+            self.fleet.hear(now, from, &word);
+            self.settle(door, now);
+        }
+    }
+
     /// A worker that fetches its work has asked.
     pub fn asked(&mut self, door: &mut dyn Door, now: f64) {
         self.settle(door, now);
@@ -676,6 +741,10 @@
                     door.follow_list();
                 }
                 Due::Round => self.looking = false,
+                Due::Tell => {
+                    self.telling = false;
+                    door.tell(&self.fleet.word(now).write());
+                }
             }
         }
         self.settle(door, now);
@@ -699,7 +768,7 @@
         let (i, open) = (wu.project_type, !wu.ended.get() && !wu.waiting.get());
         if self.buffers.types[i].effect == Effect::Exclusive {
             self.fleet.lose(door, now, &alloc, &wu);
-        } else if open && now + self.buffers.running[i] < wu.limit {
+        } else if open && !self.fleet.told && now + self.buffers.running[i] < wu.limit {
             self.buffers.of(&wu).put(&wu, true);
         }
     }
@@ -713,6 +782,10 @@
                 self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
             }
         }
+        if !self.telling && !self.fleet.changed.is_empty() {
+            self.telling = true;
+            self.agenda.add(now + self.fleet.apart(), Due::Tell);
+        }
         let v =
             |d: &_| matches!(d, Due::Limit(w) | Due::Patience(w) | Due::Stale(w) if w.strong_count() == 0);
         self.agenda.arm(door, now, v);
@@ -725,8 +798,12 @@
         let workers = self.fleet.workers.drawn(&mut self.chance, |w| self.fleet.room(now, w, mean_run) > 0.0);
         let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
-            let far = if w.line.zone == self.fleet.zone { 1.0 } else { FAR };
-            let room = far * self.fleet.room(now, w, mean_run);
+            let far = if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
+            let mut room = far * self.fleet.room(now, w, mean_run);
+            if self.fleet.shares {
+                // All see the same: the emptiest and fastest worker would get the work of all.
+                room = room.min(1.0) * (0.5 + self.chance.draw());
+            }
             if room > 0.0 {
                 let speed = room
                     / (self.fleet.delay_at(now, w, mean_run) + w.pace.borrow().or(1.0, PRIOR) * mean_run);
@@ -735,18 +812,18 @@
             }
         }
         ready.sort_unstable_by(|a, b| b.cmp(a));
-        for own in [true, false] {
-            ready.retain(|&(_, _, i)| !self.offer(door, now, &workers[i], own));
+        for proven in [true, false] {
+            ready.retain(|&(_, _, i)| !self.offer(door, now, &workers[i], proven));
         }
     }
 
     /// Sends one work unit to this worker, if there is one for it.
-    fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, own: bool) -> bool {
+    fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, proven: bool) -> bool {
         // What the fleet's queues say does not hold for a cold worker: all schedulers' budgets bound its own.
         if !self.buffers.any() || !self.fleet.is_cold(now, w) && !self.fleet.open(now, &self.buffers) {
             return false;
         }
-        let Some(wu) = self.pick(now, w, own) else { return false };
+        let Some(wu) = self.pick(now, w, proven) else { return false };
         self.buffers.of(&wu).take_out(&wu);
         let i = wu.project_type;
         let alloc = Allocation::new(&wu, w, now);
@@ -762,11 +839,12 @@
     }
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
-    fn pick(&self, now: f64, w: &Worker, own: bool) -> Option<Rc<WorkUnit>> {
-        let free = w.asks.get().map_or((w.allowance.get() - w.slots_out.get()).max(1.0), |_| f64::MAX);
-        let fits = |wu: &WorkUnit| w.slots_out.get() == 0.0 || wu.slots <= free;
+    fn pick(&self, now: f64, w: &Worker, proven: bool) -> Option<Rc<WorkUnit>> {
+        let mean_run = self.buffers.mean_run();
+        let free = if w.asks.get().is_some() { f64::MAX } else { self.fleet.room(now, w, mean_run).max(1.0) };
+        let fits = |wu: &WorkUnit| self.fleet.held(w, mean_run) == 0.0 || wu.slots <= free;
         let standing = w.standing.borrow();
-        let delay = self.fleet.delay_at(now, w, self.buffers.mean_run());
+        let delay = self.fleet.delay_at(now, w, mean_run);
         let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
         for (i, queue) in self.buffers.queues.iter().enumerate().filter(|(_, q)| q.len() > 0) {
             let t = &self.buffers.types[i / 2];
@@ -776,7 +854,11 @@
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
             let unfit = !w.line.runs.has(i / 2) || t.kind.is_some_and(|k| k != w.line.kind);
             // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
-            let bears = (t.promised_turnaround + self.buffers.bearable(i / 2)) / 2.0;
+            let run = self.buffers.running[i / 2];
+            let bears = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * run / 2.0;
+            let fade = 1.0 + (now - w.sign.get()) / (4.0 * mean_run);
+            let silent = if w.running.get() > 0.0 { now - w.sign.get() - run } else { 0.0 };
+            let outlasts = delay + silent.max((takes - run) / fade).max(0.0) > bears;
             let Standing { suspect, next_trial, started, .. } = standing[i / 2];
             let exclusive = t.effect == Effect::Exclusive;
             // What can't be repeated keeps away from where another project type fails; while some was lost
@@ -785,12 +867,11 @@
             let spared = exclusive && (0..).zip(&*standing).any(|(j, s)| s.suspect && served(j));
             let doubt = self.fleet.doubts[i / 2];
             let unproven = exclusive && started < doubt && now < doubt + self.fleet.trials[i / 2];
-            let outlasts = t.late_credit == 0.0 && delay > bears;
             let not_here = unfit || outlasts || spared || suspect && now < next_trial;
-            if !not_here && best.is_none_or(|b| pressure > b.0) {
-                let first = |wu: &WorkUnit| suspect || own == (!unproven && self.fleet.is_own(w, wu));
+            let first = suspect || proven != unproven;
+            if first && !not_here && best.is_none_or(|b| pressure > b.0) {
                 let pass = |wu: &WorkUnit| self.repeats.pass(now, t.effect, wu, w);
-                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && first(wu) && pass(wu);
+                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && pass(wu);
                 best = queue.first(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -8,9 +8,10 @@
 pub mod roll;
 pub mod settings;
 pub mod tools;
+pub mod word;
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::rc::{Rc, Weak};
 use tools::Mean;
 
@@ -134,9 +135,9 @@
 }
 
 impl Line {
-    /// The id scattered evenly, the same everywhere.
-    pub(crate) fn scattered(&self) -> u64 {
-        self.id.wrapping_mul(0x9e37_79b9_7f4a_7c15)
+    /// The id and the start scattered evenly, the same everywhere: a process is another after each start.
+    pub fn key(&self) -> u16 {
+        ((self.id ^ self.came_up.to_bits()).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 48) as u16
     }
 }
 
@@ -151,6 +152,15 @@
     pub among: f64,
 }
 
+/// What costs points beside work in vain.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Costs {
+    /// For each allocation that crosses zones.
+    pub crossing: f64,
+    /// For each full message a work unit, where schedulers may tell one another anything.
+    pub message: Option<f64>,
+}
+
 /// What the list service had to say.
 pub enum News<'a> {
     Changes(&'a [Line]),
@@ -194,8 +204,12 @@
     /// Smoothed time from sending to starting, and when it was last heard.
     pub(crate) delay: Cell<(f64, f64)>,
     pub(crate) standing: RefCell<Vec<Standing>>,
-    /// Its place in an order of the ready workers that is the same at all schedulers, from 0 up to 1.
-    pub(crate) place: Cell<f64>,
+    /// When work of ours last started or ended there.
+    pub(crate) sign: Cell<f64>,
+    /// The other schedulers' slots there as each last told, and the sum; whether ours there are yet to be told.
+    pub(crate) theirs: RefCell<BTreeMap<usize, u8>>,
+    pub(crate) others: Cell<f64>,
+    pub(crate) noted: Cell<bool>,
     /// Budget for a cold worker, and when it was last topped up.
     pub(crate) budget: Cell<(f64, f64)>,
     pub(crate) report: Cell<(Report, f64)>,
@@ -349,7 +363,6 @@
         Worker {
             listed: Cell::new(line.listed),
             asks: Cell::new(line.fetches.then_some(0)),
-            line,
             out: Cell::new(0),
             unstarted: Cell::new(0),
             slots_out: Cell::new(0.0),
@@ -359,11 +372,15 @@
             pace: RefCell::default(),
             delay: Cell::new((0.0, 0.0)),
             standing: RefCell::new(vec![Standing::default(); types]),
-            place: Cell::new(0.0),
+            sign: Cell::new(0.0),
+            others: Cell::new(0.0),
+            theirs: RefCell::default(),
+            noted: Cell::new(false),
             budget: Cell::new(budget),
             report: Cell::new((Report::default(), 0.0)),
             sent_since: Cell::new(0.0),
             sends: Cell::new(0),
+            line,
         }
     }
 
@@ -401,6 +418,18 @@
         self.slots_out.set(self.slots_out.get() + slots);
     }
 
+    /// Another scheduler holds so many slots there.
+    pub(crate) fn hear(&self, from: usize, slots: u8) {
+        let had = self.theirs.borrow_mut().insert(from, slots).unwrap_or(0);
+        self.others.set(self.others.get() + f64::from(slots) - f64::from(had));
+    }
+
+    /// What the others are told that we hold there.
+    pub(crate) fn tell(&self) -> u8 {
+        self.noted.set(false);
+        self.slots_out.get().ceil().clamp(0.0, 255.0) as u8
+    }
+
     pub(crate) fn halve(&self) {
         self.allowance.set((self.allowance.get() / 2.0).max(1.0));
     }
@@ -452,6 +481,8 @@
     fn abort(&mut self, wu: &WorkUnit);
     fn probe(&mut self, worker: &Worker);
     fn follow_list(&mut self);
+    /// Tells all other schedulers; where there is no way to, it is lost like any word may be.
+    fn tell(&mut self, _bytes: &[u8]) {}
     /// Asks for a call of `woke` this many seconds from now.
     fn wake_in(&mut self, seconds: f64);
     fn log(&mut self, line: &str);
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -8,6 +8,8 @@
 #[derive(Default)]
 pub struct Roll {
     workers: BTreeMap<u64, Rc<Worker>>,
+    /// By what schedulers call them among themselves.
+    keyed: BTreeMap<u16, Rc<Worker>>,
     /// Workers that were sent something: each is ranked by what is known of it.
     met: Vec<Rc<Worker>>,
     /// The others, by zone, kind and what they run: one is as good as another, and to rank them all would only cost.
@@ -19,6 +21,10 @@
         self.workers.get(&id)
     }
 
+    pub fn keyed(&self, key: u16) -> Option<&Rc<Worker>> {
+        self.keyed.get(&key)
+    }
+
     pub fn all(&self) -> impl Iterator<Item = &Rc<Worker>> {
         self.workers.values()
     }
@@ -33,12 +39,14 @@
 
     pub fn add(&mut self, worker: Rc<Worker>) {
         self.unmet.entry(worker.kin()).or_default().push(worker.clone());
+        self.keyed.insert(worker.line.key(), worker.clone());
         self.workers.insert(worker.line.id, worker);
     }
 
     pub fn strike(&mut self, worker: &Rc<Worker>) {
         worker.listed.set(Listed::Gone);
         self.workers.remove(&worker.line.id);
+        self.keyed.remove(&worker.line.key());
         self.met.retain(|met| !Rc::ptr_eq(met, worker));
         self.unmet.entry(worker.kin()).or_default().retain(|unmet| !Rc::ptr_eq(unmet, worker));
     }
--- a/crates/mintlb/src/settings.rs
+++ b/crates/mintlb/src/settings.rs
@@ -3,10 +3,13 @@
 
 use crate::decide::{Buffers, Fleet, Follow, Repeats, Scheduler, Shares};
 use crate::tools::Chance;
-use crate::{ColdRule, Effect, Group, ProjectType};
+use crate::{ColdRule, Costs, Effect, Group, ProjectType};
 use std::collections::BTreeMap;
 use std::str::FromStr;
 
+/// Points for each allocation that crosses zones, where no price is set.
+const CROSSING: f64 = 0.021;
+
 /// What may change while a scheduler serves, beside the project types.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
@@ -150,6 +153,17 @@
         (0..self.customers()?).map(|i| self.get(&format!("tenants.{i}.quota_per_s"))).collect()
     }
 
+    /// Where they are not told, crossing costs what it did where this was first tried, and nobody tells anything.
+    fn costs(&self) -> Result<Costs, String> {
+        let or =
+            |path: &str, absent: f64| if self.0.contains_key(path) { self.amount(path) } else { Ok(absent) };
+        let message = or("prices.peer", 0.0)?;
+        Ok(Costs {
+            crossing: or("prices.cross_zone", CROSSING)?,
+            message: self.or("permissions.peers", false)?.then_some(message),
+        })
+    }
+
     pub fn scheduler(&self, seed: u64) -> Result<Scheduler, String> {
         let schedulers: usize = self.get("balancers")?;
         let cold = ColdRule {
@@ -163,7 +177,7 @@
         let Terms { repeats, excess_credit, come_back } = self.terms()?;
         let types = self.project_types()?;
         let tells_start = self.or("family_info.tells_start", false)?;
-        let fleet = Fleet::new(cold, self.get("zone")?, tells_start, &types);
+        let fleet = Fleet::new(cold, self.get("zone")?, tells_start, self.costs()?, &types);
         let buffers = Buffers::new(types, excess_credit, come_back);
         let follow = Follow {
             on_request: discovery == "on_request",
