A move to another list service: asked for all of it, and lanes go with the workers they were seen at

Gone through for the move, by reading and by tests that fail without each change:

- A list at another address was asked for what came after the old one's version (`Event::ListMoved`, reducer.rs): another deployment's list, whose versions are lower, would have named no worker, and the old ones would have stayed.
It is asked for what came after 0, and the first it says is the whole (`Watch`, list.rs).
`the_first_seconds_after_a_move`.
- The list left for the next process was taken whichever service it came from (`Record`): now only if heard at the address that the new process follows.
With nobody left of the old list the window, zones' starts and doubts begin afresh; a process that stays keeps its pace, standing, delay and budget; project types keep their running time.
- prices.cross_zone, prices.peer and permissions.peers come from the program's configuration, are checked at start and SIGHUP, and hold at once; without them all is as before (crossing at 0.021, no messages).
On sockets there is no way to tell another scheduler anything, so messages are off there whatever is permitted.

What the project types' numbers go by is in decide/terms.rs, what schedulers told in peers.rs: neither decides.

--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -187,8 +187,8 @@
     pub fn retune(&mut self, types: &[(String, ProjectType)], terms: &Terms) -> Result<(), String> {
         let held: FxHashSet<usize> = self.held.values().map(|held| held.wu.project_type).collect();
         let changes = self.types.change(types, |number| held.contains(&number))?;
-        let Terms { repeats, excess_credit, come_back } = terms.clone();
-        self.scheduler.retune(&changes, repeats, excess_credit, come_back);
+        let Terms { repeats, excess_credit, come_back, costs } = terms.clone();
+        self.scheduler.retune(&changes, repeats, (excess_credit, come_back), costs);
         Ok(())
     }
 
@@ -279,8 +279,12 @@
                 };
                 self.with_door(now, |s, door| s.news(door, now, news))
             }
-            // At once, whatever was to be asked of the old one: nothing it says from now on is heard.
-            Event::ListMoved => vec![Act::Watch { after: self.version }],
+            // At once, whatever was to be asked of the old one: nothing it says from now on is heard. Another service
+            // may be another deployment's, with versions of its own: it is asked for all, and says all first.
+            Event::ListMoved => {
+                self.version = 0;
+                vec![Act::Watch { after: 0 }]
+            }
             Event::Woke => self.with_door(now, |s, door| s.woke(door, now)),
             Event::LastCall => self.last_call(now),
         }
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -19,6 +19,7 @@
 use slog::{Logger, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
@@ -106,6 +107,8 @@
     besides: Besides,
     log: Logger,
     alive: Option<AbortHandle>,
+    /// The list has moved: what is said first is all of it, as it was asked for what came after the beginning.
+    whole: Arc<AtomicBool>,
 }
 
 /// Hears what the list tells, beside the core: its words, and what they mean.
@@ -119,13 +122,14 @@
         besides: Besides,
         log: Logger,
     ) -> Watch {
-        Watch { list, reading, tell, besides, log, alive: None }
+        Watch { list, reading, tell, besides, log, alive: None, whole: Arc::default() }
     }
 
     /// The list is watched there from now on; a watch of the old address ends.
     pub fn follow(&mut self, list: List) {
         self.list = list;
         self.alive.take().iter().for_each(AbortHandle::abort);
+        self.whole.store(true, Relaxed);
     }
 }
 
@@ -137,8 +141,10 @@
         }
         let (list, reading) = (self.list.clone(), self.reading.clone());
         let (tell, besides, log) = (self.tell.clone(), self.besides.clone(), self.log.clone());
+        let whole = self.whole.clone();
         let task = async move {
-            let hear = |listing: Listing| {
+            let hear = |mut listing: Listing| {
+                listing.full |= whole.swap(false, Relaxed);
                 let told = reading.told(&listing);
                 besides(&listing, &told);
                 tell.send(Event::Members(Some(listing.version), told)).ok();
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -3,7 +3,7 @@
 use mintlb::settings::Text;
 use mintlb_http::list::Listing;
 use serde::Deserialize;
-use serde_json::Value;
+use serde_json::{Value, json};
 use std::collections::BTreeSet;
 use std::net::{SocketAddr, TcpListener};
 
@@ -35,10 +35,14 @@
 }
 
 /// The settings that a new configuration may change while it serves, by the table that they stand in.
-const CHANGING: [(&str, &[&str]); 3] = [
+const CHANGING: [(&str, &[&str]); 4] = [
     ("", &["project_types", "excess_credit"]),
     ("family_info", &["class_kind", "class_stretch"]),
-    ("permissions", &["most_allocations", "parallel_tries", "may_cancel", "retry_after", "max_retry_after"]),
+    (
+        "permissions",
+        &["most_allocations", "parallel_tries", "may_cancel", "retry_after", "max_retry_after", "peers"],
+    ),
+    ("prices", &["cross_zone", "peer"]),
 ];
 
 impl Placement {
@@ -97,6 +101,10 @@
             if let Some(of) = of.and_then(Value::as_object_mut) {
                 fields.iter().for_each(|field| drop(of.remove(*field)));
             }
+            // A table that has nothing else is as none.
+            if let Some(all) = settings.as_object_mut().filter(|all| all.get(table) == Some(&json!({}))) {
+                all.remove(table);
+            }
         }
         settings
     }
@@ -105,11 +113,14 @@
         u64::from_str_radix(&self.seed, 16).map_err(|e| format!("seed: {:?} is no number: {e}", self.seed))
     }
 
-    /// The settings by path, as the decisions read them. On sockets the list must always be asked for.
+    /// The settings by path, as the decisions read them. On sockets the list must always be asked for, and schedulers
+    /// have no way to tell one another anything, whatever is permitted.
     pub fn text(&self) -> Text {
         let mut pairs = Vec::new();
         flatten("", &self.settings, &mut pairs);
         pairs.push(("discovery".into(), "on_request".into()));
+        let peers = pairs.iter_mut().find(|(path, value)| path == "permissions.peers" && value == "true");
+        peers.into_iter().for_each(|(_, value)| *value = "false".into());
         pairs.into_iter().collect()
     }
 }
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -148,7 +148,7 @@
     let only = beanstalkd.as_ref().map_or(Runs::NONE, |plan| plan.only);
     let runs = Runs::default().without(only);
     let reading = Reading { zones: own("zones"), kinds: own("machine_types"), runs, workers };
-    let mut record = folder.as_ref().map(|folder| Record::new(folder, &placement.name));
+    let mut record = folder.as_ref().map(|folder| Record::new(folder, &placement.name, placement.discovery));
     let known = placement.known.take();
     let known = record.as_ref().map_or(known.clone(), |record| record.newer(known));
     let told_first = known.as_ref().map(|known| (known.version, reading.told(known)));
@@ -175,7 +175,8 @@
     if let Some((record, known)) = record.as_mut().zip(known.as_ref()) {
         record.hear(known).ok();
     }
-    let (record, besides) = (record.map(Mutex::new), beanstalkd.clone());
+    let (record, besides) = (record.map(|record| Arc::new(Mutex::new(record))), beanstalkd.clone());
+    let kept = record.clone();
     let unwritten = log.clone();
     let besides: Besides = Arc::new(move |listing, told| {
         besides.iter().for_each(|front| front.hear(told));
@@ -254,6 +255,7 @@
                             placement.take(new.placement).then(|| {
                                 let at = placement.discovery;
                                 info!(log, "the list is followed at another address"; "discovery" => %at);
+                                kept.iter().for_each(|record| record.lock().moved(at));
                                 hands.list.follow(List::new(&grants.http, at));
                                 Event::ListMoved
                             })
--- a/crates/mintlb-node/tests/operators.rs
+++ b/crates/mintlb-node/tests/operators.rs
@@ -4,7 +4,7 @@
 mod harness;
 
 use harness::{PAUSE, Program, SOON, answer, complaint, list_by, list_of, listing, post, post_as};
-use harness::{stand_in, start, start_at, work, work_by};
+use harness::{stand_in, start, start_at, work, work_as, work_by};
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -316,6 +316,16 @@
             with.replace("\"most_allocations\": 3", &format!("\"most_allocations\": {most}")),
         )
     }))
+    .chain(["-1", "-0.02", "1e999", "\"dear\"", "null"].into_iter().flat_map(|price| {
+        ["cross_zone", "peer"].map(|of| {
+            let table = format!("\"prices\": {{\"{of}\": {price}}}, \"quantum\"");
+            (format!("a price {of} of {price}"), with.replace("\"quantum\"", &table))
+        })
+    }))
+    .chain(["1", "\"often\"", "null"].map(|peers| {
+        let permitted = format!("\"peers\": {peers}, \"retry_after\"");
+        (format!("messages {peers}"), with.replace("\"retry_after\"", &permitted))
+    }))
     .collect();
     for (shown, text) in &broken {
         assert_ne!(*text, with, "{shown}: nothing is broken");
@@ -341,6 +351,45 @@
     assert_eq!(status("/refund", key), "200", "after a hundred files");
 }
 
+/// A move to another deployment, whose list has versions of its own, and back. From the first moment work goes to the
+/// workers of the new list only; what an old one has is answered by it; the prices are taken without a new start.
+#[test]
+fn the_first_seconds_after_a_move() {
+    let [(old, _), (new, _)] = ["old", "new"].map(|name| stand_in(move |s| work_as(name, s)));
+    let here = [("s-1", old, "SERVING"), ("s-2", old, "SERVING")];
+    // What came after its beginning is not said to be the whole list.
+    let part = |text: String| text.replace("\"full\":true", "\"full\":false");
+    let (before, after) =
+        (list_of(part(listing(500, &here))), list_of(part(listing(7, &[("t-1", new, "SERVING")]))));
+    let program = start("", &[OPS, ("127.0.0.1:8500", &before), SOON]);
+    std::thread::sleep(5 * PAUSE);
+    assert!(program.ask(&post("/lookup/1", "")).ends_with("old"));
+    let mut held = program.connect();
+    held.write_all(post("/charge/slow", "").as_bytes()).unwrap();
+    std::thread::sleep(PAUSE / 2);
+    let (mut from, mut loaded) = (&before, 0);
+    for (to, price, by, size) in [(&after, "0.1", "new", 1), (&before, "0.02", "old", 2)] {
+        let text = std::fs::read_to_string(&program.path).unwrap();
+        let prices = format!("\"prices\": {{\"cross_zone\": {price}}},\n    \"quantum\"");
+        let text =
+            text.replace("\"prices\": {\"cross_zone\": 0.1},\n    ", "").replace("\"quantum\"", &prices);
+        std::fs::write(&program.path, text).unwrap();
+        program.replace(from, to);
+        std::thread::sleep(PAUSE / 2);
+        let answers: Vec<String> = (0..40).map(|n| program.ask(&post(&format!("/lookup/{n}"), ""))).collect();
+        let strayed = answers.iter().filter(|a| !(a.starts_with("HTTP/1.1 200") && a.ends_with(by))).count();
+        assert_eq!(strayed, 0, "{by}: {answers:?}");
+        loaded += 1;
+        let now = figures(&program);
+        assert_eq!((now["cluster_size"], now["conf_loaded"]), (size, loaded), "{by}");
+        from = to;
+    }
+    assert!(answer(&mut held).ends_with("old"), "what an old worker has is answered");
+    let deferred: u64 =
+        figures(&program).iter().filter(|(f, _)| f.ends_with(".deferred")).map(|(_, n)| n).sum();
+    assert_eq!(deferred, 0);
+}
+
 #[test]
 fn a_wrong_door_or_socket_is_named() {
     let taken = TcpListener::bind("127.0.0.1:0").unwrap();
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -118,6 +118,7 @@
             "list" => Event::Members(Some(8), self.reading.told(&listing(true, 8, &words[1..]))),
             "change" => Event::Members(Some(9), self.reading.told(&listing(false, 9, &words[1..]))),
             "lost" => Event::ListFailed,
+            "moved" => Event::ListMoved,
             "last" => Event::LastCall,
             other => panic!("no step {other}"),
         };
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -5,10 +5,13 @@
 //! the other way. `press` is the rule: workers with room, most room first; for each the runnable buffer of
 //! highest alpha x rate x length.
 
+mod terms;
+
+use crate::peers::Peers;
 use crate::roll::Roll;
 use crate::tools::{Agenda, Chance, Mean, median};
 use crate::word::{self, Word};
-use crate::{Allocation, Buffer, ColdRule, Costs, Door, Effect, Group, Line, Listed, News, Numbered};
+use crate::{Allocation, Buffer, ColdRule, Costs, Door, Effect, Group, Line, Listed, News};
 use crate::{Outcome, ProjectType, Report, Standing, WorkUnit, Worker};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::{Rc, Weak};
@@ -82,19 +85,6 @@
         t.promised_turnaround.max(t.hard_limit * UNHEARD)
     }
 
-    /// No work is of the one that had this number before, if one had.
-    fn take(&mut self, Numbered { number, continues, project_type }: &Numbered) {
-        let running = continues.map_or_else(|| Buffers::unheard(project_type), |old| self.running[old]);
-        if *number == self.types.len() {
-            self.types.push(project_type.clone());
-            self.served.push(true);
-            self.running.push(running);
-            self.queues.extend([Buffer::default(), Buffer::default()]);
-        }
-        (self.running[*number], self.served[*number]) = (running, true);
-        self.types[*number] = project_type.clone();
-    }
-
     fn any(&self) -> bool {
         self.queues.iter().any(|q| q.len() > 0)
     }
@@ -192,14 +182,11 @@
     tells_start: bool,
     /// What room in another zone counts.
     far: f64,
-    /// Whether schedulers tell one another what they hold; where that has changed; when each last told.
+    /// What schedulers tell one another of what they hold, and whether they do.
+    peers: Peers,
     shares: bool,
-    changed: Vec<Rc<Worker>>,
-    heard: BTreeMap<usize, f64>,
     /// A worker has told of free slots.
     told: bool,
-    /// The longest hard limit: what was told longer ago holds no more.
-    longest: f64,
     /// The shortest promised turnaround.
     promise: f64,
     workers: Roll,
@@ -252,35 +239,31 @@
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, costs: Costs, types: &[ProjectType]) -> Fleet {
         let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
-        // Each work unit is told of twice, when it is sent and when it has ended.
-        let words = (cold.among - 1.0) * 2.0 * word::ENTRY as f64 / word::LONGEST as f64;
-        let shares = costs.message.is_some_and(|points| points * words < DEAR);
-        let far = 1.0 / (1.0 + CROSSING * costs.crossing);
-        let mut fleet =
-            Fleet { cold, zone, tells_start, doubts, lanes, window, far, shares, ..Fleet::default() };
+        let mut fleet = Fleet { cold, zone, tells_start, doubts, lanes, window, ..Fleet::default() };
+        fleet.cost(costs);
         fleet.measure(types, &vec![true; types.len()]);
         fleet
     }
 
+    fn cost(&mut self, costs: Costs) {
+        // Each work unit is told of twice, when it is sent and when it has ended.
+        let words = (self.cold.among - 1.0) * 2.0 * word::ENTRY as f64 / word::LONGEST as f64;
+        self.shares = costs.message.is_some_and(|points| points * words < DEAR);
+        self.far = 1.0 / (1.0 + CROSSING * costs.crossing);
+    }
+
     /// The times that hang on the project types.
     fn measure(&mut self, types: &[ProjectType], served: &[bool]) {
         let promises = types.iter().zip(served).filter(|(_, served)| **served);
         let promises = promises.map(|(t, _)| t.promised_turnaround);
         self.promise = promises.fold(PROMISE[1], f64::min).max(PROMISE[0]);
-        self.longest = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
+        self.peers.longest = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
         // A trial that fails must not often cost work that can't be repeated.
         let dear = |t: &ProjectType| t.effect == Effect::Exclusive;
         self.trials =
             types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * self.promise }).collect();
     }
 
-    fn take(&mut self, Numbered { number, continues, .. }: &Numbered) {
-        let doubt = continues.map_or(f64::MIN, |old| self.doubts[old]);
-        self.doubts.resize(self.doubts.len().max(number + 1), doubt);
-        self.doubts[*number] = doubt;
-        self.workers.all().for_each(|w| w.take_type(*number, *continues));
-    }
-
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
     /// the old process held counts no more. `debt` spreads the schedulers' first sends to a cold worker.
     fn listed(&mut self, now: f64, line: &Line, types: usize, debt: f64, inherited: bool) {
@@ -290,6 +273,9 @@
                 return w.listed.set(line.listed);
             }
             self.workers.strike(&w);
+            // What was seen of its room may not hold for those that are left.
+            self.lanes = self.workers.all().map(|w| w.lanes.get()).fold(LANES, f64::max);
+            self.told = self.workers.all().any(|w| w.report.get().1 > 0.0);
         }
         if line.listed != Listed::Gone {
             let (met, mut mean) = (self.workers.met(), Mean::default());
@@ -328,38 +314,6 @@
         w.slots_out.get() + w.others.get() / (1.0 + self.apart() / mean_run)
     }
 
-    fn note(&mut self, w: &Rc<Worker>) {
-        if self.shares && !w.noted.replace(true) {
-            self.changed.push(w.clone());
-        }
-    }
-
-    /// What one word has room for; of the rest the next one tells.
-    fn word(&mut self, now: f64) -> Word {
-        let most = self.changed.len().min(word::MOST);
-        let told = |w: Rc<Worker>| (w.line.key(), w.tell());
-        Word { sent: now, holds: self.changed.drain(..most).map(told).collect() }
-    }
-
-    /// A later word of one of us. Who has told nothing for longer than work may last holds nothing.
-    fn hear(&mut self, now: f64, from: usize, word: &Word) {
-        let ours = self.shares && (from as f64) < self.cold.among;
-        if !ours || self.heard.get(&from).is_some_and(|last| word.sent <= *last) {
-            return;
-        }
-        self.heard.insert(from, word.sent);
-        for (key, slots) in &word.holds {
-            if let Some(w) = self.workers.keyed(*key).cloned() {
-                w.hear(from, *slots);
-                self.workers.meet(&w);
-            }
-        }
-        while let Some((&silent, _)) = self.heard.iter().find(|(_, last)| **last + self.longest < now) {
-            self.heard.remove(&silent);
-            self.workers.all().for_each(|w| w.hear(silent, 0));
-        }
-    }
-
     /// How much of our own we may have there now; zero or less is no room.
     fn room(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
         // Work of ours that has not started there says that its slots are taken, by others or for good.
@@ -424,7 +378,7 @@
         self.workers.meet(w);
         w.standing.borrow_mut()[wu.project_type].next_trial = now + self.trials[wu.project_type];
         w.took(wu.slots, usual);
-        self.note(w);
+        self.peers.changed(w, self.shares);
     }
 
     /// A start later than this says that the worker's slots were taken.
@@ -436,7 +390,7 @@
     /// swallows it. It must not keep others from there for as long as its client waits.
     fn lose(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit) {
         alloc.lose(wu.slots);
-        self.note(&alloc.worker);
+        self.peers.changed(&alloc.worker, self.shares);
         self.doubts[wu.project_type] = alloc.sent;
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         self.judge(door, now, &alloc.worker, wu.project_type, 1.0);
@@ -457,18 +411,31 @@
         zone.1.learn(delay, 1.0 - SLOWLY);
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         if w.asks.get().is_none() {
-            self.lanes = self.lanes.max(w.running.get());
+            self.saw(w, w.running.get());
         }
     }
 
+    fn saw(&mut self, w: &Worker, lanes: f64) {
+        w.lanes.set(w.lanes.get().max(lanes));
+        self.lanes = self.lanes.max(lanes);
+    }
+
+    /// Nobody is left of those that this was learned of. How often work fails is learned of the work.
+    fn forget(&mut self) {
+        self.zones.clear();
+        (self.window, self.paused) = (WINDOW[1], f64::MIN);
+        self.doubts.fill(f64::MIN);
+    }
+
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
     fn back(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
         w.sign.set(now);
         alloc.free(wu.slots);
-        self.note(&alloc.worker);
+        self.peers.changed(&alloc.worker, self.shares);
         if let (Report { free_slots: Some(free) }, _) = w.report.get() {
-            (self.told, self.lanes) = (true, self.lanes.max((free * CLEAR).round()));
+            self.told = true;
+            self.saw(w, (free * CLEAR).round());
         }
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         let failed = match outcome {
@@ -550,25 +517,6 @@
         self.fleet.workers.get(id)
     }
 
-    /// How many workers are listed, and how many of them are suspects for some project type.
-    pub fn cluster(&self) -> (usize, usize) {
-        let serves = |(j, s): (usize, &Standing)| s.suspect && self.buffers.served[j];
-        let avoided = |w: &&Rc<Worker>| (0..).zip(&*w.standing.borrow()).any(serves);
-        (self.fleet.workers.all().count(), self.fleet.workers.all().filter(avoided).count())
-    }
-
-    /// New work is of these project types from now on, and of no others; what came before keeps its own.
-    pub fn retune(&mut self, types: &[Numbered], repeats: Repeats, excess_credit: f64, most_come_back: f64) {
-        self.buffers.served.fill(false);
-        for one in types {
-            self.fleet.take(one);
-            self.buffers.take(one);
-        }
-        self.fleet.measure(&self.buffers.types, &self.buffers.served);
-        (self.buffers.excess_credit, self.buffers.most_come_back) = (excess_credit, most_come_back);
-        self.repeats = repeats;
-    }
-
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         self.ask_later(now);
         self.settle(door, now);
@@ -603,7 +551,11 @@
         let inherited = matches!(news, News::Inherited(_));
         let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
         let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
+        let all = self.fleet.workers.all().count();
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
+        if all > 0 && gone.len() == all {
+            self.fleet.forget();
+        }
         for line in gone.iter().chain(lines) {
             let debt = self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt, inherited);
@@ -705,8 +657,9 @@
 
     /// Another scheduler has told something.
     pub fn told(&mut self, door: &mut dyn Door, now: f64, from: usize, bytes: &[u8]) {
-        if let Some(word) = Word::read(now, bytes) {
-            self.fleet.hear(now, from, &word);
+        let ours = self.fleet.shares && (from as f64) < self.fleet.cold.among;
+        if let Some(word) = Word::read(now, bytes).filter(|_| ours) {
+            self.fleet.peers.hear(now, from, &word, &mut self.fleet.workers);
             self.settle(door, now);
         }
     }
@@ -743,7 +696,7 @@
                 Due::Round => self.looking = false,
                 Due::Tell => {
                     self.telling = false;
-                    door.tell(&self.fleet.word(now).write());
+                    door.tell(&self.fleet.peers.word(now).write());
                 }
             }
         }
@@ -782,7 +735,7 @@
                 self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
             }
         }
-        if !self.telling && !self.fleet.changed.is_empty() {
+        if !self.telling && self.fleet.peers.has_news() {
             self.telling = true;
             self.agenda.add(now + self.fleet.apart(), Due::Tell);
         }
--- /dev/null
+++ b/crates/mintlb/src/decide/terms.rs
@@ -0,0 +1,52 @@
+//! What is kept by a project type's number, as types come, change and go; and what is told of the fleet. Nothing is
+//! decided here.
+
+use super::{Buffers, Fleet, Repeats, Scheduler};
+use crate::{Buffer, Costs, Numbered, Standing, Worker};
+use std::rc::Rc;
+
+impl Buffers {
+    /// No work is of the one that had this number before, if one had.
+    fn take(&mut self, Numbered { number, continues, project_type }: &Numbered) {
+        let running = continues.map_or_else(|| Buffers::unheard(project_type), |old| self.running[old]);
+        if *number == self.types.len() {
+            self.types.push(project_type.clone());
+            self.served.push(true);
+            self.running.push(running);
+            self.queues.extend([Buffer::default(), Buffer::default()]);
+        }
+        (self.running[*number], self.served[*number]) = (running, true);
+        self.types[*number] = project_type.clone();
+    }
+}
+
+impl Fleet {
+    fn take(&mut self, Numbered { number, continues, .. }: &Numbered) {
+        let doubt = continues.map_or(f64::MIN, |old| self.doubts[old]);
+        self.doubts.resize(self.doubts.len().max(number + 1), doubt);
+        self.doubts[*number] = doubt;
+        self.workers.all().for_each(|w| w.take_type(*number, *continues));
+    }
+}
+
+impl Scheduler {
+    /// How many workers are listed, and how many of them are suspects for some project type.
+    pub fn cluster(&self) -> (usize, usize) {
+        let serves = |(j, s): (usize, &Standing)| s.suspect && self.buffers.served[j];
+        let avoided = |w: &&Rc<Worker>| (0..).zip(&*w.standing.borrow()).any(serves);
+        (self.fleet.workers.all().count(), self.fleet.workers.all().filter(avoided).count())
+    }
+
+    /// New work is of these project types from now on, and of no others; what came before keeps its own.
+    pub fn retune(&mut self, types: &[Numbered], repeats: Repeats, credit: (f64, f64), costs: Costs) {
+        self.buffers.served.fill(false);
+        for one in types {
+            self.fleet.take(one);
+            self.buffers.take(one);
+        }
+        self.fleet.measure(&self.buffers.types, &self.buffers.served);
+        (self.buffers.excess_credit, self.buffers.most_come_back) = credit;
+        self.fleet.cost(costs);
+        self.repeats = repeats;
+    }
+}
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -5,6 +5,7 @@
 //! Times are seconds with fractions; `id` fields belong to the front.
 
 pub mod decide;
+pub mod peers;
 pub mod roll;
 pub mod settings;
 pub mod tools;
@@ -206,6 +207,8 @@
     pub(crate) standing: RefCell<Vec<Standing>>,
     /// When work of ours last started or ended there.
     pub(crate) sign: Cell<f64>,
+    /// The most slots seen there at once, ours that ran or those that it told were free.
+    pub(crate) lanes: Cell<f64>,
     /// The other schedulers' slots there as each last told, and the sum; whether ours there are yet to be told.
     pub(crate) theirs: RefCell<BTreeMap<usize, u8>>,
     pub(crate) others: Cell<f64>,
@@ -374,6 +377,7 @@
             standing: RefCell::new(vec![Standing::default(); types]),
             sign: Cell::new(0.0),
             others: Cell::new(0.0),
+            lanes: Cell::new(0.0),
             theirs: RefCell::default(),
             noted: Cell::new(false),
             budget: Cell::new(budget),
--- a/crates/mintlb/src/settings.rs
+++ b/crates/mintlb/src/settings.rs
@@ -17,6 +17,7 @@
     pub excess_credit: f64,
     /// How long clients heed advice on when to come back; 0 where they get none.
     pub come_back: f64,
+    pub costs: Costs,
 }
 
 /// The values by path; those that nobody asks for are passed over.
@@ -104,6 +105,7 @@
                 true => self.seconds("permissions.max_retry_after")?,
                 false => 0.0,
             },
+            costs: self.costs()?,
         })
     }
 
@@ -174,10 +176,10 @@
             among: schedulers as f64,
         };
         let discovery: String = self.get("discovery")?;
-        let Terms { repeats, excess_credit, come_back } = self.terms()?;
+        let Terms { repeats, excess_credit, come_back, costs } = self.terms()?;
         let types = self.project_types()?;
         let tells_start = self.or("family_info.tells_start", false)?;
-        let fleet = Fleet::new(cold, self.get("zone")?, tells_start, self.costs()?, &types);
+        let fleet = Fleet::new(cold, self.get("zone")?, tells_start, costs, &types);
         let buffers = Buffers::new(types, excess_credit, come_back);
         let follow = Follow {
             on_request: discovery == "on_request",
--- a/crates/mintlb/tests/decisions.rs
+++ b/crates/mintlb/tests/decisions.rs
@@ -456,6 +456,63 @@
     }
 }
 
+/// Each script learns something of workers 1 and 2, then the list changes. What is known of a process holds while it is
+/// listed, of project types always, and what was seen of others is no figure of those that are left.
+#[test]
+fn what_was_learned_carries_over_a_move_where_it_means_the_same() {
+    let roomy = "list 1; call 1 0; told 1 9; start 1.0; back 1.0 ok;";
+    let slow = "list 1; call 1 0; start 1.0; at 2; back 1.0 ok; at 2.1;";
+    let failed = "list 1 2 3 4 5; call 1 0; back 1.0 error ended;";
+    let late = "list 1 2 3 4 5 6 7 8 9;".to_string()
+        + &(0..8).map(|id| format!("call {id} 0;")).collect::<String>()
+        + &(0..8).map(|id| format!("at {}; start {id}.0; back {id}.0 ok;", 1 + id)).collect::<String>()
+        + "at 200; wake;";
+    let four = "call 20 0; call 21 0; call 22 0; call 23 0";
+    for (learned, list, then, sent, shown) in [
+        // Under messages room is lanes: eight where nine free slots were told, two where nothing was.
+        (roomy, "list 1;", "hear 1 0 1 5; call 20 0", 1, "lanes of a worker that stays"),
+        (roomy, "list 1 3;", "hear 1 0 1 5 3 5; call 20 0", 1, "also for others beside it"),
+        (roomy, "list 3 4;", "hear 1 0 3 5 4 5; call 20 0", 0, "not of others"),
+        (slow, "list 1;", "call 20 0", 0, "a process that was slow"),
+        (slow, "list 2;", "call 20 0", 1, "not another"),
+        (late.as_str(), "list 1 2 3 4 5 6 7 8 9;", four, 1, "a window closed by late starts"),
+        (late.as_str(), "list 11 12 13 14;", four, 4, "not where nobody is left"),
+    ] {
+        let mut w = world_at(false, false, Costs { crossing: 0.02, message: Some(0.01) });
+        if learned != roomy {
+            w = world(false, false);
+        }
+        w.run(learned.trim_end_matches(';'));
+        w.run(list.trim_end_matches(';'));
+        let acts = w.run(then);
+        assert_eq!(acts.matches("send").count(), sent, "{shown}: {acts}");
+    }
+    // A process that fails is a suspect in the next list, too.
+    let mut w = world(false, false);
+    let to = w.run(failed.trim_end_matches(';')).replace("send 1>", "");
+    w.run(&format!("list {to}"));
+    assert_eq!(w.run("call 20 0"), "");
+    // How long work runs is known at once: patience ends that much before the limit.
+    let mut w = world(true, false);
+    w.run("list 1; call 1 0; told 1 9; start 1.0; back 1.0 ok; list 2; call 20 0; change 3");
+    let second = w.run("at 0.1; wake");
+    assert!(
+        second.contains("send 20>3"),
+        "second allocations again, as these workers tell of no room: {second}"
+    );
+}
+
+/// Budgets of cold workers count lanes. Those of workers that are gone must not fill smaller ones.
+#[test]
+fn a_cold_worker_is_spared_after_a_move() {
+    let most = 3.0 * 0.35 * 2.0 / 0.2 * SPAN / 4.0;
+    let mut w = world(false, false);
+    w.run("list 2; call 9000 0; told 2 20; start 9000.0; back 9000.0 ok");
+    w.run("list 1n");
+    let sent = hammer(&mut w, SPAN) as f64;
+    assert!(sent <= most && sent > 0.0, "{sent} sent, {most} allowed");
+}
+
 #[test]
 fn odd_input_disturbs_no_count() {
     let mut w = world(true, false);
