--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -752,11 +752,12 @@
         let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
             let far = if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
-            let mut room = far * self.fleet.room(now, w, mean_run);
+            let mut room = self.fleet.room(now, w, mean_run);
             if self.fleet.shares {
                 // All see the same: the emptiest and fastest worker would get the work of all.
                 room = room.min(1.0) * (0.5 + self.chance.draw());
             }
+            room *= far;
             if room > 0.0 {
                 let speed = room
                     / (self.fleet.delay_at(now, w, mean_run) + w.pace.borrow().or(1.0, PRIOR) * mean_run);
