--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -264,7 +264,7 @@
             Event::Asks { worker, waiting, orders } => {
                 let Some(worker) = self.scheduler.worker(worker).cloned() else { return Vec::new() };
                 worker.asked(waiting, orders);
-                self.with_door(now, |scheduler, door| scheduler.asked(door, now))
+                self.with_door(now, |scheduler, door| scheduler.woke(door, now))
             }
             Event::ListFailed => self.with_door(now, |s, door| s.news(door, now, News::Failed)),
             Event::Members(version, told) => {
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -9,7 +9,7 @@
 
 use crate::peers::Peers;
 use crate::roll::Roll;
-use crate::tools::{Agenda, Chance, Mean, median};
+use crate::tools::{Agenda, Chance, HAIR, Mean, median};
 use crate::word::{self, Word};
 use crate::{Allocation, Buffer, ColdRule, Costs, Door, Effect, Group, Line, Listed, News};
 use crate::{Outcome, ProjectType, Report, Standing, WorkUnit, Worker};
@@ -17,12 +17,9 @@
 use std::rc::{Rc, Weak};
 
 enum Due {
-    /// The client of this work unit gives up now.
+    /// The client gives up now; waiting work has no hope left, or what is out and has not started earns nothing.
     Limit(Weak<WorkUnit>),
-    /// A waiting work unit has no hope left.
     Patience(Weak<WorkUnit>),
-    /// Work that has not started by now can earn no credit any more.
-    Stale(Weak<WorkUnit>),
     /// An allocation should have started by now.
     Start(Weak<Allocation>),
     Ask,
@@ -39,8 +36,7 @@
     left: Vec<f64>, // What each customer may still send within its part.
 }
 
-/// So many work units a customer may be ahead of its part.
-const AHEAD: f64 = 4.0;
+const AHEAD: f64 = 4.0; // So many work units a customer may be ahead of its part.
 
 impl Shares {
     pub fn new(quotas: &[f64]) -> Shares {
@@ -62,11 +58,9 @@
     /// Those that new work may be of; the others are kept for work that was of them when it came.
     served: Vec<bool>,
     excess_credit: f64,
-    /// How long clients heed advice on when to come back; 0 where they get none.
-    most_come_back: f64,
+    most_come_back: f64, // How long clients heed advice on when to come back; 0 where they get none.
     queues: Vec<Buffer>,
-    /// Smoothed running time of each project type over all workers.
-    running: Vec<f64>,
+    running: Vec<f64>, // Smoothed running time of each project type over all workers.
 }
 
 /// How far into a buffer the rule looks for a runnable work unit: one that is not must not block others.
@@ -85,14 +79,6 @@
         t.promised_turnaround.max(t.hard_limit * UNHEARD)
     }
 
-    fn any(&self) -> bool {
-        self.queues.iter().any(|q| q.len() > 0)
-    }
-
-    fn of(&mut self, wu: &WorkUnit) -> &mut Buffer {
-        &mut self.queues[2 * wu.project_type + wu.excess.get() as usize]
-    }
-
     /// The weight of a buffer: the credit, 1 where none is set, less past a share.
     fn alpha(&self, queue: usize) -> f64 {
         let credit = self.types[queue / 2].credit;
@@ -115,11 +101,6 @@
         let in_time = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * self.running[project_type];
         in_time / (1.0 - t.late_credit).max(UNHEARD)
     }
-
-    fn mean_run(&self) -> f64 {
-        let served = || self.running.iter().zip(&self.served).filter(|(_, served)| **served);
-        served().map(|(running, _)| running).sum::<f64>() / served().count().max(1) as f64
-    }
 }
 
 /// Rule 2: what may be sent again, and where.
@@ -180,26 +161,19 @@
     cold: ColdRule,
     zone: u16,
     tells_start: bool,
-    /// What room in another zone counts.
-    far: f64,
-    /// What schedulers tell one another of what they hold, and whether they do.
-    peers: Peers,
+    far: f64,     // What room in another zone counts.
+    peers: Peers, // What schedulers tell one another of what they hold, and whether they do.
     shares: bool,
-    /// A worker has told of free slots.
-    told: bool,
-    /// The shortest promised turnaround.
-    promise: f64,
+    told: bool,   // A worker has told of free slots.
+    promise: f64, // The shortest promised turnaround.
     workers: Roll,
-    /// The most of our slots seen running at once on one worker.
-    lanes: f64,
+    lanes: f64, // The most of our slots seen running at once on one worker.
     /// What is known of a zone, as few workers are met often: the quickest start, where nothing held the job
     /// up; the smoothed time to start; and when one was heard.
     zones: BTreeMap<u16, (f64, Mean, f64)>,
     /// Ours that have not started, all workers together, and how many there may be.
     unstarted: Vec<Rc<Allocation>>,
     window: f64,
-    /// Until when a window below one keeps us from sending.
-    paused: f64,
     /// The share of failures over all; by project type, how long a suspect rests, and when what was last lost
     /// had been sent.
     failing: Mean,
@@ -215,16 +189,11 @@
 /// but not at all where that costs more points a work unit.
 const WORDS: f64 = 128.0;
 const DEAR: f64 = 1.0 / 64.0;
-/// Reports are a little noisy: this part of the most free slots told is believed.
-const CLEAR: f64 = 0.9;
-/// Rates start as if so many work units had been heard at the usual speed.
-const PRIOR: f64 = 4.0;
-/// So many work units of a worker, or usual running times, are remembered.
-const MEMORY: f64 = 16.0;
-/// From so many schedulers on, their questions for the list spread over more time.
-const MANY: f64 = 16.0;
-/// What is learned over many workers moves by this part a work unit.
-const SLOWLY: f64 = 1.0 / 32.0;
+const CLEAR: f64 = 0.9; // Reports are a little noisy: this part of the most free slots told is believed.
+const PRIOR: f64 = 4.0; // Rates start as if so many work units had been heard at the usual speed.
+const MEMORY: f64 = 16.0; // So many work units of a worker, or usual running times, are remembered.
+const MANY: f64 = 16.0; // From so many schedulers on, their questions for the list spread over more time.
+const SLOWLY: f64 = 1.0 / 32.0; // What is learned over many workers moves by this part a work unit.
 /// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
 const FAILED: f64 = 0.25;
 const SUSPECT: f64 = 0.2;
@@ -233,12 +202,11 @@
 const LANES: f64 = 2.0;
 /// Within these seconds the shortest promise is believed: the rounds hang on it.
 const PROMISE: [f64; 2] = [0.01, 10.0];
-/// The window of unstarted work, at the least and at the most.
-const WINDOW: [f64; 2] = [1.0 / 8.0, 8.0];
+const WINDOW: f64 = 8.0; // The window of unstarted work, at the most.
 
 impl Fleet {
     pub fn new(cold: ColdRule, zone: u16, tells_start: bool, costs: Costs, types: &[ProjectType]) -> Fleet {
-        let (lanes, window, doubts) = (LANES, WINDOW[1], vec![f64::MIN; types.len()]);
+        let (lanes, window, doubts) = (LANES, WINDOW, vec![f64::MIN; types.len()]);
         let mut fleet = Fleet { cold, zone, tells_start, doubts, lanes, window, ..Fleet::default() };
         fleet.cost(costs);
         fleet.measure(types, &vec![true; types.len()]);
@@ -359,22 +327,20 @@
         let bearable = |wu: Rc<WorkUnit>| buffers.bearable(wu.project_type);
         let queued = |a: &&Rc<Allocation>| a.wu.upgrade().is_some_and(|wu| now - a.sent < bearable(wu));
         let queued = self.unstarted.iter().filter(queued).count() as f64;
-        !self.tells_start || queued < self.window.max(1.0) && now >= self.paused
+        !self.tells_start || queued < self.window
     }
 
-    /// A late start closes the window by a quarter, one in time opens it by as much, where it is used; below
-    /// one, where it is a pause between sends, by a third.
+    /// A late start closes the window by a quarter, one in time opens it by as much, where it is used.
     fn steer(&mut self, late: bool, cost: f64) {
         let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.25 } else { 1.0 };
-        let step = if late { 1.0 - cost / 4.0 } else { f64::max(opens, (1.0 / self.window).min(4.0 / 3.0)) };
-        self.window = (self.window * step).clamp(WINDOW[0], WINDOW[1]);
+        let step = if late { 1.0 - cost / 4.0 } else { opens };
+        self.window = (self.window * step).clamp(1.0, WINDOW);
     }
 
     fn send(&mut self, now: f64, alloc: &Rc<Allocation>, wu: &WorkUnit, usual: f64) {
         let w = &alloc.worker;
         wu.allocs.borrow_mut().push(alloc.clone());
         self.unstarted.push(alloc.clone());
-        self.paused = now + usual * (1.0 / self.window - 1.0).max(0.0);
         self.workers.meet(w);
         w.standing.borrow_mut()[wu.project_type].next_trial = now + self.trials[wu.project_type];
         w.took(wu.slots, usual);
@@ -423,7 +389,7 @@
     /// Nobody is left of those that this was learned of. How often work fails is learned of the work.
     fn forget(&mut self) {
         self.zones.clear();
-        (self.window, self.paused) = (WINDOW[1], f64::MIN);
+        self.window = WINDOW;
         self.doubts.fill(f64::MIN);
     }
 
@@ -488,13 +454,6 @@
     pub asking: bool,
 }
 
-impl Follow {
-    fn heard<'a>(&mut self, lines: &'a [Line]) -> &'a [Line] {
-        self.failed = 0;
-        lines
-    }
-}
-
 pub struct Scheduler {
     chance: Chance,
     agenda: Agenda<Due>,
@@ -513,10 +472,6 @@
         Scheduler { chance, agenda, shares, buffers, repeats, fleet, follow, looking: false, telling: false }
     }
 
-    pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
-        self.fleet.workers.get(id)
-    }
-
     pub fn power_on(&mut self, door: &mut dyn Door, now: f64) {
         self.ask_later(now);
         self.settle(door, now);
@@ -542,18 +497,17 @@
                 self.follow.failed += 1;
                 return self.settle(door, now);
             }
-            News::Callers(lines) => (lines, false),
-            News::Changes(lines) => (self.follow.heard(lines), false),
-            News::Full(lines) | News::Cached(lines) | News::Inherited(lines) => {
-                (self.follow.heard(lines), true)
-            }
+            News::Callers(lines) | News::Changes(lines) => (lines, false),
+            News::Full(lines) | News::Cached(lines) | News::Inherited(lines) => (lines, true),
         };
+        if !matches!(news, News::Callers(_)) {
+            self.follow.failed = 0;
+        }
         let inherited = matches!(news, News::Inherited(_));
         let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
         let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
-        let all = self.fleet.workers.all().count();
         let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
-        if all > 0 && gone.len() == all {
+        if !gone.is_empty() && gone.len() == self.fleet.workers.all().count() {
             self.fleet.forget();
         }
         for line in gone.iter().chain(lines) {
@@ -571,10 +525,6 @@
         wu.most.set(self.repeats.most_allocations);
         self.buffers.of(wu).put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
-        if self.repeats.may_recall && self.fleet.tells_start {
-            let stale = wu.arrived + self.buffers.bearable(wu.project_type);
-            self.agenda.add(stale, Due::Stale(Rc::downgrade(wu)));
-        }
         self.agenda.add(self.buffers.hope(wu), Due::Patience(Rc::downgrade(wu)));
         self.settle(door, now);
     }
@@ -664,11 +614,6 @@
         }
     }
 
-    /// A worker that fetches its work has asked.
-    pub fn asked(&mut self, door: &mut dyn Door, now: f64) {
-        self.settle(door, now);
-    }
-
     /// The client has left, or was answered by the front itself.
     pub fn left(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.close(door, wu);
@@ -682,12 +627,7 @@
                     let open = wu.upgrade().filter(|wu| !wu.ended.get());
                     open.iter().for_each(|wu| self.give_up(door, now, wu));
                 }
-                Due::Patience(wu) => match wu.upgrade().filter(|wu| wu.waiting.get()) {
-                    Some(wu) if wu.is_out() => self.buffers.of(&wu).take_out(&wu),
-                    Some(wu) => self.give_up(door, now, &wu),
-                    None => {}
-                },
-                Due::Stale(wu) => wu.upgrade().iter().for_each(|wu| self.stale(door, now, wu)),
+                Due::Patience(wu) => wu.upgrade().iter().for_each(|wu| self.out_of_patience(door, now, wu)),
                 Due::Start(alloc) => self.unstarted(door, now, alloc),
                 Due::Ask => {
                     self.follow.asking = false;
@@ -703,14 +643,23 @@
         self.settle(door, now);
     }
 
-    /// Work that has not started while it can earn its credit leaves the workers' queues, where a repeat is
-    /// harmless: left there by hundreds of schedulers it makes all behind it late, too.
-    fn stale(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
-        let t = &self.buffers.types[wu.project_type];
+    /// Waiting work is given up. Work that has not started while it can earn its credit leaves the workers'
+    /// queues where a repeat is harmless: left by hundreds of schedulers it makes all behind it late, too.
+    fn out_of_patience(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
+        let (t, bears) = (&self.buffers.types[wu.project_type], self.buffers.bearable(wu.project_type));
+        if wu.waiting.get() && !wu.is_out() {
+            return self.give_up(door, now, wu);
+        }
+        let goes = self.repeats.may_recall && self.fleet.tells_start && t.late_credit == 0.0;
         let runs = wu.allocs.borrow().iter().any(|a| a.outcome.get().is_none() && a.started.get().is_some());
-        if self.repeats.harmless(t.effect, wu) && t.late_credit == 0.0 && !runs && !wu.ended.get() {
-            self.give_up(door, now, wu);
+        if goes && !runs && !wu.ended.get() {
+            if now < wu.arrived + bears - HAIR {
+                self.agenda.add(wu.arrived + bears, Due::Patience(Rc::downgrade(wu)));
+            } else if self.repeats.harmless(t.effect, wu) {
+                return self.give_up(door, now, wu);
+            }
         }
+        self.buffers.of(wu).take_out(wu);
     }
 
     /// Work kept waiting at a worker that others have filled, or that has gone silent, is taken for lost if
@@ -739,8 +688,7 @@
             self.telling = true;
             self.agenda.add(now + self.fleet.apart(), Due::Tell);
         }
-        let v =
-            |d: &_| matches!(d, Due::Limit(w) | Due::Patience(w) | Due::Stale(w) if w.strong_count() == 0);
+        let v = |d: &_| matches!(d, Due::Limit(w) | Due::Patience(w) if w.strong_count() == 0);
         self.agenda.arm(door, now, v);
     }
 
--- a/crates/mintlb/src/decide/terms.rs
+++ b/crates/mintlb/src/decide/terms.rs
@@ -2,10 +2,24 @@
 //! decided here.
 
 use super::{Buffers, Fleet, Repeats, Scheduler};
-use crate::{Buffer, Costs, Numbered, Standing, Worker};
+use crate::{Buffer, Costs, Numbered, Standing, WorkUnit, Worker};
 use std::rc::Rc;
 
 impl Buffers {
+    pub(super) fn any(&self) -> bool {
+        self.queues.iter().any(|q| q.len() > 0)
+    }
+
+    pub(super) fn of(&mut self, wu: &WorkUnit) -> &mut Buffer {
+        &mut self.queues[2 * wu.project_type + wu.excess.get() as usize]
+    }
+
+    /// Over the project types that are served.
+    pub(super) fn mean_run(&self) -> f64 {
+        let served = || self.running.iter().zip(&self.served).filter(|(_, served)| **served);
+        served().map(|(running, _)| running).sum::<f64>() / served().count().max(1) as f64
+    }
+
     /// No work is of the one that had this number before, if one had.
     fn take(&mut self, Numbered { number, continues, project_type }: &Numbered) {
         let running = continues.map_or_else(|| Buffers::unheard(project_type), |old| self.running[old]);
@@ -30,6 +44,10 @@
 }
 
 impl Scheduler {
+    pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
+        self.fleet.workers.get(id)
+    }
+
     /// How many workers are listed, and how many of them are suspects for some project type.
     pub fn cluster(&self) -> (usize, usize) {
         let serves = |(j, s): (usize, &Standing)| s.suspect && self.buffers.served[j];
--- a/crates/mintlb/src/tools.rs
+++ b/crates/mintlb/src/tools.rs
@@ -45,7 +45,7 @@
 
 /// A timer may ring a rounding error early; without this grace it would pass for one still to ring, no other
 /// would be asked for, and all that waits would be forgotten.
-const HAIR: f64 = 1e-6;
+pub const HAIR: f64 = 1e-6;
 
 /// All due times, in order; the door is asked for one timer only.
 pub struct Agenda<T> {
