--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -1,32 +1,26 @@
-//! All decisions of mintlb. A front makes a `Scheduler`, calls it (`power_on`, `news`, `arrived`, `started`,
-//! `came_back`, `left`, `woke`; to end, `give_up`) and carries out what it asks for through the `Door`
-//! (lib.rs, with the nouns); the clock is the `now` of each call. The chain: work passes `Shares`,
-//! waits in `Buffers`, passes `Repeats` (may it go there?), leaves by `Fleet` (who has room); an outcome runs
-//! the other way. `press` is the rule: workers with room, most room first; for each the runnable buffer of
-//! highest alpha x rate x length.
+//! All decisions of mintlb. A front makes a `Scheduler`, calls it (`power_on`, `news`, `told`, `arrived`,
+//! `started`, `came_back`, `left`, `woke`; to end, `give_up`) and does what it asks for through the `Door`
+//! (lib.rs, with the nouns); the clock is each call's `now`. Work passes `Shares`, waits in `Buffers`, passes
+//! `Repeats` (may it go there?), leaves by `Fleet` (who has room); an outcome runs back. `press` is the
+//! rule: workers with room, most room first; for each the runnable buffer of highest alpha x rate x length.
 
 mod terms;
-
 use crate::peers::Peers;
 use crate::roll::Roll;
-use crate::tools::{Agenda, Chance, HAIR, Mean, median};
+use crate::tools::{Agenda, Chance, HAIR, Mean, Starts, median};
 use crate::word::{self, Word};
 use crate::{Allocation, Buffer, ColdRule, Costs, Door, Effect, Group, Line, Listed, News};
 use crate::{Outcome, ProjectType, Report, Standing, WorkUnit, Worker};
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::rc::{Rc, Weak};
 
 enum Due {
-    /// The client gives up now; waiting work has no hope left, or what is out and has not started earns nothing.
-    Limit(Weak<WorkUnit>),
-    Patience(Weak<WorkUnit>),
-    /// An allocation should have started by now.
-    Start(Weak<Allocation>),
+    Limit(Weak<WorkUnit>),    // Its client gives up.
+    Patience(Weak<WorkUnit>), // It has no hope left where it waits.
+    Start(Weak<Allocation>),  // It should have started.
     Ask,
-    /// The others are told what we hold.
     Tell,
-    /// The periodic look for room that only time brings: trials, cold budgets.
-    Round,
+    Round, // The periodic look for room that only time brings: trials, cold budgets.
 }
 
 /// Customers: work beyond a share earns `excess_credit`, and alpha knows it. A share is a customer's part of
@@ -37,7 +31,6 @@
 }
 
 const AHEAD: f64 = 4.0; // So many work units a customer may be ahead of its part.
-
 impl Shares {
     pub fn new(quotas: &[f64]) -> Shares {
         let all = quotas.iter().sum::<f64>().max(f64::MIN_POSITIVE);
@@ -55,18 +48,15 @@
 /// The buffers, first come first served: one a project type, and one beside it for work past a share.
 pub struct Buffers {
     types: Vec<ProjectType>,
-    /// Those that new work may be of; the others are kept for work that was of them when it came.
-    served: Vec<bool>,
+    served: Vec<bool>, // Of these new work may be; the others are kept for work that came before.
     excess_credit: f64,
     most_come_back: f64, // How long clients heed advice on when to come back; 0 where they get none.
     queues: Vec<Buffer>,
     running: Vec<f64>, // Smoothed running time of each project type over all workers.
 }
 
-/// How far into a buffer the rule looks for a runnable work unit: one that is not must not block others.
-const LOOK: usize = 8;
-/// Until a project type is heard of, it is taken to run for this part of its hard limit.
-const UNHEARD: f64 = 1.0 / 16.0;
+const LOOK: usize = 8; // So far into a buffer a runnable work unit is looked for: others must not block it.
+const UNHEARD: f64 = 1.0 / 16.0; // Until it is heard of, a type is taken to run for this part of its limit.
 
 impl Buffers {
     pub fn new(types: Vec<ProjectType>, excess_credit: f64, most_come_back: f64) -> Buffers {
@@ -112,8 +102,7 @@
 }
 
 impl Repeats {
-    /// Whether an outcome, or none so far, leaves open that the work was done. One called off by us may
-    /// have run, too.
+    /// Whether an outcome, or none yet, leaves open that the work was done; one called off leaves it, too.
     fn may_have_run(outcome: Option<Outcome>) -> bool {
         !matches!(outcome, Some(Outcome::Full | Outcome::NoConnection | Outcome::Moot))
     }
@@ -167,41 +156,29 @@
     told: bool,   // A worker has told of free slots.
     promise: f64, // The shortest promised turnaround.
     workers: Roll,
-    lanes: f64, // The most of our slots seen running at once on one worker.
-    /// What is known of a zone, as few workers are met often: the quickest start, where nothing held the job
-    /// up; the smoothed time to start; and when one was heard.
-    zones: BTreeMap<u16, (f64, Mean, f64)>,
-    /// Ours that have not started, all workers together, and how many there may be.
-    unstarted: Vec<Rc<Allocation>>,
-    window: f64,
-    /// The share of failures over all; by project type, how long a suspect rests, and when what was last lost
-    /// had been sent.
-    failing: Mean,
-    trials: Vec<f64>,
+    lanes: f64, // The most seen at one worker: ours running at once, or free ones told.
+    zones: BTreeMap<u16, Starts>, // What is known of a zone, as few workers are met often.
+    unstarted: Vec<Rc<Allocation>>, // Ours that have not started, all workers together.
+    window: f64, // How many of those there may be.
+    failing: Mean, // The share of failures over all.
+    trials: Vec<f64>, // By project type: how long a suspect rests; when what was last lost had been sent.
     doubts: Vec<f64>,
 }
 
-/// A start is late when it takes this part of the shortest promise longer than twice the quickest.
-const LATE: f64 = 0.2;
-/// Room in another zone counts the less, the more points crossing costs; it takes time, too.
-const CROSSING: f64 = 32.0;
-/// Each scheduler tells the others what changed, so many times in a shortest promise over how many they are;
-/// but not at all where that costs more points a work unit.
-const WORDS: f64 = 128.0;
-const DEAR: f64 = 1.0 / 64.0;
+const LATE: f64 = 0.2; // A late start takes this part of the shortest promise beyond twice the quickest.
+const CROSSING: f64 = 32.0; // Room in another zone counts the less, the more points it costs to cross.
+const WORDS: f64 = 128.0; // All schedulers' words, each on what changed, in a shortest promise.
+const DEAR: f64 = 1.0 / 64.0; // Where words cost more points a work unit, nobody tells anything.
 const CLEAR: f64 = 0.9; // Reports are a little noisy: this part of the most free slots told is believed.
 const PRIOR: f64 = 4.0; // Rates start as if so many work units had been heard at the usual speed.
 const MEMORY: f64 = 16.0; // So many work units of a worker, or usual running times, are remembered.
 const MANY: f64 = 16.0; // From so many schedulers on, their questions for the list spread over more time.
 const SLOWLY: f64 = 1.0 / 32.0; // What is learned over many workers moves by this part a work unit.
-/// One outcome's weight in a worker's share of failures; how far over the median makes a suspect.
-const FAILED: f64 = 0.25;
-const SUSPECT: f64 = 0.2;
-/// A failed suspect's next trial waits so many shortest promises; any worker is taken to have so many lanes.
-const TRIAL: f64 = 12.0;
-const LANES: f64 = 2.0;
-/// Within these seconds the shortest promise is believed: the rounds hang on it.
-const PROMISE: [f64; 2] = [0.01, 10.0];
+const FAILED: f64 = 0.25; // One outcome's weight in a worker's share of failures.
+const SUSPECT: f64 = 0.2; // So far over the median makes a suspect.
+const TRIAL: f64 = 12.0; // A failed suspect's next trial waits so many shortest promises.
+const LANES: f64 = 2.0; // Any worker is taken to have so many.
+const PROMISE: [f64; 2] = [0.01, 10.0]; // Within these seconds it is believed: the rounds hang on it.
 const WINDOW: f64 = 8.0; // The window of unstarted work, at the most.
 
 impl Fleet {
@@ -222,14 +199,13 @@
 
     /// The times that hang on the project types.
     fn measure(&mut self, types: &[ProjectType], served: &[bool]) {
-        let promises = types.iter().zip(served).filter(|(_, served)| **served);
-        let promises = promises.map(|(t, _)| t.promised_turnaround);
+        let promises = types.iter().zip(served).filter(|(_, s)| **s).map(|(t, _)| t.promised_turnaround);
         self.promise = promises.fold(PROMISE[1], f64::min).max(PROMISE[0]);
         self.peers.longest = types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
         // A trial that fails must not often cost work that can't be repeated.
         let dear = |t: &ProjectType| t.effect == Effect::Exclusive;
-        self.trials =
-            types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * self.promise }).collect();
+        let rests = types.iter().map(|t| if dear(t) { t.hard_limit } else { TRIAL * self.promise });
+        self.trials = rests.collect();
     }
 
     /// One line of the list. A worker with a new start time is a new one: old knowledge is void, and what
@@ -246,13 +222,10 @@
             self.told = self.workers.all().any(|w| w.report.get().1 > 0.0);
         }
         if line.listed != Listed::Gone {
-            let (met, mut mean) = (self.workers.met(), Mean::default());
-            met.iter().for_each(|w| mean.learn(w.allowance.get(), 1.0));
-            let allowance = mean.or(self.lanes, f64::MIN_POSITIVE);
+            let allowance = self.workers.allowance().or(self.lanes, f64::MIN_POSITIVE);
             // What the one before this process may have saved up and sent is unknown, so it counts as sent.
             let spent = if inherited { self.pace(now, line) * self.cold.span / 2.0 } else { 0.0 };
-            let budget = (-debt - spent, now);
-            self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, budget)));
+            self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, (-debt - spent, now))));
         }
     }
 
@@ -264,10 +237,9 @@
             return over * mean_run * w.pace.borrow().or(1.0, PRIOR);
         }
         let fades = |over: f64, since: f64| 1.0 / (1.0 + (now - since) / over);
-        let zone = self.zones.get(&w.line.zone);
         // The budgets keep a cold worker from being filled, so what is usual for the others is not for it.
-        let zone = zone.filter(|_| !self.is_cold(now, w));
-        let usual = zone.map_or(0.0, |z| z.1.or(0.0, 0.0) * fades(MEMORY * mean_run, z.2));
+        let zone = self.zones.get(&w.line.zone).filter(|_| !self.cold.is_cold(now, &w.line));
+        let usual = zone.map_or(0.0, |z| z.usual.or(0.0, 0.0) * fades(MEMORY * mean_run, z.heard));
         let (delay, at) = w.delay.get();
         usual + (delay - usual) * fades(mean_run, at)
     }
@@ -286,7 +258,8 @@
     fn room(&self, now: f64, w: &Worker, mean_run: f64) -> f64 {
         // Work of ours that has not started there says that its slots are taken, by others or for good.
         let kept = self.tells_start && w.unstarted.get() > 0;
-        if w.listed.get() != Listed::Ready || kept || self.is_cold(now, w) && self.budget(now, w) <= 0.0 {
+        let spent = self.cold.is_cold(now, &w.line) && self.budget(now, w) <= 0.0;
+        if w.listed.get() != Listed::Ready || kept || spent {
             return 0.0;
         }
         // Who fetches its work has room for what it asks for, whatever else is known of it.
@@ -300,10 +273,6 @@
         }
     }
 
-    fn is_cold(&self, now: f64, w: &Worker) -> bool {
-        w.line.came_up > 0.0 && now < w.line.came_up + self.cold.warm_after
-    }
-
     /// Rule 4: our part of what a cold worker may be sent, in slots x usual running time, at half the rate
     /// that the rule allows for the least it can do now. Each send spends it, also one turned away.
     fn budget(&self, now: f64, w: &Worker) -> f64 {
@@ -316,8 +285,7 @@
 
     /// What of that a second brings.
     fn pace(&self, now: f64, line: &Line) -> f64 {
-        let age = ((now - line.came_up) / self.cold.warm_after).clamp(0.0, 1.0);
-        let share = self.cold.from + (1.0 - self.cold.from) * age;
+        let share = self.cold.least_share(now, line);
         self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 2.0
     }
 
@@ -333,8 +301,7 @@
     /// A late start closes the window by a quarter, one in time opens it by as much, where it is used.
     fn steer(&mut self, late: bool, cost: f64) {
         let opens = if self.unstarted.len() as f64 + 1.0 > self.window / 2.0 { 1.25 } else { 1.0 };
-        let step = if late { 1.0 - cost / 4.0 } else { opens };
-        self.window = (self.window * step).clamp(1.0, WINDOW);
+        self.window = (self.window * if late { 1.0 - cost / 4.0 } else { opens }).clamp(1.0, WINDOW);
     }
 
     fn send(&mut self, now: f64, alloc: &Rc<Allocation>, wu: &WorkUnit, usual: f64) {
@@ -349,7 +316,7 @@
 
     /// A start later than this says that the worker's slots were taken.
     fn late(&self, w: &Worker) -> f64 {
-        self.zones.get(&w.line.zone).map_or(0.0, |z| z.0 * 2.0) + LATE * self.promise
+        self.zones.get(&w.line.zone).map_or(0.0, |z| z.quickest * 2.0) + LATE * self.promise
     }
 
     /// Exclusive work that does not start in bearable time tells of a worker, or of a connection, that
@@ -365,16 +332,12 @@
     fn started(&mut self, now: f64, alloc: &Allocation, slots: f64) {
         alloc.start(now, slots);
         let w = &alloc.worker;
-        w.sign.set(now);
         let delay = now - alloc.sent;
-        let (old, _) = w.delay.get();
-        w.delay.set((old + (delay - old) / 2.0, now));
+        w.heard_start(now, delay);
         if delay > self.late(w) {
             w.halve();
         }
-        let zone = self.zones.entry(w.line.zone).or_insert((delay, Mean::default(), now));
-        (zone.0, zone.2) = (zone.0.min(delay), now);
-        zone.1.learn(delay, 1.0 - SLOWLY);
+        self.zones.entry(w.line.zone).or_insert(Starts::new(delay)).learn(now, delay, 1.0 - SLOWLY);
         self.unstarted.retain(|a| !std::ptr::eq(&**a, alloc));
         if w.asks.get().is_none() {
             self.saw(w, w.running.get());
@@ -419,26 +382,21 @@
         self.judge(door, now, w, wu.project_type, failed);
     }
 
-    /// A worker is a suspect for a project type when its share of failures is far over the fleet's median:
-    /// quick failures free slots, and would draw more work. It comes back by single trials, apart while they
-    /// fail. Where all workers fail now and then, one failure tells less, and the bar is higher.
+    /// Whose share of a type's failures is far over the fleet's median is a suspect, as quick failures draw
+    /// work: sent single trials, apart while they fail. Where all fail now and then, one tells less.
     fn judge(&mut self, door: &mut dyn Door, now: f64, w: &Worker, i: usize, failed: f64) {
         let bar = SUSPECT + self.failing.or(0.0, 1.0 / SLOWLY);
         self.failing.learn(failed, 1.0 - SLOWLY);
         let mut standing = w.standing.borrow()[i];
         standing.failures += (failed - standing.failures) * FAILED;
         w.standing.borrow_mut()[i] = standing;
-        let mut over = standing.failures;
-        if over > SUSPECT / 2.0 {
-            over -=
-                median(self.workers.ready().map(|w| w.standing.borrow()[i].failures).chain([over]).collect());
-        }
+        let all = self.workers.ready().map(|w| w.standing.borrow()[i].failures).chain([standing.failures]);
+        let fails = standing.failures > SUSPECT / 2.0;
+        let over = standing.failures - if fails { median(all.collect()) } else { 0.0 };
         let was = standing.suspect;
         standing.suspect = over > bar || was && over > SUSPECT / 2.0;
         if was != standing.suspect {
-            let now_is = if was { "trusted again" } else { "a suspect, sent single trials only" };
-            let text = format!("is {now_is}, project type {i}: {over:.2} over the fleet's median");
-            door.log(&format!("worker {:012x} {text}", w.line.id));
+            door.log(&w.judged(was, i, over));
         }
         standing.next_trial = now + failed * self.trials[i];
         w.standing.borrow_mut()[i] = standing;
@@ -488,31 +446,22 @@
     }
 
     pub fn news(&mut self, door: &mut dyn Door, now: f64, news: News) {
-        let (lines, full) = match news {
-            News::Failed => {
-                if self.follow.failed == 2 {
-                    door.log("the list is out of reach: the last one holds");
-                }
-                self.ask_later(now);
-                self.follow.failed += 1;
-                return self.settle(door, now);
+        let Some((lines, full)) = news.lines() else {
+            if self.follow.failed == 2 {
+                door.log("the list is out of reach: the last one holds");
             }
-            News::Callers(lines) | News::Changes(lines) => (lines, false),
-            News::Full(lines) | News::Cached(lines) | News::Inherited(lines) => (lines, true),
+            self.ask_later(now);
+            self.follow.failed += 1;
+            return self.settle(door, now);
         };
-        if !matches!(news, News::Callers(_)) {
-            self.follow.failed = 0;
-        }
-        let inherited = matches!(news, News::Inherited(_));
-        let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
-        let gone = self.fleet.workers.all().filter(|w| full && !named.contains(&w.line.id));
-        let gone: Vec<Line> = gone.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect();
+        self.follow.failed *= matches!(news, News::Callers(_)) as i32; // Callers are no sign of the list.
+        let gone = if full { self.fleet.workers.missing(lines) } else { Vec::new() };
         if !gone.is_empty() && gone.len() == self.fleet.workers.all().count() {
             self.fleet.forget();
         }
         for line in gone.iter().chain(lines) {
             let debt = self.chance.draw() * self.buffers.mean_run();
-            self.fleet.listed(now, line, self.buffers.types.len(), debt, inherited);
+            self.fleet.listed(now, line, self.buffers.types.len(), debt, matches!(news, News::Inherited(_)));
         }
         if self.fleet.workers.ready().next().is_none() {
             door.log("the list has no ready worker: work is deferred once its patience is out");
@@ -623,10 +572,10 @@
     pub fn woke(&mut self, door: &mut dyn Door, now: f64) {
         while let Some(due) = self.agenda.next(now) {
             match due {
-                Due::Limit(wu) => {
-                    let open = wu.upgrade().filter(|wu| !wu.ended.get());
-                    open.iter().for_each(|wu| self.give_up(door, now, wu));
-                }
+                Due::Limit(wu) => match wu.upgrade() {
+                    Some(wu) if !wu.ended.get() => self.give_up(door, now, &wu),
+                    _ => {}
+                },
                 Due::Patience(wu) => wu.upgrade().iter().for_each(|wu| self.out_of_patience(door, now, wu)),
                 Due::Start(alloc) => self.unstarted(door, now, alloc),
                 Due::Ask => {
@@ -699,16 +648,15 @@
         let workers = self.fleet.workers.drawn(&mut self.chance, |w| self.fleet.room(now, w, mean_run) > 0.0);
         let mut ready = Vec::new();
         for (i, w) in workers.iter().enumerate() {
-            let far = if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
             let mut room = self.fleet.room(now, w, mean_run);
             if self.fleet.shares {
                 // All see the same: the emptiest and fastest worker would get the work of all.
                 room = room.min(1.0) * (0.5 + self.chance.draw());
             }
-            room *= far;
+            room *= if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
             if room > 0.0 {
-                let speed = room
-                    / (self.fleet.delay_at(now, w, mean_run) + w.pace.borrow().or(1.0, PRIOR) * mean_run);
+                let takes = w.pace.borrow().or(1.0, PRIOR) * mean_run;
+                let speed = room / (self.fleet.delay_at(now, w, mean_run) + takes);
                 // The bits of positive numbers are in the numbers' order.
                 ready.push((speed.to_bits(), self.chance.draw().to_bits(), i));
             }
@@ -722,7 +670,9 @@
     /// Sends one work unit to this worker, if there is one for it.
     fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, proven: bool) -> bool {
         // What the fleet's queues say does not hold for a cold worker: all schedulers' budgets bound its own.
-        if !self.buffers.any() || !self.fleet.is_cold(now, w) && !self.fleet.open(now, &self.buffers) {
+        if !self.buffers.any()
+            || !self.fleet.cold.is_cold(now, &w.line) && !self.fleet.open(now, &self.buffers)
+        {
             return false;
         }
         let Some(wu) = self.pick(now, w, proven) else { return false };
@@ -755,7 +705,7 @@
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
             let unfit = !w.line.runs.has(i / 2) || t.kind.is_some_and(|k| k != w.line.kind);
-            // Late answers that earn nothing: work is not sent where starts take longer than it can bear.
+            // No work goes where its start, the pace heard there or the silence of what runs make it late.
             let run = self.buffers.running[i / 2];
             let bears = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * run / 2.0;
             let fade = 1.0 + (now - w.sign.get()) / (4.0 * mean_run);
@@ -763,8 +713,7 @@
             let outlasts = delay + silent.max((takes - run) / fade).max(0.0) > bears;
             let Standing { suspect, next_trial, started, .. } = standing[i / 2];
             let exclusive = t.effect == Effect::Exclusive;
-            // What can't be repeated keeps away from where another project type fails; while some was lost
-            // lately, it first goes to where some has started since.
+            // Exclusive work keeps from where others fail; after a loss it goes to where some has started.
             let served = |j: usize| j != i / 2 && self.buffers.served[j];
             let spared = exclusive && (0..).zip(&*standing).any(|(j, s)| s.suspect && served(j));
             let doubt = self.fleet.doubts[i / 2];
@@ -772,8 +721,7 @@
             let not_here = unfit || outlasts || spared || suspect && now < next_trial;
             let first = suspect || proven != unproven;
             if first && !not_here && best.is_none_or(|b| pressure > b.0) {
-                let pass = |wu: &WorkUnit| self.repeats.pass(now, t.effect, wu, w);
-                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && pass(wu);
+                let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
                 best = queue.first(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -153,6 +153,18 @@
     pub among: f64,
 }
 
+impl ColdRule {
+    pub(crate) fn is_cold(&self, now: f64, line: &Line) -> bool {
+        line.came_up > 0.0 && now < line.came_up + self.warm_after
+    }
+
+    /// The least part of its capacity that it has now.
+    pub(crate) fn least_share(&self, now: f64, line: &Line) -> f64 {
+        let age = ((now - line.came_up) / self.warm_after).clamp(0.0, 1.0);
+        self.from + (1.0 - self.from) * age
+    }
+}
+
 /// What costs points beside work in vain.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Costs {
@@ -176,6 +188,17 @@
     Failed,
 }
 
+impl<'a> News<'a> {
+    /// The lines, and whether they are all that there are.
+    pub(crate) fn lines(&self) -> Option<(&'a [Line], bool)> {
+        match *self {
+            News::Failed => None,
+            News::Callers(lines) | News::Changes(lines) => Some((lines, false)),
+            News::Full(lines) | News::Cached(lines) | News::Inherited(lines) => Some((lines, true)),
+        }
+    }
+}
+
 /// How a worker does with a project type: its smoothed share of failures, whether that makes it a suspect,
 /// when it may be tried next, and when work of the type last started there.
 #[derive(Clone, Copy, Debug, Default)]
@@ -434,6 +457,22 @@
         self.slots_out.get().ceil().clamp(0.0, 255.0) as u8
     }
 
+    /// A job of ours took this long to start there.
+    pub(crate) fn heard_start(&self, now: f64, delay: f64) {
+        let (old, _) = self.delay.get();
+        self.delay.set((old + (delay - old) / 2.0, now));
+        self.sign.set(now);
+    }
+
+    /// For the log, that it is a suspect from now on, or was one.
+    pub(crate) fn judged(&self, was: bool, project_type: usize, over: f64) -> String {
+        let now_is = if was { "trusted again" } else { "a suspect, sent single trials only" };
+        let id = self.line.id;
+        format!(
+            "worker {id:012x} is {now_is}, project type {project_type}: {over:.2} over the fleet's median"
+        )
+    }
+
     pub(crate) fn halve(&self) {
         self.allowance.set((self.allowance.get() / 2.0).max(1.0));
     }
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -1,8 +1,8 @@
 //! The workers that the list names, as one holds a roll: nothing is decided here.
 
-use crate::tools::Chance;
-use crate::{Listed, Runs, Worker};
-use std::collections::BTreeMap;
+use crate::tools::{Chance, Mean};
+use crate::{Line, Listed, Runs, Worker};
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 
 #[derive(Default)]
@@ -33,8 +33,18 @@
         self.all().filter(|w| w.listed.get() == Listed::Ready)
     }
 
-    pub fn met(&self) -> &[Rc<Worker>] {
-        &self.met
+    /// A line for each that is in none of these: it is gone.
+    pub fn missing(&self, lines: &[Line]) -> Vec<Line> {
+        let named: BTreeSet<u64> = lines.iter().map(|l| l.id).collect();
+        let missing = self.all().filter(|w| !named.contains(&w.line.id));
+        missing.map(|w| Line { listed: Listed::Gone, ..w.line.clone() }).collect()
+    }
+
+    /// The mean of those met.
+    pub fn allowance(&self) -> Mean {
+        let mut mean = Mean::default();
+        self.met.iter().for_each(|w| mean.learn(w.allowance.get(), 1.0));
+        mean
     }
 
     pub fn add(&mut self, worker: Rc<Worker>) {
--- a/crates/mintlb/src/tools.rs
+++ b/crates/mintlb/src/tools.rs
@@ -37,6 +37,24 @@
     }
 }
 
+/// Times to start: the quickest, where nothing held the job up; the smoothed one; and when one was heard.
+pub struct Starts {
+    pub quickest: f64,
+    pub usual: Mean,
+    pub heard: f64,
+}
+
+impl Starts {
+    pub fn new(quickest: f64) -> Starts {
+        Starts { quickest, usual: Mean::default(), heard: 0.0 }
+    }
+
+    pub fn learn(&mut self, now: f64, delay: f64, keep: f64) {
+        (self.quickest, self.heard) = (self.quickest.min(delay), now);
+        self.usual.learn(delay, keep);
+    }
+}
+
 /// The lower one of the two in the middle, if they are even in number.
 pub fn median(mut values: Vec<f64>) -> f64 {
     let middle = values.len().saturating_sub(1) / 2;
