--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -224,7 +224,7 @@
         if line.listed != Listed::Gone {
             let allowance = self.workers.allowance().or(self.lanes, f64::MIN_POSITIVE);
             // What the one before this process may have saved up and sent is unknown, so it counts as sent.
-            let spent = if inherited { self.pace(now, line) * self.cold.span / 2.0 } else { 0.0 };
+            let spent = if inherited { self.pace(now, line) * self.cold.span } else { 0.0 };
             self.workers.add(Rc::new(Worker::new(line.clone(), allowance, types, (-debt - spent, now))));
         }
     }
@@ -273,8 +273,8 @@
         }
     }
 
-    /// Rule 4: our part of what a cold worker may be sent, in slots x usual running time, at half the rate
-    /// that the rule allows for the least it can do now. Each send spends it, also one turned away.
+    /// Rule 4: our part of what a cold worker may be sent, in slots x usual running time, at a third of the
+    /// rate that the rule allows for the least it can do now. Each send spends it, also one turned away.
     fn budget(&self, now: f64, w: &Worker) -> f64 {
         let (left, at) = w.budget.get();
         let rate = self.pace(now, &w.line);
@@ -286,7 +286,7 @@
     /// What of that a second brings.
     fn pace(&self, now: f64, line: &Line) -> f64 {
         let share = self.cold.least_share(now, line);
-        self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 2.0
+        self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 3.0
     }
 
     /// Many schedulers that each leave work to wait at filled workers make long queues: the window does for
