--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -105,14 +105,13 @@
                     let once = self.once[project_type];
                     let answer = Box::new(JobEnd { front: self.clone(), id });
                     let payload = Payload { body, once, own: self.nothing.clone() };
-                    let (client_id, slots, memory) = (None, 1.0, 0.0);
+                    let (client_id, slots) = (None, 1.0);
                     let arrival = Arrival {
                         id,
                         client_id,
                         project_type,
                         customer,
                         slots,
-                        memory,
                         arrived,
                         time_budget,
                         payload,
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -219,15 +219,7 @@
                 vec![Act::Answer { wu: a.id, project_type: None, to: a.answer, answer: Answer::Repeated }]
             }
             Event::Arrived(a) => {
-                let wu = WorkUnit::new(
-                    a.id,
-                    a.project_type,
-                    a.customer,
-                    a.slots,
-                    a.memory,
-                    a.arrived,
-                    a.time_budget,
-                );
+                let wu = WorkUnit::new(a.id, a.project_type, a.customer, a.slots, a.arrived, a.time_budget);
                 let (client_id, payload) = (a.client_id, a.payload);
                 let held = Held { wu: wu.clone(), client_id, payload, answer: Some(a.answer) };
                 self.held.insert(a.id, held);
--- a/crates/mintlb-core/src/work.rs
+++ b/crates/mintlb-core/src/work.rs
@@ -40,7 +40,6 @@
     pub project_type: usize,
     pub customer: Option<usize>,
     pub slots: f64,
-    pub memory: f64,
     /// Seconds of the clock.
     pub arrived: f64,
     /// Seconds from then to the hard limit.
--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -250,7 +250,7 @@
             return Err(unfit(StatusCode::BAD_REQUEST, "one Request-Id is needed"));
         }
         let customer = text(&head, "tenant").and_then(|t| self.customers.iter().position(|c| c == t));
-        let (slots, memory) = (info(&head, "slots").unwrap_or(1.0), info(&head, "memory").unwrap_or(0.0));
+        let slots = info(&head, "slots").unwrap_or(1.0);
         let body = self.body(body, seen).await?;
         // Its time counts from its last byte: one that came slowly is not late for that.
         let arrived = self.clock.now();
@@ -271,18 +271,8 @@
         let client_id = head.headers.get("request-id").map(|id| id.as_bytes().into());
         let payload = Payload { body, once: entry.once, own: Arc::new(head) };
         let answer = Box::new(answer);
-        let arrival = Arrival {
-            id,
-            client_id,
-            project_type,
-            customer,
-            slots,
-            memory,
-            arrived,
-            time_budget,
-            payload,
-            answer,
-        };
+        let arrival =
+            Arrival { id, client_id, project_type, customer, slots, arrived, time_budget, payload, answer };
         Ok((arrival, entry.ends.clone(), receiver))
     }
 
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -85,7 +85,6 @@
                     project_type: words[2].parse().unwrap_or_else(|_| self.number(words[2])),
                     customer: None,
                     slots: 1.0,
-                    memory: 0.0,
                     arrived: self.now,
                     time_budget: 3.0,
                     payload,
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -314,7 +314,6 @@
             project_type,
             customer: None,
             slots: 1.0,
-            memory: 0.0,
             arrived: self.now,
             time_budget: 3.0,
             payload: Payload { body, once: true, own: Arc::new(()) },
--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -95,8 +95,8 @@
             return Err(format!("customer {billing} of {} is out of range", self.customers));
         }
         let customer = (self.customers > 0).then_some(billing);
-        let (slots, memory, budget) = (event.f32(39), event.f32(43), event.f64(23) / 1000.0);
-        Ok(WorkUnit::new(event.u64(3), profile, customer, slots, memory, now, budget))
+        let (slots, budget) = (event.f32(39), event.f64(23) / 1000.0);
+        Ok(WorkUnit::new(event.u64(3), profile, customer, slots, now, budget))
     }
 
     fn report(&self, event: Bytes, at: usize) -> Result<Report, String> {
--- a/crates/mintlb/benches/decisions.rs
+++ b/crates/mintlb/benches/decisions.rs
@@ -72,7 +72,7 @@
     fn send(&mut self) -> Option<(Rc<WorkUnit>, Rc<Allocation>)> {
         self.next += 1;
         self.now += 1e-5;
-        let wu = WorkUnit::new(self.next, (self.next % 2) as usize, None, 1.0, 0.0, self.now, 3.0);
+        let wu = WorkUnit::new(self.next, (self.next % 2) as usize, None, 1.0, self.now, 3.0);
         self.door.0 = None;
         self.scheduler.arrived(&mut self.door, self.now, &wu);
         let alloc = self.door.0.and_then(|(_, number)| wu.allocation(number))?;
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -278,7 +278,6 @@
     pub project_type: usize,
     pub customer: Option<usize>,
     pub slots: f64,
-    pub memory: f64,
     pub arrived: f64,
     /// When this try's client gives up.
     pub limit: f64,
@@ -308,7 +307,6 @@
         project_type: usize,
         customer: Option<usize>,
         slots: f64,
-        memory: f64,
         arrived: f64,
         time_budget: f64,
     ) -> Rc<WorkUnit> {
@@ -317,7 +315,6 @@
             project_type,
             customer,
             slots: if slots.is_finite() { slots.max(1.0) } else { 1.0 },
-            memory: if memory.is_finite() { memory.max(0.0) } else { 0.0 },
             arrived,
             limit: arrived + time_budget,
             most: Cell::new(usize::MAX),
--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -247,7 +247,7 @@
         let from = old + (self.chance.draw() * self.taking as f64) as usize;
         let run = -(1.0 - self.chance.draw()).ln() * RUN;
         self.row += 1;
-        let wu = WorkUnit::new(self.row, 0, None, 1.0, 0.0, self.now, LIMIT);
+        let wu = WorkUnit::new(self.row, 0, None, 1.0, self.now, LIMIT);
         self.held.insert(self.row, (from, wu.clone(), run));
         self.ends.offered += 1;
         self.call(from, |s, door, now| s.arrived(door, now, &wu));
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -150,8 +150,7 @@
             "lost" => s.news(acts, now, News::Failed),
             "call" => {
                 let (id, customer) = (number(0, 0.0) as u64, number(2, 0.0) as usize);
-                let wu =
-                    WorkUnit::new(id, number(1, 0.0) as usize, Some(customer), number(3, 1.0), 0.0, now, 3.2);
+                let wu = WorkUnit::new(id, number(1, 0.0) as usize, Some(customer), number(3, 1.0), now, 3.2);
                 self.held.insert(id, wu.clone());
                 s.arrived(acts, now, &wu);
             }
