--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -185,7 +185,7 @@
             }
             18 => {
                 let bytes = batch.tail(event, 5, 1)?;
-                self.scheduler.told(door, now, event.u16(3).into(), bytes);
+                self.scheduler.told(now, event.u16(3).into(), bytes);
             }
             16 => {}
             other => return Err(format!("unknown event code {other}")),
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -20,7 +20,7 @@
     Start(Weak<Allocation>),  // It should have started.
     Ask,
     Tell,
-    Round, // The periodic look for room that only time brings: trials, cold budgets.
+    Round, // The periodic look for room that only time or others bring: trials, cold budgets, words.
 }
 
 /// Customers: work beyond a share earns `excess_credit`, and alpha knows it. A share is a customer's part of
@@ -554,12 +554,11 @@
         }
     }
 
-    /// Another scheduler has told something.
-    pub fn told(&mut self, door: &mut dyn Door, now: f64, from: usize, bytes: &[u8]) {
+    /// Another scheduler has told something. Work that waits is looked at again soon, not at each word.
+    pub fn told(&mut self, now: f64, from: usize, bytes: &[u8]) {
         let ours = self.fleet.shares && (from as f64) < self.fleet.cold.among;
         if let Some(word) = Word::read(now, bytes).filter(|_| ours) {
             self.fleet.peers.hear(now, from, &word, &mut self.fleet.workers);
-            self.settle(door, now);
         }
     }
 
@@ -630,7 +629,8 @@
             self.press(door, now);
             if self.buffers.any() && !self.looking {
                 self.looking = true;
-                self.agenda.add(now + self.fleet.promise / 2.0, Due::Round);
+                let soon = if self.fleet.shares { self.fleet.apart() } else { self.fleet.promise / 2.0 };
+                self.agenda.add(now + soon, Due::Round);
             }
         }
         if !self.telling && self.fleet.peers.has_news() {
@@ -646,7 +646,8 @@
     fn press(&mut self, door: &mut dyn Door, now: f64) {
         let mean_run = self.buffers.mean_run();
         let workers = self.fleet.workers.drawn(&mut self.chance, |w| self.fleet.room(now, w, mean_run) > 0.0);
-        let mut ready = Vec::new();
+        // What the fleet's queues say does not hold for a cold worker: all schedulers' budgets bound its own.
+        let (mut ready, mut open) = (Vec::new(), self.fleet.open(now, &self.buffers));
         for (i, w) in workers.iter().enumerate() {
             let mut room = self.fleet.room(now, w, mean_run);
             if self.fleet.shares {
@@ -654,27 +655,24 @@
                 room = room.min(1.0) * (0.5 + self.chance.draw());
             }
             room *= if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
-            if room > 0.0 {
+            if room > 0.0 && (open || self.fleet.cold.is_cold(now, &w.line)) {
                 let takes = w.pace.borrow().or(1.0, PRIOR) * mean_run;
                 let speed = room / (self.fleet.delay_at(now, w, mean_run) + takes);
-                // The bits of positive numbers are in the numbers' order.
                 ready.push((speed.to_bits(), self.chance.draw().to_bits(), i));
             }
         }
         ready.sort_unstable_by(|a, b| b.cmp(a));
         for proven in [true, false] {
-            ready.retain(|&(_, _, i)| !self.offer(door, now, &workers[i], proven));
+            ready.retain(|&(_, _, i)| {
+                let may = self.buffers.any() && (open || self.fleet.cold.is_cold(now, &workers[i].line));
+                let sent = may && self.offer(door, now, &workers[i], proven);
+                open &= !sent || self.fleet.open(now, &self.buffers);
+                !sent
+            });
         }
     }
 
-    /// Sends one work unit to this worker, if there is one for it.
     fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, proven: bool) -> bool {
-        // What the fleet's queues say does not hold for a cold worker: all schedulers' budgets bound its own.
-        if !self.buffers.any()
-            || !self.fleet.cold.is_cold(now, &w.line) && !self.fleet.open(now, &self.buffers)
-        {
-            return false;
-        }
         let Some(wu) = self.pick(now, w, proven) else { return false };
         self.buffers.of(&wu).take_out(&wu);
         let i = wu.project_type;
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -12,7 +12,7 @@
 pub mod word;
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::VecDeque;
 use std::rc::{Rc, Weak};
 use tools::Mean;
 
@@ -230,10 +230,12 @@
     pub(crate) standing: RefCell<Vec<Standing>>,
     /// When work of ours last started or ended there.
     pub(crate) sign: Cell<f64>,
+    /// It was sent something, or others told of it.
+    pub(crate) met: Cell<bool>,
     /// The most slots seen there at once, ours that ran or those that it told were free.
     pub(crate) lanes: Cell<f64>,
     /// The other schedulers' slots there as each last told, and the sum; whether ours there are yet to be told.
-    pub(crate) theirs: RefCell<BTreeMap<usize, u8>>,
+    pub(crate) theirs: RefCell<Vec<u8>>,
     pub(crate) others: Cell<f64>,
     pub(crate) noted: Cell<bool>,
     /// Budget for a cold worker, and when it was last topped up.
@@ -398,6 +400,7 @@
             sign: Cell::new(0.0),
             others: Cell::new(0.0),
             lanes: Cell::new(0.0),
+            met: Cell::new(false),
             theirs: RefCell::default(),
             noted: Cell::new(false),
             budget: Cell::new(budget),
@@ -444,7 +447,10 @@
 
     /// Another scheduler holds so many slots there.
     pub(crate) fn hear(&self, from: usize, slots: u8) {
-        let had = self.theirs.borrow_mut().insert(from, slots).unwrap_or(0);
+        let mut theirs = self.theirs.borrow_mut();
+        let most = theirs.len().max(from + 1);
+        theirs.resize(most, 0);
+        let had = std::mem::replace(&mut theirs[from], slots);
         self.others.set(self.others.get() + f64::from(slots) - f64::from(had));
     }
 
--- a/crates/mintlb/src/peers.rs
+++ b/crates/mintlb/src/peers.rs
@@ -14,6 +14,8 @@
     heard: BTreeMap<usize, (f64, f64)>,
     /// The longest that work may last: who is silent for longer holds nothing.
     pub longest: f64,
+    /// When it was last looked for such.
+    looked: f64,
 }
 
 impl Peers {
@@ -47,6 +49,10 @@
                 workers.meet(&w);
             }
         }
+        if now < self.looked + self.longest / 8.0 {
+            return;
+        }
+        self.looked = now;
         while let Some((&silent, _)) = self.heard.iter().find(|(_, (_, came))| *came + self.longest < now) {
             self.heard.remove(&silent);
             workers.all().for_each(|w| w.hear(silent, 0));
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -63,6 +63,9 @@
 
     /// It is sent something.
     pub fn meet(&mut self, worker: &Rc<Worker>) {
+        if worker.met.replace(true) {
+            return;
+        }
         let strangers = self.unmet.entry(worker.kin()).or_default();
         if let Some(at) = strangers.iter().position(|s| Rc::ptr_eq(s, worker)) {
             self.met.push(strangers.swap_remove(at));
