--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -272,7 +272,7 @@
                 self.with_door(now, |s, door| s.news(door, now, news))
             }
             // At once, whatever was to be asked of the old one: nothing it says from now on is heard. Another service
-            // may be another deployment's, with versions of its own: it is asked for all, and says all first.
+            // may be another deployment's, with versions of its own.
             Event::ListMoved => {
                 self.version = 0;
                 vec![Act::Watch { after: 0 }]
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -7,7 +7,7 @@
 use crate::worker::{Way, Workers};
 use axum::http::StatusCode;
 use bytes::Bytes;
-use http_body_util::Empty;
+use http_body_util::{BodyExt, Empty, Limited};
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use mintlb::{Line, Listed, Runs};
@@ -107,7 +107,7 @@
     besides: Besides,
     log: Logger,
     alive: Option<AbortHandle>,
-    /// The list has moved: what is said first is all of it, as it was asked for what came after the beginning.
+    /// The list has moved, and the whole of it has not been had from the new address yet.
     whole: Arc<AtomicBool>,
 }
 
@@ -143,13 +143,21 @@
         let (tell, besides, log) = (self.tell.clone(), self.besides.clone(), self.log.clone());
         let whole = self.whole.clone();
         let task = async move {
-            let hear = |mut listing: Listing| {
-                listing.full |= whole.swap(false, Relaxed);
+            let hear = |listing: Listing| {
                 let told = reading.told(&listing);
                 besides(&listing, &told);
                 tell.send(Event::Members(Some(listing.version), told)).ok();
             };
-            let why = list.watch(after, hear).await;
+            // Another service may be another deployment's: what came after a version of the old one is no list of it.
+            let why = match if whole.load(Relaxed) { list.all().await.map(Some) } else { Ok(None) } {
+                Ok(listing) => {
+                    whole.store(false, Relaxed);
+                    let after = listing.as_ref().map_or(after, |listing| listing.version);
+                    listing.into_iter().for_each(hear);
+                    list.watch(after, hear).await
+                }
+                Err(why) => why,
+            };
             tell.send(Event::ListFailed).ok();
             warn!(log, "the watch of the list ended"; "why" => why);
         };
@@ -181,6 +189,23 @@
         }
     }
 
+    /// The whole list, once.
+    async fn all(&self) -> Result<Listing, String> {
+        let url = format!("http://{}/v1/servers", self.at);
+        let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
+        let quiet = |_| format!("silent for {} s", self.silence.as_secs_f64());
+        let answer = timeout(self.silence, self.client.get(url)).await.map_err(quiet)?;
+        let answer = answer.map_err(|e| format!("no answer: {}", causes(&e)))?;
+        if answer.status() != StatusCode::OK {
+            return Err(format!("answered {}", answer.status()));
+        }
+        let body = Limited::new(answer.into_body(), self.line).collect();
+        let body = timeout(self.silence, body).await.map_err(quiet)?;
+        let body = body.map_err(|e| format!("no whole list: {e}"))?.to_bytes();
+        let listing: Listing = serde_json::from_slice(&body).map_err(|e| format!("a bad list: {e}"))?;
+        if listing.full { Ok(listing) } else { Err("a list that says it is not the whole".to_string()) }
+    }
+
     async fn follow(&self, after: u64, hear: impl Fn(Listing)) -> Result<(), String> {
         let url = format!("http://{}/v1/servers?watch=1&after={after}", self.at);
         let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
--- a/crates/mintlb-node/tests/harness/mod.rs
+++ b/crates/mintlb-node/tests/harness/mod.rs
@@ -88,10 +88,24 @@
     format!(r#"{{"version":{version},"full":true,"servers":[{}]}}"#, workers.join(","))
 }
 
-/// A list service that says what is in the slot, and again when that changes; while it is empty it refuses.
+/// A list service that says what is in the slot, the whole of it or, to who watches, as it stands there and again when
+/// that changes; while it is empty it refuses.
 pub fn list_by(slot: Arc<Mutex<String>>) -> String {
     let watch = move |stream: &mut TcpStream| {
-        stream.read_exact(&mut [0; 64]).ok();
+        let (mut request, mut piece) = (String::new(), [0; 4096]);
+        while !request.contains("\r\n\r\n") {
+            match stream.read(&mut piece) {
+                Ok(n) if n > 0 => request += &String::from_utf8_lossy(&piece[..n]),
+                _ => return "broken".into(),
+            }
+        }
+        if !request.contains("watch=1") {
+            let whole = slot.lock().unwrap().replace("\"full\":false", "\"full\":true");
+            let head =
+                format!("HTTP/1.1 200 OK\r\ncontent-length: {}\r\nconnection: close\r\n\r\n", whole.len());
+            stream.write_all((head + &whole).as_bytes()).ok();
+            return "told".into();
+        }
         let (mut last, mut said) = (String::new(), stream.write_all(STREAM.as_bytes()));
         while said.is_ok() {
             let now = slot.lock().unwrap().clone();
@@ -99,7 +113,10 @@
                 break;
             }
             if now != last {
-                said = stream.write_all(chunk(&now).as_bytes());
+                // Where it is no whole list, nothing has changed.
+                let servers = now.find("\"servers\"").filter(|_| now.contains("\"full\":false"));
+                let said_now = servers.map_or(now.clone(), |at| format!("{}\"servers\":[]}}", &now[..at]));
+                said = stream.write_all(chunk(&said_now).as_bytes());
                 last = now;
             }
             std::thread::sleep(PAUSE / 20);
--- a/crates/mintlb-node/tests/operators.rs
+++ b/crates/mintlb-node/tests/operators.rs
@@ -357,10 +357,10 @@
 fn the_first_seconds_after_a_move() {
     let [(old, _), (new, _)] = ["old", "new"].map(|name| stand_in(move |s| work_as(name, s)));
     let here = [("s-1", old, "SERVING"), ("s-2", old, "SERVING")];
-    // What came after its beginning is not said to be the whole list.
+    // Who watches this one is told that nothing has changed: only who asks for the whole list learns of its worker.
     let part = |text: String| text.replace("\"full\":true", "\"full\":false");
     let (before, after) =
-        (list_of(part(listing(500, &here))), list_of(part(listing(7, &[("t-1", new, "SERVING")]))));
+        (list_of(listing(500, &here)), list_of(part(listing(7, &[("t-1", new, "SERVING")]))));
     let program = start("", &[OPS, ("127.0.0.1:8500", &before), SOON]);
     std::thread::sleep(5 * PAUSE);
     assert!(program.ask(&post("/lookup/1", "")).ends_with("old"));
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -333,6 +333,9 @@
         ("\"name\": \"charge\", ", "", "project_types.2.name"),
         ("\"settings\"", "\"sett\"", "settings"),
         ("\"name\": \"toy\"", "\"name\" \"toy\"", "line 2"),
+        ("\"quantum\"", "\"prices\": {\"cross_zone\": -1}, \"quantum\"", "prices.cross_zone"),
+        ("\"quantum\"", "\"prices\": {\"peer\": \"dear\"}, \"quantum\"", "prices.peer"),
+        ("\"retry_after\"", "\"peers\": \"often\", \"retry_after\"", "permissions.peers"),
     ];
     for (old, new, named) in cases {
         for verb in ["serve", "check"] {
@@ -350,6 +353,21 @@
     }
 }
 
+/// Left out, crossing costs what it always did; and whatever is permitted, nobody tells anything on sockets.
+#[test]
+fn prices_left_out_are_as_before() {
+    for (old, new, crossing) in [
+        ("", "", 0.021),
+        ("\"quantum\"", "\"prices\": {\"cross_zone\": 0, \"peer\": 0.01}, \"quantum\"", 0.0),
+        ("\"quantum\"", "\"prices\": {\"cross_zone\": 0.1}, \"quantum\"", 0.1),
+        ("\"retry_after\"", "\"peers\": true, \"retry_after\"", 0.021),
+    ] {
+        let text = Placement::parse(&BASE.replacen(old, new, 1)).unwrap().text();
+        let costs = text.terms().unwrap().costs;
+        assert_eq!((costs.crossing, costs.message), (crossing, None), "{new}");
+    }
+}
+
 /// All that may be held at once fits the machine, whatever its size.
 #[test]
 fn limits_fit_the_machine() {
--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -134,6 +134,10 @@
 
 /// The one with this number, of so many.
 fn scheduler(number: usize, among: usize, effect: Effect, follow: Follow) -> Scheduler {
+    scheduler_at(COSTS, number, among, effect, follow)
+}
+
+fn scheduler_at(costs: Costs, number: usize, among: usize, effect: Effect, follow: Follow) -> Scheduler {
     let types = vec![ProjectType {
         credit: 1.0,
         late_credit: 0.0,
@@ -145,7 +149,7 @@
     }];
     let among = among as f64;
     let cold = ColdRule { from: 0.3, warm_after: WARM_AFTER, multiple: 3.0, span: SPAN, among };
-    let fleet = Fleet::new(cold, (number % 2) as u16, true, COSTS, &types);
+    let fleet = Fleet::new(cold, (number % 2) as u16, true, costs, &types);
     let repeats = Repeats { parallel: true, may_recall: true, most_allocations: 3 };
     let chain = (Shares::new(&[]), Buffers::new(types, 1.0, 2.0), repeats, fleet);
     // Seeds near each other begin alike.
@@ -155,9 +159,20 @@
 
 impl World {
     fn new(schedulers: usize, workers: &[u64], rate: f64, until: f64, effect: Effect) -> World {
+        World::at_cost(COSTS, schedulers, workers, rate, until, effect)
+    }
+
+    fn at_cost(
+        costs: Costs,
+        schedulers: usize,
+        workers: &[u64],
+        rate: f64,
+        until: f64,
+        effect: Effect,
+    ) -> World {
         let lines: Vec<Line> = workers.iter().map(|w| line(*w, Listed::Ready, 0.0)).collect();
         let one = |i: usize| {
-            let mut scheduler = scheduler(i, schedulers, effect, Follow::default());
+            let mut scheduler = scheduler_at(costs, i, schedulers, effect, Follow::default());
             scheduler.news(&mut Asked::default(), 100.0, News::Full(&lines));
             scheduler
         };
@@ -371,6 +386,22 @@
     assert!(sent > 360 && most < 3.0, "{sent} sent in 6 s, at the most {most:.2} times what one could run");
 }
 
+/// Where schedulers tell one another what they hold, no rule rests on it: here every word is lost.
+#[test]
+fn with_every_word_lost_the_rules_hold() {
+    let workers: Vec<u64> = (1..=30).chain(101..=130).collect();
+    let anew: Vec<u64> = workers.iter().copied().filter(|w| w % 5 < 3).collect();
+    let free = Costs { crossing: 0.02, message: Some(0.0) };
+    for effect in [Effect::Rerunnable, Effect::Exclusive] {
+        let mut world = World::at_cost(free, 100, &workers, 120.0, 12.0, effect);
+        world.anew(3.0, &anew);
+        let Ends { offered, in_time, late, deferred, aborted, .. } = *world.run();
+        assert_eq!(in_time + late + deferred + aborted, offered, "{:?}", world.ends);
+        let most = anew.iter().map(|w| world.pressure(*w)).fold(0.0, f64::max);
+        assert!(in_time * 2 > offered && most < 3.0, "{most:.2} times what one could run: {:?}", world.ends);
+    }
+}
+
 /// Two processes of one scheduler, the one that ends and its successor, send the cold no more than the one alone would: at
 /// the worst moment, with all schedulers replaced while all workers are cold and more work comes than can be run.
 #[test]
