Read-through: what others told expires by itself, the reducer says when a whole list is wanted, no bar by silence

- A scheduler that starts anew, or a word that is lost, left slots held at workers that it did not touch again: silence was looked for by sender, and it was not silent (`Peers::hear`).
No work lasts longer than the longest hard limit, so each figure expires then; this replaces the rule on silent senders.
A clock that was set back counts again by the same bound.
- With messages given up at SIGHUP what was told stayed in `held`: `Peers::allow`.
A word with nothing in it was sent: none is.
- Whether the whole list is wanted was a flag in the HTTP part.
The reducer has the version that was had, or none, and asks so (`Act::Watch`); a start without a known list asks for the whole, too, which a watch from 0 need not say.
- The record of the list had a new form, so one upgrade, or one way back, lost the drains heard (rule 3).
The address is optional, the form as it was.
- Named as ratios: `COLD`, `SPREAD`, `LOOK`.

--- a/crates/mintlb-core/src/hands.rs
+++ b/crates/mintlb-core/src/hands.rs
@@ -13,7 +13,8 @@
 
 /// Follows the list service; each call begins a watch, unless one is alive.
 pub trait Watcher {
-    fn watch(&mut self, after: u64);
+    /// Has the list heard from there on, or from its whole if no version of it is known.
+    fn watch(&mut self, after: Option<u64>);
 }
 
 pub struct Hands<W> {
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -63,7 +63,7 @@
         to: Arc<dyn Reach>,
     },
     Watch {
-        after: u64,
+        after: Option<u64>,
     },
     WakeIn(f64),
     Log(String),
@@ -89,7 +89,7 @@
     over: VecDeque<(f64, Box<[u8]>)>,
     out: FxHashSet<AllocId>,
     members: Members,
-    version: u64,
+    version: Option<u64>,
 }
 
 /// The module's door onto the backs.
@@ -97,7 +97,7 @@
     now: f64,
     most_out: usize,
     margin: f64,
-    version: u64,
+    version: Option<u64>,
     held: &'a mut FxHashMap<u64, Held>,
     out: &'a mut FxHashSet<AllocId>,
     members: &'a Members,
@@ -169,7 +169,7 @@
 impl Reducer {
     pub fn new(scheduler: Scheduler, types: Types, most_out: usize, margin: f64) -> Reducer {
         let (held, ids, over, out, members) = Default::default();
-        Reducer { scheduler, types, most_out, margin, held, ids, over, out, members, version: 0 }
+        Reducer { scheduler, types, most_out, margin, held, ids, over, out, members, version: None }
     }
 
     /// How many work units are held.
@@ -202,7 +202,7 @@
     /// The start: what the list last said, and which version that was, then whatever the decisions ask for first.
     /// `takes_over` from a process that still sends.
     pub fn start(&mut self, now: f64, known: Option<(u64, Told)>, takes_over: bool) -> Vec<Act> {
-        self.version = known.as_ref().map_or(0, |(version, _)| *version);
+        self.version = known.as_ref().map(|(version, _)| *version);
         let lines = known.map(|(_, told)| self.members.hear(told).1).unwrap_or_default();
         self.with_door(now, |scheduler, door| {
             scheduler.power_on(door, now);
@@ -260,7 +260,7 @@
             }
             Event::ListFailed => self.with_door(now, |s, door| s.news(door, now, News::Failed)),
             Event::Members(version, told) => {
-                self.version = version.unwrap_or(self.version);
+                self.version = version.or(self.version);
                 // Only what the list says is a sign of life of the list.
                 let from_list = told.source == Source::List;
                 let (full, lines) = self.members.hear(told);
@@ -274,8 +274,8 @@
             // At once, whatever was to be asked of the old one: nothing it says from now on is heard. Another service
             // may be another deployment's, with versions of its own.
             Event::ListMoved => {
-                self.version = 0;
-                vec![Act::Watch { after: 0 }]
+                self.version = None;
+                vec![Act::Watch { after: None }]
             }
             Event::Woke => self.with_door(now, |s, door| s.woke(door, now)),
             Event::LastCall => self.last_call(now),
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -8,6 +8,7 @@
 use axum::http::StatusCode;
 use bytes::Bytes;
 use http_body_util::{BodyExt, Empty, Limited};
+use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::rt::TokioExecutor;
 use mintlb::{Line, Listed, Runs};
@@ -19,7 +20,6 @@
 use slog::{Logger, warn};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc::UnboundedSender;
 use tokio::task::AbortHandle;
@@ -107,8 +107,6 @@
     besides: Besides,
     log: Logger,
     alive: Option<AbortHandle>,
-    /// The list has moved, and the whole of it has not been had from the new address yet.
-    whole: Arc<AtomicBool>,
 }
 
 /// Hears what the list tells, beside the core: its words, and what they mean.
@@ -122,42 +120,31 @@
         besides: Besides,
         log: Logger,
     ) -> Watch {
-        Watch { list, reading, tell, besides, log, alive: None, whole: Arc::default() }
+        Watch { list, reading, tell, besides, log, alive: None }
     }
 
     /// The list is watched there from now on; a watch of the old address ends.
     pub fn follow(&mut self, list: List) {
         self.list = list;
         self.alive.take().iter().for_each(AbortHandle::abort);
-        self.whole.store(true, Relaxed);
     }
 }
 
 impl Watcher for Watch {
-    fn watch(&mut self, after: u64) {
+    fn watch(&mut self, after: Option<u64>) {
         // A question that was due before the list moved must not end the watch that has begun since.
         if self.alive.as_ref().is_some_and(|watch| !watch.is_finished()) {
             return;
         }
         let (list, reading) = (self.list.clone(), self.reading.clone());
         let (tell, besides, log) = (self.tell.clone(), self.besides.clone(), self.log.clone());
-        let whole = self.whole.clone();
         let task = async move {
             let hear = |listing: Listing| {
                 let told = reading.told(&listing);
                 besides(&listing, &told);
                 tell.send(Event::Members(Some(listing.version), told)).ok();
             };
-            // Another service may be another deployment's: what came after a version of the old one is no list of it.
-            let why = match if whole.load(Relaxed) { list.all().await.map(Some) } else { Ok(None) } {
-                Ok(listing) => {
-                    whole.store(false, Relaxed);
-                    let after = listing.as_ref().map_or(after, |listing| listing.version);
-                    listing.into_iter().for_each(hear);
-                    list.watch(after, hear).await
-                }
-                Err(why) => why,
-            };
+            let why = list.watch(after, hear).await;
             tell.send(Event::ListFailed).ok();
             warn!(log, "the watch of the list ended"; "why" => why);
         };
@@ -181,47 +168,51 @@
         List { client, at, line: limits.list_line, silence: limits.list_silence }
     }
 
-    /// Has what changes after this version heard until the watch ends; the cause of that.
-    pub async fn watch(&self, after: u64, hear: impl Fn(Listing)) -> String {
-        match self.follow(after, hear).await {
-            Ok(()) => "it ended".to_string(),
-            Err(why) => why,
-        }
+    /// Has what changes after this version heard until the watch ends, or first the whole list if no version is known;
+    /// the cause of the end.
+    pub async fn watch(&self, after: Option<u64>, hear: impl Fn(Listing)) -> String {
+        self.follow(after, hear).await.err().unwrap_or_else(|| "it ended".to_string())
     }
 
-    /// The whole list, once.
-    async fn all(&self) -> Result<Listing, String> {
-        let url = format!("http://{}/v1/servers", self.at);
-        let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
-        let quiet = |_| format!("silent for {} s", self.silence.as_secs_f64());
-        let answer = timeout(self.silence, self.client.get(url)).await.map_err(quiet)?;
-        let answer = answer.map_err(|e| format!("no answer: {}", causes(&e)))?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
+    async fn follow(&self, after: Option<u64>, hear: impl Fn(Listing)) -> Result<(), String> {
+        let after = match after {
+            Some(version) => version,
+            None => {
+                let whole = self.whole().await?;
+                let version = whole.version;
+                hear(whole);
+                version
+            }
+        };
+        let mut lines = Lines::new(self.ask(&format!("?watch=1&after={after}")).await?, self.line);
+        while let Some(line) = self.in_time(lines.next()).await?? {
+            if line.iter().all(u8::is_ascii_whitespace) {
+                continue;
+            }
+            hear(serde_json::from_slice(&line).map_err(|e| format!("a bad line: {e}"))?);
         }
-        let body = Limited::new(answer.into_body(), self.line).collect();
-        let body = timeout(self.silence, body).await.map_err(quiet)?;
-        let body = body.map_err(|e| format!("no whole list: {e}"))?.to_bytes();
+        Ok(())
+    }
+
+    async fn whole(&self) -> Result<Listing, String> {
+        let body = Limited::new(self.ask("").await?, self.line).collect();
+        let body = self.in_time(body).await?.map_err(|e| format!("no whole list: {e}"))?.to_bytes();
         let listing: Listing = serde_json::from_slice(&body).map_err(|e| format!("a bad list: {e}"))?;
         if listing.full { Ok(listing) } else { Err("a list that says it is not the whole".to_string()) }
     }
 
-    async fn follow(&self, after: u64, hear: impl Fn(Listing)) -> Result<(), String> {
-        let url = format!("http://{}/v1/servers?watch=1&after={after}", self.at);
+    async fn ask(&self, query: &str) -> Result<Incoming, String> {
+        let url = format!("http://{}/v1/servers{query}", self.at);
         let url = url.parse().map_err(|e| format!("{url}: {e}"))?;
-        let quiet = |_| format!("silent for {} s", self.silence.as_secs_f64());
-        let answer = timeout(self.silence, self.client.get(url)).await.map_err(quiet)?;
+        let answer = self.in_time(self.client.get(url)).await?;
         let answer = answer.map_err(|e| format!("no answer: {}", causes(&e)))?;
-        if answer.status() != StatusCode::OK {
-            return Err(format!("answered {}", answer.status()));
-        }
-        let mut lines = Lines::new(answer.into_body(), self.line);
-        while let Some(line) = timeout(self.silence, lines.next()).await.map_err(quiet)?? {
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            hear(serde_json::from_slice(&line).map_err(|e| format!("a bad line: {e}"))?);
+        match answer.status() {
+            StatusCode::OK => Ok(answer.into_body()),
+            status => Err(format!("answered {status}")),
         }
-        Ok(())
+    }
+
+    async fn in_time<T>(&self, step: impl Future<Output = T>) -> Result<T, String> {
+        timeout(self.silence, step).await.map_err(|_| format!("silent for {} s", self.silence.as_secs_f64()))
     }
 }
--- a/crates/mintlb-node/src/record.rs
+++ b/crates/mintlb-node/src/record.rs
@@ -13,13 +13,14 @@
 use std::path::{Path, PathBuf};
 
 /// Of another form nothing is read.
-const FORM: u32 = 2;
+const FORM: u32 = 1;
 
 #[derive(Deserialize, Serialize)]
 struct Kept {
     form: u32,
     name: String,
-    at: SocketAddr,
+    /// Where it was heard. Versions that could not move left no address: theirs is the one that is followed.
+    at: Option<SocketAddr>,
     list: Listing,
 }
 
@@ -47,7 +48,10 @@
     pub fn newer(&self, known: Option<Listing>) -> Option<Listing> {
         let kept = fs::read(&self.path).ok().and_then(|json| serde_json::from_slice::<Kept>(&json).ok());
         let kept = kept.filter(|kept| {
-            kept.form == FORM && kept.name == self.name && kept.at == self.at && kept.list.full
+            kept.form == FORM
+                && kept.name == self.name
+                && kept.at.is_none_or(|at| at == self.at)
+                && kept.list.full
         });
         let version = known.as_ref().map_or(0, |known| known.version);
         kept.map(|kept| kept.list).filter(|list| list.version > version).or(known)
@@ -66,7 +70,8 @@
         }
         let workers = self.workers.values().cloned().collect();
         let list = Listing { version: said.version, full: true, workers };
-        let json = serde_json::to_vec(&Kept { form: FORM, name: self.name.clone(), at: self.at, list })?;
+        let json =
+            serde_json::to_vec(&Kept { form: FORM, name: self.name.clone(), at: Some(self.at), list })?;
         // Whole or not at all, whenever this process is killed; and two write beside each other.
         let fresh = self.path.with_extension(std::process::id().to_string());
         fs::write(&fresh, json)?;
@@ -122,13 +127,17 @@
         for (why, text) in [
             ("torn", whole[..whole.len() / 2].to_string()),
             ("empty", String::new()),
-            ("of another form", whole.replace("\"form\":2", "\"form\":1")),
+            ("of another form", whole.replace("\"form\":1", "\"form\":2")),
             ("of another list service", whole.replace("127.0.0.1:1\",\"list", "127.0.0.1:2\",\"list")),
             ("of another name", whole.replace("\"n1\"", "\"n3\"")),
         ] {
             fs::write(&record.path, text).unwrap();
             assert_eq!(shown("n1", 3), "k=SERVING", "{why}");
         }
+        let old = whole.replace("\"at\":\"127.0.0.1:1\",", "");
+        assert_ne!(old, whole);
+        fs::write(&record.path, old).unwrap();
+        assert_eq!(shown("n1", 3), "f=SERVING", "left by a version that wrote no address");
         fs::remove_dir_all(&folder).unwrap();
     }
 }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -179,6 +179,8 @@
 const TRIAL: f64 = 12.0; // A failed suspect's next trial waits so many shortest promises.
 const LANES: f64 = 2.0; // Any worker is taken to have so many.
 const PROMISE: [f64; 2] = [0.01, 10.0]; // Within these seconds it is believed: the rounds hang on it.
+const COLD: f64 = 1.0 / 3.0; // This part of what rule 4 allows is used, as work and chance are not even.
+const SPREAD: f64 = 0.5; // Where all see the same, chance moves a worker's rank by up to this part.
 const WINDOW: f64 = 8.0; // The window of unstarted work, at the most.
 
 impl Fleet {
@@ -195,6 +197,7 @@
         let words = (self.cold.among - 1.0) * 2.0 * word::ENTRY as f64 / word::LONGEST as f64;
         self.shares = costs.message.is_some_and(|points| points * words < DEAR);
         self.far = 1.0 / (1.0 + CROSSING * costs.crossing);
+        self.peers.allow(self.shares, &self.workers);
     }
 
     /// The times that hang on the project types.
@@ -286,7 +289,7 @@
     /// What of that a second brings.
     fn pace(&self, now: f64, line: &Line) -> f64 {
         let share = self.cold.least_share(now, line);
-        self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) / 3.0
+        self.cold.multiple * share * self.lanes / self.cold.among.max(1.0) * COLD
     }
 
     /// Many schedulers that each leave work to wait at filled workers make long queues: the window does for
@@ -359,7 +362,6 @@
     /// Frees the slot, and learns: the rate from completed work, the allowance, the share of failures.
     fn back(&mut self, door: &mut dyn Door, now: f64, alloc: &Allocation, wu: &WorkUnit, outcome: Outcome) {
         let w = &alloc.worker;
-        w.sign.set(now);
         alloc.free(wu.slots);
         self.peers.changed(&alloc.worker, self.shares);
         if let (Report { free_slots: Some(free) }, _) = w.report.get() {
@@ -514,6 +516,7 @@
             *usual += (ran - *usual) * SLOWLY;
             alloc.worker.heard.borrow_mut()[wu.project_type].learn(ran, 1.0 - 1.0 / MEMORY);
             alloc.worker.pace.borrow_mut().learn(ran / *usual, 1.0 - SLOWLY);
+            alloc.worker.heard_at.set(now);
         }
         if ended {
             self.close(door, &wu);
@@ -584,7 +587,7 @@
                 Due::Round => self.looking = false,
                 Due::Tell => {
                     self.telling = false;
-                    door.tell(&self.fleet.peers.word(now).write());
+                    self.fleet.peers.word(now).iter().for_each(|word| door.tell(&word.write()));
                 }
             }
         }
@@ -652,7 +655,7 @@
             let mut room = self.fleet.room(now, w, mean_run);
             if self.fleet.shares {
                 // All see the same: the emptiest and fastest worker would get the work of all.
-                room = room.min(1.0) * (0.5 + self.chance.draw());
+                room = room.min(1.0) * (1.0 + SPREAD * (2.0 * self.chance.draw() - 1.0));
             }
             room *= if w.line.zone == self.fleet.zone { 1.0 } else { self.fleet.far };
             if room > 0.0 && (open || self.fleet.cold.is_cold(now, &w.line)) {
@@ -703,12 +706,11 @@
             let takes = w.heard.borrow()[i / 2].or(usual, PRIOR).max(f64::MIN_POSITIVE);
             let pressure = self.buffers.alpha(i) * queue.len() as f64 / takes;
             let unfit = !w.line.runs.has(i / 2) || t.kind.is_some_and(|k| k != w.line.kind);
-            // No work goes where its start, the pace heard there or the silence of what runs make it late.
+            // No work goes where its start or the pace heard there, which fades, make it late.
             let run = self.buffers.running[i / 2];
             let bears = t.promised_turnaround + (t.stretch - 1.0).max(0.0) * run / 2.0;
-            let fade = 1.0 + (now - w.sign.get()) / (4.0 * mean_run);
-            let silent = if w.running.get() > 0.0 { now - w.sign.get() - run } else { 0.0 };
-            let outlasts = delay + silent.max((takes - run) / fade).max(0.0) > bears;
+            let fade = 1.0 + (now - w.heard_at.get()) / mean_run;
+            let outlasts = delay + ((takes - run) / fade).max(0.0) > bears;
             let Standing { suspect, next_trial, started, .. } = standing[i / 2];
             let exclusive = t.effect == Effect::Exclusive;
             // Exclusive work keeps from where others fail; after a loss it goes to where some has started.
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -228,14 +228,14 @@
     /// Smoothed time from sending to starting, and when it was last heard.
     pub(crate) delay: Cell<(f64, f64)>,
     pub(crate) standing: RefCell<Vec<Standing>>,
-    /// When work of ours last started or ended there.
-    pub(crate) sign: Cell<f64>,
+    /// When its pace was last heard.
+    pub(crate) heard_at: Cell<f64>,
     /// It was sent something, or others told of it.
     pub(crate) met: Cell<bool>,
     /// The most slots seen there at once, ours that ran or those that it told were free.
     pub(crate) lanes: Cell<f64>,
-    /// The other schedulers' slots there as each last told, and the sum; whether ours there are yet to be told.
-    pub(crate) theirs: RefCell<Vec<u8>>,
+    /// The other schedulers' slots there as each last told, and when; the sum; whether ours are yet to be told.
+    pub(crate) theirs: RefCell<Vec<(u8, f64)>>,
     pub(crate) others: Cell<f64>,
     pub(crate) noted: Cell<bool>,
     /// Budget for a cold worker, and when it was last topped up.
@@ -397,7 +397,7 @@
             pace: RefCell::default(),
             delay: Cell::new((0.0, 0.0)),
             standing: RefCell::new(vec![Standing::default(); types]),
-            sign: Cell::new(0.0),
+            heard_at: Cell::new(0.0),
             others: Cell::new(0.0),
             lanes: Cell::new(0.0),
             met: Cell::new(false),
@@ -446,12 +446,19 @@
     }
 
     /// Another scheduler holds so many slots there.
-    pub(crate) fn hear(&self, from: usize, slots: u8) {
+    pub(crate) fn hear(&self, now: f64, from: usize, slots: u8) {
         let mut theirs = self.theirs.borrow_mut();
         let most = theirs.len().max(from + 1);
-        theirs.resize(most, 0);
-        let had = std::mem::replace(&mut theirs[from], slots);
-        self.others.set(self.others.get() + f64::from(slots) - f64::from(had));
+        theirs.resize(most, (0, now));
+        theirs[from] = (slots, now);
+        self.others.set(theirs.iter().map(|(slots, _)| f64::from(*slots)).sum());
+    }
+
+    /// What was told before that moment holds no more.
+    pub(crate) fn void(&self, before: f64) {
+        let mut theirs = self.theirs.borrow_mut();
+        theirs.iter_mut().filter(|(_, at)| *at < before).for_each(|(slots, _)| *slots = 0);
+        self.others.set(theirs.iter().map(|(slots, _)| f64::from(*slots)).sum());
     }
 
     /// What the others are told that we hold there.
@@ -464,7 +471,6 @@
     pub(crate) fn heard_start(&self, now: f64, delay: f64) {
         let (old, _) = self.delay.get();
         self.delay.set((old + (delay - old) / 2.0, now));
-        self.sign.set(now);
     }
 
     /// For the log, that it is a suspect from now on, or was one.
