A change of the list costs what it did: lanes are looked up once a list, a key is struck by itself

cargo bench -p mintlb, one in a hundred of 10,000 workers started anew: 2.4 ms before the move, 18.8 ms after it, as each struck worker had all others looked through twice (lanes in `listed`, keys in `Roll::strike`).

--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -220,9 +220,6 @@
                 return w.listed.set(line.listed);
             }
             self.workers.strike(&w);
-            // What was seen of its room may not hold for those that are left.
-            self.lanes = self.workers.all().map(|w| w.lanes.get()).fold(LANES, f64::max);
-            self.told = self.workers.all().any(|w| w.report.get().1 > 0.0);
         }
         if line.listed != Listed::Gone {
             let allowance = self.workers.allowance().or(self.lanes, f64::MIN_POSITIVE);
@@ -464,6 +461,9 @@
             let debt = self.chance.draw() * self.buffers.mean_run();
             self.fleet.listed(now, line, self.buffers.types.len(), debt, matches!(news, News::Inherited(_)));
         }
+        // What was seen of the room of those that are gone may not hold for those that are left.
+        self.fleet.lanes = self.fleet.workers.all().map(|w| w.lanes.get()).fold(LANES, f64::max);
+        self.fleet.told = self.fleet.workers.all().any(|w| w.report.get().1 > 0.0);
         if self.fleet.workers.ready().next().is_none() {
             door.log("the list has no ready worker: work is deferred once its patience is out");
         }
--- a/crates/mintlb/src/roll.rs
+++ b/crates/mintlb/src/roll.rs
@@ -57,7 +57,9 @@
         worker.listed.set(Listed::Gone);
         self.workers.remove(&worker.line.id);
         // Two may share a key; the other's stays.
-        self.keyed.retain(|_, keyed| !Rc::ptr_eq(keyed, worker));
+        if self.keyed(worker.line.key()).is_some_and(|keyed| Rc::ptr_eq(keyed, worker)) {
+            self.keyed.remove(&worker.line.key());
+        }
         self.met.retain(|met| !Rc::ptr_eq(met, worker));
         self.unmet.entry(worker.kin()).or_default().retain(|unmet| !Rc::ptr_eq(unmet, worker));
     }
