Limits of the whole fleet: equal parts of a rate, looked at in the press, paid at the byte

The first thin piece of fleet-wide budgets, off without [fleet]: no socket, timer or memory.

An unpaid one provably never ran (its last byte was not written) and is Moot. A write that the system did not take gives back what was paid.

Subsystems are joined in one place (mintlb-node/src/join.rs); the loop says its words to all of them (Subsystem), and beanstalkd uses it, too.

--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -4,12 +4,13 @@
 use crate::hub::{Deed, Hub};
 use crate::machines::Place;
 use bytes::BytesMut;
-use mintlb::{Effect, ProjectType, Runs};
+use mintlb::{Effect, Outcome, ProjectType, Runs};
 use mintlb_core::clock::Clock;
 use mintlb_core::members::{Member, Source, Told};
 use mintlb_core::reducer::Event;
 use mintlb_core::room::Held;
-use mintlb_core::work::{AllocId, Answer, Arrival, Order, Payload, Reach, Recall, Settle};
+use mintlb_core::subsystem::Subsystem;
+use mintlb_core::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Recall, Settle};
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
 use slog::{Logger, debug, info, warn};
@@ -320,40 +321,45 @@
             }
         }
     }
+}
+
+/// The front, as the program's loop speaks to it.
+pub struct Joint(pub Arc<Front>);
 
+impl Subsystem for Joint {
     /// What the list tells of machines: they are known by the addresses of its workers.
-    pub fn hear(self: &Arc<Front>, told: &Told) {
+    fn hear(&self, told: &Told) {
         let places = told.members.iter().filter_map(|member| {
             let line = &member.line;
             let (zone, cell, kind, listed, came_up) =
                 (line.zone, line.cell, line.kind, line.listed, line.came_up);
             Some((member.host?, Place { zone, cell, kind, listed, came_up }))
         });
-        self.with(|hub, _| hub.hear(told.full, places));
+        self.0.with(|hub, _| hub.hear(told.full, places));
     }
 
     /// From now on no job is taken.
-    pub fn stop(self: &Arc<Front>) {
-        self.with(|hub, now| hub.stop(now));
+    fn stop(&self) {
+        self.0.with(|hub, now| hub.stop(now));
     }
 
     /// Whether producers are to go elsewhere; what is here already runs on.
-    pub fn leave(self: &Arc<Front>, leaving: bool) {
-        self.with(|hub, _| hub.leaving = leaving);
+    fn leave(&self, leaving: bool) {
+        self.0.with(|hub, _| hub.leaving = leaving);
     }
 
     /// Nothing waits to be written.
-    pub fn is_quiet(&self) -> bool {
-        self.inside.lock().hub.is_quiet()
+    fn is_quiet(&self) -> bool {
+        self.0.inside.lock().hub.is_quiet()
     }
 
     /// One line of counts, where there is something to count.
-    pub fn count(&self) {
-        let mut inside = self.inside.lock();
+    fn count(&self) {
+        let mut inside = self.0.inside.lock();
         let refused = std::mem::take(&mut inside.hub.totals.refused);
         let (connected, machines) = (inside.bells.len(), inside.hub.groups());
         if connected > 0 || refused > 0 {
-            info!(self.log, "beanstalkd"; "puts refused" => refused, "groups of workers" => machines,
+            info!(self.0.log, "beanstalkd"; "puts refused" => refused, "groups of workers" => machines,
                 "connected" => connected);
         }
     }
@@ -395,6 +401,11 @@
 impl Reach for Way {
     fn send(&self, order: Order) -> Box<dyn Recall> {
         let alloc = order.alloc;
+        // A waiting reserve is answered in the same moment. Unpaid it does not go, and is known never to have run.
+        if order.slip.as_ref().is_some_and(|slip| !slip.pay()) {
+            self.front.tell.send(Event::Back(Back::with(alloc, Outcome::Moot))).ok();
+            return Box::new(());
+        }
         self.front.with(|hub, _| hub.order(self.machine, self.runs, self.generation, order));
         Box::new(Out { front: self.front.clone(), alloc })
     }
--- a/crates/mintlb-core/src/lib.rs
+++ b/crates/mintlb-core/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod members;
 pub mod reducer;
 pub mod room;
+pub mod spend;
 pub mod standing;
+pub mod subsystem;
 pub mod types;
 pub mod work;
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -5,6 +5,7 @@
 
 use crate::figures::Now;
 use crate::members::{Members, Source, Told};
+use crate::spend::{Purse, Spend};
 use crate::types::{Named, Types};
 use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
 use mintlb::decide::Scheduler;
@@ -90,6 +91,8 @@
     out: FxHashSet<AllocId>,
     members: Members,
     version: Option<u64>,
+    /// Limits of many schedulers together, where there are any.
+    purse: Option<Arc<dyn Purse>>,
 }
 
 /// The module's door onto the backs.
@@ -101,6 +104,7 @@
     held: &'a mut FxHashMap<u64, Held>,
     out: &'a mut FxHashSet<AllocId>,
     members: &'a Members,
+    purse: Option<&'a dyn Purse>,
     acts: Vec<Act>,
     /// Allocations whose outcome is known without a word from the worker.
     known: Vec<Back>,
@@ -120,18 +124,24 @@
 }
 
 impl Door for OpenDoor<'_> {
+    fn permits(&self, wu: &WorkUnit, _worker: &Worker) -> bool {
+        self.purse.is_none_or(|purse| purse.has(Spend { again: wu.is_again() }))
+    }
     fn allocate(&mut self, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade() else { return };
         let id = (wu.id, alloc.number);
         let full = self.out.len() >= self.most_out;
         self.out.insert(id);
+        let slip = self.purse.map(|purse| purse.slip(Spend { again: alloc.number > 0 }));
+        // What was permitted a moment ago may have lapsed.
+        let full = full || slip.as_ref().is_some_and(Option::is_none);
         match (self.members.reach(alloc.worker.line.id), self.held.get(&wu.id)) {
-            // Without a descriptor to spare it is not sent, and that is known at once.
+            // Without a descriptor or a budget to spare it is not sent, and that is known at once.
             (Some(_), Some(_)) if full => self.known.push(Back::with(id, Outcome::Moot)),
             (Some(to), Some(held)) => {
                 let (project_type, customer) = (wu.project_type, wu.customer);
                 let (payload, until) = (held.payload.clone(), wu.limit - self.margin);
-                let order = Order { alloc: id, project_type, customer, payload, until };
+                let order = Order { alloc: id, project_type, customer, payload, until, slip: slip.flatten() };
                 self.acts.push(Act::Send { to: to.clone(), order });
             }
             _ => self.known.push(Back::with(id, Outcome::NoConnection)),
@@ -169,7 +179,13 @@
 impl Reducer {
     pub fn new(scheduler: Scheduler, types: Types, most_out: usize, margin: f64) -> Reducer {
         let (held, ids, over, out, members) = Default::default();
-        Reducer { scheduler, types, most_out, margin, held, ids, over, out, members, version: None }
+        let (version, purse) = (None, None);
+        Reducer { scheduler, types, most_out, margin, held, ids, over, out, members, version, purse }
+    }
+
+    /// From now on allocations are sent within these limits, too.
+    pub fn take_purse(&mut self, purse: Arc<dyn Purse>) {
+        self.purse = Some(purse);
     }
 
     /// How many work units are held.
@@ -310,6 +326,7 @@
             held: &mut self.held,
             out: &mut self.out,
             members: &self.members,
+            purse: self.purse.as_deref(),
             acts,
             known: Vec::new(),
             touched: Vec::new(),
--- a/crates/mintlb-core/src/work.rs
+++ b/crates/mintlb-core/src/work.rs
@@ -1,5 +1,6 @@
 //! What passes between fronts, the reducer and backs, whatever protocol either of them speaks.
 
+use crate::spend::Slip;
 use bytes::Bytes;
 use mintlb::{Outcome, Report};
 use std::any::Any;
@@ -79,6 +80,8 @@
     pub customer: Option<usize>,
     pub payload: Payload,
     pub until: f64,
+    /// What it has to pay at the byte that makes it whole, where something limits it.
+    pub slip: Option<Arc<dyn Slip>>,
 }
 
 /// An allocation that has come back.
--- /dev/null
+++ b/crates/mintlb-fleet/src/lib.rs
@@ -0,0 +1,13 @@
+//! Limits of a whole fleet of schedulers, each of which holds a part.
+//!
+//! ```text
+//!   operator's file ──> table ──> division ──Part──> purse <──look, pay── the core
+//! ```
+//!
+//! `division` and `purse` are pure: a clock and inputs go in. `fleet` joins them to the socket and the clock. The
+//! promise, what it rests on and what it costs are in `docs/budgets.md`.
+
+pub mod division;
+pub mod fleet;
+pub mod purse;
+pub mod table;
--- a/crates/mintlb-http/src/dial.rs
+++ b/crates/mintlb-http/src/dial.rs
@@ -4,6 +4,8 @@
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
 use hyper_util::rt::TokioIo;
+use mintlb_core::spend::Slip;
+use parking_lot::Mutex;
 use std::error::Error;
 use std::fmt::{Display, Formatter};
 use std::future::Future;
@@ -19,16 +21,30 @@
 
 /// The bytes of a connection that the system took so far, and at how many of them a request will be whole.
 #[derive(Clone, Default)]
-pub struct Written(Arc<AtomicU64>, Arc<AtomicU64>);
+pub struct Written(Arc<AtomicU64>, Arc<AtomicU64>, Arc<Mutex<Option<Arc<dyn Slip>>>>);
 
 impl Written {
     pub fn so_far(&self) -> u64 {
         self.0.load(Relaxed)
     }
 
-    /// A request of so many bytes is written next.
-    pub fn expect(&self, length: u64) {
+    /// A request of so many bytes is written next, and its slip paid at the last of them.
+    pub fn expect(&self, length: u64, slip: Option<Arc<dyn Slip>>) {
         self.1.store(self.so_far() + length, Relaxed);
+        *self.2.lock() = slip;
+    }
+
+    /// Up to this many more bytes are about to be written: what has been paid for that.
+    fn pay(&self, bytes: usize) -> io::Result<Option<Arc<dyn Slip>>> {
+        let whole = self.1.load(Relaxed);
+        if whole == 0 || self.so_far() + (bytes as u64) < whole {
+            return Ok(None);
+        }
+        let slip = self.2.lock().clone();
+        match slip.as_ref().is_none_or(|slip| slip.pay()) {
+            true => Ok(slip),
+            false => Err(io::Error::other(Unpaid)),
+        }
     }
 
     /// So many more bytes were taken; whether they make a request whole.
@@ -38,6 +54,7 @@
         let makes_whole = whole > 0 && so_far >= whole;
         if makes_whole {
             self.1.store(0, Relaxed);
+            self.2.lock().take();
         }
         makes_whole
     }
@@ -57,18 +74,24 @@
 }
 
 impl Watched {
-    fn count(&self, written: Poll<io::Result<usize>>) -> Poll<io::Result<usize>> {
-        if let Poll::Ready(Ok(n)) = written {
-            self.sends.fetch_add(self.written.count(n as u64).into(), Relaxed);
-        }
+    fn count(
+        &self,
+        paid: Option<Arc<dyn Slip>>,
+        written: Poll<io::Result<usize>>,
+    ) -> Poll<io::Result<usize>> {
+        let makes_whole = matches!(written, Poll::Ready(Ok(n)) if self.written.count(n as u64));
+        self.sends.fetch_add(makes_whole.into(), Relaxed);
+        // The byte that was paid for has not gone: it may go at any time, and is paid for then.
+        paid.filter(|_| !makes_whole).iter().for_each(|slip| slip.back());
         written
     }
 }
 
 impl Write for Watched {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context, buf: &[u8]) -> Poll<io::Result<usize>> {
+        let paid = self.written.pay(buf.len())?;
         let written = Pin::new(&mut self.io).poll_write(cx, buf);
-        self.count(written)
+        self.count(paid, written)
     }
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context) -> Poll<io::Result<()>> {
         Pin::new(&mut self.io).poll_flush(cx)
@@ -84,8 +107,9 @@
         cx: &mut Context,
         bufs: &[io::IoSlice],
     ) -> Poll<io::Result<usize>> {
+        let paid = self.written.pay(bufs.iter().map(|buf| buf.len()).sum())?;
         let written = Pin::new(&mut self.io).poll_write_vectored(cx, bufs);
-        self.count(written)
+        self.count(paid, written)
     }
 }
 
@@ -107,6 +131,18 @@
 
 impl Error for NoRoom {}
 
+/// An allocation's last byte was held back, as what it would have spent was there no more.
+#[derive(Debug)]
+pub struct Unpaid;
+
+impl Display for Unpaid {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        f.write_str("its budget is spent or has lapsed")
+    }
+}
+
+impl Error for Unpaid {}
+
 /// Whether this scheduler's own system had nothing left for it.
 fn is_short(error: &(dyn Error + 'static)) -> bool {
     let code = error.downcast_ref::<io::Error>().and_then(io::Error::raw_os_error);
--- a/crates/mintlb-http/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -7,7 +7,7 @@
 //! dials, unless a new connection to that worker has been seen to be dear and kept ones to have lasted.
 
 use crate::causes::causes;
-use crate::dial::{Dialer, NoRoom, Written};
+use crate::dial::{Dialer, NoRoom, Unpaid, Written};
 use crate::last_byte::LastByte;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -23,6 +23,7 @@
 use mintlb::{Outcome, Report};
 use mintlb_core::clock::Clock;
 use mintlb_core::reducer::Event;
+use mintlb_core::spend::Slip;
 use mintlb_core::work::{Back, Order, Reach, Recall};
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -33,6 +34,7 @@
 use std::error::Error;
 use std::fmt::{Display, Formatter};
 use std::future::{Future, poll_fn};
+use std::io;
 use std::net::SocketAddr;
 use std::pin::pin;
 use std::sync::Arc;
@@ -206,7 +208,7 @@
         };
         let Some(head) = worded else { return (back, None) };
         let Ok(request) = onward(to, &head, &order.payload.body, left, wait) else { return (back, None) };
-        let answer = match self.send(to, request).await {
+        let answer = match self.send(to, request, order.slip.clone()).await {
             Ok(answer) => answer,
             Err(outcome) => return (Back { outcome, ..back }, None),
         };
@@ -251,6 +253,7 @@
         &self,
         to: SocketAddr,
         mut request: Request<LastByte>,
+        slip: Option<Arc<dyn Slip>>,
     ) -> Result<Response<Incoming>, Outcome> {
         let length = least_length(&request);
         let captured = capture_connection(&mut request);
@@ -270,7 +273,7 @@
                     connected.get_extras(&mut extras);
                     let written: Written = extras.remove()?;
                     let before = written.so_far();
-                    written.expect(length);
+                    written.expect(length, slip.clone());
                     Some((written, before))
                 });
             }
@@ -319,7 +322,8 @@
 
 /// It was never sent, and not for any fault of the worker's.
 fn short(error: &(dyn Error + 'static)) -> bool {
-    error.is::<NoRoom>() || error.source().is_some_and(short)
+    let unpaid = error.downcast_ref::<io::Error>().and_then(io::Error::get_ref);
+    error.is::<NoRoom>() || unpaid.is_some_and(|e| e.is::<Unpaid>()) || error.source().is_some_and(short)
 }
 
 /// The client's request as it goes on: all as it came, but for what belongs to the connection and the time.
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -22,7 +22,7 @@
     let head = axum::http::Request::post("/charge/7?x=1").header("request-id", "a1").body(()).unwrap();
     let own = Arc::new(head.into_parts().0);
     let payload = Payload { body: vec![b'x'; body].into(), once: true, own };
-    Order { alloc: (1, n), project_type: 0, customer: None, payload, until }
+    Order { alloc: (1, n), project_type: 0, customer: None, payload, until, slip: None }
 }
 
 /// Reads a request, its head and body; `None` if the connection ends before.
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -159,7 +159,7 @@
                  project types: {types}\nworkers known: {workers}\n{:#?}\n",
                 plan.grants
             ))?;
-            plan.beanstalkd.as_ref().map_or(Ok(()), |plan| print(format_args!("{plan:#?}\n")))
+            print(format_args!("{}", plan.plans))
         }
         Verb::Count(Count { logs }) => {
             let mut counts = Counts::default();
--- /dev/null
+++ b/crates/mintlb-node/src/join.rs
@@ -0,0 +1,106 @@
+//! The one place where subsystems are joined to the program: each by its table of the operator's file. One whose table
+//! is missing costs nothing.
+
+use crate::grants::Grants;
+use crate::operator::Operator;
+use mintlb::ProjectType;
+use mintlb_beanstalkd::front::{Bounds, Front as Beanstalkd, Joint};
+use mintlb_beanstalkd::hub::Hub;
+use mintlb_beanstalkd::table::Plan as BeanstalkdPlan;
+use mintlb_core::clock::Clock;
+use mintlb_core::members::Told;
+use mintlb_core::reducer::Event;
+use mintlb_core::room::Room;
+use mintlb_core::spend::Purse;
+use mintlb_core::subsystem::Subsystem;
+use mintlb_core::work::Numbers;
+use mintlb_fleet::fleet::Fleet;
+use mintlb_fleet::table::Plan as FleetPlan;
+use slog::{Logger, info};
+use std::fmt::{Display, Formatter};
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::UnboundedSender;
+
+/// The operator's tables, found good beside a scheduler's project types and customers.
+pub struct Plans {
+    pub beanstalkd: Option<BeanstalkdPlan>,
+    pub fleet: Option<FleetPlan>,
+}
+
+impl Plans {
+    pub fn new(
+        operator: &Operator,
+        name: &str,
+        types: &[String],
+        project_types: &[ProjectType],
+        customers: &[String],
+    ) -> Result<Plans, String> {
+        let Operator { beanstalkd, fleet } = operator.clone();
+        let beanstalkd = beanstalkd.map(|table| BeanstalkdPlan::new(table, types, project_types, customers));
+        let fleet = fleet.map(|table| FleetPlan::new(table, name));
+        Ok(Plans { beanstalkd: beanstalkd.transpose()?, fleet: fleet.transpose()? })
+    }
+}
+
+impl Display for Plans {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        self.beanstalkd.iter().try_for_each(|plan| writeln!(f, "{plan:#?}"))?;
+        self.fleet.iter().try_for_each(|plan| write!(f, "{plan}"))
+    }
+}
+
+/// What subsystems have in common with the rest of the program.
+pub struct Shared<'a> {
+    pub name: &'a str,
+    pub clock: Clock,
+    pub tell: &'a UnboundedSender<Event>,
+    pub numbers: &'a Numbers,
+    pub room: &'a Room,
+    pub sends: Arc<AtomicU64>,
+    pub project_types: &'a [ProjectType],
+    /// What the list last said, where that is known.
+    pub told: Option<&'a Told>,
+    pub log: &'a Logger,
+}
+
+/// What has been joined: who hears the loop's words, and what limits the decisions.
+pub struct Joined {
+    pub subsystems: Arc<[Box<dyn Subsystem>]>,
+    pub purse: Option<Arc<dyn Purse>>,
+}
+
+/// Starts all that is planned, or says what can't be.
+pub async fn join(plans: Plans, grants: &Grants, shared: &Shared<'_>) -> Result<Joined, String> {
+    let mut subsystems: Vec<Box<dyn Subsystem>> = Vec::new();
+    let mut purse: Option<Arc<dyn Purse>> = None;
+    if let Some(plan) = plans.beanstalkd {
+        subsystems.push(Box::new(beanstalkd(plan, grants, shared).await?));
+    }
+    if let Some(plan) = plans.fleet {
+        let fleet = Fleet::start(plan, shared.log.clone()).await?;
+        purse = Some(Arc::new(fleet.clone()));
+        subsystems.push(Box::new(fleet));
+    }
+    Ok(Joined { subsystems: subsystems.into(), purse })
+}
+
+async fn beanstalkd(plan: BeanstalkdPlan, grants: &Grants, shared: &Shared<'_>) -> Result<Joint, String> {
+    let listen = plan.table.listen;
+    let no = |e| format!("beanstalkd.listen: {listen}: {e}");
+    let listener = TcpListener::bind(listen).await.map_err(no)?;
+    let listen = listener.local_addr().map_err(no)?;
+    let (name, numbers, room) = (shared.name.to_string(), shared.numbers.clone(), shared.room.clone());
+    let mut hub = Hub::new(plan, name, shared.clock.now(), grants.http.body, numbers, room);
+    hub.sends = shared.sends.clone();
+    let (connections, read, pause) = (grants.sessions, grants.http.read, grants.http.dial / 16);
+    let bounds = Bounds { connections, read, pause };
+    let (tell, log) = (shared.tell.clone(), shared.log.clone());
+    let front = Joint(Beanstalkd::new(hub, shared.project_types, bounds, shared.clock, tell, log));
+    // Before anybody can connect: jobs go by what is known of machines.
+    shared.told.into_iter().for_each(|told| front.hear(told));
+    tokio::spawn(front.0.clone().listen(listener));
+    info!(shared.log, "beanstalkd is spoken"; "listen" => %listen);
+    Ok(front)
+}
--- a/crates/mintlb-node/src/lib.rs
+++ b/crates/mintlb-node/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod cli;
 pub mod count;
 pub mod grants;
+pub mod join;
 pub mod kin;
 pub mod log;
 pub mod operator;
--- a/crates/mintlb-node/src/operator.rs
+++ b/crates/mintlb-node/src/operator.rs
@@ -1,6 +1,7 @@
 //! The operator's own file: one TOML file, a table for each subsystem. What it does not name costs nothing.
 
 use mintlb_beanstalkd::table::Table;
+use mintlb_fleet::table::Table as FleetTable;
 use serde::Deserialize;
 use std::ops::Range;
 
@@ -8,6 +9,7 @@
 #[serde(deny_unknown_fields)]
 pub struct Operator {
     pub beanstalkd: Option<Table>,
+    pub fleet: Option<FleetTable>,
 }
 
 impl Operator {
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -2,6 +2,7 @@
 
 use crate::change::Change;
 use crate::grants::Grants;
+use crate::join::{Joined, Plans, Shared, join};
 use crate::kin::Kin;
 use crate::operator::Operator;
 use crate::placement::Placement;
@@ -9,14 +10,13 @@
 use mintlb::decide::Scheduler;
 use mintlb::settings::{Terms, Text};
 use mintlb::{ProjectType, Runs};
-use mintlb_beanstalkd::front::{Bounds, Front as Beanstalkd};
-use mintlb_beanstalkd::hub::Hub;
 use mintlb_core::clock::{Clock, seconds};
-use mintlb_core::figures::Figures;
+use mintlb_core::figures::{Figures, Now};
 use mintlb_core::hands::Hands;
 use mintlb_core::reducer::{Event, Reducer};
 use mintlb_core::room::Room;
 use mintlb_core::standing::{Standing, Word};
+use mintlb_core::subsystem::Subsystem;
 use mintlb_core::types::Types;
 use mintlb_core::work::Numbers;
 use mintlb_http::front::Front;
@@ -45,8 +45,8 @@
     /// The project types by name, and the customers' names, in the order of their numbers.
     pub types: Vec<(String, ProjectType)>,
     pub customers: Vec<String>,
-    /// Where beanstalkd is spoken.
-    pub beanstalkd: Option<mintlb_beanstalkd::table::Plan>,
+    /// What of the operator's file is to be joined.
+    pub plans: Plans,
 }
 
 impl Plan {
@@ -59,12 +59,8 @@
         let customers = (0..text.customers()?).map(|i| text.get(&format!("tenants.{i}.name")));
         let (names, project_types): (Vec<String>, Vec<ProjectType>) = types.iter().cloned().unzip();
         let customers: Vec<String> = customers.collect::<Result<_, _>>()?;
-        let beanstalkd = operator
-            .beanstalkd
-            .clone()
-            .map(|table| mintlb_beanstalkd::table::Plan::new(table, &names, &project_types, &customers));
-        let beanstalkd = beanstalkd.transpose()?;
-        Ok(Plan { placement, operator, grants, scheduler, terms, types, customers, beanstalkd, text })
+        let plans = Plans::new(&operator, &placement.name, &names, &project_types, &customers)?;
+        Ok(Plan { placement, operator, grants, scheduler, terms, types, customers, plans, text })
     }
 }
 
@@ -107,10 +103,14 @@
     }
 }
 
+/// The figures of all parts.
+fn page(figures: &Figures, subsystems: &[Box<dyn Subsystem>], now: Now) -> String {
+    subsystems.iter().fold(figures.page(now), |page, part| page + &part.figures())
+}
+
 /// Serves until it is told to stop, and then until all that was taken is answered.
 pub async fn serve(plan: Plan, log: Logger, mut told: UnboundedReceiver<Told>) -> Result<(), String> {
-    let Plan { mut placement, operator, text, mut grants, scheduler, types, customers, beanstalkd, .. } =
-        plan;
+    let Plan { mut placement, operator, text, mut grants, scheduler, types, customers, plans, .. } = plan;
     let listen = placement.listen;
     // A socket that is passed on is one that others of this name may listen on, too.
     let folder = std::env::var_os("TMPDIR").filter(|_| placement.passed.is_some()).map(PathBuf::from);
@@ -145,7 +145,7 @@
     let workers =
         Workers::new(&grants.http, clock, tell.clone(), &fields, worded, figures.sends(), log.clone());
     let own = |path| text.list(path).into_iter().map(str::to_string).collect();
-    let only = beanstalkd.as_ref().map_or(Runs::NONE, |plan| plan.only);
+    let only = plans.beanstalkd.as_ref().map_or(Runs::NONE, |plan| plan.only);
     let runs = Runs::default().without(only);
     let reading = Reading { zones: own("zones"), kinds: own("machine_types"), runs, workers };
     let mut record = folder.as_ref().map(|folder| Record::new(folder, &placement.name, placement.discovery));
@@ -153,33 +153,26 @@
     let known = record.as_ref().map_or(known.clone(), |record| record.newer(known));
     let told_first = known.as_ref().map(|known| (known.version, reading.told(known)));
     let project_types = text.project_types()?;
-    let beanstalkd = match beanstalkd {
-        Some(plan) => {
-            let listen = plan.table.listen;
-            let no = |e| format!("beanstalkd.listen: {listen}: {e}");
-            let listener = TcpListener::bind(listen).await.map_err(no)?;
-            let listen = listener.local_addr().map_err(no)?;
-            let name = placement.name.clone();
-            let mut hub = Hub::new(plan, name, clock.now(), grants.http.body, numbers.clone(), room.clone());
-            hub.sends = figures.sends();
-            let (connections, read, pause) = (grants.sessions, grants.http.read, grants.http.dial / 16);
-            let bounds = Bounds { connections, read, pause };
-            let front = Beanstalkd::new(hub, &project_types, bounds, clock, tell.clone(), log.clone());
-            told_first.iter().for_each(|(_, told)| front.hear(told));
-            tokio::spawn(front.clone().listen(listener));
-            info!(log, "beanstalkd is spoken"; "listen" => %listen);
-            Some(front)
-        }
-        None => None,
+    let shared = Shared {
+        name: &placement.name,
+        clock,
+        tell: &tell,
+        numbers: &numbers,
+        room: &room,
+        sends: figures.sends(),
+        project_types: &project_types,
+        told: told_first.as_ref().map(|(_, told)| told),
+        log: &log,
     };
+    let Joined { subsystems, purse } = join(plans, &grants, &shared).await?;
     if let Some((record, known)) = record.as_mut().zip(known.as_ref()) {
         record.hear(known).ok();
     }
-    let (record, besides) = (record.map(|record| Arc::new(Mutex::new(record))), beanstalkd.clone());
+    let (record, besides) = (record.map(|record| Arc::new(Mutex::new(record))), subsystems.clone());
     let kept = record.clone();
     let unwritten = log.clone();
     let besides: Besides = Arc::new(move |listing, told| {
-        besides.iter().for_each(|front| front.hear(told));
+        besides.iter().for_each(|part| part.hear(told));
         if let Some(Err(e)) = record.as_ref().map(|record| record.lock().hear(listing)) {
             warn!(unwritten, "the list can't be left for the next process"; "why" => %e);
         }
@@ -191,6 +184,7 @@
     let limits = grants.http.clone();
     let front = Front::new(customers, limits, shared, tell, log.clone());
     let mut reducer = Reducer::new(scheduler, Types::new(types), grants.out, grants.margin);
+    purse.into_iter().for_each(|purse| reducer.take_purse(purse));
     hands.take_types(reducer.types());
     front.take_types(reducer.types(), &figures);
 
@@ -226,7 +220,7 @@
             _ = tally.tick() => {
                 hands.count(reducer.held());
                 front.count();
-                beanstalkd.iter().for_each(|front| front.count());
+                subsystems.iter().for_each(|part| part.count());
                 None
             }
             Some(word) = told.recv() => match word {
@@ -275,17 +269,17 @@
                         info!(log, "another process of this name takes the clients");
                         listening.iter().for_each(AbortHandle::abort);
                     }
-                    beanstalkd.iter().for_each(|front| front.stop());
+                    subsystems.iter().for_each(|part| part.stop());
                     // The others must not count on this one from now on.
                     kin.iter_mut().for_each(Kin::leave);
                     None
                 }
             },
             Some((call, answer)) = asked.recv() => {
-                let reply = operate(call, &standing, clock.now(), || figures.page(reducer.now()));
+                let reply = operate(call, &standing, clock.now(), || page(&figures, &subsystems, reducer.now()));
                 if matches!(call, Call::Leave | Call::Join) {
                     let leaving = standing.lock().is_leaving();
-                    beanstalkd.iter().for_each(|front| front.leave(leaving));
+                    subsystems.iter().for_each(|part| part.leave(leaving));
                     info!(log, "an operator's call"; "answer" => ?reply, "call" => ?call);
                 }
                 answer.send(reply).ok();
@@ -310,7 +304,7 @@
         if stopped && since >= grants.late_arrivals && reducer.held() == 0 {
             // What was said must have gone out, and ends be told; but who takes nothing can't keep the program.
             let overdue = since >= grants.last_answer + grants.late_arrivals / 4;
-            let quiet = || beanstalkd.iter().all(|front| front.is_quiet());
+            let quiet = || subsystems.iter().all(|part| part.is_quiet());
             if !(overdue || front.connected() == 0 && quiet()) {
                 continue;
             }
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -675,7 +675,7 @@
     }
 
     fn offer(&mut self, door: &mut dyn Door, now: f64, w: &Rc<Worker>, proven: bool) -> bool {
-        let Some(wu) = self.pick(now, w, proven) else { return false };
+        let Some(wu) = self.pick(door, now, w, proven) else { return false };
         self.buffers.of(&wu).take_out(&wu);
         let i = wu.project_type;
         let alloc = Allocation::new(&wu, w, now);
@@ -691,10 +691,11 @@
     }
 
     /// The work unit of the runnable buffer with the highest alpha x rate x length for this worker.
-    fn pick(&self, now: f64, w: &Worker, proven: bool) -> Option<Rc<WorkUnit>> {
+    fn pick(&self, door: &dyn Door, now: f64, w: &Worker, proven: bool) -> Option<Rc<WorkUnit>> {
         let mean_run = self.buffers.mean_run();
         let free = if w.asks.get().is_some() { f64::MAX } else { self.fleet.room(now, w, mean_run).max(1.0) };
         let fits = |wu: &WorkUnit| self.fleet.held(w, mean_run) == 0.0 || wu.slots <= free;
+        let may = |wu: &WorkUnit| door.permits(wu, w);
         let standing = w.standing.borrow();
         let delay = self.fleet.delay_at(now, w, mean_run);
         let mut best: Option<(f64, &Rc<WorkUnit>)> = None;
@@ -721,7 +722,7 @@
             let first = suspect || proven != unproven;
             if first && !not_here && best.is_none_or(|b| pressure > b.0) {
                 let runnable = |wu: &&Rc<WorkUnit>| fits(wu) && self.repeats.pass(now, t.effect, wu, w);
-                best = queue.first(LOOK).find(runnable).map(|wu| (pressure, wu)).or(best);
+                best = queue.first(LOOK, may).find(runnable).map(|wu| (pressure, wu)).or(best);
             }
         }
         best.map(|b| b.1.clone())
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -269,8 +269,13 @@
         self.0.len()
     }
 
-    pub(crate) fn first(&self, most: usize) -> impl Iterator<Item = &Rc<WorkUnit>> {
-        self.0.iter().take(most)
+    /// The first ones of those that may be sent at all: what has to wait must not hide the others.
+    pub(crate) fn first(
+        &self,
+        most: usize,
+        may: impl Fn(&WorkUnit) -> bool,
+    ) -> impl Iterator<Item = &Rc<WorkUnit>> {
+        self.0.iter().filter(move |wu| may(wu)).take(most)
     }
 }
 
@@ -331,6 +336,11 @@
         self.allocs.borrow().get(number as usize).cloned()
     }
 
+    /// Whether it had an allocation before.
+    pub fn is_again(&self) -> bool {
+        !self.allocs.borrow().is_empty()
+    }
+
     /// Is an allocation of it out?
     pub(crate) fn is_out(&self) -> bool {
         self.allocs.borrow().iter().any(|a| a.outcome.get().is_none())
@@ -525,6 +535,10 @@
 
 /// All that the decisions can do.
 pub trait Door {
+    /// Whether limits that are not this scheduler's alone let the work unit have an allocation there now.
+    fn permits(&self, _wu: &WorkUnit, _worker: &Worker) -> bool {
+        true
+    }
     fn allocate(&mut self, alloc: &Allocation);
     fn recall(&mut self, alloc: &Allocation);
     /// A final answer: turned away, trying again is harmless.
