mintlb-rig: several real processes, faults between them, an audit of the wire that can fail

The audit judges from what the stand-ins saw: each window of a rate, and the four rules for every work unit.

The four rules hold in both.

--- /dev/null
+++ b/crates/mintlb-node/tests/fleet.rs
@@ -0,0 +1,36 @@
+//! Several real processes and faults between them: plays of `rig/scenarios`, each with its audit.
+
+use mintlb_rig::audit::Verdict;
+use mintlb_rig::play::play;
+use mintlb_rig::scenario::Scenario;
+use std::path::Path;
+
+fn played(name: &str, seed: u64) -> (Verdict, String) {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let path = root.join("rig/scenarios").join(name).with_extension("toml");
+    let scenario = Scenario::read(path.to_str().unwrap()).unwrap();
+    let folder = Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}-{seed}-{}", std::process::id()));
+    let program = Path::new(env!("CARGO_BIN_EXE_mintlb"));
+    let played = play(&scenario, seed, program, &folder, |_| {}).unwrap();
+    std::fs::remove_dir_all(folder).ok();
+    (played.verdict, played.story)
+}
+
+/// Each scenario, whether its audit is to hold, and the least of the whole that is used where that is wanted.
+#[test]
+fn plays() {
+    let cases = [
+        ("again-equal", true, 0.7),
+        // Planted: each process holds the whole, and only the audit can know.
+        ("again-alone", false, 1.5),
+    ];
+    for (name, holds, least_used) in cases {
+        let (verdict, story) = played(name, 1);
+        assert_eq!(verdict.holds(), holds, "{name}: {verdict:?}\n{story}");
+        assert!(verdict.used >= Some(least_used), "{name}: {verdict:?}");
+        // Whatever became of the budget, the four rules held.
+        let over = Verdict { over_budget: 0, ..verdict.clone() };
+        assert!(over.holds(), "{name}: {verdict:?}\n{story}");
+        assert_eq!(story.contains("budget again"), !holds, "{name}: {story}");
+    }
+}
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -119,7 +119,8 @@
         let plan = Plan::new(Placement::parse(base).unwrap(), operator).unwrap();
         let now = 1e9;
         let room = Room::new(jobs, 8 << 20);
-        let hub = Hub::new(plan.plans.beanstalkd.unwrap(), "w".into(), now, 1 << 16, Numbers::default(), room);
+        let hub =
+            Hub::new(plan.plans.beanstalkd.unwrap(), "w".into(), now, 1 << 16, Numbers::default(), room);
         let mut reducer = Reducer::new(plan.scheduler, Types::new(plan.types), 1 << 20, 0.002);
         reducer.start(now, None, false);
         let (out, words, peers, active, names, answers) = Default::default();
--- /dev/null
+++ b/crates/mintlb-rig/src/main.rs
@@ -0,0 +1,3 @@
+fn main() -> std::process::ExitCode {
+    mintlb_rig::cli::main()
+}
