The division: one divider by a majority's lease, parts by leases counted from the question; a model

Pure machines: keepers vote without writing anything down and abstain after a start (vote.rs, after PaxosLease), the divider's ledger counts the most that each life of each member may believe (ledger.rs), a member holds what it was answered, counted from when it asked (holder.rs), node.rs joins them. The model plays 3 to 12 members in virtual time, clocks 1% apart, words lost, doubled and late by up to four leases, kills, stops, cuts also in one direction.

The program holds equal parts still: this is not joined yet.

--- a/crates/mintlb-fleet/src/lib.rs
+++ b/crates/mintlb-fleet/src/lib.rs
@@ -9,5 +9,12 @@
 
 pub mod division;
 pub mod fleet;
+pub mod holder;
+pub mod lease;
+pub mod ledger;
+pub mod node;
 pub mod purse;
+pub mod slip;
 pub mod table;
+pub mod vote;
+pub mod word;
