Parts that follow the demand in the program: words over UDP, purses filled by leases; relays in the rig

fleet.rs joins the division to a socket (BOOTTIME clock, bounded datagrams, addresses from [fleet] alone) and the purses to what the node holds; at the end it says so, and its part is free at once. The rig relays words between every two processes: loss, delay, doubling, words passing one another, late and old ones, cuts in one direction or both.

--- a/crates/mintlb-core/src/subsystem.rs
+++ b/crates/mintlb-core/src/subsystem.rs
@@ -10,6 +10,8 @@
     fn leave(&self, _leaving: bool) {}
     /// The program is to end.
     fn stop(&self) {}
+    /// The program ends now: the last word that it may say.
+    fn end(&self) {}
     /// Nothing of it waits to be written.
     fn is_quiet(&self) -> bool {
         true
--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -1,18 +1,27 @@
-//! The purses behind the core's door, with the clock that they are read by and the address that is bound for them.
+//! The purses behind the core's door, and the task that has words with the other members: the socket and the clock.
 
+use crate::demand::Demand;
+use crate::division::Part;
+use crate::lease::Lease;
+use crate::ledger;
+use crate::members::{Dropped, Members};
+use crate::node::{Node, Out};
 use crate::purse::Purse;
-use crate::table::{Limits, Plan};
+use crate::table::{Division, Limits, Plan};
+use crate::word::{Id, LONGEST, Letter, ONE, id, of};
 use mintlb_core::spend::{Purse as Door, Slip, Spend};
 use mintlb_core::subsystem::Subsystem;
 use nix::time::ClockId;
 use parking_lot::Mutex;
-use slog::{Logger, info};
-use std::fmt::Write;
+use slog::{Logger, info, warn};
+use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::net::UdpSocket;
+use tokio::time::sleep;
 
 /// Seconds of a clock that no one sets and that goes on while the machine sleeps: what lapsed meanwhile must be known
-/// to have lapsed.
+/// to have lapsed. Where it can't be read, all has lapsed.
 fn now() -> f64 {
     let time = ClockId::CLOCK_BOOTTIME.now();
     time.map_or(f64::INFINITY, |time| time.tv_sec() as f64 + time.tv_nsec() as f64 / 1e9)
@@ -20,15 +29,36 @@
 
 struct Budget {
     name: String,
+    /// Another limit under an old name is another budget.
+    key: u64,
     limits: Limits,
-    rate: f64,
+    whole: ledger::Budget,
     purse: Mutex<Purse>,
 }
 
+/// What the words are about.
+struct Talk {
+    node: Node,
+    members: Members,
+    demands: Vec<Demand>,
+    wants: Vec<(u64, u32)>,
+    /// Since when nothing is held, if so.
+    alone: Option<f64>,
+    dropped: BTreeMap<Dropped, u64>,
+    sent: u64,
+    heard: u64,
+}
+
 struct Shared {
+    name: u64,
+    me: Id,
+    life: u64,
     budgets: Vec<Budget>,
     /// Held for as long as the process lives: no other may hold the parts of this name meanwhile.
-    _bound: UdpSocket,
+    socket: UdpSocket,
+    /// Where parts move.
+    talk: Option<Mutex<Talk>>,
+    log: Logger,
 }
 
 /// This scheduler's place in the fleet.
@@ -36,19 +66,133 @@
 pub struct Fleet(Arc<Shared>);
 
 impl Fleet {
-    /// Binds its address, and holds its parts from then on.
-    pub async fn start(plan: Plan, log: Logger) -> Result<Fleet, String> {
-        let (name, at) = (&plan.name, plan.at);
-        let bound = UdpSocket::bind(at).await.map_err(|e| format!("fleet.members.{name}: {at}: {e}"))?;
-        let budgets = plan.parts().map(|(whole, part)| {
-            let mut purse = Purse::new(plan.table.drift);
-            purse.take(now(), part);
-            let name = whole.name.clone();
-            Budget { name, limits: whole.limits, rate: whole.rate, purse: Mutex::new(purse) }
+    /// Binds its address, and holds its parts from then on or as it is given them.
+    pub async fn start(plan: Plan, seed: u64, log: Logger) -> Result<Fleet, String> {
+        let (name, at, table) = (&plan.name, plan.at, &plan.table);
+        let socket = UdpSocket::bind(at).await.map_err(|e| format!("fleet.members.{name}: {at}: {e}"))?;
+        let budgets = table.budgets.iter().map(|whole| {
+            let mut purse = Purse::new(table.drift);
+            purse.take(now(), plan.unmoved(whole));
+            let (name, key) = (whole.name.clone(), id(&format!("{}/{:?}", whole.name, whole.limits)));
+            let whole_amount = Node::whole(whole.rate, whole.burst);
+            let amount = ledger::Budget { key, whole: whole_amount };
+            Budget { name, key, limits: whole.limits, whole: amount, purse: Mutex::new(purse) }
+        });
+        let budgets: Vec<Budget> = budgets.collect();
+        let (me, fleet) = (id(name), id(&table.name));
+        // No two lives of a member are alike, whether or not their seeds are.
+        let life = seed ^ now().to_bits().rotate_left(32) ^ u64::from(std::process::id());
+        let talk = (table.division == Division::Leases).then(|| {
+            let lease = Lease { seconds: table.lease, drift: table.drift };
+            let members: BTreeMap<Id, _> = table.members.iter().map(|(name, at)| (id(name), *at)).collect();
+            let keepers = table.keepers.iter().map(|name| id(name)).collect();
+            let wholes = budgets.iter().map(|budget| budget.whole).collect();
+            let all = members.keys().copied().collect();
+            let node = Node::new(now(), (me, life), lease, wholes, all, keepers, seed);
+            Mutex::new(Talk {
+                node,
+                members: Members::new(fleet, me, members),
+                demands: budgets.iter().map(|_| Demand::default()).collect(),
+                wants: Vec::new(),
+                alone: Some(now()),
+                dropped: BTreeMap::new(),
+                sent: 0,
+                heard: 0,
+            })
+        });
+        let moves = talk.is_some();
+        info!(log, "fleet: joined"; "parts move" => moves, "members" => table.members.len(), "at" => %at);
+        let fleet = Fleet(Arc::new(Shared { name: fleet, me, life, budgets, socket, talk, log }));
+        if moves {
+            tokio::spawn(fleet.clone().talk());
+        }
+        Ok(fleet)
+    }
+
+    /// Has words with the others for as long as the program runs.
+    async fn talk(self) {
+        let Some(talk) = &self.0.talk else { return };
+        let mut bytes = [0; LONGEST + 1];
+        loop {
+            let wait = Duration::from_secs_f64((talk.lock().node.due() - now()).clamp(0.0, 60.0));
+            let read = tokio::select! {
+                biased;
+                () = sleep(wait) => None,
+                read = self.0.socket.recv_from(&mut bytes) => Some(read),
+            };
+            let mut talk = talk.lock();
+            let mut out = Out::new();
+            match read {
+                Some(Ok((n, from))) => match talk.members.read(from, &bytes[..n]) {
+                    Ok(letter) => {
+                        talk.heard += 1;
+                        talk.node.hear(now(), (letter.from, letter.life), letter.word, &mut out);
+                    }
+                    Err(why) => *talk.dropped.entry(why).or_default() += 1,
+                },
+                // A word that could not be delivered is lost, like any.
+                Some(Err(_)) => {}
+                None => {
+                    let now = now();
+                    if talk.node.asks(now) {
+                        talk.wants = self.wants(now, &mut talk.demands);
+                    }
+                    let wants = std::mem::take(&mut talk.wants);
+                    talk.node.tick(now, &wants, &mut out);
+                    talk.wants = wants;
+                }
+            }
+            self.post(&mut talk, out);
+            self.hold(&mut talk);
+        }
+    }
+
+    fn wants(&self, now: f64, demands: &mut [Demand]) -> Vec<(u64, u32)> {
+        let each = self.0.budgets.iter().zip(demands);
+        let want = each.map(|(budget, demand)| {
+            let purse = budget.purse.lock();
+            let want = demand.look(now, purse.spent, purse.refused, budget.whole.whole.flow);
+            (budget.key, want)
         });
-        let budgets = budgets.collect();
-        info!(log, "fleet: equal parts are held"; "members" => plan.table.members.len(), "at" => %at);
-        Ok(Fleet(Arc::new(Shared { budgets, _bound: bound })))
+        want.collect()
+    }
+
+    fn post(&self, talk: &mut Talk, out: Out) {
+        for (to, word) in out {
+            let letter = Letter { fleet: self.0.name, from: self.0.me, life: self.0.life, to, word };
+            let sent = letter.write().zip(talk.members.at(to)).map(|(bytes, at)| {
+                // A full buffer loses the word, as the way may.
+                self.0.socket.try_send_to(&bytes, at).is_ok()
+            });
+            talk.sent += u64::from(sent == Some(true));
+        }
+    }
+
+    /// The purses hold what the node does.
+    fn hold(&self, talk: &mut Talk) {
+        let now = now();
+        let (parts, until) = talk.node.parts(now);
+        for budget in &self.0.budgets {
+            let amount = of(parts, budget.key);
+            let value = |thousandths: u32| f64::from(thousandths) / f64::from(ONE);
+            let part = Part { rate: value(amount.flow), burst: value(amount.stock), until };
+            let mut purse = budget.purse.lock();
+            if purse.part() != part {
+                purse.take(now, part);
+            }
+        }
+        let (term, holds) = (talk.node.term(), !parts.is_empty());
+        match (holds, talk.alone) {
+            (true, Some(since)) => {
+                talk.alone = None;
+                info!(self.0.log, "fleet: parts are held"; "term" => term.number, "after" => now - since);
+            }
+            (false, None) => {
+                talk.alone = Some(now);
+                warn!(self.0.log, "fleet: parts have lapsed, nothing of a budget is spent"; "term" => term.number);
+            }
+            _ => {}
+        }
     }
 
     /// The budgets that it would spend of.
@@ -120,20 +264,38 @@
 }
 
 impl Subsystem for Fleet {
+    fn end(&self) {
+        let Some(mut talk) = self.0.talk.as_ref().map(Mutex::lock) else { return };
+        let mut out = Out::new();
+        talk.node.leave(now(), &mut out);
+        self.post(&mut talk, out);
+        self.hold(&mut talk);
+    }
+
     fn figures(&self) -> String {
         let mut page = String::new();
+        let mut line = |name: &str, value: f64| page += &format!("edge_router.fleet.{name}={value}\n");
         for budget in &self.0.budgets {
-            let purse = budget.purse.lock();
-            let (name, part) = (&budget.name, purse.part());
+            let mut purse = budget.purse.lock();
+            purse.look(now());
+            let part = purse.part();
             for (figure, value) in [
-                ("whole", budget.rate),
+                ("whole", f64::from(budget.whole.whole.flow) / f64::from(ONE)),
                 ("part", part.rate),
                 ("spent", purse.spent as f64),
                 ("refused", purse.refused as f64),
             ] {
-                writeln!(page, "edge_router.fleet.{name}.{figure}={value}").ok();
+                line(&format!("{}.{figure}", budget.name), value);
             }
         }
+        if let Some(talk) = self.0.talk.as_ref().map(Mutex::lock) {
+            let now = now();
+            line("alone_s", talk.alone.map_or(0.0, |since| now - since));
+            line("divides", f64::from(u8::from(talk.node.divides(now))));
+            line("words_sent", talk.sent as f64);
+            line("words_heard", talk.heard as f64);
+            line("words_dropped", talk.dropped.values().sum::<u64>() as f64);
+        }
         page
     }
 }
--- a/crates/mintlb-fleet/src/node.rs
+++ b/crates/mintlb-fleet/src/node.rs
@@ -103,6 +103,11 @@
         self.asks.min(self.renews)
     }
 
+    /// Whether the next tick asks for parts, so that what is wanted is to be known.
+    pub fn asks(&self, now: f64) -> bool {
+        now >= self.asks
+    }
+
     /// What time brings. `wants` tells of each budget how much would be spent.
     pub fn tick(&mut self, now: f64, wants: &[(u64, u32)], out: &mut Out) {
         if self.left {
--- a/crates/mintlb-fleet/src/purse.rs
+++ b/crates/mintlb-fleet/src/purse.rs
@@ -37,6 +37,11 @@
         self.part
     }
 
+    /// Has what has lapsed be seen.
+    pub fn look(&mut self, now: f64) {
+        self.count(now);
+    }
+
     /// Counts what came since. A part that has lapsed is worth nothing, also if it is held again later: another may have
     /// had it meanwhile.
     fn count(&mut self, now: f64) {
--- a/crates/mintlb-fleet/src/word.rs
+++ b/crates/mintlb-fleet/src/word.rs
@@ -56,7 +56,7 @@
 /// Amounts by budget.
 pub type Amounts = Vec<(u64, Amount)>;
 
-pub fn of(amounts: &Amounts, key: u64) -> Amount {
+pub fn of(amounts: &[(u64, Amount)], key: u64) -> Amount {
     amounts.iter().find(|(known, _)| *known == key).map_or(Amount::NONE, |(_, amount)| *amount)
 }
 
--- a/crates/mintlb-fleet/tests/model.rs
+++ b/crates/mintlb-fleet/tests/model.rs
@@ -216,7 +216,7 @@
     fn sum(&self) -> Amount {
         self.members.iter().flatten().fold(Amount::NONE, |sum, m| {
             let (parts, _) = m.node.parts(m.clock.0 + m.clock.1 * self.now);
-            sum.plus(of(&parts.to_vec(), KEY))
+            sum.plus(of(parts, KEY))
         })
     }
 
@@ -364,7 +364,7 @@
         world.play(1.0);
         let m = world.members[at].as_ref().unwrap();
         let (parts, _) = m.node.parts(m.clock.0 + m.clock.1 * world.now);
-        let part = f64::from(of(&parts.to_vec(), KEY).flow) / f64::from(whole.flow);
+        let part = f64::from(of(parts, KEY).flow) / f64::from(whole.flow);
         assert!(part > 0.95, "{n}: {part} of the whole where all is wanted");
         assert!(world.worst <= 1.0);
     }
@@ -382,7 +382,7 @@
             for (i, m) in world.members.iter().enumerate() {
                 let m = m.as_ref().unwrap();
                 let (parts, _) = m.node.parts(m.clock.0 + m.clock.1 * world.now);
-                had[i] += f64::from(of(&parts.to_vec(), KEY).stock) / 1e3;
+                had[i] += f64::from(of(parts, KEY).stock) / 1e3;
             }
         }
         let (least, most) = had.iter().fold((f64::MAX, 0.0f64), |(a, b), x| (a.min(*x), b.max(*x)));
--- a/crates/mintlb-node/src/join.rs
+++ b/crates/mintlb-node/src/join.rs
@@ -54,6 +54,7 @@
 /// What subsystems have in common with the rest of the program.
 pub struct Shared<'a> {
     pub name: &'a str,
+    pub seed: u64,
     pub clock: Clock,
     pub tell: &'a UnboundedSender<Event>,
     pub numbers: &'a Numbers,
@@ -79,7 +80,7 @@
         subsystems.push(Box::new(beanstalkd(plan, grants, shared).await?));
     }
     if let Some(plan) = plans.fleet {
-        let fleet = Fleet::start(plan, shared.log.clone()).await?;
+        let fleet = Fleet::start(plan, shared.seed, shared.log.clone()).await?;
         purse = Some(Arc::new(fleet.clone()));
         subsystems.push(Box::new(fleet));
     }
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -155,6 +155,7 @@
     let project_types = text.project_types()?;
     let shared = Shared {
         name: &placement.name,
+        seed: placement.seed()?,
         clock,
         tell: &tell,
         numbers: &numbers,
@@ -310,6 +311,7 @@
             }
             hands.count(reducer.held());
             front.count();
+            subsystems.iter().for_each(|part| part.end());
             info!(log, "stopped"; "connected" => front.connected());
             return Ok(());
         }
--- a/crates/mintlb-rig/src/lib.rs
+++ b/crates/mintlb-rig/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod list;
 pub mod play;
 pub mod processes;
+pub mod relay;
 pub mod scenario;
 pub mod seen;
 pub mod workers;
--- a/crates/mintlb-rig/src/play.rs
+++ b/crates/mintlb-rig/src/play.rs
@@ -5,6 +5,7 @@
 use crate::clients::Clients;
 use crate::list::{List, State};
 use crate::processes::{Net, Processes};
+use crate::relay::Relays;
 use crate::scenario::{Deed, Scenario};
 use crate::seen::{Book, Seen};
 use crate::workers::Workers;
@@ -19,6 +20,8 @@
     pub verdict: Verdict,
     pub story: String,
     pub seen: Seen,
+    /// Words and bytes a second that each process sent.
+    pub words: Vec<(f64, f64)>,
 }
 
 /// The list tells of a worker that is gone, or back, this much later.
@@ -52,6 +55,10 @@
     let (tell, told) = channel();
     let workers = Workers::new(scenario, seed, at, book.clone()).map_err(io("workers"))?;
     let workers = std::thread::spawn(move || workers.play(told));
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
+    let runtime = runtime.map_err(io("runtime"))?;
+    let relays = Relays::start(scenario.processes, seed, scenario.words, &net);
+    let relays = runtime.block_on(relays).map_err(io("relays"))?;
     let mut processes = Processes::new(scenario, seed, program, folder, &net, book.clone());
     let first = scenario.started.unwrap_or(scenario.processes);
     (0..first).try_for_each(|process| processes.start(process))?;
@@ -60,8 +67,6 @@
     progress(&format!("{first} processes serve"));
 
     let clients = (0..scenario.processes).map(|p| net.process(p)).collect();
-    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build();
-    let runtime = runtime.map_err(io("runtime"))?;
     let clients = Clients::new(scenario, seed, clients, book.clone(), began);
     for (i, demand) in scenario.demand.iter().enumerate() {
         let chance = Chance::new(seed.wrapping_mul(31) + i as u64);
@@ -77,6 +82,7 @@
         while let Some(fault) = faults.next_if(|fault| fault.at <= now) {
             book.mark(fault.deed.shown());
             act(&fault.deed, now, &mut processes, &list, &mut listed)?;
+            relays.take(&fault.deed);
             tell.send(fault.deed).ok();
         }
         listed.retain(|(at, zone, state)| {
@@ -102,6 +108,8 @@
     // What was asked last is answered, or late.
     let longest = scenario.types.iter().map(|t| t.hard_limit).fold(0.0, f64::max);
     std::thread::sleep(Duration::from_secs_f64(longest + 0.3));
+    let counts = relays.counts();
+    let seconds = book.now() - began;
     let left = processes.end();
     drop(tell);
     workers.join().map_err(|_| "the workers ended early")?.map_err(io("workers"))?;
@@ -110,7 +118,8 @@
     seen.shift(began);
     let (mut verdict, story) = audit(scenario, seed, &seen);
     (verdict.processes_left, verdict.crashed) = (left, processes.crashed);
-    Ok(Played { verdict, story, seen })
+    let words = counts.iter().map(|(words, bytes)| (*words as f64 / seconds, *bytes as f64 / seconds));
+    Ok(Played { verdict, story, seen, words: words.collect() })
 }
 
 /// What of a fault is the processes' and the list's; the workers hear of all.
--- a/crates/mintlb-rig/src/processes.rs
+++ b/crates/mintlb-rig/src/processes.rs
@@ -55,6 +55,10 @@
     pub fn words(&self, process: usize) -> SocketAddr {
         self.at(10 + process, 7002)
     }
+    /// Where a process finds another, and from where that one's words come to it.
+    pub fn relay(&self, from: usize, to: usize) -> SocketAddr {
+        self.at(50 + from, 20_000 + to)
+    }
     /// Where it finds the list service, and a worker.
     pub fn list(&self, process: usize) -> SocketAddr {
         self.at(2, 8000 + process)
@@ -152,8 +156,20 @@
         let mut fleet = s.fleet.more.clone();
         let told = |other: &usize| s.fleet.division != Division::Alone || *other == process;
         let members = (0..s.processes).filter(told);
-        let members = members.map(|p| (name(p), toml::Value::from(self.net.words(p).to_string())));
+        let at = |other| match other == process {
+            true => self.net.words(process),
+            false => self.net.relay(process, other),
+        };
+        let members = members.map(|p| (name(p), toml::Value::from(at(p).to_string())));
         fleet.insert("members".into(), toml::Value::Table(members.collect()));
+        fleet.insert(
+            "division".into(),
+            if s.fleet.division == Division::Leases { "leases" } else { "equal" }.into(),
+        );
+        if s.fleet.division == Division::Leases {
+            let keepers = (0..s.fleet.keepers.min(s.processes)).map(|p| toml::Value::from(name(p)));
+            fleet.insert("keepers".into(), toml::Value::Array(keepers.collect()));
+        }
         let budgets = s.budgets.iter().map(|b| {
             let mut table = toml::Table::new();
             table.insert("name".into(), b.name.clone().into());
--- a/crates/mintlb-rig/src/scenario.rs
+++ b/crates/mintlb-rig/src/scenario.rs
@@ -17,6 +17,9 @@
     pub seed: u64,
     #[serde(default)]
     pub fleet: Fleet,
+    /// What the way of words between every two processes is like at the beginning.
+    #[serde(default)]
+    pub words: Words,
     #[serde(default)]
     pub rules: Rules,
     #[serde(default)]
@@ -28,11 +31,42 @@
     pub faults: Vec<Fault>,
 }
 
+fn keepers() -> usize {
+    3
+}
+
+/// The way of words in one direction. Shares are from 0 to 1, times in seconds.
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct Words {
+    pub delay: f64,
+    /// And up to so much more, for each word anew: words pass one another.
+    pub jitter: f64,
+    pub loss: f64,
+    pub doubled: f64,
+    /// This share is late by up to `late-by` beside.
+    pub late: f64,
+    pub late_by: f64,
+    /// With this share an old word of this way is played again.
+    pub old: f64,
+    pub cut: bool,
+}
+
+impl Default for Words {
+    fn default() -> Words {
+        let (jitter, loss, doubled, late, late_by, old) = Default::default();
+        Words { delay: 0.001, jitter, loss, doubled, late, late_by, old, cut: false }
+    }
+}
+
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Fleet {
     #[serde(default)]
     pub division: Division,
+    /// So many of the first processes may divide.
+    #[serde(default = "keepers")]
+    pub keepers: usize,
     /// More of the table `[fleet]`, as it stands in the operator's file.
     #[serde(default)]
     pub more: toml::Table,
@@ -44,6 +78,8 @@
 pub enum Division {
     #[default]
     Equal,
+    /// Parts that follow the demand.
+    Leases,
     /// Each is told of itself alone, and holds the whole: what a wrong file does, and what the audit must show.
     Alone,
 }
@@ -244,6 +280,18 @@
         who: Vec<usize>,
         zone: String,
     },
+    /// From now on the way of words from these processes to those is like that, `back` too if that is said. None named
+    /// is all of them.
+    Words {
+        #[serde(default)]
+        from: Vec<usize>,
+        #[serde(default)]
+        to: Vec<usize>,
+        #[serde(default)]
+        back: bool,
+        #[serde(default)]
+        words: Words,
+    },
 }
 
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
@@ -333,6 +381,12 @@
                     format!("processes are 0 to {}", self.processes - 1),
                 );
             }
+            if matches!(&fault.deed, Deed::Words { to, .. } if to.iter().any(|p| *p >= self.processes)) {
+                return wrong(
+                    format!("faults[{i}].to"),
+                    format!("processes are 0 to {}", self.processes - 1),
+                );
+            }
             if zone.is_some_and(|zone| !self.zones.iter().any(|z| z.name == zone)) {
                 return wrong(
                     format!("faults[{i}].zone"),
@@ -373,6 +427,7 @@
             | Deed::Down { zone }
             | Deed::Up { zone }
             | Deed::Drain { zone, .. } => (&[], Some(zone)),
+            Deed::Words { from, .. } => (from, None),
         }
     }
 
