Lives are ordered by their start: an old word could shut out a member's present life for good

Lives had no order, and a member that started again took a replayed word of another's earlier life for news, after which that one's present life passed for an earlier one: dropped for ever, also between keepers.

--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -16,7 +16,7 @@
 use slog::{Logger, info, warn};
 use std::collections::BTreeMap;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -27,6 +27,13 @@
     time.map_or(f64::INFINITY, |time| time.tv_sec() as f64 + time.tv_nsec() as f64 / 1e9)
 }
 
+/// Microseconds of Unix time, so that a later life has a greater number, and some chance, so that no two are alike also
+/// if the clock was set back.
+fn life(seed: u64) -> u64 {
+    let unix = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    (unix.as_micros() as u64) << 12 | seed & 0xfff
+}
+
 struct Budget {
     name: String,
     /// Another limit under an old name is another budget.
@@ -80,8 +87,7 @@
         });
         let budgets: Vec<Budget> = budgets.collect();
         let (me, fleet) = (id(name), id(&table.name));
-        // No two lives of a member are alike, whether or not their seeds are.
-        let life = seed ^ now().to_bits().rotate_left(32) ^ u64::from(std::process::id());
+        let life = life(seed);
         let talk = (table.division == Division::Leases).then(|| {
             let lease = Lease { seconds: table.lease, drift: table.drift };
             let members: BTreeMap<Id, _> = table.members.iter().map(|(name, at)| (id(name), *at)).collect();
@@ -91,7 +97,7 @@
             let node = Node::new(now(), (me, life), lease, wholes, all, keepers, seed);
             Mutex::new(Talk {
                 node,
-                members: Members::new(fleet, me, members),
+                members: Members::new(fleet, me, members, table.lease),
                 demands: budgets.iter().map(|_| Demand::default()).collect(),
                 wants: Vec::new(),
                 alone: Some(now()),
@@ -123,7 +129,7 @@
             let mut talk = talk.lock();
             let mut out = Out::new();
             match read {
-                Some(Ok((n, from))) => match talk.members.read(from, &bytes[..n]) {
+                Some(Ok((n, from))) => match talk.members.read(now(), from, &bytes[..n]) {
                     Ok(letter) => {
                         talk.heard += 1;
                         talk.node.hear(now(), (letter.from, letter.life), letter.word, &mut out);
--- a/crates/mintlb-fleet/src/members.rs
+++ b/crates/mintlb-fleet/src/members.rs
@@ -1,7 +1,7 @@
 //! Who speaks: which life of which member is the present one. Pure. What is dropped here costs use, never the promise.
 
 use crate::word::{Id, Letter};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 /// Why a datagram was dropped.
@@ -13,32 +13,34 @@
     Astray,
     /// Not from the address of who it says that it is from.
     Stranger,
-    /// Of a life that a later one has followed.
+    /// Of an earlier life than its present one.
     Earlier,
 }
 
-/// Earlier lives that are remembered of each.
-const LIVES: usize = 8;
+/// A member whose clock was set back before it started again is heard after so many leases of silence.
+const SILENCE: f64 = 4.0;
 
 pub struct Members {
     fleet: u64,
     me: Id,
     at: BTreeMap<Id, SocketAddr>,
-    /// The present life of each, the latest first, and the ones before it.
-    lives: BTreeMap<Id, VecDeque<u64>>,
+    silence: f64,
+    /// The latest life of each, and when it was last heard.
+    lives: BTreeMap<Id, (u64, f64)>,
 }
 
 impl Members {
-    pub fn new(fleet: u64, me: Id, at: BTreeMap<Id, SocketAddr>) -> Members {
-        Members { fleet, me, at, lives: BTreeMap::new() }
+    pub fn new(fleet: u64, me: Id, at: BTreeMap<Id, SocketAddr>, lease: f64) -> Members {
+        Members { fleet, me, at, silence: SILENCE * lease, lives: BTreeMap::new() }
     }
 
     pub fn at(&self, id: Id) -> Option<SocketAddr> {
         self.at.get(&id).copied()
     }
 
-    /// A datagram's letter, if it is to be heard.
-    pub fn read(&mut self, from: SocketAddr, bytes: &[u8]) -> Result<Letter, Dropped> {
+    /// A datagram's letter, if it is to be heard. Later lives have greater numbers, so that old words that come again can
+    /// never pass for those of a later life, and shut that out.
+    pub fn read(&mut self, now: f64, from: SocketAddr, bytes: &[u8]) -> Result<Letter, Dropped> {
         let letter = Letter::read(bytes).ok_or(Dropped::Unreadable)?;
         if letter.fleet != self.fleet || letter.to != self.me || letter.from == self.me {
             return Err(Dropped::Astray);
@@ -46,15 +48,11 @@
         if self.at(letter.from) != Some(from) {
             return Err(Dropped::Stranger);
         }
-        let lives = self.lives.entry(letter.from).or_default();
-        match lives.iter().position(|life| *life == letter.life) {
-            Some(0) => Ok(letter),
-            Some(_) => Err(Dropped::Earlier),
-            None => {
-                lives.push_front(letter.life);
-                lives.truncate(LIVES);
-                Ok(letter)
-            }
+        let (life, heard) = self.lives.entry(letter.from).or_insert((letter.life, now));
+        if letter.life < *life && now < *heard + self.silence {
+            return Err(Dropped::Earlier);
         }
+        (*life, *heard) = (letter.life, now);
+        Ok(letter)
     }
 }
--- a/crates/mintlb-rig/src/audit.rs
+++ b/crates/mintlb-rig/src/audit.rs
@@ -105,7 +105,7 @@
 }
 
 /// What of the traffic spends of a budget, in order.
-fn spends<'a>(seen: &'a Seen, budget: &Budget) -> Vec<&'a Sent> {
+pub fn spends<'a>(seen: &'a Seen, budget: &Budget) -> Vec<&'a Sent> {
     let mut before: HashMap<u64, usize> = HashMap::new();
     let spends = |sent: &&Sent| match budget.limits {
         Limits::Again => {
--- a/crates/mintlb-rig/src/cli.rs
+++ b/crates/mintlb-rig/src/cli.rs
@@ -72,6 +72,15 @@
         let marks = played.seen.marks.iter().map(|m| format!("{:.3} {}\n", m.at, m.what));
         let text: String = marks.chain([played.story.clone()]).collect();
         std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
+        let path = folder.join("spends.csv");
+        let spends = scenario.budgets.iter().flat_map(|budget| {
+            let all = crate::audit::spends(&played.seen, budget);
+            all.into_iter()
+                .map(|s| format!("{},{:.4},n{}\n", budget.name, s.by, s.process))
+                .collect::<Vec<_>>()
+        });
+        let text: String = ["budget,second,process\n".to_string()].into_iter().chain(spends).collect();
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display()))?;
     } else {
         std::fs::remove_dir_all(&folder).ok();
     }
