Parts move sooner: who is refused or told to hold less says so at once, a refusal counts once

By the door's figures read five times a second the process that had the demand went on wanting for 6 rounds, as one refusal made it want the whole and that faded from there, while the next one waited three questions for its part.

Permission is asked for once an event, not for each waiting work unit and worker: 100,000 looks a second before.

--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -12,6 +12,7 @@
 use mintlb::settings::Terms;
 use mintlb::{Allocation, Door, News, Outcome, ProjectType, Report, WorkUnit, Worker};
 use rustc_hash::{FxHashMap, FxHashSet};
+use std::cell::Cell;
 use std::collections::hash_map::Entry;
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
@@ -105,6 +106,7 @@
     out: &'a mut FxHashSet<AllocId>,
     members: &'a Members,
     purse: Option<&'a dyn Purse>,
+    has: Cell<Option<bool>>,
     acts: Vec<Act>,
     /// Allocations whose outcome is known without a word from the worker.
     known: Vec<Back>,
@@ -125,7 +127,11 @@
 
 impl Door for OpenDoor<'_> {
     fn permits(&self, wu: &WorkUnit, _worker: &Worker) -> bool {
-        self.purse.is_none_or(|purse| purse.has(Spend { again: wu.is_again() }))
+        let Some(purse) = self.purse.filter(|_| wu.is_again()) else { return true };
+        // Asked for each work unit that waits and each worker: the answer holds until something is sent.
+        let has = self.has.get().unwrap_or_else(|| purse.has(Spend { again: true }));
+        self.has.set(Some(has));
+        has
     }
     fn allocate(&mut self, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade() else { return };
@@ -133,6 +139,7 @@
         let full = self.out.len() >= self.most_out;
         self.out.insert(id);
         let slip = self.purse.map(|purse| purse.slip(Spend { again: alloc.number > 0 }));
+        self.has.set(None);
         // What was permitted a moment ago may have lapsed.
         let full = full || slip.as_ref().is_some_and(Option::is_none);
         match (self.members.reach(alloc.worker.line.id), self.held.get(&wu.id)) {
@@ -327,6 +334,7 @@
             out: &mut self.out,
             members: &self.members,
             purse: self.purse.as_deref(),
+            has: Cell::new(None),
             acts,
             known: Vec::new(),
             touched: Vec::new(),
--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -18,6 +18,7 @@
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
+use tokio::sync::Notify;
 use tokio::time::sleep;
 
 /// Seconds of a clock that no one sets and that goes on while the machine sleeps: what lapsed meanwhile must be known
@@ -60,11 +61,15 @@
     name: u64,
     me: Id,
     life: u64,
+    /// Between two looks at the demand, most of the time.
+    round: f64,
     budgets: Vec<Budget>,
     /// Held for as long as the process lives: no other may hold the parts of this name meanwhile.
     socket: UdpSocket,
     /// Where parts move.
     talk: Option<Mutex<Talk>>,
+    /// Something was refused where nothing had been for a while.
+    hungry: Notify,
     log: Logger,
 }
 
@@ -106,9 +111,19 @@
                 heard: 0,
             })
         });
-        let moves = talk.is_some();
+        let (moves, round) = (talk.is_some(), Lease { seconds: table.lease, drift: table.drift }.round());
         info!(log, "fleet: joined"; "parts move" => moves, "members" => table.members.len(), "at" => %at);
-        let fleet = Fleet(Arc::new(Shared { name: fleet, me, life, budgets, socket, talk, log }));
+        let fleet = Fleet(Arc::new(Shared {
+            name: fleet,
+            me,
+            life,
+            round,
+            budgets,
+            socket,
+            talk,
+            hungry: Notify::new(),
+            log,
+        }));
         if moves {
             tokio::spawn(fleet.clone().talk());
         }
@@ -125,6 +140,10 @@
                 biased;
                 () = sleep(wait) => None,
                 read = self.0.socket.recv_from(&mut bytes) => Some(read),
+                () = self.0.hungry.notified() => {
+                    talk.lock().node.hurry(now());
+                    continue;
+                }
             };
             let mut talk = talk.lock();
             let mut out = Out::new();
@@ -156,8 +175,9 @@
     fn wants(&self, now: f64, demands: &mut [Demand]) -> Vec<(u64, u32)> {
         let each = self.0.budgets.iter().zip(demands);
         let want = each.map(|(budget, demand)| {
-            let purse = budget.purse.lock();
-            let want = demand.look(now, purse.spent, purse.refused, budget.whole.whole.flow);
+            let mut purse = budget.purse.lock();
+            let want = demand.look(now, self.0.round, (purse.spent, purse.refused), budget.whole.whole.flow);
+            purse.looked();
             (budget.key, want)
         });
         want.collect()
@@ -212,7 +232,14 @@
 
 impl Door for Fleet {
     fn has(&self, spend: Spend) -> bool {
-        self.of(spend).all(|(_, budget)| budget.purse.lock().has(now()))
+        self.of(spend).all(|(_, budget)| {
+            let mut purse = budget.purse.lock();
+            let has = purse.has(now());
+            if !has && purse.is_news() {
+                self.0.hungry.notify_one();
+            }
+            has
+        })
     }
 
     fn slip(&self, spend: Spend) -> Option<Arc<dyn Slip>> {
--- a/crates/mintlb-fleet/src/holder.rs
+++ b/crates/mintlb-fleet/src/holder.rs
@@ -58,7 +58,7 @@
         Word::Want { term: self.term, number: self.number, accepted: self.accepted, of }
     }
 
-    /// An answer: from then on it holds that, counted from when it asked.
+    /// An answer: from then on it holds that, counted from when it asked. Whether that is less of something than before.
     pub fn take(&mut self, now: f64, term: Term, number: u64, amounts: Amounts) -> bool {
         let Some((_, asked)) = self.asked.iter().find(|(known, _)| *known == number).copied() else {
             return false;
@@ -67,10 +67,12 @@
         if term != self.term || number <= self.accepted || now >= from + self.lease.seconds {
             return false;
         }
+        let mut held = self.parts(now).iter();
+        let less = held.any(|(key, held)| !held.within(of(&amounts, *key)));
         (self.accepted, self.parts, self.until) = (number, amounts, from + self.lease.seconds);
         self.answered = now;
         self.asked.retain(|(known, _)| *known > number);
-        true
+        less
     }
 
     /// It holds nothing any more, and takes nothing.
--- a/crates/mintlb-fleet/src/ledger.rs
+++ b/crates/mintlb-fleet/src/ledger.rs
@@ -64,6 +64,8 @@
 const DEAF: u64 = 4;
 /// Where too few can hold a part at once, each keeps it for so many rounds at least.
 const TURN: f64 = 4.0;
+/// And for so many times what it takes to fill its burst, as a part begins empty.
+const FILLED: f64 = 8.0;
 
 impl Ledger {
     /// Of a divider that takes office now.
@@ -190,7 +192,7 @@
         let mut wanting: Vec<_> = heard.iter().filter(|(_, entry)| want(entry) > 0.0).collect();
         // Where not all can have one at once, who has one keeps it for its turn, then who went longest without.
         let turn = TURN * self.lease.round()
-            + 2.0 * f64::from(budget.whole.stock) / f64::from(budget.whole.flow.max(1));
+            + FILLED * f64::from(budget.whole.stock.min(ONE)) / f64::from(budget.whole.flow.max(1));
         if wanting.len() > places {
             wanting.sort_by(|(a, x), (b, y)| {
                 let rank = |entry: &Entry| {
--- a/crates/mintlb-fleet/src/node.rs
+++ b/crates/mintlb-fleet/src/node.rs
@@ -25,6 +25,7 @@
     ledger: Option<Ledger>,
     /// When it asks for its parts next, for votes next, and when it may stand at the earliest.
     asks: f64,
+    asked: f64,
     renews: f64,
     stands: f64,
     /// The keepers have been asked since it divides.
@@ -72,6 +73,7 @@
             office,
             ledger,
             asks,
+            asked: now,
             renews,
             stands,
             told,
@@ -108,6 +110,11 @@
         now >= self.asks
     }
 
+    /// Something has changed that the divider is to hear of soon, but not with every change.
+    pub fn hurry(&mut self, now: f64) {
+        self.asks = self.asks.min((self.asked + self.lease.round() / 4.0).max(now));
+    }
+
     /// What time brings. `wants` tells of each budget how much would be spent.
     pub fn tick(&mut self, now: f64, wants: &[(u64, u32)], out: &mut Out) {
         if self.left {
@@ -116,6 +123,7 @@
         self.keep_office(now, out);
         if now >= self.asks {
             // Not in step with the others, whatever brought them into it.
+            self.asked = now;
             self.asks = now + self.lease.round() * (0.9 + 0.2 * self.chance.draw());
             let to = self.divider(now);
             let word = self.holder.ask(now, wants);
@@ -227,7 +235,10 @@
             Word::Give { term, life, number, of } => {
                 // What an earlier life was given is not this one's, whose numbers are the same ones.
                 if term.who == from && (life == self.life || crate::slip!(AnyLife)) {
-                    self.holder.take(now, term, number, of);
+                    // Who is told to hold less says that it does at once: others wait for that.
+                    if self.holder.take(now, term, number, of) {
+                        self.hurry(now);
+                    }
                 }
             }
             Word::Lead { term } => {
--- a/crates/mintlb-fleet/src/purse.rs
+++ b/crates/mintlb-fleet/src/purse.rs
@@ -19,11 +19,24 @@
     pub spent: u64,
     /// Looks that found nothing.
     pub refused: u64,
+    /// What those were when the demand was last told, and whether there were any before.
+    known: u64,
+    was_refused: bool,
 }
 
 impl Purse {
     pub fn new(drift: f64) -> Purse {
-        Purse { part: Part::NONE, tokens: 0.0, at: f64::NEG_INFINITY, aside: 0, drift, spent: 0, refused: 0 }
+        Purse {
+            part: Part::NONE,
+            tokens: 0.0,
+            at: f64::NEG_INFINITY,
+            aside: 0,
+            drift,
+            spent: 0,
+            refused: 0,
+            known: 0,
+            was_refused: false,
+        }
     }
 
     /// From now on it holds this part. What it has beyond the new burst is lost, and nothing comes anew.
@@ -62,6 +75,17 @@
         has
     }
 
+    /// Whether a refusal is the first one since the demand was told, and none was told then.
+    pub fn is_news(&self) -> bool {
+        !self.was_refused && self.refused == self.known + 1
+    }
+
+    /// The demand has been told.
+    pub fn looked(&mut self) {
+        self.was_refused = self.refused > self.known;
+        self.known = self.refused;
+    }
+
     /// Sets one aside, for a while or for good.
     pub fn set_aside(&mut self, now: f64) -> bool {
         let has = self.has(now);
