--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -15,7 +15,9 @@
 use parking_lot::Mutex;
 use slog::{Logger, info, warn};
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, SystemTime};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -57,17 +59,23 @@
     heard: u64,
 }
 
+/// The address that is held for as long as the process lives: no other may vote, or hold parts, under this name meanwhile.
+struct Bound {
+    socket: UdpSocket,
+    /// Where parts move.
+    talk: Option<Mutex<Talk>>,
+}
+
 struct Shared {
+    plan: Plan,
+    seed: u64,
+    /// The ids of the fleet's name and of one's own, and what this life is known by.
     name: u64,
     me: Id,
     life: u64,
-    /// Between two looks at the demand, most of the time.
-    round: f64,
     budgets: Vec<Budget>,
-    /// Held for as long as the process lives: no other may hold the parts of this name meanwhile.
-    socket: UdpSocket,
-    /// Where parts move.
-    talk: Option<Mutex<Talk>>,
+    /// Nothing is held, and no word said, before.
+    bound: OnceLock<Bound>,
     /// Something was refused where nothing had been for a while.
     hungry: Notify,
     log: Logger,
@@ -77,69 +85,88 @@
 #[derive(Clone)]
 pub struct Fleet(Arc<Shared>);
 
+/// Between tries to bind an address that another process still has, or to read where that fails.
+const AGAIN: Duration = Duration::from_millis(50);
+
 impl Fleet {
-    /// Binds its address, and holds its parts from then on or as it is given them.
+    /// Binds its address, and holds its parts from then on or as it is given them. Where another process has the address,
+    /// as one of its name does that it takes over from, that is tried again until that one has ended.
     pub async fn start(plan: Plan, seed: u64, log: Logger) -> Result<Fleet, String> {
-        let (name, at, table) = (&plan.name, plan.at, &plan.table);
-        let socket = UdpSocket::bind(at).await.map_err(|e| format!("fleet.members.{name}: {at}: {e}"))?;
-        let budgets = table.budgets.iter().map(|whole| {
-            let mut purse = Purse::new(table.drift);
-            purse.take(now(), plan.unmoved(whole));
+        let budgets = plan.table.budgets.iter().map(|whole| {
             let (name, key) = (whole.name.clone(), id(&format!("{}/{:?}", whole.name, whole.limits)));
-            let whole_amount = Node::whole(whole.rate, whole.burst);
-            let amount = ledger::Budget { key, whole: whole_amount };
-            Budget { name, key, limits: whole.limits, whole: amount, purse: Mutex::new(purse) }
+            let amount = ledger::Budget { key, whole: Node::whole(whole.rate, whole.burst) };
+            let purse = Mutex::new(Purse::new(plan.table.drift));
+            Budget { name, key, limits: whole.limits, whole: amount, purse }
         });
-        let budgets: Vec<Budget> = budgets.collect();
-        let (me, fleet) = (id(name), id(&table.name));
-        let life = life(seed);
+        let budgets = budgets.collect();
+        let (name, me, at) = (id(&plan.table.name), id(&plan.name), plan.at);
+        let (life, bound, hungry) = (life(seed), OnceLock::new(), Notify::new());
+        let fleet = Fleet(Arc::new(Shared { plan, seed, name, me, life, budgets, bound, hungry, log }));
+        match UdpSocket::bind(at).await {
+            Ok(socket) => fleet.join(socket),
+            Err(e) if e.kind() == ErrorKind::AddrInUse => {
+                let log = &fleet.0.log;
+                warn!(log, "fleet: another process has this address, nothing is held until it ends"; "at" => %at);
+                tokio::spawn(fleet.clone().wait(at));
+            }
+            Err(e) => return Err(format!("fleet.members.{}: {at}: {e}", fleet.0.plan.name)),
+        }
+        Ok(fleet)
+    }
+
+    async fn wait(self, at: SocketAddr) {
+        loop {
+            sleep(AGAIN).await;
+            if let Ok(socket) = UdpSocket::bind(at).await {
+                return self.join(socket);
+            }
+        }
+    }
+
+    fn lease(&self) -> Lease {
+        Lease { seconds: self.0.plan.table.lease, drift: self.0.plan.table.drift }
+    }
+
+    /// The address is bound. A keeper counts from now, as until now another may have voted under its name.
+    fn join(&self, socket: UdpSocket) {
+        let Shared { plan, budgets, me, name, life, seed, log, .. } = &*self.0;
+        let (now, table) = (now(), &plan.table);
+        for (budget, whole) in budgets.iter().zip(&table.budgets) {
+            budget.purse.lock().take(now, plan.unmoved(whole));
+        }
         let talk = (table.division == Division::Leases).then(|| {
-            let lease = Lease { seconds: table.lease, drift: table.drift };
             let members: BTreeMap<Id, _> = table.members.iter().map(|(name, at)| (id(name), *at)).collect();
             let keepers = table.keepers.iter().map(|name| id(name)).collect();
             let wholes = budgets.iter().map(|budget| budget.whole).collect();
             let all = members.keys().copied().collect();
-            let node = Node::new(now(), (me, life), lease, wholes, all, keepers, seed);
             Mutex::new(Talk {
-                node,
-                members: Members::new(fleet, me, members, table.lease),
+                node: Node::new(now, (*me, *life), self.lease(), wholes, all, keepers, *seed),
+                members: Members::new(*name, *me, members, table.lease),
                 demands: budgets.iter().map(|_| Demand::default()).collect(),
                 wants: Vec::new(),
-                alone: Some(now()),
+                alone: Some(now),
                 dropped: BTreeMap::new(),
                 sent: 0,
                 heard: 0,
             })
         });
-        let (moves, round) = (talk.is_some(), Lease { seconds: table.lease, drift: table.drift }.round());
-        info!(log, "fleet: joined"; "parts move" => moves, "members" => table.members.len(), "at" => %at);
-        let fleet = Fleet(Arc::new(Shared {
-            name: fleet,
-            me,
-            life,
-            round,
-            budgets,
-            socket,
-            talk,
-            hungry: Notify::new(),
-            log,
-        }));
-        if moves {
-            tokio::spawn(fleet.clone().talk());
+        let moves = talk.is_some();
+        info!(log, "fleet: joined"; "parts move" => moves, "members" => table.members.len(), "at" => %plan.at);
+        if self.0.bound.set(Bound { socket, talk }).is_ok() && moves {
+            tokio::spawn(self.clone().talk());
         }
-        Ok(fleet)
     }
 
     /// Has words with the others for as long as the program runs.
     async fn talk(self) {
-        let Some(talk) = &self.0.talk else { return };
+        let Some(Bound { socket, talk: Some(talk) }) = self.0.bound.get() else { return };
         let mut bytes = [0; LONGEST + 1];
         loop {
             let wait = Duration::from_secs_f64((talk.lock().node.due() - now()).clamp(0.0, 60.0));
             let read = tokio::select! {
                 biased;
                 () = sleep(wait) => None,
-                read = self.0.socket.recv_from(&mut bytes) => Some(read),
+                read = socket.recv_from(&mut bytes) => Some(read),
                 () = self.0.hungry.notified() => {
                     talk.lock().node.hurry(now());
                     continue;
@@ -155,8 +182,12 @@
                     }
                     Err(why) => *talk.dropped.entry(why).or_default() += 1,
                 },
-                // A word that could not be delivered is lost, like any.
-                Some(Err(_)) => {}
+                // What can't be read is lost, like any word. It must not keep the core from all else.
+                Some(Err(_)) => {
+                    drop(talk);
+                    sleep(AGAIN).await;
+                    continue;
+                }
                 None => {
                     let now = now();
                     if talk.node.asks(now) {
@@ -167,7 +198,7 @@
                     talk.wants = wants;
                 }
             }
-            self.post(&mut talk, out);
+            self.post(socket, &mut talk, out);
             self.hold(&mut talk);
         }
     }
@@ -176,19 +207,20 @@
         let each = self.0.budgets.iter().zip(demands);
         let want = each.map(|(budget, demand)| {
             let mut purse = budget.purse.lock();
-            let want = demand.look(now, self.0.round, (purse.spent, purse.refused), budget.whole.whole.flow);
+            let want =
+                demand.look(now, self.lease().round(), (purse.spent, purse.refused), budget.whole.whole.flow);
             purse.looked();
             (budget.key, want)
         });
         want.collect()
     }
 
-    fn post(&self, talk: &mut Talk, out: Out) {
+    fn post(&self, socket: &UdpSocket, talk: &mut Talk, out: Out) {
         for (to, word) in out {
             let letter = Letter { fleet: self.0.name, from: self.0.me, life: self.0.life, to, word };
             let sent = letter.write().zip(talk.members.at(to)).map(|(bytes, at)| {
                 // A full buffer loses the word, as the way may.
-                self.0.socket.try_send_to(&bytes, at).is_ok()
+                socket.try_send_to(&bytes, at).is_ok()
             });
             talk.sent += u64::from(sent == Some(true));
         }
@@ -298,10 +330,10 @@
 
 impl Subsystem for Fleet {
     fn end(&self) {
-        let Some(mut talk) = self.0.talk.as_ref().map(Mutex::lock) else { return };
-        let mut out = Out::new();
+        let Some(Bound { socket, talk: Some(talk) }) = self.0.bound.get() else { return };
+        let (mut talk, mut out) = (talk.lock(), Out::new());
         talk.node.leave(now(), &mut out);
-        self.post(&mut talk, out);
+        self.post(socket, &mut talk, out);
         self.hold(&mut talk);
     }
 
@@ -321,7 +353,7 @@
                 line(&format!("{}.{figure}", budget.name), value);
             }
         }
-        if let Some(talk) = self.0.talk.as_ref().map(Mutex::lock) {
+        if let Some(talk) = self.0.bound.get().and_then(|bound| bound.talk.as_ref()).map(Mutex::lock) {
             let now = now();
             line("alone_s", talk.alone.map_or(0.0, |since| now - since));
             line("divides", f64::from(u8::from(talk.node.divides(now))));
--- a/crates/mintlb-fleet/src/node.rs
+++ b/crates/mintlb-fleet/src/node.rs
@@ -102,7 +102,7 @@
 
     /// When `tick` is to be called next at the latest.
     pub fn due(&self) -> f64 {
-        self.asks.min(self.renews)
+        if self.left { f64::INFINITY } else { self.asks.min(self.renews) }
     }
 
     /// Whether the next tick asks for parts, so that what is wanted is to be known.
--- /dev/null
+++ b/crates/mintlb-fleet/tests/address.rs
@@ -0,0 +1,48 @@
+//! The address of a member is held by one process at a time, and with it its parts.
+
+use mintlb_core::spend::{Purse, Spend};
+use mintlb_core::subsystem::Subsystem;
+use mintlb_fleet::fleet::Fleet;
+use mintlb_fleet::table::{Plan, Table};
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+fn plan(at: &str, more: &str) -> Plan {
+    let text = format!(
+        "{more}\nmembers = {{ a = {at:?} }}\nbudgets = [{{ name = \"x\", limits = \"again\", rate = 100.0, burst = 5.0 }}]"
+    );
+    Plan::new(toml::from_str::<Table>(&text).unwrap(), "a").unwrap()
+}
+
+async fn start(plan: Plan) -> Fleet {
+    Fleet::start(plan, 1, slog::Logger::root(slog::Discard, slog::o!())).await.unwrap()
+}
+
+/// A new version starts beside the old one, holds nothing while that lives, and its part once that has ended.
+#[tokio::test]
+async fn one_at_a_time() {
+    let again = Spend { again: true };
+    for (more, at) in
+        [("division = \"equal\"", "127.93.0.1:7"), ("keepers = [\"a\"]\nlease = 0.4", "127.93.0.1:8")]
+    {
+        let old = UdpSocket::bind(at).await.unwrap();
+        let new = start(plan(at, more)).await;
+        sleep(Duration::from_millis(700)).await;
+        assert!(!new.has(again) && new.slip(again).is_none(), "{at}: the old one has the address");
+        drop(old);
+        let mut waited = 0;
+        while !new.has(again) {
+            sleep(Duration::from_millis(20)).await;
+            waited += 20;
+            assert!(waited < 4000, "{at}: it has the address, and no part");
+        }
+        // Set aside, paid and not taken: as good as never paid.
+        let slip = new.slip(again).unwrap();
+        assert!(slip.pay());
+        slip.back();
+        assert!(slip.pay() && slip.pay(), "{at}: paid once, however often it is asked for");
+        assert!(new.figures().contains("edge_router.fleet.x.spent=1\n"), "{at}: {}", new.figures());
+        new.end();
+    }
+}
--- a/crates/mintlb-rig/src/report.rs
+++ b/crates/mintlb-rig/src/report.rs
@@ -50,7 +50,7 @@
             let mut sums: Vec<f64> =
                 grid.iter().map(|s| by.values().map(|points| at(points, *s)).sum()).collect();
             for (process, points) in by.iter().rev() {
-                let color = Palette99::pick(*process).mix(0.75);
+                let color = Palette99::pick(*process).filled();
                 let curve = grid.iter().copied().zip(sums.iter().copied());
                 chart.draw_series(AreaSeries::new(curve, 0.0, color))?;
                 sums.iter_mut().zip(&grid).for_each(|(sum, s)| *sum -= at(points, *s));
