SIGHUP takes other wholes: lowered, raised, added and dropped while the fleet serves

The divider's ledger goes by the new whole at once and gives nobody more until what is held has come down; a budget that is new to it is closed for a lease; a member holds nothing of a budget that it does not ask for, as nobody would be told of that (holder.rs). The audit goes by the greatest whole that a file gave within 1.1 leases and 0.3 s; by hand it is red where spending goes on as before.

--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -7,7 +7,7 @@
 use crate::members::{Dropped, Members};
 use crate::node::{Node, Out};
 use crate::purse::Purse;
-use crate::table::{Division, Limits, Plan};
+use crate::table::{Division, Limits, Plan, Whole};
 use crate::word::{Id, LONGEST, Letter, ONE, id, of};
 use mintlb_core::spend::{Purse as Door, Slip, Spend};
 use mintlb_core::subsystem::Subsystem;
@@ -43,14 +43,14 @@
     key: u64,
     limits: Limits,
     whole: ledger::Budget,
-    purse: Mutex<Purse>,
+    purse: Arc<Mutex<Purse>>,
+    demand: Arc<Mutex<Demand>>,
 }
 
 /// What the words are about.
 struct Talk {
     node: Node,
     members: Members,
-    demands: Vec<Demand>,
     wants: Vec<(u64, u32)>,
     /// Since when nothing is held, if so.
     alone: Option<f64>,
@@ -59,6 +59,20 @@
     heard: u64,
 }
 
+/// The budgets of a plan; what was spent and is held of one that was there before goes on.
+fn budgets(plan: &Plan, before: &[Arc<Budget>]) -> Vec<Arc<Budget>> {
+    let budget = |whole: &Whole| {
+        let (name, key) = (whole.name.clone(), id(&format!("{}/{:?}", whole.name, whole.limits)));
+        let amount = ledger::Budget { key, whole: Node::whole(whole.rate, whole.burst) };
+        let known = before.iter().find(|known| known.key == key);
+        let purse = known.map(|known| known.purse.clone());
+        let purse = purse.unwrap_or_else(|| Arc::new(Mutex::new(Purse::new(plan.table.drift))));
+        let demand = known.map_or_else(Arc::default, |known| known.demand.clone());
+        Arc::new(Budget { name, key, limits: whole.limits, whole: amount, purse, demand })
+    };
+    plan.table.budgets.iter().map(budget).collect()
+}
+
 /// The address that is held for as long as the process lives: no other may vote, or hold parts, under this name meanwhile.
 struct Bound {
     socket: UdpSocket,
@@ -73,7 +87,8 @@
     name: u64,
     me: Id,
     life: u64,
-    budgets: Vec<Budget>,
+    /// As the file says that was taken last.
+    budgets: Mutex<Arc<Vec<Arc<Budget>>>>,
     /// Nothing is held, and no word said, before.
     bound: OnceLock<Bound>,
     /// Something was refused where nothing had been for a while.
@@ -92,13 +107,7 @@
     /// Binds its address, and holds its parts from then on or as it is given them. Where another process has the address,
     /// as one of its name does that it takes over from, that is tried again until that one has ended.
     pub async fn start(plan: Plan, seed: u64, log: Logger) -> Result<Fleet, String> {
-        let budgets = plan.table.budgets.iter().map(|whole| {
-            let (name, key) = (whole.name.clone(), id(&format!("{}/{:?}", whole.name, whole.limits)));
-            let amount = ledger::Budget { key, whole: Node::whole(whole.rate, whole.burst) };
-            let purse = Mutex::new(Purse::new(plan.table.drift));
-            Budget { name, key, limits: whole.limits, whole: amount, purse }
-        });
-        let budgets = budgets.collect();
+        let budgets = Mutex::new(Arc::new(budgets(&plan, &[])));
         let (name, me, at) = (id(&plan.table.name), id(&plan.name), plan.at);
         let (life, bound, hungry) = (life(seed), OnceLock::new(), Notify::new());
         let fleet = Fleet(Arc::new(Shared { plan, seed, name, me, life, budgets, bound, hungry, log }));
@@ -127,13 +136,46 @@
         Lease { seconds: self.0.plan.table.lease, drift: self.0.plan.table.drift }
     }
 
+    fn budgets(&self) -> Arc<Vec<Arc<Budget>>> {
+        self.0.budgets.lock().clone()
+    }
+
+    /// Holds the parts that need no word.
+    fn unmoved(&self, now: f64, plan: &Plan) {
+        let equal = plan.table.division == Division::Equal && self.0.plan.table.division == Division::Equal;
+        for (budget, whole) in self.budgets().iter().zip(&plan.table.budgets).filter(|_| equal) {
+            budget.purse.lock().take(now, self.0.plan.unmoved(whole));
+        }
+    }
+
+    /// From now on the budgets are this file's; its members, keepers and times wait for the next start.
+    pub fn change(&self, plan: &Plan) {
+        let now = now();
+        let before = self.budgets();
+        let new = budgets(plan, &before);
+        // Nothing of one that is gone may be spent any more.
+        before.iter().for_each(|old| {
+            if new.iter().all(|new| new.key != old.key) {
+                old.purse.lock().take(now, Part::NONE);
+            }
+        });
+        *self.0.budgets.lock() = Arc::new(new);
+        let Some(bound) = self.0.bound.get() else { return };
+        self.unmoved(now, plan);
+        if let Some(mut talk) = bound.talk.as_ref().map(Mutex::lock) {
+            let wholes = self.budgets().iter().map(|budget| budget.whole).collect();
+            talk.node.retune(now, wholes);
+            talk.node.hurry(now);
+            self.0.hungry.notify_one();
+        }
+        info!(self.0.log, "fleet: the new file's budgets hold here"; "budgets" => self.budgets().len());
+    }
+
     /// The address is bound. A keeper counts from now, as until now another may have voted under its name.
     fn join(&self, socket: UdpSocket) {
-        let Shared { plan, budgets, me, name, life, seed, log, .. } = &*self.0;
-        let (now, table) = (now(), &plan.table);
-        for (budget, whole) in budgets.iter().zip(&table.budgets) {
-            budget.purse.lock().take(now, plan.unmoved(whole));
-        }
+        let Shared { plan, me, name, life, seed, log, .. } = &*self.0;
+        let (now, table, budgets) = (now(), &plan.table, self.budgets());
+        self.unmoved(now, plan);
         let talk = (table.division == Division::Leases).then(|| {
             let members: BTreeMap<Id, _> = table.members.iter().map(|(name, at)| (id(name), *at)).collect();
             let keepers = table.keepers.iter().map(|name| id(name)).collect();
@@ -142,7 +184,6 @@
             Mutex::new(Talk {
                 node: Node::new(now, (*me, *life), self.lease(), wholes, all, keepers, *seed),
                 members: Members::new(*name, *me, members, table.lease),
-                demands: budgets.iter().map(|_| Demand::default()).collect(),
                 wants: Vec::new(),
                 alone: Some(now),
                 dropped: BTreeMap::new(),
@@ -191,7 +232,7 @@
                 None => {
                     let now = now();
                     if talk.node.asks(now) {
-                        talk.wants = self.wants(now, &mut talk.demands);
+                        talk.wants = self.wants(now);
                     }
                     let wants = std::mem::take(&mut talk.wants);
                     talk.node.tick(now, &wants, &mut out);
@@ -203,16 +244,15 @@
         }
     }
 
-    fn wants(&self, now: f64, demands: &mut [Demand]) -> Vec<(u64, u32)> {
-        let each = self.0.budgets.iter().zip(demands);
-        let want = each.map(|(budget, demand)| {
+    fn wants(&self, now: f64) -> Vec<(u64, u32)> {
+        let want = |budget: &Arc<Budget>| {
             let mut purse = budget.purse.lock();
-            let want =
-                demand.look(now, self.lease().round(), (purse.spent, purse.refused), budget.whole.whole.flow);
+            let (counts, whole) = ((purse.spent, purse.refused), budget.whole.whole.flow);
+            let want = budget.demand.lock().look(now, self.lease().round(), counts, whole);
             purse.looked();
             (budget.key, want)
-        });
-        want.collect()
+        };
+        self.budgets().iter().map(want).collect()
     }
 
     fn post(&self, socket: &UdpSocket, talk: &mut Talk, out: Out) {
@@ -230,7 +270,7 @@
     fn hold(&self, talk: &mut Talk) {
         let now = now();
         let (parts, until) = talk.node.parts(now);
-        for budget in &self.0.budgets {
+        for budget in self.budgets().iter() {
             let amount = of(parts, budget.key);
             let value = |thousandths: u32| f64::from(thousandths) / f64::from(ONE);
             let part = Part { rate: value(amount.flow), burst: value(amount.stock), until };
@@ -254,17 +294,18 @@
     }
 
     /// The budgets that it would spend of.
-    fn of(&self, spend: Spend) -> impl Iterator<Item = (usize, &Budget)> {
+    fn of(&self, spend: Spend) -> impl Iterator<Item = Arc<Budget>> {
         let limited = move |budget: &Budget| match budget.limits {
             Limits::Again => spend.again,
         };
-        self.0.budgets.iter().enumerate().filter(move |(_, budget)| limited(budget))
+        let budgets = self.budgets();
+        (0..budgets.len()).map(move |i| budgets[i].clone()).filter(move |budget| limited(budget))
     }
 }
 
 impl Door for Fleet {
     fn has(&self, spend: Spend) -> bool {
-        self.of(spend).all(|(_, budget)| {
+        self.of(spend).all(|budget| {
             let mut purse = budget.purse.lock();
             let has = purse.has(now());
             if !has && purse.is_news() {
@@ -275,41 +316,33 @@
     }
 
     fn slip(&self, spend: Spend) -> Option<Arc<dyn Slip>> {
-        let mut aside = Aside { fleet: self.clone(), of: Mutex::default() };
-        let held = aside.of.get_mut();
-        for (at, budget) in self.of(spend) {
+        let mut aside = Aside(Mutex::default());
+        let held = aside.0.get_mut();
+        for budget in self.of(spend) {
             if !budget.purse.lock().set_aside(now()) {
                 return None;
             }
-            held.push((at, false));
+            held.push((budget, false));
         }
         Some(Arc::new(aside))
     }
 }
 
 /// What one allocation has set aside, by budget, and whether it was paid.
-struct Aside {
-    fleet: Fleet,
-    of: Mutex<Vec<(usize, bool)>>,
-}
+struct Aside(Mutex<Vec<(Arc<Budget>, bool)>>);
 
 impl Slip for Aside {
     fn pay(&self) -> bool {
         let now = now();
-        let mut of = self.of.lock();
-        for i in 0..of.len() {
-            let (at, paid) = &mut of[i];
-            *paid = *paid || self.fleet.0.budgets[*at].purse.lock().pay(now);
-            if !*paid {
-                return false;
-            }
-        }
-        true
+        self.0.lock().iter_mut().all(|(budget, paid)| {
+            *paid = *paid || budget.purse.lock().pay(now);
+            *paid
+        })
     }
 
     fn back(&self) {
-        for (at, paid) in self.of.lock().iter_mut().filter(|(_, paid)| *paid) {
-            self.fleet.0.budgets[*at].purse.lock().back();
+        for (budget, paid) in self.0.lock().iter_mut().filter(|(_, paid)| *paid) {
+            budget.purse.lock().back();
             *paid = false;
         }
     }
@@ -317,14 +350,15 @@
 
 impl Drop for Aside {
     fn drop(&mut self) {
-        let unpaid = self.of.get_mut().iter().filter(|(_, paid)| !paid);
-        unpaid.for_each(|(at, _)| self.fleet.0.budgets[*at].purse.lock().give_up());
+        let unpaid = self.0.get_mut().iter().filter(|(_, paid)| !paid);
+        unpaid.for_each(|(budget, _)| budget.purse.lock().give_up());
     }
 }
 
 impl std::fmt::Debug for Aside {
     fn fmt(&self, f: &mut std::fmt::Formatter) -> std::fmt::Result {
-        f.debug_tuple("Aside").field(&self.of).finish()
+        let of = self.0.lock();
+        f.debug_list().entries(of.iter().map(|(budget, paid)| (&budget.name, paid))).finish()
     }
 }
 
@@ -340,7 +374,7 @@
     fn figures(&self) -> String {
         let mut page = String::new();
         let mut line = |name: &str, value: f64| page += &format!("edge_router.fleet.{name}={value}\n");
-        for budget in &self.0.budgets {
+        for budget in self.budgets().iter() {
             let mut purse = budget.purse.lock();
             purse.look(now());
             let part = purse.part();
--- a/crates/mintlb-fleet/src/holder.rs
+++ b/crates/mintlb-fleet/src/holder.rs
@@ -13,6 +13,8 @@
     accepted: u64,
     /// When it asked what, as far as the answer still counts.
     asked: VecDeque<(u64, f64)>,
+    /// The budgets that it asks for.
+    keys: Vec<u64>,
     parts: Amounts,
     pub until: f64,
     /// When it last was answered.
@@ -24,8 +26,18 @@
 
 impl Holder {
     pub fn new(now: f64, lease: Lease) -> Holder {
-        let (term, asked, parts) = Default::default();
-        Holder { lease, term, number: 0, accepted: 0, asked, parts, until: f64::NEG_INFINITY, answered: now }
+        let (term, asked, keys, parts) = Default::default();
+        Holder {
+            lease,
+            term,
+            number: 0,
+            accepted: 0,
+            asked,
+            keys,
+            parts,
+            until: f64::NEG_INFINITY,
+            answered: now,
+        }
     }
 
     /// What it holds now.
@@ -51,6 +63,9 @@
         if self.asked.len() > ASKED {
             self.asked.pop_front();
         }
+        // A part of a budget that is not asked for any more would be told of to nobody: it is given up.
+        self.parts.retain(|(key, _)| wants.iter().any(|(wanted, _)| wanted == key));
+        self.keys = wants.iter().map(|(key, _)| *key).collect();
         let parts: Amounts = self.parts(now).to_vec();
         let wanted =
             wants.iter().map(|(key, want)| Wanted { key: *key, holds: of(&parts, *key), want: *want });
@@ -59,7 +74,8 @@
     }
 
     /// An answer: from then on it holds that, counted from when it asked. Whether that is less of something than before.
-    pub fn take(&mut self, now: f64, term: Term, number: u64, amounts: Amounts) -> bool {
+    pub fn take(&mut self, now: f64, term: Term, number: u64, mut amounts: Amounts) -> bool {
+        amounts.retain(|(key, _)| self.keys.contains(key));
         let Some((_, asked)) = self.asked.iter().find(|(known, _)| *known == number).copied() else {
             return false;
         };
--- a/crates/mintlb-fleet/src/ledger.rs
+++ b/crates/mintlb-fleet/src/ledger.rs
@@ -52,6 +52,8 @@
     /// What members brought along, by key; the whole is given only from `opens` on.
     brought: BTreeMap<u64, Amount>,
     opens: f64,
+    /// The same for budgets that came while it divides.
+    late: BTreeMap<u64, f64>,
     /// Who has brought its part along. Each life does so once.
     joined: BTreeSet<(Id, u64)>,
     entries: BTreeMap<(Id, u64), Entry>,
@@ -71,9 +73,9 @@
     /// Of a divider that takes office now.
     pub fn new(now: f64, term: Term, lease: Lease, budgets: Vec<Budget>) -> Ledger {
         let wait = if crate::slip!(Unwaiting) { 0.0 } else { lease.outlasted() };
-        let (brought, joined, entries, targets) = Default::default();
+        let (brought, late, joined, entries, targets) = Default::default();
         let (opens, worked_out) = (now + wait, f64::NEG_INFINITY);
-        Ledger { term, lease, budgets, brought, opens, joined, entries, targets, worked_out }
+        Ledger { term, lease, budgets, brought, opens, late, joined, entries, targets, worked_out }
     }
 
     /// Surely nobody else has divided in the last so many seconds, this divider's own time apart.
@@ -81,6 +83,15 @@
         self.opens = self.opens.min(now - idle + self.lease.outlasted());
     }
 
+    /// From now on these are the wholes. What is held beyond a smaller one is given back as it is asked for again, and
+    /// nobody gets more meanwhile. Of a budget that is new here somebody may hold a part by an earlier file.
+    pub fn retune(&mut self, now: f64, budgets: Vec<Budget>) {
+        for new in budgets.iter().filter(|new| self.budgets.iter().all(|old| old.key != new.key)) {
+            self.late.insert(new.key, now + self.lease.outlasted());
+        }
+        (self.budgets, self.worked_out) = (budgets, f64::NEG_INFINITY);
+    }
+
     /// Whether the whole may be given.
     pub fn is_open(&self, now: f64) -> bool {
         now >= self.opens
@@ -97,6 +108,9 @@
 
     /// What may be given altogether now.
     fn pool(&self, now: f64, budget: &Budget) -> Amount {
+        if self.late.get(&budget.key).is_some_and(|opens| now < *opens) {
+            return Amount::NONE;
+        }
         match now >= self.opens {
             true => budget.whole,
             false => self.brought.get(&budget.key).copied().unwrap_or_default().min(budget.whole),
--- a/crates/mintlb-fleet/src/node.rs
+++ b/crates/mintlb-fleet/src/node.rs
@@ -110,6 +110,12 @@
         now >= self.asks
     }
 
+    /// From now on these are the wholes, should it divide.
+    pub fn retune(&mut self, now: f64, budgets: Vec<Budget>) {
+        self.ledger.iter_mut().for_each(|ledger| ledger.retune(now, budgets.clone()));
+        self.budgets = budgets;
+    }
+
     /// Something has changed that the divider is to hear of soon, but not with every change.
     pub fn hurry(&mut self, now: f64) {
         self.asks = self.asks.min((self.asked + self.lease.round() / 4.0).max(now));
--- a/crates/mintlb-node/src/change.rs
+++ b/crates/mintlb-node/src/change.rs
@@ -1,5 +1,6 @@
 //! A new configuration while a scheduler serves: whether it is taken, and what of it has to wait. Pure.
 
+use crate::join::Plans;
 use crate::operator::Operator;
 use crate::placement::Placement;
 use crate::serve::Plan;
@@ -15,12 +16,13 @@
     pub types: Vec<(String, ProjectType)>,
     pub terms: Terms,
     pub last_answer: Duration,
+    pub plans: Plans,
 }
 
 impl From<Plan> for Change {
     fn from(plan: Plan) -> Change {
-        let Plan { placement, operator, types, terms, grants, .. } = plan;
-        Change { placement, operator, types, terms, last_answer: grants.last_answer }
+        let Plan { placement, operator, types, terms, grants, plans, .. } = plan;
+        Change { placement, operator, types, terms, last_answer: grants.last_answer, plans }
     }
 }
 
@@ -40,7 +42,7 @@
     /// What of it differs from what holds, and can't hold before the next start.
     pub fn waits(&self, placement: &Placement, operator: &Operator) -> Vec<String> {
         let mut waits = placement.differs(&self.placement);
-        if self.operator != *operator {
+        if self.operator.lasting() != operator.lasting() {
             waits.push("the operator's file".to_string());
         }
         waits
--- a/crates/mintlb-node/src/join.rs
+++ b/crates/mintlb-node/src/join.rs
@@ -70,21 +70,32 @@
 pub struct Joined {
     pub subsystems: Arc<[Box<dyn Subsystem>]>,
     pub purse: Option<Arc<dyn Purse>>,
+    fleet: Option<Fleet>,
+}
+
+impl Joined {
+    /// What of a new file's tables can hold while it serves does from now on.
+    pub fn change(&self, plans: &Plans) {
+        if let Some((fleet, plan)) = self.fleet.as_ref().zip(plans.fleet.as_ref()) {
+            fleet.change(plan);
+        }
+    }
 }
 
 /// Starts all that is planned, or says what can't be.
 pub async fn join(plans: Plans, grants: &Grants, shared: &Shared<'_>) -> Result<Joined, String> {
     let mut subsystems: Vec<Box<dyn Subsystem>> = Vec::new();
-    let mut purse: Option<Arc<dyn Purse>> = None;
+    let (mut purse, mut joined): (Option<Arc<dyn Purse>>, Option<Fleet>) = (None, None);
     if let Some(plan) = plans.beanstalkd {
         subsystems.push(Box::new(beanstalkd(plan, grants, shared).await?));
     }
     if let Some(plan) = plans.fleet {
         let fleet = Fleet::start(plan, shared.seed, shared.log.clone()).await?;
         purse = Some(Arc::new(fleet.clone()));
-        subsystems.push(Box::new(fleet));
+        subsystems.push(Box::new(fleet.clone()));
+        joined = Some(fleet);
     }
-    Ok(Joined { subsystems: subsystems.into(), purse })
+    Ok(Joined { subsystems: subsystems.into(), purse, fleet: joined })
 }
 
 async fn beanstalkd(plan: BeanstalkdPlan, grants: &Grants, shared: &Shared<'_>) -> Result<Joint, String> {
--- a/crates/mintlb-node/src/operator.rs
+++ b/crates/mintlb-node/src/operator.rs
@@ -13,6 +13,13 @@
 }
 
 impl Operator {
+    /// Without what may change while it serves.
+    pub fn lasting(&self) -> Operator {
+        let mut lasting = self.clone();
+        lasting.fleet.iter_mut().for_each(|fleet| fleet.budgets.clear());
+        lasting
+    }
+
     pub fn read(path: &str) -> Result<Operator, String> {
         let text = std::fs::read_to_string(path).map_err(|e| format!("{path} cannot be read: {e}"))?;
         Operator::parse(&text).map_err(|e| format!("{path}: {e}"))
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::change::Change;
 use crate::grants::Grants;
-use crate::join::{Joined, Plans, Shared, join};
+use crate::join::{Plans, Shared, join};
 use crate::kin::Kin;
 use crate::operator::Operator;
 use crate::placement::Placement;
@@ -165,7 +165,8 @@
         told: told_first.as_ref().map(|(_, told)| told),
         log: &log,
     };
-    let Joined { subsystems, purse } = join(plans, &grants, &shared).await?;
+    let joined = join(plans, &grants, &shared).await?;
+    let (subsystems, purse) = (joined.subsystems.clone(), joined.purse.clone());
     if let Some((record, known)) = record.as_mut().zip(known.as_ref()) {
         record.hear(known).ok();
     }
@@ -238,6 +239,7 @@
                         }
                         Ok(()) => {
                             figures.taken.fetch_add(1, Relaxed);
+                            joined.change(&new.plans);
                             hands.take_types(reducer.types());
                             front.take_types(reducer.types(), &figures);
                             grants.last_answer = new.last_answer;
--- a/crates/mintlb-node/tests/fleet.rs
+++ b/crates/mintlb-node/tests/fleet.rs
@@ -28,6 +28,7 @@
         ("split", true, 0.6),
         ("from-nothing", true, 0.6),
         ("storm", true, 0.4),
+        ("whole", true, 0.5),
     ];
     let plays = cases.map(|(name, ..)| std::thread::spawn(move || played(name, 1)));
     for ((name, holds, least_used), play) in cases.into_iter().zip(plays) {
--- a/crates/mintlb-rig/src/play.rs
+++ b/crates/mintlb-rig/src/play.rs
@@ -136,12 +136,18 @@
     list: &List,
     listed: &mut Vec<(f64, String, State)>,
 ) -> Result<(), String> {
-    let mut all = |who: &[usize], signal| who.iter().for_each(|p| processes.signal(*p, signal));
+    let signal = match deed {
+        Deed::Kill { who } => Some((who, Signal::SIGKILL)),
+        Deed::Term { who } => Some((who, Signal::SIGTERM)),
+        Deed::Stop { who } => Some((who, Signal::SIGSTOP)),
+        Deed::Go { who } => Some((who, Signal::SIGCONT)),
+        _ => None,
+    };
+    signal.into_iter().for_each(|(who, signal)| who.iter().for_each(|p| processes.signal(*p, signal)));
     match deed {
-        Deed::Kill { who } => all(who, Signal::SIGKILL),
-        Deed::Term { who } => all(who, Signal::SIGTERM),
-        Deed::Stop { who } => all(who, Signal::SIGSTOP),
-        Deed::Go { who } => all(who, Signal::SIGCONT),
+        Deed::Whole { who, budget, rate, burst } => {
+            who.iter().try_for_each(|p| processes.retune(*p, budget, *rate, *burst))?;
+        }
         Deed::Start { who } => who.iter().try_for_each(|p| processes.start(*p))?,
         Deed::Down { zone } => listed.push((now + LIST, zone.clone(), State::Deleted)),
         Deed::Up { zone } => listed.push((now + LIST, zone.clone(), State::Serving)),
--- a/crates/mintlb-rig/src/processes.rs
+++ b/crates/mintlb-rig/src/processes.rs
@@ -77,6 +77,8 @@
     book: Book,
     children: Vec<Option<Child>>,
     starts: Vec<u64>,
+    /// The wholes of its file, by process and budget.
+    wholes: Vec<Vec<(f64, f64)>>,
     /// It was told to end.
     ending: Vec<bool>,
     /// It ended though nobody told it to.
@@ -102,8 +104,10 @@
     ) -> Processes<'a> {
         let (program, folder) = (program.to_path_buf(), folder.to_path_buf());
         let children = (0..scenario.processes).map(|_| None).collect();
+        let whole = scenario.budgets.iter().map(|b| (b.rate, b.burst)).collect();
+        let wholes = vec![whole; scenario.processes];
         let (starts, ending) = (vec![0; scenario.processes], vec![false; scenario.processes]);
-        Processes { scenario, seed, program, folder, net, book, children, starts, ending, crashed: 0 }
+        Processes { scenario, seed, program, folder, net, book, children, starts, wholes, ending, crashed: 0 }
     }
 
     fn configuration(&self, process: usize) -> String {
@@ -170,12 +174,12 @@
             let keepers = (0..s.fleet.keepers.min(s.processes)).map(|p| toml::Value::from(name(p)));
             fleet.insert("keepers".into(), toml::Value::Array(keepers.collect()));
         }
-        let budgets = s.budgets.iter().map(|b| {
+        let budgets = s.budgets.iter().zip(&self.wholes[process]).map(|(b, (rate, burst))| {
             let mut table = toml::Table::new();
             table.insert("name".into(), b.name.clone().into());
             table.insert("limits".into(), Limits::word(b.limits).into());
-            table.insert("rate".into(), b.rate.into());
-            table.insert("burst".into(), b.burst.into());
+            table.insert("rate".into(), (*rate).into());
+            table.insert("burst".into(), (*burst).into());
             toml::Value::Table(table)
         });
         fleet.insert("budgets".into(), toml::Value::Array(budgets.collect()));
@@ -215,6 +219,23 @@
         Ok(())
     }
 
+    /// Gives its file another whole and has it read that.
+    pub fn retune(&mut self, process: usize, budget: &str, rate: f64, burst: f64) -> Result<(), String> {
+        let Some(at) = self.scenario.budgets.iter().position(|b| b.name == budget) else { return Ok(()) };
+        self.wholes[process][at] = (rate, burst);
+        let now = self.book.now();
+        self.book.seen().wholes.push((now, process, at, rate, burst));
+        let path = self.folder.join(format!("{}.toml", name(process)));
+        let fresh = path.with_extension("new");
+        let no = |e: std::io::Error| format!("{}: {e}", path.display());
+        std::fs::write(&fresh, self.operator(process)).map_err(no)?;
+        std::fs::rename(&fresh, &path).map_err(no)?;
+        if let Some(child) = &self.children[process] {
+            kill(Pid::from_raw(child.id() as i32), Signal::SIGHUP).ok();
+        }
+        Ok(())
+    }
+
     /// Once it serves, that is known.
     fn note_ready(&self, process: usize) {
         let (at, book) = (self.net.process(process), self.book.clone());
--- a/crates/mintlb-rig/src/scenario.rs
+++ b/crates/mintlb-rig/src/scenario.rs
@@ -280,6 +280,13 @@
         who: Vec<usize>,
         zone: String,
     },
+    /// The file of these processes gives the budget another whole, and SIGHUP has them read it.
+    Whole {
+        who: Vec<usize>,
+        budget: String,
+        rate: f64,
+        burst: f64,
+    },
     /// From now on the way of words from these processes to those is like that, `back` too if that is said. None named
     /// is all of them.
     Words {
@@ -387,6 +394,15 @@
                     format!("processes are 0 to {}", self.processes - 1),
                 );
             }
+            if let Deed::Whole { budget, rate, burst, .. } = &fault.deed {
+                let known = self.budgets.iter().any(|known| known.name == *budget);
+                if !known || !positive(*rate) || !positive(*burst) {
+                    return wrong(
+                        format!("faults[{i}]"),
+                        "a budget that there is, rate and burst over 0".into(),
+                    );
+                }
+            }
             if zone.is_some_and(|zone| !self.zones.iter().any(|z| z.name == zone)) {
                 return wrong(
                     format!("faults[{i}].zone"),
@@ -400,6 +416,13 @@
         Ok(())
     }
 
+    /// How long after the last file has changed a whole may still be the one before.
+    pub fn settles(&self) -> f64 {
+        let lease =
+            self.fleet.more.get("lease").and_then(|v| v.as_float().or(v.as_integer().map(|i| i as f64)));
+        1.1 * lease.unwrap_or(2.0) + 0.3
+    }
+
     /// The workers, as the number of their zone and of them in it.
     pub fn workers(&self) -> impl Iterator<Item = (usize, usize)> {
         self.zones.iter().enumerate().flat_map(|(z, zone)| (0..zone.workers).map(move |w| (z, w)))
@@ -428,6 +451,7 @@
             | Deed::Up { zone }
             | Deed::Drain { zone, .. } => (&[], Some(zone)),
             Deed::Words { from, .. } => (from, None),
+            Deed::Whole { who, .. } => (who, None),
         }
     }
 
--- a/crates/mintlb-rig/src/seen.rs
+++ b/crates/mintlb-rig/src/seen.rs
@@ -71,6 +71,8 @@
     pub marks: Vec<Mark>,
     pub stretches: Vec<Stretch>,
     pub told: Vec<Told>,
+    /// Files that gave a budget another whole: when, process, budget, rate, burst.
+    pub wholes: Vec<(f64, usize, usize, f64, f64)>,
     /// Starts of workers that came up cold: worker, life, when.
     pub cold: Vec<(usize, u32, f64)>,
 }
@@ -93,6 +95,7 @@
             stretch.to.iter_mut().for_each(|to| *to -= from);
         }
         self.told.iter_mut().for_each(|told| told.at -= from);
+        self.wholes.iter_mut().for_each(|(at, ..)| *at -= from);
         self.cold.iter_mut().for_each(|(_, _, at)| *at -= from);
     }
 }
--- a/crates/mintlb-rig/tests/audit.rs
+++ b/crates/mintlb-rig/tests/audit.rs
@@ -50,7 +50,16 @@
         let all = (0..n).map(|i| Sent { life: 1, ..sent(i as u64, 1, 1.0 + i as f64 * 0.01) });
         Seen { cold: vec![(1, 1, 0.5)], ..seen(Vec::new(), all.collect()) }
     };
+    // Both files lower the whole from 10 a second to 2, the second one a second after the first; 2.5 s later that holds.
+    let lowered = |from: f64| {
+        let moments: Vec<f64> = (0..20).map(|i| from + f64::from(i) * 0.1).collect();
+        let wholes = vec![(1.0, 0, 0, 2.0, 1.0), (2.0, 1, 0, 2.0, 1.0)];
+        Seen { wholes, ..again(&moments) }
+    };
     let cases = [
+        ("lowered, one file still the old one", lowered(1.0), none()),
+        ("lowered, as long as that takes", lowered(2.5), none()),
+        ("lowered, and spent as before", lowered(5.0), Verdict { over_budget: 19, ..none() }),
         ("within a burst", again(&[1.0, 1.001]), none()),
         ("over it", again(&[1.0, 1.001, 1.002]), Verdict { over_budget: 1, ..none() }),
         ("what the rate brings", again(&[1.0, 1.001, 1.102, 1.202]), none()),
@@ -145,6 +154,11 @@
             "rate = 1.0 }]\nfaults = [{ at = 99.0, do = \"down\", zone = \"a\" }]",
             "faults[0].at",
         ),
+        (
+            "rate = 1.0 }]",
+            "rate = 1.0 }]\nfaults = [{ at = 1.0, do = \"whole\", who = [0], budget = \"x\", rate = 1.0, burst = 1.0 }]",
+            "faults[0]: a budget that there is",
+        ),
         ("wanted = [[0.0, 1.0]]", "wanted = [[1.0, 0.0]]", "budgets[0].wanted"),
     ];
     for (right, wrong, named) in cases {
