--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -138,7 +138,8 @@
         let id = (wu.id, alloc.number);
         let full = self.out.len() >= self.most_out;
         self.out.insert(id);
-        let slip = self.purse.map(|purse| purse.slip(Spend { again: alloc.number > 0 }));
+        let again = alloc.number > 0;
+        let slip = self.purse.filter(|_| again).map(|purse| purse.slip(Spend { again }));
         self.has.set(None);
         // What was permitted a moment ago may have lapsed.
         let full = full || slip.as_ref().is_some_and(Option::is_none);
--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -59,6 +59,15 @@
     heard: u64,
 }
 
+impl Budget {
+    /// Whether this would spend of it.
+    fn limits(&self, spend: Spend) -> bool {
+        match self.limits {
+            Limits::Again => spend.again,
+        }
+    }
+}
+
 /// The budgets of a plan; what was spent and is held of one that was there before goes on.
 fn budgets(plan: &Plan, before: &[Arc<Budget>]) -> Vec<Arc<Budget>> {
     let budget = |whole: &Whole| {
@@ -292,22 +301,14 @@
             _ => {}
         }
     }
-
-    /// The budgets that it would spend of.
-    fn of(&self, spend: Spend) -> impl Iterator<Item = Arc<Budget>> {
-        let limited = move |budget: &Budget| match budget.limits {
-            Limits::Again => spend.again,
-        };
-        let budgets = self.budgets();
-        (0..budgets.len()).map(move |i| budgets[i].clone()).filter(move |budget| limited(budget))
-    }
 }
 
 impl Door for Fleet {
     fn has(&self, spend: Spend) -> bool {
-        self.of(spend).all(|budget| {
+        let (now, budgets) = (now(), self.budgets());
+        budgets.iter().filter(|budget| budget.limits(spend)).all(|budget| {
             let mut purse = budget.purse.lock();
-            let has = purse.has(now());
+            let has = purse.has(now);
             if !has && purse.is_news() {
                 self.0.hungry.notify_one();
             }
@@ -316,13 +317,14 @@
     }
 
     fn slip(&self, spend: Spend) -> Option<Arc<dyn Slip>> {
+        let (now, budgets) = (now(), self.budgets());
         let mut aside = Aside(Mutex::default());
         let held = aside.0.get_mut();
-        for budget in self.of(spend) {
-            if !budget.purse.lock().set_aside(now()) {
+        for budget in budgets.iter().filter(|budget| budget.limits(spend)) {
+            if !budget.purse.lock().set_aside(now) {
                 return None;
             }
-            held.push((budget, false));
+            held.push((budget.clone(), false));
         }
         Some(Arc::new(aside))
     }
