The gate at the byte has a test: what is not paid is not sent, and is nobody's fault

mintlb-http/tests/outcomes.rs, bodies of 0 to 60,000 bytes. Taken out, the guard in dial.rs pay turns it red. That what the system did not take is given back stays untested on a socket: loopback takes 64 KiB at once.

--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -6,6 +6,7 @@
 use mintlb::Outcome;
 use mintlb_core::clock::Clock;
 use mintlb_core::reducer::Event;
+use mintlb_core::spend::Slip;
 use mintlb_core::work::{Back, Order, Payload};
 use mintlb_http::limits::Limits;
 use mintlb_http::list::List;
@@ -14,6 +15,7 @@
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::Arc;
+use std::sync::atomic::{AtomicI32, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::unbounded_channel;
@@ -326,3 +328,46 @@
     assert!((800_000..=1_000_000).contains(&left.parse::<u32>().unwrap()), "{request}");
     assert_eq!(told.iter().find(|t| t != "closed").unwrap().len(), request.len(), "the second");
 }
+
+/// Lets pay or not, and counts what was paid and not taken back.
+#[derive(Debug)]
+struct Counted(bool, AtomicI32);
+
+impl Slip for Counted {
+    fn pay(&self) -> bool {
+        self.1.fetch_add(i32::from(self.0), Relaxed);
+        self.0
+    }
+    fn back(&self) {
+        self.1.fetch_sub(1, Relaxed);
+    }
+}
+
+/// An allocation is paid once, in the write that makes it whole; unpaid its last byte does not go, and that is nobody's
+/// fault.
+#[tokio::test]
+async fn what_is_not_paid_is_not_sent() {
+    for body in [0, 1, 5, 60_000] {
+        for pays in [true, false] {
+            let (at, seen) = worker(stream(&[STARTED, DONE]));
+            let clock = Clock::start();
+            let (tell, mut told) = unbounded_channel();
+            let worded = Worded::default();
+            let workers = Workers::new(&limits(), clock, tell, &[], worded, Arc::default(), quiet());
+            let slip = Arc::new(Counted(pays, AtomicI32::new(0)));
+            let order = Order { slip: Some(slip.clone()), ..order(0, body, clock.now() + 2.0) };
+            workers.allocate(&order, at).await;
+            drop(workers);
+            let mut outcome = None;
+            while let Some(event) = told.recv().await {
+                if let Event::Back(back) = event {
+                    outcome = Some(back.outcome);
+                }
+            }
+            let expected = if pays { Outcome::Completed } else { Outcome::Moot };
+            assert_eq!((outcome, slip.1.load(Relaxed)), (Some(expected), i32::from(pays)), "{body} {pays}");
+            let whole = seen.recv_timeout(Duration::from_secs(2)).is_ok_and(|said| said != "closed");
+            assert_eq!(whole, pays, "{body} {pays}");
+        }
+    }
+}
