A divider that was without a majority for a moment gives its term up, whatever vote comes late

Found in the read-through. The loss of a majority was noticed at the next tick only, up to an eighth of a second later by the timer; a vote asked for before and answered in that gap let the same term and ledger go on, though another may have divided in between. It is looked for before each word now (node.rs hear). Test: a_late_vote_saves_no_term, red without the guard.

Bounded, too: answers that a member may still take (64), and who brought its part along is forgotten once the whole is open.

--- a/crates/mintlb-fleet/src/ledger.rs
+++ b/crates/mintlb-fleet/src/ledger.rs
@@ -62,6 +62,8 @@
     worked_out: f64,
 }
 
+/// Answers to one member that it may still take, at the most: it asks four times a round at the most.
+const ANSWERS: usize = 64;
 /// One that has not confirmed so many answers hears nothing: parts would be wasted on it.
 const DEAF: u64 = 4;
 /// Where too few can hold a part at once, each keeps it for so many rounds at least.
@@ -102,10 +104,6 @@
         self.joined.range((who, 0)..=(who, u64::MAX)).next().is_some()
     }
 
-    pub fn budgets(&self) -> &[Budget] {
-        &self.budgets
-    }
-
     /// What may be given altogether now.
     fn pool(&self, now: f64, budget: &Budget) -> Amount {
         if self.late.get(&budget.key).is_some_and(|opens| now < *opens) {
@@ -133,11 +131,18 @@
         }
         entry.number = number;
         entry.given.retain(|(number, until, _)| *number > accepted && now < *until);
+        // One that asks faster than any member does is answered again when its answers are over.
+        if entry.given.len() >= ANSWERS {
+            return None;
+        }
         entry.holds = wanted.iter().map(|w| (w.key, w.holds)).collect();
         entry.wants = wanted.iter().map(|w| (w.key, w.want)).collect();
         // Whatever it holds it asked for before now.
         entry.until = now + self.lease.outlasted();
-        if self.joined.insert(who) && now < self.opens {
+        // Once the whole is open, who brought what along matters no more, and lives come and go without end.
+        if now >= self.opens {
+            self.joined.clear();
+        } else if self.joined.insert(who) {
             for w in wanted {
                 let brought = self.brought.entry(w.key).or_default();
                 *brought = brought.plus(w.holds);
--- a/crates/mintlb-fleet/src/node.rs
+++ b/crates/mintlb-fleet/src/node.rs
@@ -91,11 +91,6 @@
         self.ledger.is_some() && self.office.holds(now, self.keepers.len())
     }
 
-    /// When it was last answered by a divider.
-    pub fn answered(&self) -> f64 {
-        self.holder.answered
-    }
-
     pub fn term(&self) -> Term {
         self.holder.term
     }
@@ -214,6 +209,10 @@
         if self.left {
             return;
         }
+        // Once without a majority another may have divided: a vote that comes late must not let the same term go on.
+        if self.ledger.is_some() && !self.office.holds(now, self.keepers.len()) {
+            self.resign(now, out);
+        }
         match word {
             Word::Ask { term, number, divides } => {
                 let own = (term.who, term.life) == (from, life);
--- a/crates/mintlb-fleet/tests/model.rs
+++ b/crates/mintlb-fleet/tests/model.rs
@@ -9,7 +9,7 @@
 use mintlb_fleet::ledger::Budget;
 use mintlb_fleet::node::Node;
 use mintlb_fleet::slip::{PLANTED, Slip};
-use mintlb_fleet::word::{Amount, Id, Word, of};
+use mintlb_fleet::word::{Amount, Id, Term, Word, of};
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
@@ -452,3 +452,34 @@
         assert!(world.worst <= 1.0);
     }
 }
+
+/// A vote that comes after the majority was lost does not let the term go on: another may have divided in between.
+#[test]
+fn a_late_vote_saves_no_term() {
+    let lease = Lease { seconds: LEASE, drift: 0.01 };
+    for (late, divides) in [(0.45, true), (0.55, false)] {
+        let budgets = vec![Budget { key: KEY, whole: Amount { flow: 1000, stock: 1000 } }];
+        let keepers: Vec<Id> = (0..3).map(id).collect();
+        let mut node = Node::new(0.0, (id(0), 9), lease, budgets, keepers.clone(), keepers, 1);
+        let (mut out, mut now) = (Vec::new(), 0.0);
+        let asks = |out: &[(Id, Word)]| {
+            let asked = |(to, word): &(Id, Word)| match word {
+                Word::Ask { term, number, .. } if *to == id(1) => Some((*term, *number)),
+                _ => None,
+            };
+            out.iter().filter_map(asked).collect::<Vec<(Term, u64)>>()
+        };
+        while asks(&out).is_empty() {
+            now = node.due().max(now);
+            node.tick(now, &[(KEY, 0)], &mut out);
+            assert!(now < 5.0, "it does not stand");
+        }
+        let vote =
+            |(term, number): (Term, u64)| Word::Vote { term, number, granted: true, idle: 0, top: term };
+        node.hear(now + 0.1, (id(1), 5), vote(asks(&out)[0]), &mut out);
+        assert!(node.divides(now + 0.1) && asks(&out).len() == 2);
+        // Its office was asked for at `now`, and once more at `now + 0.1`: that answer comes late.
+        node.hear(now + late, (id(1), 5), vote(asks(&out)[1]), &mut out);
+        assert_eq!(node.divides(now + late), divides, "{late}");
+    }
+}
