A part that needs no word follows the file that was taken last, also while the address is waited for

Found in the read-through: with equal parts, a SIGHUP while another process had the address left the old file's wholes to be zipped with the new file's budgets at the binding, a wrong part where their order differed. Each budget keeps its own part now (fleet.rs). Test: address.rs takes another file before the address is free.

--- a/crates/mintlb-fleet/src/fleet.rs
+++ b/crates/mintlb-fleet/src/fleet.rs
@@ -43,6 +43,8 @@
     key: u64,
     limits: Limits,
     whole: ledger::Budget,
+    /// The part that needs no word.
+    unmoved: Part,
     purse: Arc<Mutex<Purse>>,
     demand: Arc<Mutex<Demand>>,
 }
@@ -68,8 +70,9 @@
     }
 }
 
-/// The budgets of a plan; what was spent and is held of one that was there before goes on.
-fn budgets(plan: &Plan, before: &[Arc<Budget>]) -> Vec<Arc<Budget>> {
+/// These budgets, by a plan that holds until the next start; what was spent and is held of one that was there before
+/// goes on.
+fn budgets(plan: &Plan, wholes: &[Whole], before: &[Arc<Budget>]) -> Vec<Arc<Budget>> {
     let budget = |whole: &Whole| {
         let (name, key) = (whole.name.clone(), id(&format!("{}/{:?}", whole.name, whole.limits)));
         let amount = ledger::Budget { key, whole: Node::whole(whole.rate, whole.burst) };
@@ -77,9 +80,10 @@
         let purse = known.map(|known| known.purse.clone());
         let purse = purse.unwrap_or_else(|| Arc::new(Mutex::new(Purse::new(plan.table.drift))));
         let demand = known.map_or_else(Arc::default, |known| known.demand.clone());
-        Arc::new(Budget { name, key, limits: whole.limits, whole: amount, purse, demand })
+        let unmoved = plan.unmoved(whole);
+        Arc::new(Budget { name, key, limits: whole.limits, whole: amount, unmoved, purse, demand })
     };
-    plan.table.budgets.iter().map(budget).collect()
+    wholes.iter().map(budget).collect()
 }
 
 /// The address that is held for as long as the process lives: no other may vote, or hold parts, under this name meanwhile.
@@ -116,7 +120,7 @@
     /// Binds its address, and holds its parts from then on or as it is given them. Where another process has the address,
     /// as one of its name does that it takes over from, that is tried again until that one has ended.
     pub async fn start(plan: Plan, seed: u64, log: Logger) -> Result<Fleet, String> {
-        let budgets = Mutex::new(Arc::new(budgets(&plan, &[])));
+        let budgets = Mutex::new(Arc::new(budgets(&plan, &plan.table.budgets, &[])));
         let (name, me, at) = (id(&plan.table.name), id(&plan.name), plan.at);
         let (life, bound, hungry) = (life(seed), OnceLock::new(), Notify::new());
         let fleet = Fleet(Arc::new(Shared { plan, seed, name, me, life, budgets, bound, hungry, log }));
@@ -150,10 +154,10 @@
     }
 
     /// Holds the parts that need no word.
-    fn unmoved(&self, now: f64, plan: &Plan) {
-        let equal = plan.table.division == Division::Equal && self.0.plan.table.division == Division::Equal;
-        for (budget, whole) in self.budgets().iter().zip(&plan.table.budgets).filter(|_| equal) {
-            budget.purse.lock().take(now, self.0.plan.unmoved(whole));
+    fn hold_unmoved(&self, now: f64) {
+        let unmoved = self.0.plan.table.division == Division::Equal;
+        for budget in self.budgets().iter().filter(|_| unmoved) {
+            budget.purse.lock().take(now, budget.unmoved);
         }
     }
 
@@ -161,7 +165,7 @@
     pub fn change(&self, plan: &Plan) {
         let now = now();
         let before = self.budgets();
-        let new = budgets(plan, &before);
+        let new = budgets(&self.0.plan, &plan.table.budgets, &before);
         // Nothing of one that is gone may be spent any more.
         before.iter().for_each(|old| {
             if new.iter().all(|new| new.key != old.key) {
@@ -170,7 +174,7 @@
         });
         *self.0.budgets.lock() = Arc::new(new);
         let Some(bound) = self.0.bound.get() else { return };
-        self.unmoved(now, plan);
+        self.hold_unmoved(now);
         if let Some(mut talk) = bound.talk.as_ref().map(Mutex::lock) {
             let wholes = self.budgets().iter().map(|budget| budget.whole).collect();
             talk.node.retune(now, wholes);
@@ -184,7 +188,7 @@
     fn join(&self, socket: UdpSocket) {
         let Shared { plan, me, name, life, seed, log, .. } = &*self.0;
         let (now, table, budgets) = (now(), &plan.table, self.budgets());
-        self.unmoved(now, plan);
+        self.hold_unmoved(now);
         let talk = (table.division == Division::Leases).then(|| {
             let members: BTreeMap<Id, _> = table.members.iter().map(|(name, at)| (id(name), *at)).collect();
             let keepers = table.keepers.iter().map(|name| id(name)).collect();
--- a/crates/mintlb-fleet/tests/address.rs
+++ b/crates/mintlb-fleet/tests/address.rs
@@ -8,9 +8,9 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-fn plan(at: &str, more: &str) -> Plan {
+fn plan(at: &str, more: &str, rate: f64) -> Plan {
     let text = format!(
-        "{more}\nmembers = {{ a = {at:?} }}\nbudgets = [{{ name = \"x\", limits = \"again\", rate = 100.0, burst = 5.0 }}]"
+        "{more}\nmembers = {{ a = {at:?} }}\nbudgets = [{{ name = \"x\", limits = \"again\", rate = {rate:?}, burst = 5.0 }}]"
     );
     Plan::new(toml::from_str::<Table>(&text).unwrap(), "a").unwrap()
 }
@@ -27,9 +27,11 @@
         [("division = \"equal\"", "127.93.0.1:7"), ("keepers = [\"a\"]\nlease = 0.4", "127.93.0.1:8")]
     {
         let old = UdpSocket::bind(at).await.unwrap();
-        let new = start(plan(at, more)).await;
+        let new = start(plan(at, more, 100.0)).await;
         sleep(Duration::from_millis(700)).await;
         assert!(!new.has(again) && new.slip(again).is_none(), "{at}: the old one has the address");
+        // The file that is taken meanwhile is the one that holds then.
+        new.change(&plan(at, more, 50.0));
         drop(old);
         let mut waited = 0;
         while !new.has(again) {
@@ -37,6 +39,7 @@
             waited += 20;
             assert!(waited < 4000, "{at}: it has the address, and no part");
         }
+        assert!(new.figures().contains("edge_router.fleet.x.part=50\n"), "{at}: {}", new.figures());
         // Set aside, paid and not taken: as good as never paid.
         let slip = new.slip(again).unwrap();
         assert!(slip.pay());
