A client that leaves is heard of also while bytes lie unread behind its request

Cause: hyper's connection looks for the end of a waiting client only while its own read buffer is empty (mid_message_detect_eof); one byte behind the request ends the looking. seen.rs marked the fault, but nobody acted on it before the answer. Ruled out: the reducer (Left on a waiting work unit takes it out at once, tests/reducer.rs), the handler's drop (a plain end was heard before). Mend: while a work unit waits, the front reads the socket itself, passes over what comes (through seen.rs, so that the connection still ends with its answer) and ends the connection at an end or an error. The socket is shared for that by the library and the front (socket.rs). Not picked: a second descriptor of the socket (costs one a connection), following chunked framing before the library (more code, and would not see what came in the same read as the last chunk).

--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -8,6 +8,7 @@
 use crate::limits::Limits;
 use crate::places::{Place, Places};
 use crate::seen::{Phase, Seen};
+use crate::socket::Socket;
 use axum::body::{Body, to_bytes};
 use axum::extract::{Request, State};
 use axum::http::header::{CONNECTION, RETRY_AFTER};
@@ -36,11 +37,12 @@
 use std::collections::HashMap;
 use std::error::Error;
 use std::future::{Future, poll_fn};
+use std::io::ErrorKind;
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
-use std::task::Poll;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 use tokio::io::AsyncReadExt;
 use tokio::net::{TcpListener, TcpStream};
@@ -50,6 +52,9 @@
 use tokio_util::io::InspectReader;
 use tower_service::Service;
 
+/// So many bytes behind a request are passed over at once.
+const PASSED_OVER: usize = 4 << 10;
+
 /// What the front must know of a project type.
 struct Entry {
     number: usize,
@@ -179,9 +184,9 @@
 
     async fn connection(self: Arc<Front>, stream: TcpStream, router: Router, place: Place) {
         stream.set_nodelay(true).ok();
-        let (seen, read, socket) = (place.seen.clone(), self.limits.read, stream.as_raw_fd());
+        let (seen, read, socket) = (place.seen.clone(), self.limits.read, Arc::new(stream));
         let looking = seen.clone();
-        let stream = InspectReader::new(stream, move |bytes: &[u8]| looking.look(bytes));
+        let stream = InspectReader::new(Socket(socket.clone()), move |bytes: &[u8]| looking.look(bytes));
         let service = service_fn(|mut request: Request<Incoming>| {
             request.extensions_mut().insert(seen.clone());
             router.clone().call(request)
@@ -198,12 +203,18 @@
             }
             while called.as_mut().poll(cx).is_ready() {
                 // What came since was read last would be lost with the connection, and answers it is to end with.
-                if !(matches!(place.seen.phase(), Phase::Idle(_)) && has_come(socket)) {
+                if !(matches!(place.seen.phase(), Phase::Idle(_)) && has_come(socket.as_raw_fd())) {
                     return Poll::Ready(None);
                 }
                 called.set(place.seen.called());
             }
-            let Phase::Coming(since) = place.seen.phase() else { return Poll::Pending };
+            let since = match place.seen.phase() {
+                Phase::Coming(since) => since,
+                // While bytes behind the request lie unread, the library looks no further, and would not see
+                // its client leave.
+                Phase::Open => return poll_left(&socket, &place.seen, cx).map(|()| None),
+                Phase::Idle(_) => return Poll::Pending,
+            };
             // What is left of a body gets an error first.
             let due = since + read + read / 16;
             if alarm.deadline() != due {
@@ -341,6 +352,18 @@
     answer
 }
 
+/// Passes over what its client still sends, none of which is of its request, until it leaves.
+fn poll_left(socket: &TcpStream, seen: &Seen, cx: &mut Context) -> Poll<()> {
+    let mut behind = [0; PASSED_OVER];
+    loop {
+        match ready!(socket.poll_read_ready(cx)).and_then(|()| socket.try_read(&mut behind)) {
+            Ok(n) if n > 0 => seen.look(&behind[..n]),
+            Err(e) if e.kind() == ErrorKind::WouldBlock => {}
+            Ok(_) | Err(_) => return Poll::Ready(()),
+        }
+    }
+}
+
 /// Whether bytes wait to be read there, also such as we have not been told of.
 fn has_come(socket: RawFd) -> bool {
     let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
--- a/crates/mintlb-http/tests/closing.rs
+++ b/crates/mintlb-http/tests/closing.rs
@@ -2,49 +2,18 @@
 
 mod machine;
 
-use machine::{limits, quiet};
-use mintlb::{Effect, ProjectType};
-use mintlb_core::clock::Clock;
-use mintlb_core::figures::Figures;
+use machine::{Served, answer, served};
 use mintlb_core::reducer::Event;
-use mintlb_core::room::Room;
-use mintlb_core::standing::{Notice, Standing, Word};
-use mintlb_core::types::Named;
-use mintlb_core::work::{Answer, Numbers};
-use mintlb_http::front::Front;
-use parking_lot::Mutex;
+use mintlb_core::standing::Word;
+use mintlb_core::work::Answer;
 use std::io::Write;
 use std::net::TcpStream as Raw;
-use std::sync::Arc;
-use std::time::Duration;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::unbounded_channel;
-use tokio::time::timeout;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
-struct Served {
-    front: Arc<Front>,
-    standing: Arc<Mutex<Standing>>,
-    clock: Clock,
-    at: std::net::SocketAddr,
-}
-
-/// A front of one project type, `w`, each work unit of which is completed at once.
+/// A front each work unit of which is completed at once.
 async fn serve() -> Served {
-    let (tell, mut events) = unbounded_channel();
-    let clock = Clock::start();
-    let standing = Arc::new(Mutex::new(Standing::new(Notice { leave: 0.0, stop: 0.0 })));
-    standing.lock().hear(clock.now(), Word::Ready).unwrap();
-    let shared = (Numbers::default(), Room::new(64, 1 << 20), clock, standing.clone());
-    let front = Front::new(Vec::new(), limits(), shared, tell, quiet());
-    let (credit, late_credit, promised_turnaround, stretch, hard_limit) = (1.0, 0.0, 1.0, 0.0, 3.0);
-    let (effect, kind) = (Effect::Rerunnable, None);
-    let project_type =
-        ProjectType { credit, late_credit, promised_turnaround, stretch, hard_limit, effect, kind };
-    front.take_types(&[Named { name: "w".into(), number: 0, project_type }], &Figures::default());
-    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-    let at = listener.local_addr().unwrap();
-    tokio::spawn(front.clone().listen(listener));
+    let (served, mut events) = served().await;
     tokio::spawn(async move {
         while let Some(event) = events.recv().await {
             if let Event::Arrived(arrival) = event {
@@ -52,27 +21,13 @@
             }
         }
     });
-    Served { front, standing, clock, at }
+    served
 }
 
 fn request(id: u32) -> String {
     format!("POST /w HTTP/1.1\r\nhost: x\r\nrequest-id: {id}\r\ncontent-length: 2\r\n\r\nhi")
 }
 
-/// All that comes until an answer is whole, or the connection ends.
-async fn answer(stream: &mut TcpStream) -> String {
-    let (mut got, mut piece) = (String::new(), [0; 1024]);
-    while !got.ends_with("yes") {
-        let read =
-            timeout(Duration::from_secs(4), stream.read(&mut piece)).await.expect("an answer or an end");
-        match read {
-            Ok(0) | Err(_) => break,
-            Ok(n) => got += &String::from_utf8_lossy(&piece[..n]),
-        }
-    }
-    got
-}
-
 /// A request that was written before an idle connection was to close, but that nobody has told us of, is answered.
 #[tokio::test]
 async fn what_waits_unread_is_answered_before_the_connection_closes() {
