What is not written yet is taken back: a drain, a new start, a leave or an end crosses a slow dial

Seen: crates/mintlb-node/tests/crossings.rs, the program with a worker whose connection comes up one second after the order: told meanwhile that the worker drains (or is gone), the program wrote 'POST /charge' to it once the dial came up. Same where its client had left and the settings permit no recall. Rule 3 counts the first byte; the grace is 0.5 s, a dial may take dial_timeout waiting for a link and as long again. Cause: between Act::Send (reducer.rs, allocate) and the first byte (dial.rs) nobody asked again; only a recall could stop an order. Ruled out by table (tests/reducer.rs, an_order_is_taken_back): the list's news, which reached the module at once in each form. Mend: an Order carries a token; the reducer cancels it when its worker takes nothing new (drains, gone, left out, started anew: rule 4's budget was looked at for the old process) or its work unit has ended without a recall; the gate in dial.rs, which already keeps an unpaid byte, then writes no more, and the back says Full (never ran) at once, so that it goes elsewhere without blame. What is whole stays out. Not picked: asking at the byte alone (the work unit would wait for a dead dial); ending in Moot (that defers, though others have room). Without the mend: crossings fails at 'it drains', outcomes at 'dialling: nothing is told'.

--- a/crates/mintlb-core/src/hands.rs
+++ b/crates/mintlb-core/src/hands.rs
@@ -60,6 +60,10 @@
         debug!(self.log, "allocation started"; "n" => number, "wu" => wu);
     }
 
+    pub fn left(&self, wu: u64) {
+        debug!(self.log, "its client has left"; "wu" => wu);
+    }
+
     /// One line of counts, where there is something to count.
     pub fn count(&mut self, held: usize) {
         let (so_far, closed) = (self.figures.so_far(), std::mem::take(&mut self.closed));
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -17,6 +17,7 @@
 use std::collections::{HashSet, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
+use tokio_util::sync::CancellationToken;
 
 /// What was read.
 pub enum Event {
@@ -89,7 +90,8 @@
     /// The clients' ids of what is held, and of what is over, up to when its client would have given up.
     ids: HashSet<Box<[u8]>>,
     over: VecDeque<(f64, Box<[u8]>)>,
-    out: FxHashSet<AllocId>,
+    /// What is out, and what takes it back as far as it is not written.
+    out: FxHashMap<AllocId, CancellationToken>,
     members: Members,
     version: Option<u64>,
     /// Limits of many schedulers together, where there are any.
@@ -103,7 +105,7 @@
     margin: f64,
     version: Option<u64>,
     held: &'a mut FxHashMap<u64, Held>,
-    out: &'a mut FxHashSet<AllocId>,
+    out: &'a mut FxHashMap<AllocId, CancellationToken>,
     members: &'a Members,
     purse: Option<&'a dyn Purse>,
     has: Cell<Option<bool>>,
@@ -137,7 +139,8 @@
         let Some(wu) = alloc.wu.upgrade() else { return };
         let id = (wu.id, alloc.number);
         let full = self.out.len() >= self.most_out;
-        self.out.insert(id);
+        let taken_back = CancellationToken::new();
+        self.out.insert(id, taken_back.clone());
         let again = alloc.number > 0;
         let slip = self.purse.filter(|_| again).map(|purse| purse.slip(Spend { again }));
         self.has.set(None);
@@ -149,7 +152,8 @@
             (Some(to), Some(held)) => {
                 let (project_type, customer) = (wu.project_type, wu.customer);
                 let (payload, until) = (held.payload.clone(), wu.limit - self.margin);
-                let order = Order { alloc: id, project_type, customer, payload, until, slip: slip.flatten() };
+                let slip = slip.flatten();
+                let order = Order { alloc: id, project_type, customer, payload, until, slip, taken_back };
                 self.acts.push(Act::Send { to: to.clone(), order });
             }
             _ => self.known.push(Back::with(id, Outcome::NoConnection)),
@@ -265,7 +269,7 @@
             }
             Event::Started((id, number)) => {
                 let alloc = self.held.get(&id).and_then(|held| held.wu.allocation(number));
-                let Some(alloc) = alloc.filter(|_| self.out.contains(&(id, number))) else {
+                let Some(alloc) = alloc.filter(|_| self.out.contains_key(&(id, number))) else {
                     return Vec::new();
                 };
                 self.with_door(now, |scheduler, door| scheduler.started(door, now, &alloc))
@@ -293,7 +297,9 @@
                     false if from_list => News::Changes(&lines),
                     false => News::Callers(&lines),
                 };
-                self.with_door(now, |s, door| s.news(door, now, news))
+                let acts = self.with_door(now, |s, door| s.news(door, now, news));
+                self.take_back();
+                acts
             }
             // At once, whatever was to be asked of the old one: nothing it says from now on is heard. Another service
             // may be another deployment's, with versions of its own.
@@ -306,6 +312,17 @@
         }
     }
 
+    /// What is still to be written to a worker that takes nothing new, or is another process by now, stays unwritten
+    /// (rules 3 and 4): a connection may come up long after the list has told of that.
+    fn take_back(&self) {
+        for ((id, number), taken_back) in &self.out {
+            let alloc = self.held.get(id).and_then(|held| held.wu.allocation(*number));
+            if alloc.is_some_and(|alloc| !alloc.worker.takes_new()) {
+                taken_back.cancel();
+            }
+        }
+    }
+
     /// Each request has an id of its own. Who sends another's must not reach a worker with it, which would
     /// take it for the same work, nor touch the answer that the other is owed.
     fn is_new(&mut self, now: f64, client_id: Option<&[u8]>) -> bool {
@@ -347,8 +364,14 @@
         let OpenDoor { acts, touched, .. } = door;
         for id in touched {
             if let Entry::Occupied(held) = self.held.entry(id)
-                && held.get().wu.is_over()
+                && held.get().wu.ended()
             {
+                // Where nothing may be called off, what is not written yet still may not go.
+                let allocs = (0..).map_while(|n| held.get().wu.allocation(n).map(|_| (id, n)));
+                allocs.filter_map(|id| self.out.get(&id)).for_each(CancellationToken::cancel);
+                if !held.get().wu.is_over() {
+                    continue;
+                }
                 let Held { wu, client_id, .. } = held.remove();
                 self.over.extend(client_id.map(|id| (wu.limit, id)));
             }
@@ -360,7 +383,7 @@
 /// An outcome, once for each allocation: a later word on it says nothing.
 fn back(scheduler: &mut Scheduler, door: &mut OpenDoor, told: Back) {
     let now = door.now;
-    if !door.out.remove(&told.alloc) {
+    if door.out.remove(&told.alloc).is_none() {
         return;
     }
     let Some(wu) = door.held.get(&told.alloc.0).map(|held| held.wu.clone()) else { return };
--- a/crates/mintlb-core/src/work.rs
+++ b/crates/mintlb-core/src/work.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 /// A work unit's number at this scheduler, and the allocation's among the work unit's.
 pub type AllocId = (u64, u16);
@@ -82,6 +83,9 @@
     pub until: f64,
     /// What it has to pay at the byte that makes it whole, where something limits it.
     pub slip: Option<Arc<dyn Slip>>,
+    /// Cancelled, no more of it may be written: its worker takes nothing new, or its work unit has its answer. What is
+    /// not whole by then never ran; what is stays out.
+    pub taken_back: CancellationToken,
 }
 
 /// An allocation that has come back.
--- a/crates/mintlb-http/src/dial.rs
+++ b/crates/mintlb-http/src/dial.rs
@@ -18,29 +18,42 @@
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 /// The bytes of a connection that the system took so far, and at how many of them a request will be whole.
 #[derive(Clone, Default)]
-pub struct Written(Arc<AtomicU64>, Arc<AtomicU64>, Arc<Mutex<Option<Arc<dyn Slip>>>>);
+pub struct Written(Arc<AtomicU64>, Arc<AtomicU64>, Arc<Mutex<Option<Gate>>>);
+
+/// What has to hold while a request is written: its slip is paid at the byte that makes it whole, and it is not taken
+/// back before.
+#[derive(Clone)]
+pub struct Gate {
+    pub slip: Option<Arc<dyn Slip>>,
+    pub taken_back: CancellationToken,
+}
 
 impl Written {
     pub fn so_far(&self) -> u64 {
         self.0.load(Relaxed)
     }
 
-    /// A request of so many bytes is written next, and its slip paid at the last of them.
-    pub fn expect(&self, length: u64, slip: Option<Arc<dyn Slip>>) {
+    /// A request of so many bytes is written next, as far as its gate lets it.
+    pub fn expect(&self, length: u64, gate: Gate) {
         self.1.store(self.so_far() + length, Relaxed);
-        *self.2.lock() = slip;
+        *self.2.lock() = Some(gate);
     }
 
     /// Up to this many more bytes are about to be written: what has been paid for that.
     fn pay(&self, bytes: usize) -> io::Result<Option<Arc<dyn Slip>>> {
         let whole = self.1.load(Relaxed);
+        let gate = self.2.lock().clone();
+        if gate.as_ref().is_some_and(|gate| gate.taken_back.is_cancelled()) {
+            return Err(io::Error::other(TakenBack));
+        }
         if whole == 0 || self.so_far() + (bytes as u64) < whole {
             return Ok(None);
         }
-        let slip = self.2.lock().clone();
+        let slip = gate.and_then(|gate| gate.slip);
         match slip.as_ref().is_none_or(|slip| slip.pay()) {
             true => Ok(slip),
             false => Err(io::Error::other(Unpaid)),
@@ -143,6 +156,18 @@
 
 impl Error for Unpaid {}
 
+/// An allocation was taken back before its last byte was written.
+#[derive(Debug)]
+pub struct TakenBack;
+
+impl Display for TakenBack {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        f.write_str("taken back before it was written")
+    }
+}
+
+impl Error for TakenBack {}
+
 /// Whether this scheduler's own system had nothing left for it.
 fn is_short(error: &(dyn Error + 'static)) -> bool {
     let code = error.downcast_ref::<io::Error>().and_then(io::Error::raw_os_error);
--- a/crates/mintlb-http/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -7,7 +7,7 @@
 //! dials, unless a new connection to that worker has been seen to be dear and kept ones to have lasted.
 
 use crate::causes::causes;
-use crate::dial::{Dialer, NoRoom, Unpaid, Written};
+use crate::dial::{Dialer, Gate, NoRoom, Unpaid, Written};
 use crate::last_byte::LastByte;
 use crate::limits::Limits;
 use crate::lines::Lines;
@@ -23,7 +23,6 @@
 use mintlb::{Outcome, Report};
 use mintlb_core::clock::Clock;
 use mintlb_core::reducer::Event;
-use mintlb_core::spend::Slip;
 use mintlb_core::work::{Back, Order, Reach, Recall};
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -208,7 +207,8 @@
         };
         let Some(head) = worded else { return (back, None) };
         let Ok(request) = onward(to, &head, &order.payload.body, left, wait) else { return (back, None) };
-        let answer = match self.send(to, request, order.slip.clone()).await {
+        let gate = Gate { slip: order.slip.clone(), taken_back: order.taken_back.clone() };
+        let answer = match self.send(to, request, gate).await {
             Ok(answer) => answer,
             Err(outcome) => return (Back { outcome, ..back }, None),
         };
@@ -253,7 +253,7 @@
         &self,
         to: SocketAddr,
         mut request: Request<LastByte>,
-        slip: Option<Arc<dyn Slip>>,
+        gate: Gate,
     ) -> Result<Response<Incoming>, Outcome> {
         let length = least_length(&request);
         let captured = capture_connection(&mut request);
@@ -263,6 +263,7 @@
         let keep = quickest.is_none_or(|q| q > self.dear) && !self.died.load(Relaxed);
         let mut sending = pin!(if keep { &self.keeping } else { &self.dialling }.request(request));
         let mut on: Option<(Written, u64)> = None;
+        let mut taken_back = pin!(gate.taken_back.cancelled());
         // The connection is known as soon as the client has picked it, in the same poll, and before its own
         // task writes, as all tasks share one thread: so the count then is that of earlier requests.
         let answer = poll_fn(|cx| {
@@ -273,13 +274,19 @@
                     connected.get_extras(&mut extras);
                     let written: Written = extras.remove()?;
                     let before = written.so_far();
-                    written.expect(length, slip.clone());
+                    written.expect(length, gate.clone());
                     Some((written, before))
                 });
             }
-            polled
+            // Its gate keeps the rest from being written; what is whole is waited for.
+            let whole = |(written, before): &(Written, u64)| written.so_far() - before >= length;
+            if polled.is_pending() && !on.as_ref().is_some_and(whole) {
+                return taken_back.as_mut().poll(cx).map(|()| None);
+            }
+            polled.map(Some)
         });
-        let error = match answer.await {
+        let Some(answer) = answer.await else { return Err(Outcome::Full) };
+        let error = match answer {
             Ok(answer) => {
                 if on.is_some_and(|(_, before)| before == 0) {
                     let took = began.elapsed();
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -19,12 +19,22 @@
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 use tokio::sync::mpsc::unbounded_channel;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
 
 fn order(n: u16, body: usize, until: f64) -> Order {
     let head = axum::http::Request::post("/charge/7?x=1").header("request-id", "a1").body(()).unwrap();
     let own = Arc::new(head.into_parts().0);
     let payload = Payload { body: vec![b'x'; body].into(), once: true, own };
-    Order { alloc: (1, n), project_type: 0, customer: None, payload, until, slip: None }
+    Order {
+        alloc: (1, n),
+        project_type: 0,
+        customer: None,
+        payload,
+        until,
+        slip: None,
+        taken_back: CancellationToken::new(),
+    }
 }
 
 /// Reads a request, its head and body; `None` if the connection ends before.
@@ -254,6 +264,88 @@
     }
 }
 
+/// Taken back while there is no connection yet, while it waits for a link or while its last byte does, nothing more of it
+/// is written, and that it never ran is told at once. Once it is whole it stays out.
+#[tokio::test]
+async fn what_is_taken_back_is_written_no_further() {
+    // One whose connections come up only when they are accepted: its queue holds no more than two.
+    let socket = tokio::net::TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let late = socket.local_addr().unwrap();
+    let listener = socket.listen(0).unwrap().into_std().unwrap();
+    listener.set_nonblocking(false).unwrap();
+    let mut queued = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&late, Duration::from_millis(50)) {
+        queued.push(stream);
+    }
+    let seconds = Duration::from_secs;
+    let patient = Limits { dial: seconds(4), sound: seconds(4), ..limits() };
+    let whole = Limits { sound: Duration::ZERO, ..patient.clone() };
+    for (shown, limits, dials, outcome) in [
+        ("dialling", patient.clone(), true, "Full"),
+        ("waiting for a link", Limits { links: 0, ..patient.clone() }, true, "Full"),
+        ("its last byte waits", patient.clone(), false, "Full"),
+        ("whole", whole, false, "Completed"),
+    ] {
+        let at = TcpListener::bind("127.0.0.1:0").unwrap();
+        let (to, clock) = (if dials { late } else { at.local_addr().unwrap() }, Clock::start());
+        let (tell, mut told) = unbounded_channel();
+        let workers = Workers::new(&limits, clock, tell, &[], Worded::default(), Arc::default(), quiet());
+        let order = order(0, 2, clock.now() + 20.0);
+        let taken_back = order.taken_back.clone();
+        let task = tokio::spawn(async move { workers.allocate(&order, to).await });
+        // The fact that it is on its way: its head is there, or it waits where nobody can see it.
+        let mut stream = None;
+        if !dials {
+            stream = Some(tokio::task::spawn_blocking(move || {
+                let (mut stream, _) = at.accept().unwrap();
+                let (mut got, wanted) =
+                    (Vec::new(), if outcome == "Full" { "\r\n\r\nx" } else { "\r\n\r\nxx" });
+                while !String::from_utf8_lossy(&got).ends_with(wanted) {
+                    let mut byte = [0];
+                    stream.read_exact(&mut byte).unwrap();
+                    got.extend(byte);
+                }
+                stream
+            }));
+        } else {
+            tokio::task::yield_now().await;
+        }
+        let stream = match stream {
+            Some(stream) => Some(stream.await.unwrap()),
+            None => None,
+        };
+        taken_back.cancel();
+        if outcome == "Completed" {
+            stream.as_ref().unwrap().write_all(self::stream(&[DONE]).as_bytes()).unwrap();
+        }
+        let began = Instant::now();
+        let Ok(Some(Event::Back(back))) = timeout(limits.dial / 2, told.recv()).await else {
+            panic!("{shown}: nothing is told")
+        };
+        assert_eq!(format!("{:?}", back.outcome), outcome, "{shown}");
+        assert!(began.elapsed() < limits.dial / 8, "{shown}: at once");
+        task.await.unwrap();
+        if let Some(mut stream) = stream.filter(|_| outcome == "Full") {
+            let mut rest = Vec::new();
+            stream.read_to_end(&mut rest).ok();
+            assert!(rest.is_empty(), "{shown}: {rest:?}");
+        }
+    }
+    // Now the connection could come up: whoever comes has nothing to say.
+    listener.set_nonblocking(true).unwrap();
+    drop(queued);
+    let until = Instant::now() + seconds(2);
+    while Instant::now() < until {
+        if let Ok((mut stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).unwrap();
+            stream.set_read_timeout(Some(Duration::from_millis(100))).unwrap();
+            assert!(!matches!(stream.read(&mut [0]), Ok(n) if n > 0), "a byte came after all");
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
 #[tokio::test]
 async fn giving_up_closes_the_connection() {
     for (shown, answer) in [("before an answer", "|"), ("after its head", "HTTP/1.1 200 OK\r\n\r\n|")] {
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -80,6 +80,7 @@
     match &event {
         Event::Back(back) => hands.back(back),
         Event::Started(alloc) => hands.started(*alloc),
+        Event::Left(wu) => hands.left(*wu),
         _ => {}
     }
     reducer.reduce(now, event).into_iter().for_each(|act| hands.carry_out(act));
--- a/crates/mintlb-node/tests/harness/mod.rs
+++ b/crates/mintlb-node/tests/harness/mod.rs
@@ -233,6 +233,39 @@
     Program { at: told(&line, "listen: "), child, log, jobs, ops, workers: channel().1, path }
 }
 
+/// A listener whose queue of connections is full: whoever dials it comes up only once these have been dropped and
+/// accepted.
+pub fn late() -> (TcpListener, Vec<TcpStream>) {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).unwrap();
+    socket.bind(&SocketAddr::from(([127, 0, 0, 1], 0)).into()).unwrap();
+    socket.listen(0).unwrap();
+    let listener = TcpListener::from(socket);
+    let (at, mut queued) = (listener.local_addr().unwrap(), Vec::new());
+    while let Ok(stream) = TcpStream::connect_timeout(&at, PAUSE / 2) {
+        queued.push(stream);
+    }
+    (listener, queued)
+}
+
+/// What comes on any connection of such a listener, once it lets them come up, in so long.
+pub fn came_late((listener, queued): (TcpListener, Vec<TcpStream>), within: Duration) -> String {
+    drop(queued);
+    listener.set_nonblocking(true).unwrap();
+    let (until, mut came) = (Instant::now() + within, Vec::new());
+    while Instant::now() < until && came.is_empty() {
+        match listener.accept() {
+            Ok((mut stream, _)) => {
+                stream.set_nonblocking(false).unwrap();
+                stream.set_read_timeout(Some(PAUSE)).unwrap();
+                let mut piece = [0; 4096];
+                came.extend(stream.read(&mut piece).map_or(&[][..], |n| &piece[..n]));
+            }
+            Err(_) => std::thread::sleep(PAUSE / 10),
+        }
+    }
+    String::from_utf8_lossy(&came).into()
+}
+
 /// All that comes back until the connection is closed or an answer of known length is whole.
 pub fn answer(stream: &mut TcpStream) -> String {
     stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
@@ -294,6 +327,18 @@
         self.signal("-HUP");
     }
 
+    /// Reads its log up to a line that has these words, whatever else is in it; the line.
+    pub fn logged(&mut self, words: &str) -> String {
+        let mut line = String::new();
+        loop {
+            line.clear();
+            assert!(self.log.read_line(&mut line).unwrap() > 0, "it ended before it logged: {words}");
+            if line.contains(words) {
+                return line;
+            }
+        }
+    }
+
     /// Waits for its end: whether it was a clean one, and how long it took.
     pub fn end(&mut self) -> (bool, Duration) {
         let began = Instant::now();
--- a/crates/mintlb-node/tests/reducer.rs
+++ b/crates/mintlb-node/tests/reducer.rs
@@ -22,16 +22,17 @@
     reading: Reading,
     now: f64,
     clients: Vec<Receiver<Answer>>,
+    orders: Vec<Order>,
     types: Vec<(String, ProjectType)>,
     terms: Terms,
 }
 
 fn bench(most_out: usize) -> Bench {
-    let plan = Plan::new(
-        Placement::parse(include_str!("../../../examples/config.json")).unwrap(),
-        Operator::default(),
-    )
-    .unwrap();
+    bench_of(most_out, include_str!("../../../examples/config.json"))
+}
+
+fn bench_of(most_out: usize, config: &str) -> Bench {
+    let plan = Plan::new(Placement::parse(config).unwrap(), Operator::default()).unwrap();
     let quiet = slog::Logger::root(slog::Discard, slog::o!());
     let (tell, _) = unbounded_channel();
     let workers =
@@ -40,15 +41,17 @@
     let reading = Reading { zones, kinds, runs: Runs::default(), workers };
     let types = plan.types.clone();
     let reducer = Reducer::new(plan.scheduler, Types::new(plan.types), most_out, 0.002);
-    Bench { reducer, reading, now: 1e9, clients: Vec::new(), types, terms: plan.terms }
+    let (now, clients, orders, terms) = (1e9, Vec::new(), Vec::new(), plan.terms);
+    Bench { reducer, reading, now, clients, orders, types, terms }
 }
 
 fn listing(full: bool, version: u64, states: &[&str]) -> Listing {
     let servers = states.iter().enumerate().map(|(i, state)| {
         let addr = if *state == "NOWHERE" { "nowhere:1".into() } else { format!("127.0.0.1:{}", 7001 + i) };
-        let state = if *state == "NOWHERE" { "SERVING" } else { state };
+        let started = if *state == "FRESH" { 999_999_999_000u64 } else { 0 };
+        let state = if ["NOWHERE", "FRESH"].contains(state) { "SERVING" } else { state };
         format!(
-            r#"{{"id":"s-{i}","addr":"{addr}","zone":"north","kind":"small","cell":1,"state":"{state}"}}"#
+            r#"{{"id":"s-{i}","addr":"{addr}","zone":"north","kind":"small","cell":1,"state":"{state}","started_ms":{started}}}"#
         )
     });
     let servers: Vec<String> = servers.collect();
@@ -146,8 +149,10 @@
         let mut said = Vec::new();
         for act in acts {
             match act {
-                Act::Send { to, order: Order { alloc: (id, n), .. } } => {
-                    said.push(format!("send {id}.{n} {}", to.to_string().split(':').next_back().unwrap()))
+                Act::Send { to, order } => {
+                    let (id, n) = order.alloc;
+                    said.push(format!("send {id}.{n} {}", to.to_string().split(':').next_back().unwrap()));
+                    self.orders.push(order);
                 }
                 Act::Recall((id, n)) => said.push(format!("close {id}.{n}")),
                 Act::Answer { to, answer, .. } => {
@@ -293,6 +298,35 @@
     }
 }
 
+/// An order may be written long after it was given: what has happened since takes it back, as far as it is not written.
+#[test]
+fn an_order_is_taken_back() {
+    for (shown, cancel, script, taken_back) in [
+        ("out", true, "known SERVING; call 1 2", ""),
+        ("its worker drains", true, "known SERVING; call 1 2; change DRAINING", "1.0"),
+        ("its worker is gone", true, "known SERVING; call 1 2; change DELETED", "1.0"),
+        ("the whole list leaves it out", true, "known SERVING; call 1 2; list", "1.0"),
+        ("it drains no more", true, "known SERVING; call 1 2; change DRAINING; change SERVING", "1.0"),
+        ("it has started anew", true, "known SERVING; call 1 2; change FRESH", "1.0"),
+        ("another one came", true, "known SERVING; call 1 2; change SERVING FRESH", ""),
+        ("the list failed", true, "known SERVING; call 1 2; lost; moved", ""),
+        ("given after it", true, "known DRAINING; call 1 2; list SERVING", ""),
+        ("its client has left", false, "known SERVING; call 1 2; left 1", "1.0"),
+        ("its client has given up", false, "known SERVING; call 1 2; in 3", "1.0"),
+        ("another's client has left", false, "known SERVING SERVING; call 1 2; call 2 2; left 1", "1.0"),
+        ("the last call", false, "known SERVING; call 1 2; last", "1.0"),
+        ("it waits again", false, "known SERVING; call 1 0; back 1.0 down", ""),
+    ] {
+        let config = include_str!("../../../examples/config.json");
+        let config = config.replace("\"may_cancel\": true", &format!("\"may_cancel\": {cancel}"));
+        let mut bench = bench_of(8, &config);
+        script.split(';').for_each(|step| drop(bench.step(step)));
+        let orders = bench.orders.iter().filter(|order| order.taken_back.is_cancelled());
+        let said: Vec<String> = orders.map(|order| format!("{}.{}", order.alloc.0, order.alloc.1)).collect();
+        assert_eq!(said.join(" "), taken_back, "{shown}");
+    }
+}
+
 /// Without a version of a list that was had from where it is asked, all of it is asked for.
 #[test]
 fn a_list_is_asked_for_from_the_version_that_was_had_there() {
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -346,6 +346,11 @@
         self.allocs.borrow().iter().any(|a| a.outcome.get().is_none())
     }
 
+    /// Whether it has its final answer, or its client has left.
+    pub fn ended(&self) -> bool {
+        self.ended.get()
+    }
+
     /// Ended, with no outcome outstanding: the front may forget it.
     pub fn is_over(&self) -> bool {
         self.ended.get() && !self.is_out()
@@ -393,6 +398,11 @@
 }
 
 impl Worker {
+    /// Whether something new may go to it: it is listed as ready, and is still the process that it was.
+    pub fn takes_new(&self) -> bool {
+        self.listed.get() == Listed::Ready
+    }
+
     /// A worker of which nothing is known but its line in the list.
     pub(crate) fn new(line: Line, allowance: f64, types: usize, budget: (f64, f64)) -> Worker {
         Worker {
