A watch that breaks is opened anew within what counts as told, whatever the fleet's size

Seen: crates/mintlb-node/tests/crossings.rs, a list service that falls silent after its line. Asked for anew after 5.15 s with one scheduler, and with 300 up to 9 s (4 s of silence, then a pause of up to half of ask_within, 5 s); what it misses counts as told 6 s after it fell silent. Where the list is pushed (discovery=pushed) what it has counts as told at once, with or without a watch, and we paused there as long. Ruled out: the dial and the head (both bounded, short on loopback), a trickle of bytes as life (a whole line is bounded). Lines at fault: grants.rs (two beats of silence), decide.rs ask_later (the pause grew with the fleet also after a watch that lived). Mend: one beat and a half is silence; after a watch that lived the first pause is at most an eighth of ask_within, taken as 12 s at the most, and later ones spread as before, so that a service that is down is not flooded; a pushed list is asked for within the drain's grace (placement.rs). Besides: a watch's message may come indented over several lines, and has to be whole in time (list.rs, table in outcomes.rs). Without the mend the test fails at 'silent, on_request, 1'.

--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -6,7 +6,7 @@
 use crate::lines::Lines;
 use crate::worker::{Way, Workers};
 use axum::http::StatusCode;
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http_body_util::{BodyExt, Empty, Limited};
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
@@ -185,15 +185,31 @@
             }
         };
         let mut lines = Lines::new(self.ask(&format!("?watch=1&after={after}")).await?, self.line);
-        while let Some(line) = self.in_time(lines.next()).await?? {
-            if line.iter().all(u8::is_ascii_whitespace) {
-                continue;
-            }
-            hear(serde_json::from_slice(&line).map_err(|e| format!("a bad line: {e}"))?);
+        while let Some(listing) = self.in_time(self.said(&mut lines)).await?? {
+            listing.into_iter().for_each(&hear);
         }
         Ok(())
     }
 
+    /// The next message of a watch, which may come indented over several lines, or an empty line of one that has
+    /// nothing to say; `None` at its end. All of it has to come in time: what never becomes whole is no news.
+    async fn said(&self, lines: &mut Lines) -> Result<Option<Option<Listing>>, String> {
+        let mut held = BytesMut::new();
+        while let Some(line) = lines.next().await? {
+            if held.is_empty() && line.iter().all(u8::is_ascii_whitespace) {
+                return Ok(Some(None));
+            }
+            held.extend(&line);
+            match serde_json::from_slice(&held) {
+                Ok(listing) => return Ok(Some(Some(listing))),
+                // Between two lines of one only white space may stand.
+                Err(e) if e.is_eof() && held.len() < self.line => held.extend(b"\n"),
+                Err(e) => return Err(format!("a bad line: {e}")),
+            }
+        }
+        if held.is_empty() { Ok(None) } else { Err("it ended within a message".to_string()) }
+    }
+
     async fn whole(&self) -> Result<Listing, String> {
         let body = Limited::new(self.ask("").await?, self.line).collect();
         let body = self.in_time(body).await?.map_err(|e| format!("no whole list: {e}"))?.to_bytes();
--- a/crates/mintlb-http/tests/machine/mod.rs
+++ b/crates/mintlb-http/tests/machine/mod.rs
@@ -37,7 +37,7 @@
         dear: time(50),
         read: time(2000),
         probe: time(500),
-        list_silence: time(4000),
+        list_silence: time(3000),
         come_back: 0.2,
     }
 }
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -387,6 +387,23 @@
         ("ended", after, stream(&["", LINE, "", LINE]), 2, "it ended"),
         ("broken off", after, cut(&[LINE]), 1, "broken off"),
         ("no list", after, stream(&["[]"]), 0, "a bad line"),
+        (
+            "indented, within lines, and empty ones",
+            after,
+            stream(&["", "{\"version\":1,", "", " \"full\":true,", " \"servers\":[", " ]", "}", ""]),
+            1,
+            "it ended",
+        ),
+        ("indented, ended within", after, stream(&["{", "\"version\":1,"]), 0, "ended within"),
+        ("indented, silent within", after, cut(&["{", "\"version\":1,"]) + "|", 0, "silent"),
+        (
+            "indented, with no end",
+            after,
+            stream(&["{\"version\":1,"; 1].iter().chain([""; 600].iter()).copied().collect::<Vec<_>>()),
+            0,
+            "a bad line",
+        ),
+        ("two in a row that are none", after, stream(&["{", "}"]), 0, "a bad line"),
         ("too long a line", after, stream(&[&" ".repeat(1000)]), 0, "a line of over 500 bytes"),
         ("busy", after, "HTTP/1.1 503 No\r\ncontent-length: 0\r\n\r\n".into(), 0, "answered 503"),
         // The whole list comes first, by a call of its own; the watch is answered with the same here.
--- a/crates/mintlb-node/src/grants.rs
+++ b/crates/mintlb-node/src/grants.rs
@@ -92,7 +92,7 @@
             // As long as an answer in time allows: honest clients may be slow.
             read: seconds(OWED / 15.0 * 13.0),
             probe: seconds(2.0 * dial),
-            list_silence: seconds(LIST_BEAT * 2.0),
+            list_silence: seconds(LIST_BEAT * 1.5),
             come_back: if text.get("permissions.retry_after")? {
                 (promise / 2.0).min(text.seconds("permissions.max_retry_after")?)
             } else {
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -118,6 +118,14 @@
     pub fn text(&self) -> Text {
         let mut pairs = Vec::new();
         flatten("", &self.settings, &mut pairs);
+        // What a list that is pushed has counts as told from the first moment and without a watch, so that the grace is
+        // the time for asking.
+        let has = |path: &str, held: &str| pairs.iter().any(|(p, value)| p == path && value == held);
+        let grace =
+            pairs.iter().find(|(path, _)| path == "rules.drain_grace").map(|(_, value)| value.clone());
+        if let Some(grace) = grace.filter(|_| has("discovery", "pushed")) {
+            pairs.push(("rules.ask_within".into(), grace));
+        }
         pairs.push(("discovery".into(), "on_request".into()));
         let peers = pairs.iter_mut().find(|(path, value)| path == "permissions.peers" && value == "true");
         peers.into_iter().for_each(|(_, value)| *value = "false".into());
--- a/crates/mintlb-node/tests/crossings.rs
+++ b/crates/mintlb-node/tests/crossings.rs
@@ -4,9 +4,11 @@
 mod harness;
 
 use harness::*;
-use std::io::Write;
+use std::io::{Read, Write};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A dial that takes longer than a listener here is late by.
 const PATIENT: (&str, &str) = ("\"dial_timeout\": 250.0", "\"dial_timeout\": 4000.0");
@@ -51,3 +53,77 @@
         assert_eq!(came.starts_with("POST /charge"), state == "SERVING", "{shown}: {came:?}");
     }
 }
+
+/// A list service whose first watch breaks in this way once it has said its line; when each of its watches was asked for,
+/// and when the first broke.
+fn breaking(how: &'static str, line: String) -> (String, Receiver<Instant>) {
+    let (tell, told) = channel();
+    let first = Arc::new(AtomicBool::new(true));
+    let (at, _) = stand_in(move |stream| {
+        let (mut asked, mut piece) = (String::new(), [0; 4096]);
+        while !asked.contains("\r\n\r\n") {
+            let n = stream.read(&mut piece).unwrap_or(0);
+            if n == 0 {
+                return "gone".into();
+            }
+            asked += &String::from_utf8_lossy(&piece[..n]);
+        }
+        tell.send(Instant::now()).ok();
+        stream.write_all((STREAM.to_string() + &chunk(&line)).as_bytes()).ok();
+        if first.swap(false, Relaxed) {
+            match how {
+                "silent within a line" => stream.write_all(b"40\r\n{\"version\":").unwrap(),
+                "silent" => {}
+                "ended" => return stream.write_all(b"0\r\n\r\n").map_or("", |()| "ended").into(),
+                _ => panic!("{how}"),
+            }
+            // Nothing more, until the other side leaves.
+            while stream.read(&mut piece).is_ok_and(|n| n > 0) {}
+            return "silent".into();
+        }
+        while stream.write_all(chunk("").as_bytes()).is_ok() {
+            std::thread::sleep(PAUSE);
+        }
+        "left".into()
+    });
+    (at.to_string(), told)
+}
+
+/// What the list has to tell counts as told 6 s after its watch fell silent, whether or not it arrived; where lists are
+/// pushed, at once. By then a new watch has to have been asked for, whatever the fleet's size.
+#[test]
+fn a_watch_that_breaks_is_opened_anew_in_time() {
+    let cases = [
+        ("silent", "on_request", 1, 4.5),
+        ("silent", "on_request", 300, 4.5),
+        ("silent within a line", "on_request", 300, 4.5),
+        ("ended", "on_request", 300, 1.5),
+        ("ended", "pushed", 300, 0.5),
+        ("silent", "pushed", 300, 3.5),
+    ];
+    let cases = cases.map(|(how, mode, many, within)| {
+        std::thread::spawn(move || {
+            let (list, asked) = breaking(how, listing(2, &[]));
+            let changes = [
+                ("127.0.0.1:8500", &*list),
+                ("\"discovery\": \"on_request\"", &*format!("\"discovery\": \"{mode}\"")),
+                ("\"balancers\": 1", &*format!("\"balancers\": {many}")),
+                // By chance it waits for nine tenths of the longest pause.
+                ("8c1f30d27a5be964", "b16107f1be437c7b"),
+            ];
+            let began = Instant::now();
+            let program = start("", &changes);
+            let bound = Duration::from_secs(12);
+            let [first, second] = [0; 2].map(|_| asked.recv_timeout(bound).expect("it asks"));
+            if mode == "pushed" {
+                assert!(first - began < Duration::from_millis(500), "{how}, {mode}: {:?}", first - began);
+            }
+            let took = (second - first).as_secs_f64();
+            assert!(took < within, "{how}, {mode}, {many}: asked for anew after {took} s");
+            drop(program);
+        })
+    });
+    // All of them end before one is judged, or a program would be left behind.
+    let ended = cases.map(|case| case.join());
+    ended.into_iter().for_each(|case| case.unwrap());
+}
--- a/crates/mintlb/src/decide.rs
+++ b/crates/mintlb/src/decide.rs
@@ -437,22 +437,22 @@
     fn ask_later(&mut self, now: f64) {
         if self.follow.on_request && !self.follow.asking {
             self.follow.asking = true;
-            // The list service does not grow with its callers, and who starts together would call together.
-            let many = (self.fleet.cold.among / MANY).max(1.0) * 2f64.powi(self.follow.failed) / 8.0;
-            self.agenda.add(now + self.follow.ask_within * many.min(0.5) * self.chance.draw(), Due::Ask);
+            // Who starts together would call together; but what a broken watch misses counts as told soon.
+            let many = (self.fleet.cold.among / MANY).max(1.0) * 2f64.powi(self.follow.failed.max(0)) / 8.0;
+            let most = if self.follow.failed < 0 { 1.0 / 8.0 } else { 0.5 };
+            self.agenda.add(now + self.follow.ask_within * many.min(most) * self.chance.draw(), Due::Ask);
         }
     }
 
     pub fn news(&mut self, door: &mut dyn Door, now: f64, news: News) {
         let Some((lines, full)) = news.lines() else {
-            if self.follow.failed == 2 {
-                door.log("the list is out of reach: the last one holds");
-            }
+            (self.follow.failed == 1).then(|| door.log("the list is out of reach: the last one holds"));
             self.ask_later(now);
             self.follow.failed += 1;
             return self.settle(door, now);
         };
-        self.follow.failed *= matches!(news, News::Callers(_)) as i32; // Callers are no sign of the list.
+        let live = matches!(news, News::Full(_) | News::Changes(_)); // Only these are a sign of the list.
+        self.follow.failed = if live { -1 } else { self.follow.failed };
         let gone = if full { self.fleet.workers.missing(lines) } else { Vec::new() };
         if !gone.is_empty() && gone.len() == self.fleet.workers.all().count() {
             self.fleet.forget();
