A late refusal proves nothing of the next request: work that may run once has its own connection

Seen: crates/mintlb-http/tests/outcomes.rs, a worker that answers once more, 503 with Not-Started: 1, when the next request is whole on the same kept connection: exclusive work came back as Full, that is never run, and may then be sent elsewhere or deferred (rule 2). Ruled out: lines of another id (told apart, Dropped), a late answer on an idle connection (the library closes it). Lines at fault: worker.rs, send, 'keep', and refusal(), which believes any marked answer. Mend: what may not simply run again dials (the settings' dear dials included); what may run again still uses kept connections, as Full only sends it again. Not picked: taking such a refusal for may-have-run (honest ones, in overload, would abort exclusive work). Two tests of kept connections used work that may run once; they now use work that may run again, with the same assertions, and the new test holds what they did not: once work on kept connections.

--- a/crates/mintlb-http/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -208,7 +208,7 @@
         let Some(head) = worded else { return (back, None) };
         let Ok(request) = onward(to, &head, &order.payload.body, left, wait) else { return (back, None) };
         let gate = Gate { slip: order.slip.clone(), taken_back: order.taken_back.clone() };
-        let answer = match self.send(to, request, gate).await {
+        let answer = match self.send(to, request, gate, order.payload.once).await {
             Ok(answer) => answer,
             Err(outcome) => return (Back { outcome, ..back }, None),
         };
@@ -254,13 +254,15 @@
         to: SocketAddr,
         mut request: Request<LastByte>,
         gate: Gate,
+        once: bool,
     ) -> Result<Response<Incoming>, Outcome> {
         let length = least_length(&request);
         let captured = capture_connection(&mut request);
         let began = Instant::now();
         let quickest = self.quickest.lock().get(&to).copied();
-        // Where it is not known yet, the first connection is there to be kept.
-        let keep = quickest.is_none_or(|q| q > self.dear) && !self.died.load(Relaxed);
+        // Where it is not known yet, the first connection is there to be kept. But a refusal names no work: on a kept
+        // connection one that comes late, of the work before, would prove of this that it never ran (rule 2).
+        let keep = !once && quickest.is_none_or(|q| q > self.dear) && !self.died.load(Relaxed);
         let mut sending = pin!(if keep { &self.keeping } else { &self.dialling }.request(request));
         let mut on: Option<(Written, u64)> = None;
         let mut taken_back = pin!(gate.taken_back.cancelled());
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -85,12 +85,19 @@
 
 /// Plays allocations one after another; what is told of each is its outcome, and of a start before.
 async fn play(at: SocketAddr, limits: &Limits, body: usize, times: u16, left: f64) -> Vec<String> {
+    play_as(&vec![true; times as usize], at, limits, body, left).await
+}
+
+/// Of work that may run once, or again.
+async fn play_as(once: &[bool], at: SocketAddr, limits: &Limits, body: usize, left: f64) -> Vec<String> {
     let clock = Clock::start();
     let (tell, mut told) = unbounded_channel();
     let workers =
         Workers::new(limits, clock, tell, &["util", "x0"], Worded::default(), Arc::default(), quiet());
-    for n in 0..times {
-        workers.allocate(&order(n, body, clock.now() + left), at).await;
+    for (n, once) in once.iter().enumerate() {
+        let mut order = order(n as u16, body, clock.now() + left);
+        order.payload.once = *once;
+        workers.allocate(&order, at).await;
     }
     drop(workers);
     let mut said = Vec::new();
@@ -202,12 +209,44 @@
             seen
         });
         let limits = Limits { dear, ..limits() };
-        let said = play(at, &limits, 10, 5, 1.0).await;
+        let said = play_as(&[false; 5], at, &limits, 10, 1.0).await;
         assert_eq!(said, ["done yes", "done yes", "Dropped", "done yes", "done yes"], "{dear:?}");
         assert_eq!(seen.join().unwrap(), connections, "requests on each connection, {dear:?}");
     }
 }
 
+/// A worker that answers once more, when the next request is whole on the same connection: that must not prove of work
+/// that may not run again that it never ran.
+#[tokio::test]
+async fn a_late_refusal_proves_nothing_of_the_next() {
+    const LATE: &str = "HTTP/1.1 503 No\r\nnot-started: 1\r\ncontent-length: 0\r\n\r\n";
+    for (shown, once, outcomes) in [
+        ("may run again", [false, false], ["done yes", "Full"]),
+        ("may run once", [false, true], ["done yes", "done yes"]),
+        ("both once", [true, true], ["done yes", "done yes"]),
+    ] {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let at = listener.local_addr().unwrap();
+        std::thread::spawn(move || {
+            for stream in listener.incoming() {
+                let mut stream = stream.unwrap();
+                std::thread::spawn(move || {
+                    let mut answers = [stream_of_done(), LATE.to_string()].into_iter();
+                    while read_request(&mut stream).is_some() {
+                        stream.write_all(answers.next().unwrap_or_default().as_bytes()).ok();
+                    }
+                });
+            }
+        });
+        let limits = Limits { dear: Duration::ZERO, ..limits() };
+        assert_eq!(play_as(&once, at, &limits, 10, 1.0).await, outcomes, "{shown}");
+    }
+}
+
+fn stream_of_done() -> String {
+    stream(&[DONE])
+}
+
 /// What stands idle as long as a worker keeps it may be closed while the next request is written to it.
 #[tokio::test]
 async fn idle_connections_are_left_before_their_worker_closes_them() {
@@ -220,11 +259,13 @@
         let workers =
             Workers::new(&limits, Clock::start(), tell, &[], Worded::default(), Arc::default(), quiet());
         for n in 0..2 {
-            workers.allocate(&order(n, 0, Clock::start().now() + 1.0), at).await;
+            let mut order = order(n, 0, Clock::start().now() + 1.0);
+            order.payload.once = false;
+            workers.allocate(&order, at).await;
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
-        let order: Vec<String> = told.try_iter().collect();
-        assert_eq!(order[1] == "closed", closed, "{idle:?}: {order:?}");
+        let told: Vec<String> = told.try_iter().collect();
+        assert_eq!(told[1] == "closed", closed, "{idle:?}: {told:?}");
     }
 }
 
