Read-through: a taken-back order blames nobody, an indented message is not read again at each line

Read, not measured: the gate's error may reach the allocation through its connection before the cancelled token does; it then came back as NoConnection (blame for the worker, who is sound) and, on a kept connection, stopped all keeping. Lines at fault: worker.rs, send, after the error. No test forces that order yet: a cancelled token wakes the allocation first on one thread; open. An indented message of a watch was parsed at each of its lines, the square of its length (4 MB at the most); now only at its first line and at those that end in a brace.

--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -199,7 +199,13 @@
             if held.is_empty() && line.iter().all(u8::is_ascii_whitespace) {
                 return Ok(Some(None));
             }
+            // Read again at each of its lines, a long one would cost the square of its length.
+            let may_end = held.is_empty() || line.trim_ascii_end().ends_with(b"}");
             held.extend(&line);
+            if !may_end && held.len() < self.line {
+                held.extend(b"\n");
+                continue;
+            }
             match serde_json::from_slice(&held) {
                 Ok(listing) => return Ok(Some(Some(listing))),
                 // Between two lines of one only white space may stand.
--- a/crates/mintlb-http/src/worker.rs
+++ b/crates/mintlb-http/src/worker.rs
@@ -302,10 +302,14 @@
         if short(&error) {
             return Err(Outcome::Moot);
         }
+        // The gate may be heard of through the connection first: that is no fault of the connection or the worker.
+        let whole = on.as_ref().is_some_and(|(written, before)| written.so_far() - before >= length);
+        if gate.taken_back.is_cancelled() && !whole {
+            return Err(Outcome::Full);
+        }
         if on.as_ref().is_some_and(|(_, before)| *before > 0) && !self.died.swap(true, Relaxed) {
             info!(self.log, "a kept connection died under an allocation: from now on each dials"; "worker" => %to);
         }
-        let whole = on.is_some_and(|(written, before)| written.so_far() - before >= length);
         Err(if whole { Outcome::Dropped } else { Outcome::NoConnection })
     }
 
