A request read in the moment in which its idle connection is to close is answered

The call and the client's next request can be told to this thread in one turn. Then the library read the request first, in the same poll, and the call after it found the connection no longer idle: it was closed with the request read and unanswered.

At fault: front.rs `connection`, which kept a called connection open only while it was idle with bytes unread. Now the call is judged by what is so then (`Place::may_close`): one whose request has come, in part or whole, stays.

Ruled out by reading, on the way: who waits for an answer is never called (`Seen::missed`); bytes that only the system holds were looked for already (`has_come`).

--- a/crates/mintlb-http/src/front.rs
+++ b/crates/mintlb-http/src/front.rs
@@ -147,7 +147,7 @@
                 if !failing {
                     warn!(self.log, "a connection could not be accepted"; "why" => %e);
                 }
-                self.places.make_room();
+                self.make_room();
                 sleep(self.limits.dial / 16).await;
             }
             failing = accepted.is_err();
@@ -163,6 +163,11 @@
         self.places.close_idle();
     }
 
+    /// The connection that is missed least closes, if there is one that may; whether there is.
+    pub fn make_room(&self) -> bool {
+        self.places.make_room()
+    }
+
     /// Whether each answer is to end its connection.
     fn closes(&self) -> bool {
         self.standing.lock().closes(self.clock.now())
@@ -202,8 +207,7 @@
                 return Poll::Ready(Some(ended));
             }
             while called.as_mut().poll(cx).is_ready() {
-                // What came since was read last would be lost with the connection, and answers it is to end with.
-                if !(matches!(place.seen.phase(), Phase::Idle(_)) && has_come(socket.as_raw_fd())) {
+                if place.may_close() && !has_come(socket.as_raw_fd()) {
                     return Poll::Ready(None);
                 }
                 called.set(place.seen.called());
--- a/crates/mintlb-http/src/places.rs
+++ b/crates/mintlb-http/src/places.rs
@@ -24,6 +24,14 @@
     places: Arc<Places>,
 }
 
+impl Place {
+    /// Whether it may still close, now that its end has been called for. What was read since, or what has come and is not
+    /// read yet, would be lost with it: a request may have come, in part or whole, and wait for its answer.
+    pub fn may_close(&self) -> bool {
+        self.seen.missed(self.places.takes).is_some_and(|(missed, _)| missed != Missed::Perhaps)
+    }
+}
+
 impl Drop for Place {
     fn drop(&mut self) {
         self.places.taken.lock().remove(&self.number);
--- a/crates/mintlb-http/tests/closing.rs
+++ b/crates/mintlb-http/tests/closing.rs
@@ -10,6 +10,7 @@
 use std::net::TcpStream as Raw;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 
 /// A front each work unit of which is completed at once.
 async fn serve() -> Served {
@@ -46,6 +47,36 @@
     assert!(got.ends_with("yes") && got.contains("connection: close"), "{got:?}");
 }
 
+/// A request of which the system has told us, but that nobody has read when its idle connection is to close, is answered:
+/// whole or in part, whoever closes the connection.
+#[tokio::test]
+async fn what_is_read_as_the_connection_is_to_close_is_answered() {
+    for (shown, crowded) in [("it leaves", false), ("to make room", true)] {
+        for part in [1, request(2).len() - 1, request(2).len()] {
+            let served = serve().await;
+            let raw = Raw::connect(served.at).unwrap();
+            raw.set_nonblocking(true).unwrap();
+            let mut behind = raw.try_clone().unwrap();
+            let mut stream = TcpStream::from_std(raw).unwrap();
+            stream.write_all(request(1).as_bytes()).await.unwrap();
+            assert!(answer(&mut stream).await.ends_with("yes"));
+            // The next turn of this thread hears from the system first, and then goes on here before any other task.
+            behind.write_all(&request(2).as_bytes()[..part]).unwrap();
+            yield_now().await;
+            if crowded {
+                assert!(served.front.make_room(), "it is the only one, and idle");
+            } else {
+                served.standing.lock().hear(served.clock.now(), Word::Leave).unwrap();
+                served.front.close_idle();
+            }
+            yield_now().await;
+            behind.write_all(&request(2).as_bytes()[part..]).unwrap();
+            let got = answer(&mut stream).await;
+            assert!(got.ends_with("yes"), "{shown}, {part} bytes were there: {got:?}");
+        }
+    }
+}
+
 /// Whatever a client sends beyond one request at a time ends its connection with an error, at each standing alike.
 #[tokio::test]
 async fn pipelining_is_refused_at_each_standing() {
