Idle clients neither hold up the queue nor take the list's and the workers' descriptors

Seen in a test (a real process, 96 to 192 idle connections, every fourth of which has brought work): when all places but one belong to clients that have brought work, each new connection had to be silent for an eighth of a second before the next was accepted, 7 a second, and a request behind them waited in the system's queue: 0.54 s for the 28th with 32 descriptors, the whole test 33 s. It is taken by then, and its time runs. At fault: places.rs `make_room`, which waited whenever somebody might yet bring work. Now it waits only while these are half of all places.

Descriptors: an eighth was left for the program itself, 4 of 32, though it needs 11 to 15 (counted in /proc); the trial with 48 hit the system's limit 0.5 s after its start, and the list's watch could not be dialled. Now 16 at the least are kept back (grants.rs OWN), the system's own limit counts where it is lower than the configuration's (`within_system`), and the list keeps one descriptor spare, freed for its dial and taken back as the connection ends (dial.rs `Spare`).

--- a/crates/mintlb-http/src/dial.rs
+++ b/crates/mintlb-http/src/dial.rs
@@ -8,8 +8,10 @@
 use parking_lot::Mutex;
 use std::error::Error;
 use std::fmt::{Display, Formatter};
+use std::fs::File;
 use std::future::Future;
 use std::io;
+use std::os::fd::OwnedFd;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
@@ -17,7 +19,7 @@
 use std::time::Duration;
 use tokio::net::TcpStream;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
-use tokio::time::timeout;
+use tokio::time::{Instant, sleep, timeout};
 use tokio_util::sync::CancellationToken;
 
 /// The bytes of a connection that the system took so far, and at how many of them a request will be whole.
@@ -78,6 +80,42 @@
     written: Written,
     sends: Arc<AtomicU64>,
     _link: OwnedSemaphorePermit,
+    /// Dropped after the connection, whose descriptor it takes before anybody else can.
+    _spare: Option<Refill>,
+}
+
+/// A descriptor kept for who must be able to dial when others have taken all that there are.
+#[derive(Clone)]
+struct Spare(Arc<Mutex<Option<OwnedFd>>>);
+
+impl Spare {
+    fn new() -> Spare {
+        let spare = Spare(Arc::default());
+        spare.fill();
+        spare
+    }
+
+    /// Takes a descriptor into reserve, if there is none and one is to be had.
+    fn fill(&self) {
+        let mut kept = self.0.lock();
+        if kept.is_none() {
+            *kept = File::open("/dev/null").ok().map(OwnedFd::from);
+        }
+    }
+
+    /// Gives it to whoever asks the system next; whether there was one.
+    fn free(&self) -> bool {
+        self.0.lock().take().is_some()
+    }
+}
+
+/// Fills the reserve as soon as a connection has given its descriptor back.
+struct Refill(Spare);
+
+impl Drop for Refill {
+    fn drop(&mut self) {
+        self.0.fill();
+    }
 }
 
 impl Read for Watched {
@@ -184,6 +222,7 @@
     wait: Duration,
     /// Counts the requests written whole that were expected.
     sends: Arc<AtomicU64>,
+    spare: Option<Spare>,
 }
 
 impl tower_service::Service<Uri> for Dialer {
@@ -196,14 +235,26 @@
     }
     fn call(&mut self, to: Uri) -> Self::Future {
         let (links, wait, mut connector) = (self.links.clone(), self.wait, self.connector.clone());
-        let sends = self.sends.clone();
+        let (sends, spare) = (self.sends.clone(), self.spare.clone());
         Box::pin(async move {
             let Ok(link) = timeout(wait, links.acquire_owned()).await else { return Err(NoRoom.into()) };
-            let io = connector.call(to).await.map_err(|e| match is_short(&e) {
+            let _spare = spare.clone().map(Refill);
+            let end = Instant::now() + wait;
+            let io = loop {
+                let io = connector.call(to.clone()).await;
+                let short = io.as_ref().is_err_and(|e| is_short(e));
+                let Some(spare) = spare.as_ref().filter(|_| short && Instant::now() < end) else { break io };
+                // Freed, it is the next that the system gives: nothing else runs on this thread in between. If it is out,
+                // the last connection is about to give it back.
+                if !spare.free() {
+                    sleep(wait / 16).await;
+                }
+            };
+            let io = io.map_err(|e| match is_short(&e) {
                 true => NoRoom.into(),
                 false => Self::Error::from(e),
             })?;
-            Ok(Watched { io, written: Written::default(), sends, _link: link? })
+            Ok(Watched { io, written: Written::default(), sends, _link: link?, _spare })
         })
     }
 }
@@ -213,6 +264,12 @@
         let mut connector = HttpConnector::new();
         connector.set_connect_timeout(Some(wait));
         connector.set_nodelay(true);
-        Dialer { connector, links: Arc::new(Semaphore::new(links)), wait, sends }
+        Dialer { connector, links: Arc::new(Semaphore::new(links)), wait, sends, spare: None }
+    }
+
+    /// One that can dial when all descriptors are taken, by the one that it keeps.
+    pub fn with_spare(mut self) -> Dialer {
+        self.spare = Some(Spare::new());
+        self
     }
 }
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -164,7 +164,7 @@
 impl List {
     pub fn new(limits: &Limits, at: SocketAddr) -> List {
         // An old watch may end only while the new one is dialled.
-        let dialer = Dialer::new(2, limits.dial, Arc::default());
+        let dialer = Dialer::new(2, limits.dial, Arc::default()).with_spare();
         let client = Client::builder(TokioExecutor::new()).pool_max_idle_per_host(0).build(dialer);
         let Limits { list_line: line, list_silence: silence, list_call: call, .. } = *limits;
         List { client, at, line, silence, call }
--- a/crates/mintlb-http/src/places.rs
+++ b/crates/mintlb-http/src/places.rs
@@ -59,13 +59,15 @@
         ended
     }
 
-    /// Ends the connection that is missed least. Before those that bring work go, or may yet, it waits to see who
-    /// else brings none.
+    /// Ends the connection that is missed least. Before those that bring work go, or may yet, it waits to see who else
+    /// brings none; but not while these are few: whoever waits to be accepted may have handed in work already.
     pub fn make_room(&self) -> bool {
         let taken = self.taken.lock();
-        let missed = taken.values().filter_map(|seen| Some((seen.missed(self.takes)?, seen)));
-        let least = missed.min_by_key(|&(missed, _)| missed);
-        let least = least.filter(|((missed, _), _)| *missed != Missed::Perhaps);
+        let missed = || taken.values().filter_map(|seen| Some((seen.missed(self.takes)?, seen)));
+        let may_yet = missed().filter(|((missed, _), _)| *missed == Missed::Perhaps).count();
+        let goes =
+            |missed| missed < Missed::Perhaps || missed > Missed::Perhaps && may_yet < self.most.div_ceil(2);
+        let least = missed().filter(|((missed, _), _)| goes(*missed)).min_by_key(|&(missed, _)| missed);
         least.map(|(_, seen)| seen.call()).is_some()
     }
 
--- a/crates/mintlb-node/src/grants.rs
+++ b/crates/mintlb-node/src/grants.rs
@@ -40,6 +40,9 @@
 const STOP: f64 = 3.0;
 const TALLY: f64 = 10.0;
 const LOG_LINES: usize = 4096;
+/// Descriptors that are nobody's but the program's own: three standard ones, the system's events three, signals four, the
+/// listener, the list's old connection and its new one, one for a file that is read, one kept spare, one more.
+const OWN: usize = 16;
 /// More descriptors or megabytes than this are taken for no limit.
 const MOST: usize = 1 << 20;
 const LATE_ARRIVALS: f64 = 0.7;
@@ -51,15 +54,16 @@
     /// there at any time: together they must not take more than the machine has.
     pub fn new(machine: &Machine, text: &Text, sessions: usize, shared: bool) -> Result<Grants, String> {
         let Machine { memory_mb, sockets } = *machine;
-        for (field, value, least) in [("memory_mb", memory_mb, 8), ("sockets", sockets, 32)] {
+        let (among, least) = if shared { (2, 3 * OWN) } else { (1, 2 * OWN) };
+        for (field, value, least) in [("memory_mb", memory_mb, 8), ("sockets", sockets, least)] {
             if value < least {
                 return Err(format!("limits.{field}: {value} is too little, {least} at least"));
             }
         }
-        let among = if shared { 2 } else { 1 };
-        let (memory_mb, sockets) = (memory_mb / among, sockets / among);
-        // An eighth of the descriptors is left for the list, the log and the like.
-        let part = |eighths: usize| sockets.min(MOST) / 8 * eighths;
+        let (memory_mb, sockets) = (memory_mb / among, sockets.min(MOST) / among);
+        // An eighth of the descriptors is left for the list, the log and the like, or as many as they need.
+        let own = (sockets / 8).max(OWN);
+        let part = |sevenths: usize| (sockets - own) / 7 * sevenths;
         // At the worst, heads and what is buffered fill three eighths of the memory, workers' lines two, the
         // buffers of links one, bodies one.
         let memory = |eighths: usize| (memory_mb.min(MOST) << 20) / 8 * eighths;
@@ -113,7 +117,7 @@
             tally: seconds(TALLY),
             late_arrivals: seconds(LATE_ARRIVALS),
             notice: Notice { leave: LATE_ARRIVALS, stop: (last_answer / 2.0).max(LATE_ARRIVALS) },
-            door: Bounds { callers: (part(1) / 4).max(1), wait: seconds(OWED / 3.0 * 2.0) },
+            door: Bounds { callers: ((own - OWN) / 4).max(1), wait: seconds(OWED / 3.0 * 2.0) },
             first_list: seconds(STOP),
             last_answer: seconds(last_answer),
         })
--- a/crates/mintlb-node/src/placement.rs
+++ b/crates/mintlb-node/src/placement.rs
@@ -2,6 +2,7 @@
 
 use mintlb::settings::Text;
 use mintlb_http::list::Listing;
+use nix::sys::resource::{Resource, getrlimit};
 use serde::Deserialize;
 use serde_json::{Value, json};
 use std::collections::BTreeSet;
@@ -34,6 +35,15 @@
     pub sockets: usize,
 }
 
+impl Machine {
+    /// What of it the system lets this process have: descriptors that it refuses are in no part's grant, or who takes
+    /// them first would leave the others none.
+    pub fn within_system(self) -> Machine {
+        let limit = getrlimit(Resource::RLIMIT_NOFILE).map_or(u64::MAX, |(soft, _)| soft);
+        Machine { sockets: self.sockets.min(usize::try_from(limit).unwrap_or(usize::MAX)), ..self }
+    }
+}
+
 /// The settings that a new configuration may change while it serves, by the table that they stand in.
 const CHANGING: [(&str, &[&str]); 4] = [
     ("", &["project_types", "excess_credit"]),
--- a/crates/mintlb-node/src/serve.rs
+++ b/crates/mintlb-node/src/serve.rs
@@ -54,7 +54,8 @@
         let text = placement.text();
         let scheduler = text.scheduler(placement.seed()?)?;
         let sessions = operator.beanstalkd.as_ref().map_or(0, |table| table.connections);
-        let grants = Grants::new(&placement.limits, &text, sessions, placement.passed.is_some())?;
+        let machine = placement.limits.within_system();
+        let grants = Grants::new(&machine, &text, sessions, placement.passed.is_some())?;
         let (types, terms) = (text.named_types()?, text.terms()?);
         let customers = (0..text.customers()?).map(|i| text.get(&format!("tenants.{i}.name")));
         let (names, project_types): (Vec<String>, Vec<ProjectType>) = types.iter().cloned().unzip();
--- a/crates/mintlb-node/tests/crossings.rs
+++ b/crates/mintlb-node/tests/crossings.rs
@@ -4,8 +4,8 @@
 mod harness;
 
 use harness::*;
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::io::{BufRead, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::mpsc::{Receiver, channel};
 use std::sync::{Arc, Mutex};
@@ -230,3 +230,58 @@
     let ended = cases.map(|case| case.join());
     ended.into_iter().for_each(|case| case.unwrap());
 }
+
+/// Idle clients take all descriptors that they can get while the list is down: work still goes through, and what the list
+/// tells on its return is heard in time. At the least limit, and where the system gives less than the configuration says.
+#[test]
+fn idle_clients_leave_the_list_and_the_workers_theirs() {
+    for (most, sockets) in [(32, 32), (64, 64), (40, 1024)] {
+        let shown = format!("{sockets} descriptors, of the system {most}");
+        let (worker, _) = stand_in(work);
+        let slot = Arc::new(Mutex::new(String::new()));
+        let (list, limit) = (list_by(slot.clone()), format!("\"sockets\": {sockets}"));
+        let changes = [("127.0.0.1:8500", &*list), ("\"sockets\": 1024", &*limit)];
+        let mut program = start_at(worker, &format!("ulimit -n {most};"), &changes, None);
+        let mut idle = Vec::new();
+        for i in 0..3 * most {
+            let mut stream = program.connect();
+            // Some have brought work, and one comes between any two of them.
+            if i % 4 == 0 {
+                let began = Instant::now();
+                stream.write_all(post("/charge", "").as_bytes()).unwrap();
+                assert!(answer(&mut stream).ends_with("yes"), "{shown}: {i}");
+                // What waits behind them in the system's queue is taken already, and its time runs.
+                let took = began.elapsed();
+                assert!(took < 5 * PAUSE, "{shown}: {i} waited {took:?} behind those who bring nothing");
+            }
+            idle.push(stream);
+        }
+        program.logged("the list is out of reach");
+        // They go on coming, so that whatever is given up is taken by the next.
+        let (heard, at) = (Arc::new(AtomicBool::new(false)), program.at);
+        let come = {
+            let heard = heard.clone();
+            std::thread::spawn(move || {
+                let mut idle = Vec::new();
+                while !heard.load(Relaxed) && idle.len() < 2000 {
+                    idle.extend(TcpStream::connect(at));
+                    std::thread::sleep(PAUSE / 20);
+                }
+            })
+        };
+        std::thread::sleep(5 * PAUSE);
+        *slot.lock().unwrap() = listing(9, &[("s-1", worker, "DRAINING")]);
+        let back = Instant::now();
+        let mut said = String::new();
+        while !said.ends_with("patience is out\n") {
+            assert!(program.log.read_line(&mut said).unwrap() > 0, "{shown}: it ended");
+        }
+        let took = back.elapsed().as_secs_f64();
+        heard.store(true, Relaxed);
+        come.join().unwrap();
+        assert!(took < 6.0, "{shown}: heard after {took} s");
+        let short = said.lines().find(|l| l.contains("could not be accepted") || l.contains("no descriptor"));
+        assert_eq!(short, None, "{shown}: all of it is within the limit");
+        assert!(program.ask(&post("/charge", "")).starts_with("HTTP/1.1 503"), "{shown}: nothing new to it");
+    }
+}
--- a/crates/mintlb-node/tests/program.rs
+++ b/crates/mintlb-node/tests/program.rs
@@ -327,6 +327,7 @@
         ("\"memory_mb\": 192", "\"memory_mb\": -1", "limits.memory_mb"),
         ("\"memory_mb\": 192", "\"memory_mb\": 1", "limits.memory_mb"),
         ("\"sockets\": 1024", "\"sockets\": 4", "limits.sockets"),
+        ("\"sockets\": 1024", "\"sockets\": 31", "limits.sockets: 31 is too little, 32 at least"),
         ("\"balancers\": 1", "\"balancers\": \"many\"", "balancers"),
         ("\"fall\": 3000.0, ", "", "rules.fall"),
         ("\"non_idempotent\"", "\"perhaps\"", "project_types.2.effect"),
@@ -388,6 +389,8 @@
             let bytes = bytes + g.sessions * SESSION;
             assert!(bytes >> 20 <= memory_mb / 8 * 7, "{memory_mb} MB: {g:?}");
             assert!(h.clients + g.sessions + h.links <= sockets / 8 * 7, "{sockets} descriptors: {g:?}");
+            // The program's own, listed in grants.rs.
+            assert!(h.clients + g.sessions + h.links + 16 <= sockets, "{sockets} descriptors: {g:?}");
             assert!(g.open < h.clients + g.sessions && g.open > 0 && g.out > 0 && h.clients > 0, "{g:?}");
             assert!(g.out - g.sessions < h.links, "{g:?}");
         }
