Cells are told apart whatever their numbers; tests of the terms on the cold, on who has gone, and of 1,100 workers

Now it is as wide as the list has it. cells_are_told_apart is red with the old width (65,536 and 2^32 were 0).

The other terms were right before, each with a test that is red with its guard out: - the cold, N + 2 x root of N + 2 of all schedulers' sends in a span: all workers cold, too much work, seven in ten schedulers killed a second later.

--- a/crates/mintlb-beanstalkd/src/machines.rs
+++ b/crates/mintlb-beanstalkd/src/machines.rs
@@ -12,7 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Place {
     pub zone: u16,
-    pub cell: u16,
+    pub cell: u64,
     pub kind: u16,
     pub listed: Listed,
     /// Unix time in seconds, 0 for long ago.
--- a/crates/mintlb-http/src/list.rs
+++ b/crates/mintlb-http/src/list.rs
@@ -86,7 +86,7 @@
         };
         let (zone, kind) = (place(&self.zones, &worker.zone), place(&self.kinds, &worker.kind));
         let came_up = if worker.started_ms.is_finite() { worker.started_ms.max(0.0) / 1000.0 } else { 0.0 };
-        let (id, cell, listed) = (worker_id(&worker.id), worker.cell as u16, worker.listed());
+        let (id, cell, listed) = (worker_id(&worker.id), worker.cell, worker.listed());
         let at: Option<SocketAddr> = worker.addr.parse().ok();
         let way = at.map(|at| Way { workers: self.workers.clone(), at });
         Member {
--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -3,13 +3,13 @@
 mod machine;
 
 use machine::{limits, quiet};
-use mintlb::Outcome;
+use mintlb::{Outcome, Runs};
 use mintlb_core::clock::Clock;
 use mintlb_core::reducer::Event;
 use mintlb_core::spend::Slip;
 use mintlb_core::work::{Back, Order, Payload};
 use mintlb_http::limits::Limits;
-use mintlb_http::list::List;
+use mintlb_http::list::{List, Reading};
 use mintlb_http::worker::{Worded, Workers};
 use std::cell::Cell;
 use std::io::{ErrorKind, Read, Write};
@@ -468,6 +468,22 @@
     }
 }
 
+/// Receipted work goes on in its own cell alone, so that two cells must not pass for one, whatever their numbers.
+#[tokio::test]
+async fn cells_are_told_apart() {
+    let (tell, _) = unbounded_channel();
+    let workers =
+        Workers::new(&limits(), Clock::start(), tell, &[], Worded::default(), Arc::default(), quiet());
+    let reading = Reading { zones: Vec::new(), kinds: Vec::new(), runs: Runs::default(), workers };
+    let lines =
+        [0, 1, 1 << 16, 1 << 32, u64::MAX].map(|cell| format!(r#"{{"id":"s-{cell}","cell":{cell}}}"#));
+    let list = format!(r#"{{"version":1,"full":true,"servers":[{}]}}"#, lines.join(","));
+    let told = reading.told(&serde_json::from_str(&list).unwrap());
+    let mut cells: Vec<u64> = told.members.iter().map(|member| member.line.cell).collect();
+    cells.dedup();
+    assert_eq!(cells, [0, 1, 1 << 16, 1 << 32, u64::MAX]);
+}
+
 #[tokio::test]
 async fn what_goes_on_is_what_came() {
     let (at, told) = worker(stream(&[DONE]) + "+");
--- a/crates/mintlb-node/tests/crossings.rs
+++ b/crates/mintlb-node/tests/crossings.rs
@@ -220,7 +220,11 @@
             let (many, seed) = ("\"balancers\": 300", "b16107f1be437c7b");
             let changes =
                 [("127.0.0.1:8500", &*list), ("\"balancers\": 1", many), ("8c1f30d27a5be964", seed)];
+            let began = Instant::now();
             let mut program = start_at(worker, "", &changes, None);
+            let ready = program.ask("GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n");
+            let took = began.elapsed().as_secs_f64();
+            assert!(ready.starts_with("HTTP/1.1 200") && took < 10.0, "{how}: ready after {took} s: {ready}");
             let back = back.recv_timeout(Duration::from_secs(30)).expect("it is called five times");
             program.logged("the list has no ready worker");
             let took = back.elapsed().as_secs_f64();
@@ -285,3 +289,53 @@
         assert!(program.ask(&post("/charge", "")).starts_with("HTTP/1.1 503"), "{shown}: nothing new to it");
     }
 }
+
+/// A client has gone before there is room for its work: no allocation of it begins, however it left, and also where
+/// hundreds leave in one moment.
+#[test]
+fn who_has_gone_is_sent_nowhere() {
+    for (shown, many) in [("closed", 1), ("reset", 1), ("half-closed", 1), ("a burst", 300)] {
+        let seen = Arc::new(Mutex::new(String::new()));
+        let heard = seen.clone();
+        let (at, _) = stand_in(move |stream| {
+            let mut piece = [0; 4096];
+            while let Some(n) = stream.read(&mut piece).ok().filter(|n| *n > 0) {
+                *heard.lock().unwrap() += &String::from_utf8_lossy(&piece[..n]);
+            }
+            "left".into()
+        });
+        let slot = Arc::new(Mutex::new(listing(2, &[("s-1", at, "DRAINING")])));
+        let list = list_by(slot.clone());
+        let patient = ("\"promised_turnaround\": 400.0", "\"promised_turnaround\": 2900.0");
+        let mut program = start_at(at, "", &[SOON, ("127.0.0.1:8500", &list), patient], None);
+        program.logged("the list has no ready worker");
+        let clients = (0..many).map(|_| {
+            let mut client = program.connect();
+            client.write_all(post("/charge/gone", "").as_bytes()).unwrap();
+            client
+        });
+        let clients: Vec<TcpStream> = clients.collect();
+        // All of it is there, and waits.
+        std::thread::sleep(2 * PAUSE);
+        let mut half = Vec::new();
+        for client in clients {
+            match shown {
+                "reset" => socket2::SockRef::from(&client).set_linger(Some(Duration::ZERO)).unwrap(),
+                "half-closed" => {
+                    client.shutdown(std::net::Shutdown::Write).unwrap();
+                    half.push(client);
+                }
+                _ => {}
+            }
+        }
+        (0..many).for_each(|_| drop(program.logged("client has left")));
+        *slot.lock().unwrap() = listing(3, &[("s-1", at, "SERVING")]);
+        // What stays is sent once the worker is ready: by then what has gone would have been sent before it.
+        let mut stays = program.connect();
+        stays.write_all(post("/charge/stays", "").as_bytes()).unwrap();
+        program.logged("allocation sent");
+        std::thread::sleep(3 * PAUSE);
+        let seen = seen.lock().unwrap().clone();
+        assert!(seen.contains("/charge/stays") && !seen.contains("gone"), "{shown}: {seen}");
+    }
+}
--- a/crates/mintlb-node/tests/operators.rs
+++ b/crates/mintlb-node/tests/operators.rs
@@ -249,6 +249,32 @@
     assert_eq!((now["cluster_size"], avoided), (3, 1), "{now:?}");
 }
 
+/// A list of 1,100 workers, before as many schedulers, is heard whole; and costs by what it is, not by what there could be.
+#[test]
+fn a_list_of_many_workers_is_heard_whole() {
+    let (alive, _) = stand_in(work);
+    let memory = |workers: u64| {
+        let line = |i| {
+            format!(
+                r#"{{"id":"s-{i}","addr":"{alive}","zone":"north","kind":"small","cell":{},"state":"SERVING"}}"#,
+                i << 16
+            )
+        };
+        let lines: Vec<String> = (0..workers).map(line).collect();
+        let list = list_of(format!(r#"{{"version":9,"full":true,"servers":[{}]}}"#, lines.join(",")));
+        let many = ("\"balancers\": 1", "\"balancers\": 1100");
+        let mut program = start("", &[OPS, ("127.0.0.1:8500", &list), many, SOON]);
+        program.logged(&format!("s-{}", workers - 1));
+        assert_eq!(figures(&program)["cluster_size"], workers);
+        assert!(program.ask(&post("/charge/1", "")).ends_with("yes"));
+        let status = std::fs::read_to_string(format!("/proc/{}/status", program.child.id())).unwrap();
+        let peak = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).unwrap();
+        peak.trim().trim_end_matches(" kB").parse::<u64>().unwrap()
+    };
+    let (few, many) = (memory(11), memory(1100));
+    assert!(many < few + 16 * 1024, "{few} kB with eleven, {many} kB with 1,100");
+}
+
 /// A class added is served under its own rules, one dropped as one that doesn't exist; what is broken changes nothing.
 #[test]
 fn settings_change_while_it_serves() {
--- a/crates/mintlb-node/tests/world/mod.rs
+++ b/crates/mintlb-node/tests/world/mod.rs
@@ -291,7 +291,7 @@
     /// What the list says of a machine.
     pub fn list(&mut self, full: bool, machines: &[(u8, Listed, f64)]) {
         let places = machines.iter().map(|&(digit, listed, came_up)| {
-            let (zone, cell, kind) = (0, u16::from(digit), 0);
+            let (zone, cell, kind) = (0, u64::from(digit), 0);
             (IpAddr::from([127, 0, 0, digit]), Place { zone, cell, kind, listed, came_up })
         });
         self.hub.hear(full, places.collect::<Vec<_>>().into_iter());
--- a/crates/mintlb-simhost/src/host.rs
+++ b/crates/mintlb-simhost/src/host.rs
@@ -208,7 +208,7 @@
             2 => Listed::Draining,
             other => return Err(format!("unknown worker state {other}")),
         };
-        let (zone, cell, kind) = (e.u16(10), e.u16(12), e.u16(15));
+        let (zone, cell, kind) = (e.u16(10), e.u16(12).into(), e.u16(15));
         let came_up = e.f64(17) / 1000.0;
         Ok(Line { id: e.worker(4), zone, cell, kind, listed, came_up, runs: Runs::default(), fetches: false })
     });
--- a/crates/mintlb/src/lib.rs
+++ b/crates/mintlb/src/lib.rs
@@ -125,7 +125,7 @@
 pub struct Line {
     pub id: u64,
     pub zone: u16,
-    pub cell: u16,
+    pub cell: u64,
     pub kind: u16,
     pub listed: Listed,
     /// When the process last started; 0 is long ago.
--- a/crates/mintlb/tests/many.rs
+++ b/crates/mintlb/tests/many.rs
@@ -65,6 +65,8 @@
     Silent(Vec<u64>),
     /// New versions take the place of all schedulers; the old ones end what they hold.
     Replaced,
+    /// Seven in ten are killed, and start anew with the list that they had.
+    Killed,
     /// A dial that nobody took.
     NotUp(usize, u64, u16),
 }
@@ -129,7 +131,7 @@
 }
 
 fn line(id: u64, listed: Listed, came_up: f64) -> Line {
-    let (zone, cell) = ((id / 100) as u16, (id / 10) as u16);
+    let (zone, cell) = ((id / 100) as u16, id / 10);
     Line { id, zone, cell, kind: 0, listed, came_up, runs: Runs::default(), fetches: false }
 }
 
@@ -228,6 +230,27 @@
         }
     }
 
+    fn killed(&mut self) {
+        let is = |from: usize| from % 10 < 7;
+        let dead = self.jobs.extract_if(.., |_, job| is(job.from));
+        for (number, job) in dead.collect::<Vec<_>>() {
+            let machine = self.machines.get_mut(&job.alloc.worker.line.id).unwrap();
+            machine.queue.retain(|queued| *queued != number);
+            machine.running -= usize::from(job.running);
+        }
+        self.held.retain(|_, held| !is(held.0));
+        let lines: Vec<Line> =
+            self.machines.iter().map(|(id, m)| line(*id, Listed::Ready, m.came_up)).collect();
+        let among = self.schedulers.len();
+        for number in (0..among).filter(|number| is(*number)) {
+            let follow = Follow::default();
+            self.schedulers[number] = scheduler(number + among, among, Effect::Rerunnable, follow);
+            self.call(number, |s, door, now| s.news(door, now, News::Cached(&lines)));
+        }
+        let workers: Vec<u64> = self.machines.keys().copied().collect();
+        workers.into_iter().for_each(|worker| self.starts(worker));
+    }
+
     fn run(&mut self) -> &Ends {
         while let Some(((at, _), event)) = self.due.pop_first() {
             self.now = f64::from_bits(at);
@@ -244,6 +267,7 @@
                     self.jobs.retain(|_, job| !workers.contains(&job.alloc.worker.line.id));
                 }
                 Event::Replaced => self.replaced(),
+                Event::Killed => self.killed(),
                 Event::NotUp(from, id, number) => {
                     self.ends.not_up += 1;
                     self.back(from, id, number, Outcome::NoConnection);
@@ -369,6 +393,21 @@
     }
 }
 
+/// How much of what the term allows a cold worker was sent at the most, in work units and in work of mean length: of
+/// N + 2 x root of N + 2 in a span, N being the work units of mean length that the rule allows it then.
+fn of_the_term(world: &World, worker: u64) -> (f64, f64) {
+    let machine = &world.machines[&worker];
+    let cold = machine.sent.iter().filter(|s| (0.0..WARM_AFTER).contains(&(s.0 - machine.came_up)));
+    let parts = cold.map(|(at, _)| {
+        let within = machine.sent.iter().filter(|s| s.0 > at - SPAN && s.0 <= *at && s.0 >= machine.came_up);
+        let (units, work) = within.fold((0.0, 0.0), |(units, work), s| (units + 1.0, work + s.1 / RUN));
+        let n = 3.0 * machine.speed(*at) * SLOTS as f64 * SPAN / RUN;
+        let most = n + 2.0 * n.sqrt() + 2.0;
+        (units / most, work / most)
+    });
+    parts.fold((0.0, 0.0), |(a, b), (units, work)| (f64::max(a, units), f64::max(b, work)))
+}
+
 const FAILS: u64 = 1 << 62;
 
 #[test]
@@ -403,6 +442,46 @@
     }
 }
 
+/// The term for the cold, however many schedulers there are: all workers are cold, more work comes than can be run, and
+/// one second later seven in ten schedulers are killed and start anew, knowing nothing but the list.
+#[test]
+fn the_cold_get_no_more_than_the_term_allows() {
+    for schedulers in [1, 20, 30, 300, 350, 1100] {
+        let workers: Vec<u64> = (1..=10).chain(101..=110).collect();
+        let mut world = World::new(schedulers, &workers, 80.0, 10.0, Effect::Rerunnable);
+        world.anew(1.0, &workers);
+        world.at(2.0, Event::Killed);
+        world.run();
+        let most: Vec<(f64, f64)> = workers.iter().map(|w| of_the_term(&world, *w)).collect();
+        let most = most.iter().fold((0.0, 0.0), |(a, b), m| (f64::max(a, m.0), f64::max(b, m.1)));
+        assert!(most.0 <= 1.0 && most.1 <= 1.0, "{schedulers}: {most:?} of the term");
+        // Not bought by leaving the cold idle.
+        let Ends { offered, sent, .. } = world.ends;
+        assert!(sent * 4 > offered, "{schedulers}: {:?}", world.ends);
+    }
+}
+
+/// One of 1,100 schedulers before 1,100 workers: each of the workers, by its own id, is there and gets work.
+#[test]
+fn each_of_many_workers_gets_work() {
+    let mut scheduler = scheduler(7, 1100, Effect::Rerunnable, Follow::default());
+    let lines: Vec<Line> = (1..=1100).map(|id| line(id, Listed::Ready, 0.0)).collect();
+    let mut door = Asked::default();
+    scheduler.news(&mut door, 100.0, News::Full(&lines));
+    assert_eq!(scheduler.cluster(), (1100, 0));
+    let (mut met, mut held) = (BTreeMap::new(), Vec::new());
+    for id in 1..=2200 {
+        let (now, wu) = (100.0 + id as f64 / 1e4, WorkUnit::new(id, 0, None, 1.0, 100.0, LIMIT));
+        scheduler.arrived(&mut door, now, &wu);
+        held.push(wu);
+        for alloc in std::mem::take(&mut door.sent) {
+            *met.entry(alloc.worker.line.id).or_insert(0) += 1;
+            scheduler.started(&mut door, now, &alloc);
+        }
+    }
+    assert_eq!((met.len(), met.values().max()), (1100, Some(&2)), "two slots each");
+}
+
 /// Two processes of one scheduler, the one that ends and its successor, send the cold no more than the one alone would: at
 /// the worst moment, with all schedulers replaced while all workers are cold and more work comes than can be run.
 #[test]
--- a/crates/mintlb/tests/world/mod.rs
+++ b/crates/mintlb/tests/world/mod.rs
@@ -110,7 +110,7 @@
     Line {
         id,
         zone: (id / 100) as u16,
-        cell: (id / 10) as u16,
+        cell: id / 10,
         kind: 0,
         listed,
         came_up,
