A test of a refused dial holds its port: given back, it could be another test's

The test took a free port, gave it back and dialled it; meanwhile another test of the process may listen there, and takes the request. Now the socket stays bound and is not listened on, so that a dial is refused for certain: as strict, and the row alone is what it says.

--- a/crates/mintlb-http/tests/outcomes.rs
+++ b/crates/mintlb-http/tests/outcomes.rs
@@ -271,7 +271,10 @@
 
 #[tokio::test]
 async fn what_never_ran_is_proven() {
-    let refused = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    // Held but not listened on: given back, the port could be another test's by the time that it is dialled.
+    let held = tokio::net::TcpSocket::new_v4().unwrap();
+    held.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let refused = held.local_addr().unwrap();
     // Accepts, reads the start of what is sent and breaks off.
     let broken = TcpListener::bind("127.0.0.1:0").unwrap();
     let breaks = broken.local_addr().unwrap();
