A design note for the serving tier, and the part that both of its programs share

Cause: the tier needs contracts before its parts can be built side by side. Change: docs/tier.md; mintlb-tier with settings, configuration, records, placement, transport and log; empty packages for the rest.

--- /dev/null
+++ b/crates/mintlb-control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/mintlb-control/src/main.rs
@@ -0,0 +1,2 @@
+//! The program `mintlb-control`.
+fn main() {}
--- /dev/null
+++ b/crates/mintlb-tier/src/lib.rs
@@ -0,0 +1,15 @@
+//! What both programs of the serving tier share.
+//!
+//! - [`settings`]: the settings file of a process.
+//! - [`configuration`]: the operator's configuration, read and checked.
+//! - [`record`]: the versioned records that the overlay brings to every process.
+//! - [`placement`]: which stores hold which shard.
+//! - [`transport`]: framed messages between the tier's own processes.
+//! - [`logging`]: the log of a process.
+
+pub mod configuration;
+pub mod logging;
+pub mod placement;
+pub mod record;
+pub mod settings;
+pub mod transport;
