--- /dev/null
+++ b/crates/mintlb-tier/tests/transport.rs
@@ -0,0 +1,130 @@
+//! Messages between processes over real loopback sockets.
+
+use bytes::Bytes;
+use mintlb_tier::transport::{Answer, CallError, Channel, Service, Transport};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::timeout;
+
+const WAIT: Duration = Duration::from_secs(10);
+
+#[derive(Debug, PartialEq)]
+enum Seen {
+    Notice(SocketAddr, Bytes),
+    Unreachable(SocketAddr),
+}
+
+/// Answers a call with its body doubled; `silence` gets no answer, `what` is not understood.
+struct Echo(UnboundedSender<Seen>);
+
+impl Service for Echo {
+    fn notice(&self, from: SocketAddr, body: Bytes) {
+        self.0.send(Seen::Notice(from, body)).unwrap();
+    }
+    fn request(&self, _from: SocketAddr, body: Bytes) -> Answer {
+        Box::pin(async move {
+            match &body[..] {
+                b"silence" => std::future::pending().await,
+                b"what" => Bytes::new(),
+                _ => [body.clone(), body].concat().into(),
+            }
+        })
+    }
+    fn unreachable(&self, peer: SocketAddr) {
+        self.0.send(Seen::Unreachable(peer)).unwrap();
+    }
+}
+
+async fn process() -> (Arc<Transport>, UnboundedReceiver<Seen>) {
+    let transport = Transport::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
+    let (seen, sees) = unbounded_channel();
+    transport.serve(Channel::Lots, Arc::new(Echo(seen)));
+    (transport, sees)
+}
+
+#[tokio::test]
+async fn a_notice_comes_with_its_senders_address() {
+    let (a, _) = process().await;
+    let (b, mut sees) = process().await;
+    assert!(a.notify(b.own_address(), Channel::Lots, Bytes::from_static(b"word")));
+    let seen = timeout(WAIT, sees.recv()).await.unwrap().unwrap();
+    assert_eq!(seen, Seen::Notice(a.own_address(), Bytes::from_static(b"word")));
+}
+
+#[tokio::test]
+async fn calls_side_by_side_get_their_own_answers() {
+    let (a, _) = process().await;
+    let (b, _sees) = process().await;
+    let call = |text: String| {
+        let (a, to) = (a.clone(), b.own_address());
+        tokio::spawn(async move { a.call(to, Channel::Lots, text.into(), WAIT).await })
+    };
+    let calls: Vec<_> = (0..50).map(|i| (i, call(format!("{i},")))).collect();
+    for (i, call) in calls {
+        assert_eq!(call.await.unwrap().unwrap(), Bytes::from(format!("{i},{i},")));
+    }
+}
+
+#[tokio::test]
+async fn a_long_message_comes_whole() {
+    let (a, _) = process().await;
+    let (b, _sees) = process().await;
+    let body = Bytes::from(vec![7_u8; 3 << 20]);
+    let answer = a.call(b.own_address(), Channel::Lots, body, WAIT).await.unwrap();
+    assert_eq!(answer.len(), 6 << 20);
+}
+
+#[tokio::test]
+async fn a_call_without_an_answer_ends_in_time_and_others_go_on() {
+    let (a, _) = process().await;
+    let (b, _sees) = process().await;
+    let (to, soon) = (b.own_address(), Duration::from_millis(20));
+    let silent = a.call(to, Channel::Lots, Bytes::from_static(b"silence"), soon).await;
+    assert_eq!(silent, Err(CallError::TimedOut));
+    let unknown = a.call(to, Channel::Lots, Bytes::from_static(b"what"), WAIT).await;
+    assert_eq!(unknown, Err(CallError::NotUnderstood));
+    let next = a.call(to, Channel::Lots, Bytes::from_static(b"x"), WAIT).await;
+    assert_eq!(next.unwrap(), Bytes::from_static(b"xx"));
+}
+
+#[tokio::test]
+async fn who_can_not_be_reached_is_told_of() {
+    let (a, mut sees) = process().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let nobody = listener.local_addr().unwrap();
+    drop(listener);
+    let call = a.call(nobody, Channel::Lots, Bytes::from_static(b"x"), WAIT).await;
+    assert_eq!(call, Err(CallError::Unreachable));
+    assert_eq!(timeout(WAIT, sees.recv()).await.unwrap().unwrap(), Seen::Unreachable(nobody));
+}
+
+#[tokio::test]
+async fn a_receiver_that_goes_and_comes_is_reached_again() {
+    let (a, mut sees) = process().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let there = listener.local_addr().unwrap();
+    a.notify(there, Channel::Lots, Bytes::from_static(b"x"));
+    let (connection, _) = timeout(WAIT, listener.accept()).await.unwrap().unwrap();
+    drop(connection);
+    assert_eq!(timeout(WAIT, sees.recv()).await.unwrap().unwrap(), Seen::Unreachable(there));
+    a.notify(there, Channel::Lots, Bytes::from_static(b"y"));
+    assert!(timeout(WAIT, listener.accept()).await.unwrap().is_ok());
+}
+
+#[tokio::test]
+async fn bytes_of_another_protocol_are_not_taken() {
+    let (b, mut sees) = process().await;
+    let mut stranger = TcpStream::connect(b.own_address()).await.unwrap();
+    stranger.write_all(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n").await.unwrap();
+    // The stranger is closed, and who speaks the protocol is served.
+    let mut end = Vec::new();
+    timeout(WAIT, tokio::io::AsyncReadExt::read_to_end(&mut stranger, &mut end)).await.unwrap().ok();
+    assert!(end.is_empty());
+    let (a, _) = process().await;
+    a.notify(b.own_address(), Channel::Lots, Bytes::from_static(b"word"));
+    assert!(matches!(timeout(WAIT, sees.recv()).await.unwrap().unwrap(), Seen::Notice(..)));
+}
