--- a/crates/mintlb-beanstalkd/src/codec.rs
+++ b/crates/mintlb-beanstalkd/src/codec.rs
@@ -1,18 +1,21 @@
-//! The protocol's bytes: commands out of them, in whatever pieces they come.
+//! The protocol's grammar: a reader that turns bytes into commands, in whatever pieces the bytes come.
 
 use bytes::{Buf, Bytes, BytesMut};
 use std::str::FromStr;
 use std::sync::Arc;
 
+/// The name of a tube.
 pub type Tube = Arc<str>;
 
-/// A command line may be as long as this, its end included.
+/// The longest command line, in bytes, with its end.
 pub const LINE: usize = 224;
-/// And the name of a tube.
-const NAME: usize = 200;
+/// The longest name of a tube, in bytes.
+const MAX_TUBE_NAME: usize = 200;
 
+/// A command with its arguments. Numbers alone are ids of jobs, or seconds.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Command {
+    /// The command's line, and the job's body.
     Put(Put, Bytes),
     Use(Tube),
     Watch(Tube),
@@ -21,13 +24,21 @@
     ReserveWithTimeout(u32),
     ReserveJob(u64),
     Delete(u64),
-    Release { id: u64, priority: u32, delay: u32 },
-    Bury { id: u64, priority: u32 },
+    Release {
+        id: u64,
+        priority: u32,
+        delay: u32,
+    },
+    Bury {
+        id: u64,
+        priority: u32,
+    },
     Touch(u64),
     Peek(u64),
     PeekReady,
     PeekDelayed,
     PeekBuried,
+    /// Kicks as many jobs at the most.
     Kick(u32),
     KickJob(u64),
     Stats,
@@ -36,11 +47,45 @@
     ListTubes,
     ListTubeUsed,
     ListTubesWatched,
+    /// Pauses a tube for some seconds.
     PauseTube(Tube, u32),
     Quit,
 }
 
-/// A put's line. Delay and time-to-run are whole seconds.
+impl Command {
+    /// The command's name in the protocol.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Command::Put(..) => "put",
+            Command::Use(_) => "use",
+            Command::Watch(_) => "watch",
+            Command::Ignore(_) => "ignore",
+            Command::Reserve => "reserve",
+            Command::ReserveWithTimeout(_) => "reserve-with-timeout",
+            Command::ReserveJob(_) => "reserve-job",
+            Command::Delete(_) => "delete",
+            Command::Release { .. } => "release",
+            Command::Bury { .. } => "bury",
+            Command::Touch(_) => "touch",
+            Command::Peek(_) => "peek",
+            Command::PeekReady => "peek-ready",
+            Command::PeekDelayed => "peek-delayed",
+            Command::PeekBuried => "peek-buried",
+            Command::Kick(_) => "kick",
+            Command::KickJob(_) => "kick-job",
+            Command::Stats => "stats",
+            Command::StatsJob(_) => "stats-job",
+            Command::StatsTube(_) => "stats-tube",
+            Command::ListTubes => "list-tubes",
+            Command::ListTubeUsed => "list-tube-used",
+            Command::ListTubesWatched => "list-tubes-watched",
+            Command::PauseTube(..) => "pause-tube",
+            Command::Quit => "quit",
+        }
+    }
+}
+
+/// The line of a put. Delay and time-to-run (`ttr`) are whole seconds; `bytes` is the length of the body.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Put {
     pub priority: u32,
@@ -49,96 +94,110 @@
     pub bytes: usize,
 }
 
-/// Why what came is no command that can be taken.
+/// Why the bytes are not a command, or not one that can be taken.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Fault {
-    /// What follows can't be told apart from commands any more: the session must end.
+    /// A put without a readable length: the job's bytes can't be told from commands, so the session must end.
     Unframed,
+    /// A line that is too long, or arguments that do not fit the command.
     BadFormat,
+    /// No command has this name.
     UnknownCommand,
+    /// The body of a job is larger than the limit.
     JobTooBig,
+    /// The body of a job does not end with CR LF.
     ExpectedCrlf,
-    /// Refused by who reads, before its body came.
+    /// The caller refused the job before its body came.
     OutOfMemory,
 }
 
+/// What the reader has found.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Item {
-    /// A job of so many bytes is coming: the time to refuse it.
+    /// The body of a job follows, with this many bytes. The caller may refuse it now.
     Coming(usize),
+    /// A whole command.
     Command(Command),
+    /// What came instead of a command.
     Fault(Fault),
 }
 
-/// Where in the stream the next byte lies.
+/// What the next byte of the stream belongs to.
 #[derive(Debug, Default)]
-enum At {
+enum Position {
     #[default]
     Line,
-    /// In a line that is too long, up to its end.
+    /// A line that is too long and is skipped up to its end.
     LongLine,
+    /// A job's body.
     Body(Put),
-    /// Bytes that go nowhere, and what is said of them then.
+    /// A body that is skipped: how many bytes are left of it, and the fault to report then.
     Skip(u64, Fault),
 }
 
+/// Reads the commands of one connection.
 #[derive(Debug)]
 pub struct Reader {
-    at: At,
-    /// The largest job, in bytes.
-    most: usize,
+    position: Position,
+    max_job_bytes: usize,
 }
 
 impl Reader {
-    pub fn new(most: usize) -> Reader {
-        Reader { at: At::Line, most }
+    /// A reader at the begin of a connection that takes job bodies up to `max_job_bytes`.
+    pub fn new(max_job_bytes: usize) -> Reader {
+        Reader { position: Position::Line, max_job_bytes }
     }
 
-    /// The bytes that must be there before more can be told, at the most.
+    /// It is within a line that is too long, or a job's body.
+    pub fn is_within(&self) -> bool {
+        !matches!(self.position, Position::Line)
+    }
+
+    /// The most bytes that must have come before the next item can be read.
     pub fn wants(&self) -> usize {
-        match self.at {
-            At::Body(put) => put.bytes + 2,
+        match self.position {
+            Position::Body(put) => put.bytes + 2,
             _ => LINE,
         }
     }
 
-    /// The job that is coming is not taken: its bytes go nowhere.
+    /// Refuses the job whose body follows: the body is skipped, and the fault reported after it.
     pub fn refuse(&mut self, fault: Fault) {
-        if let At::Body(put) = self.at {
-            self.at = At::Skip(put.bytes as u64 + 2, fault);
+        if let Position::Body(put) = self.position {
+            self.position = Position::Skip(put.bytes as u64 + 2, fault);
         }
     }
 
-    /// The next item, if the bytes hold one; what it took is gone from them.
+    /// Takes the next item from the front of the bytes, if they hold a whole one.
     pub fn next(&mut self, bytes: &mut BytesMut) -> Option<Item> {
         loop {
-            match &mut self.at {
-                At::Line => {
+            match &mut self.position {
+                Position::Line => {
                     let end = bytes.iter().take(LINE).position(|&b| b == b'\n');
                     let Some(end) = end else {
                         if bytes.len() < LINE {
                             return None;
                         }
-                        self.at = At::LongLine;
+                        self.position = Position::LongLine;
                         continue;
                     };
                     let line = bytes.split_to(end + 1);
-                    // Only both bytes end a line; a lone one in it is none of a command's.
+                    // A line ends with both bytes; neither may occur in it alone.
                     let Some(line) = line.strip_suffix(b"\r\n") else {
                         return Some(Item::Fault(Fault::BadFormat));
                     };
                     return Some(self.line(line));
                 }
-                At::LongLine => {
+                Position::LongLine => {
                     let Some(end) = bytes.iter().position(|&b| b == b'\n') else {
                         bytes.clear();
                         return None;
                     };
                     bytes.advance(end + 1);
-                    self.at = At::Line;
+                    self.position = Position::Line;
                     return Some(Item::Fault(Fault::BadFormat));
                 }
-                At::Skip(left, fault) => {
+                Position::Skip(left, fault) => {
                     let part = (*left).min(bytes.len() as u64);
                     bytes.advance(part as usize);
                     *left -= part;
@@ -146,20 +205,20 @@
                         return None;
                     }
                     let fault = *fault;
-                    self.at = At::Line;
+                    self.position = Position::Line;
                     return Some(Item::Fault(fault));
                 }
-                At::Body(put) => {
+                Position::Body(put) => {
                     let put = *put;
                     if bytes.len() < put.bytes + 2 {
                         return None;
                     }
-                    // A copy of its own: kept with the bytes around it, a small job would hold a large buffer.
+                    // A copy, since a slice would keep the connection's whole read buffer allocated.
                     let body = Bytes::copy_from_slice(&bytes[..put.bytes]);
                     bytes.advance(put.bytes);
                     let whole = bytes.starts_with(b"\r\n");
                     bytes.advance(2);
-                    self.at = At::Line;
+                    self.position = Position::Line;
                     return Some(match whole {
                         true => Item::Command(Command::Put(put, body)),
                         false => Item::Fault(Fault::ExpectedCrlf),
@@ -169,6 +228,7 @@
         }
     }
 
+    /// Reads a command line without its end.
     fn line(&mut self, line: &[u8]) -> Item {
         let words: Vec<&str> = match std::str::from_utf8(line) {
             Ok(text) => text.split(' ').collect(),
@@ -177,12 +237,12 @@
         if words[0] == "put" {
             // Without its length, nobody knows where the job's bytes end and the next command begins.
             let Some((put, bytes)) = put(&words[1..]) else { return Item::Fault(Fault::Unframed) };
-            if bytes > self.most as u64 {
-                self.at = At::Skip(bytes.saturating_add(2), Fault::JobTooBig);
+            if bytes > self.max_job_bytes as u64 {
+                self.position = Position::Skip(bytes.saturating_add(2), Fault::JobTooBig);
                 return Item::Coming(0);
             }
             let put = Put { bytes: bytes as usize, ..put };
-            self.at = At::Body(put);
+            self.position = Position::Body(put);
             return Item::Coming(put.bytes);
         }
         match command(words[0], &words[1..]) {
@@ -192,24 +252,27 @@
     }
 }
 
+/// The arguments of a put, and the length of the body, which may exceed all bounds.
 fn put(words: &[&str]) -> Option<(Put, u64)> {
     let [priority, delay, ttr, bytes] = words else { return None };
     let put = Put { priority: number(priority)?, delay: number(delay)?, ttr: number(ttr)?, bytes: 0 };
     Some((put, number(bytes)?))
 }
 
-/// A number of digits only; a sign is none.
+/// A number in decimal digits, without a sign.
 fn number<T: FromStr>(word: &str) -> Option<T> {
     let digits = !word.is_empty() && word.bytes().all(|b| b.is_ascii_digit());
     word.parse().ok().filter(|_| digits)
 }
 
+/// A name of a tube, if it follows the protocol's rules.
 fn tube(word: &str) -> Option<Tube> {
     let fits = |b: u8| b.is_ascii_alphanumeric() || b"-+/;.$_()".contains(&b);
-    let good = (1..=NAME).contains(&word.len()) && !word.starts_with('-') && word.bytes().all(fits);
+    let good = (1..=MAX_TUBE_NAME).contains(&word.len()) && !word.starts_with('-') && word.bytes().all(fits);
     good.then(|| word.into())
 }
 
+/// A command by its name and arguments.
 fn command(name: &str, words: &[&str]) -> Result<Command, Fault> {
     let bad = Fault::BadFormat;
     let id = |word: &str| number(word).ok_or(bad);
@@ -247,6 +310,7 @@
     })
 }
 
+/// All names of commands but put: with other arguments they are badly formed, not unknown.
 const KNOWN: [&str; 24] = [
     "use",
     "watch",
@@ -275,6 +339,7 @@
 ];
 
 impl Fault {
+    /// The reply that reports the fault.
     pub fn reply(self) -> &'static [u8] {
         match self {
             Fault::Unframed | Fault::BadFormat => b"BAD_FORMAT\r\n",
@@ -285,10 +350,3 @@
         }
     }
 }
-
-impl Reader {
-    /// Between a put's line and the end of its job.
-    pub fn is_within(&self) -> bool {
-        !matches!(self.at, At::Line)
-    }
-}
--- a/crates/mintlb-beanstalkd/src/front.rs
+++ b/crates/mintlb-beanstalkd/src/front.rs
@@ -1,4 +1,4 @@
-//! The sockets towards producers and workers, and the way from the core to a waiting worker.
+//! The sockets of producers and workers, and the links between the hub and the core.
 
 use crate::codec::{Command, Fault, Item, Reader};
 use crate::hub::{Deed, Hub};
@@ -27,46 +27,57 @@
 use tokio::sync::{Notify, Semaphore};
 use tokio::time::{Instant, sleep, sleep_until};
 
-/// What a connection may hold of commands that it can't be given yet, and of replies not yet written, in bytes.
-const AHEAD: usize = 4 << 10;
-const REPLIES: usize = 16 << 10;
-/// What is read at once where only commands are to come.
-const LITTLE: usize = 512;
+/// The most bytes that are read ahead of a command that must wait.
+const READ_AHEAD_BYTES: usize = 4 << 10;
+/// The most bytes of replies that may wait to be written before the next command is run.
+const MAX_REPLY_BYTES: usize = 16 << 10;
+/// The bytes of one read where only commands are expected.
+const COMMAND_READ_BYTES: usize = 512;
+/// A connection that takes no replies is closed after this many times the bound for reading a command.
+const UNWRITTEN_FACTOR: u32 = 8;
 
-/// Times and counts that bound the sockets.
+/// Bounds in time and number on the sockets.
 #[derive(Clone, Debug)]
 pub struct Bounds {
+    /// The most connections at once.
     pub connections: usize,
-    /// A command is whole by then, from its first byte on.
+    /// How long a command may take to come, from its first byte on.
     pub read: Duration,
-    /// Between tries to accept where that fails.
+    /// The pause after a connection could not be accepted.
     pub pause: Duration,
 }
 
-struct Inside {
+/// What all connections share.
+struct Shared {
     hub: Hub,
-    bells: FxHashMap<u64, Arc<Notify>>,
-    /// An empty vector, to be filled again.
+    /// Wakes the sessions' tasks.
+    wakers: FxHashMap<u64, Arc<Notify>>,
+    /// An empty vector whose memory is used again.
     spare: Vec<Deed>,
-    /// When the timer will ring, by the clock.
-    armed: f64,
+    /// When the timer task will wake, in seconds of the clock.
+    timer_at: f64,
 }
 
+/// The protocol's server.
 pub struct Front {
-    inside: Mutex<Inside>,
-    timer: Notify,
-    places: Arc<Semaphore>,
+    shared: Mutex<Shared>,
+    /// Wakes the timer task when the hub's next time has moved forward.
+    timer_moved: Notify,
+    /// One permit for each connection.
+    connections: Arc<Semaphore>,
     bounds: Bounds,
-    /// What a job has beside its body.
-    nothing: Arc<dyn Any + Send + Sync>,
-    /// By project type: it may not simply run again.
+    /// The protocol's own part of a request, which is empty here.
+    empty: Arc<dyn Any + Send + Sync>,
+    /// By project type: its jobs are not idempotent.
     once: Vec<bool>,
     clock: Clock,
+    /// The core's events.
     tell: UnboundedSender<Event>,
     log: Logger,
 }
 
 impl Front {
+    /// A server of the hub for these project types. [`Front::listen`] starts it.
     pub fn new(
         hub: Hub,
         types: &[ProjectType],
@@ -76,15 +87,15 @@
         log: Logger,
     ) -> Arc<Front> {
         Arc::new(Front {
-            inside: Mutex::new(Inside {
+            shared: Mutex::new(Shared {
                 hub,
-                bells: FxHashMap::default(),
+                wakers: FxHashMap::default(),
                 spare: Vec::new(),
-                armed: f64::MAX,
+                timer_at: f64::MAX,
             }),
-            timer: Notify::new(),
-            nothing: Arc::new(()),
-            places: Arc::new(Semaphore::new(bounds.connections)),
+            timer_moved: Notify::new(),
+            empty: Arc::new(()),
+            connections: Arc::new(Semaphore::new(bounds.connections)),
             bounds,
             once: types.iter().map(|t| t.effect != Effect::Rerunnable).collect(),
             clock,
@@ -93,95 +104,99 @@
         })
     }
 
-    /// Calls the hub, and does what it decided.
+    /// Calls the hub, and carries out its effects.
     fn with<R>(self: &Arc<Front>, call: impl FnOnce(&mut Hub, f64) -> R) -> R {
         let now = self.clock.now();
-        let mut inside = self.inside.lock();
-        let result = call(&mut inside.hub, now);
-        let spare = std::mem::take(&mut inside.spare);
-        let mut deeds = inside.hub.deeds(spare);
+        let mut shared = self.shared.lock();
+        let result = call(&mut shared.hub, now);
+        let spare = std::mem::take(&mut shared.spare);
+        let mut deeds = shared.hub.deeds(spare);
         for deed in deeds.drain(..) {
-            match deed {
-                Deed::Arrive { id, project_type, customer, arrived, time_budget, body } => {
-                    let once = self.once[project_type];
-                    let answer = Box::new(JobEnd { front: self.clone(), id });
-                    let payload = Payload { body, once, own: self.nothing.clone() };
-                    let (client_id, slots) = (None, 1.0);
-                    let arrival = Arrival {
-                        id,
-                        client_id,
-                        project_type,
-                        customer,
-                        slots,
-                        arrived,
-                        time_budget,
-                        payload,
-                        answer,
-                    };
-                    self.tell.send(Event::Arrived(arrival)).ok();
-                }
-                Deed::Member(change) => {
-                    let (machine, runs, generation) = (change.machine, change.runs, change.generation);
-                    let way = Arc::new(Way { front: self.clone(), machine, runs, generation });
-                    let member = Member {
-                        name: change.name,
-                        line: change.line,
-                        host: Some(machine),
-                        reach: Some(way),
-                    };
-                    let told = Told { source: Source::Callers, full: false, members: vec![member] };
-                    self.tell.send(Event::Members(None, told)).ok();
-                }
-                Deed::Tell(event) => drop(self.tell.send(event)),
-                Deed::Wake(session) => {
-                    if let Some(bell) = inside.bells.get(&session) {
-                        bell.notify_one();
-                    }
-                }
-            }
+            self.carry_out(&shared, deed);
         }
-        inside.spare = deeds;
-        if inside.hub.next_due().is_some_and(|due| due < inside.armed) {
-            self.timer.notify_one();
+        shared.spare = deeds;
+        if shared.hub.next_due().is_some_and(|due| due < shared.timer_at) {
+            self.timer_moved.notify_one();
         }
         result
     }
 
-    /// Wakes the hub when it wants to be woken.
-    async fn ring(self: Arc<Front>) {
+    fn carry_out(self: &Arc<Front>, shared: &Shared, deed: Deed) {
+        match deed {
+            Deed::Arrive { id, project_type, customer, arrived, time_budget, body } => {
+                let once = self.once[project_type];
+                let answer = Box::new(AnswerSink { front: self.clone(), id });
+                let payload = Payload { body, once, own: self.empty.clone() };
+                let (client_id, slots) = (None, 1.0);
+                let arrival = Arrival {
+                    id,
+                    client_id,
+                    project_type,
+                    customer,
+                    slots,
+                    arrived,
+                    time_budget,
+                    payload,
+                    answer,
+                };
+                self.tell.send(Event::Arrived(arrival)).ok();
+            }
+            Deed::Member(change) => {
+                let (machine, runs, generation) = (change.machine, change.runs, change.generation);
+                let reach = Arc::new(GroupReach { front: self.clone(), machine, runs, generation });
+                let (name, line) = (change.name, change.line);
+                let member = Member { name, line, host: Some(machine), reach: Some(reach) };
+                let told = Told { source: Source::Callers, full: false, members: vec![member] };
+                self.tell.send(Event::Members(None, told)).ok();
+            }
+            Deed::Tell(event) => drop(self.tell.send(event)),
+            Deed::Wake(session) => {
+                if let Some(waker) = shared.wakers.get(&session) {
+                    waker.notify_one();
+                }
+            }
+        }
+    }
+
+    /// The timer task: wakes the hub at its next time, again and again.
+    async fn run_timer(self: Arc<Front>) {
         loop {
             let due = {
-                let mut inside = self.inside.lock();
-                inside.armed = inside.hub.next_due().unwrap_or(f64::MAX);
-                inside.armed
+                let mut shared = self.shared.lock();
+                shared.timer_at = shared.hub.next_due().unwrap_or(f64::MAX);
+                shared.timer_at
             };
-            let rung = async {
+            let is_due = async {
                 match due < f64::MAX {
                     true => sleep_until(self.clock.instant(due)).await,
                     false => pending().await,
                 }
             };
-            tokio::select! { () = rung => self.with(|hub, now| hub.woke(now)), () = self.timer.notified() => () }
+            tokio::select! {
+                () = is_due => self.with(|hub, now| hub.woke(now)),
+                () = self.timer_moved.notified() => (),
+            }
         }
     }
 
+    /// Accepts connections for ever, and runs the hub's timers.
     pub async fn listen(self: Arc<Front>, listener: TcpListener) {
-        tokio::spawn(self.clone().ring());
+        tokio::spawn(self.clone().run_timer());
         let mut failing = false;
         loop {
             let accepted = listener.accept().await;
             match accepted {
                 Ok((stream, peer)) => {
                     let machine = peer.ip().to_canonical();
-                    match self.places.clone().try_acquire_owned() {
-                        Ok(place) => {
+                    match self.connections.clone().try_acquire_owned() {
+                        Ok(permit) => {
                             let session = self.clone().session(stream, machine);
                             tokio::spawn(async move {
                                 session.await;
-                                drop(place);
+                                drop(permit);
                             });
                         }
-                        // In the protocol's words, and at once: it may come back.
+                        // The protocol's reply to it: the client may try again.
                         Err(_) => drop(stream.try_write(b"OUT_OF_MEMORY\r\n")),
                     }
                     failing = false;
@@ -197,34 +212,35 @@
         }
     }
 
+    /// The task of one connection.
     async fn session(self: Arc<Front>, mut stream: TcpStream, machine: IpAddr) {
         stream.set_nodelay(true).ok();
-        let bell = Arc::new(Notify::new());
+        let waker = Arc::new(Notify::new());
         let id = self.with(|hub, _| hub.connect(machine));
-        self.inside.lock().bells.insert(id, bell.clone());
-        let ended = self.converse(&mut stream, id, &bell).await;
-        self.inside.lock().bells.remove(&id);
+        self.shared.lock().wakers.insert(id, waker.clone());
+        let ended = self.serve(&mut stream, id, &waker).await;
+        self.shared.lock().wakers.remove(&id);
         self.with(|hub, now| hub.closed(now, id));
         debug!(self.log, "a session has ended"; "why" => ended, "machine" => %machine);
         stream.shutdown().await.ok();
     }
 
-    /// Serves a session to its end; why it has ended.
-    async fn converse(self: &Arc<Front>, stream: &mut TcpStream, id: u64, bell: &Notify) -> &'static str {
+    /// Serves a session to its end; returns the reason of the end, for the log.
+    async fn serve(self: &Arc<Front>, stream: &mut TcpStream, id: u64, waker: &Notify) -> &'static str {
         let mut reader = Reader::new(self.with(|hub, _| hub.most_bytes()));
         let (mut bytes, mut body_room): (BytesMut, Option<Held>) = Default::default();
         let (mut out, mut sent, mut left) = (Vec::new(), 0, false);
-        // Since when a command has come in part, and since when its replies have not been taken.
+        // Since when a command has been incomplete, and since when replies could not be written.
         let (mut part, mut stuck): (Option<Instant>, Option<Instant>) = (None, None);
         let mut wrote = 0;
-        // Read by the library, which knows from a short read that no more has come: one system call less.
+        // The library knows from a short read that no more bytes have come, which saves a system call.
         let (mut reading, writing) = stream.split();
         loop {
             let (blocked, over, cut) = self.with(|hub, now| {
                 if wrote > 0 {
                     hub.wrote(id, std::mem::take(&mut wrote));
                 }
-                self.commands(hub, now, id, &mut reader, &mut bytes, &mut body_room);
+                self.run_commands(hub, now, id, &mut reader, &mut bytes, &mut body_room);
                 if sent == out.len() {
                     out.clear();
                     (out, sent) = (hub.take_out(now, id, std::mem::take(&mut out)), 0);
@@ -243,7 +259,7 @@
             }
             let written = sent == out.len();
             if wrote > 0 {
-                // It must be known before anything else, and more may have been waiting for this.
+                // The hub must know it first, and may have more output then.
                 stuck = None;
                 continue;
             }
@@ -253,22 +269,26 @@
             if left && (blocked || written) {
                 return "the other side has left";
             }
-            if blocked && written && bytes.is_empty() && bytes.capacity().max(out.capacity()) > 2 * LITTLE {
-                // Idle for long, perhaps: it keeps no large buffers.
+            if blocked
+                && written
+                && bytes.is_empty()
+                && bytes.capacity().max(out.capacity()) > 2 * COMMAND_READ_BYTES
+            {
+                // It may idle for long, so it keeps no large buffers.
                 (bytes, out, sent) = (BytesMut::new(), Vec::new(), 0);
             }
             let partial = !blocked && (!bytes.is_empty() || reader.is_within());
             part = if partial { part.or_else(|| Some(Instant::now())) } else { None };
             stuck = if written { None } else { stuck.or_else(|| Some(Instant::now())) };
             let slow = part.map(|at| at + self.bounds.read);
-            let due = slow.into_iter().chain(stuck.map(|at| at + self.bounds.read * 8)).min();
-            let most = if blocked { AHEAD } else { reader.wants().max(AHEAD) };
+            let due = slow.into_iter().chain(stuck.map(|at| at + self.bounds.read * UNWRITTEN_FACTOR)).min();
+            let most = if blocked { READ_AHEAD_BYTES } else { reader.wants().max(READ_AHEAD_BYTES) };
             let reads = !left && bytes.len() < most && (written || blocked);
             if reads {
-                bytes.reserve(if reader.is_within() { most - bytes.len() } else { LITTLE });
+                bytes.reserve(if reader.is_within() { most - bytes.len() } else { COMMAND_READ_BYTES });
             }
             tokio::select! {
-                () = bell.notified() => {}
+                () = waker.notified() => {}
                 read = reading.read_buf(&mut bytes), if reads => {
                     match read {
                         Ok(0) => left = true,
@@ -288,8 +308,8 @@
         }
     }
 
-    /// All commands that have come, until one must wait or there is enough to say.
-    fn commands(
+    /// Runs the commands that have come, until one must wait or enough replies do.
+    fn run_commands(
         &self,
         hub: &mut Hub,
         now: f64,
@@ -298,7 +318,7 @@
         bytes: &mut BytesMut,
         body_room: &mut Option<Held>,
     ) {
-        while !hub.is_blocked(id) && !hub.is_over(id) && hub.waiting_out(id) < REPLIES {
+        while !hub.is_blocked(id) && !hub.is_over(id) && hub.queued_bytes(id) < MAX_REPLY_BYTES {
             match reader.next(bytes) {
                 None => return,
                 Some(Item::Coming(length)) => {
@@ -323,11 +343,11 @@
     }
 }
 
-/// The front, as the program's loop speaks to it.
+/// The server as a subsystem of the program.
 pub struct Joint(pub Arc<Front>);
 
 impl Subsystem for Joint {
-    /// What the list tells of machines: they are known by the addresses of its workers.
+    /// Passes on what the list service says of machines, by the addresses of its workers.
     fn hear(&self, told: &Told) {
         let places = told.members.iter().filter_map(|member| {
             let line = &member.line;
@@ -338,26 +358,26 @@
         self.0.with(|hub, _| hub.hear(told.full, places));
     }
 
-    /// From now on no job is taken.
+    /// Takes no job from now on.
     fn stop(&self) {
         self.0.with(|hub, now| hub.stop(now));
     }
 
-    /// Whether producers are to go elsewhere; what is here already runs on.
+    /// Refuses puts while `leaving`; jobs that were taken run on.
     fn leave(&self, leaving: bool) {
         self.0.with(|hub, _| hub.leaving = leaving);
     }
 
-    /// Nothing waits to be written.
+    /// Nothing is left to be written.
     fn is_quiet(&self) -> bool {
-        self.0.inside.lock().hub.is_quiet()
+        self.0.shared.lock().hub.is_quiet()
     }
 
-    /// One line of counts, where there is something to count.
+    /// Logs a line of counts if there is something to count.
     fn count(&self) {
-        let mut inside = self.0.inside.lock();
-        let refused = std::mem::take(&mut inside.hub.totals.refused);
-        let (connected, machines) = (inside.bells.len(), inside.hub.groups());
+        let mut shared = self.0.shared.lock();
+        let refused = std::mem::take(&mut shared.hub.totals.refused);
+        let (connected, machines) = (shared.wakers.len(), shared.hub.groups());
         if connected > 0 || refused > 0 {
             info!(self.0.log, "beanstalkd"; "puts refused" => refused, "groups of workers" => machines,
                 "connected" => connected);
@@ -365,6 +385,7 @@
     }
 }
 
+/// Sleeps until a time, for ever without one.
 async fn sleep_until_some(due: Option<Instant>) {
     match due {
         Some(due) => sleep_until(due).await,
@@ -372,53 +393,55 @@
     }
 }
 
-/// Where a job's final answer goes.
-struct JobEnd {
+/// Passes the final answer to a job's request to the hub.
+struct AnswerSink {
     front: Arc<Front>,
     id: u64,
 }
 
-impl Settle for JobEnd {
+impl Settle for AnswerSink {
     fn settle(self: Box<Self>, answer: Answer) {
         self.front.with(|hub, now| hub.ended(now, self.id, answer));
     }
 }
 
-/// The way to a group of waiting workers, as it stood at its last start.
-struct Way {
+/// Sends attempts to one generation of a group of workers.
+struct GroupReach {
     front: Arc<Front>,
     machine: IpAddr,
     runs: Runs,
     generation: u64,
 }
 
-impl Display for Way {
+impl Display for GroupReach {
     fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
         self.machine.fmt(f)
     }
 }
 
-impl Reach for Way {
+impl Reach for GroupReach {
     fn send(&self, order: Order) -> Box<dyn Recall> {
         let alloc = order.alloc;
-        // A waiting reserve is answered in the same moment. Unpaid it does not go, and is known never to have run.
+        // What the attempt costs is paid now, as a waiting reserve is answered at once. Unpaid, it never ran.
         if order.slip.as_ref().is_some_and(|slip| !slip.pay()) {
             self.front.tell.send(Event::Back(Back::with(alloc, Outcome::Moot))).ok();
             return Box::new(());
         }
         self.front.with(|hub, _| hub.order(self.machine, self.runs, self.generation, order));
-        Box::new(Out { front: self.front.clone(), alloc })
+        Box::new(AttemptRecall { front: self.front.clone(), alloc })
     }
-    /// A waiting reserve is all that there is to tell.
+
+    /// Does nothing: there is no load report in this protocol.
     fn probe(&self, _worker: u64) {}
 }
 
-struct Out {
+/// Recalls an attempt that was sent.
+struct AttemptRecall {
     front: Arc<Front>,
     alloc: AllocId,
 }
 
-impl Recall for Out {
+impl Recall for AttemptRecall {
     fn recall(self: Box<Self>) {
         self.front.with(|hub, now| hub.recall(now, self.alloc));
     }
--- /dev/null
+++ b/crates/mintlb-beanstalkd/src/hub/producer.rs
@@ -0,0 +1,76 @@
+//! Put, and the hand-over of ready jobs to the core.
+
+use super::reply::{Reply, line};
+use super::timers::Timer;
+use super::{Deed, Hub};
+use crate::codec::{Put, Tube};
+use crate::job::{Job, State};
+use bytes::Bytes;
+use mintlb_core::room::Held;
+
+/// The shortest time-to-run, in seconds; a put that asks for 0 gets it, as the protocol has it.
+const MIN_TTR: u32 = 1;
+
+impl Hub {
+    /// `put`: takes a job, or refuses it.
+    pub(super) fn put(&mut self, now: f64, id: u64, put: Put, body: Bytes, body_room: Option<Held>) -> Reply {
+        let Some(session) = self.sessions.get_mut(&id) else { return Reply::default() };
+        session.is_producer = true;
+        let tube = session.used.clone();
+        match self.admit(&tube, &put, body_room) {
+            Ok(capacity) => {
+                let job = self.take_job(now, tube, put, body, capacity);
+                line(format!("INSERTED {job}"))
+            }
+            Err(refusal) => {
+                self.totals.refused += 1;
+                Reply::Borrowed(refusal)
+            }
+        }
+    }
+
+    /// The capacity for a job, or the reply to a put that is refused.
+    fn admit(&self, tube: &Tube, put: &Put, body_room: Option<Held>) -> Result<(Held, Held), &'static [u8]> {
+        if self.stopping || self.leaving {
+            return Err(b"DRAINING\r\n");
+        }
+        if self.plan.route(tube).is_none() || f64::from(put.delay) > self.plan.table.longest_delay {
+            return Err(b"BAD_FORMAT\r\n");
+        }
+        body_room.and_then(|body| Some((body, self.capacity.work_unit()?))).ok_or(b"OUT_OF_MEMORY\r\n")
+    }
+
+    /// Takes a job, which becomes ready now, after its delay, or once its tube is not paused any more.
+    fn take_job(&mut self, now: f64, tube: Tube, put: Put, body: Bytes, capacity: (Held, Held)) -> u64 {
+        let id = self.job_ids.next();
+        let pause = self.pauses.get(&tube).map_or(0.0, |(until, _)| until - now);
+        let delay = f64::from(put.delay).max(pause);
+        let put = Put { ttr: put.ttr.max(MIN_TTR), ..put };
+        let mut job = Job { capacity: Some(capacity), ..Job::new(tube, put, now, body) };
+        self.totals.taken += 1;
+        if delay > 0.0 {
+            job.state = State::Delayed { until: now + delay };
+            self.jobs.add(id, job);
+            self.set_timer(now + delay, Timer::DelayOver { job: id });
+        } else {
+            self.jobs.add(id, job);
+            self.submit(now, id);
+        }
+        id
+    }
+
+    /// Hands a ready job to the core as a request. Its hard limit counts from now.
+    pub(super) fn submit(&mut self, now: f64, id: u64) {
+        self.jobs.set(id, State::Ready);
+        let Some(job) = self.jobs.get(id) else { return };
+        let Some(route) = self.plan.route(&job.tube) else { return };
+        self.deeds.push(Deed::Arrive {
+            id,
+            project_type: route.project_type,
+            customer: route.customer,
+            arrived: now,
+            time_budget: route.hard_limit,
+            body: job.body.clone(),
+        });
+    }
+}
--- a/crates/mintlb-beanstalkd/src/lib.rs
+++ b/crates/mintlb-beanstalkd/src/lib.rs
@@ -1,8 +1,10 @@
-//! beanstalkd's text protocol (1.13) round the core of a mintlb scheduler.
+//! A server of beanstalkd's text protocol (1.13) in front of the core of a mintlb scheduler.
 //!
-//! A producer's `put` becomes a work unit, a worker's waiting `reserve` room for one. [`hub::Hub`] holds what the
-//! protocol knows of sessions and jobs; it reads, writes and waits for nothing. [`front::Front`] has the sockets.
-//! In this crate a work unit is a *job* and an allocation that a worker holds a *reservation*.
+//! A producer's `put` becomes a request to the core; a worker's waiting `reserve` announces room for one job.
+//! [`hub::Hub`] is the protocol's state machine and does no I/O; [`front::Front`] owns the sockets.
+//!
+//! In this crate a request is a *job*, and an attempt to run it that a worker holds is a *lease*; the
+//! protocol says "reservation". The core's types call a request a work unit and an attempt an allocation.
 
 pub mod codec;
 pub mod front;
@@ -10,5 +12,4 @@
 pub mod job;
 pub mod machines;
 pub mod session;
-pub mod stats;
 pub mod table;
--- a/crates/mintlb-beanstalkd/src/machines.rs
+++ b/crates/mintlb-beanstalkd/src/machines.rs
@@ -1,60 +1,70 @@
-//! Whose workers wait for work: the machine behind each connection, what it runs, and whether it may have any.
+//! Machines and their groups of workers: which project types a machine runs, and whether it may get jobs.
 //!
-//! A machine is the address that connections come from. All its connections that watch the same project types are
-//! one worker to the decisions, and a waiting `reserve` is room for one job there.
+//! A machine is the address that connections come from. All its connections that watch tubes of the same
+//! project types are one group, which is one worker to the core; a waiting `reserve` is room for one job
+//! there.
 
 use mintlb::{Line, Listed, Runs};
 use mintlb_core::members::worker_id;
 use std::collections::{BTreeMap, HashMap};
 use std::net::IpAddr;
 
-/// What the list says of a machine.
+/// What the list service says of a machine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Place {
     pub zone: u16,
     pub cell: u64,
     pub kind: u16,
     pub listed: Listed,
-    /// Unix time in seconds, 0 for long ago.
+    /// When it started, in seconds of Unix time; 0 for long ago.
     pub came_up: f64,
 }
 
-/// Connections of one machine that run the same.
+/// The connections of one machine that run the same project types.
 #[derive(Debug)]
 pub struct Group {
+    /// The worker's id for the core.
     pub worker: u64,
     pub machine: IpAddr,
     pub runs: Runs,
-    /// It is told of anew with each start of the machine: orders to an earlier one are not its.
+    /// It changes when the core is told of another worker or of a restart: orders to an earlier generation
+    /// are not this group's.
     pub generation: u64,
-    /// Sessions whose reserve waits, first come first served.
+    /// Sessions whose reserve waits, by sequence number: the first is served first.
     pub waiting: BTreeMap<u64, u64>,
-    /// Orders that have come for this generation.
+    /// The number of orders that have come for this generation.
     pub orders: u64,
-    /// Connections in it, and since when there is none.
+    /// The number of its connections.
     pub sessions: usize,
+    /// When its last connection left, in seconds of the clock.
     pub empty_since: f64,
-    /// As it was told to the decisions.
-    told: Place,
+    /// The place that the core was last told.
+    announced: Place,
 }
 
+/// All machines and groups that are known.
 #[derive(Default)]
 pub struct Machines {
+    /// Only machines that the list service names get jobs.
     listed_only: bool,
+    /// A machine that the list does not name counts as started when it is first seen.
     cold: bool,
-    /// The list's word, where there is one.
-    places: HashMap<IpAddr, Place>,
-    /// When a machine was first seen, and a zone of its own while the list does not name it: who shares the
-    /// receipts of its work is not known then, so it must count as nobody.
-    seen: HashMap<IpAddr, (f64, u16)>,
+    /// What the list says of the machines that it names, or has named.
+    listed: HashMap<IpAddr, Place>,
+    /// When a machine was first seen, and a zone of its own while the list does not name it: it is not known
+    /// then which machines share the deduplication of its keyed jobs, so none may count as sharing it.
+    first_seen: HashMap<IpAddr, (f64, u16)>,
     groups: HashMap<(IpAddr, Runs), Group>,
+    /// The last generation given to a group.
     generations: u64,
 }
 
-/// What the decisions must be told of a group.
+/// What the core is to be told of a group.
 #[derive(Clone, Debug)]
 pub struct Change {
+    /// The worker's name.
     pub name: String,
+    /// The worker as a line of the list of workers.
     pub line: Line,
     pub generation: u64,
     pub machine: IpAddr,
@@ -62,34 +72,36 @@
 }
 
 impl Machines {
+    /// Without any machine; the arguments are `listed` and `cold` of the operator's table.
     pub fn new(listed_only: bool, cold: bool) -> Machines {
         Machines { listed_only, cold, ..Machines::default() }
     }
 
-    /// May anything new go there now? Neither drained nor gone, and listed where it must be.
-    pub fn is_open(&self, machine: IpAddr) -> bool {
-        match self.places.get(&machine) {
+    /// New jobs may go to a machine: it neither drains nor has gone, and is listed where it must be.
+    pub fn accepts_work(&self, machine: IpAddr) -> bool {
+        match self.listed.get(&machine) {
             Some(place) => place.listed == Listed::Ready,
             None => !self.listed_only,
         }
     }
 
+    /// The group of a machine's connections that run these project types.
     pub fn group(&mut self, machine: IpAddr, runs: Runs) -> Option<&mut Group> {
         self.groups.get_mut(&(machine, runs))
     }
 
-    /// A connection is one of this group from now on; what there is to tell, if it is new.
+    /// Counts a connection into a group. Returns what to tell the core if the group is new.
     pub fn join(&mut self, now: f64, machine: IpAddr, runs: Runs) -> Option<Change> {
         if let Some(group) = self.groups.get_mut(&(machine, runs)) {
             group.sessions += 1;
             return None;
         }
         let zone = u16::MAX - (self.generations % (u16::MAX as u64 / 2)) as u16;
-        self.seen.entry(machine).or_insert((now, zone));
-        let told = self.place(machine);
+        self.first_seen.entry(machine).or_insert((now, zone));
+        let place = self.place(machine);
         self.generations += 1;
         let group = Group {
-            worker: worker_id(&name(machine, runs, told)),
+            worker: worker_id(&name(machine, runs, place)),
             machine,
             runs,
             generation: self.generations,
@@ -97,26 +109,27 @@
             orders: 0,
             sessions: 1,
             empty_since: now,
-            told,
+            announced: place,
         };
-        let change = group.change(told.listed);
+        let change = group.change(place.listed);
         self.groups.insert((machine, runs), group);
         Some(change)
     }
 
-    /// Where a machine is taken to be, and whether it may have anything: by the list, or else by when it was seen.
+    /// A machine's place for the core: the list's, or else one that follows from when it was first seen.
     fn place(&self, machine: IpAddr) -> Place {
-        let (first, zone) = self.seen.get(&machine).copied().unwrap_or((0.0, u16::MAX));
+        let (first_seen, zone) = self.first_seen.get(&machine).copied().unwrap_or((0.0, u16::MAX));
         let listed = if self.listed_only { Listed::Draining } else { Listed::Ready };
-        let came_up = if self.cold { first } else { 0.0 };
+        let came_up = if self.cold { first_seen } else { 0.0 };
         let unlisted = Place { zone, cell: 0, kind: u16::MAX, listed, came_up };
-        let place = self.places.get(&machine).copied().unwrap_or(unlisted);
-        // Its connections live on and may finish what they hold, so it is drained rather than struck out.
+        let place = self.listed.get(&machine).copied().unwrap_or(unlisted);
+        // The connections of a machine that has gone from the list may finish their jobs, so it counts as
+        // draining.
         let listed = if place.listed == Listed::Ready { Listed::Ready } else { Listed::Draining };
         Place { listed, ..place }
     }
 
-    /// A connection has gone, or watches others; whether it was the group's last.
+    /// Counts a connection out of a group. Returns true if it was the last.
     pub fn leave(&mut self, now: f64, machine: IpAddr, runs: Runs) -> bool {
         let Some(group) = self.groups.get_mut(&(machine, runs)) else { return false };
         group.sessions -= 1;
@@ -124,82 +137,88 @@
         group.sessions == 0
     }
 
-    /// Groups that have had no connection for so long: the decisions may forget them.
-    pub fn forget(&mut self, now: f64, after: f64) -> Vec<Change> {
-        let old = |g: &Group| g.sessions == 0 && now >= g.empty_since + after;
-        let gone: Vec<_> = self.groups.iter().filter(|(_, g)| old(g)).map(|(key, _)| *key).collect();
-        let gone = gone.into_iter().filter_map(|key| self.groups.remove(&key));
-        let gone: Vec<Group> = gone.collect();
-        let mut left = Vec::new();
-        for group in &gone {
-            let machine = group.machine;
-            if !self.groups.keys().any(|(other, _)| *other == machine) {
-                left.push(machine);
+    /// Forgets groups that have had no connection for `after` seconds. Returns what to tell the core.
+    pub fn forget_empty(&mut self, now: f64, after: f64) -> Vec<Change> {
+        let is_old = |group: &Group| group.sessions == 0 && now >= group.empty_since + after;
+        let gone: Vec<Group> =
+            self.groups.extract_if(|_, group| is_old(group)).map(|(_, group)| group).collect();
+        let groups = &self.groups;
+        let has_group = |machine: &IpAddr| groups.keys().any(|(other, _)| other == machine);
+        self.listed.retain(|machine, place| place.listed != Listed::Gone || has_group(machine));
+        let has_left =
+            |machine: &IpAddr| gone.iter().any(|group| group.machine == *machine) && !has_group(machine);
+        self.first_seen.retain(|machine, _| !has_left(machine));
+        gone.iter().map(|group| group.change(Listed::Gone)).collect()
+    }
+
+    /// Applies what the list service says of machines. With `full`, machines that it does not name have left
+    /// it. A machine with several processes is ready if any of them is. Returns what to tell the core.
+    pub fn apply_list(&mut self, full: bool, told: impl Iterator<Item = (IpAddr, Place)>) -> Vec<Change> {
+        let mut changes = Vec::new();
+        for (machine, place) in self.by_machine(full, told) {
+            if self.listed.insert(machine, place) != Some(place) {
+                self.move_groups(machine, &mut changes);
             }
         }
-        let changes: Vec<Change> = gone.iter().map(|group| group.change(Listed::Gone)).collect();
-        let groups = &self.groups;
-        self.places.retain(|m, p| p.listed != Listed::Gone || groups.keys().any(|(machine, _)| machine == m));
-        self.seen.retain(|machine, _| !left.contains(machine));
         changes
     }
 
-    /// What the list tells of machines; with `full`, those it does not name have left it. Of several processes
-    /// on one machine any that is ready makes it ready.
-    pub fn hear(&mut self, full: bool, told: impl Iterator<Item = (IpAddr, Place)>) -> Vec<Change> {
-        let mut heard: HashMap<IpAddr, Place> = HashMap::new();
+    /// The list's places by machine, with those machines that have left it.
+    fn by_machine(&self, full: bool, told: impl Iterator<Item = (IpAddr, Place)>) -> HashMap<IpAddr, Place> {
+        let mut places: HashMap<IpAddr, Place> = HashMap::new();
         for (machine, place) in told {
-            let best = heard.entry(machine).or_insert(place);
+            let best = places.entry(machine).or_insert(place);
             if best.listed != Listed::Ready && place.listed == Listed::Ready {
                 *best = place;
             }
         }
         if full {
-            for (machine, place) in &self.places {
-                // It was there and is gone: nothing new, until the list names it again.
-                heard.entry(*machine).or_insert(Place { listed: Listed::Gone, ..*place });
+            for (machine, place) in &self.listed {
+                // It gets nothing new until the list names it again.
+                places.entry(*machine).or_insert(Place { listed: Listed::Gone, ..*place });
             }
         }
-        let mut changes = Vec::new();
-        for (machine, place) in heard {
-            if self.places.insert(machine, place) == Some(place) {
-                continue;
+        places
+    }
+
+    /// Gives a machine's groups its new place; adds what to tell the core.
+    fn move_groups(&mut self, machine: IpAddr, changes: &mut Vec<Change>) {
+        let place = self.place(machine);
+        for group in self.groups.values_mut().filter(|group| group.machine == machine) {
+            let Place { listed, came_up, .. } = group.announced;
+            let is_moved = Place { listed, came_up, ..place } != group.announced;
+            if is_moved {
+                // The core never changes the place of a worker that it knows, so this becomes another worker.
+                changes.push(group.change(Listed::Gone));
+                group.worker = worker_id(&name(machine, group.runs, place));
             }
-            let place = self.place(machine);
-            for group in self.groups.values_mut().filter(|g| g.machine == machine) {
-                let moved =
-                    Place { listed: group.told.listed, came_up: group.told.came_up, ..place } != group.told;
-                if moved {
-                    // The decisions believe where a worker is for as long as they know it.
-                    changes.push(group.change(Listed::Gone));
-                    group.worker = worker_id(&name(machine, group.runs, place));
-                }
-                if moved || group.told.came_up != place.came_up {
-                    self.generations += 1;
-                    (group.generation, group.orders) = (self.generations, 0);
-                }
-                group.told = place;
-                changes.push(group.change(place.listed));
+            if is_moved || came_up != place.came_up {
+                self.generations += 1;
+                (group.generation, group.orders) = (self.generations, 0);
             }
+            group.announced = place;
+            changes.push(group.change(place.listed));
         }
-        changes
     }
 
+    /// The number of groups.
     pub fn len(&self) -> usize {
         self.groups.len()
     }
 
+    /// There is no group.
     pub fn is_empty(&self) -> bool {
         self.groups.is_empty()
     }
 }
 
 impl Group {
+    /// The group as it was last announced, with the given state.
     fn change(&self, listed: Listed) -> Change {
-        let Place { zone, cell, kind, came_up, .. } = self.told;
+        let Place { zone, cell, kind, came_up, .. } = self.announced;
         let (id, runs) = (self.worker, self.runs);
         Change {
-            name: name(self.machine, runs, self.told),
+            name: name(self.machine, runs, self.announced),
             line: Line { id, zone, cell, kind, listed, came_up, runs, fetches: true },
             generation: self.generation,
             machine: self.machine,
@@ -208,9 +227,11 @@
     }
 }
 
+/// The name of the worker that a group is to the core.
 fn name(machine: IpAddr, runs: Runs, place: Place) -> String {
     let Place { zone, cell, kind, .. } = place;
-    // An unlisted machine's zone is made up, and may be another after a restart; its name must not be.
+    // An unlisted machine's zone may be another after a restart of this program; its worker's name must not
+    // be.
     let place = if kind == u16::MAX { String::new() } else { format!("/{zone}.{cell}.{kind}") };
     format!("beanstalkd/{machine}/{runs}{place}")
 }
--- a/crates/mintlb-beanstalkd/src/session.rs
+++ b/crates/mintlb-beanstalkd/src/session.rs
@@ -1,4 +1,4 @@
-//! One connection, as the protocol knows it.
+//! The protocol's state of one connection: its tubes, its waiting reserve, its leases and its output.
 
 use crate::codec::Tube;
 use mintlb::Runs;
@@ -6,97 +6,145 @@
 use rustc_hash::FxHashMap;
 use std::net::IpAddr;
 
+/// One connection of a producer, a worker or both.
 pub struct Session {
+    /// The address that it connects from.
     pub machine: IpAddr,
+    /// The tube that it puts jobs into.
     pub used: Tube,
+    /// The tubes that it reserves jobs from.
     pub watched: Vec<Tube>,
-    /// What it runs, once it has waited for work: the group that it is in.
+    /// The project types of the worker group that it belongs to, from its first reserve on.
     pub runs: Option<Runs>,
-    pub waits: Option<Wait>,
-    /// Work on its way to it, of which no byte is written yet, and until when its reserve waited.
-    pub coming: Option<(Order, Option<f64>)>,
-    /// The work that was last given to it, until its last byte, at this place, is written.
-    pub fresh: Option<(u64, u64)>,
-    pub held: FxHashMap<u64, Reservation>,
-    pub out: Out,
-    /// It has put, or reserved, or been told to end.
-    pub produces: bool,
-    pub works: bool,
-    pub ends: bool,
-    /// Not even what it was to be sent may be written any more.
+    /// Its reserve that waits for a job.
+    pub wait: Option<Wait>,
+    /// A job that was assigned to it and of which nothing is queued for sending yet.
+    pub pending: Option<PendingDelivery>,
+    /// The job that was last sent to it, until its last byte is written.
+    pub in_flight: Option<InFlight>,
+    /// Its leases by job id.
+    pub leases: FxHashMap<u64, Lease>,
+    pub output: Output,
+    /// It has put a job.
+    pub is_producer: bool,
+    /// It has reserved a job.
+    pub is_worker: bool,
+    /// It is to be closed once its output is written.
+    pub closing: bool,
+    /// It is to be closed at once, whatever output is left.
     pub cut: bool,
 }
 
-/// A reserve that waits, since a place in the row, until a time if it has one.
+/// A reserve that waits for a job.
 #[derive(Clone, Copy, Debug)]
 pub struct Wait {
-    pub place: u64,
+    /// Waiting reserves are served in the order of these numbers.
+    pub sequence: u64,
+    /// When it times out, in seconds of the clock, if it does.
     pub until: Option<f64>,
 }
 
-/// A job that it was given.
+/// An attempt that was assigned to a session's reserve and is sent once the output before it is written.
+pub struct PendingDelivery {
+    pub order: Order,
+    /// When the reserve would have timed out, in case the session must wait on.
+    pub reserve_until: Option<f64>,
+}
+
+/// A job whose bytes are being written.
+#[derive(Clone, Copy, Debug)]
+pub struct InFlight {
+    pub job: u64,
+    /// Its end in the output, counted as [`Output::written`].
+    pub end: u64,
+}
+
+/// A session's lease on a job; the protocol calls it a reservation.
 #[derive(Debug)]
-pub struct Reservation {
-    pub given: Given,
+pub struct Lease {
+    pub leased: Leased,
     /// Its last byte was written to the connection.
     pub written: bool,
-    pub since: f64,
+    /// The job's time-to-run, in seconds.
     pub ttr: f64,
-    /// When it ends if the worker says nothing, and the latest that saying something can make of that.
+    /// When the lease expires unless it is touched, in seconds of the clock.
     pub deadline: f64,
-    pub until: f64,
-    /// What it is due by, so that a touch need not search.
-    pub due: u64,
+    /// The latest deadline that a touch can set, in seconds of the clock.
+    pub latest: f64,
+    /// The number of its expiry timer.
+    pub timer: u64,
 }
 
+/// What a lease is for.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Given {
-    Work(AllocId),
-    /// A job that tells of an end.
-    News,
+pub enum Leased {
+    /// An attempt to run a job's request.
+    Attempt(AllocId),
+    /// A job that reports how another one finished.
+    Notice,
 }
 
-/// Bytes on their way out, counted from the connection's begin.
+/// Bytes to be written to a connection, with byte counts since it was opened.
 #[derive(Default)]
-pub struct Out {
+pub struct Output {
+    /// Queued bytes that the connection's task has not taken yet.
     pub waiting: Vec<u8>,
+    /// Bytes ever queued.
     pub queued: u64,
+    /// Bytes ever written.
     pub written: u64,
 }
 
-impl Out {
-    pub fn put(&mut self, bytes: &[u8]) {
+impl Output {
+    /// Queues bytes.
+    pub fn push(&mut self, bytes: &[u8]) {
         self.waiting.extend_from_slice(bytes);
         self.queued += bytes.len() as u64;
     }
+
+    /// All that was queued is written.
+    pub fn is_flushed(&self) -> bool {
+        self.written == self.queued
+    }
 }
 
 impl Session {
-    pub fn new(machine: IpAddr, usual: &Tube) -> Session {
+    /// A new connection from a machine, which uses and watches the default tube.
+    pub fn new(machine: IpAddr, default_tube: &Tube) -> Session {
         Session {
             machine,
-            used: usual.clone(),
-            watched: vec![usual.clone()],
+            used: default_tube.clone(),
+            watched: vec![default_tube.clone()],
             runs: None,
-            waits: None,
-            coming: None,
-            fresh: None,
-            held: FxHashMap::default(),
-            out: Out::default(),
-            produces: false,
-            works: false,
-            ends: false,
+            wait: None,
+            pending: None,
+            in_flight: None,
+            leases: FxHashMap::default(),
+            output: Output::default(),
+            is_producer: false,
+            is_worker: false,
+            closing: false,
             cut: false,
         }
     }
 
-    /// When the first of what it holds is due.
-    pub fn soonest(&self) -> Option<f64> {
-        self.held.values().map(|held| held.deadline).reduce(f64::min)
+    /// The earliest deadline of its leases, in seconds of the clock.
+    pub fn next_deadline(&self) -> Option<f64> {
+        self.leases.values().map(|lease| lease.deadline).reduce(f64::min)
+    }
+
+    /// It watches a tube.
+    pub fn watches(&self, tube: &str) -> bool {
+        self.watched.iter().any(|watched| &**watched == tube)
     }
 
-    /// The next command must wait for what the last one asked for.
+    /// Its last reserve is not answered yet, so its next command must wait.
     pub fn is_blocked(&self) -> bool {
-        self.waits.is_some() || self.coming.is_some()
+        self.wait.is_some() || self.pending.is_some()
+    }
+
+    /// Takes the pending delivery if it is this attempt's.
+    pub fn take_pending(&mut self, attempt: AllocId) -> Option<PendingDelivery> {
+        self.pending.take_if(|pending| pending.order.alloc == attempt)
     }
 }
--- a/crates/mintlb-beanstalkd/src/table.rs
+++ b/crates/mintlb-beanstalkd/src/table.rs
@@ -1,70 +1,80 @@
-//! The table `[beanstalkd]` of the operator's file, and what it comes to beside a scheduler's project types.
+//! The table `[beanstalkd]` of the operator's file, and the routes of tubes that follow from it.
 
 use crate::codec::Tube;
 use mintlb::{Effect, ProjectType, Runs};
 use serde::Deserialize;
 use std::net::SocketAddr;
 
-/// The table as it is written. Times are seconds.
+/// The table as written in the file. Times are in seconds.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct Table {
+    /// The address to listen on.
     pub listen: SocketAddr,
-    /// Connections of producers and workers together, out of those that clients may have.
+    /// The most connections of producers and workers together, taken from the share of HTTP clients.
     pub connections: usize,
-    /// Tubes that one connection may watch.
+    /// The most tubes that one connection may watch.
     #[serde(default = "watched")]
     pub watched: usize,
-    /// How long the end of a job can be read after it.
+    /// How long a finished job's record, and the notice of it, are kept.
     #[serde(default = "keep_ends")]
     pub keep_ends: f64,
-    /// How many ends, and jobs that tell of ends, are kept at the most; the oldest goes first.
+    /// The most finished jobs and notices that are kept; the oldest are discarded first.
     #[serde(default = "ends")]
     pub ends: usize,
-    /// Only machines that the list service names get work.
+    /// Only machines that the list service names get jobs.
     #[serde(default)]
     pub listed: bool,
-    /// A machine that the list does not name counts as started when it is first seen.
+    /// A machine that the list does not name counts as started (cold) when it is first seen.
     #[serde(default = "cold")]
     pub cold: bool,
     /// The longest delay of a put, a release or a pause.
     #[serde(default = "longest_delay")]
     pub longest_delay: f64,
+    /// The tubes that take jobs.
     #[serde(default)]
     pub tubes: Vec<TubeTable>,
 }
 
+/// A row of the table: a tube that takes jobs.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 #[serde(deny_unknown_fields)]
 pub struct TubeTable {
     pub tube: String,
     pub project_type: String,
     pub customer: Option<String>,
-    /// Who runs the project type; all its tubes must agree.
+    /// Which workers run the project type; all its tubes must agree.
     #[serde(default)]
     pub workers: Runners,
-    /// The tube that tells of its jobs' ends.
+    /// The tube for notices of its finished jobs.
     pub ends: Option<String>,
-    /// What a release says of the job.
+    /// What a release says about the job.
     #[serde(default)]
     pub release: Reading,
 }
 
+/// The workers that run a project type, by their protocol.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Runners {
+    /// Only workers that speak beanstalkd's protocol.
     #[default]
     Beanstalkd,
+    /// Only workers that are called over HTTP.
     Http,
+    /// Workers of either protocol.
     Both,
 }
 
-/// The safe reading first; the other one trusts that a worker releases only what it has not begun.
+/// How a release is read. The default is safe; `NeverRan` trusts workers to release only jobs they have not
+/// begun.
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq)]
 #[serde(rename_all = "kebab-case")]
 pub enum Reading {
+    /// The worker may have begun the job.
     #[default]
     MayHaveRun,
+    /// The worker has not begun the job.
     NeverRan,
 }
 
@@ -84,34 +94,50 @@
     3600.0
 }
 
-/// A tube that takes jobs.
+/// Where the jobs of a tube go.
 #[derive(Clone, Debug)]
 pub struct Route {
     pub tube: Tube,
     pub project_type: usize,
     pub customer: Option<usize>,
     pub effect: Effect,
-    /// Seconds.
+    /// Seconds from when a job is ready to its hard limit.
     pub hard_limit: f64,
+    /// The tube for notices of its finished jobs.
     pub ends: Option<Tube>,
     pub release: Reading,
 }
 
-/// The table beside a scheduler's project types, found good.
+impl Route {
+    /// Its jobs may run more than once.
+    pub fn is_idempotent(&self) -> bool {
+        self.effect == Effect::Rerunnable
+    }
+
+    /// Its jobs must not run twice, whatever happens.
+    pub fn is_exclusive(&self) -> bool {
+        self.effect == Effect::Exclusive
+    }
+}
+
+/// The checked table with the routes that follow from it and the scheduler's project types.
 #[derive(Clone, Debug)]
 pub struct Plan {
     pub table: Table,
     pub routes: Vec<Route>,
-    /// The project types that beanstalkd's workers run, and those that no other worker does.
+    /// The project types that beanstalkd's workers run.
     pub runs: Runs,
+    /// Those of them that no other workers run.
     pub only: Runs,
 }
 
+/// The number of a name, or an error that lists the known names.
 fn known(names: &[String], name: &str, what: &str) -> Result<usize, String> {
     let at = names.iter().position(|n| n == name);
     at.ok_or_else(|| format!("there is no {what} {name:?}, only {}", names.join(", ")))
 }
 
+/// A name of a tube, checked by the protocol's own reader.
 fn tube(name: &str) -> Result<Tube, String> {
     let line = format!("use {name}\r\n");
     let mut bytes = line.as_bytes().into();
@@ -124,7 +150,7 @@
 }
 
 impl Plan {
-    /// Beside these project types and customers, by their names and in the order of their numbers. An error names
+    /// Checks a table against the scheduler's project types, with their names, and customers. An error names
     /// the field.
     pub fn new(
         table: Table,
@@ -197,15 +223,18 @@
         Ok(Plan { table, routes, runs, only })
     }
 
+    /// The route of a tube that takes jobs.
     pub fn route(&self, tube: &str) -> Option<&Route> {
         self.routes.iter().find(|route| &*route.tube == tube)
     }
 
+    /// A tube is for notices.
     pub fn tells_ends(&self, tube: &str) -> bool {
         self.routes.iter().any(|route| route.ends.as_deref() == Some(tube))
     }
 
-    /// What a worker runs that watches these tubes. Tubes of one project type are one queue.
+    /// The project types that a worker runs which watches these tubes. Tubes of one project type are one
+    /// queue.
     pub fn runs_of(&self, watched: &[Tube]) -> Runs {
         let routes =
             self.routes.iter().filter(|r| self.runs.has(r.project_type) && watched.contains(&r.tube));
--- /dev/null
+++ b/crates/mintlb-control/src/controller/configuration_api.rs
@@ -0,0 +1,114 @@
+//! The operator's calls on the configuration.
+
+use super::Controller;
+use super::http::{Answered, RETRY_SOON, body_within, refuse, unavailable};
+use axum::Router;
+use axum::extract::State;
+use axum::http::{HeaderMap, StatusCode, header};
+use axum::response::IntoResponse;
+use axum::routing::get;
+use mintlb_register::change::{Answer, Change};
+use mintlb_tier::configuration::Configuration;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The longest configuration.
+const MOST_BYTES: usize = 8 << 20;
+/// How long its bytes may take to come.
+const BODY_WITHIN: Duration = Duration::from_secs(4);
+/// The operator calls another controller after a second.
+const ANSWER_WITHIN: Duration = Duration::from_millis(850);
+/// How long an accepted configuration may wait for a neighbour that confirms it.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(150);
+
+/// The calls.
+pub fn routes() -> Router<Arc<Controller>> {
+    Router::new().route("/v1/configuration", get(read).put(replace))
+}
+
+/// `GET /v1/configuration`: the newest one, whole.
+async fn read(State(controller): State<Arc<Controller>>) -> Answered {
+    match controller.register.read(ANSWER_WITHIN).await {
+        Ok(newest) if newest.state.configuration_version == 0 => {
+            refuse(StatusCode::NOT_FOUND, "there is no configuration yet")
+        }
+        Ok(newest) => {
+            let headers = [
+                (header::CONTENT_TYPE, "application/json".to_string()),
+                (header::ETAG, newest.state.configuration_version.to_string()),
+            ];
+            (headers, newest.state.configuration.clone()).into_response()
+        }
+        Err(error) => unavailable(&error.to_string()),
+    }
+}
+
+/// `PUT /v1/configuration`: replaces the version in `If-Match`.
+async fn replace(
+    State(controller): State<Arc<Controller>>,
+    headers: HeaderMap,
+    body: axum::body::Body,
+) -> Answered {
+    let body = match body_within(body, MOST_BYTES, BODY_WITHIN).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let begun = Instant::now();
+    let Some(base) = base_version(&headers) else {
+        return refuse(StatusCode::BAD_REQUEST, "M402 If-Match: has to hold the version it builds on");
+    };
+    let configuration = match Configuration::parse(&body) {
+        Ok(configuration) => configuration,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
+    };
+    let version = configuration.config_version;
+    let change = Change::Configuration {
+        base,
+        version,
+        body: body.to_vec(),
+        tolerance: controller.settings().fault_tolerance.machines,
+    };
+    match controller.register.change(change, ANSWER_WITHIN - CONFIRMED_WITHIN).await {
+        Ok(outcome) => {
+            log::info!("configuration: version {version} on {base}: {:?}", outcome.answer);
+            let left = ANSWER_WITHIN.saturating_sub(begun.elapsed()).min(CONFIRMED_WITHIN);
+            answer(&controller, outcome.answer, &outcome.chosen.state, left).await
+        }
+        Err(error) => {
+            log::info!("configuration: version {version} on {base}: {error}");
+            unavailable(&error.to_string())
+        }
+    }
+}
+
+async fn answer(
+    controller: &Controller,
+    answer: Answer,
+    state: &mintlb_register::state::ControlState,
+    left: Duration,
+) -> Answered {
+    let current = state.configuration_version;
+    match answer {
+        Answer::Done | Answer::AlreadyDone => {
+            controller.publisher.confirm_configuration(state, left).await;
+            StatusCode::OK.into_response()
+        }
+        Answer::StaleBase => {
+            let text = format!("M403 If-Match: the current version is {current}");
+            refuse(StatusCode::PRECONDITION_FAILED, &text)
+        }
+        Answer::VersionNotAbove => {
+            let text = format!("M404 config_version: is not above the current version {current}");
+            refuse(StatusCode::BAD_REQUEST, &text)
+        }
+        Answer::TooFewReplicas | Answer::SetFull => {
+            super::http::retry(RETRY_SOON, "M405 there are too few replicas yet")
+        }
+    }
+}
+
+/// The version in `If-Match`, with or without quotes.
+fn base_version(headers: &HeaderMap) -> Option<u64> {
+    headers.get(header::IF_MATCH)?.to_str().ok()?.trim().trim_matches('"').parse().ok()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/http.rs
@@ -0,0 +1,123 @@
+//! The HTTP server of workers and the operator: connections, limits, common answers.
+
+use super::{Controller, configuration_api, instance_api, retire_api};
+use axum::Router;
+use axum::body::Body;
+use axum::http::{StatusCode, header};
+use axum::response::{IntoResponse, Response};
+use bytes::Bytes;
+use http_body_util::{BodyExt, Limited};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::{Semaphore, watch};
+use tokio::time::{sleep, timeout};
+
+/// The answer to a call.
+pub type Answered = Response;
+
+/// `Retry-After` where the cause passes quickly, in s.
+pub const RETRY_SOON: f64 = 0.15;
+/// `Retry-After` where no majority answered, in s.
+const RETRY_LATER: f64 = 0.3;
+/// How long a request's head may take to come; idle connections are closed after it as well.
+const HEAD_WITHIN: Duration = Duration::from_secs(10);
+/// The longest head.
+const MOST_HEAD_BYTES: usize = 32 << 10;
+/// Connections that the system may hold before they are accepted.
+const BACKLOG: u32 = 1024;
+/// How long a connection may take altogether for one request, from its head to the end of its answer.
+const REQUEST_WITHIN: Duration = Duration::from_secs(8);
+/// The pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// All calls.
+pub fn router(controller: Arc<Controller>) -> Router {
+    let configuration = configuration_api::routes();
+    let calls = configuration.merge(instance_api::routes()).merge(retire_api::routes());
+    calls.with_state(controller)
+}
+
+/// Listens at an address.
+pub fn listen(address: SocketAddrV4) -> std::io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address.into())?;
+    socket.listen(BACKLOG)
+}
+
+/// Serves until `stopping` turns true; then no more connections are accepted, and those there are end after their
+/// current request. Returns once they have.
+pub async fn serve(
+    listener: TcpListener,
+    router: Router,
+    most_connections: usize,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(most_connections));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stopping| *stopping) => break,
+        };
+        match (accepted, places.clone().try_acquire_owned()) {
+            (Ok((stream, _)), Ok(place)) => {
+                let (router, stopping) = (router.clone(), stopping.clone());
+                tokio::spawn(async move {
+                    connection(stream, router, stopping).await;
+                    drop(place);
+                });
+            }
+            (Ok(_), Err(_)) => (),
+            (Err(_), _) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(listener);
+    let all = u32::try_from(most_connections).unwrap_or(u32::MAX);
+    places.acquire_many(all).await.ok();
+}
+
+async fn connection(stream: TcpStream, router: Router, mut stopping: watch::Receiver<bool>) {
+    stream.set_nodelay(true).ok();
+    let mut builder = hyper::server::conn::http1::Builder::new();
+    builder.timer(TokioTimer::new()).header_read_timeout(HEAD_WITHIN).max_buf_size(MOST_HEAD_BYTES);
+    let service = TowerToHyperService::new(router);
+    let mut connection = std::pin::pin!(builder.serve_connection(TokioIo::new(stream), service));
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopping.wait_for(|stopping| *stopping) => (),
+    }
+    connection.as_mut().graceful_shutdown();
+    timeout(REQUEST_WITHIN, connection).await.ok();
+}
+
+/// The whole body, if it is short enough and comes in time.
+pub async fn body_within(body: Body, most_bytes: usize, within: Duration) -> Result<Bytes, Answered> {
+    match timeout(within, Limited::new(body, most_bytes).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "M421 the body is too long"))
+        }
+        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "M422 the body ended early")),
+        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "M423 the body did not come in time")),
+    }
+}
+
+/// An answer that says what is wrong.
+pub fn refuse(status: StatusCode, text: &str) -> Answered {
+    (status, format!("{text}\n")).into_response()
+}
+
+/// 503: come back after a while.
+pub fn unavailable(text: &str) -> Answered {
+    retry(RETRY_LATER, text)
+}
+
+/// 503: come back after so many seconds.
+pub fn retry(after_s: f64, text: &str) -> Answered {
+    let headers = [(header::RETRY_AFTER, format!("{after_s:.2}"))];
+    (StatusCode::SERVICE_UNAVAILABLE, headers, format!("{text}\n")).into_response()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/instance_api.rs
@@ -0,0 +1,132 @@
+//! The workers' calls.
+
+use super::Controller;
+use super::http::{Answered, body_within, refuse, unavailable};
+use super::registry::Heard;
+use axum::Router;
+use axum::extract::{Path, State};
+use axum::http::{StatusCode, header};
+use axum::response::IntoResponse;
+use axum::routing::put;
+use mintlb_tier::record::{WorkerRecord, WorkerState};
+use serde::Deserialize;
+use std::net::SocketAddrV4;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The longest call of a worker.
+const MOST_BYTES: usize = 64 << 10;
+/// How long its bytes may take to come.
+const BODY_WITHIN: Duration = Duration::from_secs(1);
+/// How long the acknowledgement of a drain or an end may wait for a neighbour that confirms the record.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(250);
+/// The longest instance id.
+const MOST_ID_BYTES: usize = 128;
+
+/// The calls.
+pub fn routes() -> Router<Arc<Controller>> {
+    Router::new().route("/v1/instances/{id}", put(heartbeat).delete(leave))
+}
+
+/// A worker's call.
+#[derive(Debug, Deserialize)]
+struct InstanceCall {
+    target_service: String,
+    address: SocketAddrV4,
+    zone: String,
+    capacity_slots: u32,
+    state: InstanceState,
+    #[serde(default)]
+    cold_remaining_ms: f64,
+    call_sequence: u64,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum InstanceState {
+    InService,
+    Draining,
+}
+
+impl InstanceCall {
+    fn into_record(self, instance_id: String, unix_ms: u64) -> WorkerRecord {
+        let cold = self.cold_remaining_ms.clamp(0.0, 1e9) as u64;
+        WorkerRecord {
+            instance_id,
+            service: self.target_service,
+            address: self.address.to_string(),
+            zone: self.zone,
+            capacity_slots: self.capacity_slots,
+            state: match self.state {
+                InstanceState::InService => WorkerState::InService,
+                InstanceState::Draining => WorkerState::Draining,
+            },
+            call_sequence: self.call_sequence,
+            warm_at_ms: if cold > 0 { unix_ms + cold } else { 0 },
+        }
+    }
+}
+
+/// `PUT /v1/instances/ID`: a heartbeat, or the word that the worker drains.
+async fn heartbeat(
+    State(controller): State<Arc<Controller>>,
+    Path(id): Path<String>,
+    body: axum::body::Body,
+) -> Answered {
+    if id.len() > MOST_ID_BYTES {
+        return refuse(StatusCode::BAD_REQUEST, "M411 the instance id is too long");
+    }
+    let body = match body_within(body, MOST_BYTES, BODY_WITHIN).await {
+        Ok(body) => body,
+        Err(refusal) => return refusal,
+    };
+    let call: InstanceCall = match serde_json::from_slice(&body) {
+        Ok(call) => call,
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &format!("M412 {error}")),
+    };
+    let told = call.into_record(id, unix_ms());
+    let in_force = controller.worker_in_force(&told.instance_id);
+    let heard = controller.registry.lock().heartbeat(Instant::now(), told, in_force.as_ref());
+    match heard {
+        Heard::Nothing | Heard::Late => acknowledged(),
+        Heard::TooMany => unavailable("M413 there are too many workers"),
+        Heard::Publish(record) => {
+            publish(&controller, record).await;
+            acknowledged()
+        }
+    }
+}
+
+/// `DELETE /v1/instances/ID`: the worker ends.
+async fn leave(State(controller): State<Arc<Controller>>, Path(id): Path<String>) -> Answered {
+    if id.len() > MOST_ID_BYTES {
+        return refuse(StatusCode::BAD_REQUEST, "M411 the instance id is too long");
+    }
+    let in_force = controller.worker_in_force(&id);
+    let record = controller.registry.lock().leave(&id, in_force);
+    publish(&controller, record).await;
+    acknowledged()
+}
+
+/// Publishes a worker's record; waits for a neighbour where nothing more may be sent to the worker.
+async fn publish(controller: &Controller, record: WorkerRecord) {
+    if record.state == WorkerState::InService {
+        controller.overlay.publish_now(record.to_record());
+        return;
+    }
+    let confirmed = controller.overlay.publish(record.to_record(), CONFIRMED_WITHIN).await;
+    log::debug!("workers: {} is {:?}, confirmed: {confirmed}", record.instance_id, record.state);
+    if confirmed {
+        controller.registry.lock().confirmed(&record);
+    }
+}
+
+fn acknowledged() -> Answered {
+    ([(header::CONTENT_TYPE, "application/json")], "{}").into_response()
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/membership.rs
@@ -0,0 +1,158 @@
+//! Keeps this process in touch with the register: founds it, joins it, and reads it now and then.
+
+use super::Controller;
+use super::register::is_done;
+use mintlb_register::change::{Answer, Change};
+use mintlb_register::founding::{Founding, SeedAnswer, Step};
+use mintlb_register::state::{ReplicaId, ReplicaSet};
+use mintlb_tier::record::REPLICAS;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::{Instant, sleep};
+
+/// The largest set of replicas.
+const MOST_REPLICAS: usize = 9;
+/// How long a seed may take to answer.
+const SEED_WITHIN: Duration = Duration::from_millis(250);
+/// The pause between two rounds of questions to the seeds.
+const SEED_PAUSE: Duration = Duration::from_millis(40);
+/// How long a join may take before it is tried anew.
+const JOIN_WITHIN: Duration = Duration::from_millis(1500);
+/// The pause after a change of the set that did not come about.
+const JOIN_PAUSE: Duration = Duration::from_millis(60);
+/// How long a read may take.
+const READ_WITHIN: Duration = Duration::from_millis(400);
+/// The mean pause between two reads.
+const READ_EVERY: Duration = Duration::from_millis(1000);
+/// So many unclear reads in a row are followed by a proposal that makes sure of the value.
+const UNCLEAR_READS: u32 = 2;
+
+/// Runs for the life of the process.
+pub async fn run(controller: Arc<Controller>) {
+    let mut unclear = 0;
+    loop {
+        let pause = if controller.register.set().is_none() {
+            look_for_set(&controller).await;
+            SEED_PAUSE
+        } else if read(&controller, &mut unclear).await {
+            keep_place(&controller).await
+        } else {
+            ask_for_newer_set(&controller).await;
+            JOIN_PAUSE
+        };
+        let spread = controller.roll_below(pause.as_millis() as u64 / 4 + 1);
+        sleep(pause + Duration::from_millis(spread)).await;
+    }
+}
+
+/// Finds the register or founds it.
+async fn look_for_set(controller: &Controller) {
+    if hint_from_overlay(controller) {
+        return;
+    }
+    let settings = controller.settings();
+    let seeds = settings.seed_addresses();
+    let own = controller.transport.own_address();
+    let answers = ask(controller, &seeds).await;
+    let founding = Founding {
+        first_start: settings.first_start,
+        has_disk: controller.register.replica().is_some(),
+        own_place: seeds.iter().position(|seed| *seed == own),
+        answers: &answers,
+    };
+    match founding.step() {
+        Step::Found => {
+            if controller.register.found().await {
+                log::info!("register: founded here");
+            }
+        }
+        Step::Join(set) => controller.register.hint(set),
+        Step::Wait => (),
+    }
+}
+
+/// The newest set may be known to others when nobody of the known one answers.
+async fn ask_for_newer_set(controller: &Controller) {
+    hint_from_overlay(controller);
+    let seeds = controller.settings().seed_addresses();
+    for answer in ask(controller, &seeds).await.into_iter().flatten() {
+        if let Some(set) = answer.set {
+            controller.register.hint(set);
+        }
+    }
+}
+
+/// Takes the set from the overlay's records; whether there is one.
+fn hint_from_overlay(controller: &Controller) -> bool {
+    let Some(record) = controller.overlay.get(REPLICAS) else { return false };
+    let Ok(set) = minicbor::decode::<ReplicaSet>(&record.body) else { return false };
+    controller.register.hint(set);
+    true
+}
+
+/// The seeds' answers, each at its place.
+async fn ask(controller: &Controller, seeds: &[SocketAddr]) -> Vec<Option<SeedAnswer>> {
+    let own = controller.transport.own_address();
+    let mut answers = vec![None; seeds.len()];
+    let mut calls = JoinSet::new();
+    for (place, seed) in seeds.iter().copied().enumerate().filter(|(_, seed)| *seed != own) {
+        let register = controller.register.clone();
+        calls.spawn(async move { (place, register.status_of(seed, SEED_WITHIN).await) });
+    }
+    while let Some(Ok((place, answer))) = calls.join_next().await {
+        answers[place] = answer;
+    }
+    answers
+}
+
+/// Reads the register; after unclear reads it makes sure of the value.
+async fn read(controller: &Controller, unclear: &mut u32) -> bool {
+    if controller.register.read_once(Instant::now() + READ_WITHIN).await.is_some() {
+        *unclear = 0;
+        return true;
+    }
+    *unclear += 1;
+    let unknown = controller.register.chosen().is_none();
+    if *unclear < UNCLEAR_READS && !unknown {
+        return false;
+    }
+    controller.register.change(Change::Confirm, READ_WITHIN).await.is_ok()
+}
+
+/// Joins the set, and ends changes of it. Returns the pause until the next look.
+async fn keep_place(controller: &Controller) -> Duration {
+    let Some(chosen) = controller.register.chosen() else { return JOIN_PAUSE };
+    let set = &chosen.state.replicas;
+    if let Some(replica) = controller.register.replica()
+        && !set.current.contains(replica.identity())
+    {
+        let silent = controller.duties.silent_replicas(set);
+        return if join(controller, silent).await { Duration::ZERO } else { JOIN_PAUSE };
+    }
+    if set.is_joint() {
+        settle(controller).await;
+    }
+    READ_EVERY
+}
+
+async fn join(controller: &Controller, silent: Vec<ReplicaId>) -> bool {
+    let Some(replica) = controller.register.replica() else { return false };
+    let change = Change::Join { replica: replica.identity().clone(), silent, most: MOST_REPLICAS };
+    match controller.register.change(change, JOIN_WITHIN).await {
+        Ok(outcome) if is_done(outcome.answer) => settle(controller).await,
+        Ok(outcome) => {
+            if outcome.answer == Answer::SetFull {
+                log::debug!("register: the set is full");
+            }
+            false
+        }
+        Err(_) => false,
+    }
+}
+
+/// Ends a change of the set.
+pub async fn settle(controller: &Controller) -> bool {
+    controller.register.change(Change::Settle, JOIN_WITHIN).await.is_ok()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -0,0 +1,271 @@
+//! The controller: takes the operator's and the workers' calls, holds a replica of the register where there is a disk,
+//! and has the duties of which each is done by one controller at a time.
+//!
+//! - [`vote_store`], [`replica`], [`register`]: the register.
+//! - [`membership`]: founding and joining it.
+//! - [`publisher`]: its value to every process.
+//! - [`registry`]: the workers.
+//! - [`peers`], [`duties`], [`orphans`]: the duties.
+//! - [`http`], [`configuration_api`], [`instance_api`], [`retire_api`]: the calls.
+//! - [`reload`]: settings that have changed.
+
+pub mod configuration_api;
+pub mod duties;
+pub mod http;
+pub mod instance_api;
+pub mod membership;
+pub mod orphans;
+pub mod peers;
+pub mod publisher;
+pub mod register;
+pub mod registry;
+pub mod reload;
+pub mod replica;
+pub mod retire_api;
+pub mod vote_store;
+
+use duties::Duties;
+use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_register::state::{Replica, ReplicaId};
+use mintlb_tier::record::{WORKER_PREFIX, WorkerRecord};
+use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::transport::Transport;
+use parking_lot::Mutex;
+use publisher::Publisher;
+use register::{Register, scramble};
+use registry::Registry;
+use replica::LocalReplica;
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::time::{Instant, interval, sleep, timeout};
+use vote_store::VoteStore;
+
+/// How often silence among the workers is looked for.
+const WORKERS_TICK: Duration = Duration::from_millis(200);
+/// How long an address that is still taken is tried again.
+const BIND_WITHIN: Duration = Duration::from_secs(5);
+/// The pause between two tries.
+const BIND_PAUSE: Duration = Duration::from_millis(100);
+/// Descriptors that are not for connections of workers and the operator.
+const OTHER_DESCRIPTORS: usize = 400;
+
+/// Why the controller can't run.
+#[derive(Debug, thiserror::Error)]
+pub enum ControllerError {
+    /// A service address is missing in the settings.
+    #[error("M431 listen_addresses.control_plane: is missing")]
+    NoAddress,
+    /// An address can't be listened on.
+    #[error("M432 {address}: {cause}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The disk can't be used.
+    #[error("M433 {path}: {cause}")]
+    Disk {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The register's file can't be used.
+    #[error("M434 the register's file: {0}")]
+    Database(String),
+    /// The runtime or a signal can't be set up.
+    #[error("M435 {0}")]
+    System(std::io::Error),
+}
+
+impl ControllerError {
+    fn disk(path: &Path, cause: std::io::Error) -> ControllerError {
+        ControllerError::Disk { path: path.to_owned(), cause }
+    }
+
+    fn database(cause: impl std::fmt::Display) -> ControllerError {
+        ControllerError::Database(cause.to_string())
+    }
+}
+
+/// What the parts of a controller share.
+pub struct Controller {
+    settings: Mutex<Arc<NodeSettings>>,
+    /// Messages to other processes.
+    pub transport: Arc<Transport>,
+    /// Records.
+    pub overlay: Arc<Overlay>,
+    /// The register.
+    pub register: Arc<Register>,
+    /// The register's value as records.
+    pub publisher: Arc<Publisher>,
+    /// The workers that call here.
+    pub registry: Mutex<Registry>,
+    /// What one controller does for all.
+    pub duties: Duties,
+    dice: AtomicU64,
+}
+
+impl Controller {
+    /// The settings in force.
+    pub fn settings(&self) -> Arc<NodeSettings> {
+        self.settings.lock().clone()
+    }
+
+    /// Puts other settings in force.
+    pub fn replace_settings(&self, settings: NodeSettings) {
+        self.registry.lock().set_silence(settings.silence());
+        *self.settings.lock() = Arc::new(settings);
+    }
+
+    /// A worker's record as everybody knows it.
+    pub fn worker_in_force(&self, id: &str) -> Option<WorkerRecord> {
+        let record = self.overlay.get(&format!("{WORKER_PREFIX}{id}"))?;
+        minicbor::decode(&record.body).ok()
+    }
+
+    /// The identity of the replica here.
+    pub fn replica_id(&self) -> Option<ReplicaId> {
+        self.register.replica().map(|replica| replica.identity().id)
+    }
+
+    /// Whether the stores send their heartbeats here, so that what is known of them is whole.
+    pub fn hears_stores(&self) -> bool {
+        let id = self.replica_id();
+        let set = self.register.set();
+        id.zip(set).is_some_and(|(id, set)| set.current_replica(id).is_some())
+    }
+
+    /// A number from 0 to below `most`.
+    pub fn roll_below(&self, most: u64) -> u64 {
+        let step = self.dice.fetch_add(0x9e37_79b9_7f4a_7c15, Relaxed);
+        scramble(step) % most.max(1)
+    }
+}
+
+/// Runs the controller until it is told to stop.
+pub fn run(settings: NodeSettings) -> Result<(), ControllerError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(ControllerError::System)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), ControllerError> {
+    let address = settings.listen_addresses.control_plane.ok_or(ControllerError::NoAddress)?;
+    let own = settings.internal_address(InternalPort::Controller);
+    let transport = bound(own, async || Transport::start(own).await).await?;
+    let listener = bound(address.into(), async || http::listen(address)).await?;
+    let controller = assemble(settings, transport)?;
+    tokio::spawn(membership::run(controller.clone()));
+    tokio::spawn(watch_workers(controller.clone()));
+    tokio::spawn(duties::run_pings(controller.clone()));
+    tokio::spawn(duties::run(controller.clone()));
+    tokio::spawn(reload::run(controller.clone()));
+    log::info!("controller: at {address}, internal {own}");
+    let (stop, stopping) = watch::channel(false);
+    let most_connections = (controller.settings().limits.max_open_files as usize)
+        .saturating_sub(OTHER_DESCRIPTORS)
+        .max(OTHER_DESCRIPTORS);
+    let server = http::serve(listener, http::router(controller.clone()), most_connections, stopping);
+    let server = tokio::spawn(server);
+    wait_for_stop().await?;
+    log::info!("controller: told to stop");
+    stop.send_replace(true);
+    let grace = Duration::from_secs_f64(controller.settings().bounds.grace_period_s.clamp(0.5, 600.0));
+    timeout(grace / 2, server).await.ok();
+    Ok(())
+}
+
+/// Joins the parts.
+fn assemble(settings: NodeSettings, transport: Arc<Transport>) -> Result<Arc<Controller>, ControllerError> {
+    let own = transport.own_address();
+    let draw = RandomState::new().hash_one((own, &settings.node_name, std::time::SystemTime::now()));
+    let identity = Replica {
+        id: 0,
+        address: own.to_string(),
+        node_name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let replica = match &settings.data_directory {
+        Some(directory) => {
+            let opened = VoteStore::open(directory, scramble(draw))?;
+            Some(Arc::new(LocalReplica::new(opened, identity)))
+        }
+        None => None,
+    };
+    let member = Member {
+        address: own,
+        incarnation: unix_ms(),
+        role: Role::Controller,
+        node_name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let seeds = settings.seed_addresses();
+    let overlay = Overlay::start(OverlayConfig { transport: transport.clone(), seeds, member });
+    let register = Register::start(transport.clone(), replica, draw);
+    let publisher = Arc::new(Publisher::new(overlay.clone()));
+    let on_chosen = publisher.clone();
+    register.listen(Box::new(move |chosen| on_chosen.publish(&chosen.state)));
+    Ok(Arc::new(Controller {
+        registry: Mutex::new(Registry::new(Instant::now(), settings.silence())),
+        settings: Mutex::new(Arc::new(settings)),
+        transport,
+        overlay,
+        publisher,
+        duties: Duties::new(register.replica().map(|replica| replica.identity().id)),
+        register,
+        dice: AtomicU64::new(draw),
+    }))
+}
+
+/// Publishes the silence of workers that have stopped calling.
+async fn watch_workers(controller: Arc<Controller>) {
+    let mut ticks = interval(WORKERS_TICK);
+    loop {
+        ticks.tick().await;
+        let in_force = |id: &str| controller.worker_in_force(id).map(|record| record.version());
+        let silent = controller.registry.lock().tick(Instant::now(), in_force);
+        for record in silent {
+            log::info!("workers: {} is silent", record.instance_id);
+            controller.overlay.publish_now(record.to_record());
+        }
+    }
+}
+
+/// Listens, trying again for a while: the process before may not have let go of the address yet.
+async fn bound<T>(
+    address: SocketAddr,
+    listen: impl AsyncFn() -> std::io::Result<T>,
+) -> Result<T, ControllerError> {
+    let deadline = Instant::now() + BIND_WITHIN;
+    loop {
+        match listen().await {
+            Ok(listening) => return Ok(listening),
+            Err(cause) if Instant::now() > deadline => {
+                return Err(ControllerError::Listen { address, cause });
+            }
+            Err(_) => sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
+async fn wait_for_stop() -> Result<(), ControllerError> {
+    let mut term = signal(SignalKind::terminate()).map_err(ControllerError::System)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(ControllerError::System)?;
+    tokio::select! { _ = term.recv() => (), _ = interrupt.recv() => () }
+    Ok(())
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/publisher.rs
@@ -0,0 +1,64 @@
+//! What of the register's chosen value goes to every process as records.
+
+use mintlb_overlay::Overlay;
+use mintlb_register::state::ControlState;
+use mintlb_tier::record::{CONFIGURATION, PLACEMENT, REPLICAS, Record};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Publishes the records of chosen values; never of a value that may not be chosen.
+pub struct Publisher {
+    overlay: Arc<Overlay>,
+}
+
+impl Publisher {
+    /// A publisher by this overlay.
+    pub fn new(overlay: Arc<Overlay>) -> Publisher {
+        Publisher { overlay }
+    }
+
+    /// Publishes what is newer than what is in force.
+    pub fn publish(&self, state: &ControlState) {
+        for record in records(state) {
+            if self.is_news(&record) {
+                self.overlay.publish_now(record);
+            }
+        }
+    }
+
+    /// Waits until a neighbour has confirmed the configuration, or for this time.
+    pub async fn confirm_configuration(&self, state: &ControlState, wait: Duration) {
+        if let Some(record) = configuration(state) {
+            self.overlay.publish(record, wait).await;
+        }
+    }
+
+    fn is_news(&self, record: &Record) -> bool {
+        self.overlay.get(&record.key).is_none_or(|known| known.version < record.version)
+    }
+}
+
+/// The records of a value.
+fn records(state: &ControlState) -> impl Iterator<Item = Record> {
+    let replicas = kept(REPLICAS, state.replicas.epoch, minicbor::to_vec(&state.replicas));
+    let placement = (state.placement.epoch > 0)
+        .then(|| kept(PLACEMENT, state.placement.epoch, minicbor::to_vec(&state.placement)));
+    [Some(replicas), placement.flatten().map(Some), Some(configuration(state))]
+        .into_iter()
+        .flatten()
+        .flatten()
+}
+
+fn configuration(state: &ControlState) -> Option<Record> {
+    (state.configuration_version > 0).then(|| Record {
+        key: CONFIGURATION.to_string(),
+        version: state.configuration_version,
+        lifetime_s: 0,
+        body: state.configuration.clone().into(),
+    })
+}
+
+fn kept<E>(key: &str, version: u64, body: Result<Vec<u8>, E>) -> Option<Record> {
+    let body = body.ok()?.into();
+    Some(Record { key: key.to_string(), version, lifetime_s: 0, body })
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/register.rs
@@ -0,0 +1,327 @@
+//! This process's way to the register: it drives proposals and reads over the transport, and answers for its replica.
+
+use super::replica::LocalReplica;
+use bytes::Bytes;
+use minicbor::{Decode, Encode};
+use mintlb_register::ballot::Ballot;
+use mintlb_register::change::{Answer, Change};
+use mintlb_register::founding::SeedAnswer;
+use mintlb_register::message::{Accepted, Ask, Reply, Request};
+use mintlb_register::proposal::{Input, Outcome, Proposal, ROUND};
+use mintlb_register::reading::{Progress, Reading};
+use mintlb_register::state::{Replica, ReplicaId, ReplicaSet};
+use mintlb_tier::transport::{self, Channel, Transport};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::{Instant, sleep_until, timeout_at};
+
+/// Replies of one proposal or read that may wait to be handled.
+const REPLIES: usize = 64;
+
+/// No quorum answered in time. The change may or may not become part of the value.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("M401 no majority of the register's replicas answered in time")]
+pub struct Unavailable;
+
+/// A message on the register's channel.
+#[derive(Debug, Encode, Decode)]
+enum Call {
+    /// For the replica here.
+    #[n(0)]
+    Vote(#[n(0)] Request),
+    /// Which set is known here, and is there a disk?
+    #[n(1)]
+    Status,
+}
+
+/// The answer to a [`Call`].
+#[derive(Debug, Encode, Decode)]
+enum CallAnswer {
+    #[n(0)]
+    Vote(#[n(0)] Reply),
+    #[n(1)]
+    Status {
+        #[n(0)]
+        has_disk: bool,
+        #[n(1)]
+        set: Option<ReplicaSet>,
+    },
+}
+
+/// What the process knows of the register.
+#[derive(Default)]
+struct Knowledge {
+    /// The newest value known to be chosen.
+    chosen: Option<Accepted>,
+    /// The newest set heard of, when there is no value yet.
+    hint: Option<ReplicaSet>,
+    /// Proposals so far, to tell their ballots apart.
+    proposals: u64,
+}
+
+/// What is told of each value that is newly known to be chosen.
+pub type Listener = Box<dyn Fn(&Accepted) + Send + std::marker::Sync>;
+
+/// The process's way to the register.
+pub struct Register {
+    transport: Arc<Transport>,
+    replica: Option<Arc<LocalReplica>>,
+    knowledge: Mutex<Knowledge>,
+    draw: u64,
+    turn: tokio::sync::Mutex<()>,
+    listener: Mutex<Option<Listener>>,
+}
+
+impl Register {
+    /// A way to the register, which answers on the transport from now on. `draw` is a random number of this start.
+    pub fn start(transport: Arc<Transport>, replica: Option<Arc<LocalReplica>>, draw: u64) -> Arc<Register> {
+        let stored = replica.as_ref().and_then(|replica| replica.accepted());
+        let hint = stored.map(|accepted| accepted.state.replicas.clone());
+        let register = Arc::new(Register {
+            transport: transport.clone(),
+            replica,
+            knowledge: Mutex::new(Knowledge { hint, ..Knowledge::default() }),
+            draw,
+            turn: tokio::sync::Mutex::default(),
+            listener: Mutex::default(),
+        });
+        transport.serve(Channel::Register, Arc::new(RegisterService(register.clone())));
+        register
+    }
+
+    /// Sets who is told of each value that is newly known to be chosen.
+    pub fn listen(&self, listener: Listener) {
+        *self.listener.lock() = Some(listener);
+    }
+
+    /// The replica of this process.
+    pub fn replica(&self) -> Option<&Arc<LocalReplica>> {
+        self.replica.as_ref()
+    }
+
+    /// The newest value known to be chosen.
+    pub fn chosen(&self) -> Option<Accepted> {
+        self.knowledge.lock().chosen.clone()
+    }
+
+    /// The newest set known.
+    pub fn set(&self) -> Option<ReplicaSet> {
+        let knowledge = self.knowledge.lock();
+        let chosen = knowledge.chosen.as_ref().map(|chosen| chosen.state.replicas.clone());
+        chosen.into_iter().chain(knowledge.hint.clone()).max_by_key(|set| set.epoch)
+    }
+
+    /// Takes note of a set that another process knows.
+    pub fn hint(&self, set: ReplicaSet) {
+        let mut knowledge = self.knowledge.lock();
+        if knowledge.hint.as_ref().is_none_or(|known| known.epoch < set.epoch) {
+            knowledge.hint = Some(set);
+        }
+    }
+
+    /// Founds the register with the replica of this process; whether that is on disk.
+    pub async fn found(&self) -> bool {
+        let Some(replica) = &self.replica else { return false };
+        let ballot = Ballot::default().next(self.proposer());
+        match replica.found(ballot).await {
+            Some(accepted) => {
+                self.learn(accepted);
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Changes the value. Changes of one process wait for each other, within the same time.
+    pub async fn change(&self, change: Change, within: Duration) -> Result<Outcome, Unavailable> {
+        let deadline = Instant::now() + within;
+        let _turn = timeout_at(deadline, self.turn.lock()).await.map_err(|_| Unavailable)?;
+        let set = self.set().ok_or(Unavailable)?;
+        let known = self.chosen();
+        let floor = known.as_ref().map(|known| known.ballot).unwrap_or_default();
+        let (mut proposal, mut effects) = Proposal::start(self.proposer(), floor, set, known, change);
+        let (replies, mut inputs) = mpsc::channel(REPLIES);
+        let mut timer = deadline;
+        loop {
+            if let Some(outcome) = effects.outcome {
+                self.learn(outcome.chosen.clone());
+                return Ok(outcome);
+            }
+            for (replica, request) in effects.send {
+                self.post(replica, request, replies.clone());
+            }
+            if let Some(after) = effects.timer {
+                timer = Instant::now() + after;
+            }
+            let input = tokio::select! {
+                biased;
+                input = inputs.recv() => input.map(Received::into_input),
+                () = sleep_until(timer.min(deadline)) => None,
+            };
+            if Instant::now() >= deadline {
+                return Err(Unavailable);
+            }
+            effects = proposal.handle(input.unwrap_or(Input::Timer));
+        }
+    }
+
+    /// Reads the newest value: no older one than any that was acknowledged before the call.
+    pub async fn read(&self, within: Duration) -> Result<Accepted, Unavailable> {
+        let deadline = Instant::now() + within;
+        match self.read_once(deadline.min(Instant::now() + ROUND)).await {
+            Some(chosen) => Ok(chosen),
+            None => {
+                let left = deadline.saturating_duration_since(Instant::now());
+                self.change(Change::Confirm, left).await.map(|outcome| outcome.chosen)
+            }
+        }
+    }
+
+    /// Reads in one round, if a quorum agrees.
+    pub async fn read_once(&self, deadline: Instant) -> Option<Accepted> {
+        let (mut reading, mut progress) = Reading::start(self.set()?, self.chosen());
+        let (replies, mut inputs) = mpsc::channel(REPLIES);
+        loop {
+            match progress {
+                Progress::Chosen(accepted) => {
+                    self.learn(accepted.clone());
+                    return Some(accepted);
+                }
+                Progress::Unclear => return None,
+                Progress::Ask(messages) => {
+                    for (replica, request) in messages {
+                        self.post(replica, request, replies.clone());
+                    }
+                }
+            }
+            let received: Received = timeout_at(deadline, inputs.recv()).await.ok()??;
+            progress = reading.reply(received.from, received.reply);
+        }
+    }
+
+    /// Asks another process what it knows of the register.
+    pub async fn status_of(&self, address: SocketAddr, within: Duration) -> Option<SeedAnswer> {
+        let body = encoded(&Call::Status);
+        let answer = self.transport.call(address, Channel::Register, body, within).await.ok()?;
+        match minicbor::decode(&answer).ok()? {
+            CallAnswer::Status { has_disk, set } => Some(SeedAnswer { has_disk, set }),
+            CallAnswer::Vote(_) => None,
+        }
+    }
+
+    /// Takes note of a value that is chosen.
+    fn learn(&self, accepted: Accepted) {
+        {
+            let mut knowledge = self.knowledge.lock();
+            if knowledge.chosen.as_ref().is_some_and(|known| known.ballot >= accepted.ballot) {
+                return;
+            }
+            let before = knowledge.chosen.replace(accepted.clone());
+            let epoch = before.map_or(0, |before| before.state.replicas.epoch);
+            let set = &accepted.state.replicas;
+            if set.epoch != epoch {
+                let joint = if set.is_joint() { ", joint" } else { "" };
+                log::info!("register: set epoch {}, {} replicas{joint}", set.epoch, set.current.len());
+            }
+        }
+        if let Some(listener) = &*self.listener.lock() {
+            listener(&accepted);
+        }
+    }
+
+    /// A number that no other proposal has.
+    fn proposer(&self) -> u64 {
+        let mut knowledge = self.knowledge.lock();
+        knowledge.proposals += 1;
+        scramble(self.draw.wrapping_add(knowledge.proposals.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+    }
+
+    /// Sends a message to a replica, and its reply or its loss to `replies`.
+    fn post(&self, replica: Replica, request: Request, replies: mpsc::Sender<Received>) {
+        let ballot = match &request.ask {
+            Ask::Prepare { ballot, .. } => *ballot,
+            Ask::Accept { proposed } => proposed.ballot,
+            Ask::Read { .. } => Ballot::default(),
+        };
+        let local = self.replica.as_ref().filter(|local| local.identity().id == replica.id).cloned();
+        let transport = self.transport.clone();
+        tokio::spawn(async move {
+            let from = replica.id;
+            let reply = match local {
+                Some(local) => local.answer(request).await,
+                None => remote(&transport, &replica, request).await,
+            };
+            replies.send(Received { from, ballot, reply }).await.ok();
+        });
+    }
+}
+
+async fn remote(transport: &Arc<Transport>, replica: &Replica, request: Request) -> Option<Reply> {
+    let address = replica.address.parse().ok()?;
+    let body = encoded(&Call::Vote(request));
+    let answer = transport.call(address, Channel::Register, body, ROUND).await.ok()?;
+    match minicbor::decode(&answer).ok()? {
+        CallAnswer::Vote(reply) => Some(reply),
+        CallAnswer::Status { .. } => None,
+    }
+}
+
+/// A replica's reply, or `None` if it is lost.
+struct Received {
+    from: ReplicaId,
+    ballot: Ballot,
+    reply: Option<Reply>,
+}
+
+impl Received {
+    fn into_input(self) -> Input {
+        match self.reply {
+            Some(reply) => Input::Reply(self.from, reply),
+            None => Input::Lost(self.from, self.ballot),
+        }
+    }
+}
+
+/// Answers for the replica of this process.
+struct RegisterService(Arc<Register>);
+
+impl transport::Service for RegisterService {
+    fn request(&self, _from: SocketAddr, body: Bytes) -> transport::Answer {
+        let register = self.0.clone();
+        Box::pin(async move {
+            match minicbor::decode(&body) {
+                Ok(Call::Vote(request)) => {
+                    let Some(replica) = &register.replica else { return Bytes::new() };
+                    match replica.answer(request).await {
+                        Some(reply) => encoded(&CallAnswer::Vote(reply)),
+                        None => Bytes::new(),
+                    }
+                }
+                Ok(Call::Status) => {
+                    let set = register.set();
+                    encoded(&CallAnswer::Status { has_disk: register.replica.is_some(), set })
+                }
+                Err(_) => Bytes::new(),
+            }
+        })
+    }
+}
+
+/// Whether a change is part of the chosen value.
+pub fn is_done(answer: Answer) -> bool {
+    matches!(answer, Answer::Done | Answer::AlreadyDone)
+}
+
+fn encoded<T: Encode<()>>(value: &T) -> Bytes {
+    minicbor::to_vec(value).unwrap_or_default().into()
+}
+
+/// Spreads the bits of a number (splitmix64).
+pub fn scramble(number: u64) -> u64 {
+    let mixed = (number ^ (number >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    let mixed = (mixed ^ (mixed >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    mixed ^ (mixed >> 31)
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/replica.rs
@@ -0,0 +1,63 @@
+//! This process's replica of the register: its vote in memory, the file behind it, and its answers.
+
+use super::vote_store::{Opened, VoteStore};
+use mintlb_register::acceptor::{Acceptor, Sync};
+use mintlb_register::message::{Accepted, Reply, Request};
+use mintlb_register::state::{ControlState, Replica};
+use mintlb_register::{ballot::Ballot, message::Ask};
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+/// The replica.
+pub struct LocalReplica {
+    identity: Replica,
+    acceptor: Mutex<Acceptor>,
+    store: VoteStore,
+}
+
+impl LocalReplica {
+    /// A replica with what its file held; the identity's id is taken from there.
+    pub fn new(opened: Opened, mut identity: Replica) -> LocalReplica {
+        identity.id = opened.id;
+        LocalReplica {
+            acceptor: Mutex::new(Acceptor::new(opened.id, opened.vote)),
+            store: opened.store,
+            identity,
+        }
+    }
+
+    /// What the set says of this replica.
+    pub fn identity(&self) -> &Replica {
+        &self.identity
+    }
+
+    /// The value that it accepted last, which may not be chosen.
+    pub fn accepted(&self) -> Option<Accepted> {
+        self.acceptor.lock().vote().accepted.clone()
+    }
+
+    /// Answers once everything that the answer tells of is synced; `None` if it could not be.
+    pub async fn answer(&self, request: Request) -> Option<Reply> {
+        let (reply, synced) = {
+            let mut acceptor = self.acceptor.lock();
+            let answered = acceptor.handle(request);
+            let must_wait = answered.sync != Sync::Nothing || self.store.is_busy();
+            (answered.reply, must_wait.then(|| self.store.sync(answered.sync)))
+        };
+        match synced {
+            Some(synced) => synced.await.ok().map(|()| reply),
+            None => Some(reply),
+        }
+    }
+
+    /// Writes the first value of a register, with this replica as the only one; `None` if it could not be synced.
+    pub async fn found(&self, ballot: Ballot) -> Option<Accepted> {
+        let state = Arc::new(ControlState::founded_by(self.identity.clone()));
+        let proposed = Accepted { ballot, state };
+        let request = Request { target: self.identity.id, ask: Ask::Accept { proposed: proposed.clone() } };
+        match self.answer(request).await {
+            Some(Reply::Accepted { .. }) => Some(proposed),
+            _ => None,
+        }
+    }
+}
--- a/crates/mintlb-control/src/main.rs
+++ b/crates/mintlb-control/src/main.rs
@@ -1,2 +1,7 @@
 //! The program `mintlb-control`.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    mintlb_control::cli::main()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -0,0 +1,413 @@
+//! Dispatchers' calls, answered by the primaries among this store's replicas.
+
+use super::core::Core;
+use super::disk::Opened;
+use bytes::Bytes;
+use mintlb_lots::entry::Entry;
+use mintlb_lots::framing;
+use mintlb_lots::heartbeat::ShardReport;
+use mintlb_lots::lots::{Lot, Moment};
+use mintlb_lots::messages::{self, Call, ItemName, Lease, LotName, Record, Renew, Submit};
+use mintlb_lots::peer::Envelope;
+use mintlb_lots::replica::{AfterSync, LeasePlan, PagePlan, Proposal, Replica, ReplicaSettings};
+use mintlb_tier::placement::{Placement, SHARD_COUNT, StoreId};
+use mintlb_tier::transport::{self, Service, Transport};
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::{Notify, oneshot};
+use tokio::time::{Instant, timeout, timeout_at};
+
+/// How long an answer waits for its commit.
+const COMMIT: Duration = Duration::from_millis(3000);
+/// How long an answer waits until the followers have confirmed that nobody has taken over.
+const CONFIRM: Duration = Duration::from_millis(700);
+/// The longest that a reader waits for a result.
+const LONGEST_READ: Duration = Duration::from_millis(5000);
+/// The most bytes of payloads in one lease.
+const LEASE_BYTES: u64 = 1 << 20;
+/// What entries take on disk, against their bytes: space comes in powers of two.
+const DISK_FACTOR: f64 = 1.45;
+/// No more lots are taken when this part of the disk is in use.
+const DISK_FULL: f64 = 0.85;
+
+/// The store. Messages and calls come in as [`Service`].
+pub struct Store {
+    core: Mutex<Core>,
+    own: StoreId,
+    started: Instant,
+    /// The steady clock of a process begins at a time of its own, so that no other process's answers fit.
+    clock_offset: Duration,
+    disk_bytes: u64,
+    report_changed: Arc<Notify>,
+    leaving: std::sync::atomic::AtomicBool,
+}
+
+impl Store {
+    /// A store with what its disk held.
+    pub fn new(
+        transport: Arc<Transport>,
+        opened: Opened,
+        settings: ReplicaSettings,
+        disk_bytes: u64,
+        draw: u64,
+    ) -> Arc<Store> {
+        let clock_offset = Duration::from_millis(draw >> 24);
+        let core = Core::new(transport, opened, settings, clock_offset);
+        let report_changed = core.report_changed.clone();
+        let own = settings.own;
+        let (core, started, leaving) = (Mutex::new(core), Instant::now(), Default::default());
+        Arc::new(Store { core, own, started, clock_offset, disk_bytes, report_changed, leaving })
+    }
+
+    fn now(&self) -> Moment {
+        self.clock_offset + self.started.elapsed()
+    }
+
+    /// The store's identity.
+    pub fn id(&self) -> StoreId {
+        self.own
+    }
+
+    /// What the controllers are told, and the placement it goes by.
+    pub fn report(&self) -> (Vec<ShardReport>, u64) {
+        let core = self.core.lock();
+        match self.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+            true => (Vec::new(), core.placement().epoch),
+            false => (core.reports(), core.placement().epoch),
+        }
+    }
+
+    /// Told when the report has changed.
+    pub fn report_changed(&self) -> &Notify {
+        &self.report_changed
+    }
+
+    /// Goes by this placement from now on.
+    pub fn set_placement(&self, placement: Placement) {
+        self.core.lock().set_placement(placement, self.now());
+    }
+
+    /// What follows a commit.
+    pub fn synced(&self, after: Vec<(u32, AfterSync)>) {
+        self.core.lock().synced(after, self.now());
+    }
+
+    /// Time passes.
+    pub fn tick(&self) {
+        self.core.lock().tick(self.now());
+    }
+
+    /// Takes no more calls.
+    pub fn leave(&self) {
+        self.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+    }
+
+    async fn call(self: Arc<Self>, call: Call, raw: Bytes) -> Bytes {
+        if self.leaving.load(std::sync::atomic::Ordering::Relaxed) {
+            return framing::encode(&messages::Answer::NotInCharge, &[]);
+        }
+        let answer = match call {
+            Call::Submit(submit) => self.submit(submit, raw).await,
+            Call::Read(read) => return self.read(read).await,
+            Call::Body(item) => return self.body(item).await,
+            Call::End(lot) => self.end(lot).await,
+            Call::Lease(lease) => return self.lease(&lease),
+            Call::Renew(renew) => self.renew(&renew),
+            Call::Record(record) => self.record(record, raw).await,
+            Call::Release(holder) => self.release(holder),
+        };
+        framing::encode(&answer, &[])
+    }
+
+    /// Makes a change and waits until it is committed. `look` sees the core after the change.
+    async fn propose(
+        &self,
+        shard: u32,
+        change: impl FnOnce(&mut Replica, Moment) -> Proposal,
+        look: impl FnOnce(&mut Core, &Proposal),
+    ) -> Proposal {
+        let (proposal, commit) = {
+            let mut core = self.core.lock();
+            let now = self.now();
+            let proposal = change(core.replica(shard), now);
+            look(&mut core, &proposal);
+            let commit = match &proposal {
+                Proposal::Done(_) => None,
+                Proposal::Pending(index, _) | Proposal::Compare(index, _) => {
+                    let committed = core.replica(shard).committed();
+                    (*index > committed).then(|| core.wait_commit(shard, *index))
+                }
+            };
+            core.act(shard, now);
+            (proposal, commit)
+        };
+        if let Some(commit) = commit
+            && !is_told(commit).await
+        {
+            return Proposal::Done(messages::Answer::Unsure);
+        }
+        proposal
+    }
+
+    async fn submit(&self, submit: Submit, raw: Bytes) -> messages::Answer {
+        let shard = Placement::shard_of(&submit.lot.host);
+        if self.is_disk_full(raw.len() as u64) {
+            return messages::Answer::DiskFull;
+        }
+        let Submit { epoch, holder, max_queued_tokens, lot } = submit;
+        let new = lot.clone();
+        let change =
+            |replica: &mut Replica, now| replica.submit(epoch, lot, &raw, holder, max_queued_tokens, now);
+        match self.propose(shard, change, |_, _| ()).await {
+            Proposal::Done(answer) | Proposal::Pending(_, answer) => answer,
+            Proposal::Compare(index, answer) => {
+                let stored = self.core.lock().read(shard, &[index]).unwrap_or_default();
+                let entry = stored.first().and_then(|(_, bytes)| framing::decode::<Entry>(bytes));
+                let Some((Entry::Accepted(head), stored)) = entry else { return messages::Answer::Unsure };
+                let same = Replica::same_items(&head, &new) && (stored.is_empty() || stored == raw);
+                if same { answer } else { messages::Answer::Conflict }
+            }
+        }
+    }
+
+    fn is_disk_full(&self, more: u64) -> bool {
+        let core = self.core.lock();
+        let file = core.disk.file_bytes();
+        // The file grows to twice its length; when that is not to be had, it stays as it is.
+        let most = if file * 2 > self.disk_bytes { file } else { self.disk_bytes };
+        let used: u64 = core.replicas().iter().map(Replica::bytes).sum();
+        core.writer.is_full() || (used + more) as f64 * DISK_FACTOR > most as f64 * DISK_FULL
+    }
+
+    async fn end(&self, lot: LotName) -> messages::Answer {
+        let shard = Placement::shard_of(&lot.host);
+        let proposal = self.propose(shard, |replica, now| replica.end(&lot, now), |_, _| ()).await;
+        self.sure(shard, proposal).await
+    }
+
+    async fn record(&self, record: Record, raw: Bytes) -> messages::Answer {
+        let shard = Placement::shard_of(&record.lot.host);
+        let change =
+            |replica: &mut Replica, now| replica.record(&record.lot, record.item, record.state, &raw, now);
+        let look = |core: &mut Core, proposal: &Proposal| {
+            let lot = core.replica(shard).lots().find(&record.lot).map(|(number, _)| number);
+            if let (Proposal::Pending(index, _), Some(lot)) = (proposal, lot) {
+                core.result_on_its_way(shard, *index, lot);
+            }
+        };
+        let proposal = self.propose(shard, change, look).await;
+        self.sure(shard, proposal).await
+    }
+
+    /// The answer of a proposal; that a lot is not known has to be confirmed.
+    async fn sure(&self, shard: u32, proposal: Proposal) -> messages::Answer {
+        match proposal {
+            Proposal::Done(messages::Answer::Unknown) if !self.confirmed(shard).await => {
+                messages::Answer::Unsure
+            }
+            Proposal::Done(answer) | Proposal::Pending(_, answer) | Proposal::Compare(_, answer) => answer,
+        }
+    }
+
+    /// Whether this is still the primary in charge, as enough followers have said a moment ago.
+    async fn confirmed(&self, shard: u32) -> bool {
+        let until = Instant::now() + CONFIRM;
+        loop {
+            let sign = {
+                let mut core = self.core.lock();
+                let now = self.now();
+                if !core.replica(shard).is_serving() {
+                    return false;
+                }
+                if core.replica(shard).confirm(now) {
+                    return true;
+                }
+                let sign = core.wait_confirmation(shard);
+                core.act(shard, now);
+                sign
+            };
+            if timeout_at(until, sign).await.is_err() {
+                return false;
+            }
+        }
+    }
+
+    async fn read(&self, read: messages::Read) -> Bytes {
+        let shard = Placement::shard_of(&read.lot.host);
+        let until = Instant::now() + Duration::from_millis(read.wait_ms).min(LONGEST_READ);
+        loop {
+            match self.look(shard, &read, Instant::now() < until) {
+                Look::Answer(bytes) => return bytes,
+                Look::Nothing(page) => return self.nothing_there(shard, page).await,
+                Look::Wait(next) => timeout_at(until, next).await.ok(),
+            };
+        }
+    }
+
+    fn look(&self, shard: u32, read: &messages::Read, may_wait: bool) -> Look {
+        let mut core = self.core.lock();
+        if !core.replica(shard).is_serving() {
+            return Look::Answer(framing::encode(&messages::Answer::NotInCharge, &[]));
+        }
+        let plan = core.replica(shard).page(&read.lot, read.start_after, read.most_bytes);
+        if let Some(plan) = plan.as_ref().filter(|plan| !plan.entries.is_empty()) {
+            return Look::Answer(page(&core, shard, plan));
+        }
+        match core.replica(shard).committed_lot(&read.lot) {
+            Some((number, lot)) if may_wait && may_get_more(lot, read.start_after) => {
+                Look::Wait(core.wait_result(shard, number))
+            }
+            _ => Look::Nothing(plan.map(|plan| plan.page)),
+        }
+    }
+
+    /// An empty page, or that the lot is not known: both have to be confirmed.
+    async fn nothing_there(&self, shard: u32, page: Option<messages::Page>) -> Bytes {
+        let answer = match (self.confirmed(shard).await, page) {
+            (false, _) => messages::Answer::Unsure,
+            (true, Some(page)) => messages::Answer::Page(page),
+            (true, None) => messages::Answer::Unknown,
+        };
+        framing::encode(&answer, &[])
+    }
+
+    async fn body(&self, item: ItemName) -> Bytes {
+        let shard = Placement::shard_of(&item.lot.host);
+        {
+            let mut core = self.core.lock();
+            if !core.replica(shard).is_serving() {
+                return framing::encode(&messages::Answer::NotInCharge, &[]);
+            }
+            if let Some((entry, range)) = core.replica(shard).payload(&item.lot, &item.item) {
+                let stored = core.read(shard, &[entry]).unwrap_or_default();
+                let payload = stored.first().and_then(|(_, bytes)| raw_part(bytes, range));
+                return match payload {
+                    Some(payload) => framing::encode(&messages::Answer::Body, &[&payload]),
+                    None => framing::encode(&messages::Answer::Unsure, &[]),
+                };
+            }
+        }
+        self.nothing_there(shard, None).await
+    }
+
+    fn lease(&self, lease: &Lease) -> Bytes {
+        let mut core = self.core.lock();
+        let now = self.now();
+        let (mut left, mut bytes) = (lease.most as usize, LEASE_BYTES);
+        let (mut heads, mut payloads) = (Vec::new(), Vec::new());
+        for shard in 0..SHARD_COUNT {
+            if left == 0 || bytes == 0 {
+                break;
+            }
+            let plans = core.replica(shard).lease(lease.holder, left, bytes, now);
+            let entries: Vec<u64> = plans.iter().map(|plan| plan.entry).collect();
+            for (plan, payload) in with_payloads(&core, shard, entries, plans) {
+                left -= 1;
+                bytes = bytes.saturating_sub(plan.head.length);
+                heads.push(plan.head);
+                payloads.push(payload);
+            }
+        }
+        let raw: Vec<&[u8]> = payloads.iter().map(|payload| &payload[..]).collect();
+        framing::encode(&messages::Answer::Leased(heads), &raw)
+    }
+
+    fn renew(&self, renew: &Renew) -> messages::Answer {
+        let mut core = self.core.lock();
+        let now = self.now();
+        let mut renewed = messages::Renewed::default();
+        for held in &renew.lots {
+            let shard = Placement::shard_of(&held.lot.host);
+            core.replica(shard).renew(renew.holder, held, &mut renewed, now);
+        }
+        renewed.open = core.replicas().iter().map(|replica| replica.open_items(now)).sum();
+        messages::Answer::Renewed(renewed)
+    }
+
+    fn release(&self, holder: messages::DispatcherId) -> messages::Answer {
+        let mut core = self.core.lock();
+        (0..SHARD_COUNT).for_each(|shard| core.replica(shard).release(holder));
+        messages::Answer::Released
+    }
+}
+
+/// What a reader gets.
+enum Look {
+    /// This.
+    Answer(Bytes),
+    /// An empty page or none, once that is confirmed.
+    Nothing(Option<messages::Page>),
+    /// It is to look again then.
+    Wait(oneshot::Receiver<()>),
+}
+
+/// Whether results may still come at or behind the position.
+fn may_get_more(lot: &Lot, start_after: u64) -> bool {
+    lot.ended.is_none() && start_after < lot.items.len() as u64
+}
+
+/// A page with its texts.
+fn page(core: &Core, shard: u32, plan: &PagePlan) -> Bytes {
+    let mut page = plan.page.clone();
+    let stored = core.read(shard, &plan.entries).unwrap_or_default();
+    let texts: Vec<Bytes> =
+        stored.iter().filter_map(|(_, bytes)| Some(framing::decode::<Entry>(bytes)?.1)).collect();
+    if texts.len() != page.results.len() {
+        return framing::encode(&messages::Answer::Unsure, &[]);
+    }
+    page.results.iter_mut().zip(&texts).for_each(|(result, text)| result.length = text.len() as u64);
+    let raw: Vec<&[u8]> = texts.iter().map(|text| &text[..]).collect();
+    framing::encode(&messages::Answer::Page(page), &raw)
+}
+
+fn raw_part(entry: &Bytes, range: std::ops::Range<usize>) -> Option<Bytes> {
+    let (_, raw) = framing::decode::<Entry>(entry)?;
+    (range.end <= raw.len()).then(|| raw.slice(range))
+}
+
+/// The payloads of leased items; those that can't be read are left out and go to somebody once the lease is over.
+fn with_payloads(
+    core: &Core,
+    shard: u32,
+    mut entries: Vec<u64>,
+    plans: Vec<LeasePlan>,
+) -> Vec<(LeasePlan, Bytes)> {
+    entries.dedup();
+    let stored = core.read(shard, &entries).unwrap_or_default();
+    let raws: Vec<(u64, Bytes)> = stored
+        .iter()
+        .filter_map(|(index, bytes)| Some((*index, framing::decode::<Entry>(bytes)?.1)))
+        .collect();
+    let payload = |plan: &LeasePlan| {
+        let (_, raw) = raws.iter().find(|(index, _)| *index == plan.entry)?;
+        (plan.range.end <= raw.len()).then(|| raw.slice(plan.range.clone()))
+    };
+    plans.into_iter().filter_map(|plan| payload(&plan).map(|bytes| (plan, bytes))).collect()
+}
+
+async fn is_told(commit: oneshot::Receiver<bool>) -> bool {
+    matches!(timeout(COMMIT, commit).await, Ok(Ok(true)))
+}
+
+/// [`Service`] needs the store's own handle.
+pub struct StoreService(pub Arc<Store>);
+
+impl Service for StoreService {
+    fn notice(&self, _from: SocketAddr, body: Bytes) {
+        let Some((envelope, raw)) = framing::decode::<Envelope>(&body) else { return };
+        let now = self.0.now();
+        self.0.core.lock().message(envelope, raw, now);
+    }
+
+    fn request(&self, _from: SocketAddr, body: Bytes) -> transport::Answer {
+        let store = self.0.clone();
+        Box::pin(async move {
+            match framing::decode::<Call>(&body) {
+                Some((call, raw)) => store.call(call, raw).await,
+                None => Bytes::new(),
+            }
+        })
+    }
+}
--- /dev/null
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -0,0 +1,51 @@
+//! Tells the controllers of this store, regularly and as soon as what it has to say changes.
+
+use super::calls::Store;
+use mintlb_lots::framing;
+use mintlb_lots::heartbeat::{HEARTBEAT, StoreHeartbeat};
+use mintlb_overlay::Overlay;
+use mintlb_register::state::ReplicaSet;
+use mintlb_tier::record::REPLICAS;
+use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::transport::{Channel, Transport};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Between two heartbeats at least.
+const LEAST_PAUSE: Duration = Duration::from_millis(10);
+
+/// Tells for as long as the process runs.
+pub async fn run(
+    settings: NodeSettings,
+    store: Arc<Store>,
+    transport: Arc<Transport>,
+    overlay: Arc<Overlay>,
+) {
+    let address = settings.internal_address(InternalPort::Store).to_string();
+    loop {
+        let (shards, placement) = store.report();
+        let heartbeat = StoreHeartbeat {
+            id: store.id(),
+            node_name: settings.node_name.clone(),
+            address: address.clone(),
+            zone: settings.zone.clone(),
+            shards,
+            placement,
+        };
+        let body = framing::encode(&heartbeat, &[]);
+        for controller in controllers(&overlay) {
+            transport.notify(controller, Channel::Duties, body.clone());
+        }
+        timeout(HEARTBEAT, store.report_changed().notified()).await.ok();
+        sleep(LEAST_PAUSE).await;
+    }
+}
+
+/// The controllers that hold the register, once they are known.
+fn controllers(overlay: &Overlay) -> Vec<SocketAddr> {
+    let set = overlay.get(REPLICAS).and_then(|record| minicbor::decode::<ReplicaSet>(&record.body).ok());
+    let Some(set) = set else { return Vec::new() };
+    set.members().filter_map(|replica| replica.address.parse().ok()).collect()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -0,0 +1,169 @@
+//! The store: keeps replicas of the lots' shards on its disk and answers dispatchers for those it is the primary of.
+//!
+//! - [`disk`]: the file, and the thread that commits.
+//! - [`core`]: the replicas, their effects carried out.
+//! - [`calls`]: dispatchers' calls.
+//! - [`recent`]: entries that are still on their way to other replicas.
+//! - [`heartbeats`]: what the controllers are told.
+
+pub mod calls;
+pub mod core;
+pub mod disk;
+pub mod heartbeats;
+pub mod recent;
+
+use calls::{Store, StoreService};
+use disk::{LotDisk, Opened};
+use mintlb_lots::replica::{ReplicaSettings, TICK};
+use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_tier::placement::Placement;
+use mintlb_tier::record::PLACEMENT;
+use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::transport::{Channel, Transport};
+use std::hash::{BuildHasher, RandomState};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+
+/// How long an address that is still taken is tried again.
+const BIND_WITHIN: Duration = Duration::from_secs(5);
+/// The pause between two tries.
+const BIND_PAUSE: Duration = Duration::from_millis(100);
+/// How long what waits for the disk may take at the end.
+const LAST_COMMIT: Duration = Duration::from_millis(1500);
+
+/// Why the store ended.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// There is no disk.
+    #[error("M601 data_directory: is missing")]
+    NoDisk,
+    /// The file or its folder can't be used.
+    #[error("M602 {path}: {cause}")]
+    Disk {
+        /// The file or folder.
+        path: PathBuf,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The database can't be used.
+    #[error("M603 the lots' file: {0}")]
+    Database(String),
+    /// The internal address can't be listened on.
+    #[error("M604 {address}: {cause}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// What the system said.
+        cause: std::io::Error,
+    },
+    /// The runtime or a signal can't be set up.
+    #[error("M605 {0}")]
+    System(std::io::Error),
+    /// A commit failed: what is on disk is not known any more.
+    #[error("M606 the disk failed")]
+    CommitFailed,
+}
+
+/// Runs the store until it is told to stop.
+pub fn run(settings: NodeSettings) -> Result<(), StoreError> {
+    let runtime =
+        tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StoreError::System)?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), StoreError> {
+    let directory = settings.data_directory.clone().ok_or(StoreError::NoDisk)?;
+    let own = settings.internal_address(InternalPort::Store);
+    let draw = RandomState::new().hash_one((own, &settings.node_name, std::time::SystemTime::now()));
+    let (disk, shards) = LotDisk::open(&directory, draw.max(1))?;
+    let transport = bound(own).await?;
+    log::info!("store: {:x} at {own}, {} MB of lots", disk.id(), disk.file_bytes() >> 20);
+    let replica_settings = ReplicaSettings {
+        own: disk.id(),
+        tolerance: settings.fault_tolerance.machines,
+        status: Duration::from_secs_f64(settings.bounds.status_s.clamp(0.0, 1e9)),
+    };
+    let (committed, mut commits) = tokio::sync::mpsc::unbounded_channel();
+    let writer = disk::Writer::start(disk.clone(), committed)?;
+    let opened = Opened { disk, writer: writer.clone(), shards };
+    let disk_bytes = settings.limits.disk_mb.unwrap_or(u64::MAX >> 20) << 20;
+    let store = Store::new(transport.clone(), opened, replica_settings, disk_bytes, draw);
+    let overlay = join_overlay(&settings, &transport, &store);
+    transport.serve(Channel::Lots, Arc::new(StoreService(store.clone())));
+    tokio::spawn(heartbeats::run(settings, store.clone(), transport, overlay));
+
+    let mut ticks = interval(TICK);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut term = signal(SignalKind::terminate()).map_err(StoreError::System)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(StoreError::System)?;
+    loop {
+        tokio::select! {
+            batch = commits.recv() => match batch {
+                Some(Ok(after)) => store.synced(after),
+                Some(Err(_)) | None => return Err(StoreError::CommitFailed),
+            },
+            _ = ticks.tick() => store.tick(),
+            _ = term.recv() => break,
+            _ = interrupt.recv() => break,
+        }
+    }
+    log::info!("store: told to stop");
+    store.leave();
+    let last = async {
+        while !writer.is_idle() {
+            match commits.recv().await {
+                Some(Ok(after)) => store.synced(after),
+                _ => break,
+            }
+        }
+        sleep(BIND_PAUSE).await;
+    };
+    timeout(LAST_COMMIT, last).await.ok();
+    Ok(())
+}
+
+/// Joins the overlay, and goes by the placement that it brings.
+fn join_overlay(settings: &NodeSettings, transport: &Arc<Transport>, store: &Arc<Store>) -> Arc<Overlay> {
+    let member = Member {
+        address: transport.own_address(),
+        incarnation: unix_ms(),
+        role: Role::Store,
+        node_name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let seeds = settings.seed_addresses();
+    let overlay = Overlay::start(OverlayConfig { transport: transport.clone(), seeds, member });
+    let store = Arc::downgrade(store);
+    overlay.subscribe(Arc::new(move |record| {
+        if record.key != PLACEMENT {
+            return;
+        }
+        let Some(store) = store.upgrade() else { return };
+        match minicbor::decode::<Placement>(&record.body) {
+            Ok(placement) => store.set_placement(placement),
+            Err(error) => log::warn!("store: a placement can't be read: {error}"),
+        }
+    }));
+    overlay
+}
+
+/// Listens, trying again for a while: the process before may not have let go of the address yet.
+async fn bound(address: SocketAddr) -> Result<Arc<Transport>, StoreError> {
+    let deadline = Instant::now() + BIND_WITHIN;
+    loop {
+        match Transport::start(address).await {
+            Ok(transport) => return Ok(transport),
+            Err(cause) if Instant::now() > deadline => return Err(StoreError::Listen { address, cause }),
+            Err(_) => sleep(BIND_PAUSE).await,
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |now| now.as_millis() as u64)
+}
--- a/crates/mintlb-core/src/lib.rs
+++ b/crates/mintlb-core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod figures;
 pub mod hands;
 pub mod members;
+pub mod permit;
 pub mod reducer;
 pub mod room;
 pub mod spend;
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -5,6 +5,7 @@
 
 use crate::figures::Now;
 use crate::members::{Members, Source, Told};
+use crate::permit::{Permission, Permit};
 use crate::spend::{Purse, Spend};
 use crate::types::{Named, Types};
 use crate::work::{AllocId, Answer, Arrival, Back, Order, Payload, Reach, Settle};
@@ -96,6 +97,9 @@
     version: Option<u64>,
     /// Limits of many schedulers together, where there are any.
     purse: Option<Arc<dyn Purse>>,
+    /// What else is asked whether work may go to a worker, where anything is.
+    permit: Option<Arc<dyn Permit>>,
+    look_at: f64,
 }
 
 /// The module's door onto the backs.
@@ -109,6 +113,9 @@
     members: &'a Members,
     purse: Option<&'a dyn Purse>,
     has: Cell<Option<bool>>,
+    permit: Option<&'a dyn Permit>,
+    /// The earliest time at which what was refused may be permitted.
+    look_at: Cell<f64>,
     acts: Vec<Act>,
     /// Allocations whose outcome is known without a word from the worker.
     known: Vec<Back>,
@@ -128,7 +135,17 @@
 }
 
 impl Door for OpenDoor<'_> {
-    fn permits(&self, wu: &WorkUnit, _worker: &Worker) -> bool {
+    fn permits(&self, wu: &WorkUnit, worker: &Worker) -> bool {
+        if let Some((permit, held)) = self.permit.zip(self.held.get(&wu.id)) {
+            match permit.permits(self.now, wu, &held.payload, worker) {
+                Permission::Granted => {}
+                Permission::Refused => return false,
+                Permission::NotBefore(at) => {
+                    self.look_at.set(self.look_at.get().min(at));
+                    return false;
+                }
+            }
+        }
         let Some(purse) = self.purse.filter(|_| wu.is_again()) else { return true };
         // Asked for each work unit that waits and each worker: the answer holds until something is sent.
         let has = self.has.get().unwrap_or_else(|| purse.has(Spend { again: true }));
@@ -191,8 +208,34 @@
 impl Reducer {
     pub fn new(scheduler: Scheduler, types: Types, most_out: usize, margin: f64) -> Reducer {
         let (held, ids, over, out, members) = Default::default();
-        let (version, purse) = (None, None);
-        Reducer { scheduler, types, most_out, margin, held, ids, over, out, members, version, purse }
+        let (version, purse, permit, look_at) = (None, None, None, f64::INFINITY);
+        Reducer {
+            scheduler,
+            types,
+            most_out,
+            margin,
+            held,
+            ids,
+            over,
+            out,
+            members,
+            version,
+            purse,
+            permit,
+            look_at,
+        }
+    }
+
+    /// From now on allocations go only where this permits it, too.
+    pub fn take_permit(&mut self, permit: Arc<dyn Permit>) {
+        self.permit = Some(permit);
+    }
+
+    /// The earliest time of the clock at which something that was refused since the last call may be permitted:
+    /// [`Event::Woke`] is due then, whatever else wakes it.
+    pub fn take_look(&mut self) -> Option<f64> {
+        let at = std::mem::replace(&mut self.look_at, f64::INFINITY);
+        at.is_finite().then_some(at)
     }
 
     /// From now on allocations are sent within these limits, too.
@@ -353,6 +396,8 @@
             members: &self.members,
             purse: self.purse.as_deref(),
             has: Cell::new(None),
+            permit: self.permit.as_deref(),
+            look_at: Cell::new(f64::INFINITY),
             acts,
             known: Vec::new(),
             touched: Vec::new(),
@@ -361,7 +406,8 @@
         while let Some(told) = door.known.pop() {
             back(&mut self.scheduler, &mut door, told);
         }
-        let OpenDoor { acts, touched, .. } = door;
+        let OpenDoor { acts, touched, look_at, .. } = door;
+        self.look_at = self.look_at.min(look_at.get());
         for id in touched {
             if let Entry::Occupied(held) = self.held.entry(id)
                 && held.get().wu.ended()
--- /dev/null
+++ b/crates/mintlb-dispatch/src/answer.rs
@@ -0,0 +1,360 @@
+//! Reads a worker's answer, and passes on what is certain of it.
+
+use crate::back::Came;
+use crate::connection::Connection;
+use crate::events::EventReader;
+use crate::exchange::{Exchange, Head, Manner};
+use crate::request::{LOAD, NOT_EXECUTED, REQUEST_ID, SIGNATURE, strip_connection_headers};
+use crate::wire::{AnswerHead, BodyReader, Framing};
+use crate::workers::WorkerEntry;
+use axum::http::header::{CONTENT_LENGTH, CONTENT_TYPE};
+use axum::http::{HeaderMap, Method, StatusCode};
+use bytes::BytesMut;
+use mintlb::Outcome;
+use mintlb_core::reducer::Event;
+use mintlb_core::work::AllocId;
+use mintlb_tier::configuration::RouteType;
+use std::future::poll_fn;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, Sleep, sleep_until};
+
+/// An answer that is no stream is held until it is whole, up to so many bytes.
+const MOST_HELD_BYTES: usize = 256 << 10;
+/// Answers to earlier requests that are passed over in one send.
+const MOST_SURPLUS: usize = 2;
+/// A worker that says nothing for so long, and for so many times what is usual, may be gone: what may run again and goes
+/// on elsewhere is sent elsewhere.
+const LEAST_SILENCE: f64 = 0.8;
+const SILENT_TARGETS: f64 = 2.5;
+const SILENT_GAPS: f64 = 3.0;
+
+/// Reads the answer to one send.
+pub struct Reading<'a> {
+    /// Who answers.
+    pub worker: &'a WorkerEntry,
+    /// To what.
+    pub exchange: &'a Arc<Exchange>,
+    /// The send's number.
+    pub alloc: AllocId,
+}
+
+/// The connection may carry another request, and stays open for so long when idle, if the worker says so.
+pub struct Keep {
+    /// See [`AnswerHead::keep_alive`].
+    pub idle: Option<Duration>,
+}
+
+/// What came of reading an answer.
+pub struct Answered {
+    /// For the decisions.
+    pub came: Came,
+    /// The worker says that it has not run the request.
+    pub not_run: bool,
+    /// Whether the connection is good for another request.
+    pub keep: Option<Keep>,
+}
+
+impl From<Outcome> for Answered {
+    fn from(outcome: Outcome) -> Answered {
+        Answered { came: Came::with(outcome), not_run: false, keep: None }
+    }
+}
+
+/// The worker broke off, sent what is no answer, or said nothing for too long: the request may have run.
+enum Failed {
+    Broken,
+    Silent,
+}
+
+impl From<Failed> for Answered {
+    fn from(failed: Failed) -> Answered {
+        match failed {
+            Failed::Broken => Outcome::Dropped.into(),
+            Failed::Silent => Outcome::TimedOut.into(),
+        }
+    }
+}
+
+/// Tells when a worker has been silent for too long. One timer a send: it is set anew only when it rings.
+struct Silence {
+    heard: Instant,
+    most: Option<Duration>,
+    timer: Pin<Box<Sleep>>,
+}
+
+impl Silence {
+    fn new(most: Option<f64>) -> Silence {
+        let most = most.map(|seconds| Duration::from_secs_f64(seconds.clamp(0.0, 3600.0)));
+        let heard = Instant::now();
+        let timer = Box::pin(sleep_until(heard + most.unwrap_or(Duration::from_secs(3600))));
+        Silence { heard, most, timer }
+    }
+
+    async fn fill(&mut self, connection: &mut Connection) -> Result<(), Failed> {
+        let Some(most) = self.most else { return connection.fill().await.map_err(|_| Failed::Broken) };
+        loop {
+            tokio::select! {
+                biased;
+                filled = connection.fill() => {
+                    self.heard = Instant::now();
+                    return filled.map_err(|_| Failed::Broken);
+                }
+                () = &mut self.timer => {
+                    if self.heard.elapsed() >= most {
+                        return Err(Failed::Silent);
+                    }
+                    self.timer.as_mut().reset(self.heard + most);
+                }
+            }
+        }
+    }
+}
+
+impl Reading<'_> {
+    /// Reads the whole answer.
+    pub async fn read(&self, connection: &mut Connection) -> Answered {
+        self.try_read(connection).await.unwrap_or_else(Answered::from)
+    }
+
+    async fn try_read(&self, connection: &mut Connection) -> Result<Answered, Failed> {
+        let mut silence = Silence::new(self.patience());
+        let head = self.own_head(connection, &mut silence).await?;
+        let free_slots = head.headers.get(LOAD).and_then(|load| free_slots(load.to_str().ok()?));
+        let mut answered = self.sort(connection, &mut silence, &head).await?;
+        answered.came.free_slots = free_slots;
+        let keep = Keep { idle: head.keep_alive() };
+        answered.keep = answered.keep.filter(|_| head.keeps_alive).map(|_| keep);
+        Ok(answered)
+    }
+
+    /// How many seconds the worker may be silent. Only what may be sent again, and is better off elsewhere then, has
+    /// such a bound; all else ends with its own time.
+    fn patience(&self) -> Option<f64> {
+        let terms = &self.exchange.terms;
+        let another = terms.idempotent && self.exchange.may_be_sent() && self.exchange.manner == Manner::Live;
+        let usual = terms.gap.map_or(0.0, |gap| SILENT_GAPS * gap).max(SILENT_TARGETS * terms.target);
+        another.then_some(usual.max(LEAST_SILENCE))
+    }
+
+    /// The head of the answer to this request; those to earlier ones are passed over.
+    async fn own_head(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+    ) -> Result<AnswerHead, Failed> {
+        for _ in 0..=MOST_SURPLUS {
+            let head = loop {
+                match AnswerHead::take(&mut connection.buffer) {
+                    Ok(Some(head)) => break head,
+                    Ok(None) => silence.fill(connection).await?,
+                    Err(_) => return Err(Failed::Broken),
+                }
+            };
+            let mut ids = head.headers.get_all(REQUEST_ID).iter();
+            match (ids.next(), ids.next()) {
+                (Some(id), None) if *id == self.exchange.request.id => return Ok(head),
+                (Some(_), None) if head.framing != Framing::UntilClose => {
+                    self.skip(connection, silence, head.framing).await?;
+                }
+                _ => return Err(Failed::Broken),
+            }
+        }
+        Err(Failed::Broken)
+    }
+
+    async fn skip(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        framing: Framing,
+    ) -> Result<(), Failed> {
+        let mut body = BodyReader::new(framing);
+        loop {
+            while body.take(&mut connection.buffer).map_err(|_| Failed::Broken)?.is_some() {}
+            if body.is_done() {
+                return Ok(());
+            }
+            silence.fill(connection).await?;
+        }
+    }
+
+    /// Takes an answer by what its head says.
+    async fn sort(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        head: &AnswerHead,
+    ) -> Result<Answered, Failed> {
+        let framing = match self.exchange.request.method == Method::HEAD {
+            true => Framing::Length(0),
+            false => head.framing,
+        };
+        let misplaced = head.status == StatusCode::MISDIRECTED_REQUEST;
+        if misplaced || head.headers.contains_key(NOT_EXECUTED) {
+            if misplaced && !self.exchange.request.headers.contains_key("expect-version") {
+                self.worker.mark_gone();
+            }
+            let whole = self.skip(connection, silence, framing).await.is_ok();
+            let keep = (whole && !misplaced).then_some(Keep { idle: None });
+            return Ok(Answered { came: Came::with(Outcome::Full), not_run: true, keep });
+        }
+        if head.status.is_success() {
+            if !head.headers.contains_key(SIGNATURE) || framing == Framing::UntilClose {
+                return Err(Failed::Broken);
+            }
+            let stream = self.is_stream(head);
+            return match stream {
+                true => self.events(connection, silence, head, framing).await,
+                false => self.success(connection, silence, head, framing).await,
+            };
+        }
+        self.failure(connection, silence, head, framing).await
+    }
+
+    fn is_stream(&self, head: &AnswerHead) -> bool {
+        let told = head.headers.get(CONTENT_TYPE).map(|value| value.as_bytes().to_ascii_lowercase());
+        matches!(self.exchange.terms.route_type, RouteType::Streaming | RouteType::Batch)
+            || told.is_some_and(|told| told.starts_with(b"text/event-stream"))
+    }
+
+    fn started(&self) {
+        self.exchange.hub().tell.send(Event::Started(self.alloc)).ok();
+    }
+
+    /// Passes events on as they come.
+    async fn events(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        head: &AnswerHead,
+        framing: Framing,
+    ) -> Result<Answered, Failed> {
+        let (mut body, mut given) = (BodyReader::new(framing), Some(client_head(head)));
+        let mut events = EventReader::after(self.exchange.last_event());
+        let mut started = false;
+        loop {
+            while let Some(piece) = body.take(&mut connection.buffer).map_err(|_| Failed::Broken)? {
+                let whole = events.take(piece).map_err(|_| Failed::Broken)?;
+                if !whole.is_empty() {
+                    self.exchange.pass(&mut given, whole, events.last());
+                    if !std::mem::replace(&mut started, true) {
+                        self.started();
+                    }
+                }
+            }
+            if body.is_done() {
+                // The framing says that the body is whole, so what is left is its end.
+                let last = events.last();
+                self.exchange.pass(&mut given, events.into_rest(), last);
+                self.exchange.complete();
+                return Ok(whole(connection));
+            }
+            poll_fn(|cx| self.exchange.poll_room(cx)).await;
+            silence.fill(connection).await?;
+        }
+    }
+
+    /// Passes an answer on when it is whole, or when it is too long to be held.
+    async fn success(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        head: &AnswerHead,
+        framing: Framing,
+    ) -> Result<Answered, Failed> {
+        // An answer that is no stream does not go on where another broke off.
+        if self.exchange.has_begun() {
+            return Ok(Outcome::Error.into());
+        }
+        self.started();
+        let mut given = Some(client_head(head));
+        if let (Some(given), Framing::Length(length)) = (&mut given, framing)
+            && length > MOST_HELD_BYTES as u64
+        {
+            given.headers.insert(CONTENT_LENGTH, length.into());
+        }
+        let (mut body, mut held) = (BodyReader::new(framing), BytesMut::new());
+        loop {
+            while let Some(piece) = body.take(&mut connection.buffer).map_err(|_| Failed::Broken)? {
+                held.extend_from_slice(&piece);
+            }
+            if body.is_done() {
+                self.exchange.finish(&mut given, held.freeze());
+                return Ok(whole(connection));
+            }
+            if held.len() > MOST_HELD_BYTES {
+                self.exchange.pass(&mut given, held.split().freeze(), None);
+                poll_fn(|cx| self.exchange.poll_room(cx)).await;
+            }
+            silence.fill(connection).await?;
+        }
+    }
+
+    /// A worker's own failure is the answer, unless another worker may do better.
+    async fn failure(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        head: &AnswerHead,
+        framing: Framing,
+    ) -> Result<Answered, Failed> {
+        let (mut body, mut held) = (BodyReader::new(framing), BytesMut::new());
+        while !body.is_done() {
+            while let Some(piece) = body.take(&mut connection.buffer).map_err(|_| Failed::Broken)? {
+                held.extend_from_slice(&piece);
+            }
+            if held.len() > MOST_HELD_BYTES {
+                return Err(Failed::Broken);
+            }
+            if !body.is_done() {
+                silence.fill(connection).await?;
+            }
+        }
+        let failed = Answered { came: Came::with(Outcome::Error), ..whole(connection) };
+        if self.exchange.has_begun() {
+            return Ok(failed);
+        }
+        let mut given = Some(client_head(head));
+        if self.exchange.manner == Manner::Item {
+            self.exchange.finish(&mut given, held.freeze());
+            return Ok(whole(connection));
+        }
+        // These would promise that it has not run, which only the worker can say, and has not said.
+        let promises = matches!(
+            head.status,
+            StatusCode::REQUEST_TIMEOUT | StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE
+        );
+        match (promises, head.status.is_server_error()) {
+            (true, _) => {}
+            (false, true) => self.exchange.keep_failure(client_head(head), held.freeze()),
+            (false, false) => {
+                self.exchange.finish(&mut given, held.freeze());
+                return Ok(whole(connection));
+            }
+        }
+        Ok(failed)
+    }
+}
+
+/// The answer is whole, and the connection good unless more has come.
+fn whole(connection: &Connection) -> Answered {
+    let keep = connection.buffer.is_empty().then_some(Keep { idle: None });
+    Answered { came: Came::with(Outcome::Completed), not_run: false, keep }
+}
+
+/// A worker's head as the client gets it.
+fn client_head(head: &AnswerHead) -> Head {
+    let mut headers: HeaderMap = head.headers.clone();
+    strip_connection_headers(&mut headers);
+    headers.remove(LOAD);
+    Head { status: head.status, headers }
+}
+
+/// Free places out of `RUNNING,WAITING,SLOTS`.
+pub fn free_slots(load: &str) -> Option<f64> {
+    let figures: Vec<f64> = load.split(',').map_while(|figure| figure.trim().parse().ok()).collect();
+    let [running, waiting, slots] = figures[..] else { return None };
+    Some((slots - running - waiting).max(0.0))
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/back.rs
@@ -0,0 +1,148 @@
+//! Sends to workers: one send an order, its outcome told once.
+//!
+//! What has surely not run is told as such, all else may have run. A request counts as sent when its last byte is
+//! handed to the system; before that no worker can run it.
+
+use crate::answer::{Answered, Reading};
+use crate::connection::Connection;
+use crate::exchange::Exchange;
+use crate::request;
+use crate::workers::WorkerEntry;
+use mintlb::{Outcome, Report};
+use mintlb_core::reducer::Event;
+use mintlb_core::work::{Back, Order, Reach, Recall};
+use std::fmt::{Display, Formatter};
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::task::AbortHandle;
+use tokio::time::timeout_at;
+
+/// A connection that is to be reset as it comes up, or that the worker is closing, shows it within a round trip: so long
+/// the last byte of a request that may run once only waits.
+const PROVING: Duration = Duration::from_millis(3);
+
+/// The way to one worker.
+pub struct Way(pub Arc<WorkerEntry>);
+
+impl Display for Way {
+    fn fmt(&self, f: &mut Formatter) -> std::fmt::Result {
+        self.0.pool.address().fmt(f)
+    }
+}
+
+impl Reach for Way {
+    fn send(&self, order: Order) -> Box<dyn Recall> {
+        let Ok(exchange) = order.payload.own.clone().downcast::<Exchange>() else { return Box::new(()) };
+        let send = Send { worker: self.0.clone(), exchange, order };
+        Box::new(Out(tokio::spawn(send.run()).abort_handle()))
+    }
+
+    fn probe(&self, _worker: u64) {}
+}
+
+/// Closing its connection is the protocol's only way to call a send off.
+struct Out(AbortHandle);
+
+impl Recall for Out {
+    fn recall(self: Box<Self>) {
+        self.0.abort();
+    }
+}
+
+/// One send of a request to a worker.
+struct Send {
+    worker: Arc<WorkerEntry>,
+    exchange: Arc<Exchange>,
+    order: Order,
+}
+
+/// What came of a send.
+pub struct Came {
+    /// For the decisions.
+    pub outcome: Outcome,
+    /// Places that the worker says are free.
+    pub free_slots: Option<f64>,
+}
+
+impl Came {
+    /// With nothing told of places.
+    pub fn with(outcome: Outcome) -> Came {
+        Came { outcome, free_slots: None }
+    }
+}
+
+impl Send {
+    async fn run(self) {
+        let hub = self.exchange.hub().clone();
+        let occupied = self.worker.occupy(self.exchange.prompt.map_or(0, |prompt| prompt.tokens));
+        let end = hub.clock.instant(self.order.until);
+        let came = timeout_at(end, self.carry_out()).await;
+        let Came { outcome, free_slots } = came.unwrap_or_else(|_| Came::with(Outcome::TimedOut));
+        drop(occupied);
+        log::debug!("back: {} {:?}", self.worker.instance_id, outcome);
+        let back = Back { report: Report { free_slots }, ..Back::with(self.order.alloc, outcome) };
+        hub.tell.send(Event::Back(back)).ok();
+        // Nothing more will be sent for it, so its answer is due.
+        if outcome != Outcome::Completed && !self.exchange.may_be_sent() {
+            hub.tell.send(Event::GivenUp(self.order.alloc.0)).ok();
+        }
+    }
+
+    async fn carry_out(&self) -> Came {
+        // A part of an answer that can't go on must not begin again.
+        if self.exchange.has_begun() && !self.exchange.can_go_on() {
+            return Came::with(Outcome::Moot);
+        }
+        let connection = match self.worker.pool.reuse(self.order.payload.once) {
+            Some(connection) => Ok(connection),
+            None => tokio::select! {
+                connection = self.worker.pool.connect() => connection,
+                () = self.order.taken_back.cancelled() => return Came::with(Outcome::Full),
+            },
+        };
+        let Ok(mut connection) = connection else { return Came::with(Outcome::NoConnection) };
+        let ran_before = self.exchange.may_have_run();
+        if let Err(outcome) = self.write(&mut connection).await {
+            return Came::with(outcome);
+        }
+        let reading = Reading { worker: &self.worker, exchange: &self.exchange, alloc: self.order.alloc };
+        let Answered { came, not_run, keep } = reading.read(&mut connection).await;
+        if not_run {
+            self.exchange.not_run(ran_before);
+        }
+        if let Some(keep) = keep {
+            self.worker.pool.give_back(connection, keep.idle);
+        }
+        came
+    }
+
+    /// Writes the request. An error where its last byte was not written, so that it can't run.
+    async fn write(&self, connection: &mut Connection) -> Result<(), Outcome> {
+        let left = self.order.until - self.exchange.hub().clock.now();
+        let bytes = request::bytes(&self.exchange, &self.worker.instance_id, left);
+        if self.order.taken_back.is_cancelled() || !self.worker.in_service() {
+            return Err(Outcome::Full);
+        }
+        let mut rest = &bytes[..];
+        if self.order.payload.once && !connection.is_proven() {
+            let (first, last) = bytes.split_at(bytes.len() - 1);
+            connection.write(first).await.map_err(|_| Outcome::NoConnection)?;
+            if !connection.stays_quiet(PROVING).await {
+                return Err(Outcome::NoConnection);
+            }
+            rest = last;
+            if self.order.taken_back.is_cancelled() || !self.worker.in_service() {
+                return Err(Outcome::Full);
+            }
+        }
+        let ran_before = self.exchange.may_have_run();
+        self.exchange.sent(self.worker.id);
+        match connection.write(rest).await {
+            Ok(()) => Ok(()),
+            Err(_) => {
+                self.exchange.not_sent(ran_before);
+                Err(Outcome::NoConnection)
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/batch/calls.rs
@@ -0,0 +1,269 @@
+//! Clients' calls about lots: submit, read, ask for a body, end.
+
+use super::page;
+use super::runner::Runner;
+use super::submission;
+use crate::intake::{BatchCall, BatchHandler};
+use axum::body::Body;
+use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::response::{IntoResponse, Response};
+use mintlb_lots::client::{
+    BodyOutcome, EndOutcome, LeasedItem, LotClient, ReadOutcome, Submission, SubmitOutcome,
+};
+use mintlb_lots::entry::LotTerms;
+use mintlb_lots::messages::DispatcherId;
+use mintlb_overlay::Overlay;
+use mintlb_tier::configuration::Route;
+use mintlb_tier::record::{ENDED_LOT_PREFIX, Record};
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, SystemTime};
+
+/// The most bytes of results in one answer.
+const MOST_PAGE_BYTES: usize = 1 << 20;
+/// The longest that a read waits for a result.
+const LONGEST_READ_WAIT: Duration = Duration::from_millis(1000);
+/// A submission without a deadline of its client is given up after so long.
+const SUBMIT_WITHIN: Duration = Duration::from_millis(3000);
+/// So long before its client's deadline a submission gets its answer.
+const SUBMIT_MARGIN: Duration = Duration::from_millis(300);
+/// When a refused client is to come back, in s.
+const COME_BACK: &str = "0.5";
+/// When a client whose lot does not fit is to come back, in s.
+const QUOTA_COME_BACK: &str = "1";
+/// How long other dispatchers remember that a lot is ended, in s.
+const ENDED_LIFETIME_S: u32 = 60;
+/// Items are given up so long after their lot was sent where the route does not say, in ms.
+const USUAL_RETENTION_MS: u64 = 60_000;
+
+/// Answers clients' calls about lots.
+pub struct BatchCalls {
+    client: Arc<LotClient>,
+    runner: Arc<Runner>,
+    overlay: Arc<Overlay>,
+    holder: DispatcherId,
+    leaving: AtomicBool,
+}
+
+/// What a path under `/v1/` names.
+enum Named<'a> {
+    Lot(&'a str),
+    Items(&'a str),
+}
+
+impl BatchCalls {
+    /// Calls go to the stores by `client`; accepted items go to `runner`.
+    pub fn new(
+        client: Arc<LotClient>,
+        runner: Arc<Runner>,
+        overlay: Arc<Overlay>,
+        holder: DispatcherId,
+    ) -> BatchCalls {
+        BatchCalls { client, runner, overlay, holder, leaving: AtomicBool::new(false) }
+    }
+}
+
+impl BatchHandler for BatchCalls {
+    fn handle(&self, call: BatchCall) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        if let Some(route) = call.route {
+            return match call.method == Method::POST {
+                true => self.submit(&call, route),
+                false => answer(StatusCode::METHOD_NOT_ALLOWED),
+            };
+        }
+        let (path, query) = call.path_and_query.split_once('?').unwrap_or((&call.path_and_query, ""));
+        match (named(path), &call.method) {
+            (Some(Named::Lot(id)), &Method::GET) => self.read(&call, id, query),
+            (Some(Named::Lot(id)), &Method::DELETE) => self.end(&call, id),
+            (Some(Named::Items(id)), &Method::GET) => self.body(&call, id, query),
+            (Some(_), _) => answer(StatusCode::METHOD_NOT_ALLOWED),
+            (None, _) => answer(StatusCode::NOT_FOUND),
+        }
+    }
+
+    fn leave(&self) {
+        self.leaving.store(true, Relaxed);
+        self.runner.leave();
+    }
+}
+
+type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
+
+impl BatchCalls {
+    fn submit(&self, call: &BatchCall, route: usize) -> Answer {
+        let Some(route) = call.configuration.route_list.get(route) else {
+            return answer(StatusCode::NOT_FOUND);
+        };
+        if self.leaving.load(Relaxed) {
+            return Box::pin(async { later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK) });
+        }
+        let id = call.headers.get("mintlb-request-id").and_then(|id| id.to_str().ok());
+        let Some(lot_id) = id.filter(|id| !id.is_empty()) else {
+            return wrong("M404 Mintlb-Request-Id: one is needed".to_string());
+        };
+        let items = match submission::parse(&call.body, route) {
+            Ok(items) => items,
+            Err(error) => return wrong(error.to_string()),
+        };
+        let lot = Submission {
+            host: host_name(&call.host),
+            route: route.name.clone(),
+            lot_id: lot_id.to_string(),
+            terms: terms(route),
+            max_queued_tokens: route.max_queued_tokens,
+            items,
+        };
+        let within = submit_within(&call.headers);
+        let (client, runner, holder) = (self.client.clone(), self.runner.clone(), self.holder);
+        // On its own task: what is taken is run here, also when its client has left meanwhile.
+        let task = tokio::spawn(async move { submit(&client, &runner, holder, lot, within).await });
+        Box::pin(async move { task.await.unwrap_or_else(|_| StatusCode::BAD_GATEWAY.into_response()) })
+    }
+
+    fn read(&self, call: &BatchCall, lot_id: &str, query: &str) -> Answer {
+        let start_after = match parameter(query, "start_after").map_or(Ok(0), str::parse) {
+            Ok(position) => position,
+            Err(_) => return wrong("M405 start_after: is no position".to_string()),
+        };
+        let wait = milliseconds(&call.headers, "mintlb-wait-ms").unwrap_or_default().min(LONGEST_READ_WAIT);
+        let (client, host, lot_id) = (self.client.clone(), host_name(&call.host), lot_id.to_string());
+        Box::pin(async move {
+            match client.read(&host, &lot_id, start_after, wait, MOST_PAGE_BYTES).await {
+                ReadOutcome::Page { total, next, results } => json(page::to_json(total, next, &results)),
+                ReadOutcome::Unknown => StatusCode::NOT_FOUND.into_response(),
+                ReadOutcome::Unavailable => later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK),
+            }
+        })
+    }
+
+    fn body(&self, call: &BatchCall, lot_id: &str, query: &str) -> Answer {
+        let Some(instance_id) = parameter(query, "instance_id").map(str::to_string) else {
+            return wrong("M406 instance_id: one is needed".to_string());
+        };
+        let (client, host, lot_id) = (self.client.clone(), host_name(&call.host), lot_id.to_string());
+        Box::pin(async move {
+            match client.body(&host, &lot_id, &instance_id).await {
+                BodyOutcome::Body(body) => Response::new(Body::from(body)),
+                BodyOutcome::Unknown => StatusCode::NOT_FOUND.into_response(),
+                BodyOutcome::Unavailable => later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK),
+            }
+        })
+    }
+
+    fn end(&self, call: &BatchCall, lot_id: &str) -> Answer {
+        let (client, runner, overlay) = (self.client.clone(), self.runner.clone(), self.overlay.clone());
+        let (host, lot_id) = (host_name(&call.host), lot_id.to_string());
+        Box::pin(async move {
+            match client.end(&host, &lot_id).await {
+                EndOutcome::Ended => {
+                    runner.lot_ended(&lot_id);
+                    overlay.publish_now(Record {
+                        key: format!("{ENDED_LOT_PREFIX}{lot_id}"),
+                        version: 1,
+                        lifetime_s: ENDED_LIFETIME_S,
+                        body: host.into_bytes().into(),
+                    });
+                    StatusCode::OK.into_response()
+                }
+                EndOutcome::Unknown => StatusCode::NOT_FOUND.into_response(),
+                EndOutcome::Unavailable => later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK),
+            }
+        })
+    }
+}
+
+async fn submit(
+    client: &LotClient,
+    runner: &Arc<Runner>,
+    holder: DispatcherId,
+    lot: Submission,
+    within: Duration,
+) -> Response {
+    match client.submit(lot.clone(), holder, within).await {
+        SubmitOutcome::Accepted { items_leased } => {
+            if items_leased {
+                runner.take(leased(lot));
+            }
+            StatusCode::ACCEPTED.into_response()
+        }
+        SubmitOutcome::QuotaFull => later(StatusCode::TOO_MANY_REQUESTS, QUOTA_COME_BACK),
+        SubmitOutcome::Conflict => (StatusCode::CONFLICT, "M407 another lot has this id").into_response(),
+        SubmitOutcome::Refused => later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK),
+        // It may be in: a status that promises that it is not would be a lie.
+        SubmitOutcome::Unclear => StatusCode::GATEWAY_TIMEOUT.into_response(),
+    }
+}
+
+fn leased(lot: Submission) -> Vec<LeasedItem> {
+    let Submission { host, route, lot_id, terms, items, .. } = lot;
+    let leased = |(index, item)| LeasedItem {
+        host: host.clone(),
+        route: route.clone(),
+        lot_id: lot_id.clone(),
+        terms,
+        index: index as u32,
+        item,
+    };
+    items.into_iter().enumerate().map(leased).collect()
+}
+
+fn terms(route: &Route) -> LotTerms {
+    LotTerms {
+        sent_at_ms: unix_ms(),
+        completion_target_ms: route.completion_target_ms.unwrap_or(USUAL_RETENTION_MS),
+        retention_ms: route.retention_s.map_or(USUAL_RETENTION_MS, |seconds| (seconds * 1e3) as u64),
+        max_attempts: route.max_attempts,
+    }
+}
+
+/// The time of day in ms.
+pub(super) fn unix_ms() -> u64 {
+    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
+}
+
+fn submit_within(headers: &HeaderMap) -> Duration {
+    let deadline = milliseconds(headers, "mintlb-deadline-ms");
+    deadline.map_or(SUBMIT_WITHIN, |deadline| deadline.saturating_sub(SUBMIT_MARGIN).min(SUBMIT_WITHIN))
+}
+
+fn milliseconds(headers: &HeaderMap, name: &str) -> Option<Duration> {
+    let value: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
+    (value.is_finite() && value >= 0.0).then(|| Duration::from_secs_f64(value.min(1e6) / 1e3))
+}
+
+fn named(path: &str) -> Option<Named<'_>> {
+    let is_id = |id: &&str| !id.is_empty() && !id.contains('/');
+    let lot = path.strip_prefix("/v1/lots/").filter(is_id).map(Named::Lot);
+    lot.or_else(|| path.strip_prefix("/v1/items/").filter(is_id).map(Named::Items))
+}
+
+fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
+    query
+        .split('&')
+        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
+        .map(|(_, value)| value)
+}
+
+/// The host's name without a port, as lots are found by it.
+fn host_name(host: &str) -> String {
+    host.rsplit_once(':').map_or(host, |(name, _)| name).to_ascii_lowercase()
+}
+
+fn answer(status: StatusCode) -> Answer {
+    Box::pin(async move { status.into_response() })
+}
+
+fn wrong(why: String) -> Answer {
+    Box::pin(async move { (StatusCode::BAD_REQUEST, why).into_response() })
+}
+
+fn later(status: StatusCode, come_back: &'static str) -> Response {
+    (status, [(RETRY_AFTER, HeaderValue::from_static(come_back))]).into_response()
+}
+
+fn json(body: Vec<u8>) -> Response {
+    ([(CONTENT_TYPE, HeaderValue::from_static("application/json"))], body).into_response()
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/batch/mod.rs
@@ -0,0 +1,45 @@
+//! Lots at a dispatcher: clients' calls about them, and the items that this dispatcher runs.
+//!
+//! Pure: [`submission`], [`page`], [`progress`], [`queue`]. Joined with the stores and the reducer: [`calls`], [`runner`].
+
+pub mod calls;
+pub mod page;
+pub mod progress;
+pub mod queue;
+pub mod runner;
+pub mod submission;
+
+use crate::intake::{BatchHandler, Intake};
+use arc_swap::ArcSwap;
+use mintlb_lots::client::LotClient;
+use mintlb_lots::messages::DispatcherId;
+use mintlb_overlay::Overlay;
+use mintlb_tier::placement::Placement;
+use mintlb_tier::record::{ENDED_LOT_PREFIX, PLACEMENT, Record};
+use mintlb_tier::transport::Transport;
+use std::sync::Arc;
+
+/// Starts what serves lots at this dispatcher. `holder` names it towards the stores, another number at each start.
+pub fn start(
+    transport: Arc<Transport>,
+    overlay: Arc<Overlay>,
+    intake: Intake,
+    holder: DispatcherId,
+) -> Arc<dyn BatchHandler> {
+    let placement = Arc::new(ArcSwap::from_pointee(Placement::default()));
+    let current = placement.clone();
+    let client = Arc::new(LotClient::new(transport, Arc::new(move || current.load_full())));
+    let runner = runner::Runner::start(client.clone(), intake, holder);
+    let listener = runner.clone();
+    overlay.subscribe(Arc::new(move |record: &Record| {
+        if record.key == PLACEMENT {
+            match minicbor::decode(&record.body) {
+                Ok(newer) => placement.store(Arc::new(newer)),
+                Err(why) => log::warn!("lots: the placement {} can't be read: {why}", record.version),
+            }
+        } else if let Some(lot_id) = record.key.strip_prefix(ENDED_LOT_PREFIX) {
+            listener.lot_ended(lot_id);
+        }
+    }));
+    Arc::new(calls::BatchCalls::new(client, runner, overlay, holder))
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/batch/runner.rs
@@ -0,0 +1,203 @@
+//! Runs the items that this dispatcher holds leases of, beside live requests and through the same reducer.
+
+use super::calls::unix_ms;
+use super::progress::{AttemptOutcome, Next, Progress};
+use super::queue::{ItemNumber, ItemQueue};
+use crate::events::{event_data, event_id, split_events};
+use crate::intake::{Intake, ItemOutcome, ItemRequest, ItemStep};
+use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use mintlb_lots::client::{ItemResult, LeasedItem, LotClient};
+use mintlb_lots::messages::DispatcherId;
+use parking_lot::Mutex;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::Duration;
+use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio_util::sync::CancellationToken;
+
+/// Items that run at once here.
+const MOST_RUNNING: usize = 48;
+/// How often leases are renewed.
+const RENEWAL: Duration = Duration::from_millis(1000);
+/// Items that are asked for at once, where this dispatcher has nothing waiting.
+const LEASE_AT_ONCE: usize = 8;
+/// The pause before a result that could not be recorded is recorded again, and how often that is tried.
+const RECORD_PAUSE: Duration = Duration::from_millis(300);
+const MOST_RECORDS: usize = 40;
+/// The longest that one attempt of an item is held.
+const LONGEST_ATTEMPT: Duration = Duration::from_secs(60);
+
+/// Runs items of lots.
+pub struct Runner {
+    client: Arc<LotClient>,
+    intake: Intake,
+    holder: DispatcherId,
+    queue: Mutex<ItemQueue>,
+    running: Mutex<HashMap<ItemNumber, CancellationToken>>,
+    leaving: AtomicBool,
+}
+
+impl Runner {
+    /// Starts with nothing to run.
+    pub fn start(client: Arc<LotClient>, intake: Intake, holder: DispatcherId) -> Arc<Runner> {
+        let runner = Arc::new(Runner {
+            client,
+            intake,
+            holder,
+            queue: Mutex::default(),
+            running: Mutex::default(),
+            leaving: AtomicBool::new(false),
+        });
+        tokio::spawn(runner.clone().renew());
+        runner
+    }
+
+    /// Takes items in whose leases this dispatcher holds.
+    pub fn take(self: &Arc<Self>, items: Vec<LeasedItem>) {
+        if self.leaving.load(Relaxed) {
+            return;
+        }
+        items.into_iter().for_each(|item| self.queue.lock().add(item));
+        self.run_next();
+    }
+
+    /// No item of this lot runs here any more.
+    pub fn lot_ended(&self, lot_id: &str) {
+        let mut queue = self.queue.lock();
+        let keys = queue.lots_with_id(lot_id);
+        let stopped: Vec<ItemNumber> = keys.iter().flat_map(|key| queue.drop_items(key, None)).collect();
+        drop(queue);
+        self.cancel(&stopped);
+    }
+
+    /// Stops all items and gives their leases up: the process is to end.
+    pub fn leave(self: &Arc<Self>) {
+        self.leaving.store(true, Relaxed);
+        *self.queue.lock() = ItemQueue::default();
+        self.running.lock().values().for_each(CancellationToken::cancel);
+        let (client, holder) = (self.client.clone(), self.holder);
+        tokio::spawn(async move { client.release(holder).await });
+    }
+
+    fn cancel(&self, numbers: &[ItemNumber]) {
+        let running = self.running.lock();
+        numbers.iter().filter_map(|number| running.get(number)).for_each(CancellationToken::cancel);
+    }
+
+    fn run_next(self: &Arc<Self>) {
+        loop {
+            let Some((number, item)) = self.queue.lock().start(MOST_RUNNING) else { return };
+            let stop = CancellationToken::new();
+            self.running.lock().insert(number, stop.clone());
+            let runner = self.clone();
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = runner.run(number, item) => {}
+                    () = stop.cancelled() => {}
+                }
+                runner.running.lock().remove(&number);
+                runner.queue.lock().finish(number);
+                runner.run_next();
+            });
+        }
+    }
+
+    /// Runs an item until it has a result that is recorded.
+    async fn run(&self, number: ItemNumber, item: LeasedItem) {
+        let Some((id, headers)) = request_headers(&item) else {
+            return self.record(&item, ItemResult::Unrecoverable).await;
+        };
+        let mut progress = Progress::default();
+        while self.queue.lock().is_held(number) {
+            let outcome = self.attempt(&item, id.clone(), headers.clone(), &mut progress).await;
+            match progress.ended(&outcome, &item.terms, unix_ms()) {
+                Next::Record(result) => return self.record(&item, result).await,
+                Next::RunAgain(pause) => sleep(pause).await,
+            }
+        }
+    }
+
+    async fn attempt(
+        &self,
+        item: &LeasedItem,
+        id: HeaderValue,
+        headers: HeaderMap,
+        progress: &mut Progress,
+    ) -> AttemptOutcome {
+        let mut run = self.intake.run(ItemRequest {
+            host: item.host.clone(),
+            path: item.item.path.clone(),
+            id,
+            headers,
+            body: item.item.body.clone(),
+            time: LONGEST_ATTEMPT,
+            last_event_id: progress.last_event(),
+        });
+        loop {
+            match run.next().await {
+                ItemStep::Events(events) => {
+                    for event in split_events(events) {
+                        progress.event(event_id(&event), &event_data(&event));
+                    }
+                }
+                ItemStep::Ended(outcome) => return attempt_outcome(outcome),
+            }
+        }
+    }
+
+    async fn record(&self, item: &LeasedItem, result: ItemResult) {
+        for _ in 0..MOST_RECORDS {
+            if self.client.record(&item.host, &item.lot_id, item.index, result.clone()).await {
+                return;
+            }
+            sleep(RECORD_PAUSE).await;
+        }
+        log::warn!("lots: a result of lot {} could not be recorded", item.lot_id);
+    }
+
+    /// Renews what is held, and asks for items that nobody runs.
+    async fn renew(self: Arc<Self>) {
+        let mut tick = interval(RENEWAL);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tick.tick().await;
+            if self.leaving.load(Relaxed) {
+                return;
+            }
+            let held = self.queue.lock().held();
+            if !held.is_empty() {
+                for lost in self.client.renew(self.holder, held).await {
+                    let key = (lost.host, lost.lot_id);
+                    let stopped = self.queue.lock().drop_items(&key, Some(&lost.items));
+                    self.cancel(&stopped);
+                }
+            }
+            let is_idle = self.queue.lock().waiting() == 0 && self.queue.lock().running() < MOST_RUNNING / 2;
+            if is_idle {
+                self.take(self.client.lease(self.holder, LEASE_AT_ONCE).await);
+            }
+        }
+    }
+}
+
+fn attempt_outcome(outcome: ItemOutcome) -> AttemptOutcome {
+    match outcome {
+        ItemOutcome::Completed => AttemptOutcome::Completed,
+        ItemOutcome::Refused => AttemptOutcome::NotRun,
+        ItemOutcome::Failed(StatusCode::INTERNAL_SERVER_ERROR) => AttemptOutcome::Failed,
+        ItemOutcome::Failed(_) | ItemOutcome::Broken { .. } => AttemptOutcome::Broken,
+        ItemOutcome::CannotBeDone => AttemptOutcome::CannotBeDone,
+        ItemOutcome::NoRoute => AttemptOutcome::NoRoute,
+    }
+}
+
+/// The id and headers of an item's request; none if they can't be sent.
+fn request_headers(item: &LeasedItem) -> Option<(HeaderValue, HeaderMap)> {
+    let id = HeaderValue::from_str(&item.item.instance_id).ok()?;
+    let mut headers = HeaderMap::new();
+    for (name, value) in &item.item.headers {
+        headers.append(HeaderName::from_bytes(name.as_bytes()).ok()?, HeaderValue::from_str(value).ok()?);
+    }
+    Some((id, headers))
+}
