--- /dev/null
+++ b/crates/mintlb-dispatch/src/dispatcher.rs
@@ -0,0 +1,330 @@
+//! The one loop round the reducer: what was read goes in, what is to be done is carried out.
+
+use crate::front::{Front, FrontParts};
+use crate::hub::Hub;
+use crate::intake::{BatchHandler, Intake};
+use crate::knowledge::{Known, Numbering};
+use crate::log_bridge;
+use crate::permits::Permits;
+use crate::readiness;
+use crate::routing::RoutingTable;
+use crate::tuning;
+use mintlb::ColdRule;
+use mintlb::decide::{Buffers, Fleet, Follow, Scheduler, Shares};
+use mintlb::tools::Chance;
+use mintlb_core::clock::Clock;
+use mintlb_core::figures::Figures;
+use mintlb_core::hands::{Hands, Watcher};
+use mintlb_core::members::{Source, Told};
+use mintlb_core::reducer::{Event, Reducer};
+use mintlb_core::room::Room;
+use mintlb_core::standing::{Notice, Standing, Word};
+use mintlb_core::types::Types;
+use mintlb_tier::configuration::Configuration;
+use parking_lot::Mutex;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use tokio::time::{Instant, sleep_until};
+
+/// Between two looks at connections and at the end; the second while the process is to end.
+const TICK: Duration = Duration::from_millis(500);
+const LEAVING_TICK: Duration = Duration::from_millis(40);
+/// After so long with a configuration it is ready, also if a service has no worker.
+const WORKERS_WAIT: Duration = Duration::from_millis(1500);
+/// A process that is to end keeps idle connections for so many seconds, until the platform has noticed.
+const NOTICE: f64 = 2.2;
+/// It ends no sooner, as clients may still be sent here.
+const LATE_ARRIVALS: f64 = 3.2;
+/// What is still held gets its answer so many seconds before the process is killed, and it ends so many before.
+const LAST_CALL: f64 = 1.2;
+const LAST_EXIT: f64 = 0.6;
+/// A send ends so many seconds before its client's time is over.
+const SEND_MARGIN: f64 = 0.02;
+/// The number of requests that are taken in at once, at the most.
+const BATCH_OF_EVENTS: usize = 64;
+/// Bodies of requests may take this part of the process's memory.
+const BODY_MEMORY_SHARE: f64 = 0.25;
+/// Descriptors that are kept for all that is no client's or worker's.
+const OTHER_DESCRIPTORS: u64 = 400;
+
+/// What a dispatcher may use, and how long it has to end.
+#[derive(Clone, Debug)]
+pub struct Grants {
+    /// The own zone.
+    pub zone: String,
+    /// All zones.
+    pub zones: Vec<String>,
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Descriptors.
+    pub max_open_files: u64,
+    /// Seconds between the word to end and the kill.
+    pub grace_period_s: f64,
+    /// For chance.
+    pub seed: u64,
+}
+
+/// A dispatcher that does not serve yet.
+pub struct Dispatcher {
+    /// What its parts share.
+    pub hub: Arc<Hub>,
+    /// Tells it what the records say.
+    pub tell: UnboundedSender<Known>,
+    /// Who answers calls that concern lots.
+    pub batch: Option<Arc<dyn BatchHandler>>,
+    grants: Grants,
+    events: UnboundedReceiver<Event>,
+    known: UnboundedReceiver<Known>,
+}
+
+/// The lists of workers come by records, not by a watch.
+struct NoWatch;
+
+impl Watcher for NoWatch {
+    fn watch(&mut self, _after: Option<u64>) {}
+}
+
+/// The loop's own state.
+struct Loop {
+    hub: Arc<Hub>,
+    reducer: Reducer,
+    hands: Hands<NoWatch>,
+    numbering: Numbering,
+    standing: Arc<Mutex<Standing>>,
+    front: Arc<Front>,
+    batch: Option<Arc<dyn BatchHandler>>,
+    version: Option<u64>,
+    /// A configuration that the reducer could not take yet.
+    untaken: Option<(u64, Arc<Configuration>)>,
+    configured: Option<Instant>,
+    joined: bool,
+    look: Option<Instant>,
+    last_call: bool,
+    grace: f64,
+}
+
+impl Dispatcher {
+    /// One that knows nothing yet.
+    pub fn new(grants: Grants) -> Dispatcher {
+        let (tell_event, events) = unbounded_channel();
+        let (tell, known) = unbounded_channel();
+        let hub = Arc::new(Hub::new(Clock::start(), tell_event, grants.seed));
+        Dispatcher { hub, tell, batch: None, grants, events, known }
+    }
+
+    /// Takes items of lots in.
+    pub fn intake(&self) -> Intake {
+        Intake::new(self.hub.clone())
+    }
+
+    /// Serves until `stop` resolves, and then until all that was taken is answered.
+    pub async fn serve(self, frontend: TcpListener, readiness: TcpListener, stop: impl Future<Output = ()>) {
+        let Dispatcher { hub, tell: _tell, batch, grants, mut events, mut known } = self;
+        let notice = Notice { leave: NOTICE, stop: NOTICE };
+        let standing = Arc::new(Mutex::new(Standing::new(notice)));
+        let descriptors = grants.max_open_files.saturating_sub(OTHER_DESCRIPTORS).max(64) as usize;
+        let bodies = (grants.memory_mb as f64 * BODY_MEMORY_SHARE * 1e6) as usize;
+        let front = Front::new(FrontParts {
+            hub: hub.clone(),
+            room: Room::new(descriptors / 2, bodies),
+            connections: descriptors / 2,
+            standing: standing.clone(),
+            batch: batch.clone(),
+        });
+        let asked = standing.clone();
+        tokio::spawn(readiness::listen(readiness, Arc::new(move || asked.lock().is_ready())));
+        tokio::spawn(front.clone().listen(frontend));
+        let numbering = Numbering::new(grants.zones.iter());
+        let mut reducer = Reducer::new(
+            scheduler(&grants, &numbering),
+            Types::new(Vec::new()),
+            descriptors / 2,
+            SEND_MARGIN,
+        );
+        reducer.take_permit(Arc::new(Permits::new(hub.clone())));
+        let hands = Hands::new(NoWatch, hub.clock, log_bridge::logger(), Arc::new(Figures::default()));
+        let mut main = Loop {
+            hub: hub.clone(),
+            reducer,
+            hands,
+            numbering,
+            standing,
+            front,
+            batch,
+            version: None,
+            untaken: None,
+            configured: None,
+            joined: false,
+            look: None,
+            last_call: false,
+            grace: grants.grace_period_s,
+        };
+        let acts = main.reducer.start(hub.clock.now(), None, false);
+        acts.into_iter().for_each(|act| main.hands.carry_out(act));
+        let (mut stop, mut stopping) = (pin!(stop), false);
+        let (mut tick, mut timer) = (Instant::now() + TICK, pin!(sleep_until(Instant::now())));
+        loop {
+            let due = main.due().map_or(tick, |due| due.min(tick));
+            if timer.deadline() != due {
+                timer.as_mut().reset(due);
+            }
+            tokio::select! {
+                Some(event) = events.recv() => {
+                    main.step(event);
+                    for _ in 0..BATCH_OF_EVENTS {
+                        let Ok(event) = events.try_recv() else { break };
+                        main.step(event);
+                    }
+                }
+                Some(known) = known.recv() => {
+                    // What was read before goes by the project types of then.
+                    while let Ok(event) = events.try_recv() {
+                        main.step(event);
+                    }
+                    main.hear(known);
+                }
+                () = &mut timer => {
+                    main.wake();
+                    if Instant::now() >= tick {
+                        tick = Instant::now() + if stopping { LEAVING_TICK } else { TICK };
+                        if main.tick(&mut events) {
+                            return;
+                        }
+                    }
+                }
+                () = &mut stop, if !stopping => {
+                    stopping = true;
+                    tick = Instant::now() + LEAVING_TICK;
+                    main.leave();
+                }
+            }
+        }
+    }
+}
+
+fn scheduler(grants: &Grants, numbering: &Numbering) -> Scheduler {
+    let cold = ColdRule { among: 1.0, ..ColdRule::default() };
+    let fleet = Fleet::new(cold, numbering.zone(&grants.zone), true, tuning::costs(), &[]);
+    let buffers = Buffers::new(Vec::new(), 1.0, tuning::come_back());
+    let chain = (Shares::new(&[]), buffers, tuning::repeats(), fleet);
+    Scheduler::new(Chance::new(grants.seed), chain, Follow::default())
+}
+
+impl Loop {
+    fn step(&mut self, event: Event) {
+        match &event {
+            Event::Back(back) => self.hands.back(back),
+            Event::Started(alloc) => self.hands.started(*alloc),
+            Event::Left(wu) => self.hands.left(*wu),
+            _ => {}
+        }
+        let acts = self.reducer.reduce(self.hub.clock.now(), event);
+        acts.into_iter().for_each(|act| self.hands.carry_out(act));
+        if let Some(at) = self.reducer.take_look() {
+            let at = self.hub.clock.instant(at);
+            self.look = Some(self.look.map_or(at, |look| look.min(at)));
+        }
+    }
+
+    /// When the reducer is to be woken.
+    fn due(&self) -> Option<Instant> {
+        self.hands.due.into_iter().chain(self.look).min()
+    }
+
+    fn wake(&mut self) {
+        let now = Instant::now();
+        let rings = |due: &mut Option<Instant>| due.take_if(|due| *due <= now).is_some();
+        let (due, look) = (rings(&mut self.hands.due), rings(&mut self.look));
+        if due || look {
+            self.step(Event::Woke);
+        }
+    }
+
+    fn hear(&mut self, known: Known) {
+        match known {
+            Known::Configuration(version, configuration) => self.configure(version, configuration),
+            Known::Worker(record) => {
+                if let Some(event) = self.numbering.worker_event(&self.hub, &record) {
+                    self.step(event);
+                }
+            }
+            Known::Joined => self.joined = true,
+        }
+        self.look_ready();
+    }
+
+    /// This configuration is in force from now on, whole, unless a newer one is.
+    fn configure(&mut self, version: u64, configuration: Arc<Configuration>) {
+        if self.version.is_some_and(|known| known >= version) {
+            return;
+        }
+        let types = tuning::project_types(&configuration, &mut self.numbering.services);
+        if let Err(why) = self.reducer.retune(&types, &tuning::terms()) {
+            log::warn!("dispatch: configuration {version} has to wait: {why}");
+            self.untaken = Some((version, configuration));
+            return;
+        }
+        self.untaken = None;
+        self.version = Some(version);
+        self.configured = self.configured.or(Some(Instant::now()));
+        self.hands.take_types(self.reducer.types());
+        self.hub.take_routing(RoutingTable::new(configuration, self.reducer.types()));
+        log::info!("dispatch: configuration {version} is in force, {} project types", types.len());
+        self.step(Event::Woke);
+    }
+
+    /// Clients may come once a configuration and the workers are known.
+    fn look_ready(&mut self) {
+        if self.standing.lock().is_ready() {
+            return;
+        }
+        let Some((configured, table)) = self.configured.zip(self.hub.routing()) else { return };
+        let served =
+            || table.configuration.service_list.iter().all(|service| self.hub.workers.serves(&service.name));
+        if self.joined && (configured.elapsed() >= WORKERS_WAIT || served()) {
+            self.standing.lock().hear(self.hub.clock.now(), Word::Ready).ok();
+        }
+    }
+
+    fn leave(&mut self) {
+        log::info!("dispatch: told to end, {} requests are held", self.reducer.held());
+        self.standing.lock().hear(self.hub.clock.now(), Word::Stop { succeeded: true }).ok();
+        self.batch.iter().for_each(|batch| batch.leave());
+    }
+
+    /// What is due now and then; whether the process may end.
+    fn tick(&mut self, events: &mut UnboundedReceiver<Event>) -> bool {
+        if let Some((version, configuration)) = self.untaken.take() {
+            while let Ok(event) = events.try_recv() {
+                self.step(event);
+            }
+            self.configure(version, configuration);
+        }
+        self.look_ready();
+        self.hub.workers.sweep();
+        let members = self.hub.workers.forget_silent();
+        if !members.is_empty() {
+            self.step(Event::Members(None, Told { source: Source::List, full: false, members }));
+        }
+        let (now, standing) = (self.hub.clock.now(), *self.standing.lock());
+        let Some(stopped) = standing.stopped() else { return false };
+        let since = now - stopped;
+        if standing.closes_idle(now) {
+            self.front.close_idle();
+        }
+        if since >= self.grace - LAST_CALL && !std::mem::replace(&mut self.last_call, true) {
+            log::warn!("dispatch: the time to end is over, {} requests are held", self.reducer.held());
+            self.step(Event::LastCall);
+        }
+        let quiet = self.reducer.held() == 0 && self.front.connected() == 0;
+        let over =
+            since >= self.grace - LAST_EXIT || quiet && since >= LATE_ARRIVALS.min(self.grace - LAST_CALL);
+        if over {
+            log::info!("dispatch: ends, {} connections are open", self.front.connected());
+        }
+        over
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/front.rs
@@ -0,0 +1,378 @@
+//! The sockets towards clients.
+//!
+//! A request is read whole before it is handed on. Its answer goes out as it comes; if its client leaves, the body is
+//! dropped, and the reducer is told. A client that sends what can't be taken gets an error and loses its connection.
+
+use crate::body::{FrontBody, Relay};
+use crate::exchange::{ClientRequest, Exchange, Manner, NewExchange, Refusal};
+use crate::hub::Hub;
+use crate::intake::{BatchCall, BatchHandler, last_event_id};
+use crate::request::{DEADLINE, REQUEST_ID, strip_connection_headers, strip_own_headers};
+use crate::routing::{RoutingTable, Target};
+use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use axum::http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use mintlb_core::room::{Held, Room};
+use mintlb_core::standing::Standing;
+use mintlb_http::places::{Place, Places};
+use mintlb_http::seen::{Phase, Seen};
+use mintlb_http::socket::Socket;
+use mintlb_tier::configuration::{ClientLimits, RouteType};
+use nix::sys::socket::{MsgFlags, recv};
+use parking_lot::Mutex;
+use std::convert::Infallible;
+use std::future::{Future, poll_fn};
+use std::os::fd::{AsRawFd, RawFd};
+use std::pin::{Pin, pin};
+use std::sync::Arc;
+use std::task::Poll;
+use std::time::Duration;
+use tokio::io::AsyncReadExt;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{Instant, sleep, sleep_until, timeout};
+use tokio_util::io::InspectReader;
+
+/// A request whose head has come has so long for its body.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// A connection that has sent an error is read on for so long, so that the error is not lost by a reset.
+const LINGER: Duration = Duration::from_millis(500);
+/// After a failure to accept, so long until the next try.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// A client that came before the first configuration, or found no room, is told to come back after so many seconds.
+const COME_BACK: f64 = 0.2;
+/// Idle connections are closed this much later than the operator allows, so that no request crosses the close.
+const IDLE_MARGIN: Duration = Duration::from_millis(500);
+/// The paths of calls that concern lots.
+const BATCH_PATHS: [&str; 2] = ["/v1/lots/", "/v1/items/"];
+/// A body whose length is not told is expected to have so many bytes.
+const UNTOLD_BODY: u64 = 64 << 10;
+/// The least buffer that the library takes.
+const LEAST_BUFFER: usize = 8 << 10;
+
+/// What the front is made of.
+pub struct FrontParts {
+    /// What it shares.
+    pub hub: Arc<Hub>,
+    /// What may be held at once.
+    pub room: Room,
+    /// Connections from clients.
+    pub connections: usize,
+    /// Whether clients are to come and to stay.
+    pub standing: Arc<Mutex<Standing>>,
+    /// Who answers calls that concern lots, if anybody does.
+    pub batch: Option<Arc<dyn BatchHandler>>,
+}
+
+/// The front of a dispatcher.
+pub struct Front {
+    hub: Arc<Hub>,
+    room: Room,
+    places: Arc<Places>,
+    standing: Arc<Mutex<Standing>>,
+    batch: Option<Arc<dyn BatchHandler>>,
+}
+
+/// An answer to a client.
+type Answer = Response<FrontBody>;
+
+/// A request that was read whole.
+struct Whole {
+    method: Method,
+    path_and_query: String,
+    host: String,
+    headers: HeaderMap,
+    body: Bytes,
+    room: (Held, Option<Held>),
+}
+
+impl Front {
+    /// One that does not listen yet.
+    pub fn new(parts: FrontParts) -> Arc<Front> {
+        let FrontParts { hub, room, connections, standing, batch } = parts;
+        let places = Places::new(connections, Duration::from_millis(500));
+        Arc::new(Front { hub, room, places, standing, batch })
+    }
+
+    /// Takes clients until it is dropped.
+    pub async fn listen(self: Arc<Front>, listener: TcpListener) {
+        for number in 0.. {
+            self.places.wait().await;
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    let place = self.places.take(number);
+                    tokio::spawn(self.clone().connection(stream, place));
+                }
+                Err(error) => {
+                    log::debug!("front: a connection could not be accepted: {error}");
+                    self.places.make_room();
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    }
+
+    /// Idle connections close. To be said again and again while clients are to leave.
+    pub fn close_idle(&self) {
+        self.places.close_idle();
+    }
+
+    /// How many connections clients have.
+    pub fn connected(&self) -> usize {
+        self.places.count()
+    }
+
+    fn limits(&self) -> ClientLimits {
+        self.hub.routing().map(|table| table.configuration.limits.clone()).unwrap_or_default()
+    }
+
+    fn closes(&self) -> bool {
+        self.standing.lock().closes(self.hub.clock.now())
+    }
+
+    async fn connection(self: Arc<Front>, stream: TcpStream, place: Place) {
+        stream.set_nodelay(true).ok();
+        let limits = self.limits();
+        let (seen, socket) = (place.seen.clone(), Arc::new(stream));
+        let looking = seen.clone();
+        let stream = InspectReader::new(Socket(socket.clone()), move |bytes: &[u8]| looking.look(bytes));
+        let service = service_fn(|request: Request<Incoming>| {
+            let (front, seen) = (self.clone(), seen.clone());
+            async move { Ok::<Answer, Infallible>(front.answer(request, &seen).await) }
+        });
+        let mut served = http1::Builder::new()
+            .header_read_timeout(None)
+            .auto_date_header(false)
+            .max_buf_size(limits.max_header_bytes.max(LEAST_BUFFER))
+            .serve_connection(TokioIo::new(stream), service);
+        let (mut called, mut alarm) =
+            (pin!(place.seen.called()), pin!(sleep_until(due(&place.seen, &limits))));
+        let ended = poll_fn(|cx| {
+            if let Poll::Ready(ended) = Pin::new(&mut served).poll(cx) {
+                return Poll::Ready(Some(ended.is_ok()));
+            }
+            while called.as_mut().poll(cx).is_ready() {
+                if place.may_close() && !has_come(socket.as_raw_fd()) {
+                    return Poll::Ready(None);
+                }
+                called.set(place.seen.called());
+            }
+            // What waits for its answer has its own bounds.
+            if place.seen.phase() == Phase::Open {
+                return Poll::Pending;
+            }
+            loop {
+                let due = due(&place.seen, &limits);
+                // The timer is set anew only when it rings early, or late.
+                if alarm.deadline() > due {
+                    alarm.as_mut().reset(due);
+                }
+                if alarm.as_mut().poll(cx).is_pending() {
+                    return Poll::Pending;
+                }
+                if Instant::now() >= due && !(place.seen.is_idle() && has_come(socket.as_raw_fd())) {
+                    return Poll::Ready(None);
+                }
+                alarm.as_mut().reset(due.max(Instant::now() + ACCEPT_PAUSE));
+            }
+        });
+        let Some(clean) = ended.await else { return };
+        if clean {
+            // Closed with bytes unread, it would be reset, and the answer lost on its way.
+            let mut stream = served.into_parts().io.into_inner().into_inner();
+            let mut unread = vec![0; 4 << 10];
+            let rest = async { while stream.read(&mut unread).await.is_ok_and(|read| read > 0) {} };
+            timeout(LINGER, rest).await.ok();
+        }
+    }
+
+    /// Answers a request, and says whether its connection goes on.
+    async fn answer(&self, request: Request<Incoming>, seen: &Arc<Seen>) -> Answer {
+        let mut answer = match self.read(request, seen).await {
+            Ok(whole) => {
+                seen.taken();
+                self.whole(whole, seen).await
+            }
+            Err(status) => plain(status),
+        };
+        let relays = matches!(answer.body(), FrontBody::Relay(_) | FrontBody::Boxed(_));
+        let goes_on = if relays { seen.may_go_on() } else { seen.answered() };
+        if self.closes() || !goes_on {
+            answer.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        answer
+    }
+
+    /// Reads a request whole, or says why not.
+    async fn read(&self, request: Request<Incoming>, seen: &Seen) -> Result<Whole, StatusCode> {
+        if seen.fault().is_some() {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        let most = self.limits().max_body_bytes;
+        let (head, body) = request.into_parts();
+        if body.size_hint().lower() > most as u64 {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        let expected = body.size_hint().exact().unwrap_or(UNTOLD_BODY).min(most as u64) as usize;
+        // What is held at once is bounded. What has no room is read, or a reset would lose the answer.
+        let mut body_room = self.room.body(expected);
+        let work_room = self.room.work_unit();
+        let body = match timeout(BODY_TIME, collect(body, most)).await {
+            Ok(body) => body?,
+            Err(_) => return Err(StatusCode::REQUEST_TIMEOUT),
+        };
+        if seen.fault().is_some() {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        if body.len() > expected {
+            body_room = body_room.and(self.room.body(body.len()));
+        }
+        let (Some(body_room), Some(work_room)) = (body_room, work_room) else {
+            return Err(StatusCode::SERVICE_UNAVAILABLE);
+        };
+        let path_and_query = head.uri.path_and_query().map_or("/", |path| path.as_str());
+        if !path_and_query.bytes().all(|byte| byte.is_ascii_graphic()) {
+            return Err(StatusCode::BAD_REQUEST);
+        }
+        let host = head.headers.get(HOST).and_then(|host| host.to_str().ok());
+        let host = host.ok_or(StatusCode::BAD_REQUEST)?.to_string();
+        Ok(Whole {
+            method: head.method,
+            path_and_query: path_and_query.to_string(),
+            host,
+            headers: head.headers,
+            body,
+            room: (work_room, Some(body_room)),
+        })
+    }
+
+    /// Answers a request that was read whole. It goes by the routes in force now.
+    async fn whole(&self, whole: Whole, seen: &Arc<Seen>) -> Answer {
+        let Some(table) = self.hub.routing() else { return refused(COME_BACK) };
+        let path = whole.path_and_query.split('?').next().unwrap_or_default();
+        let route = table.route(&whole.host, path);
+        let is_lot = route.is_some_and(|(_, terms)| terms.route_type == RouteType::Batch)
+            && whole.method == Method::POST;
+        if is_lot || BATCH_PATHS.iter().any(|prefix| path.starts_with(prefix)) {
+            let route = route.map(|(index, _)| index).filter(|_| is_lot);
+            return self.batch(whole, &table, route).await;
+        }
+        let id = whole.headers.get(REQUEST_ID).cloned();
+        let Some(id) = id.filter(|id| !id.is_empty()) else { return plain(StatusCode::BAD_REQUEST) };
+        let Some(target) = table.target(&whole.host, path, self.hub.draw()) else {
+            return plain(StatusCode::NOT_FOUND);
+        };
+        self.live(whole, id, target, seen).await
+    }
+
+    async fn batch(&self, whole: Whole, table: &RoutingTable, route: Option<usize>) -> Answer {
+        let Some(handler) = &self.batch else { return refused(COME_BACK) };
+        let call = BatchCall {
+            method: whole.method,
+            host: whole.host,
+            path_and_query: whole.path_and_query,
+            headers: whole.headers,
+            body: whole.body,
+            configuration: table.configuration.clone(),
+            route,
+        };
+        handler.handle(call).await.map(FrontBody::Boxed)
+    }
+
+    async fn live(&self, whole: Whole, id: HeaderValue, target: Target, seen: &Arc<Seen>) -> Answer {
+        let Whole { method, path_and_query, mut headers, body, room, .. } = whole;
+        let deadline = headers.get(DEADLINE).and_then(|ms| ms.to_str().ok()?.trim().parse::<f64>().ok());
+        let deadline = deadline.filter(|ms| *ms >= 0.0).map_or(f64::INFINITY, |ms| ms / 1e3);
+        let last_event_id = last_event_id(&headers);
+        strip_connection_headers(&mut headers);
+        strip_own_headers(&mut headers);
+        let request = ClientRequest { method, target: path_and_query, headers, id, last_event_id };
+        let new = NewExchange {
+            request,
+            body,
+            time_budget: deadline.min(target.terms.timeout),
+            terms: target.terms,
+            service: target.service,
+            manner: Manner::Live,
+            project_type: target.project_type,
+        };
+        let relay = Relay::new(Exchange::start(&self.hub, new), seen.clone(), room);
+        // Dropped while it waits, the client has left: `relay` tells.
+        match poll_fn(|cx| relay.exchange().poll_head(cx)).await {
+            Ok(head) => {
+                let mut answer = Response::new(FrontBody::Relay(relay));
+                (*answer.status_mut(), *answer.headers_mut()) = (head.status, head.headers);
+                answer
+            }
+            Err(Refusal::NotRun(come_back)) => refused(come_back),
+            Err(Refusal::Unknown) => plain(StatusCode::BAD_GATEWAY),
+            Err(Refusal::TimedOut) => plain(StatusCode::GATEWAY_TIMEOUT),
+        }
+    }
+}
+
+/// When a connection is closed if nothing more comes.
+fn due(seen: &Seen, limits: &ClientLimits) -> Instant {
+    let idle = Duration::from_millis(limits.idle_timeout_ms) + IDLE_MARGIN;
+    let head = Duration::from_millis(limits.header_timeout_ms);
+    match seen.phase() {
+        Phase::Coming(since) if seen.is_busy() => since + head + BODY_TIME,
+        Phase::Coming(since) | Phase::Idle(since) => since + idle,
+        Phase::Open => Instant::now() + BODY_TIME,
+    }
+}
+
+/// All of a body that is not too long.
+async fn collect(mut body: Incoming, most: usize) -> Result<Bytes, StatusCode> {
+    let mut first = Bytes::new();
+    let mut all: Option<BytesMut> = None;
+    let length = body.size_hint().exact().unwrap_or(0).min(most as u64) as usize;
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| StatusCode::BAD_REQUEST)?;
+        let Ok(data) = frame.into_data() else { continue };
+        let so_far = all.as_ref().map_or(first.len(), BytesMut::len);
+        if so_far + data.len() > most {
+            return Err(StatusCode::PAYLOAD_TOO_LARGE);
+        }
+        match &mut all {
+            Some(all) => all.extend_from_slice(&data),
+            None if first.is_empty() => first = data,
+            None => {
+                let mut joined = BytesMut::with_capacity(length.max(first.len() + data.len()));
+                joined.extend_from_slice(&first);
+                joined.extend_from_slice(&data);
+                all = Some(joined);
+            }
+        }
+    }
+    Ok(all.map_or(first, BytesMut::freeze))
+}
+
+fn plain(status: StatusCode) -> Answer {
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        return refused(COME_BACK);
+    }
+    let mut answer = Response::new(FrontBody::Whole(None));
+    *answer.status_mut() = status;
+    answer
+}
+
+/// It has not run and never will.
+fn refused(come_back: f64) -> Answer {
+    let mut answer = Response::new(FrontBody::Whole(None));
+    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    if let Ok(after) = HeaderValue::from_str(&format!("{:.3}", come_back.max(0.001))) {
+        answer.headers_mut().insert(RETRY_AFTER, after);
+    }
+    answer
+}
+
+/// Whether bytes wait to be read there, also such as we have not been told of.
+fn has_come(socket: RawFd) -> bool {
+    let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+    recv(socket, &mut [0], look).is_ok_and(|bytes| bytes > 0)
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/intake.rs
@@ -0,0 +1,187 @@
+//! The way of lots' items to workers: each runs as a request of its route, through the same reducer.
+//!
+//! Batch code implements [`BatchHandler`] for the calls of clients and runs items by [`Intake`].
+
+use crate::exchange::{ClientRequest, Exchange, Manner, NewExchange, Piece, Refusal};
+use crate::hub::Hub;
+use crate::request::{LAST_EVENT_ID, strip_connection_headers, strip_own_headers};
+use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::response::Response;
+use bytes::Bytes;
+use mintlb_tier::configuration::Configuration;
+use std::future::{Future, poll_fn};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A client's call that concerns lots.
+pub struct BatchCall {
+    /// Its method.
+    pub method: Method,
+    /// The route's host.
+    pub host: String,
+    /// Path and query, as they came.
+    pub path_and_query: String,
+    /// Its headers, all of them.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The configuration in force when it was read.
+    pub configuration: Arc<Configuration>,
+    /// The place of its route in `route_list`; none for calls under `/v1/`.
+    pub route: Option<usize>,
+}
+
+/// What answers the calls that concern lots.
+pub trait BatchHandler: Send + Sync {
+    /// Answers a call. Dropped, its client has left.
+    fn handle(&self, call: BatchCall) -> Pin<Box<dyn Future<Output = Response> + Send>>;
+    /// The process is to end: nothing new may begin.
+    fn leave(&self) {}
+}
+
+/// An item to be run.
+pub struct ItemRequest {
+    /// The host of its lot's route.
+    pub host: String,
+    /// Its path, which picks the route.
+    pub path: String,
+    /// Its id, which workers get as the request's.
+    pub id: HeaderValue,
+    /// Its headers.
+    pub headers: HeaderMap,
+    /// Its decoded body.
+    pub body: Bytes,
+    /// For how long it may be run.
+    pub time: Duration,
+    /// The last event of it that is known already.
+    pub last_event_id: Option<u64>,
+}
+
+/// How an item's run ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ItemOutcome {
+    /// All of its output has come.
+    Completed,
+    /// It has not run, and will not run under this request.
+    Refused,
+    /// A worker answered 500, or with another failure of its own.
+    Failed(StatusCode),
+    /// A worker answered 422: it can never be done.
+    CannotBeDone,
+    /// It may have run in part. What came up to this event is good, and it may go on after it.
+    Broken {
+        /// The last event that came, or that was known before.
+        last_event_id: Option<u64>,
+    },
+    /// No route of the configuration in force takes it.
+    NoRoute,
+}
+
+/// What comes of an item next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ItemStep {
+    /// Whole events, each once and in order.
+    Events(Bytes),
+    /// Nothing more.
+    Ended(ItemOutcome),
+}
+
+/// Takes items in.
+#[derive(Clone)]
+pub struct Intake {
+    hub: Arc<Hub>,
+}
+
+impl Intake {
+    /// Into this dispatcher's reducer.
+    pub fn new(hub: Arc<Hub>) -> Intake {
+        Intake { hub }
+    }
+
+    /// Whether workers of some service of the item's route take requests.
+    pub fn has_workers(&self, host: &str, path: &str) -> bool {
+        let target = self.hub.routing().and_then(|table| table.target(host, path, 0.5));
+        target.is_some_and(|target| self.hub.workers.serves(&target.service))
+    }
+
+    /// Runs an item. Dropped, the run ends.
+    pub fn run(&self, item: ItemRequest) -> ItemRun {
+        let draw = self.hub.draw();
+        let target = self.hub.routing().and_then(|table| table.target(&item.host, &item.path, draw));
+        let Some(target) = target else { return ItemRun { exchange: None, status: None } };
+        let ItemRequest { host, path, id, mut headers, body, time, last_event_id } = item;
+        strip_connection_headers(&mut headers);
+        strip_own_headers(&mut headers);
+        if let Ok(host) = HeaderValue::from_str(&host) {
+            headers.insert("host", host);
+        }
+        let request = ClientRequest { method: Method::POST, target: path, headers, id, last_event_id };
+        let new = NewExchange {
+            request,
+            body,
+            terms: target.terms,
+            service: target.service,
+            manner: Manner::Item,
+            project_type: target.project_type,
+            time_budget: time.as_secs_f64(),
+        };
+        ItemRun { exchange: Some(Exchange::start(&self.hub, new)), status: None }
+    }
+}
+
+/// An item that runs.
+pub struct ItemRun {
+    exchange: Option<Arc<Exchange>>,
+    /// The status of the answer, once its head is there.
+    status: Option<StatusCode>,
+}
+
+impl ItemRun {
+    /// What comes next. After [`ItemStep::Ended`] it is not to be called again.
+    pub async fn next(&mut self) -> ItemStep {
+        let Some(exchange) = self.exchange.clone() else { return ItemStep::Ended(ItemOutcome::NoRoute) };
+        let status = match self.status {
+            Some(status) => status,
+            None => match poll_fn(|cx| exchange.poll_head(cx)).await {
+                Ok(head) => *self.status.insert(head.status),
+                Err(Refusal::NotRun(_)) => return ItemStep::Ended(ItemOutcome::Refused),
+                Err(Refusal::Unknown | Refusal::TimedOut) => {
+                    return ItemStep::Ended(ItemOutcome::Broken { last_event_id: exchange.last_event() });
+                }
+            },
+        };
+        loop {
+            match poll_fn(|cx| exchange.poll_piece(cx)).await {
+                Piece::Data(events) if status.is_success() => return ItemStep::Events(events),
+                Piece::Data(_) => {}
+                Piece::Complete => {
+                    return ItemStep::Ended(match status {
+                        StatusCode::UNPROCESSABLE_ENTITY => ItemOutcome::CannotBeDone,
+                        status if status.is_success() => ItemOutcome::Completed,
+                        status => ItemOutcome::Failed(status),
+                    });
+                }
+                Piece::Broken => {
+                    return ItemStep::Ended(ItemOutcome::Broken { last_event_id: exchange.last_event() });
+                }
+            }
+        }
+    }
+
+    /// The last event that came, or that was known before.
+    pub fn last_event_id(&self) -> Option<u64> {
+        self.exchange.as_ref().and_then(|exchange| exchange.last_event())
+    }
+}
+
+impl Drop for ItemRun {
+    fn drop(&mut self) {
+        self.exchange.iter().for_each(|exchange| exchange.leave());
+    }
+}
+
+/// The last event that a client says it has.
+pub fn last_event_id(headers: &HeaderMap) -> Option<u64> {
+    headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/knowledge.rs
@@ -0,0 +1,73 @@
+//! What the overlay's records tell a dispatcher: the configuration and the workers.
+//!
+//! Records are taken in by the loop round the reducer, in the order in which they came into force.
+
+use crate::back::Way;
+use crate::hub::Hub;
+use crate::tuning::ServiceNumbers;
+use crate::workers::LineNumbers;
+use mintlb_core::members::{Source, Told};
+use mintlb_core::reducer::Event;
+use mintlb_tier::configuration::Configuration;
+use mintlb_tier::record::{CONFIGURATION, Record, WORKER_PREFIX, WorkerRecord};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// A record as far as a dispatcher goes by it.
+pub enum Known {
+    /// A configuration, with its version.
+    Configuration(u64, Arc<Configuration>),
+    /// A worker.
+    Worker(WorkerRecord),
+    /// What was known before this process started has come.
+    Joined,
+}
+
+/// Reads a record; nothing for those that other parts go by.
+pub fn read(record: &Record) -> Option<Known> {
+    if record.key == CONFIGURATION {
+        return match Configuration::parse(&record.body) {
+            Ok(configuration) => Some(Known::Configuration(record.version, Arc::new(configuration))),
+            Err(error) => {
+                log::warn!("dispatch: configuration {} can't be used: {error}", record.version);
+                None
+            }
+        };
+    }
+    record.key.strip_prefix(WORKER_PREFIX)?;
+    match minicbor::decode(&record.body) {
+        Ok(worker) => Some(Known::Worker(worker)),
+        Err(error) => {
+            log::warn!("dispatch: record {} can't be read: {error}", record.key);
+            None
+        }
+    }
+}
+
+/// The numbers by which the decisions know what the records name.
+pub struct Numbering {
+    zones: BTreeMap<String, u16>,
+    /// Of services.
+    pub services: ServiceNumbers,
+}
+
+impl Numbering {
+    /// For these zones.
+    pub fn new<'a>(zones: impl Iterator<Item = &'a String>) -> Numbering {
+        let zones = zones.cloned().zip(0..).collect();
+        Numbering { zones, services: ServiceNumbers::default() }
+    }
+
+    /// The number of a zone. One that is not known is far from all others.
+    pub fn zone(&self, name: &str) -> u16 {
+        self.zones.get(name).copied().unwrap_or(u16::MAX)
+    }
+
+    /// What the reducer has to hear of a worker.
+    pub fn worker_event(&mut self, hub: &Hub, record: &WorkerRecord) -> Option<Event> {
+        let numbers = LineNumbers { zone: self.zone(&record.zone), kind: self.services.of(&record.service) };
+        let member = hub.workers.hear(record, numbers, |entry| Arc::new(Way(entry)))?;
+        let told = Told { source: Source::List, full: false, members: vec![member] };
+        Some(Event::Members(None, told))
+    }
+}
--- a/crates/mintlb-dispatch/src/lib.rs
+++ b/crates/mintlb-dispatch/src/lib.rs
@@ -1,1 +1,40 @@
-//! Placeholder.
+//! The data plane of the serving tier: clients' requests and the items of lots, through one reducer, to workers.
+//!
+//! ```text
+//!   clients ──> front ──Event──> reducer ──Act──> hands ──Order──> back ──> workers
+//!                 ^              (decide)  └ permit                 │
+//!                 └───────────────── exchange <─────────────────────┘
+//! ```
+//!
+//! The reducer and the decisions are those of `mintlb serve`; a project type is a route and a service of the operator's
+//! configuration. What has to be known of routes and workers comes as records by the overlay.
+//!
+//! Pure: [`routing`], [`tuning`], [`prompts`], [`events`], [`wire`]. State of one request: [`exchange`]. Sockets:
+//! [`front`], [`readiness`], [`back`] with [`connection`], [`request`], [`answer`]. Joined by [`dispatcher`].
+
+pub mod answer;
+pub mod back;
+pub mod batch;
+pub mod body;
+pub mod connection;
+pub mod dispatcher;
+pub mod error;
+pub mod events;
+pub mod exchange;
+pub mod front;
+pub mod hub;
+pub mod intake;
+pub mod knowledge;
+mod log_bridge;
+pub mod permits;
+pub mod prompts;
+pub mod readiness;
+pub mod request;
+pub mod routing;
+pub mod run;
+pub mod tuning;
+pub mod wire;
+pub mod workers;
+
+pub use error::DispatchError;
+pub use run::run;
--- /dev/null
+++ b/crates/mintlb-dispatch/src/permits.rs
@@ -0,0 +1,84 @@
+//! What is asked, beside the decisions, whether a request may go to a worker now: attempts, connections, memory, and
+//! where its prompt is likely to be kept.
+
+use crate::exchange::{Exchange, Manner};
+use crate::hub::Hub;
+use crate::prompts::{Prompt, preferred};
+use crate::routing::ServiceTerms;
+use crate::workers::WorkerEntry;
+use mintlb::{WorkUnit, Worker};
+use mintlb_core::permit::{Permission, Permit};
+use mintlb_core::work::Payload;
+use std::sync::Arc;
+
+/// This part of a worker's memory is filled by what one dispatcher sends there.
+const MEMORY_SHARE: f64 = 0.8;
+/// This part of a request's target it waits for a worker that is likely to have its prompt.
+const WAIT_SHARE: f64 = 1.0 / 8.0;
+/// This part of a worker's connections is left for health checks and uneven shares.
+const CONNECTION_SHARE: f64 = 0.8;
+/// A dispatcher may have so many connections to a worker at least.
+const LEAST_CONNECTIONS: usize = 2;
+
+/// The permit of a dispatcher.
+pub struct Permits {
+    hub: Arc<Hub>,
+}
+
+impl Permits {
+    /// For the workers and routes of this dispatcher.
+    pub fn new(hub: Arc<Hub>) -> Permits {
+        Permits { hub }
+    }
+
+    /// Connections that this dispatcher may have to one worker.
+    fn connections(&self, service: ServiceTerms) -> usize {
+        let share = f64::from(service.max_connections) * CONNECTION_SHARE / self.hub.dispatchers() as f64;
+        if service.max_connections == 0 { usize::MAX } else { (share as usize).max(LEAST_CONNECTIONS) }
+    }
+
+    /// Whether one more request fits there.
+    fn fits(&self, worker: &WorkerEntry, prompt: Option<Prompt>, service: ServiceTerms) -> bool {
+        let tokens = prompt.map_or(0, |prompt| prompt.tokens);
+        let memory = service.kv_cache_tokens.map_or(u64::MAX, |all| (all as f64 * MEMORY_SHARE) as u64);
+        let in_memory = worker.tokens() == 0 || worker.tokens() + tokens <= memory;
+        worker.in_service() && in_memory && worker.requests() < self.connections(service)
+    }
+
+    /// Whether another worker is likely to have its prompt, and has room for it.
+    fn has_better(
+        &self,
+        exchange: &Exchange,
+        prompt: Prompt,
+        worker: &WorkerEntry,
+        service: ServiceTerms,
+    ) -> bool {
+        let workers = &self.hub.workers;
+        let rank = || workers.with_service(&worker.service, |ids| preferred(prompt.subject, ids));
+        let best = exchange.preferred(workers.age(), rank);
+        let others = || best.iter().flatten().filter_map(|id| workers.get(*id));
+        !best.contains(&Some(worker.id)) && others().any(|other| self.fits(&other, Some(prompt), service))
+    }
+}
+
+impl Permit for Permits {
+    fn permits(&self, now: f64, wu: &WorkUnit, payload: &Payload, worker: &Worker) -> Permission {
+        let Some(exchange) = payload.own.downcast_ref::<Exchange>() else { return Permission::Granted };
+        let Some(entry) = self.hub.workers.get(worker.line.id) else { return Permission::Refused };
+        let service = self.hub.routing().map(|table| table.service(&entry.service)).unwrap_or_default();
+        if !exchange.may_be_sent() || !self.fits(&entry, exchange.prompt, service) {
+            return Permission::Refused;
+        }
+        if exchange.has_tried(entry.id) && self.hub.workers.has_other(&entry) {
+            return Permission::Refused;
+        }
+        let patience = wu.arrived + exchange.terms.target * WAIT_SHARE;
+        let looks = exchange.terms.session_affinity && exchange.manner == Manner::Live && now < patience;
+        match exchange.prompt.filter(|prompt| looks && prompt.is_long()) {
+            Some(prompt) if self.has_better(exchange, prompt, &entry, service) => {
+                Permission::NotBefore(patience)
+            }
+            _ => Permission::Granted,
+        }
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/prompts.rs
@@ -0,0 +1,78 @@
+//! Where a request with a long prompt should run: at a worker whose cache is likely to hold the shared parts of it.
+//!
+//! Pure. All dispatchers rank workers alike by a rendezvous hash of the prompt's subject, so that the requests of one
+//! subject meet at the same few workers without anybody telling anybody.
+
+/// Shared parts of fewer tokens are read anew in less time than it takes to look for a worker that has them.
+const LONG_TOKENS: u64 = 2000;
+/// The workers that are preferred for one subject.
+pub const PREFERRED: usize = 2;
+
+/// What a request says of its prompt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Prompt {
+    /// A hash of the parts that are shared, which a cache must hold one after the other.
+    pub subject: u64,
+    /// Tokens of the shared parts together.
+    pub shared_tokens: u64,
+    /// Tokens of the prompt and the most out: what it may take of a worker's memory.
+    pub tokens: u64,
+}
+
+impl Prompt {
+    /// Reads `Mintlb-Prompt-Prefix` (`ID:TOKENS,...`) and `Mintlb-Token-Usage` (`PROMPT,OUT`).
+    pub fn read(prefix: Option<&str>, usage: Option<&str>) -> Option<Prompt> {
+        let parts: Vec<(&str, u64)> = prefix.unwrap_or_default().split(',').filter_map(part).collect();
+        let shared = &parts[..parts.len().saturating_sub(1)];
+        let subject = shared.iter().fold(HASH_START, |hash, (id, _)| hash_bytes(hash, id.as_bytes()));
+        let used = usage.map(|usage| usage.split(',').filter_map(number).sum());
+        let in_parts = parts.iter().map(|(_, tokens)| tokens).sum();
+        let tokens = used.unwrap_or(0).max(in_parts);
+        let shared_tokens = shared.iter().map(|(_, tokens)| tokens).sum();
+        (tokens > 0).then_some(Prompt { subject, shared_tokens, tokens })
+    }
+
+    /// Whether it matters which worker has its shared parts.
+    pub fn is_long(&self) -> bool {
+        self.shared_tokens >= LONG_TOKENS
+    }
+}
+
+fn part(text: &str) -> Option<(&str, u64)> {
+    let (id, tokens) = text.trim().split_once(':')?;
+    Some((id, tokens.trim().parse().ok()?))
+}
+
+fn number(text: &str) -> Option<u64> {
+    text.trim().parse().ok()
+}
+
+const HASH_START: u64 = 0xcbf2_9ce4_8422_2325;
+
+fn hash_bytes(hash: u64, bytes: &[u8]) -> u64 {
+    // A byte that no part holds separates them.
+    let bytes = bytes.iter().chain(std::iter::once(&0xff));
+    bytes.fold(hash, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
+}
+
+/// How a subject ranks a worker; the same everywhere.
+fn rank(subject: u64, worker: u64) -> u64 {
+    let mut hash = subject ^ worker.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    hash ^ (hash >> 31)
+}
+
+/// The workers that are preferred for a subject, the best first.
+pub fn preferred(subject: u64, workers: impl Iterator<Item = u64>) -> [Option<u64>; PREFERRED] {
+    let mut best: [Option<(u64, u64)>; PREFERRED] = [None; PREFERRED];
+    for worker in workers {
+        let mut next = Some((rank(subject, worker), worker));
+        for place in &mut best {
+            if next > *place {
+                std::mem::swap(&mut next, place);
+            }
+        }
+    }
+    best.map(|place| place.map(|(_, worker)| worker))
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/readiness.rs
@@ -0,0 +1,55 @@
+//! Answers the platform's question whether clients should come here.
+
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+/// The longest question.
+const MOST_BYTES: usize = 4 << 10;
+/// A connection that asks nothing for so long is closed.
+const IDLE: Duration = Duration::from_secs(10);
+/// After a failure to accept, so long until the next try.
+const PAUSE: Duration = Duration::from_millis(50);
+
+const READY: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
+const NOT_READY: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
+const NOT_FOUND: &[u8] = b"HTTP/1.1 404 Not Found\r\ncontent-length: 0\r\n\r\n";
+
+/// Whether clients should come.
+pub type IsReady = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// Answers until it is dropped.
+pub async fn listen(listener: TcpListener, is_ready: IsReady) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(answer(stream, is_ready.clone()))),
+            Err(_) => sleep(PAUSE).await,
+        }
+    }
+}
+
+async fn answer(mut stream: TcpStream, is_ready: IsReady) {
+    stream.set_nodelay(true).ok();
+    let mut asked = Vec::with_capacity(512);
+    loop {
+        let end = asked.windows(4).position(|bytes| bytes == b"\r\n\r\n");
+        let Some(end) = end else {
+            let read = timeout(IDLE, stream.read_buf(&mut asked)).await;
+            if asked.len() > MOST_BYTES || !matches!(read, Ok(Ok(1..))) {
+                return;
+            }
+            continue;
+        };
+        let answer = match (asked.starts_with(b"GET /v1/readiness "), is_ready()) {
+            (false, _) => NOT_FOUND,
+            (true, true) => READY,
+            (true, false) => NOT_READY,
+        };
+        asked.drain(..end + 4);
+        if stream.write_all(answer).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/run.rs
@@ -0,0 +1,111 @@
+//! The verb `mintlb dispatch`: a dispatcher from its settings, on the overlay.
+
+use crate::batch;
+use crate::dispatcher::{Dispatcher, Grants};
+use crate::error::DispatchError;
+use crate::hub::Hub;
+use crate::knowledge::{self, Known};
+use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_tier::record::Record;
+use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::transport::Transport;
+use std::net::{SocketAddr, SocketAddrV4};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::sleep;
+
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// How often the number of dispatchers is estimated anew.
+const ESTIMATE: Duration = Duration::from_secs(2);
+
+/// Runs a dispatcher until SIGTERM.
+pub fn run(settings: NodeSettings) -> Result<(), DispatchError> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(settings))
+}
+
+async fn serve(settings: NodeSettings) -> Result<(), DispatchError> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    // What changes in the settings of a dispatcher holds from its next start; the signal must not end it.
+    let mut changed = signal(SignalKind::hangup())?;
+    tokio::spawn(async move { while changed.recv().await.is_some() {} });
+    let addresses = &settings.listen_addresses;
+    let frontend = listen(addresses.frontend.ok_or(DispatchError::NoAddress("frontend"))?)?;
+    let readiness = listen(addresses.readiness.ok_or(DispatchError::NoAddress("readiness"))?)?;
+    let internal = settings.internal_address(InternalPort::Dispatcher);
+    let cause = |cause| DispatchError::Listen { address: internal, cause };
+    let transport = Transport::start(internal).await.map_err(cause)?;
+    let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
+    let member = Member {
+        address: internal,
+        incarnation: incarnation.as_millis() as u64,
+        role: Role::Dispatcher,
+        node_name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+    };
+    let overlay = Overlay::start(OverlayConfig {
+        transport: transport.clone(),
+        seeds: settings.seed_addresses(),
+        member,
+    });
+    let grants = grants(&settings, internal, incarnation);
+    let holder = grants.seed;
+    let mut dispatcher = Dispatcher::new(grants);
+    dispatcher.batch = Some(batch::start(transport, overlay.clone(), dispatcher.intake(), holder));
+    let tell = dispatcher.tell.clone();
+    overlay.subscribe(Arc::new(move |record: &Record| {
+        if let Some(known) = knowledge::read(record) {
+            tell.send(known).ok();
+        }
+    }));
+    let (tell, joining) = (dispatcher.tell.clone(), overlay.clone());
+    tokio::spawn(async move {
+        joining.settled().await;
+        tell.send(Known::Joined).ok();
+    });
+    tokio::spawn(estimate(overlay, dispatcher.hub.clone()));
+    log::info!("dispatch: {} serves on {:?}", settings.node_name, addresses.frontend);
+    dispatcher
+        .serve(frontend, readiness, async move {
+            terminate.recv().await;
+        })
+        .await;
+    Ok(())
+}
+
+/// Keeps the number of dispatchers that share the workers.
+async fn estimate(overlay: Arc<Overlay>, hub: Arc<Hub>) {
+    loop {
+        let others = overlay.members().iter().filter(|member| member.role == Role::Dispatcher).count();
+        hub.take_dispatchers(others + 1);
+        sleep(ESTIMATE).await;
+    }
+}
+
+fn grants(settings: &NodeSettings, internal: SocketAddr, started: Duration) -> Grants {
+    let seed = internal.to_string().bytes().fold(started.as_nanos() as u64, |seed, byte| {
+        (seed ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
+    });
+    Grants {
+        zone: settings.zone.clone(),
+        zones: settings.zones.keys().cloned().collect(),
+        memory_mb: settings.limits.memory_mb,
+        max_open_files: settings.limits.max_open_files,
+        grace_period_s: settings.bounds.grace_period_s,
+        seed,
+    }
+}
+
+fn listen(address: SocketAddrV4) -> Result<TcpListener, DispatchError> {
+    let address = SocketAddr::V4(address);
+    let listen = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        socket.listen(BACKLOG)
+    };
+    listen().map_err(|cause| DispatchError::Listen { address, cause })
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/tuning.rs
@@ -0,0 +1,106 @@
+//! What the decisions are told of a configuration: a project type for each route and service, and their terms.
+//!
+//! Pure.
+
+use crate::routing::type_name;
+use mintlb::decide::Repeats;
+use mintlb::settings::Terms;
+use mintlb::{Costs, Effect, ProjectType};
+use mintlb_tier::configuration::{Configuration, Route, RouteType};
+use std::collections::{HashMap, HashSet};
+
+/// The part of its worth that an answer after the target still earns, as deployments have it.
+const LATE_CREDIT: f64 = 0.3;
+/// Each rank of priority weighs so many times the next one.
+const RANK_WEIGHT: f64 = 4.0;
+/// Ranks beyond this weigh as much as it.
+const MOST_RANK: u32 = 8;
+/// Items of lots weigh this part of a request of the same rank.
+const BATCH_WEIGHT: f64 = 1.0 / 16.0;
+/// Sends of one request, those that reached no worker included. How many workers a request may be sent to is its
+/// route's `max_attempts`, which the permit keeps.
+const MOST_SENDS: usize = 8;
+/// Clients heed advice on when to come back up to this, in s.
+const COME_BACK: f64 = 1.0;
+/// What crossing zones costs, in points for each send.
+const CROSSING: f64 = 0.02;
+/// A request without a target has this one, in s.
+const USUAL_TARGET: f64 = 1.0;
+/// The longest that an item of a lot is held, in s.
+const LONGEST_ITEM: f64 = 120.0;
+
+/// Numbers of services, the same for as long as the process lasts.
+#[derive(Debug, Default)]
+pub struct ServiceNumbers(HashMap<String, u16>);
+
+impl ServiceNumbers {
+    /// The number of this service.
+    pub fn of(&mut self, service: &str) -> u16 {
+        if let Some(number) = self.0.get(service) {
+            return *number;
+        }
+        let number = self.0.len() as u16;
+        self.0.insert(service.to_string(), number);
+        number
+    }
+}
+
+/// One project type for each route and service, by name.
+pub fn project_types(
+    configuration: &Configuration,
+    services: &mut ServiceNumbers,
+) -> Vec<(String, ProjectType)> {
+    let (mut types, mut named) = (Vec::new(), HashSet::new());
+    for route in &configuration.route_list {
+        for (service, _) in route.targets().filter(|(_, weight)| *weight > 0.0) {
+            let name = type_name(&route.name, service);
+            if named.insert(name.clone()) {
+                types.push((name, project_type(route, services.of(service))));
+            }
+        }
+    }
+    types
+}
+
+fn project_type(route: &Route, kind: u16) -> ProjectType {
+    let batch = route.route_type == RouteType::Batch;
+    let rank = RANK_WEIGHT.powi((MOST_RANK - route.priority.min(MOST_RANK)) as i32);
+    let seconds = |ms: u64| ms as f64 / 1e3;
+    let target = Some(route.target_latency_ms).filter(|ms| *ms > 0).map_or(USUAL_TARGET, seconds);
+    let (promise, hard_limit) = match batch {
+        true => {
+            let due = route.completion_target_ms.map_or(LONGEST_ITEM / 4.0, seconds);
+            (due, LONGEST_ITEM.max(2.0 * due))
+        }
+        false => (target, route.timeout_ms.map_or(4.0 * target, seconds)),
+    };
+    ProjectType {
+        credit: rank * if batch { BATCH_WEIGHT } else { 1.0 },
+        late_credit: LATE_CREDIT,
+        promised_turnaround: promise,
+        stretch: 1.0,
+        hard_limit,
+        effect: if route.is_idempotent() { Effect::Rerunnable } else { Effect::Exclusive },
+        kind: Some(kind),
+    }
+}
+
+/// The terms under which requests of all routes are sent.
+pub fn terms() -> Terms {
+    Terms { repeats: repeats(), excess_credit: 1.0, come_back: COME_BACK, costs: costs() }
+}
+
+/// What may be sent again: one send at a time, within the module's own bound.
+pub fn repeats() -> Repeats {
+    Repeats { parallel: false, may_recall: true, most_allocations: MOST_SENDS }
+}
+
+/// What costs points.
+pub fn costs() -> Costs {
+    Costs { crossing: CROSSING, message: None }
+}
+
+/// How long clients heed advice on when to come back, in s.
+pub fn come_back() -> f64 {
+    COME_BACK
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/src/workers.rs
@@ -0,0 +1,216 @@
+//! The workers that the records name, each with its connections and what of this dispatcher's work is there.
+
+use crate::connection::Pool;
+use mintlb::{Line, Listed, Runs};
+use mintlb_core::members::{Member, worker_id};
+use mintlb_core::work::Reach;
+use mintlb_tier::record::{WorkerRecord, WorkerState};
+use parking_lot::Mutex;
+use rustc_hash::FxHashMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A worker that is silent for so long has ended; its record is dropped by then.
+const FORGOTTEN: Duration = Duration::from_secs(60);
+
+/// One worker: an incarnation, which never changes its address or service.
+pub struct WorkerEntry {
+    /// Its number, the same at all dispatchers.
+    pub id: u64,
+    /// Its instance id.
+    pub instance_id: String,
+    /// The service that it serves.
+    pub service: String,
+    /// Its connections.
+    pub pool: Pool,
+    /// How the decisions know it.
+    numbers: LineNumbers,
+    in_service: AtomicBool,
+    /// Its heartbeats have stopped, since then.
+    silent_since: Mutex<Option<Instant>>,
+    requests: AtomicUsize,
+    tokens: AtomicU64,
+}
+
+impl WorkerEntry {
+    fn line(&self, listed: Listed) -> Line {
+        Line {
+            id: self.id,
+            zone: self.numbers.zone,
+            cell: 0,
+            kind: self.numbers.kind,
+            listed,
+            came_up: 0.0,
+            runs: Runs::default(),
+            fetches: false,
+        }
+    }
+
+    /// Whether it takes new requests.
+    pub fn in_service(&self) -> bool {
+        self.in_service.load(Relaxed)
+    }
+
+    /// It is not what the records say.
+    pub fn mark_gone(&self) {
+        self.in_service.store(false, Relaxed);
+        self.pool.sweep(true);
+    }
+
+    /// This dispatcher's requests there.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Relaxed)
+    }
+
+    /// What these may take of its memory, in tokens.
+    pub fn tokens(&self) -> u64 {
+        self.tokens.load(Relaxed)
+    }
+
+    /// Counts a request there until it is dropped.
+    pub fn occupy(self: &Arc<Self>, tokens: u64) -> Occupied {
+        self.requests.fetch_add(1, Relaxed);
+        self.tokens.fetch_add(tokens, Relaxed);
+        Occupied { worker: self.clone(), tokens }
+    }
+}
+
+/// A request that is at a worker.
+pub struct Occupied {
+    worker: Arc<WorkerEntry>,
+    tokens: u64,
+}
+
+impl Drop for Occupied {
+    fn drop(&mut self) {
+        self.worker.requests.fetch_sub(1, Relaxed);
+        self.worker.tokens.fetch_sub(self.tokens, Relaxed);
+    }
+}
+
+/// The workers by number.
+#[derive(Default)]
+pub struct WorkerTable {
+    entries: Mutex<FxHashMap<u64, Arc<WorkerEntry>>>,
+    /// Rises whenever a worker comes, goes, or takes requests or none.
+    age: AtomicU64,
+}
+
+/// The numbers by which the decisions know zones and services.
+#[derive(Clone, Copy, Debug)]
+pub struct LineNumbers {
+    /// Of the zone.
+    pub zone: u16,
+    /// Of the service.
+    pub kind: u16,
+}
+
+impl WorkerTable {
+    /// Rises whenever a worker comes, goes, or takes requests or none.
+    pub fn age(&self) -> u64 {
+        self.age.load(Relaxed)
+    }
+
+    /// The worker with this number.
+    pub fn get(&self, id: u64) -> Option<Arc<WorkerEntry>> {
+        self.entries.lock().get(&id).cloned()
+    }
+
+    /// How many workers take requests.
+    pub fn in_service(&self) -> usize {
+        self.entries.lock().values().filter(|entry| entry.in_service()).count()
+    }
+
+    /// Whether a worker of this service takes requests.
+    pub fn serves(&self, service: &str) -> bool {
+        self.entries.lock().values().any(|entry| entry.service == service && entry.in_service())
+    }
+
+    /// Whether another worker of its service takes requests.
+    pub fn has_other(&self, worker: &WorkerEntry) -> bool {
+        let entries = self.entries.lock();
+        entries.values().any(|e| e.id != worker.id && e.service == worker.service && e.in_service())
+    }
+
+    /// Calls this with the numbers of all workers of a service that take requests.
+    pub fn with_service<T>(&self, service: &str, call: impl FnOnce(&mut dyn Iterator<Item = u64>) -> T) -> T {
+        let entries = self.entries.lock();
+        let ready = |entry: &&Arc<WorkerEntry>| entry.service == service && entry.in_service();
+        call(&mut entries.values().filter(ready).map(|entry| entry.id))
+    }
+
+    /// Closes idle connections that will not be used again.
+    pub fn sweep(&self) {
+        self.entries.lock().values().for_each(|entry| entry.pool.sweep(!entry.in_service()));
+    }
+
+    /// Takes a record in, and gives what the reducer has to hear of it. Nothing for a record that can't be used.
+    pub fn hear(
+        &self,
+        record: &WorkerRecord,
+        numbers: LineNumbers,
+        reach: impl FnOnce(Arc<WorkerEntry>) -> Arc<dyn Reach>,
+    ) -> Option<Member> {
+        let address = record.address.parse().ok()?;
+        let id = worker_id(&record.instance_id);
+        let gone = record.state == WorkerState::Gone;
+        let mut entries = self.entries.lock();
+        let entry = match entries.get(&id) {
+            Some(entry) => entry.clone(),
+            None => {
+                let entry = Arc::new(WorkerEntry {
+                    id,
+                    instance_id: record.instance_id.clone(),
+                    service: record.service.clone(),
+                    pool: Pool::new(address),
+                    numbers,
+                    in_service: AtomicBool::new(false),
+                    silent_since: Mutex::default(),
+                    requests: AtomicUsize::new(0),
+                    tokens: AtomicU64::new(0),
+                });
+                if !gone {
+                    entries.insert(id, entry.clone());
+                }
+                entry
+            }
+        };
+        entry.in_service.store(record.state == WorkerState::InService, Relaxed);
+        let silent = record.state == WorkerState::Silent;
+        let since = silent.then(|| entry.silent_since.lock().unwrap_or_else(Instant::now));
+        *entry.silent_since.lock() = since;
+        if gone {
+            entries.remove(&id);
+            entry.pool.sweep(true);
+        }
+        self.age.fetch_add(1, Relaxed);
+        let listed = match record.state {
+            WorkerState::InService => Listed::Ready,
+            WorkerState::Draining | WorkerState::Silent => Listed::Draining,
+            WorkerState::Gone => Listed::Gone,
+        };
+        let (name, line) = (record.instance_id.clone(), entry.line(listed));
+        Some(Member { name, line, host: Some(address.ip()), reach: Some(reach(entry)) })
+    }
+
+    /// Forgets the workers that have been silent for long and have none of our requests: one that comes back has to
+    /// register as any other. What the reducer has to hear of them.
+    pub fn forget_silent(&self) -> Vec<Member> {
+        let mut entries = self.entries.lock();
+        let is_over = |entry: &WorkerEntry| {
+            let since = *entry.silent_since.lock();
+            entry.requests() == 0 && since.is_some_and(|since| since.elapsed() >= FORGOTTEN)
+        };
+        let over: Vec<_> = entries.values().filter(|entry| is_over(entry)).cloned().collect();
+        over.iter().for_each(|entry| drop(entries.remove(&entry.id)));
+        let member = |entry: &Arc<WorkerEntry>| Member {
+            name: entry.instance_id.clone(),
+            line: entry.line(Listed::Gone),
+            host: None,
+            reach: None,
+        };
+        over.iter().map(member).collect()
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/batch.rs
@@ -0,0 +1,166 @@
+//! Lots at a dispatcher: what is read, what is refused, how an item goes on, which is next.
+
+use mintlb_dispatch::batch::progress::{AttemptOutcome, Next, Progress};
+use mintlb_dispatch::batch::queue::ItemQueue;
+use mintlb_dispatch::batch::{page, submission};
+use mintlb_lots::client::{Item, ItemResult, LeasedItem, ListedResult};
+use mintlb_lots::entry::{ItemState, LotTerms};
+use mintlb_tier::configuration::Configuration;
+
+const CONFIGURATION: &str = r#"{"config_version":1,"route_list":[{"name":"notices","host_name":"a.example",
+"path_prefix":"/p/","route_type":"batch","target_latency_ms":400,"completion_target_ms":10000,"max_attempts":3,
+"retention_s":40,"max_queued_tokens":1000,"target_service":"llm"}],"service_list":[{"name":"llm"}]}"#;
+
+fn items(requests: &str) -> Result<Vec<Item>, submission::SubmissionError> {
+    let configuration = Configuration::parse(CONFIGURATION.as_bytes()).unwrap();
+    submission::parse(format!("{{\"requests\":{requests}}}").as_bytes(), &configuration.route_list[0])
+}
+
+#[test]
+fn a_lot_is_read_as_it_was_sent() {
+    let read = items(
+        r#"[{"instance_id":"e5","path":"/p/3/91","headers":{"Mintlb-Model":"m"},"body":"q83vEg==","tokens":940}]"#,
+    );
+    let read = read.unwrap();
+    assert_eq!(read[0].instance_id, "e5");
+    assert_eq!(read[0].headers, [("Mintlb-Model".to_string(), "m".to_string())]);
+    assert_eq!(&read[0].body[..], [0xab, 0xcd, 0xef, 0x12]);
+    assert_eq!(read[0].tokens, 940);
+}
+
+#[test]
+fn a_wrong_item_is_named_by_its_place_and_field() {
+    let wrong = [
+        (
+            r#"[{"instance_id":"a","path":"/p/1"},{"instance_id":"a","path":"/p/2"}]"#,
+            "requests[1].instance_id",
+        ),
+        (r#"[{"instance_id":"a","path":"/q/1"}]"#, "requests[0].path"),
+        (r#"[{"instance_id":"a","path":"/p/ 1"}]"#, "requests[0].path"),
+        (r#"[{"instance_id":"","path":"/p/1"}]"#, "requests[0].instance_id"),
+        (r#"[{"instance_id":"a","path":"/p/1","body":"%%"}]"#, "requests[0].body"),
+        (r#"[{"instance_id":"a","path":"/p/1","tokens":-1}]"#, "requests[0].tokens"),
+        (r#"[{"instance_id":"a","path":"/p/1","headers":{"A b":"x"}}]"#, "requests[0].headers"),
+        (r#"[{"instance_id":"a","path":"/p/1","headers":{"A":"x\r\nB: y"}}]"#, "requests[0].headers"),
+        (r#"[{"path":"/p/1"}]"#, "instance_id"),
+        ("[]", "requests: 0 items"),
+        (r#"[{"instance_id":"a""#, "can't be read"),
+    ];
+    for (requests, named) in wrong {
+        let error = items(requests).unwrap_err().to_string();
+        assert!(error.contains(named), "{requests}: {error}");
+    }
+    let many: Vec<String> = (0..201).map(|i| format!(r#"{{"instance_id":"{i}","path":"/p/1"}}"#)).collect();
+    assert!(items(&format!("[{}]", many.join(","))).unwrap_err().to_string().contains("201 items"));
+}
+
+#[test]
+fn a_page_says_what_is_listed() {
+    let result =
+        ListedResult { instance_id: "e5".into(), state: ItemState::Completed, text: "a\n\"b\"".into() };
+    let json: serde_json::Value = serde_json::from_slice(&page::to_json(40, 13, &[result])).unwrap();
+    let expected = serde_json::json!({"total": 40, "next_page_token": 13,
+        "results": [{"instance_id": "e5", "state": "completed", "text": "a\n\"b\""}]});
+    assert_eq!(json, expected);
+}
+
+const TERMS: LotTerms =
+    LotTerms { sent_at_ms: 1_000, completion_target_ms: 10_000, retention_ms: 40_000, max_attempts: 3 };
+
+#[test]
+fn an_attempt_that_breaks_goes_on_after_its_last_event() {
+    let mut progress = Progress::default();
+    progress.event(Some(1), b"one");
+    progress.event(Some(2), b"two");
+    assert!(matches!(progress.ended(&AttemptOutcome::Broken, &TERMS, 2_000), Next::RunAgain(_)));
+    assert_eq!(progress.last_event(), Some(2));
+    progress.event(Some(2), b"two");
+    progress.event(Some(3), b"three");
+    let next = progress.ended(&AttemptOutcome::Completed, &TERMS, 3_000);
+    assert_eq!(next, Next::Record(ItemResult::Completed("one\ntwo\nthree".into())));
+}
+
+#[test]
+fn only_failures_a_422_or_age_make_an_item_unrecoverable() {
+    let unrecoverable = Next::Record(ItemResult::Unrecoverable);
+    let mut progress = Progress::default();
+    for _ in 0..20 {
+        assert!(matches!(progress.ended(&AttemptOutcome::NotRun, &TERMS, 2_000), Next::RunAgain(_)));
+        assert!(matches!(progress.ended(&AttemptOutcome::Broken, &TERMS, 2_000), Next::RunAgain(_)));
+    }
+    assert!(matches!(progress.ended(&AttemptOutcome::Failed, &TERMS, 2_000), Next::RunAgain(_)));
+    assert!(matches!(progress.ended(&AttemptOutcome::Failed, &TERMS, 2_000), Next::RunAgain(_)));
+    assert_eq!(progress.ended(&AttemptOutcome::Failed, &TERMS, 2_000), unrecoverable);
+    assert_eq!(Progress::default().ended(&AttemptOutcome::CannotBeDone, &TERMS, 2_000), unrecoverable);
+    let almost = Progress::default().ended(&AttemptOutcome::NotRun, &TERMS, 40_999);
+    assert!(matches!(almost, Next::RunAgain(_)));
+    assert_eq!(Progress::default().ended(&AttemptOutcome::NotRun, &TERMS, 41_000), unrecoverable);
+}
+
+#[test]
+fn a_route_that_is_missing_for_a_moment_costs_no_item() {
+    let mut progress = Progress::default();
+    assert!(matches!(progress.ended(&AttemptOutcome::NoRoute, &TERMS, 2_000), Next::RunAgain(_)));
+    assert!(matches!(progress.ended(&AttemptOutcome::NotRun, &TERMS, 7_000), Next::RunAgain(_)));
+    assert!(matches!(progress.ended(&AttemptOutcome::NoRoute, &TERMS, 8_000), Next::RunAgain(_)));
+    assert!(matches!(progress.ended(&AttemptOutcome::NoRoute, &TERMS, 13_999), Next::RunAgain(_)));
+    assert_eq!(
+        progress.ended(&AttemptOutcome::NoRoute, &TERMS, 14_000),
+        Next::Record(ItemResult::Unrecoverable)
+    );
+}
+
+fn leased(lot: &str, index: u32, sent_at_ms: u64) -> LeasedItem {
+    LeasedItem {
+        host: "a.example".into(),
+        route: "notices".into(),
+        lot_id: lot.into(),
+        terms: LotTerms { sent_at_ms, ..TERMS },
+        index,
+        item: Item::default(),
+    }
+}
+
+#[test]
+fn the_item_due_first_runs_first_and_each_once() {
+    let mut queue = ItemQueue::default();
+    for item in [
+        leased("late", 0, 9_000),
+        leased("soon", 1, 2_000),
+        leased("soon", 0, 2_000),
+        leased("soon", 1, 2_000),
+    ] {
+        queue.add(item);
+    }
+    let order: Vec<(String, u32)> =
+        std::iter::from_fn(|| queue.start(9)).map(|(_, item)| (item.lot_id, item.index)).collect();
+    assert_eq!(order, [("soon".into(), 1), ("soon".into(), 0), ("late".into(), 0)]);
+}
+
+#[test]
+fn no_more_run_than_may_and_what_ends_makes_room() {
+    let mut queue = ItemQueue::default();
+    (0..3).for_each(|index| queue.add(leased("lot", index, 0)));
+    let (first, _) = queue.start(2).unwrap();
+    queue.start(2).unwrap();
+    assert!(queue.start(2).is_none());
+    queue.finish(first);
+    assert!(queue.start(2).is_some());
+    assert_eq!((queue.waiting(), queue.running()), (0, 2));
+}
+
+#[test]
+fn an_ended_lot_runs_no_more_and_is_not_renewed() {
+    let mut queue = ItemQueue::default();
+    (0..3).for_each(|index| queue.add(leased("ended", index, 0)));
+    queue.add(leased("other", 0, 5_000));
+    let (number, _) = queue.start(1).unwrap();
+    let key = ("a.example".to_string(), "ended".to_string());
+    assert_eq!(queue.lots_with_id("ended"), [key.clone()]);
+    assert_eq!(queue.drop_items(&key, None), [number]);
+    assert!(!queue.is_held(number));
+    queue.finish(number);
+    assert_eq!(queue.held().len(), 1);
+    assert_eq!(queue.start(9).unwrap().1.lot_id, "other");
+    assert!(queue.start(9).is_none());
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/items.rs
@@ -0,0 +1,104 @@
+//! Items of lots through a dispatcher's intake.
+
+mod machine;
+
+use axum::http::{HeaderMap, HeaderValue, StatusCode};
+use machine::{CONFIGURATION, Machine, Worker, event, header, on_one_thread};
+use mintlb_dispatch::intake::{ItemOutcome, ItemRequest, ItemStep};
+use mintlb_tier::record::WorkerState;
+use std::time::Duration;
+
+fn item(id: &'static str, last_event_id: Option<u64>) -> ItemRequest {
+    let mut headers = HeaderMap::new();
+    headers.insert("mintlb-model", HeaderValue::from_static("m"));
+    ItemRequest {
+        host: "shop.example".to_string(),
+        path: "/b/3/91c4".to_string(),
+        id: HeaderValue::from_static(id),
+        headers,
+        body: "the item".into(),
+        time: Duration::from_secs(20),
+        last_event_id,
+    }
+}
+
+async fn with_worker() -> (Machine, Worker) {
+    let machine = Machine::start().await;
+    let worker = Worker::start("i-1", "s").await;
+    machine.configure(CONFIGURATION).await;
+    machine.know(&worker, WorkerState::InService, 1).await;
+    (machine, worker)
+}
+
+#[test]
+fn an_item_runs_to_its_end() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        assert!(machine.intake.has_workers("shop.example", "/b/3/91c4"));
+        let mut run = machine.intake.run(item("e5", None));
+        let mut asked = worker.asked().await;
+        assert!(asked.head.starts_with("POST /b/3/91c4 HTTP/1.1\r\n"));
+        assert_eq!((asked.id().as_str(), &asked.body[..]), ("e5", &b"the item"[..]));
+        assert_eq!(header(&asked.head, "host").as_deref(), Some("shop.example"));
+        assert_eq!(header(&asked.head, "mintlb-model").as_deref(), Some("m"));
+        asked.begin_stream().await;
+        asked.event(1).await;
+        assert_eq!(run.next().await, ItemStep::Events(event(1).into()));
+        asked.event(2).await;
+        asked.end_stream().await;
+        assert_eq!(run.next().await, ItemStep::Events(event(2).into()));
+        assert_eq!(run.next().await, ItemStep::Ended(ItemOutcome::Completed));
+        assert_eq!(run.last_event_id(), Some(2));
+    });
+}
+
+#[test]
+fn an_item_goes_on_where_it_was() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut run = machine.intake.run(item("e5", Some(7)));
+        let mut asked = one.asked().await;
+        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("7"));
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.begin_stream().await;
+        asked.event(8).await;
+        assert_eq!(run.next().await, ItemStep::Events(event(8).into()));
+        drop(asked);
+        let mut asked = two.asked().await;
+        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("8"));
+        asked.begin_stream().await;
+        asked.event(9).await;
+        asked.end_stream().await;
+        assert_eq!(run.next().await, ItemStep::Events(event(9).into()));
+        assert_eq!(run.next().await, ItemStep::Ended(ItemOutcome::Completed));
+    });
+}
+
+#[test]
+fn failures_are_told_as_they_are() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut run = machine.intake.run(item("e5", None));
+        worker.asked().await.answer_as("500 Oh", "content-length: 3\r\n\r\nwhy").await;
+        let failed = ItemOutcome::Failed(StatusCode::INTERNAL_SERVER_ERROR);
+        assert_eq!(run.next().await, ItemStep::Ended(failed));
+        let mut run = machine.intake.run(item("e5", None));
+        worker.asked().await.answer_as("422 Never", "content-length: 0\r\n\r\n").await;
+        assert_eq!(run.next().await, ItemStep::Ended(ItemOutcome::CannotBeDone));
+        let mut gone = item("e5", None);
+        gone.path = "/nowhere/1".to_string();
+        assert_eq!(machine.intake.run(gone).next().await, ItemStep::Ended(ItemOutcome::NoRoute));
+    });
+}
+
+#[test]
+fn an_item_that_is_dropped_leaves_its_worker() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let run = machine.intake.run(item("e5", None));
+        let asked = worker.asked().await;
+        drop(run);
+        asked.on.closed().await;
+    });
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/lifecycle.rs
@@ -0,0 +1,118 @@
+//! When a dispatcher is ready, and how it ends.
+
+mod machine;
+
+use machine::{CONFIGURATION, Client, Machine, Worker, header, on_one_thread};
+use mintlb_dispatch::knowledge::Known;
+use mintlb_tier::record::WorkerState;
+
+async fn is_ready(machine: &Machine) -> bool {
+    let mut client = Client::connect(machine.readiness).await;
+    client.write("GET /v1/readiness HTTP/1.1\r\nHost: x\r\n\r\n").await;
+    client.get().await.status == 200
+}
+
+async fn ready(machine: &Machine) {
+    while !is_ready(machine).await {}
+}
+
+async fn with_workers() -> (Machine, Worker, Worker) {
+    let machine = Machine::start().await;
+    let (one, two) = (Worker::start("i-1", "s").await, Worker::start("i-2", "t").await);
+    machine.configure(CONFIGURATION).await;
+    machine.know(&one, WorkerState::InService, 1).await;
+    machine.know(&two, WorkerState::InService, 1).await;
+    machine.tell.send(Known::Joined).unwrap();
+    ready(&machine).await;
+    (machine, one, two)
+}
+
+#[test]
+fn it_is_ready_once_all_is_known() {
+    on_one_thread(async {
+        let machine = Machine::start().await;
+        assert!(!is_ready(&machine).await);
+        let (one, two) = (Worker::start("i-1", "s").await, Worker::start("i-2", "t").await);
+        machine.tell.send(Known::Joined).unwrap();
+        machine.configure(CONFIGURATION).await;
+        machine.know(&one, WorkerState::InService, 1).await;
+        assert!(!is_ready(&machine).await, "a service has no worker yet");
+        machine.know(&two, WorkerState::InService, 1).await;
+        ready(&machine).await;
+    });
+}
+
+#[test]
+fn without_the_overlay_it_is_not_ready() {
+    on_one_thread(async {
+        let machine = Machine::start().await;
+        let (one, two) = (Worker::start("i-1", "s").await, Worker::start("i-2", "t").await);
+        machine.configure(CONFIGURATION).await;
+        machine.know(&one, WorkerState::InService, 1).await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        assert!(!is_ready(&machine).await);
+    });
+}
+
+#[test]
+fn told_to_end_it_finishes_what_it_has_and_what_still_comes() {
+    on_one_thread(async {
+        let (mut machine, mut worker, _other) = with_workers().await;
+        let (mut before, mut idle) = (machine.client().await, machine.client().await);
+        before.post("/s/1", "a", "", "").await;
+        let mut asked = worker.asked().await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        before.head().await;
+        machine.stop.take().unwrap().send(()).unwrap();
+        while is_ready(&machine).await {}
+        // Connections from before still bring requests, and new ones may.
+        idle.post("/p/1", "b", "", "").await;
+        worker.asked().await.answer("late").await;
+        let got = idle.get().await;
+        assert_eq!((got.status, got.text().as_str()), (200, "late"));
+        assert_eq!(header(&got.head, "connection").as_deref(), Some("close"));
+        assert!(idle.ends().await);
+        let mut after = machine.client().await;
+        after.post("/p/1", "c", "", "").await;
+        worker.asked().await.answer("later").await;
+        assert_eq!(after.get().await.text(), "later");
+        asked.event(2).await;
+        asked.end_stream().await;
+        let (text, whole) = before.rest().await;
+        assert_eq!((text, whole), (machine::event(1) + &machine::event(2), true));
+        assert!(before.ends().await);
+        machine.ended.await.unwrap();
+    });
+}
+
+#[test]
+fn what_is_not_over_when_the_grace_ends_is_answered() {
+    on_one_thread(async {
+        let (mut machine, mut worker, _other) = with_workers().await;
+        let mut client = machine.client().await;
+        // Longer than the grace that is left.
+        client.post("/o/1", "a", "", "").await;
+        let asked = worker.asked().await;
+        machine.stop.take().unwrap().send(()).unwrap();
+        assert_eq!(client.get().await.status, 502, "it may have run");
+        machine.ended.await.unwrap();
+        drop(asked);
+    });
+}
+
+#[test]
+fn an_older_configuration_changes_nothing() {
+    on_one_thread(async {
+        let (machine, _one, _two) = with_workers().await;
+        let older =
+            CONFIGURATION.replace("\"config_version\":3", "\"config_version\":2").replace("/p/", "/q/");
+        let older = mintlb_tier::configuration::Configuration::parse(older.as_bytes()).unwrap();
+        machine.tell.send(Known::Configuration(2, std::sync::Arc::new(older))).unwrap();
+        let newer =
+            CONFIGURATION.replace("\"config_version\":3", "\"config_version\":9").replace("/o/", "/w/");
+        machine.configure(&newer).await;
+        let route = |path: &str| machine.hub.routing().unwrap().route("shop.example", path).is_some();
+        assert!(route("/p/1") && route("/w/1") && !route("/o/1") && !route("/q/1"));
+    });
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/requests.rs
@@ -0,0 +1,349 @@
+//! Requests through a dispatcher to stand-in workers on loopback: what each side sees.
+
+mod machine;
+
+use machine::{CONFIGURATION, Client, Machine, Worker, event, header, on_one_thread};
+use mintlb_tier::record::WorkerState;
+
+async fn with_worker() -> (Machine, Worker) {
+    let machine = Machine::start().await;
+    let worker = Worker::start("i-1", "s").await;
+    machine.configure(CONFIGURATION).await;
+    machine.know(&worker, WorkerState::InService, 1).await;
+    (machine, worker)
+}
+
+#[test]
+fn a_request_goes_on_unchanged_and_its_answer_comes_back_whole() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        for round in 0..3 {
+            let id = format!("id{round}");
+            client.post("/p/7?x=%20&y=1", &id, "X-Own: a\r\nConnection: x-hop\r\nX-Hop: b\r\n", "body").await;
+            let asked = worker.asked().await;
+            assert!(asked.head.starts_with("POST /p/7?x=%20&y=1 HTTP/1.1\r\n"), "{}", asked.head);
+            assert_eq!(asked.body, b"body");
+            assert_eq!(asked.id(), id);
+            assert_eq!(header(&asked.head, "host").as_deref(), Some("shop.example"));
+            assert_eq!(header(&asked.head, "x-own").as_deref(), Some("a"));
+            assert_eq!(header(&asked.head, "x-hop"), None);
+            assert_eq!(header(&asked.head, "mintlb-target-instance").as_deref(), Some("i-1"));
+            let left: u64 = header(&asked.head, "mintlb-deadline-ms").unwrap().parse().unwrap();
+            assert!((1000..=5000).contains(&left), "{left}");
+            asked.answer("the answer").await;
+            let got = client.get().await;
+            assert_eq!((got.status, got.text().as_str(), got.whole), (200, "the answer", true));
+            assert_eq!(header(&got.head, "mintlb-response-signature"), Some(format!("s-{id}")));
+            assert_eq!(header(&got.head, "mintlb-request-id"), Some(id));
+            assert_eq!(header(&got.head, "connection"), None);
+        }
+    });
+}
+
+#[test]
+fn chunked_bodies_are_taken() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        let head = "POST /o/1 HTTP/1.1\r\nHost: shop.example\r\nMintlb-Request-Id: a\r\n";
+        client
+            .write(&format!("{head}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"))
+            .await;
+        let asked = worker.asked().await;
+        assert_eq!(asked.body, b"abcde");
+        assert_eq!(header(&asked.head, "transfer-encoding"), None);
+        asked.answer("ok").await;
+        assert_eq!(client.get().await.status, 200);
+    });
+}
+
+#[test]
+fn what_no_route_takes_is_told_as_such() {
+    on_one_thread(async {
+        let machine = Machine::start().await;
+        let mut client = machine.client().await;
+        client.post("/p/1", "a", "", "").await;
+        let got = client.get().await;
+        assert_eq!(got.status, 503, "without a configuration nothing is known");
+        assert!(header(&got.head, "retry-after").is_some());
+        machine.configure(CONFIGURATION).await;
+        client.post("/none/1", "b", "", "").await;
+        assert_eq!(client.get().await.status, 404);
+        client.write("POST /p/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 0\r\n\r\n").await;
+        assert_eq!(client.get().await.status, 400, "without an id");
+    });
+}
+
+#[test]
+fn the_longest_prefix_picks_the_service() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut deep = Worker::start("i-2", "t").await;
+        machine.know(&deep, WorkerState::InService, 1).await;
+        let (mut one, mut two) = (machine.client().await, machine.client().await);
+        one.post("/p/deep/1", "a", "", "").await;
+        deep.asked().await.answer("deep").await;
+        assert_eq!(one.get().await.text(), "deep");
+        two.post("/p/1", "b", "", "").await;
+        worker.asked().await.answer("plain").await;
+        assert_eq!(two.get().await.text(), "plain");
+    });
+}
+
+#[test]
+fn what_is_too_large_or_ambiguous_is_refused() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/p/1", "a", "", &"x".repeat(5000)).await;
+        assert_eq!(client.get().await.status, 413);
+        let mut client = machine.client().await;
+        client.post("/p/1", "b", &format!("X: {}\r\n", "y".repeat(40_000)), "").await;
+        assert_eq!(client.get().await.status, 431);
+        let mut client = machine.client().await;
+        client.post("/p/1", "c", "Transfer-Encoding: chunked\r\n", "0\r\n\r\n").await;
+        assert_eq!(client.get().await.status, 400);
+        assert!(!worker.has_request());
+    });
+}
+
+#[test]
+fn events_pass_as_they_come() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/s/1", "a", "", "prompt").await;
+        let mut asked = worker.asked().await;
+        asked.begin_stream().await;
+        let mut so_far = String::new();
+        for id in 1..=5 {
+            asked.event(id).await;
+            so_far += &event(id);
+            if id == 1 {
+                let (status, head) = client.head().await;
+                assert_eq!(status, 200);
+                assert_eq!(header(&head, "content-type").as_deref(), Some("text/event-stream"));
+                assert_eq!(header(&head, "transfer-encoding").as_deref(), Some("chunked"));
+            }
+            assert_eq!(client.chunks(so_far.len()).await, so_far);
+        }
+        asked.end_stream().await;
+        assert_eq!(client.rest().await, (so_far, true));
+        client.post("/p/1", "b", "", "").await;
+        worker.asked().await.answer("next").await;
+    });
+}
+
+#[test]
+fn a_stream_that_breaks_does_not_look_complete() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/s/1", "a", "", "prompt").await;
+        let mut asked = worker.asked().await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        asked.chunk("id: 2\nda").await;
+        drop(asked);
+        let got = client.get().await;
+        assert!(!got.whole);
+        assert_eq!(got.text(), event(1), "and no part of an event passes");
+        assert!(!worker.has_request(), "it may not run again");
+    });
+}
+
+#[test]
+fn a_stream_goes_on_at_another_worker() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut client = machine.client().await;
+        client.post("/r/1", "a", "", "prompt").await;
+        let mut asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        asked.event(2).await;
+        client.head().await;
+        client.chunks(event(1).len() * 2).await;
+        asked.on.reset();
+        let mut asked = two.asked().await;
+        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("2"));
+        asked.begin_stream().await;
+        // An event that the client has must not pass twice.
+        asked.event(2).await;
+        asked.event(3).await;
+        let so_far = event(1) + &event(2) + &event(3);
+        assert_eq!(client.chunks(so_far.len()).await, so_far);
+        asked.end_stream().await;
+        assert_eq!(client.rest().await, (so_far, true));
+    });
+}
+
+#[test]
+fn a_run_that_leaves_events_out_is_not_joined() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut client = machine.client().await;
+        client.post("/r/1", "a", "", "prompt").await;
+        let mut asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        drop(asked);
+        let mut asked = two.asked().await;
+        asked.begin_stream().await;
+        asked.event(3).await;
+        asked.end_stream().await;
+        let got = client.get().await;
+        assert_eq!((got.text(), got.whole), (event(1), false));
+    });
+}
+
+#[test]
+fn what_may_run_again_is_sent_elsewhere_and_what_may_not_is_not() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut client = machine.client().await;
+        client.post("/p/1", "a", "", "").await;
+        let asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        drop(asked);
+        two.asked().await.answer("from two").await;
+        assert_eq!(client.get().await.text(), "from two");
+        client.post("/o/1", "b", "", "").await;
+        let asked = tokio::select! { asked = one.asked() => asked, asked = two.asked() => asked };
+        drop(asked);
+        assert_eq!(client.get().await.status, 502);
+        assert!(!one.has_request() && !two.has_request());
+    });
+}
+
+#[test]
+fn a_worker_that_has_not_run_it_is_passed_over() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        let asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.refuse().await;
+        two.asked().await.answer("ran").await;
+        assert_eq!(client.get().await.text(), "ran");
+        // Refused everywhere, its client is told that it has not run.
+        client.post("/o/2", "b", "", "").await;
+        for _ in 0..2 {
+            let asked = tokio::select! { asked = one.asked() => asked, asked = two.asked() => asked };
+            asked.refuse().await;
+        }
+        let got = client.get().await;
+        assert_eq!(got.status, 503);
+        assert!(header(&got.head, "retry-after").is_some());
+    });
+}
+
+#[test]
+fn a_workers_own_failure_is_the_answer() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        worker.asked().await.answer_as("500 Oh", "content-length: 3\r\n\r\nwhy").await;
+        let got = client.get().await;
+        assert_eq!((got.status, got.text().as_str()), (500, "why"));
+        // A 503 that does not say that it has not run must not look as if it did.
+        client.post("/o/1", "b", "", "").await;
+        worker.asked().await.answer_as("503 Oh", "content-length: 0\r\n\r\n").await;
+        assert_eq!(client.get().await.status, 502);
+    });
+}
+
+#[test]
+fn an_answer_without_its_stamp_or_its_end_is_no_success() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        let mut asked = worker.asked().await;
+        asked.on.write("HTTP/1.1 200 OK\r\nmintlb-request-id: a\r\ncontent-length: 2\r\n\r\nok").await;
+        assert_eq!(client.get().await.status, 502);
+        client.post("/o/1", "b", "", "").await;
+        let mut asked = worker.asked().await;
+        let own = asked.own();
+        asked.on.write(&format!("HTTP/1.1 200 OK\r\n{own}content-length: 9\r\n\r\nok")).await;
+        drop(asked);
+        assert_eq!(client.get().await.status, 502);
+        client.post("/o/1", "c", "", "").await;
+        worker.asked().await.on.write("nonsense\r\n\r\n").await;
+        assert_eq!(client.get().await.status, 502);
+    });
+}
+
+#[test]
+fn a_surplus_answer_is_passed_over() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        worker.asked().await.answer("first").await;
+        assert_eq!(client.get().await.text(), "first");
+        client.post("/o/2", "b", "", "").await;
+        let mut asked = worker.asked().await;
+        let late = "mintlb-request-id: a\r\nmintlb-response-signature: s\r\ncontent-length: 4\r\n\r\nlate";
+        asked.on.write(&format!("HTTP/1.1 200 OK\r\n{late}")).await;
+        asked.answer("second").await;
+        assert_eq!(client.get().await.text(), "second");
+    });
+}
+
+#[test]
+fn a_worker_that_is_another_is_not_asked_again() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        let mut asked = worker.asked().await;
+        asked.on.write("HTTP/1.1 421 No\r\nmintlb-request-id: a\r\ncontent-length: 0\r\n\r\n").await;
+        let got = client.get().await;
+        assert_eq!(got.status, 503);
+        assert!(!worker.has_request());
+    });
+}
+
+#[test]
+fn nothing_new_goes_to_a_worker_that_drains() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let (mut one, mut two) = (machine.client().await, machine.client().await);
+        one.post("/o/1", "a", "", "").await;
+        let asked = worker.asked().await;
+        machine.know(&worker, WorkerState::Draining, 2).await;
+        two.post("/o/2", "b", "", "").await;
+        assert_eq!(two.get().await.status, 503);
+        asked.answer("finished").await;
+        assert_eq!(one.get().await.text(), "finished", "what was there before is finished");
+    });
+}
+
+#[test]
+fn a_client_that_leaves_takes_its_request_along() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        for path in ["/o/1", "/s/1"] {
+            let mut client: Client = machine.client().await;
+            client.post(path, "a", "", "").await;
+            let mut asked = worker.asked().await;
+            if path == "/s/1" {
+                asked.begin_stream().await;
+                asked.event(1).await;
+                client.head().await;
+            }
+            drop(client);
+            asked.on.closed().await;
+        }
+    });
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/routing.rs
@@ -0,0 +1,113 @@
+//! Routes, shares, project types, and how prompts rank workers.
+
+use arbtest::arbtest;
+use mintlb::Effect;
+use mintlb_core::types::Named;
+use mintlb_dispatch::prompts::{Prompt, preferred};
+use mintlb_dispatch::routing::RoutingTable;
+use mintlb_dispatch::tuning::{ServiceNumbers, project_types};
+use mintlb_tier::configuration::Configuration;
+use std::sync::Arc;
+
+const CONFIGURATION: &str = r#"{"config_version":1,"route_list":[
+ {"name":"a","host_name":"One.example","path_prefix":"/x/","route_type":"idempotent","timeout_ms":2000,
+  "target_latency_ms":200,"priority":0,"traffic_split":[{"target_service":"s","weight":90},
+  {"target_service":"t","weight":10},{"target_service":"u","weight":0}],"max_attempts":2},
+ {"name":"b","host_name":"one.example","path_prefix":"/x/y/","route_type":"non_idempotent","timeout_ms":2000,
+  "target_latency_ms":200,"priority":2,"target_service":"t"},
+ {"name":"c","host_name":"two.example","path_prefix":"/x/","route_type":"streaming","resumable":true,
+  "timeout_ms":2000,"target_latency_ms":100,"priority":1,"target_service":"t"}
+ ],"service_list":[{"name":"s"},{"name":"t"},{"name":"u"}]}"#;
+
+fn table() -> (RoutingTable, Vec<Named>) {
+    let configuration = Arc::new(Configuration::parse(CONFIGURATION.as_bytes()).unwrap());
+    let types = project_types(&configuration, &mut ServiceNumbers::default());
+    let named = types.into_iter().enumerate();
+    let types: Vec<Named> =
+        named.map(|(number, (name, project_type))| Named { name, number, project_type }).collect();
+    (RoutingTable::new(configuration, &types), types)
+}
+
+#[test]
+fn the_longest_prefix_of_the_host_wins() {
+    let (table, _) = table();
+    let route = |host, path| table.route(host, path).map(|(_, terms)| terms.name.clone());
+    assert_eq!(route("one.example", "/x/1").as_deref(), Some("a"));
+    assert_eq!(route("ONE.example:80", "/x/y/1").as_deref(), Some("b"));
+    assert_eq!(route("one.example", "/x/y").as_deref(), Some("a"));
+    assert_eq!(route("two.example", "/x/y/1").as_deref(), Some("c"));
+    assert_eq!(route("one.example", "/x"), None);
+    assert_eq!(route("other.example", "/x/1"), None);
+}
+
+#[test]
+fn shares_go_by_weight_and_none_to_a_weight_of_0() {
+    let (table, types) = table();
+    let drawn = |draw| table.target("one.example", "/x/1", draw).unwrap();
+    assert_eq!((&*drawn(0.0).service, &*drawn(0.89).service), ("s", "s"));
+    assert_eq!((&*drawn(0.91).service, &*drawn(0.999_999).service), ("t", "t"));
+    let name = |number: usize| types.iter().find(|named| named.number == number).unwrap().name.clone();
+    assert_eq!(name(drawn(0.0).project_type), "a@s");
+    assert_eq!(name(drawn(0.95).project_type), "a@t");
+    assert!(types.iter().all(|named| named.name != "a@u"));
+    assert_eq!(table.type_of("a", "t").map(name).as_deref(), Some("a@t"));
+    let other = table.type_of("gone", "t").map(name).unwrap();
+    assert!(other.ends_with("@t"), "a stream whose route is gone goes on at its service, as {other}");
+    assert_eq!(table.type_of("gone", "gone"), None);
+}
+
+#[test]
+fn project_types_say_what_routes_say() {
+    let (_, types) = table();
+    let of = |name: &str| &types.iter().find(|named| named.name == name).unwrap().project_type;
+    assert_eq!(of("a@s").effect, Effect::Rerunnable);
+    assert_eq!(of("b@t").effect, Effect::Exclusive);
+    assert_eq!(of("c@t").effect, Effect::Rerunnable, "a stream that may be resumed may run again");
+    assert_eq!((of("c@t").promised_turnaround, of("c@t").hard_limit), (0.1, 2.0));
+    assert!(of("a@s").credit > of("c@t").credit && of("c@t").credit > of("b@t").credit, "rank 0 is highest");
+    assert_eq!(of("a@t").kind, of("b@t").kind);
+    assert_ne!(of("a@s").kind, of("a@t").kind);
+}
+
+#[test]
+fn prompts_are_read() {
+    let prompt = Prompt::read(Some("5c:800,91:1410,e4:250"), Some("2460,80")).unwrap();
+    assert_eq!((prompt.shared_tokens, prompt.tokens), (2210, 2540));
+    assert!(prompt.is_long());
+    let sibling = Prompt::read(Some("5c:800,91:1410,ff:9"), Some("2219,10")).unwrap();
+    assert_eq!(prompt.subject, sibling.subject, "the last part is its own");
+    let other = Prompt::read(Some("5c:800,92:1410,e4:250"), None).unwrap();
+    assert_ne!(prompt.subject, other.subject);
+    assert_eq!(other.tokens, 2460);
+    assert_eq!(Prompt::read(None, None), None);
+    assert_eq!(Prompt::read(Some("x,y:z"), Some("?")), None);
+}
+
+#[test]
+fn a_worker_that_comes_or_goes_moves_only_what_it_gets_or_had() {
+    arbtest(|u| {
+        let workers: Vec<u64> = (0..u.int_in_range(1..=30)?).collect();
+        let (subject, lost) = (u.arbitrary()?, u.choose_index(workers.len())? as u64);
+        let before = preferred(subject, workers.iter().copied());
+        let after = preferred(subject, workers.iter().copied().filter(|worker| *worker != lost));
+        if !before.contains(&Some(lost)) {
+            assert_eq!(before, after);
+        }
+        assert_eq!(before.iter().flatten().count(), workers.len().min(before.len()));
+        let kept = before.iter().flatten().filter(|worker| **worker != lost);
+        assert!(kept.clone().all(|worker| after.contains(&Some(*worker))));
+        Ok(())
+    });
+}
+
+#[test]
+fn subjects_spread_over_the_workers() {
+    let mut counts = [0; 18];
+    for subject in 0..1800_u64 {
+        let parts = format!("{subject:x}:13300,1:5");
+        let prompt = Prompt::read(Some(&parts), None).unwrap();
+        let best = preferred(prompt.subject, 0..18)[0].unwrap();
+        counts[best as usize] += 1;
+    }
+    assert!(counts.iter().all(|count| (60..150).contains(count)), "{counts:?}");
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/wire.rs
@@ -0,0 +1,101 @@
+//! Workers' answers out of bytes that come in any pieces, good and bad.
+
+use arbtest::arbtest;
+use bytes::BytesMut;
+use mintlb_dispatch::wire::{AnswerHead, BodyReader, Framing};
+use std::time::Duration;
+
+fn head(text: &str) -> AnswerHead {
+    AnswerHead::take(&mut BytesMut::from(text)).unwrap().unwrap()
+}
+
+#[test]
+fn a_chunked_body_is_the_same_however_it_is_cut() {
+    arbtest(|u| {
+        let (mut sent, mut wire) = (Vec::new(), Vec::new());
+        for _ in 0..u.int_in_range(0..=6)? {
+            let data: Vec<u8> =
+                (0..u.int_in_range(1..=40)?).map(|_| u.arbitrary()).collect::<Result<_, _>>()?;
+            wire.extend(format!("{:X};ext=1\r\n", data.len()).bytes().chain(data.iter().copied()));
+            wire.extend(b"\r\n");
+            sent.extend(data);
+        }
+        wire.extend(b"0\r\nTrailer: x\r\n\r\n");
+        let behind = u.int_in_range(0..=3)?;
+        wire.extend(vec![b'!'; behind]);
+        let (mut body, mut buffer, mut read) =
+            (BodyReader::new(Framing::Chunked), BytesMut::new(), Vec::new());
+        let mut rest = &wire[..];
+        while !rest.is_empty() {
+            let (piece, others) = rest.split_at(u.int_in_range(1..=rest.len())?);
+            buffer.extend_from_slice(piece);
+            rest = others;
+            while let Some(piece) = body.take(&mut buffer).unwrap() {
+                read.extend(piece);
+            }
+        }
+        assert!(body.is_done());
+        assert_eq!((read, buffer.len()), (sent, behind), "what is behind the body is left alone");
+        Ok(())
+    });
+}
+
+#[test]
+fn a_body_with_a_length_ends_there() {
+    let mut buffer = BytesMut::from("abcdefHTTP/1.1");
+    let mut body = BodyReader::new(Framing::Length(6));
+    assert_eq!(body.take(&mut buffer).unwrap().unwrap(), "abcdef");
+    assert!(body.is_done());
+    assert_eq!(body.take(&mut buffer).unwrap(), None);
+    assert!(BodyReader::new(Framing::Length(0)).is_done());
+    assert!(!BodyReader::new(Framing::UntilClose).is_done());
+}
+
+#[test]
+fn broken_chunks_are_known_as_such() {
+    for wire in ["x\r\n", "\r\n", "3\r\nabcd\r\n", "3\r\nabc!\r\n", "3\nabc\r\n", "-1\r\n", &"1".repeat(5000)]
+    {
+        let (mut buffer, mut body) = (BytesMut::from(wire), BodyReader::new(Framing::Chunked));
+        let end = loop {
+            match body.take(&mut buffer) {
+                Ok(Some(_)) => {}
+                other => break other,
+            }
+        };
+        assert!(end.is_err(), "{wire:?} ends as {end:?}");
+        assert!(!body.is_done());
+    }
+}
+
+#[test]
+fn heads_are_read() {
+    let read = head("HTTP/1.1 200 OK\r\nContent-Length: 5\r\nKeep-Alive: max=3, timeout=7\r\n\r\n");
+    assert_eq!(read.framing, Framing::Length(5));
+    assert!(read.keeps_alive);
+    assert_eq!(read.keep_alive(), Some(Duration::from_secs(7)));
+    let read = head("HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\nConnection: x, Close\r\n\r\n");
+    assert_eq!((read.framing, read.keeps_alive), (Framing::Chunked, false));
+    let read = head("HTTP/1.1 200 OK\r\n\r\n");
+    assert_eq!((read.framing, read.keeps_alive), (Framing::UntilClose, false));
+    assert!(!head("HTTP/1.0 200 OK\r\nContent-Length: 0\r\n\r\n").keeps_alive);
+    assert_eq!(head("HTTP/1.1 204 No\r\n\r\n").framing, Framing::Length(0));
+    let interim = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n";
+    assert_eq!(head(interim).status, 200, "an interim head only says that another comes");
+    assert!(AnswerHead::take(&mut BytesMut::from("HTTP/1.1 200 OK\r\nA: b\r\n")).unwrap().is_none());
+}
+
+#[test]
+fn bad_heads_are_known_as_such() {
+    for text in [
+        "nonsense\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: +5\r\n\r\n",
+        "HTTP/1.1 101 Other\r\n\r\n",
+    ] {
+        assert!(AnswerHead::take(&mut BytesMut::from(text)).is_err(), "{text:?}");
+    }
+    let long = format!("HTTP/1.1 200 OK\r\nA: {}", "b".repeat(40_000));
+    assert!(AnswerHead::take(&mut BytesMut::from(&long[..])).is_err());
+}
--- a/crates/mintlb-http/src/lib.rs
+++ b/crates/mintlb-http/src/lib.rs
@@ -10,5 +10,5 @@
 pub mod list;
 pub mod places;
 pub mod seen;
-mod socket;
+pub mod socket;
 pub mod worker;
--- a/crates/mintlb-http/src/seen.rs
+++ b/crates/mintlb-http/src/seen.rs
@@ -167,6 +167,12 @@
         (state.phase, state.worked) = (Phase::Open, true);
     }
 
+    /// Whether the connection may go on once the answer is given, as far as is known before it is.
+    pub fn may_go_on(&self) -> bool {
+        let state = self.state.lock();
+        state.phase == Phase::Open && matches!(state.at, At::Whole)
+    }
+
     /// The request has its answer. Whether the connection may go on: only after work that was taken, and
     /// where it is known that the next byte begins a request.
     pub fn answered(&self) -> bool {
@@ -207,6 +213,12 @@
         }
     }
 
+    /// Whether it waits for a request of which nothing has come.
+    pub fn is_idle(&self) -> bool {
+        let state = self.state.lock();
+        matches!(state.phase, Phase::Idle(_)) || matches!(state.phase, Phase::Coming(_)) && state.pieces == 0
+    }
+
     /// The connection is to end.
     pub fn call(&self) {
         self.called.notify_one();
--- /dev/null
+++ b/crates/mintlb-lots/src/client.rs
@@ -0,0 +1,96 @@
+//! What dispatchers call: lots at the primaries of their shards. A call goes to the primary that the placement in force
+//! names, and again, after a short pause, while that one is not in charge or can't be reached.
+
+mod calls;
+mod types;
+
+pub use types::*;
+
+use mintlb_tier::placement::Placement;
+use mintlb_tier::transport::Transport;
+use parking_lot::Mutex;
+use std::sync::Arc;
+
+use crate::messages::DispatcherId;
+use bytes::Bytes;
+use mintlb_tier::placement::StoreId;
+use rustc_hash::FxHashMap;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// The placement in force, asked anew for each try.
+pub type CurrentPlacement = Arc<dyn Fn() -> Arc<Placement> + Send + Sync>;
+
+/// A client of all stores.
+pub struct LotClient {
+    transport: Arc<Transport>,
+    placement: CurrentPlacement,
+    /// When each store was last asked for items, and how many it then had that nobody ran.
+    open: Mutex<FxHashMap<StoreId, (Instant, u32)>>,
+}
+
+impl LotClient {
+    /// A client that goes by this placement.
+    pub fn new(transport: Arc<Transport>, placement: CurrentPlacement) -> LotClient {
+        LotClient { transport, placement, open: Mutex::default() }
+    }
+
+    /// Has a lot taken, with the lease of its items for `holder`.
+    pub async fn submit(&self, lot: Submission, holder: DispatcherId, within: Duration) -> SubmitOutcome {
+        calls::submit(self, lot, holder, within).await
+    }
+
+    /// Results of a lot from position `start_after` on; waits up to `wait` for the first one.
+    pub async fn read(
+        &self,
+        host: &str,
+        lot_id: &str,
+        start_after: u64,
+        wait: Duration,
+        most_bytes: usize,
+    ) -> ReadOutcome {
+        calls::read(self, host, lot_id, start_after, wait, most_bytes).await
+    }
+
+    /// The body of an item that is not listed, of a lot that is not ended.
+    pub async fn body(&self, host: &str, lot_id: &str, instance_id: &str) -> BodyOutcome {
+        calls::body(self, host, lot_id, instance_id).await
+    }
+
+    /// Ends a lot for good.
+    pub async fn end(&self, host: &str, lot_id: &str) -> EndOutcome {
+        calls::end(self, host, lot_id).await
+    }
+
+    /// Up to `most` items that nobody runs, for `holder` to run. Asks a few stores that may have some.
+    pub async fn lease(&self, holder: DispatcherId, most: usize) -> Vec<LeasedItem> {
+        calls::lease(self, holder, most).await
+    }
+
+    /// Renews the leases of the items that `holder` still runs; call it each second. Returns those it is to stop.
+    pub async fn renew(&self, holder: DispatcherId, held: Vec<HeldLot>) -> Vec<HeldLot> {
+        calls::renew(self, holder, held).await
+    }
+
+    /// Records the result of an item. True if it is kept (this one or an earlier one) or no longer wanted, as the lot
+    /// is ended or gone; false if that can't be told: call it again then.
+    pub async fn record(&self, host: &str, lot_id: &str, index: u32, result: ItemResult) -> bool {
+        calls::record(self, host, lot_id, index, result).await
+    }
+
+    /// Gives all leases of `holder` up, as it leaves.
+    pub async fn release(&self, holder: DispatcherId) {
+        calls::release(self, holder).await
+    }
+
+    /// Whether a shard of this host has a primary at all, as far as the placement says.
+    pub fn is_placed(&self, host: &str) -> bool {
+        (self.placement)().primary(Placement::shard_of(host)).is_some()
+    }
+}
+
+/// Encodes an item's payload as it travels and lies on disk.
+pub(crate) fn payload(item: &Item) -> Bytes {
+    let head = crate::entry::ItemPayload { path: item.path.clone(), headers: item.headers.clone() };
+    head.encode(&item.body)
+}
--- /dev/null
+++ b/crates/mintlb-lots/src/client/calls.rs
@@ -0,0 +1,315 @@
+//! The calls of [`super::LotClient`], each with its bounds.
+
+use super::*;
+use crate::entry::{ItemHead, ItemPayload, ItemState, LotHead};
+use crate::framing;
+use crate::messages::{self, Answer, Call, HeldItems, ItemName, LotName, Record, Renew, Submit};
+use mintlb_tier::transport::{CallError, Channel};
+use std::net::SocketAddr;
+use tokio::time::{sleep, timeout_at};
+
+/// Between two tries, while the primary is not in charge or out of reach.
+const PAUSE: Duration = Duration::from_millis(60);
+/// The longest that one try waits for its answer.
+const TRY: Duration = Duration::from_millis(1200);
+/// All tries of a read, a body or an end together, beside the time that a read waits for a result.
+const SHORT: Duration = Duration::from_millis(1300);
+/// All tries of a record together.
+const RECORD: Duration = Duration::from_millis(4000);
+/// How long a lease, a renewal or a release may take at one store.
+const LEASE: Duration = Duration::from_millis(500);
+/// How often a store without known open items is asked for some.
+const ASK_AGAIN: Duration = Duration::from_millis(1000);
+/// Most calls of one lease.
+const MOST_ASKED: usize = 4;
+
+/// The answer of a try.
+enum Try {
+    Answered(Answer, Bytes),
+    /// Nothing was or will be done.
+    NotDone,
+    /// It may have been done.
+    Unclear,
+}
+
+/// The primary of a host's shard and the shard's epoch.
+fn primary(client: &LotClient, host: &str) -> Option<(SocketAddr, u64)> {
+    let placement = (client.placement)();
+    let shard = Placement::shard_of(host);
+    let address = placement.primary(shard)?.address.parse().ok()?;
+    Some((address, placement.shards.get(shard as usize)?.epoch))
+}
+
+async fn call_once(client: &LotClient, to: SocketAddr, body: Bytes, within: Duration) -> Try {
+    match client.transport.call(to, Channel::Lots, body, within).await {
+        Ok(bytes) => match framing::decode::<Answer>(&bytes) {
+            Some((Answer::NotInCharge, _)) => Try::NotDone,
+            Some((Answer::Unsure, _)) | None => Try::Unclear,
+            Some((answer, raw)) => Try::Answered(answer, raw),
+        },
+        Err(CallError::NotUnderstood) => Try::NotDone,
+        Err(CallError::TimedOut | CallError::Unreachable) => Try::Unclear,
+    }
+}
+
+fn encode_call(call: &Call, raw: &[&[u8]]) -> Bytes {
+    framing::encode(call, raw)
+}
+
+/// Tries until there is an answer or the time is over.
+async fn call_host(client: &LotClient, host: &str, body: Bytes, until: Instant) -> Option<(Answer, Bytes)> {
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return None;
+        }
+        if let Some((to, _)) = primary(client, host)
+            && let Try::Answered(answer, raw) = call_once(client, to, body.clone(), left).await
+        {
+            return Some((answer, raw));
+        }
+        sleep(PAUSE.min(until.saturating_duration_since(Instant::now()))).await;
+    }
+}
+
+pub(super) async fn submit(
+    client: &LotClient,
+    lot: Submission,
+    holder: DispatcherId,
+    within: Duration,
+) -> SubmitOutcome {
+    let until = Instant::now() + within;
+    let payloads: Vec<Bytes> = lot.items.iter().map(payload).collect();
+    let items = lot.items.into_iter().zip(&payloads).map(|(item, payload)| ItemHead {
+        id: item.instance_id,
+        tokens: item.tokens,
+        length: payload.len() as u64,
+    });
+    let items = items.collect();
+    let head = LotHead { host: lot.host, id: lot.lot_id, route: lot.route, terms: lot.terms, items };
+    let host = head.host.clone();
+    let raw: Vec<&[u8]> = payloads.iter().map(|payload| &payload[..]).collect();
+    let mut submit = Submit { epoch: 0, holder, max_queued_tokens: lot.max_queued_tokens, lot: head };
+    // Once a try came out unclear it may be carried out at any time, so that only "accepted" can be believed.
+    let mut unclear = false;
+    let mut body = Bytes::new();
+    loop {
+        let left = until.saturating_duration_since(Instant::now());
+        if left.is_zero() {
+            return if unclear { SubmitOutcome::Unclear } else { SubmitOutcome::Refused };
+        }
+        if let Some((to, epoch)) = primary(client, &host) {
+            if body.is_empty() || submit.epoch != epoch {
+                submit.epoch = epoch;
+                let call = Call::Submit(submit);
+                body = encode_call(&call, &raw);
+                let Call::Submit(back) = call else { unreachable!("it was just put in") };
+                submit = back;
+            }
+            match call_once(client, to, body.clone(), left.min(TRY)).await {
+                Try::Answered(Answer::Accepted { leased }, _) => {
+                    return SubmitOutcome::Accepted { items_leased: leased };
+                }
+                Try::Answered(Answer::Conflict, _) => return SubmitOutcome::Conflict,
+                Try::Answered(Answer::QuotaFull, _) if !unclear => return SubmitOutcome::QuotaFull,
+                Try::Answered(Answer::DiskFull, _) if !unclear => return SubmitOutcome::Refused,
+                Try::Answered(Answer::QuotaFull | Answer::DiskFull, _) => return SubmitOutcome::Unclear,
+                Try::Answered(..) | Try::Unclear => unclear = true,
+                Try::NotDone => (),
+            }
+        }
+        sleep(PAUSE.min(until.saturating_duration_since(Instant::now()))).await;
+    }
+}
+
+pub(super) async fn read(
+    client: &LotClient,
+    host: &str,
+    lot_id: &str,
+    start_after: u64,
+    wait: Duration,
+    most_bytes: usize,
+) -> ReadOutcome {
+    let until = Instant::now() + wait + SHORT;
+    let call = Call::Read(messages::Read {
+        lot: name(host, lot_id),
+        start_after,
+        wait_ms: wait.as_millis() as u64,
+        most_bytes: most_bytes as u64,
+    });
+    match call_host(client, host, encode_call(&call, &[]), until).await {
+        Some((Answer::Page(page), raw)) => listed(page, raw),
+        Some((Answer::Unknown, _)) => ReadOutcome::Unknown,
+        _ => ReadOutcome::Unavailable,
+    }
+}
+
+fn listed(page: messages::Page, mut raw: Bytes) -> ReadOutcome {
+    if page.results.iter().map(|result| result.length).sum::<u64>() != raw.len() as u64 {
+        return ReadOutcome::Unavailable;
+    }
+    let results = page.results.into_iter().map(|result| ListedResult {
+        instance_id: result.item,
+        state: result.state,
+        text: raw.split_to(result.length as usize),
+    });
+    ReadOutcome::Page { total: page.total, next: page.next, results: results.collect() }
+}
+
+pub(super) async fn body(client: &LotClient, host: &str, lot_id: &str, instance_id: &str) -> BodyOutcome {
+    let item = ItemName { lot: name(host, lot_id), item: instance_id.to_string() };
+    let body = encode_call(&Call::Body(item), &[]);
+    match call_host(client, host, body, Instant::now() + SHORT).await {
+        Some((Answer::Body, raw)) => match ItemPayload::decode(&raw) {
+            Some((_, body)) => BodyOutcome::Body(body),
+            None => BodyOutcome::Unavailable,
+        },
+        Some((Answer::Unknown, _)) => BodyOutcome::Unknown,
+        _ => BodyOutcome::Unavailable,
+    }
+}
+
+pub(super) async fn end(client: &LotClient, host: &str, lot_id: &str) -> EndOutcome {
+    let body = encode_call(&Call::End(name(host, lot_id)), &[]);
+    match call_host(client, host, body, Instant::now() + SHORT).await {
+        Some((Answer::Ended, _)) => EndOutcome::Ended,
+        Some((Answer::Unknown, _)) => EndOutcome::Unknown,
+        _ => EndOutcome::Unavailable,
+    }
+}
+
+pub(super) async fn record(
+    client: &LotClient,
+    host: &str,
+    lot_id: &str,
+    index: u32,
+    result: ItemResult,
+) -> bool {
+    let (state, text) = match result {
+        ItemResult::Completed(text) => (ItemState::Completed, text),
+        ItemResult::Unrecoverable => (ItemState::Unrecoverable, Bytes::new()),
+    };
+    let call = Call::Record(Record { lot: name(host, lot_id), item: index, state });
+    let body = encode_call(&call, &[&text]);
+    let answer = call_host(client, host, body, Instant::now() + RECORD).await;
+    matches!(answer, Some((Answer::Recorded | Answer::Unknown, _)))
+}
+
+/// The distinct primaries of all shards.
+fn primaries(placement: &Placement) -> Vec<(StoreId, SocketAddr)> {
+    let mut primaries: Vec<(StoreId, SocketAddr)> = Vec::new();
+    for assignment in &placement.shards {
+        let Some(store) = assignment.replicas.first().and_then(|id| placement.store(*id)) else { continue };
+        let Ok(address) = store.address.parse() else { continue };
+        if !primaries.iter().any(|(id, _)| *id == store.id) {
+            primaries.push((store.id, address));
+        }
+    }
+    primaries
+}
+
+pub(super) async fn lease(client: &LotClient, holder: DispatcherId, most: usize) -> Vec<LeasedItem> {
+    let mut leased = Vec::new();
+    let stores = stores_to_ask(client, holder);
+    for (store, address) in stores.into_iter().take(MOST_ASKED) {
+        let left = most.saturating_sub(leased.len());
+        if left == 0 {
+            break;
+        }
+        let call = Call::Lease(messages::Lease { holder, most: left as u32 });
+        let answer = call_once(client, address, encode_call(&call, &[]), LEASE).await;
+        let got = match answer {
+            Try::Answered(Answer::Leased(heads), raw) => leased_items(heads, raw),
+            _ => Vec::new(),
+        };
+        // As long as a store gives something it is asked again at once.
+        client.open.lock().insert(store, (Instant::now(), got.len() as u32));
+        leased.extend(got);
+    }
+    leased
+}
+
+/// Those that may have something first, beginning at another store for each holder.
+fn stores_to_ask(client: &LotClient, holder: DispatcherId) -> Vec<(StoreId, SocketAddr)> {
+    let mut stores = primaries(&(client.placement)());
+    let now = Instant::now();
+    let mut open = client.open.lock();
+    open.retain(|id, _| stores.iter().any(|(store, _)| store == id));
+    let waiting = |id: StoreId| match open.get(&id) {
+        Some((asked, 0)) if now.duration_since(*asked) < ASK_AGAIN => None,
+        Some((_, count)) => Some(*count),
+        None => Some(0),
+    };
+    stores.retain(|(id, _)| waiting(*id).is_some());
+    stores.sort_by_key(|(id, _)| (std::cmp::Reverse(waiting(*id).map(|n| n > 0)), (id ^ holder).rotate_left(17)));
+    stores
+}
+
+fn leased_items(heads: Vec<messages::LeasedHead>, mut raw: Bytes) -> Vec<LeasedItem> {
+    if heads.iter().map(|head| head.length).sum::<u64>() != raw.len() as u64 {
+        return Vec::new();
+    }
+    let items = heads.into_iter().filter_map(|head| {
+        let (payload, body) = ItemPayload::decode(&raw.split_to(head.length as usize))?;
+        let (path, headers) = (payload.path, payload.headers);
+        Some(LeasedItem {
+            host: head.lot.host,
+            route: head.route,
+            lot_id: head.lot.id,
+            terms: head.terms,
+            index: head.index,
+            item: Item { instance_id: head.item, path, headers, body, tokens: head.tokens },
+        })
+    });
+    items.collect()
+}
+
+pub(super) async fn renew(client: &LotClient, holder: DispatcherId, held: Vec<HeldLot>) -> Vec<HeldLot> {
+    let mut by_store: FxHashMap<SocketAddr, Vec<HeldItems>> = FxHashMap::default();
+    for lot in held {
+        if let Some((address, _)) = primary(client, &lot.host) {
+            let lot = HeldItems { lot: LotName { host: lot.host, id: lot.lot_id }, items: lot.items };
+            by_store.entry(address).or_default().push(lot);
+        }
+    }
+    let until = Instant::now() + LEASE;
+    let calls: Vec<_> = by_store
+        .into_iter()
+        .map(|(address, lots)| {
+            let body = encode_call(&Call::Renew(Renew { holder, lots }), &[]);
+            let transport = client.transport.clone();
+            tokio::spawn(async move { transport.call(address, Channel::Lots, body, LEASE).await })
+        })
+        .collect();
+    let mut lost = Vec::new();
+    for call in calls {
+        let Ok(Ok(Ok(bytes))) = timeout_at(until, call).await else { continue };
+        if let Some((Answer::Renewed(renewed), _)) = framing::decode::<Answer>(&bytes) {
+            lost.extend(renewed.lost.into_iter().map(|items| HeldLot {
+                host: items.lot.host,
+                lot_id: items.lot.id,
+                items: items.items,
+            }));
+        }
+    }
+    lost
+}
+
+pub(super) async fn release(client: &LotClient, holder: DispatcherId) {
+    let body = encode_call(&Call::Release(holder), &[]);
+    let until = Instant::now() + LEASE;
+    let stores = primaries(&(client.placement)()).into_iter();
+    let calls: Vec<_> = stores
+        .map(|(_, address)| {
+            let (transport, body) = (client.transport.clone(), body.clone());
+            tokio::spawn(async move { transport.call(address, Channel::Lots, body, LEASE).await })
+        })
+        .collect();
+    for call in calls {
+        timeout_at(until, call).await.ok();
+    }
+}
+
+fn name(host: &str, lot_id: &str) -> LotName {
+    LotName { host: host.to_string(), id: lot_id.to_string() }
+}
--- /dev/null
+++ b/crates/mintlb-lots/src/lots.rs
@@ -0,0 +1,380 @@
+//! The lots of one shard, built by applying the entries of its log in order. Entries are applied as soon as they are in
+//! the log; what is committed is told apart by its index, so that entries that never get committed can be undone.
+//! Payloads and texts lie on disk only.
+
+use crate::entry::{Entry, ItemState, LotHead, LotTerms};
+use crate::messages::LotName;
+use rustc_hash::FxHashMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+/// The process's steady clock.
+pub type Moment = Duration;
+
+/// A finished lot is dropped so long after the time for which it has to be readable.
+const DROP_AFTER: Duration = Duration::from_secs(10);
+/// A lot that nobody finishes is dropped so long after its items could be given up and its results read.
+const ABANDONED_AFTER: Duration = Duration::from_secs(120);
+
+/// All lots of a shard.
+#[derive(Clone, Debug, Default)]
+pub struct Lots {
+    by_name: FxHashMap<LotName, u64>,
+    lots: BTreeMap<u64, Lot>,
+    /// Entries that lie on disk, by index.
+    entries: BTreeMap<u64, Kept>,
+    /// Tokens of each route that wait.
+    waiting: FxHashMap<String, u64>,
+    /// Lots with items that wait, the one due first in front.
+    open: BTreeSet<(u64, u64)>,
+    /// Lots that got finished or ended since the last sweep, whose payloads are still there.
+    to_strip: BTreeSet<u64>,
+    bytes: u64,
+}
+
+/// A lot.
+#[derive(Clone, Debug)]
+pub struct Lot {
+    /// Its host and id.
+    pub name: LotName,
+    /// The name of its route.
+    pub route: String,
+    /// Its times and limits.
+    pub terms: LotTerms,
+    /// Its items.
+    pub items: Vec<Item>,
+    /// What is listed, by position.
+    pub listed: Vec<Listed>,
+    /// The index of the entry that ended it.
+    pub ended: Option<u64>,
+    /// Its payloads lie on disk.
+    pub has_payloads: bool,
+    since: Moment,
+}
+
+/// An item of a lot.
+#[derive(Clone, Debug)]
+pub struct Item {
+    /// Its `instance_id`.
+    pub id: Box<str>,
+    /// Its tokens.
+    pub tokens: u64,
+    /// Bytes of its payload.
+    pub length: u64,
+    /// Its position among the results.
+    pub position: Option<u32>,
+}
+
+/// A listed item.
+#[derive(Clone, Copy, Debug)]
+pub struct Listed {
+    /// The index of the result's entry.
+    pub index: u64,
+    /// The item's place in the lot.
+    pub item: u32,
+    /// How it came out.
+    pub state: ItemState,
+    /// Bytes of its entry.
+    pub length: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Kept {
+    length: u64,
+    kind: Kind,
+}
+
+#[derive(Clone, Copy, Debug)]
+enum Kind {
+    /// Begins an epoch, or belongs to a lot that is no longer there.
+    Other,
+    Accepted,
+    Result {
+        lot: u64,
+    },
+    Ended {
+        lot: u64,
+    },
+}
+
+/// What can go from the disk.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Sweep {
+    /// Entries whose payloads are no longer needed.
+    pub strip: Vec<u64>,
+    /// Entries that are no longer needed.
+    pub remove: Vec<u64>,
+}
+
+impl Lot {
+    /// How many results are committed.
+    pub fn committed_results(&self, committed: u64) -> usize {
+        self.listed.partition_point(|listed| listed.index <= committed)
+    }
+
+    /// Whether nothing of it waits any more.
+    pub fn is_done(&self) -> bool {
+        self.ended.is_some() || self.listed.len() == self.items.len()
+    }
+
+    /// The place of an item.
+    pub fn item(&self, id: &str) -> Option<usize> {
+        self.items.iter().position(|item| &*item.id == id)
+    }
+
+    /// Where an item's payload lies within the payloads of the lot.
+    pub fn payload_range(&self, item: usize) -> std::ops::Range<usize> {
+        let start: u64 = self.items[..item].iter().map(|item| item.length).sum();
+        start as usize..(start + self.items[item].length) as usize
+    }
+
+    /// Items that are not listed, unless it is ended.
+    pub fn waiting_items(&self) -> impl Iterator<Item = (u32, &Item)> {
+        let items = if self.ended.is_some() { &[][..] } else { &self.items[..] };
+        items.iter().enumerate().filter(|(_, item)| item.position.is_none()).map(|(i, item)| (i as u32, item))
+    }
+
+    fn waiting_tokens(&self) -> u64 {
+        self.waiting_items().map(|(_, item)| item.tokens).sum()
+    }
+
+    /// When it is due, Unix time in ms.
+    pub fn due_at_ms(&self) -> u64 {
+        self.terms.sent_at_ms.saturating_add(self.terms.completion_target_ms)
+    }
+
+    fn payload_bytes(&self) -> u64 {
+        self.items.iter().map(|item| item.length).sum()
+    }
+
+    /// The index of its last entry: it is settled once that is committed.
+    fn last_index(&self, own: u64) -> u64 {
+        let last_result = self.listed.last().map_or(own, |listed| listed.index);
+        last_result.max(self.ended.unwrap_or(0))
+    }
+}
+
+impl Lots {
+    /// Bytes of all entries on disk.
+    pub fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// A lot by its name, with the index of its entry.
+    pub fn find(&self, name: &LotName) -> Option<(u64, &Lot)> {
+        let index = *self.by_name.get(name)?;
+        self.lots.get(&index).map(|lot| (index, lot))
+    }
+
+    /// A lot by the index of its entry.
+    pub fn get(&self, index: u64) -> Option<&Lot> {
+        self.lots.get(&index)
+    }
+
+    /// Lots with items that wait, the one due first in front.
+    pub fn open(&self) -> impl Iterator<Item = (u64, &Lot)> {
+        self.open.iter().filter_map(|(_, index)| self.lots.get(index).map(|lot| (*index, lot)))
+    }
+
+    /// All lots by the index of their entries.
+    pub fn all(&self) -> impl Iterator<Item = (u64, &Lot)> {
+        self.lots.iter().map(|(index, lot)| (*index, lot))
+    }
+
+    /// Tokens of a route that wait.
+    pub fn waiting_tokens(&self, route: &str) -> u64 {
+        self.waiting.get(route).copied().unwrap_or(0)
+    }
+
+    /// Entries on disk behind an index, with their bytes.
+    pub fn entries_after(&self, index: u64) -> impl Iterator<Item = (u64, u64)> {
+        self.entries.range(index + 1..).map(|(index, kept)| (*index, kept.length))
+    }
+
+    /// Applies the entry at the end of the log. `length` is what it takes on disk, `raw` the part behind its head.
+    pub fn apply(&mut self, index: u64, entry: &Entry, length: u64, raw: u64, now: Moment) {
+        let kind = match entry {
+            Entry::Begin => Kind::Other,
+            Entry::Accepted(head) => self.apply_accepted(index, head, raw, now),
+            Entry::Result { lot, item, state } => self.apply_result(index, *lot, *item, *state, length),
+            Entry::Ended { lot } => self.apply_ended(index, *lot),
+        };
+        self.bytes += length;
+        self.entries.insert(index, Kept { length, kind });
+    }
+
+    fn apply_accepted(&mut self, index: u64, head: &LotHead, raw: u64, now: Moment) -> Kind {
+        let name = LotName { host: head.host.clone(), id: head.id.clone() };
+        let items: Vec<Item> = head
+            .items
+            .iter()
+            .map(|item| Item {
+                id: item.id.as_str().into(),
+                tokens: item.tokens,
+                length: item.length,
+                position: None,
+            })
+            .collect();
+        let payload_bytes: u64 = items.iter().map(|item| item.length).sum();
+        let lot = Lot {
+            name: name.clone(),
+            route: head.route.clone(),
+            terms: head.terms,
+            items,
+            listed: Vec::new(),
+            ended: None,
+            has_payloads: raw == payload_bytes,
+            since: now,
+        };
+        *self.waiting.entry(lot.route.clone()).or_default() += lot.waiting_tokens();
+        if !lot.is_done() {
+            self.open.insert((lot.due_at_ms(), index));
+        }
+        self.by_name.insert(name, index);
+        self.lots.insert(index, lot);
+        Kind::Accepted
+    }
+
+    fn apply_result(&mut self, index: u64, number: u64, item: u32, state: ItemState, length: u64) -> Kind {
+        let Some(lot) = self.lots.get_mut(&number) else { return Kind::Other };
+        let position = lot.listed.len() as u32;
+        let ended = lot.ended.is_some();
+        let due = lot.due_at_ms();
+        let Some(place) = lot.items.get_mut(item as usize).filter(|item| item.position.is_none()) else {
+            return Kind::Other;
+        };
+        place.position = Some(position);
+        let tokens = if ended { 0 } else { place.tokens };
+        lot.listed.push(Listed { index, item, state, length });
+        if lot.is_done() {
+            self.open.remove(&(due, number));
+            self.to_strip.insert(number);
+        }
+        Self::take(&mut self.waiting, &lot.route, tokens);
+        Kind::Result { lot: number }
+    }
+
+    fn apply_ended(&mut self, index: u64, number: u64) -> Kind {
+        let Some(lot) = self.lots.get_mut(&number).filter(|lot| lot.ended.is_none()) else {
+            return Kind::Other;
+        };
+        let tokens = lot.waiting_tokens();
+        lot.ended = Some(index);
+        self.open.remove(&(lot.due_at_ms(), number));
+        self.to_strip.insert(number);
+        Self::take(&mut self.waiting, &lot.route, tokens);
+        Kind::Ended { lot: number }
+    }
+
+    fn take(waiting: &mut FxHashMap<String, u64>, route: &str, tokens: u64) {
+        let Some(sum) = waiting.get_mut(route) else { return };
+        *sum = sum.saturating_sub(tokens);
+        if *sum == 0 {
+            waiting.remove(route);
+        }
+    }
+
+    /// Undoes all entries behind `last`.
+    pub fn truncate(&mut self, last: u64) {
+        while let Some(entry) = self.entries.last_entry().filter(|entry| *entry.key() > last) {
+            let (index, kept) = entry.remove_entry();
+            self.bytes -= kept.length;
+            match kept.kind {
+                Kind::Other => (),
+                Kind::Accepted => self.forget(index),
+                Kind::Result { lot } => self.undo_result(lot),
+                Kind::Ended { lot } => self.undo_ended(lot),
+            }
+        }
+    }
+
+    fn undo_result(&mut self, number: u64) {
+        let Some(lot) = self.lots.get_mut(&number) else { return };
+        let Some(listed) = lot.listed.pop() else { return };
+        let item = &mut lot.items[listed.item as usize];
+        item.position = None;
+        if lot.ended.is_none() {
+            *self.waiting.entry(lot.route.clone()).or_default() += item.tokens;
+            self.open.insert((lot.due_at_ms(), number));
+            self.to_strip.remove(&number);
+        }
+    }
+
+    fn undo_ended(&mut self, number: u64) {
+        let Some(lot) = self.lots.get_mut(&number) else { return };
+        lot.ended = None;
+        if !lot.is_done() {
+            *self.waiting.entry(lot.route.clone()).or_default() += lot.waiting_tokens();
+            self.open.insert((lot.due_at_ms(), number));
+            self.to_strip.remove(&number);
+        }
+    }
+
+    fn forget(&mut self, number: u64) {
+        let Some(lot) = self.lots.remove(&number) else { return };
+        Self::take(&mut self.waiting, &lot.route, lot.waiting_tokens());
+        self.open.remove(&(lot.due_at_ms(), number));
+        self.to_strip.remove(&number);
+        if self.by_name.get(&lot.name) == Some(&number) {
+            self.by_name.remove(&lot.name);
+        }
+    }
+
+    /// What can go from the disk: payloads of lots that are done, lots that need not be readable any more. `status` is
+    /// how long a lot has to be readable. Goes by the time since the lot was applied in this process, so that neither
+    /// a step of the clock nor a restart makes anything go early.
+    pub fn sweep(&mut self, committed: u64, status: Duration, now: Moment) -> Sweep {
+        let mut sweep = Sweep::default();
+        self.strip_done(committed, &mut sweep);
+        let expired: Vec<u64> = self
+            .lots
+            .iter()
+            .filter(|(index, lot)| lot.last_index(**index) <= committed)
+            .filter(|(_, lot)| {
+                let keep = match lot.is_done() {
+                    true => status + DROP_AFTER,
+                    false => status + ABANDONED_AFTER + Duration::from_millis(lot.terms.retention_ms),
+                };
+                now.saturating_sub(lot.since) > keep
+            })
+            .map(|(index, _)| *index)
+            .collect();
+        for number in expired {
+            let Some(lot) = self.lots.get(&number) else { continue };
+            let indexes = lot.listed.iter().map(|listed| listed.index).chain(lot.ended).chain([number]);
+            sweep.remove.extend(indexes);
+            self.forget(number);
+        }
+        for index in &sweep.remove {
+            let kept = self.entries.remove(index);
+            self.bytes -= kept.map_or(0, |kept| kept.length);
+        }
+        sweep.remove.sort_unstable();
+        sweep
+    }
+
+    fn strip_done(&mut self, committed: u64, sweep: &mut Sweep) {
+        let settled: Vec<u64> = self
+            .to_strip
+            .iter()
+            .copied()
+            .filter(|number| self.lots.get(number).is_none_or(|lot| lot.last_index(*number) <= committed))
+            .collect();
+        for number in settled {
+            self.to_strip.remove(&number);
+            let Some(lot) = self.lots.get_mut(&number).filter(|lot| lot.has_payloads) else { continue };
+            lot.has_payloads = false;
+            let payload_bytes = lot.payload_bytes();
+            if let Some(kept) = self.entries.get_mut(&number) {
+                kept.length -= payload_bytes;
+                self.bytes -= payload_bytes;
+            }
+            sweep.strip.push(number);
+        }
+    }
+
+    /// Forgets everything.
+    pub fn clear(&mut self) {
+        *self = Lots::default();
+    }
+}
--- /dev/null
+++ b/crates/mintlb-lots/src/placement_planner/retirement.rs
@@ -0,0 +1,73 @@
+//! Emptying a store on the operator's order.
+
+use super::view::StoreView;
+use mintlb_tier::placement::{Placement, StoreEntry};
+use std::time::Duration;
+
+/// A store that was silent for less can take over from the one that is emptied.
+const COUNTS: Duration = Duration::from_millis(3000);
+
+/// What is answered to an order to empty a store.
+#[derive(Clone, Debug, PartialEq)]
+pub enum RetirementOrder {
+    /// Write this placement into the register, then answer 200.
+    Begin(Placement),
+    /// It is under way or completed already: answer 200.
+    Begun,
+    /// There is no such store: answer 404.
+    Unknown,
+    /// Too few stores would be left: answer 409.
+    TooFew,
+}
+
+/// How far a store is emptied.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Retirement {
+    /// Shards still lie on it, or lack replicas without it.
+    Running,
+    /// It can be taken away with its disk.
+    Completed,
+}
+
+/// Begins to empty the store on this machine.
+pub fn order_retirement(
+    current: &Placement,
+    view: &StoreView,
+    node_name: &str,
+    tolerance: usize,
+) -> RetirementOrder {
+    let of_node = |entry: &&StoreEntry| entry.node_name == node_name;
+    if !current.stores.iter().any(|entry| of_node(&entry)) {
+        return RetirementOrder::Unknown;
+    }
+    if current.stores.iter().filter(of_node).all(|entry| entry.retiring) {
+        return RetirementOrder::Begun;
+    }
+    let stays = |entry: &&StoreEntry| {
+        entry.node_name != node_name && !entry.retiring && view.silence(entry.id) < COUNTS
+    };
+    if current.stores.iter().filter(stays).count() <= tolerance {
+        return RetirementOrder::TooFew;
+    }
+    let mut next = Placement { epoch: current.epoch + 1, ..current.clone() };
+    next.stores.iter_mut().filter(|entry| entry.node_name == node_name).for_each(|entry| entry.retiring = true);
+    RetirementOrder::Begin(next)
+}
+
+/// How far the store on this machine is emptied; `None` if there is no such order.
+pub fn retirement(current: &Placement, view: &StoreView, node_name: &str) -> Option<Retirement> {
+    let stores: Vec<&StoreEntry> =
+        current.stores.iter().filter(|entry| entry.node_name == node_name && entry.retiring).collect();
+    if stores.is_empty() {
+        return None;
+    }
+    let is_named = |id| current.shards.iter().any(|s| s.replicas.contains(&id) || s.previous.contains(&id));
+    let named = stores.iter().any(|entry| is_named(entry.id));
+    let settled = current.shards.iter().enumerate().all(|(shard, assignment)| {
+        let Some(&primary) = assignment.replicas.first() else { return false };
+        let Some(report) = view.report(primary, shard, assignment.epoch) else { return false };
+        let lacks = |id| view.silence(id) < COUNTS && !report.caught_up.contains(&id);
+        assignment.previous.is_empty() && report.in_charge && !assignment.replicas.iter().any(|id| lacks(*id))
+    });
+    Some(if named || !settled { Retirement::Running } else { Retirement::Completed })
+}
--- /dev/null
+++ b/crates/mintlb-lots/src/replica/takeover.rs
@@ -0,0 +1,161 @@
+//! A replica is to be the primary of a new epoch: it reads from so many of the previous replicas that every committed
+//! entry is at one of them, takes the log that ends at the highest place, and begins its epoch on top of that.
+
+use super::primary::Primary;
+use super::{AfterSync, DiskWrite, Effect, Replica, Role};
+use crate::entry::Entry;
+use crate::framing;
+use crate::log_index::LogIndex;
+use crate::lots::Moment;
+use crate::peer::{Append, PeerMessage};
+use bytes::Bytes;
+use mintlb_tier::placement::StoreId;
+use std::time::Duration;
+
+/// How often an unanswered question is asked again.
+const ASK_AGAIN: Duration = Duration::from_millis(400);
+/// A source that sent nothing for so long is given up, and the takeover begins anew.
+const SOURCE_PATIENCE: Duration = Duration::from_millis(1500);
+
+/// A takeover under way.
+#[derive(Debug)]
+pub(super) struct Takeover {
+    /// The epoch to begin.
+    pub epoch: u64,
+    /// What the previous replicas have, this one included.
+    answers: Vec<(StoreId, LogIndex)>,
+    /// Whose log is taken, up to which index, and when it last sent something.
+    source: Option<(StoreId, LogIndex, Moment)>,
+    asked: Moment,
+}
+
+impl Replica {
+    /// Begins the epoch of the assignment, of which this replica is the primary.
+    pub(super) fn begin_epoch(&mut self, now: Moment) {
+        let epoch = self.assignment.epoch;
+        self.promise(epoch);
+        // With an entry of this epoch in the own log, everything older is in it, too: a restart.
+        if self.meta.log.end().epoch == epoch {
+            return self.become_primary(now);
+        }
+        if self.assignment.previous.is_empty() {
+            // Only at the very first there is nothing to read.
+            if epoch == 1 && self.meta.log.last() == 0 {
+                return self.append_begin(now);
+            }
+            log::error!("lots: shard {}: epoch {epoch} was begun by this store, which lacks it", self.shard);
+            return;
+        }
+        log::info!("lots: shard {}: takes over, epoch {epoch}", self.shard);
+        self.role = Role::Taking(Takeover { epoch, answers: Vec::new(), source: None, asked: now });
+        self.effects.push(Effect::AfterSync(AfterSync::OwnPromise(epoch)));
+        self.ask_previous(epoch);
+    }
+
+    fn ask_previous(&mut self, epoch: u64) {
+        let others: Vec<StoreId> =
+            self.assignment.previous.iter().copied().filter(|id| *id != self.settings.own).collect();
+        for id in others {
+            let collect = self.envelope(id, epoch, PeerMessage::Collect);
+            self.effects.push(Effect::Send(collect));
+        }
+    }
+
+    pub(super) fn on_own_promise(&mut self, epoch: u64, now: Moment) {
+        if self.assignment.previous.contains(&self.settings.own) {
+            let log = self.meta.log.clone();
+            self.on_collected(self.settings.own, epoch, log, now);
+        }
+    }
+
+    /// Every committed entry is at `tolerance + 1` of the previous replicas, so all but `tolerance` have to be read.
+    fn answers_needed(&self) -> usize {
+        self.assignment.previous.len().saturating_sub(self.settings.tolerance).max(1)
+    }
+
+    pub(super) fn on_collected(&mut self, from: StoreId, epoch: u64, log: LogIndex, now: Moment) {
+        let needed = self.answers_needed();
+        let is_previous = self.assignment.previous.contains(&from);
+        let Role::Taking(takeover) = &mut self.role else { return };
+        if takeover.epoch != epoch || !is_previous || takeover.source.is_some() {
+            return;
+        }
+        takeover.answers.retain(|(id, _)| *id != from);
+        takeover.answers.push((from, log));
+        if takeover.answers.len() < needed {
+            return;
+        }
+        let best = takeover.answers.iter().max_by_key(|(_, log)| log.end()).cloned();
+        let Some((source, log)) = best else { return };
+        if log.end() <= self.meta.log.end() {
+            return self.append_begin(now);
+        }
+        takeover.source = Some((source, log, now));
+        self.fetch();
+    }
+
+    fn fetch(&mut self) {
+        let Role::Taking(takeover) = &self.role else { return };
+        let Some((source, log, _)) = &takeover.source else { return };
+        let after = self.meta.log.common(log);
+        let fetch = self.envelope(*source, takeover.epoch, PeerMessage::Fetch { after });
+        self.effects.push(Effect::Send(fetch));
+    }
+
+    pub(super) fn on_fetched(&mut self, from: StoreId, epoch: u64, part: Append, raw: Bytes, now: Moment) {
+        let Role::Taking(takeover) = &mut self.role else { return };
+        let Some((source, log, heard)) = &mut takeover.source else { return };
+        if takeover.epoch != epoch || *source != from {
+            return;
+        }
+        *heard = now;
+        let end = log.end();
+        if self.take_part(&part, raw, now).is_err() {
+            return;
+        }
+        match self.meta.log.end() >= end {
+            true => self.append_begin(now),
+            false => self.fetch(),
+        }
+    }
+
+    pub(super) fn tick_takeover(&mut self, now: Moment) {
+        let Role::Taking(takeover) = &mut self.role else { return };
+        let epoch = takeover.epoch;
+        let silent = |heard: Moment| now.saturating_sub(heard) >= SOURCE_PATIENCE;
+        if takeover.source.as_ref().is_some_and(|(_, _, heard)| silent(*heard)) {
+            takeover.source = None;
+            takeover.answers.clear();
+            self.effects.push(Effect::AfterSync(AfterSync::OwnPromise(epoch)));
+        }
+        let Role::Taking(takeover) = &mut self.role else { return };
+        if now.saturating_sub(takeover.asked) < ASK_AGAIN {
+            return;
+        }
+        takeover.asked = now;
+        match takeover.source {
+            Some(_) => self.fetch(),
+            None => self.ask_previous(epoch),
+        }
+    }
+
+    /// The own log holds all that is committed: the epoch's first entry goes on top.
+    fn append_begin(&mut self, now: Moment) {
+        let index = self.meta.log.last() + 1;
+        let bytes = framing::encode(&Entry::Begin, &[]);
+        self.meta.log.extend(index, self.assignment.epoch);
+        self.meta_changed = true;
+        self.lots.apply(index, &Entry::Begin, bytes.len() as u64, 0, now);
+        self.effects.push(Effect::Write(DiskWrite::Put(index, bytes)));
+        self.become_primary(now);
+    }
+
+    fn become_primary(&mut self, now: Moment) {
+        let epoch = self.assignment.epoch;
+        let followers = self.assignment.replicas.iter().copied().filter(|id| *id != self.settings.own);
+        let through = self.meta.log.last();
+        self.role = Role::Primary(Primary::new(epoch, through, followers));
+        self.leases.restart(now);
+        self.effects.push(Effect::AfterSync(AfterSync::OwnLog { epoch, through }));
+    }
+}
--- /dev/null
+++ b/crates/mintlb-lots/tests/model/disk.rs
@@ -0,0 +1,43 @@
+//! A disk of the model.
+
+use bytes::Bytes;
+use mintlb_lots::entry::Entry;
+use mintlb_lots::framing;
+use mintlb_lots::replica::{DiskWrite, ShardMeta};
+use std::collections::BTreeMap;
+
+/// What is durable.
+#[derive(Clone, Default)]
+pub struct Disk {
+    pub meta: ShardMeta,
+    pub entries: BTreeMap<u64, Bytes>,
+}
+
+impl Disk {
+    pub fn apply(&mut self, writes: Vec<DiskWrite>) {
+        for write in writes {
+            match write {
+                DiskWrite::Put(index, bytes) => _ = self.entries.insert(index, bytes),
+                DiskWrite::Truncate(last) => self.entries.retain(|index, _| *index <= last),
+                DiskWrite::Remove(indexes) => indexes.iter().for_each(|index| _ = self.entries.remove(index)),
+                DiskWrite::Strip(indexes) => indexes.iter().for_each(|index| self.strip(*index)),
+                DiskWrite::Clear => self.entries.clear(),
+                DiskWrite::Meta(meta) => self.meta = meta,
+            }
+        }
+    }
+
+    fn strip(&mut self, index: u64) {
+        if let Some(bytes) = self.entries.get_mut(&index) {
+            let (_, end) = framing::decode_head::<Entry>(bytes).unwrap();
+            *bytes = bytes.slice(..end);
+        }
+    }
+
+    pub fn load(&self) -> impl Iterator<Item = (u64, Entry, u64, u64)> {
+        self.entries.iter().map(|(index, bytes)| {
+            let (entry, end) = framing::decode_head::<Entry>(bytes).unwrap();
+            (*index, entry, bytes.len() as u64, (bytes.len() - end) as u64)
+        })
+    }
+}
--- /dev/null
+++ b/crates/mintlb-lots/tests/model/mod.rs
@@ -0,0 +1,432 @@
+//! A model of stores with one shard: virtual time, disks that lose what is not synced, messages that are lost, repeated
+//! and reordered, a register of the placement that everybody hears of late.
+
+pub mod checks;
+pub mod disk;
+
+use bytes::Bytes;
+use checks::Told;
+use disk::Disk;
+use mintlb_lots::entry::{Entry, ItemHead, ItemState, LotHead, LotTerms};
+use mintlb_lots::framing;
+use mintlb_lots::heartbeat::StoreHeartbeat;
+use mintlb_lots::messages::{Answer, LotName};
+use mintlb_lots::peer::{EntryLength, Envelope, PeerMessage};
+use mintlb_lots::placement_planner::{StoreTable, plan};
+use mintlb_lots::replica::{AfterSync, DiskWrite, Effect, Proposal, Replica, ReplicaSettings};
+use mintlb_tier::placement::{Placement, ShardAssignment, StoreId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+pub const HOST: &str = "h";
+pub const SHARD: u32 = 0;
+pub const LIMIT: u64 = 900;
+pub const STATUS: Duration = Duration::from_secs(100_000);
+
+/// What a caller waits for.
+#[derive(Clone, Debug)]
+pub enum Expected {
+    Accepted { lot: String, items: usize },
+    Listed { lot: String, item: u32, text: String },
+    Ended { lot: String },
+}
+
+/// A store: its disk outlives its process.
+pub struct Store {
+    pub id: StoreId,
+    pub disk: Disk,
+    /// Writes on their way to the disk, with what follows each.
+    pub pending: Vec<(Vec<DiskWrite>, Vec<AfterSync>)>,
+    pub replica: Option<Replica>,
+    pub waiting: Vec<(u64, Expected)>,
+    /// Index of the newest placement it has heard of.
+    pub placement: usize,
+    pub zone: String,
+    pub cut: bool,
+}
+
+pub struct Random(pub u64);
+
+impl Random {
+    pub fn below(&mut self, most: u64) -> u64 {
+        self.0 = self.0.wrapping_add(0x9e37_79b9_7f4a_7c15);
+        let mut z = self.0;
+        z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+        z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+        (z ^ (z >> 31)) % most.max(1)
+    }
+
+    pub fn chance(&mut self, percent: u64) -> bool {
+        self.below(100) < percent
+    }
+}
+
+pub struct Model {
+    pub random: Random,
+    pub now: Duration,
+    pub tolerance: usize,
+    pub stores: Vec<Store>,
+    pub messages: Vec<(Envelope, Bytes)>,
+    /// All placements, in the order in which the register took them.
+    pub placements: Vec<Placement>,
+    pub table: StoreTable,
+    pub told: Told,
+    pub lost_disks: BTreeSet<StoreId>,
+    pub next_id: StoreId,
+    pub next_lot: u64,
+    pub losses: u64,
+    pub takeovers: u64,
+}
+
+impl Model {
+    pub fn new(seed: u64, count: usize, tolerance: usize) -> Model {
+        let now = Duration::from_secs(1000);
+        let mut model = Model {
+            random: Random(seed),
+            now,
+            tolerance,
+            stores: Vec::new(),
+            messages: Vec::new(),
+            placements: vec![Placement::default()],
+            table: StoreTable::new(now),
+            told: Told::default(),
+            lost_disks: BTreeSet::new(),
+            next_id: 1,
+            next_lot: 0,
+            losses: 0,
+            takeovers: 0,
+        };
+        for _ in 0..count {
+            model.add_store();
+        }
+        model
+    }
+
+    pub fn add_store(&mut self) {
+        let id = self.next_id;
+        self.next_id += 1;
+        self.stores.push(Store {
+            id,
+            disk: Disk::default(),
+            pending: Vec::new(),
+            replica: None,
+            waiting: Vec::new(),
+            placement: 0,
+            zone: format!("z{}", id % 3),
+            cut: false,
+        });
+        let place = self.stores.len() - 1;
+        self.start(place);
+    }
+
+    fn settings(&self, id: StoreId) -> ReplicaSettings {
+        ReplicaSettings { own: id, tolerance: self.tolerance, status: STATUS }
+    }
+
+    /// Starts the process with what is on its disk.
+    pub fn start(&mut self, place: usize) {
+        let settings = self.settings(self.stores[place].id);
+        let store = &mut self.stores[place];
+        let replica = Replica::load(SHARD, settings, store.disk.meta.clone(), store.disk.load(), self.now);
+        store.replica = Some(replica);
+        store.placement = 0;
+    }
+
+    /// The process ends; of what was on its way to the disk a first part has got there, or nothing.
+    pub fn crash(&mut self, place: usize) {
+        println!("{:?} crash {place} id {}", self.now, self.stores[place].id);
+        let store = &mut self.stores[place];
+        store.replica = None;
+        store.waiting.clear();
+        let written = self.random.below(store.pending.len() as u64 + 1) as usize;
+        for (writes, _) in store.pending.drain(..).take(written) {
+            store.disk.apply(writes);
+        }
+        store.pending.clear();
+    }
+
+    /// The process ends and its disk is empty: it comes back as another store.
+    pub fn lose_disk(&mut self, place: usize) -> bool {
+        let id = self.stores[place].id;
+        if !self.may_lose(id) {
+            return false;
+        }
+        self.crash(place);
+        self.lost_disks.insert(id);
+        self.losses += 1;
+        println!("lose disk {id}");
+        let store = &mut self.stores[place];
+        store.disk = Disk::default();
+        store.id = self.next_id;
+        self.next_id += 1;
+        true
+    }
+
+    /// No more than the tolerance of the replicas that have to hold what is committed may lose their disks.
+    fn may_lose(&self, id: StoreId) -> bool {
+        let Some(shard) = self.placements.last().and_then(|p| p.shards.first()) else { return false };
+        let lost = |set: &[StoreId]| {
+            set.iter().filter(|other| **other == id || self.lost_disks.contains(other)).count()
+        };
+        // Also of the set before, as long as the newest is not known to be in charge.
+        lost(&shard.replicas) <= self.tolerance && lost(&shard.previous) <= self.tolerance
+    }
+
+    pub fn act(&mut self, place: usize) {
+        loop {
+            let Some(replica) = &mut self.stores[place].replica else { return };
+            let effects = replica.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            let (mut writes, mut after) = (Vec::new(), Vec::new());
+            for effect in effects {
+                match effect {
+                    Effect::Write(write) => writes.push(write),
+                    Effect::AfterSync(next) => after.push(next),
+                    Effect::Send(envelope) => self.messages.push((envelope, Bytes::new())),
+                    Effect::SendEntries(envelope, indexes) => self.send_entries(place, envelope, &indexes),
+                    Effect::Committed(through) => self.committed(place, through),
+                    Effect::SteppedDown => self.stores[place].waiting.clear(),
+                    Effect::Confirmed | Effect::ReportChanged | Effect::Replicated(_) => (),
+                }
+            }
+            let store = &mut self.stores[place];
+            if writes.is_empty() && store.pending.is_empty() {
+                let replica = store.replica.as_mut().unwrap();
+                after.into_iter().for_each(|after| replica.synced(after, self.now));
+            } else {
+                store.pending.push((writes, after));
+            }
+        }
+    }
+
+    fn send_entries(&mut self, place: usize, mut envelope: Envelope, indexes: &[u64]) {
+        let entries = &self.stores[place].disk.entries;
+        let found: Vec<(u64, Bytes)> =
+            indexes.iter().filter_map(|i| Some((*i, entries.get(i)?.clone()))).collect();
+        let (PeerMessage::Append(append) | PeerMessage::Fetched(append)) = &mut envelope.message else { return };
+        let length = |(index, bytes): &(u64, Bytes)| EntryLength { index: *index, length: bytes.len() as u64 };
+        append.entries = found.iter().map(length).collect();
+        let raw: Vec<u8> = found.iter().flat_map(|(_, bytes)| bytes.to_vec()).collect();
+        self.messages.push((envelope, raw.into()));
+    }
+
+    /// The disk has everything that was on its way.
+    pub fn sync(&mut self, place: usize) {
+        let store = &mut self.stores[place];
+        let pending = std::mem::take(&mut store.pending);
+        let mut follow = Vec::new();
+        for (writes, after) in pending {
+            store.disk.apply(writes);
+            follow.extend(after);
+        }
+        if let Some(replica) = &mut store.replica {
+            follow.into_iter().for_each(|after| replica.synced(after, self.now));
+        }
+        self.act(place);
+    }
+
+    /// Delivers the message at this place of the row.
+    pub fn deliver(&mut self, message: usize, keep: bool) {
+        if message >= self.messages.len() {
+            return;
+        }
+        let (envelope, raw) = match keep {
+            true => self.messages[message].clone(),
+            false => self.messages.remove(message),
+        };
+        let cut = |id: StoreId| self.stores.iter().any(|store| store.id == id && store.cut);
+        if cut(envelope.from) || cut(envelope.to) {
+            return;
+        }
+        let Some(place) = self.stores.iter().position(|store| store.id == envelope.to) else { return };
+        if std::env::var("TRACE").is_ok() && !matches!(&envelope.message, PeerMessage::Append(a) if a.through==a.previous.index && self.messages.len() > 100000) {
+            println!("{:?} deliver {:?} raw {}", self.now, envelope, raw.len());
+        }
+        let Some(replica) = &mut self.stores[place].replica else { return };
+        replica.message(envelope, raw, self.now);
+        self.act(place);
+    }
+
+    /// A store hears of a newer placement.
+    pub fn hear(&mut self, place: usize) {
+        let newest = self.placements.len() - 1;
+        let store = &mut self.stores[place];
+        if store.cut || store.placement >= newest {
+            return;
+        }
+        let next = store.placement + 1 + self.random.below((newest - store.placement) as u64) as usize;
+        store.placement = next;
+        println!("{:?} hear {} {:?}", self.now, store.id, self.placements[next].shards.first());
+        let (Some(replica), Some(shard)) = (&mut store.replica, self.placements[next].shards.first()) else {
+            return;
+        };
+        replica.set_assignment(shard, self.now);
+        self.act(place);
+    }
+
+    /// Stores that are not cut off report; the controller plans.
+    pub fn control(&mut self) {
+        for store in self.stores.iter().filter(|store| !store.cut) {
+            let Some(replica) = &store.replica else { continue };
+            let heartbeat = StoreHeartbeat {
+                id: store.id,
+                node_name: format!("node-{}", store.id),
+                address: format!("10.0.0.{}:1", store.id),
+                zone: store.zone.clone(),
+                shards: replica.report().into_iter().collect(),
+                placement: 0,
+            };
+            self.table.note(heartbeat, self.now);
+        }
+        let current = self.placements.last().unwrap().clone();
+        let view = self.table.view(&current, self.now);
+        let Some(mut next) = plan(&current, &view, self.tolerance) else { return };
+        // One shard is enough here.
+        next.shards.truncate(1);
+        if next.shards.first().map(epoch_of) != current.shards.first().map(epoch_of) {
+            self.takeovers += 1;
+        }
+        println!("{:?} placement {:?}", self.now, next.shards);
+        self.placements.push(next);
+    }
+
+    pub fn tick(&mut self, passed: Duration) {
+        self.now += passed;
+        for place in 0..self.stores.len() {
+            if let Some(replica) = &mut self.stores[place].replica {
+                replica.tick(self.now);
+                self.act(place);
+            }
+        }
+    }
+
+    fn committed(&mut self, place: usize, through: u64) {
+        let waiting = std::mem::take(&mut self.stores[place].waiting);
+        for (index, expected) in waiting {
+            match index <= through {
+                true => self.tell(place, expected),
+                false => self.stores[place].waiting.push((index, expected)),
+            }
+        }
+    }
+
+    fn tell(&mut self, place: usize, expected: Expected) {
+        let (now, random) = (self.now, self.random.below(2));
+        println!("{now:?} told by {} {expected:?}", self.stores[place].id);
+        match expected {
+            Expected::Accepted { lot, items } => self.told.accepted(lot, items, now),
+            Expected::Ended { lot } => self.told.ended(lot, now),
+            Expected::Listed { lot, item, text } => {
+                self.told.recorded(&lot, item, &text);
+                if random == 0 {
+                    self.read(place, &lot);
+                }
+            }
+        }
+    }
+
+    /// A dispatcher calls a store; the answer is told at once or once it is committed.
+    fn propose(&mut self, place: usize, proposal: Proposal, expected: Expected) {
+        match proposal {
+            Proposal::Done(Answer::Recorded | Answer::Ended) => self.tell(place, expected),
+            Proposal::Done(_) => (),
+            Proposal::Pending(index, _) => self.stores[place].waiting.push((index, expected)),
+            Proposal::Compare(index, _) => {
+                let replica = self.stores[place].replica.as_ref().unwrap();
+                match index <= replica.committed() {
+                    true => self.tell(place, expected),
+                    false => self.stores[place].waiting.push((index, expected)),
+                }
+            }
+        }
+        self.act(place);
+    }
+
+    pub fn submit(&mut self, place: usize, lot: String, items: usize) {
+        let Some(replica) = &mut self.stores[place].replica else { return };
+        let payload = |item: usize| format!("payload {lot} {item};");
+        let heads = (0..items).map(|item| ItemHead {
+            id: format!("{lot}-{item}"),
+            tokens: 30,
+            length: payload(item).len() as u64,
+        });
+        let raw: Bytes = (0..items).map(payload).collect::<String>().into();
+        let terms = LotTerms { retention_ms: 1_000_000_000, ..LotTerms::default() };
+        let head = LotHead {
+            host: HOST.to_string(),
+            id: lot.clone(),
+            route: "r".to_string(),
+            terms,
+            items: heads.collect(),
+        };
+        let epoch = replica.epoch();
+        let proposal = replica.submit(epoch, head, &raw, 7, LIMIT, self.now);
+        self.propose(place, proposal, Expected::Accepted { lot, items });
+    }
+
+    pub fn record(&mut self, place: usize, lot: String, item: u32) {
+        let Some(replica) = &mut self.stores[place].replica else { return };
+        let text = format!("text {} of {lot} {item}", self.random.below(1000));
+        let name = name(&lot);
+        let proposal = replica.record(&name, item, ItemState::Completed, &text.clone().into(), self.now);
+        self.propose(place, proposal, Expected::Listed { lot, item, text });
+    }
+
+    pub fn end(&mut self, place: usize, lot: String) {
+        let Some(replica) = &mut self.stores[place].replica else { return };
+        let proposal = replica.end(&name(&lot), self.now);
+        self.propose(place, proposal, Expected::Ended { lot });
+    }
+
+    /// A reader reads the whole lot at a store, if that is sure enough to answer.
+    pub fn read(&mut self, place: usize, lot: &str) {
+        let store = &mut self.stores[place];
+        let Some(replica) = &mut store.replica else { return };
+        if !replica.is_serving() {
+            return;
+        }
+        let sure = replica.confirm(self.now);
+        println!("{:?} read {lot} at {} sure {sure}", self.now, store.id);
+        let plan = replica.page(&name(lot), 0, u64::MAX);
+        let results = plan.map(|plan| {
+            let entries = plan.entries.iter().zip(&plan.page.results);
+            let texts = entries.map(|(index, result)| {
+                let bytes = store.disk.entries.get(index).expect("a listed text is on disk");
+                let (_, raw) = framing::decode::<Entry>(bytes).unwrap();
+                (result.item.clone(), String::from_utf8(raw.to_vec()).unwrap())
+            });
+            (plan.page.total, texts.collect::<Vec<_>>())
+        });
+        self.told.read(lot, results, sure, self.now);
+        self.act(place);
+    }
+
+    /// Leases everything that is open at a store and gives it back.
+    pub fn lease(&mut self, place: usize) {
+        let Some(replica) = &mut self.stores[place].replica else { return };
+        let leased = replica.lease(9, 1000, u64::MAX, self.now);
+        replica.release(9);
+        for plan in leased {
+            self.told.leased(&plan.head.lot.id, &plan.head.item, self.now);
+            let bytes = self.stores[place].disk.entries.get(&plan.entry).expect("a leased payload is on disk");
+            let (_, raw) = framing::decode::<Entry>(bytes).unwrap();
+            let payload = raw.slice(plan.range);
+            let expected = format!("payload {} {};", plan.head.lot.id, plan.head.index);
+            assert_eq!(payload, expected.as_bytes());
+        }
+        self.act(place);
+    }
+}
+
+pub fn name(lot: &str) -> LotName {
+    LotName { host: HOST.to_string(), id: lot.to_string() }
+}
+
+fn epoch_of(shard: &ShardAssignment) -> u64 {
+    shard.epoch
+}
+
+/// By position, what readers were told.
+pub type Results = BTreeMap<String, Vec<(String, String)>>;
--- a/crates/mintlb-node/src/cli.rs
+++ b/crates/mintlb-node/src/cli.rs
@@ -8,6 +8,7 @@
 use crate::serve::{Plan, Told, serve};
 use argh::FromArgs;
 use mintlb_ops::call::FAILURE;
+use mintlb_tier::settings::NodeSettings;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{TcpListener, TcpStream};
 use std::process::ExitCode;
@@ -29,6 +30,7 @@
 #[argh(subcommand)]
 enum Verb {
     Serve(Serve),
+    Dispatch(Dispatch),
     Check(Check),
     Count(Count),
     Call(Call),
@@ -50,6 +52,15 @@
     verbose: bool,
 }
 
+/// Serves as a dispatcher of the serving tier until SIGTERM; the settings are in the file that MINTLB_BOOT names.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "dispatch")]
+struct Dispatch {
+    /// log each single send, too
+    #[argh(switch)]
+    verbose: bool,
+}
+
 /// Reads a configuration and says what would be served, or what is wrong with it.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "check")]
@@ -148,6 +159,7 @@
             log::finish(last_lines, wait);
             served
         }
+        Verb::Dispatch(Dispatch { verbose }) => dispatch(verbose),
         Verb::Check(Check { config, operator }) => {
             let plan = plan(&path(config)?, operator.as_deref(), None)?;
             let Placement { name, listen, discovery, known, .. } = &plan.placement;
@@ -186,6 +198,14 @@
     }
 }
 
+/// A dispatcher of the serving tier.
+fn dispatch(verbose: bool) -> Result<(), String> {
+    let settings = NodeSettings::from_environment().map_err(|e| e.to_string())?;
+    let level = if verbose { "debug" } else { "info" };
+    let _log = mintlb_tier::logging::start(level).map_err(|e| format!("no log: {e}"))?;
+    mintlb_dispatch::run(settings).map_err(|e| e.to_string())
+}
+
 /// What a door answers within the time that it has for that.
 fn ask(at: &str, call: &str) -> std::io::Result<String> {
     let at = at.parse().map_err(|e| std::io::Error::new(ErrorKind::InvalidInput, e))?;
--- /dev/null
+++ b/crates/mintlb-overlay/tests/driver.rs
@@ -0,0 +1,123 @@
+//! The overlay over real sockets on the loopback.
+
+use bytes::Bytes;
+use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_tier::record::Record;
+use mintlb_tier::transport::Transport;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+async fn transports(count: usize) -> Vec<Arc<Transport>> {
+    let mut transports = Vec::new();
+    for _ in 0..count {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        transports.push(Transport::start(any).await.unwrap());
+    }
+    transports
+}
+
+fn start(transport: &Arc<Transport>, seeds: &[SocketAddr], number: usize) -> Arc<Overlay> {
+    let member = Member {
+        address: transport.own_address(),
+        incarnation: 1,
+        role: Role::Controller,
+        node_name: format!("machine{number}"),
+        zone: format!("zone{}", number % 2),
+    };
+    Overlay::start(OverlayConfig { transport: transport.clone(), seeds: seeds.to_vec(), member })
+}
+
+fn record(key: &str, version: u64) -> Record {
+    Record { key: key.into(), version, lifetime_s: 0, body: Bytes::from(vec![7; 300_000]) }
+}
+
+async fn heard(events: &mut mpsc::UnboundedReceiver<(String, u64)>, key: &str, version: u64) {
+    let wanted = async {
+        while let Some((heard, at)) = events.recv().await {
+            if heard == key && at == version {
+                return;
+            }
+        }
+        panic!("the listener is gone");
+    };
+    timeout(PATIENCE, wanted).await.unwrap_or_else(|_| panic!("{key} {version} has not come"));
+}
+
+#[tokio::test]
+async fn records_pass_between_processes() {
+    let transports = transports(6).await;
+    let seeds: Vec<_> = transports[..3].iter().map(|transport| transport.own_address()).collect();
+    let overlays: Vec<_> = (0..5).rev().map(|number| start(&transports[number], &seeds, number)).collect();
+    for overlay in &overlays {
+        timeout(PATIENCE, overlay.settled()).await.expect("joined");
+        assert!(*overlay.joined().borrow() && overlay.neighbours() > 0);
+    }
+    let mut events: Vec<_> = Vec::new();
+    for overlay in &overlays {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        overlay.subscribe(Arc::new(move |record: &Record| {
+            sender.send((record.key.clone(), record.version)).ok();
+        }));
+        events.push(receiver);
+    }
+    assert!(overlays[2].publish(record("configuration", 3), PATIENCE).await);
+    for events in &mut events {
+        heard(events, "configuration", 3).await;
+    }
+    // An older version is a no-op; that neighbours have a newer one confirms it.
+    assert!(overlays[2].publish(record("configuration", 2), PATIENCE).await);
+    assert_eq!(overlays[2].get("configuration"), Some(record("configuration", 3)));
+    // A snapshot stays as it is.
+    let snapshot = overlays[0].snapshot();
+    overlays[0].publish_now(record("configuration", 4));
+    assert_eq!(snapshot.get("configuration").map(|record| record.version), Some(3));
+    assert_eq!(overlays[0].snapshot().get("configuration").map(|record| record.version), Some(4));
+    for events in &mut events {
+        heard(events, "configuration", 4).await;
+    }
+    // A latecomer gets everything, and its listener is told of what is known.
+    let late = start(&transports[5], &seeds, 5);
+    timeout(PATIENCE, late.settled()).await.expect("joined");
+    assert_eq!(late.get("configuration").map(|record| record.version), Some(4));
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    late.subscribe(Arc::new(move |record: &Record| {
+        sender.send((record.key.clone(), record.version)).ok();
+    }));
+    heard(&mut receiver, "configuration", 4).await;
+    assert_eq!(late.snapshot().len(), 1);
+    assert!(late.members().len() >= late.neighbours());
+}
+
+#[tokio::test]
+async fn a_listener_may_publish() {
+    let transports = transports(2).await;
+    let seeds = [transports[0].own_address()];
+    let (one, other) = (start(&transports[0], &seeds, 0), start(&transports[1], &seeds, 1));
+    let publisher = Arc::downgrade(&other);
+    other.subscribe(Arc::new(move |record: &Record| {
+        if record.key == "question" {
+            let answer = Record { key: "answer".into(), ..record.clone() };
+            publisher.upgrade().into_iter().for_each(|overlay| overlay.publish_now(answer.clone()));
+        }
+    }));
+    let (sender, mut receiver) = mpsc::unbounded_channel();
+    one.subscribe(Arc::new(move |record: &Record| {
+        sender.send((record.key.clone(), record.version)).ok();
+    }));
+    one.publish_now(record("question", 1));
+    heard(&mut receiver, "answer", 1).await;
+}
+
+#[tokio::test]
+async fn a_lonely_publication_is_not_confirmed() {
+    let transports = transports(1).await;
+    let overlay = start(&transports[0], &[transports[0].own_address()], 0);
+    assert!(!overlay.publish(record("configuration", 1), Duration::from_millis(30)).await);
+    assert_eq!(overlay.get("configuration").map(|record| record.version), Some(1));
+    assert!(!*overlay.joined().borrow());
+}
--- /dev/null
+++ b/crates/mintlb-overlay/tests/faults.rs
@@ -0,0 +1,262 @@
+//! Cuts, freezes, restarts, resets, replaced machines, and one message that goes astray.
+
+mod common;
+
+use arbtest::arbtest;
+use common::{Fate, Simulation, address, ms, record};
+use mintlb_tier::record::Record;
+
+fn grown(seed: u64, count: usize, zones: usize) -> Simulation {
+    let mut simulation = Simulation::fleet(seed, count, zones, ms(300));
+    simulation.run_for(ms(4000));
+    assert!(simulation.is_connected() && simulation.all_joined());
+    simulation
+}
+
+/// A zone is cut off for a while; both sides publish. Within three seconds of the end of the cut all know all.
+fn cut_and_heal(seed: u64, count: usize, zones: usize, cut_for_s: u64) {
+    let mut simulation = grown(seed, count, zones);
+    simulation.cut("zone1");
+    simulation.run_for(ms(500));
+    simulation.publish(0, record("outside", 1));
+    simulation.publish(1, record("inside", 1));
+    simulation.run_for(ms(cut_for_s * 1000));
+    let (inside, outside): (Vec<_>, Vec<_>) =
+        simulation.running().into_iter().partition(|&number| simulation.zone(number) == "zone1");
+    assert_eq!(simulation.lacking(&inside, "inside", 1), 0, "{count} processes, seed {seed}");
+    assert_eq!(simulation.lacking(&outside, "outside", 1), 0, "{count} processes, seed {seed}");
+    assert_eq!(simulation.lacking(&inside, "outside", 1), inside.len());
+    simulation.heal();
+    let all = simulation.running();
+    let took = ["outside", "inside"].map(|key| {
+        let took = simulation.time_until_known(&all, key, 1, ms(3000));
+        took.unwrap_or_else(|| panic!("{count} processes, seed {seed}, cut {cut_for_s} s: {key} is lacking"))
+    });
+    println!("{count:4} processes, seed {seed}, cut {cut_for_s} s: healed after {took:?}");
+    simulation.run_for(ms(3000));
+    assert!(simulation.is_connected());
+    assert!(simulation.only_rises());
+}
+
+#[test]
+fn a_zone_is_cut_off_and_comes_back() {
+    for cut_for_s in [1, 4, 60, 600] {
+        for (count, zones, seeds) in [(3, 3, 5), (6, 2, 5), (12, 3, 5), (60, 3, 2)] {
+            (0..seeds).for_each(|seed| cut_and_heal(seed, count, zones, cut_for_s));
+        }
+    }
+}
+
+#[test]
+fn a_process_freezes_and_wakes() {
+    for seed in 0..10 {
+        let mut simulation = grown(seed, 20, 3);
+        simulation.freeze(7);
+        simulation.run_for(ms(200));
+        simulation.publish(3, record("configuration", 1));
+        simulation.run_for(ms(10_000));
+        let others = simulation.running();
+        assert_eq!(simulation.lacking(&others, "configuration", 1), 0);
+        assert!(simulation.is_connected(), "the others came apart");
+        simulation.thaw(7);
+        let took = simulation.time_until_known(&[7], "configuration", 1, ms(1500));
+        assert!(took.is_some(), "seed {seed}: not known after the wake");
+        simulation.run_for(ms(3000));
+        assert!(simulation.is_connected());
+        assert_eq!(simulation.one_sided(), 0);
+    }
+}
+
+#[test]
+fn a_process_comes_back_with_a_new_incarnation() {
+    for seed in 0..10 {
+        for pause in [50, 400, 5000] {
+            let mut simulation = grown(seed, 12, 3);
+            simulation.publish(5, record("configuration", 7));
+            simulation.run_for(ms(1000));
+            let number = (seed % 4) as usize;
+            simulation.kill(number);
+            simulation.run_for(ms(pause));
+            simulation.restart(number);
+            let took = simulation.time_until_known(&[number], "configuration", 7, ms(1500));
+            assert!(took.is_some(), "seed {seed}, pause {pause} ms: not known after the restart");
+            simulation.run_for(ms(4000));
+            assert!(simulation.is_connected());
+            assert_eq!(simulation.one_sided(), 0);
+            let stale = |&other: &usize| {
+                let members = simulation.node(other).views().members(simulation.now);
+                members.iter().any(|m| m.address == address(number) && m.incarnation == 1)
+            };
+            let neighbours: Vec<_> = simulation.node(number).views().neighbours().collect();
+            let knows = |other: &usize| neighbours.contains(&address(*other));
+            assert!(!simulation.running().iter().filter(|other| knows(other)).any(stale));
+        }
+    }
+}
+
+#[test]
+fn seeds_are_gone_and_newcomers_still_come_in() {
+    let mut simulation = grown(3, 20, 3);
+    simulation.vanish(0);
+    simulation.vanish(1);
+    simulation.run_for(ms(3000));
+    assert!(simulation.is_connected());
+    simulation.add(20, "zone1", ms(0));
+    simulation.run_for(ms(2500));
+    assert!(simulation.is_connected() && simulation.node(20).joined());
+    // The last seed is gone, too: the others go on.
+    simulation.vanish(2);
+    simulation.run_for(ms(5000));
+    assert!(simulation.is_connected());
+    simulation.publish(20, record("configuration", 2));
+    let all = simulation.running();
+    assert!(simulation.time_until_known(&all, "configuration", 2, ms(300)).is_some());
+}
+
+#[test]
+fn seeds_that_start_late_are_found() {
+    for seed in 0..5 {
+        let mut simulation = Simulation::new(seed, &[0, 1, 2]);
+        (0..3).for_each(|number| simulation.add(number, &format!("zone{number}"), ms(2500)));
+        (3..15).for_each(|number| simulation.add(number, &format!("zone{}", number % 3), ms(10)));
+        simulation.run_for(ms(2500));
+        let until = simulation.now + ms(2000);
+        let joined = simulation.run_until(until, |s| s.running().len() == 15 && s.is_connected());
+        assert!(joined, "seed {seed}");
+    }
+}
+
+#[test]
+fn connections_are_reset() {
+    let mut simulation = grown(4, 12, 3);
+    for version in 1..=10 {
+        for other in 1..12 {
+            simulation.reset(0, other);
+        }
+        simulation.publish(3, record("configuration", version));
+        let all = simulation.running();
+        assert!(simulation.time_until_known(&all, "configuration", version, ms(1000)).is_some());
+    }
+    assert!(simulation.is_connected());
+}
+
+#[test]
+fn machines_are_replaced_for_good() {
+    let mut simulation = grown(5, 20, 3);
+    for round in 0..10 {
+        simulation.vanish(3 + round);
+        simulation.run_for(ms(500));
+        simulation.add(20 + round, &format!("zone{}", round % 3), ms(0));
+        simulation.run_for(ms(2500));
+        assert!(simulation.is_connected(), "round {round}");
+    }
+    simulation.run_for(ms(5000));
+    assert_eq!(simulation.one_sided(), 0);
+    // Who is gone is not reported for ever.
+    simulation.run_for(ms(90_000));
+    for number in simulation.running() {
+        let members = simulation.node(number).views().members(simulation.now);
+        let gone = (3..13).filter(|&gone| members.iter().any(|member| member.address == address(gone)));
+        assert_eq!(gone.count(), 0, "at {number}");
+    }
+}
+
+#[test]
+fn one_message_goes_astray() {
+    arbtest(|input| {
+        let seed = input.int_in_range(0..=1000)?;
+        let count = input.int_in_range(3..=8)?;
+        let mut simulation = Simulation::fleet(seed, count, 2, ms(300));
+        let number = input.int_in_range(1..=600)?;
+        let fate = *input.choose(&[
+            Fate::Drop,
+            Fate::Duplicate,
+            Fate::Delay(ms(30)),
+            Fate::Delay(ms(700)),
+            Fate::Delay(ms(3000)),
+        ])?;
+        simulation.fate_of = Some((number, fate));
+        for version in 1..=8 {
+            let publisher = input.int_in_range(0..=count - 1)?;
+            simulation.run_for(ms(input.int_in_range(50..=600)?));
+            if simulation.running().contains(&publisher) {
+                simulation.publish(publisher, record("placement", version));
+            }
+        }
+        simulation.run_for(ms(4500));
+        let all = simulation.running();
+        let newest =
+            all.iter().filter_map(|&number| simulation.version(number, "placement")).max().unwrap_or(0);
+        assert_eq!(simulation.lacking(&all, "placement", newest), 0, "{fate:?} of message {number}");
+        assert!(simulation.is_connected() && simulation.only_rises());
+        assert_eq!(simulation.one_sided(), 0, "{fate:?} of message {number}");
+        Ok(())
+    })
+    .budget_ms(8000);
+}
+
+#[test]
+fn a_late_message_costs_less_than_a_second() {
+    arbtest(|input| {
+        let mut simulation = Simulation::fleet(input.int_in_range(0..=1000)?, 8, 2, ms(300));
+        simulation.run_for(ms(3000));
+        let fate = *input.choose(&[Fate::Drop, Fate::Delay(ms(5000))])?;
+        simulation.fate_of = Some((simulation.sent_messages + input.int_in_range(1..=30)?, fate));
+        simulation.publish(input.int_in_range(0..=7)?, record("placement", 1));
+        let all = simulation.running();
+        let took = simulation.time_until_known(&all, "placement", 1, ms(1500));
+        assert!(took.is_some(), "{fate:?}: {} lack it", simulation.lacking(&all, "placement", 1));
+        Ok(())
+    })
+    .budget_ms(5000);
+}
+
+#[test]
+fn a_garbled_message_ends_nothing() {
+    arbtest(|input| {
+        let mut simulation = Simulation::fleet(input.int_in_range(0..=1000)?, 5, 2, ms(300));
+        let number = input.int_in_range(1..=300)?;
+        simulation.fate_of = Some((number, Fate::Mutate(input.int_in_range(0..=4000)?)));
+        simulation.run_for(ms(3000));
+        let key = "placement";
+        (1..=3).for_each(|version| simulation.publish(2, record(key, version)));
+        simulation.run_for(ms(4000));
+        let all = simulation.running();
+        let newest = all.iter().filter_map(|&number| simulation.version(number, key)).max().unwrap_or(0);
+        assert_eq!(simulation.lacking(&all, key, newest), 0, "message {number}");
+        assert!(simulation.is_connected() && simulation.only_rises());
+        Ok(())
+    })
+    .budget_ms(5000);
+}
+
+#[test]
+fn records_with_a_lifetime_end_and_stay_away() {
+    let mut simulation = grown(6, 20, 3);
+    let all = simulation.running();
+    simulation.publish(4, record("worker/x", 4));
+    simulation.run_for(ms(1000));
+    // One zone does not hear of the worker's end until long after its record has ended.
+    simulation.cut("zone1");
+    simulation.run_for(ms(3000));
+    let body = "gone".into();
+    simulation.publish(0, Record { key: "worker/x".into(), version: u64::MAX, lifetime_s: 20, body });
+    simulation.run_for(ms(1000));
+    let outside: Vec<_> = all.iter().copied().filter(|&number| simulation.zone(number) != "zone1").collect();
+    assert_eq!(simulation.lacking(&outside, "worker/x", u64::MAX), 0);
+    simulation.run_for(ms(30_000));
+    assert!(outside.iter().all(|&number| simulation.version(number, "worker/x").is_none()));
+    simulation.heal();
+    simulation.run_for(ms(10_000));
+    for &number in &all {
+        let version = simulation.version(number, "worker/x");
+        assert!(version.is_none_or(|version| version == u64::MAX), "{number} still has {version:?}");
+    }
+    simulation.run_for(ms(30_000));
+    assert!(all.iter().all(|&number| simulation.version(number, "worker/x").is_none()));
+    let (bytes, _) = simulation.sent();
+    simulation.run_for(ms(10_000));
+    let rate = (simulation.sent().0 - bytes) / 10 / 20;
+    println!("steady again: {rate} bytes a second and process");
+    assert!(rate < 1000, "{rate} bytes a second");
+}
--- a/crates/mintlb-tier/src/configuration.rs
+++ b/crates/mintlb-tier/src/configuration.rs
@@ -206,7 +206,7 @@
         let fits = |route: &&Route| {
             route.host_name.eq_ignore_ascii_case(host) && path.starts_with(&route.path_prefix)
         };
-        let fitting = self.route_list.iter().enumerate().filter(|(_, route)| fits(&route));
+        let fitting = self.route_list.iter().enumerate().filter(|(_, route)| fits(route));
         fitting.max_by_key(|(_, route)| route.path_prefix.len())
     }
 
