A long prompt waits a third of its target for the one worker that its subject prefers

Cause: with two preferred workers a subject and 1/8 of the target's patience most large prompts were read anew. Change: one preferred worker, patience a third of the target; numbers of the batch calls' errors are their own.

--- a/crates/mintlb-dispatch/src/batch/calls.rs
+++ b/crates/mintlb-dispatch/src/batch/calls.rs
@@ -102,7 +102,7 @@
         }
         let id = call.headers.get("mintlb-request-id").and_then(|id| id.to_str().ok());
         let Some(lot_id) = id.filter(|id| !id.is_empty()) else {
-            return wrong("M404 Mintlb-Request-Id: one is needed".to_string());
+            return wrong("M414 Mintlb-Request-Id: one is needed".to_string());
         };
         let items = match submission::parse(&call.body, route) {
             Ok(items) => items,
@@ -126,7 +126,7 @@
     fn read(&self, call: &BatchCall, lot_id: &str, query: &str) -> Answer {
         let start_after = match parameter(query, "start_after").map_or(Ok(0), str::parse) {
             Ok(position) => position,
-            Err(_) => return wrong("M405 start_after: is no position".to_string()),
+            Err(_) => return wrong("M415 start_after: is no position".to_string()),
         };
         let wait = milliseconds(&call.headers, "mintlb-wait-ms").unwrap_or_default().min(LONGEST_READ_WAIT);
         let (client, host, lot_id) = (self.client.clone(), host_name(&call.host), lot_id.to_string());
@@ -141,7 +141,7 @@
 
     fn body(&self, call: &BatchCall, lot_id: &str, query: &str) -> Answer {
         let Some(instance_id) = parameter(query, "instance_id").map(str::to_string) else {
-            return wrong("M406 instance_id: one is needed".to_string());
+            return wrong("M416 instance_id: one is needed".to_string());
         };
         let (client, host, lot_id) = (self.client.clone(), host_name(&call.host), lot_id.to_string());
         Box::pin(async move {
@@ -190,7 +190,7 @@
             StatusCode::ACCEPTED.into_response()
         }
         SubmitOutcome::QuotaFull => later(StatusCode::TOO_MANY_REQUESTS, QUOTA_COME_BACK),
-        SubmitOutcome::Conflict => (StatusCode::CONFLICT, "M407 another lot has this id").into_response(),
+        SubmitOutcome::Conflict => (StatusCode::CONFLICT, "M417 another lot has this id").into_response(),
         SubmitOutcome::Refused => later(StatusCode::SERVICE_UNAVAILABLE, COME_BACK),
         // It may be in: a status that promises that it is not would be a lie.
         SubmitOutcome::Unclear => StatusCode::GATEWAY_TIMEOUT.into_response(),
--- a/crates/mintlb-dispatch/src/batch/submission.rs
+++ b/crates/mintlb-dispatch/src/batch/submission.rs
@@ -16,13 +16,13 @@
 #[derive(Clone, Debug, PartialEq, thiserror::Error)]
 pub enum SubmissionError {
     /// It is no JSON of this shape.
-    #[error("M401 the lot can't be read: {0}")]
+    #[error("M411 the lot can't be read: {0}")]
     Unreadable(String),
     /// It has no items, or too many.
-    #[error("M402 requests: {0} items, from 1 to {MOST_ITEMS} are taken")]
+    #[error("M412 requests: {0} items, from 1 to {MOST_ITEMS} are taken")]
     Count(usize),
     /// A field of an item is wrong.
-    #[error("M403 requests[{position}].{field}: {reason}")]
+    #[error("M413 requests[{position}].{field}: {reason}")]
     Item {
         /// Its place in the lot.
         position: usize,
--- a/crates/mintlb-dispatch/src/permits.rs
+++ b/crates/mintlb-dispatch/src/permits.rs
@@ -14,7 +14,7 @@
 /// This part of a worker's memory is filled by what one dispatcher sends there.
 const MEMORY_SHARE: f64 = 0.8;
 /// This part of a request's target it waits for a worker that is likely to have its prompt.
-const WAIT_SHARE: f64 = 1.0 / 8.0;
+const WAIT_SHARE: f64 = 1.0 / 3.0;
 /// This part of a worker's connections is left for health checks and uneven shares.
 const CONNECTION_SHARE: f64 = 0.8;
 /// A dispatcher may have so many connections to a worker at least.
--- a/crates/mintlb-dispatch/src/prompts.rs
+++ b/crates/mintlb-dispatch/src/prompts.rs
@@ -6,7 +6,7 @@
 /// Shared parts of fewer tokens are read anew in less time than it takes to look for a worker that has them.
 const LONG_TOKENS: u64 = 2000;
 /// The workers that are preferred for one subject.
-pub const PREFERRED: usize = 2;
+pub const PREFERRED: usize = 1;
 
 /// What a request says of its prompt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- /dev/null
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -0,0 +1,297 @@
+//! Placements: the first one, a primary's death, replacements, retirement.
+
+use mintlb_lots::heartbeat::{ShardReport, StoreHeartbeat};
+use mintlb_lots::placement_planner::{
+    Retirement, RetirementOrder, StoreTable, order_retirement, plan, primaries, retirement,
+};
+use mintlb_tier::placement::{Placement, StoreId};
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+const STEP: Duration = Duration::from_millis(100);
+
+/// Stores whose primaries take over at once and whose replicas catch up at once, unless told otherwise.
+struct Tier {
+    now: Duration,
+    table: StoreTable,
+    placement: Placement,
+    /// Live stores with their zones and machines.
+    live: BTreeMap<StoreId, (String, String)>,
+    /// Stores that catch up with nothing.
+    slow: BTreeSet<StoreId>,
+    tolerance: usize,
+    changes: usize,
+}
+
+impl Tier {
+    fn new(zones: &[&str], tolerance: usize) -> Tier {
+        let now = Duration::from_secs(100);
+        let mut tier = Tier {
+            now,
+            table: StoreTable::new(now),
+            placement: Placement::default(),
+            live: BTreeMap::new(),
+            slow: BTreeSet::new(),
+            tolerance,
+            changes: 0,
+        };
+        for (i, zone) in zones.iter().enumerate() {
+            tier.add(i as u64 + 1, zone, &format!("node-{}", i + 1));
+        }
+        tier
+    }
+
+    fn add(&mut self, id: StoreId, zone: &str, node: &str) {
+        self.live.insert(id, (zone.to_string(), node.to_string()));
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        for (id, (zone, node)) in &self.live {
+            let shards = self.placement.shards.iter().enumerate();
+            let reports = shards.filter(|(_, shard)| shard.replicas.first() == Some(id)).map(|(i, shard)| {
+                let caught_up = |other: &StoreId| self.live.contains_key(other) && !self.slow.contains(other);
+                ShardReport {
+                    shard: i as u32,
+                    epoch: shard.epoch,
+                    in_charge: shard.replicas.iter().filter(|id| caught_up(id)).count() > self.tolerance,
+                    caught_up: shard.replicas.iter().copied().filter(caught_up).collect(),
+                }
+            });
+            let heartbeat = StoreHeartbeat {
+                id: *id,
+                node_name: node.clone(),
+                address: format!("{node}:1"),
+                zone: zone.clone(),
+                shards: reports.collect(),
+                placement: self.placement.epoch,
+            };
+            self.table.note(heartbeat, self.now);
+        }
+        let view = self.table.view(&self.placement, self.now);
+        if let Some(next) = plan(&self.placement, &view, self.tolerance) {
+            self.check(&next);
+            self.changes += 1;
+            self.placement = next;
+        }
+    }
+
+    /// What holds for each change.
+    fn check(&self, next: &Placement) {
+        assert_eq!(next.epoch, self.placement.epoch + 1);
+        for (old, new) in self.placement.shards.iter().zip(&next.shards) {
+            let distinct: BTreeSet<_> = new.replicas.iter().collect();
+            assert_eq!(distinct.len(), new.replicas.len());
+            assert!(new.replicas.iter().all(|id| next.store(*id).is_some()));
+            if new.epoch == old.epoch {
+                assert_eq!(new.replicas, old.replicas);
+                assert!(new.previous == old.previous || new.previous.is_empty());
+                continue;
+            }
+            assert_eq!(new.epoch, old.epoch + 1);
+            let read_from = if old.previous.is_empty() { &old.replicas } else { &old.previous };
+            assert_eq!(&new.previous, read_from);
+        }
+    }
+
+    fn run(&mut self, time: Duration) {
+        (0..time.as_millis() / STEP.as_millis()).for_each(|_| self.step());
+    }
+
+    fn settle(&mut self) {
+        self.run(Duration::from_secs(60));
+        let changes = self.changes;
+        self.run(Duration::from_secs(5));
+        assert_eq!(self.changes, changes, "placements go on changing");
+        assert!(self.placement.shards.iter().all(|shard| shard.previous.is_empty()));
+        for shard in &self.placement.shards {
+            assert!(shard.replicas.iter().all(|id| self.live.contains_key(id)), "{shard:?}");
+        }
+    }
+
+    fn holds(&self, id: StoreId) -> usize {
+        self.placement.shards.iter().filter(|shard| shard.replicas.contains(&id)).count()
+    }
+}
+
+#[test]
+fn the_first_placement_waits_for_all_and_spreads() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.run(Duration::from_millis(700));
+    assert_eq!(tier.placement.shards.len(), 0);
+    tier.run(Duration::from_millis(400));
+    assert_eq!(tier.placement.shards.len(), 16);
+    assert!(
+        tier.placement.shards.iter().all(|s| s.replicas.len() == 3 && s.epoch == 1 && s.previous.is_empty())
+    );
+    assert!(primaries(&tier.placement).values().all(|count| *count >= 5));
+    tier.settle();
+    assert_eq!(tier.changes, 1);
+}
+
+#[test]
+fn too_few_stores_are_no_placement() {
+    let mut tier = Tier::new(&["a"], 1);
+    tier.run(Duration::from_secs(10));
+    assert_eq!(tier.changes, 0);
+}
+
+#[test]
+fn a_large_tier_uses_all_zones_alike() {
+    let mut tier = Tier::new(&["a", "a", "a", "b", "b", "b", "c", "c", "c", "d", "d", "d"], 2);
+    tier.settle();
+    for shard in &tier.placement.shards {
+        let zones: BTreeSet<&str> =
+            shard.replicas.iter().map(|id| tier.placement.store(*id).unwrap().zone.as_str()).collect();
+        assert_eq!((shard.replicas.len(), zones.len()), (5, 4));
+    }
+    let loads: Vec<usize> = (1..=12).map(|id| tier.holds(id)).collect();
+    assert!(loads.iter().max().unwrap() - loads.iter().min().unwrap() <= 2, "{loads:?}");
+    assert!(primaries(&tier.placement).values().all(|count| *count <= 3));
+}
+
+#[test]
+fn a_dead_primary_is_followed_by_a_live_replica() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    let gone = tier.live.remove(&1);
+    tier.run(Duration::from_millis(2500));
+    for shard in &tier.placement.shards {
+        assert_ne!(shard.replicas[0], 1);
+        assert_eq!(shard.replicas.len(), 3, "without another store the set stays");
+        assert!(shard.previous.is_empty());
+    }
+    let changes = tier.changes;
+    tier.run(Duration::from_secs(20));
+    assert_eq!(tier.changes, changes);
+    tier.live.insert(1, gone.unwrap());
+    tier.settle();
+    assert_eq!(tier.holds(1), 16);
+}
+
+#[test]
+fn a_store_with_an_emptied_disk_takes_its_own_place() {
+    let mut tier = Tier::new(&["a", "b", "c", "a"], 1);
+    tier.settle();
+    let (zone, node) = tier.live.remove(&2).unwrap();
+    tier.add(22, &zone, &node);
+    tier.settle();
+    assert_eq!(tier.holds(2), 0);
+    assert!(tier.placement.store(2).is_none());
+    assert!(tier.placement.shards.iter().all(|shard| shard.replicas.len() == 3));
+}
+
+#[test]
+fn a_short_silence_moves_no_data_while_enough_are_left() {
+    let mut tier = Tier::new(&["a", "a", "b", "b", "c", "c"], 2);
+    tier.settle();
+    let held = tier.holds(3);
+    let gone = tier.live.remove(&3).unwrap();
+    tier.run(Duration::from_secs(4));
+    tier.live.insert(3, gone);
+    tier.settle();
+    assert_eq!(tier.holds(3), held);
+}
+
+#[test]
+fn a_new_store_moves_nothing() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    tier.add(4, "a", "node-4");
+    tier.settle();
+    assert_eq!(tier.holds(4), 0);
+    assert!(tier.placement.store(4).is_some());
+}
+
+fn retire(tier: &mut Tier, node: &str) -> RetirementOrder {
+    let view = tier.table.view(&tier.placement, tier.now);
+    let order = order_retirement(&tier.placement, &view, node, tier.tolerance);
+    if let RetirementOrder::Begin(next) = &order {
+        tier.placement = next.clone();
+    }
+    order
+}
+
+fn state(tier: &mut Tier, node: &str) -> Option<Retirement> {
+    let view = tier.table.view(&tier.placement, tier.now);
+    retirement(&tier.placement, &view, node)
+}
+
+#[test]
+fn a_retired_store_is_emptied_first() {
+    let mut tier = Tier::new(&["a", "b", "c", "a"], 1);
+    tier.settle();
+    assert_eq!(retire(&mut tier, "nobody"), RetirementOrder::Unknown);
+    assert_eq!(state(&mut tier, "node-1"), None);
+    assert!(matches!(retire(&mut tier, "node-1"), RetirementOrder::Begin(_)));
+    assert_eq!(retire(&mut tier, "node-1"), RetirementOrder::Begun);
+    assert_eq!(state(&mut tier, "node-1"), Some(Retirement::Running));
+    tier.settle();
+    assert_eq!(state(&mut tier, "node-1"), Some(Retirement::Completed));
+    assert_eq!(tier.holds(1), 0);
+    assert!(tier.placement.shards.iter().all(|shard| shard.replicas.len() == 3));
+    // Taken away, it is remembered for a while.
+    tier.live.remove(&1);
+    tier.settle();
+    assert_eq!(state(&mut tier, "node-1"), Some(Retirement::Completed));
+}
+
+#[test]
+fn a_store_without_a_substitute_can_be_retired_while_enough_are_left() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    assert!(matches!(retire(&mut tier, "node-2"), RetirementOrder::Begin(_)));
+    tier.settle();
+    assert_eq!(state(&mut tier, "node-2"), Some(Retirement::Completed));
+    assert!(tier.placement.shards.iter().all(|shard| shard.replicas.len() == 2));
+    assert_eq!(retire(&mut tier, "node-1"), RetirementOrder::TooFew);
+}
+
+#[test]
+fn a_retirement_is_not_completed_before_the_others_have_caught_up() {
+    let mut tier = Tier::new(&["a", "b", "c", "d"], 1);
+    tier.settle();
+    tier.slow.insert(4);
+    let retired = 1;
+    retire(&mut tier, &format!("node-{retired}"));
+    tier.run(Duration::from_secs(30));
+    assert_eq!(state(&mut tier, &format!("node-{retired}")), Some(Retirement::Running));
+    tier.slow.clear();
+    tier.settle();
+    assert_eq!(state(&mut tier, &format!("node-{retired}")), Some(Retirement::Completed));
+}
+
+#[test]
+fn a_controller_that_has_just_begun_to_listen_changes_nothing() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    tier.table = StoreTable::new(tier.now);
+    let changes = tier.changes;
+    tier.run(Duration::from_secs(3));
+    assert_eq!(tier.changes, changes);
+}
+
+#[test]
+fn any_row_of_deaths_and_returns_settles() {
+    arbtest::arbtest(|u| {
+        let tolerance = u.int_in_range(1..=2)?;
+        let zones: Vec<&str> =
+            ["a", "b", "c", "a", "b", "c", "d"][..u.int_in_range(2 * tolerance + 1..=7)?].to_vec();
+        let mut tier = Tier::new(&zones, tolerance);
+        tier.settle();
+        let mut next = 100;
+        for _ in 0..u.int_in_range(1..=6)? {
+            let id = *u.choose(&tier.live.keys().copied().collect::<Vec<_>>())?;
+            let (zone, node) = tier.live.remove(&id).unwrap();
+            tier.run(STEP * u.int_in_range(0..=40)?);
+            // Back with its disk or without.
+            let back = if u.arbitrary()? { id } else { next };
+            next += 1;
+            tier.add(back, &zone, &node);
+            tier.settle();
+            assert!(tier.placement.shards.iter().all(|shard| shard.replicas.len() == 2 * tolerance + 1));
+        }
+        Ok(())
+    })
+    .budget_ms(2000);
+}
