--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -29,6 +29,7 @@
 use mintlb_register::state::{Replica, ReplicaId};
 use mintlb_tier::record::{WORKER_PREFIX, WorkerRecord};
 use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::signals::Signals;
 use mintlb_tier::transport::Transport;
 use parking_lot::Mutex;
 use publisher::Publisher;
@@ -41,7 +42,6 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
 use tokio::time::{Instant, interval, sleep, timeout};
 use vote_store::VoteStore;
@@ -160,6 +160,7 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), ControllerError> {
+    let mut signals = Signals::install().map_err(ControllerError::System)?;
     let address = settings.listen_addresses.control_plane.ok_or(ControllerError::NoAddress)?;
     let listener = bound(address.into(), async || http::listen(address)).await?;
     let controller = start(settings).await?;
@@ -171,7 +172,7 @@
         .max(OTHER_DESCRIPTORS);
     let server = http::serve(listener, http::router(controller.clone()), most_connections, stopping);
     let server = tokio::spawn(server);
-    wait_for_stop().await?;
+    signals.stop().await;
     log::info!("controller: told to stop");
     stop.send_replace(true);
     let grace = Duration::from_secs_f64(controller.settings().bounds.grace_period_s.clamp(0.5, 600.0));
@@ -264,13 +265,6 @@
     }
 }
 
-async fn wait_for_stop() -> Result<(), ControllerError> {
-    let mut term = signal(SignalKind::terminate()).map_err(ControllerError::System)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(ControllerError::System)?;
-    tokio::select! { _ = term.recv() => (), _ = interrupt.recv() => () }
-    Ok(())
-}
-
 fn unix_ms() -> u64 {
     let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
     now.map_or(0, |now| now.as_millis() as u64)
--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -15,6 +15,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::{Notify, oneshot};
 use tokio::time::{Instant, timeout, timeout_at};
@@ -41,7 +42,7 @@
     clock_offset: Duration,
     disk_bytes: u64,
     report_changed: Arc<Notify>,
-    leaving: std::sync::atomic::AtomicBool,
+    leaving: AtomicBool,
 }
 
 impl Store {
@@ -73,10 +74,7 @@
     /// What the controllers are told, and the placement it goes by.
     pub fn report(&self) -> (Vec<ShardReport>, u64) {
         let core = self.core.lock();
-        match self.leaving.load(std::sync::atomic::Ordering::Relaxed) {
-            true => (Vec::new(), core.placement().epoch),
-            false => (core.reports(), core.placement().epoch),
-        }
+        (core.reports(), core.placement().epoch)
     }
 
     /// Told when the report has changed.
@@ -99,15 +97,23 @@
         self.core.lock().tick(self.now());
     }
 
-    /// Takes no more calls.
+    /// Lets the controllers know that this store was told to stop, so that its shards get other primaries.
     pub fn leave(&self) {
-        self.leaving.store(true, std::sync::atomic::Ordering::Relaxed);
+        self.leaving.store(true, Relaxed);
+        self.report_changed.notify_one();
+    }
+
+    /// Whether this store was told to stop.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Relaxed)
+    }
+
+    /// Whether this store is the primary of any shard.
+    pub fn is_primary(&self) -> bool {
+        self.core.lock().replicas().iter().any(Replica::is_primary)
     }
 
     async fn call(self: Arc<Self>, call: Call, raw: Bytes) -> Bytes {
-        if self.leaving.load(std::sync::atomic::Ordering::Relaxed) {
-            return framing::encode(&messages::Answer::NotInCharge, &[]);
-        }
         let answer = match call {
             Call::Submit(submit) => self.submit(submit, raw).await,
             Call::Read(read) => return self.read(read).await,
@@ -301,7 +307,13 @@
             if left == 0 || bytes == 0 {
                 break;
             }
-            let plans = core.replica(shard).lease(lease.holder, left, bytes, now);
+            // One that may have been followed by another primary has nothing to give: it would not know of ends.
+            let replica = core.replica(shard);
+            let plans = match replica.has_open_items(now) && replica.confirm(now) {
+                true => replica.lease(lease.holder, left, bytes, now),
+                false => Vec::new(),
+            };
+            core.act(shard, now);
             let entries: Vec<u64> = plans.iter().map(|plan| plan.entry).collect();
             for (plan, payload) in with_payloads(&core, shard, entries, plans) {
                 left -= 1;
--- a/crates/mintlb-control/src/store/disk.rs
+++ b/crates/mintlb-control/src/store/disk.rs
@@ -11,6 +11,7 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
+use std::time::{Duration, Instant};
 use tokio::sync::mpsc::UnboundedSender;
 
 /// The file in the data directory.
@@ -21,6 +22,10 @@
 const UNREADABLE_FILE: &str = "lots.redb.unreadable";
 /// Bytes of the file kept in memory.
 const CACHE_BYTES: usize = 2 << 20;
+/// Small writes wait so long for others to share their commit,
+const LINGER: Duration = Duration::from_millis(6);
+/// until there are so many bytes.
+const WORTH_A_COMMIT: usize = 64 << 10;
 /// Writes that wait for a commit take no more than this; the store takes nothing new meanwhile.
 pub const MOST_WAITING: usize = 12 << 20;
 
@@ -228,6 +233,12 @@
 /// What follows a commit, by shard, or that it failed.
 pub type Committed = Result<Vec<(u32, AfterSync)>, StoreError>;
 
+/// What goes into one commit, and what follows it.
+struct Batch {
+    writes: Vec<(u32, DiskWrite)>,
+    after: Vec<(u32, AfterSync)>,
+}
+
 #[derive(Default)]
 struct Waiting {
     writes: Vec<(u32, DiskWrite)>,
@@ -258,7 +269,7 @@
 
     fn work(&self, disk: &LotDisk, committed: &UnboundedSender<Committed>) {
         loop {
-            let (writes, mut after) = self.next();
+            let Batch { writes, mut after } = self.next();
             let outcome = disk.commit(&writes);
             drop(writes);
             {
@@ -276,15 +287,17 @@
         }
     }
 
-    fn next(&self) -> (Vec<(u32, DiskWrite)>, Vec<(u32, AfterSync)>) {
+    fn next(&self) -> Batch {
         let (lock, condition) = &*self.shared;
         let mut waiting = lock.lock();
         while waiting.writes.is_empty() {
             condition.wait(&mut waiting);
         }
+        let until = Instant::now() + LINGER;
+        while waiting.bytes < WORTH_A_COMMIT && !condition.wait_until(&mut waiting, until).timed_out() {}
         waiting.committing = true;
         waiting.bytes = 0;
-        (std::mem::take(&mut waiting.writes), std::mem::take(&mut waiting.after))
+        Batch { writes: std::mem::take(&mut waiting.writes), after: std::mem::take(&mut waiting.after) }
     }
 
     /// Whether nothing is on its way to the disk.
@@ -311,7 +324,9 @@
         if writes.is_empty() && waiting.writes.is_empty() && !waiting.committing {
             return Err(after);
         }
+        let before = waiting.bytes;
         waiting.bytes += writes.iter().map(bytes_of).sum::<usize>();
+        let enough = before < WORTH_A_COMMIT && waiting.bytes >= WORTH_A_COMMIT;
         let idle = waiting.writes.is_empty();
         waiting.writes.extend(writes.into_iter().map(|write| (shard, write)));
         let after = after.into_iter().map(|after| (shard, after));
@@ -319,7 +334,7 @@
             true => waiting.after_current.extend(after),
             false => waiting.after.extend(after),
         }
-        if idle && !waiting.writes.is_empty() {
+        if (idle || enough) && !waiting.writes.is_empty() {
             drop(waiting);
             condition.notify_one();
         }
--- a/crates/mintlb-control/src/store/heartbeats.rs
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -33,6 +33,7 @@
             zone: settings.zone.clone(),
             shards,
             placement,
+            leaving: store.is_leaving(),
         };
         let body = framing::encode(&heartbeat, &[]);
         for controller in controllers(&overlay) {
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -19,21 +19,21 @@
 use mintlb_tier::placement::Placement;
 use mintlb_tier::record::PLACEMENT;
 use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::signals::Signals;
 use mintlb_tier::transport::{Channel, Transport};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep, timeout};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 
 /// How long an address that is still taken is tried again.
 const BIND_WITHIN: Duration = Duration::from_secs(5);
 /// The pause between two tries.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
-/// How long what waits for the disk may take at the end.
-const LAST_COMMIT: Duration = Duration::from_millis(1500);
+/// How long a store that was told to stop goes on at most, until its shards have other primaries.
+const HAND_OVER: Duration = Duration::from_millis(2500);
 
 /// Why the store ended.
 #[derive(Debug, thiserror::Error)]
@@ -76,6 +76,7 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), StoreError> {
+    let mut signals = Signals::install().map_err(StoreError::System)?;
     let directory = settings.data_directory.clone().ok_or(StoreError::NoDisk)?;
     let own = settings.internal_address(InternalPort::Store);
     let draw = RandomState::new().hash_one((own, &settings.node_name, std::time::SystemTime::now()));
@@ -92,14 +93,14 @@
     let opened = Opened { disk, writer: writer.clone(), shards };
     let disk_bytes = settings.limits.disk_mb.unwrap_or(u64::MAX >> 20) << 20;
     let store = Store::new(transport.clone(), opened, replica_settings, disk_bytes, draw);
+    let hand_over =
+        HAND_OVER.min(Duration::from_secs_f64(settings.bounds.grace_period_s.clamp(0.0, 60.0) / 2.0));
     let overlay = join_overlay(&settings, &transport, &store);
     transport.serve(Channel::Lots, Arc::new(StoreService(store.clone())));
     tokio::spawn(heartbeats::run(settings, store.clone(), transport, overlay));
 
     let mut ticks = interval(TICK);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut term = signal(SignalKind::terminate()).map_err(StoreError::System)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(StoreError::System)?;
     loop {
         tokio::select! {
             batch = commits.recv() => match batch {
@@ -107,22 +108,23 @@
                 Some(Err(_)) | None => return Err(StoreError::CommitFailed),
             },
             _ = ticks.tick() => store.tick(),
-            _ = term.recv() => break,
-            _ = interrupt.recv() => break,
+            () = signals.stop() => break,
         }
     }
     log::info!("store: told to stop");
     store.leave();
-    let last = async {
-        while !writer.is_idle() {
-            match commits.recv().await {
+    let until = Instant::now() + hand_over;
+    while Instant::now() < until && (store.is_primary() || !writer.is_idle()) {
+        tokio::select! {
+            batch = commits.recv() => match batch {
                 Some(Ok(after)) => store.synced(after),
-                _ => break,
-            }
+                Some(Err(_)) | None => return Err(StoreError::CommitFailed),
+            },
+            _ = ticks.tick() => store.tick(),
         }
-        sleep(BIND_PAUSE).await;
-    };
-    timeout(LAST_COMMIT, last).await.ok();
+    }
+    // What is on its way to others gets there.
+    sleep(BIND_PAUSE).await;
     Ok(())
 }
 
--- a/crates/mintlb-dispatch/src/run.rs
+++ b/crates/mintlb-dispatch/src/run.rs
@@ -8,12 +8,12 @@
 use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
 use mintlb_tier::record::Record;
 use mintlb_tier::settings::{InternalPort, NodeSettings};
+use mintlb_tier::signals::Signals;
 use mintlb_tier::transport::Transport;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::{Duration, SystemTime};
 use tokio::net::{TcpListener, TcpSocket};
-use tokio::signal::unix::{SignalKind, signal};
 use tokio::time::sleep;
 
 /// Connections that wait to be accepted.
@@ -28,10 +28,8 @@
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), DispatchError> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    // What changes in the settings of a dispatcher holds from its next start; the signal must not end it.
-    let mut changed = signal(SignalKind::hangup())?;
-    tokio::spawn(async move { while changed.recv().await.is_some() {} });
+    // What changes in the settings of a dispatcher holds from its next start.
+    let mut signals = Signals::install()?;
     let addresses = &settings.listen_addresses;
     let frontend = listen(addresses.frontend.ok_or(DispatchError::NoAddress("frontend"))?)?;
     let readiness = listen(addresses.readiness.ok_or(DispatchError::NoAddress("readiness"))?)?;
@@ -70,7 +68,7 @@
     log::info!("dispatch: {} serves on {:?}", settings.node_name, addresses.frontend);
     dispatcher
         .serve(frontend, readiness, async move {
-            terminate.recv().await;
+            signals.stop().await;
         })
         .await;
     Ok(())
--- a/crates/mintlb-lots/src/client/calls.rs
+++ b/crates/mintlb-lots/src/client/calls.rs
@@ -267,9 +267,11 @@
 }
 
 pub(super) async fn renew(client: &LotClient, holder: DispatcherId, held: Vec<HeldLot>) -> Vec<HeldLot> {
-    let mut by_store: FxHashMap<SocketAddr, Vec<HeldItems>> = FxHashMap::default();
+    let placement = (client.placement)();
+    let mut by_store: FxHashMap<(StoreId, SocketAddr), Vec<HeldItems>> = FxHashMap::default();
     for lot in held {
-        if let Some((address, _)) = primary(client, &lot.host) {
+        let store = placement.primary(Placement::shard_of(&lot.host));
+        if let Some(address) = store.and_then(|store| Some((store.id, store.address.parse().ok()?))) {
             let lot = HeldItems { lot: LotName { host: lot.host, id: lot.lot_id }, items: lot.items };
             by_store.entry(address).or_default().push(lot);
         }
@@ -277,16 +279,18 @@
     let until = Instant::now() + LEASE;
     let calls: Vec<_> = by_store
         .into_iter()
-        .map(|(address, lots)| {
+        .map(|((store, address), lots)| {
             let body = encode_call(&Call::Renew(Renew { holder, lots }), &[]);
             let transport = client.transport.clone();
-            tokio::spawn(async move { transport.call(address, Channel::Lots, body, LEASE).await })
+            let call = async move { transport.call(address, Channel::Lots, body, LEASE).await };
+            (store, tokio::spawn(call))
         })
         .collect();
     let mut lost = Vec::new();
-    for call in calls {
+    for (store, call) in calls {
         let Ok(Ok(Ok(bytes))) = timeout_at(until, call).await else { continue };
         if let Some((Answer::Renewed(renewed), _)) = framing::decode::<Answer>(&bytes) {
+            client.open.lock().insert(store, (Instant::now(), renewed.open));
             lost.extend(renewed.lost.into_iter().map(|items| HeldLot {
                 host: items.lot.host,
                 lot_id: items.lot.id,
--- a/crates/mintlb-lots/src/heartbeat.rs
+++ b/crates/mintlb-lots/src/heartbeat.rs
@@ -28,6 +28,9 @@
     /// The epoch of the placement it goes by.
     #[n(5)]
     pub placement: u64,
+    /// It was told to stop: its shards are to get other primaries.
+    #[n(6)]
+    pub leaving: bool,
 }
 
 /// What a primary knows of its shard.
--- a/crates/mintlb-lots/src/placement_planner.rs
+++ b/crates/mintlb-lots/src/placement_planner.rs
@@ -128,7 +128,8 @@
             self.next.shards[shard].previous.clear();
             return;
         }
-        let dead = self.view.silence(primary) >= PRIMARY_DEAD;
+        let leaves = self.view.is_leaving(primary);
+        let dead = self.view.silence(primary) >= PRIMARY_DEAD || leaves && in_charge;
         let stuck = !in_charge && self.view.unsettled_for(shard, assignment.epoch) >= TAKEOVER_PATIENCE;
         if stuck && !assignment.previous.is_empty() {
             return self.choose_anew(shard, &assignment);
@@ -147,7 +148,7 @@
         let caught_up = self.view.last_caught_up(shard);
         let primary = assignment.replicas[0];
         let places = assignment.replicas.iter().skip(1).enumerate();
-        let others = places.filter(|(_, id)| self.is_live(**id));
+        let others = places.filter(|(_, id)| self.is_live(**id) && !self.view.is_leaving(**id));
         let chosen = others.min_by_key(|(place, id)| {
             let behind = !caught_up.contains(id) && !assignment.previous.contains(id);
             (self.is_retiring(**id), behind, self.primaries_of(**id), *place)
@@ -247,7 +248,8 @@
     /// The usable store that suits best as one more replica: of a zone with few of them, with few shards.
     fn candidate(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
         let zone_of = |id: &StoreId| self.next.store(*id).map(|entry| entry.zone.as_str());
-        let others = self.usable().filter(|entry| !replicas.contains(&entry.id));
+        let others =
+            self.usable().filter(|entry| !replicas.contains(&entry.id) && !self.view.is_leaving(entry.id));
         let best = others.min_by_key(|entry| {
             let live = replicas.iter().filter(|id| self.is_live(**id) && !self.is_retiring(**id));
             let of_zone = live.filter(|id| zone_of(id) == Some(entry.zone.as_str())).count();
--- a/crates/mintlb-lots/src/placement_planner/view.rs
+++ b/crates/mintlb-lots/src/placement_planner/view.rs
@@ -68,6 +68,8 @@
     pub known_for: Duration,
     /// What it said of the shards whose primary it is.
     pub reports: Vec<ShardReport>,
+    /// It was told to stop.
+    pub leaving: bool,
 }
 
 impl StoreTable {
@@ -109,6 +111,7 @@
             silence: now.saturating_sub(heard.last),
             known_for: now.saturating_sub(heard.first),
             reports: heard.heartbeat.shards.clone(),
+            leaving: heard.heartbeat.leaving,
         });
         let mut view = StoreView {
             stores: stores.collect(),
@@ -147,6 +150,11 @@
         self.store(id).map_or(self.watched, |store| store.silence)
     }
 
+    /// Whether a store was told to stop.
+    pub fn is_leaving(&self, id: StoreId) -> bool {
+        self.store(id).is_some_and(|store| store.leaving)
+    }
+
     /// Stores that are heard of.
     pub fn live(&self) -> impl Iterator<Item = &StoreSeen> {
         self.stores.iter().filter(|store| store.silence < LIVE)
--- a/crates/mintlb-lots/src/replica.rs
+++ b/crates/mintlb-lots/src/replica.rs
@@ -281,7 +281,7 @@
         Some(ShardReport {
             shard: self.shard,
             epoch: primary.epoch,
-            in_charge: primary.in_charge,
+            in_charge: primary.gets_on(self.ticked),
             caught_up: self.caught_up(primary),
         })
     }
--- a/crates/mintlb-lots/src/replica/primary.rs
+++ b/crates/mintlb-lots/src/replica/primary.rs
@@ -12,8 +12,12 @@
 
 /// A follower that has not answered for so long is asked anew where it stands.
 const ANSWER_PATIENCE: Duration = Duration::from_millis(700);
-/// Between two questions to a follower that does not answer.
-const PROBE_AGAIN: Duration = Duration::from_millis(500);
+/// The same at the beginning of an epoch or a process, when others may just have started, too.
+const FIRST_PATIENCE: Duration = Duration::from_millis(250);
+/// How long that is.
+const BEGINNING: Duration = Duration::from_millis(3000);
+/// A primary that could commit nothing for so long, though there is something, does not count as in charge.
+const STUCK: Duration = Duration::from_millis(2000);
 /// A follower hears of what is committed at the latest so long after, when there is nothing else to send.
 const TELL_COMMITTED: Duration = Duration::from_millis(400);
 /// A primary that was confirmed within this time knows of all that was committed before.
@@ -37,6 +41,9 @@
     durable: u64,
     followers: Vec<Follower>,
     replicated: u64,
+    since: Moment,
+    /// Since when there is something to commit.
+    uncommitted: Option<Moment>,
 }
 
 #[derive(Debug)]
@@ -55,7 +62,12 @@
 }
 
 impl Primary {
-    pub(super) fn new(epoch: u64, base: u64, followers: impl Iterator<Item = StoreId>) -> Primary {
+    pub(super) fn new(
+        epoch: u64,
+        base: u64,
+        followers: impl Iterator<Item = StoreId>,
+        now: Moment,
+    ) -> Primary {
         let follower = |id| Follower {
             id,
             matched: None,
@@ -71,9 +83,16 @@
             durable: 0,
             followers: followers.map(follower).collect(),
             replicated: 0,
+            since: now,
+            uncommitted: None,
         }
     }
 
+    /// Whether it is in charge and gets on.
+    pub(super) fn gets_on(&self, now: Moment) -> bool {
+        self.in_charge && self.uncommitted.is_none_or(|since| now.saturating_sub(since) < STUCK)
+    }
+
     /// The time at which `others` followers still followed.
     fn confirmed(&self, others: usize, now: Moment) -> Option<Moment> {
         let Some(place) = others.checked_sub(1) else { return Some(now) };
@@ -105,7 +124,8 @@
             return;
         }
         primary.durable = through;
-        self.advance();
+        primary.uncommitted.get_or_insert(now);
+        self.advance(now);
         self.feed_all(now);
     }
 
@@ -148,12 +168,12 @@
             }
         }
         self.effects.push(Effect::Confirmed);
-        self.advance();
+        self.advance(now);
         self.feed(from, now);
     }
 
     /// Commits what enough replicas have.
-    fn advance(&mut self) {
+    fn advance(&mut self, now: Moment) {
         let quorum = self.quorum();
         let Role::Primary(primary) = &mut self.role else { return };
         let mut matched: Vec<u64> = primary.followers.iter().filter_map(|f| f.matched).collect();
@@ -175,6 +195,11 @@
             log::info!("lots: shard {}: in charge, epoch {}", self.shard, primary.epoch);
             self.effects.push(Effect::ReportChanged);
         }
+        if committed == primary.durable {
+            primary.uncommitted = None;
+        } else if committed > self.meta.committed {
+            primary.uncommitted = Some(now);
+        }
         if self.set_committed(committed) {
             self.effects.push(Effect::Committed(committed));
         }
@@ -234,10 +259,13 @@
 
     pub(super) fn tick_primary(&mut self, now: Moment) {
         let Role::Primary(primary) = &mut self.role else { return };
+        let beginning = now.saturating_sub(primary.since) < BEGINNING;
         let mut ids = Vec::with_capacity(primary.followers.len());
         for follower in &mut primary.followers {
-            let late = follower.outstanding.is_some_and(|sent| now.saturating_sub(sent) >= ANSWER_PATIENCE);
-            if late && now.saturating_sub(follower.sent) >= PROBE_AGAIN {
+            let first = beginning && follower.matched.is_none();
+            let patience = if first { FIRST_PATIENCE } else { ANSWER_PATIENCE };
+            let late = follower.outstanding.is_some_and(|sent| now.saturating_sub(sent) >= patience);
+            if late && now.saturating_sub(follower.sent) >= patience {
                 // It may have lost anything sent since; what it said to have on disk it still has.
                 follower.outstanding = None;
                 ids.push((follower.id, true));
--- a/crates/mintlb-lots/src/replica/serving.rs
+++ b/crates/mintlb-lots/src/replica/serving.rs
@@ -184,7 +184,8 @@
         (lot.has_payloads && !listed && !ended).then(|| (index, lot.payload_range(item)))
     }
 
-    /// Leases up to `most` items that nobody runs, as far as their payloads fit into `most_bytes`.
+    /// Leases up to `most` items that nobody runs, as far as their payloads fit into `most_bytes`. The
+    /// caller has had [`Replica::confirm`] say yes.
     pub fn lease(
         &mut self,
         holder: DispatcherId,
@@ -237,6 +238,11 @@
         }
     }
 
+    /// Whether there are items that nobody runs.
+    pub fn has_open_items(&self, now: Moment) -> bool {
+        self.is_serving() && self.leases.open_items(&self.lots, self.meta.committed, now).next().is_some()
+    }
+
     /// How many items nobody runs.
     pub fn open_items(&self, now: Moment) -> u32 {
         match self.is_serving() {
--- a/crates/mintlb-lots/src/replica/takeover.rs
+++ b/crates/mintlb-lots/src/replica/takeover.rs
@@ -13,7 +13,7 @@
 use std::time::Duration;
 
 /// How often an unanswered question is asked again.
-const ASK_AGAIN: Duration = Duration::from_millis(400);
+const ASK_AGAIN: Duration = Duration::from_millis(250);
 /// A source that sent nothing for so long is given up, and the takeover begins anew.
 const SOURCE_PATIENCE: Duration = Duration::from_millis(1500);
 
@@ -154,7 +154,7 @@
         let epoch = self.assignment.epoch;
         let followers = self.assignment.replicas.iter().copied().filter(|id| *id != self.settings.own);
         let through = self.meta.log.last();
-        self.role = Role::Primary(Primary::new(epoch, through, followers));
+        self.role = Role::Primary(Primary::new(epoch, through, followers, now));
         self.leases.restart(now);
         self.effects.push(Effect::AfterSync(AfterSync::OwnLog { epoch, through }));
     }
--- a/crates/mintlb-lots/tests/model/mod.rs
+++ b/crates/mintlb-lots/tests/model/mod.rs
@@ -276,6 +276,7 @@
                 zone: store.zone.clone(),
                 shards: replica.report().into_iter().collect(),
                 placement: 0,
+                leaving: false,
             };
             self.table.note(heartbeat, self.now);
         }
@@ -402,7 +403,8 @@
     /// Leases everything that is open at a store and gives it back.
     pub fn lease(&mut self, place: usize) {
         let Some(replica) = &mut self.stores[place].replica else { return };
-        let leased = replica.lease(9, 1000, u64::MAX, self.now);
+        let sure = replica.confirm(self.now);
+        let leased = if sure { replica.lease(9, 1000, u64::MAX, self.now) } else { Vec::new() };
         replica.release(9);
         for plan in leased {
             self.told.leased(&plan.head.lot.id, &plan.head.item, self.now);
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -19,6 +19,8 @@
     live: BTreeMap<StoreId, (String, String)>,
     /// Stores that catch up with nothing.
     slow: BTreeSet<StoreId>,
+    /// Stores that were told to stop.
+    leaving: BTreeSet<StoreId>,
     tolerance: usize,
     changes: usize,
 }
@@ -32,6 +34,7 @@
             placement: Placement::default(),
             live: BTreeMap::new(),
             slow: BTreeSet::new(),
+            leaving: BTreeSet::new(),
             tolerance,
             changes: 0,
         };
@@ -65,6 +68,7 @@
                 zone: zone.clone(),
                 shards: reports.collect(),
                 placement: self.placement.epoch,
+                leaving: self.leaving.contains(id),
             };
             self.table.note(heartbeat, self.now);
         }
@@ -203,6 +207,21 @@
     assert!(tier.placement.store(4).is_some());
 }
 
+#[test]
+fn a_store_that_leaves_hands_its_shards_over() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    tier.leaving.insert(1);
+    tier.run(STEP * 3);
+    assert!(tier.placement.shards.iter().all(|shard| shard.replicas[0] != 1 && shard.previous.is_empty()));
+    assert_eq!(tier.holds(1), 16, "its copies stay");
+    tier.live.remove(&1);
+    tier.run(STEP * 5);
+    tier.leaving.clear();
+    tier.add(1, "a", "node-1");
+    tier.settle();
+}
+
 fn retire(tier: &mut Tier, node: &str) -> RetirementOrder {
     let view = tier.table.view(&tier.placement, tier.now);
     let order = order_retirement(&tier.placement, &view, node, tier.tolerance);
@@ -279,14 +298,12 @@
             ["a", "b", "c", "a", "b", "c", "d"][..u.int_in_range(2 * tolerance + 1..=7)?].to_vec();
         let mut tier = Tier::new(&zones, tolerance);
         tier.settle();
-        let mut next = 100;
-        for _ in 0..u.int_in_range(1..=6)? {
+        for round in 0..u.int_in_range(1..=6)? {
             let id = *u.choose(&tier.live.keys().copied().collect::<Vec<_>>())?;
             let (zone, node) = tier.live.remove(&id).unwrap();
             tier.run(STEP * u.int_in_range(0..=40)?);
             // Back with its disk or without.
-            let back = if u.arbitrary()? { id } else { next };
-            next += 1;
+            let back = if u.arbitrary()? { id } else { 100 + round };
             tier.add(back, &zone, &node);
             tier.settle();
             assert!(tier.placement.shards.iter().all(|shard| shard.replicas.len() == 2 * tolerance + 1));
--- a/crates/mintlb-tier/src/lib.rs
+++ b/crates/mintlb-tier/src/lib.rs
@@ -4,6 +4,7 @@
 //! - [`configuration`]: the operator's configuration, read and checked.
 //! - [`record`]: the versioned records that the overlay brings to every process.
 //! - [`placement`]: which stores hold which shard.
+//! - [`signals`]: the platform's signals.
 //! - [`transport`]: framed messages between the tier's own processes.
 //! - [`logging`]: the log of a process.
 
@@ -12,4 +13,5 @@
 pub mod placement;
 pub mod record;
 pub mod settings;
+pub mod signals;
 pub mod transport;
