--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -11,6 +11,7 @@
 
 pub mod configuration_api;
 pub mod duties;
+pub mod error;
 pub mod http;
 pub mod instance_api;
 pub mod membership;
@@ -25,6 +26,7 @@
 pub mod vote_store;
 
 use duties::Duties;
+pub use error::ControllerError;
 use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
 use mintlb_register::state::{Replica, ReplicaId};
 use mintlb_tier::record::{WORKER_PREFIX, WorkerRecord};
@@ -38,7 +40,6 @@
 use replica::LocalReplica;
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
@@ -55,46 +56,6 @@
 /// Descriptors that are not for connections of workers and the operator.
 const OTHER_DESCRIPTORS: usize = 400;
 
-/// Why the controller can't run.
-#[derive(Debug, thiserror::Error)]
-pub enum ControllerError {
-    /// A service address is missing in the settings.
-    #[error("M431 listen_addresses.control_plane: is missing")]
-    NoAddress,
-    /// An address can't be listened on.
-    #[error("M432 {address}: {cause}")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// What the system said.
-        cause: std::io::Error,
-    },
-    /// The disk can't be used.
-    #[error("M433 {path}: {cause}")]
-    Disk {
-        /// The file or folder.
-        path: PathBuf,
-        /// What the system said.
-        cause: std::io::Error,
-    },
-    /// The register's file can't be used.
-    #[error("M434 the register's file: {0}")]
-    Database(String),
-    /// The runtime or a signal can't be set up.
-    #[error("M435 {0}")]
-    System(std::io::Error),
-}
-
-impl ControllerError {
-    fn disk(path: &Path, cause: std::io::Error) -> ControllerError {
-        ControllerError::Disk { path: path.to_owned(), cause }
-    }
-
-    fn database(cause: impl std::fmt::Display) -> ControllerError {
-        ControllerError::Database(cause.to_string())
-    }
-}
-
 /// What the parts of a controller share.
 pub struct Controller {
     settings: Mutex<Arc<NodeSettings>>,
--- a/crates/mintlb-control/src/controller/vote_store.rs
+++ b/crates/mintlb-control/src/controller/vote_store.rs
@@ -12,6 +12,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::thread::JoinHandle;
 use tokio::sync::oneshot;
 
 /// The file in the data directory.
@@ -36,12 +37,22 @@
     done: oneshot::Sender<()>,
 }
 
-/// The file with its thread.
+/// The file with its thread. Dropping it waits until the thread has closed the file.
 pub struct VoteStore {
-    jobs: SyncSender<Job>,
+    jobs: Option<SyncSender<Job>>,
+    thread: Option<JoinHandle<()>>,
     unfinished: Arc<AtomicUsize>,
 }
 
+impl Drop for VoteStore {
+    fn drop(&mut self) {
+        self.jobs = None;
+        if let Some(thread) = self.thread.take() {
+            thread.join().ok();
+        }
+    }
+}
+
 /// What the file held when it was opened.
 pub struct Opened {
     /// The file.
@@ -53,15 +64,16 @@
 }
 
 impl VoteStore {
-    /// Opens the file, or makes it with a new identity. A file that can't be read is put aside: the replica then begins
-    /// anew, as one that has lost its disk.
+    /// Opens the file, or makes it with a new identity. A damaged file is put aside: the replica then begins anew, as one
+    /// that has lost its disk.
     pub fn open(directory: &Path, new_id: ReplicaId) -> Result<Opened, ControllerError> {
         let path = directory.join(FILE);
         if path.exists() {
             match open_existing(&path) {
                 Ok((database, id, vote)) => return start(database, id, vote),
+                Err(error) if !error.is_damage() => return Err(error),
                 Err(error) => {
-                    log::warn!("register: {} can't be read and is put aside: {error}", path.display());
+                    log::warn!("register: {} is damaged and put aside: {error}", path.display());
                     std::fs::rename(&path, directory.join(UNREADABLE_FILE))
                         .map_err(|cause| ControllerError::disk(&path, cause))?;
                 }
@@ -81,7 +93,8 @@
     pub fn sync(&self, sync: Sync) -> oneshot::Receiver<()> {
         let (done, receiver) = oneshot::channel();
         self.unfinished.fetch_add(1, SeqCst);
-        if self.jobs.try_send(Job { sync, done }).is_err() {
+        let queued = self.jobs.as_ref().is_some_and(|jobs| jobs.try_send(Job { sync, done }).is_ok());
+        if !queued {
             self.unfinished.fetch_sub(1, SeqCst);
         }
         receiver
@@ -92,11 +105,12 @@
     let (jobs, queue) = sync_channel(QUEUE);
     let unfinished = Arc::new(AtomicUsize::new(0));
     let counter = unfinished.clone();
-    std::thread::Builder::new()
+    let thread = std::thread::Builder::new()
         .name("register-sync".to_string())
         .spawn(move || work(&database, &queue, &counter))
         .map_err(|cause| ControllerError::disk(Path::new(FILE), cause))?;
-    Ok(Opened { store: VoteStore { jobs, unfinished }, id, vote })
+    let store = VoteStore { jobs: Some(jobs), thread: Some(thread), unfinished };
+    Ok(Opened { store, id, vote })
 }
 
 /// Commits what waits, until nobody asks any more. After a failed commit nothing more is confirmed.
@@ -164,13 +178,13 @@
 }
 
 fn open_existing(path: &Path) -> Result<(Database, ReplicaId, Vote), ControllerError> {
-    let database = builder().open(path).map_err(ControllerError::database)?;
+    let database = builder().open(path).map_err(ControllerError::opening)?;
     let transaction = database.begin_read().map_err(ControllerError::database)?;
-    let table = transaction.open_table(VOTE).map_err(ControllerError::database)?;
+    let table = transaction.open_table(VOTE).map_err(|error| ControllerError::Damaged(error.to_string()))?;
     let read = |key: &str| table.get(key).map_err(ControllerError::database);
     let id = match read(IDENTITY)? {
         Some(bytes) => decoded(bytes.value())?,
-        None => return Err(ControllerError::database("there is no identity in it")),
+        None => return Err(ControllerError::Damaged("there is no identity in it".to_string())),
     };
     let promised: Option<Ballot> = read(PROMISED)?.map(|bytes| decoded(bytes.value())).transpose()?;
     let accepted: Option<Accepted> = read(ACCEPTED)?.map(|bytes| decoded(bytes.value())).transpose()?;
@@ -189,5 +203,5 @@
 }
 
 fn decoded<T: for<'b> Decode<'b, ()>>(bytes: &[u8]) -> Result<T, ControllerError> {
-    minicbor::decode(bytes).map_err(ControllerError::database)
+    minicbor::decode(bytes).map_err(|error| ControllerError::Damaged(error.to_string()))
 }
--- a/crates/mintlb-control/tests/controller_vote_store.rs
+++ b/crates/mintlb-control/tests/controller_vote_store.rs
@@ -34,20 +34,19 @@
     synced(&opened.store, Sync::Nothing);
     assert!(!opened.store.is_busy());
     drop(opened.store);
-    let again = reopened(folder.path());
+    let again = VoteStore::open(folder.path(), 99).unwrap();
     assert_eq!(again.id, 41, "the identity offered to an existing file is not taken");
     assert_eq!((again.vote.promised, again.vote.accepted), (ballot(5), Some(accepted(3))));
 }
 
-/// The thread of a store that was let go closes the file a moment later: opening waits for its lock.
-fn reopened(folder: &std::path::Path) -> mintlb_control::controller::vote_store::Opened {
-    loop {
-        let before = std::fs::metadata(folder.join(FILE)).unwrap().len();
-        match VoteStore::open(folder, 99) {
-            Ok(opened) if opened.id != 99 => return opened,
-            _ => assert!(before > 0),
-        }
-    }
+#[test]
+fn a_file_that_another_process_has_open_is_left_alone() {
+    let folder = tempfile::tempdir().unwrap();
+    let opened = VoteStore::open(folder.path(), 41).unwrap();
+    assert!(VoteStore::open(folder.path(), 42).is_err());
+    synced(&opened.store, Sync::Promise(ballot(3)));
+    drop(opened.store);
+    assert_eq!(VoteStore::open(folder.path(), 43).unwrap().id, 41);
 }
 
 #[test]
@@ -62,7 +61,7 @@
         .collect();
     waiting.into_iter().for_each(|sync| sync.blocking_recv().unwrap());
     drop(opened.store);
-    let again = reopened(folder.path());
+    let again = VoteStore::open(folder.path(), 99).unwrap();
     assert_eq!((again.vote.promised, again.vote.accepted), (ballot(50), Some(accepted(49))));
 }
 
--- /dev/null
+++ b/crates/mintlb-lots/tests/takeover.rs
@@ -0,0 +1,278 @@
+//! What replicas wait for before they say something, and which log a new primary takes.
+
+#![allow(dead_code)]
+
+mod model;
+
+use mintlb_lots::client::{Item, LotClient, Submission, SubmitOutcome};
+use mintlb_lots::framing;
+use mintlb_lots::messages::{Answer, Call};
+use mintlb_lots::peer::PeerMessage;
+use mintlb_tier::placement::{Placement, SHARD_COUNT, ShardAssignment, StoreEntry};
+use mintlb_tier::transport::{self, Channel, Service, Transport};
+use model::Model;
+use parking_lot::Mutex;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// Three stores with ids 1 to 3, 1 being the primary in charge.
+fn three() -> Model {
+    let mut model = Model::new(1, 3, 1);
+    place(&mut model, 1, &[1, 2, 3], &[]);
+    quiet(&mut model);
+    assert!(serves(&model, 1));
+    model
+}
+
+/// The register takes an assignment; nobody hears of it yet.
+fn place(model: &mut Model, epoch: u64, replicas: &[u64], previous: &[u64]) {
+    let shard = ShardAssignment { epoch, replicas: replicas.to_vec(), previous: previous.to_vec() };
+    let version = model.placements.len() as u64;
+    model.placements.push(Placement { epoch: version, stores: Vec::new(), shards: vec![shard] });
+}
+
+fn hear(model: &mut Model, id: u64) {
+    let newest = model.placements.len() - 1;
+    while model.stores[id as usize - 1].placement < newest {
+        model.hear(id as usize - 1);
+    }
+}
+
+fn sync(model: &mut Model, id: u64) {
+    model.sync(id as usize - 1);
+}
+
+/// Everything arrives and is synced.
+fn quiet(model: &mut Model) {
+    for _ in 0..30 {
+        for id in 1..=3 {
+            if !model.stores[id as usize - 1].cut {
+                hear(model, id);
+            }
+            sync(model, id);
+        }
+        (0..model.messages.len()).for_each(|_| model.deliver(0, false));
+    }
+}
+
+fn serves(model: &Model, id: u64) -> bool {
+    model.stores[id as usize - 1].replica.as_ref().is_some_and(|replica| replica.is_serving())
+}
+
+/// Messages of this store that are on their way.
+fn sent(model: &Model, id: u64) -> Vec<&PeerMessage> {
+    model.messages.iter().filter(|(e, _)| e.from == id).map(|(e, _)| &e.message).collect()
+}
+
+#[test]
+fn a_promise_is_given_after_it_is_synced() {
+    let mut model = three();
+    model.stores[0].cut = true;
+    place(&mut model, 2, &[2, 3, 1], &[1, 2, 3]);
+    hear(&mut model, 2);
+    (0..model.messages.len()).for_each(|_| model.deliver(0, false));
+    assert_eq!(sent(&model, 3), Vec::<&PeerMessage>::new());
+    sync(&mut model, 3);
+    assert!(matches!(sent(&model, 3)[..], [PeerMessage::Collected { .. }]));
+}
+
+#[test]
+fn a_promise_outlives_a_power_loss() {
+    let mut model = three();
+    model.stores[0].cut = true;
+    place(&mut model, 2, &[2, 3, 1], &[1, 2, 3]);
+    hear(&mut model, 2);
+    (0..model.messages.len()).for_each(|_| model.deliver(0, false));
+    sync(&mut model, 3);
+    model.crash(2);
+    model.start(2);
+    assert_eq!(model.stores[2].replica.as_ref().unwrap().promised(), 2);
+}
+
+#[test]
+fn an_entry_leaves_the_primary_and_is_confirmed_after_it_is_synced() {
+    let mut model = three();
+    model.submit(0, "a".to_string(), 1);
+    assert_eq!(sent(&model, 1), Vec::<&PeerMessage>::new());
+    sync(&mut model, 1);
+    assert_eq!(sent(&model, 1).len(), 2);
+    (0..2).for_each(|_| model.deliver(0, false));
+    assert_eq!(model.messages.len(), 0, "followers wait for their disks");
+    assert!(model.told.accepted.is_empty());
+    sync(&mut model, 3);
+    model.deliver(0, false);
+    assert!(model.told.accepted.contains_key("a"), "two of three have it");
+}
+
+#[test]
+fn a_longer_log_of_an_older_epoch_gives_way() {
+    let mut model = three();
+    // The old primary takes much that reaches nobody.
+    (0..6).for_each(|i| model.submit(0, format!("lost{i}"), 1));
+    sync(&mut model, 1);
+    model.stores[0].cut = true;
+    model.messages.clear();
+    place(&mut model, 2, &[2, 3, 1], &[1, 2, 3]);
+    quiet(&mut model);
+    place(&mut model, 2, &[2, 3, 1], &[]);
+    quiet(&mut model);
+    model.submit(1, "kept".to_string(), 1);
+    quiet(&mut model);
+    assert!(model.told.accepted.contains_key("kept"));
+    let length = |model: &Model, place: usize| model.stores[place].replica.as_ref().unwrap().log().last();
+    assert!(length(&model, 0) > length(&model, 2));
+    // The third store takes over with the help of the first only.
+    model.stores[0].cut = false;
+    model.stores[1].cut = true;
+    place(&mut model, 3, &[3, 1, 2], &[2, 3, 1]);
+    quiet(&mut model);
+    place(&mut model, 3, &[3, 1, 2], &[]);
+    quiet(&mut model);
+    assert!(serves(&model, 3));
+    let lots = |place: usize| model.stores[place].replica.as_ref().unwrap().lots();
+    for place in [0, 2] {
+        assert!(lots(place).find(&model::name("kept")).is_some());
+        assert!(lots(place).find(&model::name("lost0")).is_none());
+    }
+    assert_eq!(lots(2).waiting_tokens("r"), 30);
+}
+
+#[test]
+fn a_stale_primary_takes_nothing_and_is_not_sure_of_anything() {
+    let mut model = three();
+    model.stores[0].cut = true;
+    place(&mut model, 2, &[2, 3, 1], &[1, 2, 3]);
+    quiet(&mut model);
+    place(&mut model, 2, &[2, 3, 1], &[]);
+    quiet(&mut model);
+    assert!(serves(&model, 1) && serves(&model, 2), "the old one has not heard of it");
+    model.submit(0, "stale".to_string(), 1);
+    model.submit(1, "new".to_string(), 1);
+    quiet(&mut model);
+    assert_eq!(model.told.accepted.keys().collect::<Vec<_>>(), ["new"]);
+    model.now += Duration::from_millis(500);
+    assert!(!model.stores[0].replica.as_mut().unwrap().confirm(model.now));
+    model.stores[0].cut = false;
+    quiet(&mut model);
+    assert!(!serves(&model, 1));
+    // The new primary asks again.
+    model.tick(Duration::from_millis(800));
+    quiet(&mut model);
+    let lots = model.stores[0].replica.as_ref().unwrap().lots();
+    assert!(lots.find(&model::name("stale")).is_none() && lots.find(&model::name("new")).is_some());
+}
+
+#[test]
+fn leases_wait_for_renewals_after_a_takeover() {
+    let mut model = three();
+    model.submit(0, "a".to_string(), 2);
+    quiet(&mut model);
+    model.stores[0].cut = true;
+    place(&mut model, 2, &[2, 3, 1], &[1, 2, 3]);
+    quiet(&mut model);
+    place(&mut model, 2, &[2, 3, 1], &[]);
+    quiet(&mut model);
+    let leases = |model: &mut Model| {
+        model.lease(1);
+        quiet(model);
+        model.lease(1);
+        model.told.leases
+    };
+    assert_eq!(leases(&mut model), 0);
+    model.tick(Duration::from_millis(900));
+    model.tick(Duration::from_millis(900));
+    model.tick(Duration::from_millis(900));
+    assert_eq!(leases(&mut model), 0);
+    model.tick(Duration::from_millis(900));
+    assert!(leases(&mut model) >= 2);
+}
+
+#[test]
+fn a_process_that_slept_does_not_take_leases_for_expired() {
+    let mut model = three();
+    model.submit(0, "a".to_string(), 2);
+    quiet(&mut model);
+    model.tick(Duration::from_secs(10));
+    model.lease(0);
+    quiet(&mut model);
+    model.lease(0);
+    assert_eq!(model.told.leases, 0);
+}
+
+/// A store that answers submissions as it is told to; `None` is silence.
+struct Scripted(Mutex<Vec<Option<Answer>>>, Mutex<Vec<u64>>);
+
+impl Service for Scripted {
+    fn request(&self, _from: SocketAddr, body: bytes::Bytes) -> transport::Answer {
+        let Some((Call::Submit(submit), _)) = framing::decode::<Call>(&body) else { panic!("no submission") };
+        self.1.lock().push(submit.epoch);
+        let answer = {
+            let mut answers = self.0.lock();
+            if answers.len() > 1 { answers.remove(0) } else { answers[0].clone() }
+        };
+        Box::pin(async move {
+            match answer {
+                Some(answer) => framing::encode(&answer, &[]),
+                None => std::future::pending().await,
+            }
+        })
+    }
+}
+
+async fn submitted(answers: &[Option<Answer>], within_ms: u64) -> (SubmitOutcome, Vec<u64>) {
+    let any = "127.0.0.1:0".parse().unwrap();
+    let store = Transport::start(any).await.unwrap();
+    let script = Arc::new(Scripted(Mutex::new(answers.to_vec()), Mutex::default()));
+    store.serve(Channel::Lots, script.clone());
+    let entry = StoreEntry { id: 1, address: store.own_address().to_string(), ..empty_entry() };
+    let shard = ShardAssignment { epoch: 5, replicas: vec![1], previous: Vec::new() };
+    let placement = Placement { epoch: 1, stores: vec![entry], shards: vec![shard; SHARD_COUNT as usize] };
+    let placement = Arc::new(placement);
+    let client = LotClient::new(Transport::start(any).await.unwrap(), Arc::new(move || placement.clone()));
+    let lot = Submission {
+        host: "h".to_string(),
+        route: "r".to_string(),
+        lot_id: "l".to_string(),
+        terms: Default::default(),
+        max_queued_tokens: 0,
+        items: vec![Item::default()],
+    };
+    let outcome = client.submit(lot, 1, Duration::from_millis(within_ms)).await;
+    let epochs = script.1.lock().clone();
+    (outcome, epochs)
+}
+
+fn empty_entry() -> StoreEntry {
+    StoreEntry {
+        id: 0,
+        node_name: String::new(),
+        address: String::new(),
+        zone: String::new(),
+        retiring: false,
+    }
+}
+
+#[tokio::test]
+async fn a_submission_is_refused_only_when_surely_nothing_of_it_is_in() {
+    let leased = Answer::Accepted { leased: true };
+    let accepted = SubmitOutcome::Accepted { items_leased: true };
+    let not_in_charge = Some(Answer::NotInCharge);
+    let cases = [
+        (vec![Some(leased.clone())], accepted),
+        (vec![not_in_charge.clone(), Some(leased.clone())], accepted),
+        (vec![not_in_charge.clone()], SubmitOutcome::Refused),
+        (vec![Some(Answer::QuotaFull)], SubmitOutcome::QuotaFull),
+        (vec![Some(Answer::DiskFull)], SubmitOutcome::Refused),
+        (vec![Some(Answer::Conflict)], SubmitOutcome::Conflict),
+        (vec![Some(Answer::Unsure), Some(leased)], accepted),
+        (vec![Some(Answer::Unsure), Some(Answer::QuotaFull)], SubmitOutcome::Unclear),
+        (vec![Some(Answer::Unsure), not_in_charge.clone()], SubmitOutcome::Unclear),
+        (vec![not_in_charge, None], SubmitOutcome::Unclear),
+    ];
+    for (answers, expected) in cases {
+        let (outcome, epochs) = submitted(&answers, 200).await;
+        assert_eq!(outcome, expected, "{answers:?}");
+        assert!(epochs.iter().all(|epoch| *epoch == 5));
+    }
+}
