--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -307,7 +307,8 @@
             if left == 0 || bytes == 0 {
                 break;
             }
-            // One that may have been followed by another primary has nothing to give: it would not know of ends.
+            // One that may have been followed by another primary has nothing to give: it would not know of
+            // ends.
             let replica = core.replica(shard);
             let plans = match replica.has_open_items(now) && replica.confirm(now) {
                 true => replica.lease(lease.holder, left, bytes, now),
@@ -379,7 +380,8 @@
     (range.end <= raw.len()).then(|| raw.slice(range))
 }
 
-/// The payloads of leased items; those that can't be read are left out and go to somebody once the lease is over.
+/// The payloads of leased items; those that can't be read are left out and go to somebody once the lease is
+/// over.
 fn with_payloads(
     core: &Core,
     shard: u32,
--- a/crates/mintlb-control/src/store/disk.rs
+++ b/crates/mintlb-control/src/store/disk.rs
@@ -65,8 +65,8 @@
 }
 
 impl LotDisk {
-    /// Opens the file, or makes it with a new identity. A file that is damaged is put aside: the store then begins
-    /// anew, as one that has lost its disk.
+    /// Opens the file, or makes it with a new identity. A file that is damaged is put aside: the store then
+    /// begins anew, as one that has lost its disk.
     pub fn open(
         directory: &Path,
         new_id: StoreId,
@@ -311,8 +311,8 @@
         self.shared.0.lock().bytes > MOST_WAITING
     }
 
-    /// Has a shard's changes committed together, and says what follows. If nothing has to be waited for, what follows
-    /// is given back at once.
+    /// Has a shard's changes committed together, and says what follows. If nothing has to be waited for, what
+    /// follows is given back at once.
     pub fn write(
         &self,
         shard: u32,
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -1,4 +1,5 @@
-//! The store: keeps replicas of the lots' shards on its disk and answers dispatchers for those it is the primary of.
+//! The store: keeps replicas of the lots' shards on its disk and answers dispatchers for those it is the
+//! primary of.
 //!
 //! - [`disk`]: the file, and the thread that commits.
 //! - [`core`]: the replicas, their effects carried out.
--- a/crates/mintlb-lots/src/client.rs
+++ b/crates/mintlb-lots/src/client.rs
@@ -1,5 +1,6 @@
-//! What dispatchers call: lots at the primaries of their shards. A call goes to the primary that the placement in force
-//! names, and again, after a short pause, while that one is not in charge or can't be reached.
+//! What dispatchers call: lots at the primaries of their shards. A call goes to the primary that the
+//! placement in force names, and again, after a short pause, while that one is not in charge or can't be
+//! reached.
 
 mod calls;
 mod types;
@@ -67,13 +68,14 @@
         calls::lease(self, holder, most).await
     }
 
-    /// Renews the leases of the items that `holder` still runs; call it each second. Returns those it is to stop.
+    /// Renews the leases of the items that `holder` still runs; call it each second. Returns those it is to
+    /// stop.
     pub async fn renew(&self, holder: DispatcherId, held: Vec<HeldLot>) -> Vec<HeldLot> {
         calls::renew(self, holder, held).await
     }
 
-    /// Records the result of an item. True if it is kept (this one or an earlier one) or no longer wanted, as the lot
-    /// is ended or gone; false if that can't be told: call it again then.
+    /// Records the result of an item. True if it is kept (this one or an earlier one) or no longer wanted, as
+    /// the lot is ended or gone; false if that can't be told: call it again then.
     pub async fn record(&self, host: &str, lot_id: &str, index: u32, result: ItemResult) -> bool {
         calls::record(self, host, lot_id, index, result).await
     }
--- a/crates/mintlb-lots/src/entry.rs
+++ b/crates/mintlb-lots/src/entry.rs
@@ -1,4 +1,5 @@
-//! Entries of a shard's log. Each lies on disk and travels as a [`crate::framing`] head with raw bytes behind it.
+//! Entries of a shard's log. Each lies on disk and travels as a [`crate::framing`] head with raw bytes behind
+//! it.
 
 use crate::framing;
 use bytes::Bytes;
@@ -10,7 +11,8 @@
     /// A primary begins its epoch.
     #[n(0)]
     Begin,
-    /// A lot is taken. Raw: the payloads of its items, one after another; none once they are no longer needed.
+    /// A lot is taken. Raw: the payloads of its items, one after another; none once they are no longer
+    /// needed.
     #[n(1)]
     Accepted(#[n(0)] LotHead),
     /// An item is listed. Raw: its text.
--- a/crates/mintlb-lots/src/framing.rs
+++ b/crates/mintlb-lots/src/framing.rs
@@ -1,5 +1,5 @@
-//! A typed head followed by raw bytes. Bodies and texts travel and lie on disk as the raw part, so that a store never
-//! decodes them: it cuts them out of what it received.
+//! A typed head followed by raw bytes. Bodies and texts travel and lie on disk as the raw part, so that a
+//! store never decodes them: it cuts them out of what it received.
 
 use bytes::{Bytes, BytesMut};
 use minicbor::{Decode, Decoder, Encode};
--- a/crates/mintlb-lots/src/leases.rs
+++ b/crates/mintlb-lots/src/leases.rs
@@ -1,4 +1,5 @@
-//! Who runs which item. Known to the primary only, and not replicated: a new primary waits for renewals first.
+//! Who runs which item. Known to the primary only, and not replicated: a new primary waits for renewals
+//! first.
 
 use crate::lots::{Lot, Lots, Moment};
 use crate::messages::DispatcherId;
--- a/crates/mintlb-lots/src/log_index.rs
+++ b/crates/mintlb-lots/src/log_index.rs
@@ -1,8 +1,9 @@
 //! Which epoch wrote which part of a shard's log.
 //!
-//! A log is a row of entries with rising indexes from 1. The primary of an epoch is the only one that appends in it,
-//! and hands an index out once only, so two logs that hold the same epoch at one index are equal up to there (but for
-//! entries that one of them no longer needs and has dropped). Only the runs of equal epochs are kept.
+//! A log is a row of entries with rising indexes from 1. The primary of an epoch is the only one that appends
+//! in it, and hands an index out once only, so two logs that hold the same epoch at one index are equal up to
+//! there (but for entries that one of them no longer needs and has dropped). Only the runs of equal epochs
+//! are kept.
 
 use minicbor::{Decode, Encode};
 
@@ -17,7 +18,8 @@
     pub epoch: u64,
 }
 
-/// A place in a log: an index and the epoch that wrote it. Ordered as takeovers choose: the later epoch is ahead.
+/// A place in a log: an index and the epoch that wrote it. Ordered as takeovers choose: the later epoch is
+/// ahead.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Encode, Decode)]
 pub struct Place {
     /// The epoch.
--- a/crates/mintlb-lots/src/lots.rs
+++ b/crates/mintlb-lots/src/lots.rs
@@ -1,6 +1,6 @@
-//! The lots of one shard, built by applying the entries of its log in order. Entries are applied as soon as they are in
-//! the log; what is committed is told apart by its index, so that entries that never get committed can be undone.
-//! Payloads and texts lie on disk only.
+//! The lots of one shard, built by applying the entries of its log in order. Entries are applied as soon as
+//! they are in the log; what is committed is told apart by its index, so that entries that never get
+//! committed can be undone. Payloads and texts lie on disk only.
 
 use crate::entry::{Entry, ItemState, LotHead, LotTerms};
 use crate::messages::LotName;
@@ -191,7 +191,8 @@
         self.entries.range(index + 1..).map(|(index, kept)| (*index, kept.length))
     }
 
-    /// Applies the entry at the end of the log. `length` is what it takes on disk, `raw` the part behind its head.
+    /// Applies the entry at the end of the log. `length` is what it takes on disk, `raw` the part behind its
+    /// head.
     pub fn apply(&mut self, index: u64, entry: &Entry, length: u64, raw: u64, now: Moment) {
         let kind = match entry {
             Entry::Begin => Kind::Other,
@@ -320,9 +321,9 @@
         }
     }
 
-    /// What can go from the disk: payloads of lots that are done, lots that need not be readable any more. `status` is
-    /// how long a lot has to be readable. Goes by the time since the lot was applied in this process, so that neither
-    /// a step of the clock nor a restart makes anything go early.
+    /// What can go from the disk: payloads of lots that are done, lots that need not be readable any more.
+    /// `status` is how long a lot has to be readable. Goes by the time since the lot was applied in this
+    /// process, so that neither a step of the clock nor a restart makes anything go early.
     pub fn sweep(&mut self, committed: u64, status: Duration, now: Moment) -> Sweep {
         let mut sweep = Sweep::default();
         self.strip_done(committed, &mut sweep);
--- a/crates/mintlb-lots/src/messages.rs
+++ b/crates/mintlb-lots/src/messages.rs
@@ -1,6 +1,6 @@
 //! Calls of dispatchers to stores on [`mintlb_tier::transport::Channel::Lots`], and their answers. Each is a
-//! [`crate::framing`] head; what is raw behind it is said at the variant. Messages between replicas are notices on the
-//! same channel, see [`crate::peer`].
+//! [`crate::framing`] head; what is raw behind it is said at the variant. Messages between replicas are
+//! notices on the same channel, see [`crate::peer`].
 
 use crate::entry::{ItemState, LotHead};
 use minicbor::{Decode, Encode};
@@ -62,8 +62,8 @@
 /// A lot to take.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Submit {
-    /// The epoch of the shard that the dispatcher knows; another one is refused, so that a call that lay about
-    /// is never carried out later.
+    /// The epoch of the shard that the dispatcher knows; another one is refused, so that a call that lay
+    /// about is never carried out later.
     #[n(0)]
     pub epoch: u64,
     /// Who runs the items.
--- a/crates/mintlb-lots/src/placement_planner.rs
+++ b/crates/mintlb-lots/src/placement_planner.rs
@@ -1,8 +1,9 @@
-//! Which stores hold which shard. Pure: the placement in force and what is known of the stores in, the next placement
-//! out. The controller with the duty asks it again and again and writes what comes out into the register.
+//! Which stores hold which shard. Pure: the placement in force and what is known of the stores in, the next
+//! placement out. The controller with the duty asks it again and again and writes what comes out into the
+//! register.
 //!
-//! A shard changes one step at a time: a change names the old replicas as `previous`; the new primary reads from them
-//! and reports that it is in charge; then `previous` is cleared, and the next change may follow.
+//! A shard changes one step at a time: a change names the old replicas as `previous`; the new primary reads
+//! from them and reports that it is in charge; then `previous` is cleared, and the next change may follow.
 
 mod retirement;
 mod view;
@@ -159,8 +160,8 @@
         self.change(shard, assignment, replicas);
     }
 
-    /// A takeover does not get on: with another primary, and live replicas in place of silent ones. All that is told
-    /// lies with the previous replicas, so any others will do.
+    /// A takeover does not get on: with another primary, and live replicas in place of silent ones. All that
+    /// is told lies with the previous replicas, so any others will do.
     fn choose_anew(&mut self, shard: usize, assignment: &ShardAssignment) {
         let size = self.size().max(assignment.replicas.len().min(2 * self.tolerance + 1));
         let suits = |id: &StoreId| self.is_live(*id) && !self.is_retiring(*id);
@@ -188,7 +189,8 @@
         }
     }
 
-    /// Brings the set to its size, without dead and retiring stores, as far as that takes nothing that is needed.
+    /// Brings the set to its size, without dead and retiring stores, as far as that takes nothing that is
+    /// needed.
     fn change_members(&mut self, shard: usize, assignment: &ShardAssignment, caught_up: &[StoreId]) {
         let replicas = &assignment.replicas;
         let good: Vec<StoreId> =
@@ -229,8 +231,8 @@
         self.is_retiring(id) || replaced || self.view.silence(id) >= patience
     }
 
-    /// Without a store to take its place, a silent replica stays: it may come back. A retiring one has to go, and one
-    /// whose disk is lost is of no use.
+    /// Without a store to take its place, a silent replica stays: it may come back. A retiring one has to go,
+    /// and one whose disk is lost is of no use.
     fn may_shrink(&self, leaving: StoreId, size: usize) -> bool {
         let replaced = self.next.store(leaving).is_none_or(|entry| self.view.is_replaced(entry));
         size > self.tolerance + 1 && (self.is_retiring(leaving) || replaced)
--- a/crates/mintlb-lots/src/replica.rs
+++ b/crates/mintlb-lots/src/replica.rs
@@ -1,9 +1,9 @@
 //! One shard at one store. Pure: inputs and the time in, [`Effect`]s out.
 //!
-//! A replica follows the primary of the highest epoch it has promised, or is that primary. Whatever it says of its log
-//! or its promise is said after the disk has it: [`Effect::AfterSync`] comes back through [`Replica::synced`].
-//! A primary syncs an entry before it sends it to others, so after a restart within its epoch it never gives
-//! another entry an index that was seen elsewhere.
+//! A replica follows the primary of the highest epoch it has promised, or is that primary. Whatever it says
+//! of its log or its promise is said after the disk has it: [`Effect::AfterSync`] comes back through
+//! [`Replica::synced`]. A primary syncs an entry before it sends it to others, so after a restart within its
+//! epoch it never gives another entry an index that was seen elsewhere.
 
 mod follower;
 mod primary;
@@ -72,7 +72,8 @@
     AfterSync(AfterSync),
     /// Send this to a store.
     Send(Envelope),
-    /// Send this with the entries at these indexes. The driver fills in `entries`; one that is gone is left out.
+    /// Send this with the entries at these indexes. The driver fills in `entries`; one that is gone is left
+    /// out.
     SendEntries(Envelope, Vec<u64>),
     /// The log is committed up to here: calls that wait for it can be answered.
     Committed(u64),
@@ -197,8 +198,8 @@
         self.clear_unless_needed();
     }
 
-    /// Drops everything if the placement names this store no more. A replica that is counted somewhere has promised
-    /// that epoch on disk, so an old placement after a restart does no harm.
+    /// Drops everything if the placement names this store no more. A replica that is counted somewhere has
+    /// promised that epoch on disk, so an old placement after a restart does no harm.
     fn clear_unless_needed(&mut self) {
         let assignment = &self.assignment;
         let named = assignment.replicas.contains(&self.settings.own)
@@ -334,8 +335,8 @@
         Envelope { from: self.settings.own, to, shard: self.shard, epoch, message }
     }
 
-    /// The part of the own log behind `after`, up to `through`, as far as it fits into `most` bytes, and the indexes
-    /// of its entries.
+    /// The part of the own log behind `after`, up to `through`, as far as it fits into `most` bytes, and the
+    /// indexes of its entries.
     fn part(&self, after: u64, through: u64, most: u64) -> (Append, Vec<u64>) {
         let mut indexes = Vec::new();
         let (mut bytes, mut end) = (0, through.max(after));
--- a/crates/mintlb-lots/src/replica/primary.rs
+++ b/crates/mintlb-lots/src/replica/primary.rs
@@ -32,8 +32,8 @@
 pub(super) struct Primary {
     /// Its epoch.
     pub epoch: u64,
-    /// The end of the log when this process became the primary: the epoch's first entry, or, after a restart within
-    /// the epoch, one behind it. All up to here may have been told to somebody.
+    /// The end of the log when this process became the primary: the epoch's first entry, or, after a restart
+    /// within the epoch, one behind it. All up to here may have been told to somebody.
     pub base: u64,
     /// The log is committed up to there.
     pub in_charge: bool,
@@ -291,7 +291,8 @@
         }
     }
 
-    /// Whether all that was committed until shortly ago is known here. If not, the followers are asked to confirm.
+    /// Whether all that was committed until shortly ago is known here. If not, the followers are asked to
+    /// confirm.
     pub fn confirm(&mut self, now: Moment) -> bool {
         let others = self.quorum() - 1;
         let Role::Primary(primary) = &self.role else { return false };
--- a/crates/mintlb-lots/src/replica/serving.rs
+++ b/crates/mintlb-lots/src/replica/serving.rs
@@ -13,8 +13,9 @@
     Done(Answer),
     /// Answer this once the log is committed up to the index.
     Pending(u64, Answer),
-    /// A lot with this id is there, by the entry at this index: compare its items on disk with the new ones once the
-    /// log is committed up to there; equal items are answered with the answer, others are a conflict.
+    /// A lot with this id is there, by the entry at this index: compare its items on disk with the new ones
+    /// once the log is committed up to there; equal items are answered with the answer, others are a
+    /// conflict.
     Compare(u64, Answer),
 }
 
@@ -94,7 +95,8 @@
         Proposal::Pending(index, Answer::Accepted { leased: true })
     }
 
-    /// Whether a lot's head, as it lies on disk, has the same items as a new one. Payloads are compared by the driver.
+    /// Whether a lot's head, as it lies on disk, has the same items as a new one. Payloads are compared by
+    /// the driver.
     pub fn same_items(stored: &LotHead, new: &LotHead) -> bool {
         stored.items == new.items
     }
@@ -173,7 +175,8 @@
         Some(plan)
     }
 
-    /// Where the payload of an item lies that is not listed and not ended: its lot's entry and the range in it.
+    /// Where the payload of an item lies that is not listed and not ended: its lot's entry and the range in
+    /// it.
     pub fn payload(&self, name: &LotName, item: &str) -> Option<(u64, std::ops::Range<usize>)> {
         let (index, lot) = self.committed_lot(name)?;
         let item = lot.item(item)?;
--- a/crates/mintlb-lots/src/replica/takeover.rs
+++ b/crates/mintlb-lots/src/replica/takeover.rs
@@ -1,5 +1,6 @@
-//! A replica is to be the primary of a new epoch: it reads from so many of the previous replicas that every committed
-//! entry is at one of them, takes the log that ends at the highest place, and begins its epoch on top of that.
+//! A replica is to be the primary of a new epoch: it reads from so many of the previous replicas that every
+//! committed entry is at one of them, takes the log that ends at the highest place, and begins its epoch on
+//! top of that.
 
 use super::primary::Primary;
 use super::{AfterSync, DiskWrite, Effect, Replica, Role};
@@ -68,7 +69,8 @@
         }
     }
 
-    /// Every committed entry is at `tolerance + 1` of the previous replicas, so all but `tolerance` have to be read.
+    /// Every committed entry is at `tolerance + 1` of the previous replicas, so all but `tolerance` have to
+    /// be read.
     fn answers_needed(&self) -> usize {
         self.assignment.previous.len().saturating_sub(self.settings.tolerance).max(1)
     }
--- a/crates/mintlb-lots/tests/model/mod.rs
+++ b/crates/mintlb-lots/tests/model/mod.rs
@@ -1,5 +1,5 @@
-//! A model of stores with one shard: virtual time, disks that lose what is not synced, messages that are lost, repeated
-//! and reordered, a register of the placement that everybody hears of late.
+//! A model of stores with one shard: virtual time, disks that lose what is not synced, messages that are
+//! lost, repeated and reordered, a register of the placement that everybody hears of late.
 
 pub mod checks;
 pub mod disk;
@@ -162,8 +162,8 @@
         true
     }
 
-    /// No more than the tolerance of the stores may be lost at once: a lost one counts until the newest placement
-    /// names it no more and for a while after.
+    /// No more than the tolerance of the stores may be lost at once: a lost one counts until the newest
+    /// placement names it no more and for a while after.
     fn may_lose(&self, id: StoreId) -> bool {
         let Some(shard) = self.placements.last().and_then(|p| p.shards.first()) else { return false };
         let named = |id: &StoreId| shard.replicas.contains(id) || shard.previous.contains(id);
--- a/crates/mintlb-lots/tests/shard_model.rs
+++ b/crates/mintlb-lots/tests/shard_model.rs
@@ -1,5 +1,5 @@
-//! Replicas of a shard under power losses, lost disks, cuts, and lost, repeated and reordered messages: what was told
-//! stays true.
+//! Replicas of a shard under power losses, lost disks, cuts, and lost, repeated and reordered messages: what
+//! was told stays true.
 
 mod model;
 
