--- a/crates/mintlb-core/src/permit.rs
+++ b/crates/mintlb-core/src/permit.rs
@@ -15,7 +15,7 @@
     NotBefore(f64),
 }
 
-/// Who is asked. It is asked for each work unit that waits and each worker with room, so it has to be quick.
+/// Who is asked. It is asked for each request that waits and each worker with room, so it has to be quick.
 pub trait Permit: Send + Sync {
     /// Whether this may go there now.
     fn permits(&self, now: f64, wu: &WorkUnit, payload: &Payload, worker: &Worker) -> Permission;
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -226,7 +226,7 @@
         }
     }
 
-    /// From now on allocations go only where this permits it, too.
+    /// From now on requests go only where this permits it, too.
     pub fn take_permit(&mut self, permit: Arc<dyn Permit>) {
         self.permit = Some(permit);
     }
--- a/crates/mintlb-dispatch/src/exchange.rs
+++ b/crates/mintlb-dispatch/src/exchange.rs
@@ -88,7 +88,7 @@
 
 #[derive(Default)]
 struct State {
-    /// The work unit under which it is with the reducer now.
+    /// The number under which it is with the reducer now.
     wu: u64,
     /// Workers that it was sent to whole.
     attempts: u32,
@@ -379,7 +379,7 @@
 
     // What the reducer decided.
 
-    /// The reducer has nothing more to try under this work unit.
+    /// The reducer has nothing more to try under this number.
     fn settle(self: Arc<Self>, refusal: Refusal) {
         let now = self.hub.clock.now();
         let again = {
--- a/crates/mintlb-dispatch/src/hub.rs
+++ b/crates/mintlb-dispatch/src/hub.rs
@@ -16,7 +16,7 @@
 pub struct Hub {
     /// The one clock.
     pub clock: Clock,
-    /// Numbers of work units.
+    /// Numbers of requests.
     pub numbers: Numbers,
     /// The way to the reducer.
     pub tell: UnboundedSender<Event>,
