--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -181,8 +181,7 @@
     fn is_disk_full(&self, more: u64) -> bool {
         let core = self.core.lock();
         let file = core.disk.file_bytes();
-        // The file grows to twice its length; when that is not to be had, it stays as it is.
-        let most = if file * 2 > self.disk_bytes { file } else { self.disk_bytes };
+        let most = longest_file(file, self.disk_bytes);
         let used: u64 = core.replicas().iter().map(Replica::bytes).sum();
         core.writer.is_full() || (used + more) as f64 * DISK_FACTOR > most as f64 * DISK_FULL
     }
@@ -425,3 +424,13 @@
         })
     }
 }
+
+/// The longest that a file of so many bytes can become on a disk of so many: it grows by doubling its length, and when
+/// that is not to be had it stays as it is.
+pub fn longest_file(file_bytes: u64, disk_bytes: u64) -> u64 {
+    let mut longest = file_bytes.max(1);
+    while longest.saturating_mul(2) <= disk_bytes {
+        longest *= 2;
+    }
+    longest
+}
--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -1,6 +1,7 @@
 //! The lots' file: what is committed is there again, a damaged file is put aside.
 
 use bytes::Bytes;
+use mintlb_control::store::calls::longest_file;
 use mintlb_control::store::disk::{FILE, LotDisk, Writer};
 use mintlb_lots::entry::{Entry, ItemHead, LotHead, LotTerms};
 use mintlb_lots::framing;
@@ -112,3 +113,14 @@
     followed.append(&mut last);
     assert_eq!(followed, (1..=51).map(follows).collect::<Vec<_>>());
 }
+
+/// Seen on a disk of 130 MB: a file of 34 MB was taken to reach 130, it reached 68 and the next commit failed.
+#[test]
+fn a_file_that_doubles_never_reaches_what_lies_between() {
+    let megabytes = |file: u64, disk: u64| longest_file(file << 20, disk << 20) >> 20;
+    assert_eq!(megabytes(34, 130), 68);
+    assert_eq!(megabytes(68, 130), 68);
+    assert_eq!(megabytes(8, 130), 128);
+    assert_eq!(megabytes(140, 130), 140);
+    assert_eq!(longest_file(0, 0), 1);
+}
