Stores: a shard left with too few disks gets a new set; leaving stores hand over

Now fewer than f + 1 replicas left and another store there is a takeover at once: the old set is read, live stores take the places of lost ones. - A replaced store at another address stayed in a shrunken set for ever ("it may come back"): the next loss left too few to read from. Now a silent one goes if it was told to stop, or a store came after its last word. - A store told to stop handed its primaries over, not its copies. Now a copy moves to the new store at once, and the process goes on (4 s, half of the grace at most) while it may have to be read. - Only `previous` was read by a takeover, also when a takeover given up had filled another replica: with the previous ones gone the log was there and not read. The assignment now names the settled epoch; a log with a later entry is whole and is read alone. - A primary in an epoch that was never settled told its followers that its first entry was committed; a later takeover without that log was refused by them for ever ("a committed entry is contradicted"). - `retirement` said `completed` with one live whole replica. Now more than f live ones are needed.

--- a/crates/mintlb-control/src/controller/retire_api.rs
+++ b/crates/mintlb-control/src/controller/retire_api.rs
@@ -113,7 +113,7 @@
         let placement = &chosen.state.placement;
         let view = controller.duties.store_view(placement);
         if !call.begin {
-            return match retirement(placement, &view, &call.node_name) {
+            return match retirement(placement, &view, &call.node_name, tolerance) {
                 Some(Retirement::Completed) => RetireAnswer::Completed,
                 Some(Retirement::Running) => RetireAnswer::Running,
                 None => RetireAnswer::Unknown,
--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -108,9 +108,12 @@
         self.leaving.load(Relaxed)
     }
 
-    /// Whether this store is the primary of any shard.
-    pub fn is_primary(&self) -> bool {
-        self.core.lock().replicas().iter().any(Replica::is_primary)
+    /// Whether other stores still need this one: it is the primary of a shard, or a shard is moved away from it and
+    /// its copy may have to be read.
+    pub fn is_needed(&self) -> bool {
+        let core = self.core.lock();
+        let is_read = core.placement().shards.iter().any(|shard| shard.previous.contains(&self.own));
+        is_read || core.replicas().iter().any(Replica::is_primary)
     }
 
     async fn call(self: Arc<Self>, call: Call, raw: Bytes) -> Bytes {
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -33,8 +33,11 @@
 const BIND_WITHIN: Duration = Duration::from_secs(5);
 /// The pause between two tries.
 const BIND_PAUSE: Duration = Duration::from_millis(100);
-/// How long a store that was told to stop goes on at most, until its shards have other primaries.
-const HAND_OVER: Duration = Duration::from_millis(2500);
+/// How long a store that was told to stop goes on at most, until its shards have other primaries and its copies, if
+/// there is a successor, have moved.
+const HAND_OVER: Duration = Duration::from_millis(4000);
+/// How long it goes on at least: until then it hears whether its copies are moved.
+const LEAST_HAND_OVER: Duration = Duration::from_millis(800);
 
 /// Why the store ended.
 #[derive(Debug, thiserror::Error)]
@@ -114,8 +117,10 @@
     }
     log::info!("store: told to stop");
     store.leave();
-    let until = Instant::now() + hand_over;
-    while Instant::now() < until && (store.is_primary() || !writer.is_idle()) {
+    let told = Instant::now();
+    let has_to_go_on =
+        || told.elapsed() < LEAST_HAND_OVER.min(hand_over) || store.is_needed() || !writer.is_idle();
+    while told.elapsed() < hand_over && has_to_go_on() {
         tokio::select! {
             batch = commits.recv() => match batch {
                 Some(Ok(after)) => store.synced(after),
--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -62,7 +62,8 @@
         zone: "z".to_string(),
         retiring: false,
     });
-    let shard = ShardAssignment { epoch, replicas: ids(order), previous: ids(previous) };
+    let settled = Some(epoch - 1);
+    let shard = ShardAssignment { epoch, replicas: ids(order), previous: ids(previous), settled };
     Placement { epoch, stores: stores.collect(), shards: vec![shard; SHARD_COUNT as usize] }
 }
 
--- a/crates/mintlb-lots/src/placement_planner.rs
+++ b/crates/mintlb-lots/src/placement_planner.rs
@@ -5,6 +5,7 @@
 //! A shard changes one step at a time: a change names the old replicas as `previous`; the new primary reads
 //! from them and reports that it is in charge; then `previous` is cleared, and the next change may follow.
 
+mod members;
 mod retirement;
 mod view;
 
@@ -19,10 +20,6 @@
 pub const LIVE: Duration = Duration::from_millis(1000);
 /// A primary that was silent for so long is replaced by another replica.
 const PRIMARY_DEAD: Duration = Duration::from_millis(1300);
-/// A replica that was silent for so long is replaced when its shard could not lose another one.
-const REPLICA_DEAD: Duration = Duration::from_millis(2000);
-/// The same while its shard could: a machine that comes back soon has its copy still.
-const REPLICA_DEAD_AT_EASE: Duration = Duration::from_millis(7000);
 /// The first placement waits so long after the first heartbeat,
 const FIRST_WAIT: Duration = Duration::from_millis(800);
 /// and so long after a store was first heard of,
@@ -35,9 +32,6 @@
 const FORGET: Duration = Duration::from_secs(10);
 /// The same for one that was emptied.
 const FORGET_RETIRED: Duration = Duration::from_secs(600);
-/// Shards that one store fills up with at a time.
-const MOST_FILLING: usize = 2;
-
 /// The next placement, if there is something to change.
 pub fn plan(current: &Placement, view: &StoreView, tolerance: usize) -> Option<Placement> {
     let mut next = Placement { epoch: current.epoch + 1, ..current.clone() };
@@ -73,7 +67,7 @@
             planner.next.shards[shard].replicas = replicas.clone();
         }
         planner.lead_with_least_loaded(shard, &mut replicas);
-        planner.next.shards[shard] = ShardAssignment { epoch: 1, replicas, previous: Vec::new() };
+        planner.next.shards[shard] = ShardAssignment { epoch: 1, replicas, ..ShardAssignment::default() };
     }
     Some(planner.next)
 }
@@ -132,13 +126,20 @@
         let leaves = self.view.is_leaving(primary);
         let dead = self.view.silence(primary) >= PRIMARY_DEAD || leaves && in_charge;
         let stuck = !in_charge && self.view.unsettled_for(shard, assignment.epoch) >= TAKEOVER_PATIENCE;
+        if !in_charge && self.lacks_quorum(&assignment) && self.choose_anew(shard, &assignment, false) {
+            return;
+        }
         if stuck && !assignment.previous.is_empty() {
-            return self.choose_anew(shard, &assignment);
+            self.choose_anew(shard, &assignment, true);
+            return;
+        }
+        let caught_up = report.map(|report| report.caught_up.clone()).unwrap_or_default();
+        if in_charge && self.hand_over(shard, &assignment, &caught_up) {
+            return;
         }
         if dead || stuck {
             return self.replace_primary(shard, &assignment);
         }
-        let caught_up = report.map(|report| report.caught_up.clone()).unwrap_or_default();
         if in_charge {
             self.change_members(shard, &assignment, &caught_up);
         }
@@ -160,104 +161,14 @@
         self.change(shard, assignment, replicas);
     }
 
-    /// A takeover does not get on: with another primary, and live replicas in place of silent ones. All that
-    /// is told lies with the previous replicas, so any others will do.
-    fn choose_anew(&mut self, shard: usize, assignment: &ShardAssignment) {
-        let size = self.size().max(assignment.replicas.len().min(2 * self.tolerance + 1));
-        let suits = |id: &StoreId| self.is_live(*id) && !self.is_retiring(*id);
-        let mut replicas: Vec<StoreId> = Vec::with_capacity(size);
-        for id in assignment.previous.iter().chain(&assignment.replicas).filter(|id| suits(id)) {
-            if !replicas.contains(id) && replicas.len() < size {
-                replicas.push(*id);
-            }
-        }
-        while replicas.len() < size
-            && let Some(candidate) = self.candidate(shard, &replicas)
-        {
-            replicas.push(candidate);
-        }
-        if replicas.len() > 1 && replicas.first() == assignment.replicas.first() {
-            replicas.rotate_left(1);
-        }
-        for id in &assignment.replicas {
-            if !replicas.contains(id) && replicas.len() < size {
-                replicas.push(*id);
-            }
-        }
-        if replicas.first().is_some_and(|id| self.is_live(*id)) {
-            self.change(shard, assignment, replicas);
-        }
-    }
-
-    /// Brings the set to its size, without dead and retiring stores, as far as that takes nothing that is
-    /// needed.
-    fn change_members(&mut self, shard: usize, assignment: &ShardAssignment, caught_up: &[StoreId]) {
-        let replicas = &assignment.replicas;
-        let good: Vec<StoreId> =
-            replicas.iter().copied().filter(|id| self.is_live(*id) && caught_up.contains(id)).collect();
-        let at_ease = replicas.iter().filter(|id| self.is_live(**id)).count() > self.tolerance + 1;
-        let leaving = replicas.iter().copied().find(|id| self.is_to_leave(*id, at_ease));
-        let candidate = self.candidate(shard, replicas);
-        if candidate.is_some_and(|id| self.filling(id) >= MOST_FILLING) {
-            return;
-        }
-        let stays = |leaving: StoreId| good.iter().filter(|id| **id != leaving).count() > self.tolerance;
-        let changed = match (leaving, candidate) {
-            (Some(leaving), Some(candidate)) if stays(leaving) => {
-                Some(replace(replicas, leaving, Some(candidate)))
-            }
-            // One more for a while, until there are enough copies without the one that leaves.
-            (Some(_), Some(candidate)) if replicas.len() <= self.size() => Some(with(replicas, candidate)),
-            (Some(leaving), None) if stays(leaving) && self.may_shrink(leaving, replicas.len()) => {
-                Some(replace(replicas, leaving, None))
-            }
-            (None, Some(candidate)) if replicas.len() < self.size() => Some(with(replicas, candidate)),
-            (None, _) if replicas.len() > 2 * self.tolerance + 1 => {
-                replicas.last().copied().filter(|last| stays(*last)).map(|last| replace(replicas, last, None))
-            }
-            _ => None,
-        };
-        let Some(mut changed) = changed else { return };
-        // The primary has to be one with the whole log.
-        if let Some(place) = changed.iter().position(|id| good.contains(id)) {
-            changed.swap(0, place);
-        }
-        self.change(shard, assignment, changed);
-    }
-
-    fn is_to_leave(&self, id: StoreId, at_ease: bool) -> bool {
-        let patience = if at_ease { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD };
-        let replaced = self.next.store(id).is_some_and(|entry| self.view.is_replaced(entry));
-        self.is_retiring(id) || replaced || self.view.silence(id) >= patience
-    }
-
-    /// Without a store to take its place, a silent replica stays: it may come back. A retiring one has to go,
-    /// and one whose disk is lost is of no use.
-    fn may_shrink(&self, leaving: StoreId, size: usize) -> bool {
-        let replaced = self.next.store(leaving).is_none_or(|entry| self.view.is_replaced(entry));
-        size > self.tolerance + 1 && (self.is_retiring(leaving) || replaced)
-    }
-
     fn change(&mut self, shard: usize, assignment: &ShardAssignment, replicas: Vec<StoreId>) {
-        let previous = match assignment.previous.is_empty() {
-            true => assignment.replicas.clone(),
-            // Nothing was committed by the replicas of an epoch that was not reported in charge.
-            false => assignment.previous.clone(),
+        let (previous, settled) = match assignment.previous.is_empty() {
+            true => (assignment.replicas.clone(), Some(assignment.epoch)),
+            // Nothing was told by the replicas of an epoch that was not reported in charge.
+            false => (assignment.previous.clone(), assignment.settled),
         };
-        self.next.shards[shard] = ShardAssignment { epoch: assignment.epoch + 1, replicas, previous };
-    }
-
-    /// The usable store that suits best as one more replica: of a zone with few of them, with few shards.
-    fn candidate(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
-        let zone_of = |id: &StoreId| self.next.store(*id).map(|entry| entry.zone.as_str());
-        let others =
-            self.usable().filter(|entry| !replicas.contains(&entry.id) && !self.view.is_leaving(entry.id));
-        let best = others.min_by_key(|entry| {
-            let live = replicas.iter().filter(|id| self.is_live(**id) && !self.is_retiring(**id));
-            let of_zone = live.filter(|id| zone_of(id) == Some(entry.zone.as_str())).count();
-            (of_zone, self.shards_of(entry.id), hash(shard, entry.id))
-        });
-        best.map(|entry| entry.id)
+        self.next.shards[shard] =
+            ShardAssignment { epoch: assignment.epoch + 1, replicas, previous, settled };
     }
 
     fn shards_of(&self, id: StoreId) -> usize {
@@ -268,18 +179,6 @@
         self.next.shards.iter().filter(|shard| shard.replicas.first() == Some(&id)).count()
     }
 
-    /// Shards of a store whose entries it has yet to be sent.
-    fn filling(&self, id: StoreId) -> usize {
-        let lacks = |(shard, assignment): &(usize, &ShardAssignment)| {
-            let Some(&primary) = assignment.replicas.first() else { return false };
-            let report = self.view.report(primary, *shard, assignment.epoch);
-            assignment.replicas.contains(&id)
-                && primary != id
-                && report.is_none_or(|report| !report.caught_up.contains(&id))
-        };
-        self.next.shards.iter().enumerate().filter(lacks).count()
-    }
-
     fn lead_with_least_loaded(&self, shard: usize, replicas: &mut [StoreId]) {
         let load = |id: &StoreId| {
             let shards = self.next.shards.iter().enumerate().filter(|(other, _)| *other != shard);
@@ -292,14 +191,6 @@
     }
 }
 
-fn replace(replicas: &[StoreId], leaving: StoreId, by: Option<StoreId>) -> Vec<StoreId> {
-    replicas.iter().copied().filter(|id| *id != leaving).chain(by).collect()
-}
-
-fn with(replicas: &[StoreId], one_more: StoreId) -> Vec<StoreId> {
-    replicas.iter().copied().chain([one_more]).collect()
-}
-
 /// Spreads equally suited stores over the shards.
 fn hash(shard: usize, id: StoreId) -> u64 {
     let mixed =
--- /dev/null
+++ b/crates/mintlb-lots/src/placement_planner/members.rs
@@ -0,0 +1,213 @@
+//! Which stores a shard's set has: dead, leaving and retiring ones go, others come.
+
+use super::Planner;
+use mintlb_tier::placement::{ShardAssignment, StoreEntry, StoreId};
+use std::time::Duration;
+
+/// A replica that was silent for so long is replaced when its shard could not lose another one.
+const REPLICA_DEAD: Duration = Duration::from_millis(2000);
+/// The same while its shard could: a machine that comes back soon has its copy still.
+const REPLICA_DEAD_AT_EASE: Duration = Duration::from_millis(7000);
+/// A store that was first heard of so lately may be there to replace one that leaves.
+const NEW_STORE: Duration = Duration::from_secs(60);
+/// Shards that one store fills up with at a time, while no copy is missing.
+const MOST_FILLING: usize = 4;
+
+impl Planner<'_> {
+    /// Whether too few replicas are left to commit anything: the others are silent for long, or their disks are
+    /// lost.
+    pub(super) fn lacks_quorum(&self, assignment: &ShardAssignment) -> bool {
+        let left = assignment.replicas.iter().filter(|id| !self.is_lost(**id, REPLICA_DEAD)).count();
+        left <= self.tolerance
+    }
+
+    /// A shard whose primary is not in charge: live replicas in place of silent ones. What was told lies with the
+    /// previous replicas, or with a store that began a later epoch, so any others will do. False if nothing can be
+    /// done. A takeover that does not get on gets another primary.
+    pub(super) fn choose_anew(
+        &mut self,
+        shard: usize,
+        assignment: &ShardAssignment,
+        another_primary: bool,
+    ) -> bool {
+        let size = self.size().max(assignment.replicas.len().min(2 * self.tolerance + 1));
+        let mut replicas = self.live_sources(assignment, size);
+        while replicas.len() < size
+            && let Some(candidate) = self.candidate(shard, &replicas)
+        {
+            replicas.push(candidate);
+        }
+        if !another_primary && replicas.iter().all(|id| assignment.replicas.contains(id)) {
+            return false;
+        }
+        if another_primary && replicas.len() > 1 && replicas.first() == assignment.replicas.first() {
+            replicas.rotate_left(1);
+        }
+        for id in &assignment.replicas {
+            if !replicas.contains(id) && replicas.len() < size {
+                replicas.push(*id);
+            }
+        }
+        let begins = replicas.first().is_some_and(|id| self.is_live(*id));
+        if begins {
+            self.change(shard, assignment, replicas);
+        }
+        begins
+    }
+
+    /// Live stores that may have the shard's log, those first that are sure to be of use.
+    fn live_sources(&self, assignment: &ShardAssignment, size: usize) -> Vec<StoreId> {
+        let suits =
+            |id: &&StoreId| self.is_live(**id) && !self.is_retiring(**id) && !self.view.is_leaving(**id);
+        let previous: Vec<StoreId> = assignment.previous.iter().filter(suits).copied().collect();
+        let current: Vec<StoreId> = assignment.replicas.iter().filter(suits).copied().collect();
+        // With too few of the previous ones left, only a replica of the epoch that was begun may have it all.
+        let enough = previous.len() + self.tolerance >= assignment.previous.len();
+        let ordered = if enough { [previous, current] } else { [current, previous] };
+        let mut replicas = Vec::with_capacity(size);
+        for id in ordered.into_iter().flatten() {
+            if !replicas.contains(&id) && replicas.len() < size {
+                replicas.push(id);
+            }
+        }
+        replicas
+    }
+
+    /// A replica was told to stop and a store that may be its successor is there: the copy moves at once, while the
+    /// one that leaves can still be read. False if there is nothing to do.
+    pub(super) fn hand_over(
+        &mut self,
+        shard: usize,
+        assignment: &ShardAssignment,
+        caught_up: &[StoreId],
+    ) -> bool {
+        let replicas = &assignment.replicas;
+        let leaves =
+            |id: &&StoreId| self.is_live(**id) && self.view.is_leaving(**id) && !self.is_retiring(**id);
+        let Some(leaving) = replicas.iter().find(leaves).copied() else { return false };
+        let Some(candidate) = self.candidate(shard, replicas).filter(|id| self.is_new(*id)) else {
+            return false;
+        };
+        let mut changed = replace(replicas, leaving, Some(candidate));
+        let good = |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
+        let Some(place) = changed.iter().position(good) else { return false };
+        changed.swap(0, place);
+        self.change(shard, assignment, changed);
+        true
+    }
+
+    fn is_new(&self, id: StoreId) -> bool {
+        self.view.store(id).is_some_and(|store| store.known_for < NEW_STORE)
+    }
+
+    /// Brings the set to its size, without dead and retiring stores, as far as that takes nothing that is
+    /// needed.
+    pub(super) fn change_members(
+        &mut self,
+        shard: usize,
+        assignment: &ShardAssignment,
+        caught_up: &[StoreId],
+    ) {
+        let replicas = &assignment.replicas;
+        let good: Vec<StoreId> =
+            replicas.iter().copied().filter(|id| self.is_live(*id) && caught_up.contains(id)).collect();
+        let at_ease = replicas.iter().filter(|id| self.is_live(**id)).count() > self.tolerance + 1;
+        let leaving = replicas.iter().copied().find(|id| self.is_to_leave(*id, at_ease));
+        let candidate = self.candidate(shard, replicas);
+        // A copy that is missing is made good at once: the next loss may come as soon as the new store counts no
+        // more.
+        let is_missing = leaving.is_some_and(|id| !self.is_live(id)) || replicas.len() < self.size();
+        if !is_missing && candidate.is_some_and(|id| self.filling(id) >= MOST_FILLING) {
+            return;
+        }
+        let stays = |leaving: StoreId| good.iter().filter(|id| **id != leaving).count() > self.tolerance;
+        let changed = match (leaving, candidate) {
+            (Some(leaving), Some(candidate)) if stays(leaving) => {
+                Some(replace(replicas, leaving, Some(candidate)))
+            }
+            // One more for a while, until there are enough copies without the one that leaves.
+            (Some(_), Some(candidate)) if replicas.len() <= self.size() => Some(with(replicas, candidate)),
+            (Some(leaving), None) if stays(leaving) && self.may_shrink(leaving) => {
+                Some(replace(replicas, leaving, None))
+            }
+            (None, Some(candidate)) if replicas.len() < self.size() => Some(with(replicas, candidate)),
+            (None, _) if replicas.len() > 2 * self.tolerance + 1 => {
+                self.surplus(replicas).filter(|one| stays(*one)).map(|one| replace(replicas, one, None))
+            }
+            _ => None,
+        };
+        let Some(mut changed) = changed else { return };
+        // The primary has to be one with the whole log.
+        if let Some(place) = changed.iter().position(|id| good.contains(id)) {
+            changed.swap(0, place);
+        }
+        self.change(shard, assignment, changed);
+    }
+
+    /// Of a set that is too large: a silent replica, or the last one.
+    fn surplus(&self, replicas: &[StoreId]) -> Option<StoreId> {
+        let silent = replicas.iter().find(|id| !self.is_live(**id));
+        silent.or(replicas.last()).copied()
+    }
+
+    fn is_to_leave(&self, id: StoreId, at_ease: bool) -> bool {
+        let patience = if at_ease { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD };
+        self.is_retiring(id) || self.is_lost(id, patience)
+    }
+
+    /// Whether its disk is lost, or it was silent for so long.
+    fn is_lost(&self, id: StoreId, patience: Duration) -> bool {
+        self.next.store(id).is_none_or(|entry| self.view.is_replaced(entry))
+            || self.view.silence(id) >= patience
+    }
+
+    /// Without a store to take its place, a silent replica stays: it may come back. A retiring one has to go, one
+    /// whose disk is lost is of no use, and one whose successor is there will not come back: if it stayed in the
+    /// set, the next loss would leave too few to read from.
+    fn may_shrink(&self, leaving: StoreId) -> bool {
+        let replaced = self.next.store(leaving).is_none_or(|entry| self.view.is_replaced(entry));
+        self.is_retiring(leaving) || replaced || self.has_successor(leaving)
+    }
+
+    /// Whether a silent store was told to stop, or another one came after its last word.
+    fn has_successor(&self, id: StoreId) -> bool {
+        let silence = self.view.silence(id);
+        let came_after = self
+            .usable()
+            .any(|entry| self.view.store(entry.id).is_some_and(|store| store.known_for <= silence));
+        silence >= REPLICA_DEAD && (self.view.is_leaving(id) || came_after)
+    }
+
+    /// The usable store that suits best as one more replica: of a zone with few of them, with few shards.
+    pub(super) fn candidate(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
+        let zone_of = |id: &StoreId| self.next.store(*id).map(|entry| entry.zone.as_str());
+        let others =
+            self.usable().filter(|entry| !replicas.contains(&entry.id) && !self.view.is_leaving(entry.id));
+        let best = others.min_by_key(|entry: &&StoreEntry| {
+            let live = replicas.iter().filter(|id| self.is_live(**id) && !self.is_retiring(**id));
+            let of_zone = live.filter(|id| zone_of(id) == Some(entry.zone.as_str())).count();
+            (of_zone, self.shards_of(entry.id), super::hash(shard, entry.id))
+        });
+        best.map(|entry| entry.id)
+    }
+
+    /// Shards of a store whose entries it has yet to be sent.
+    fn filling(&self, id: StoreId) -> usize {
+        let lacks = |(shard, assignment): &(usize, &ShardAssignment)| {
+            let Some(&primary) = assignment.replicas.first() else { return false };
+            let report = self.view.report(primary, *shard, assignment.epoch);
+            assignment.replicas.contains(&id)
+                && primary != id
+                && report.is_none_or(|report| !report.caught_up.contains(&id))
+        };
+        self.next.shards.iter().enumerate().filter(lacks).count()
+    }
+}
+
+fn replace(replicas: &[StoreId], leaving: StoreId, by: Option<StoreId>) -> Vec<StoreId> {
+    replicas.iter().copied().filter(|id| *id != leaving).chain(by).collect()
+}
+
+fn with(replicas: &[StoreId], one_more: StoreId) -> Vec<StoreId> {
+    replicas.iter().copied().chain([one_more]).collect()
+}
--- a/crates/mintlb-lots/src/placement_planner/retirement.rs
+++ b/crates/mintlb-lots/src/placement_planner/retirement.rs
@@ -1,7 +1,8 @@
 //! Emptying a store on the operator's order.
 
+use super::LIVE;
 use super::view::StoreView;
-use mintlb_tier::placement::{Placement, StoreEntry};
+use mintlb_tier::placement::{Placement, StoreEntry, StoreId};
 use std::time::Duration;
 
 /// A store that was silent for less can take over from the one that is emptied.
@@ -57,8 +58,14 @@
     RetirementOrder::Begin(next)
 }
 
-/// How far the store on this machine is emptied; `None` if there is no such order.
-pub fn retirement(current: &Placement, view: &StoreView, node_name: &str) -> Option<Retirement> {
+/// How far the store on this machine is emptied; `None` if there is no such order. It is completed only while more than
+/// `tolerance` live replicas of each shard have caught up without it: then any `tolerance` of them may be lost.
+pub fn retirement(
+    current: &Placement,
+    view: &StoreView,
+    node_name: &str,
+    tolerance: usize,
+) -> Option<Retirement> {
     let stores: Vec<&StoreEntry> =
         current.stores.iter().filter(|entry| entry.node_name == node_name && entry.retiring).collect();
     if stores.is_empty() {
@@ -69,8 +76,12 @@
     let settled = current.shards.iter().enumerate().all(|(shard, assignment)| {
         let Some(&primary) = assignment.replicas.first() else { return false };
         let Some(report) = view.report(primary, shard, assignment.epoch) else { return false };
-        let lacks = |id| view.silence(id) < COUNTS && !report.caught_up.contains(&id);
-        assignment.previous.is_empty() && report.in_charge && !assignment.replicas.iter().any(|id| lacks(*id))
+        let lacks = |id: &StoreId| view.silence(*id) < COUNTS && !report.caught_up.contains(id);
+        let whole = |id: &&StoreId| view.silence(**id) < LIVE && report.caught_up.contains(id);
+        assignment.previous.is_empty()
+            && report.in_charge
+            && !assignment.replicas.iter().any(lacks)
+            && assignment.replicas.iter().filter(whole).count() > tolerance
     });
     Some(if named || !settled { Retirement::Running } else { Retirement::Completed })
 }
--- a/crates/mintlb-lots/src/replica.rs
+++ b/crates/mintlb-lots/src/replica.rs
@@ -194,6 +194,8 @@
             if assignment.replicas.first() == Some(&self.settings.own) {
                 self.begin_epoch(now);
             }
+        } else if assignment.previous.is_empty() {
+            self.on_settled(now);
         }
         self.clear_unless_needed();
     }
--- a/crates/mintlb-lots/src/replica/primary.rs
+++ b/crates/mintlb-lots/src/replica/primary.rs
@@ -200,11 +200,19 @@
         } else if committed > self.meta.committed {
             primary.uncommitted = Some(now);
         }
-        if self.set_committed(committed) {
+        // Until the register says that the epoch is settled another takeover may begin without this log: it counts
+        // as committed only then, so that no follower holds on to what may be replaced.
+        if self.assignment.previous.is_empty() && self.set_committed(committed) {
             self.effects.push(Effect::Committed(committed));
         }
     }
 
+    /// The register has heard that the epoch is in charge.
+    pub(super) fn on_settled(&mut self, now: Moment) {
+        self.advance(now);
+        self.feed_all(now);
+    }
+
     fn feed_all(&mut self, now: Moment) {
         let Role::Primary(primary) = &self.role else { return };
         let ids: Vec<StoreId> = primary.followers.iter().map(|follower| follower.id).collect();
--- a/crates/mintlb-lots/src/replica/takeover.rs
+++ b/crates/mintlb-lots/src/replica/takeover.rs
@@ -1,6 +1,8 @@
 //! A replica is to be the primary of a new epoch: it reads from so many of the previous replicas that every
 //! committed entry is at one of them, takes the log that ends at the highest place, and begins its epoch on
-//! top of that.
+//! top of that. A takeover that was begun before and did not come to be in charge may have left such a log at a
+//! replica already: one that holds an entry of an epoch later than the settled one is read alone. So the previous
+//! replicas are not needed any more once one replica has begun.
 
 use super::primary::Primary;
 use super::{AfterSync, DiskWrite, Effect, Replica, Role};
@@ -50,23 +52,22 @@
         log::info!("lots: shard {}: takes over, epoch {epoch}", self.shard);
         self.role = Role::Taking(Takeover { epoch, answers: Vec::new(), source: None, asked: now });
         self.effects.push(Effect::AfterSync(AfterSync::OwnPromise(epoch)));
-        self.ask_previous(epoch);
+        self.ask_sources(epoch);
     }
 
-    fn ask_previous(&mut self, epoch: u64) {
-        let others: Vec<StoreId> =
-            self.assignment.previous.iter().copied().filter(|id| *id != self.settings.own).collect();
-        for id in others {
+    /// Asks all that may have what was told.
+    fn ask_sources(&mut self, epoch: u64) {
+        let mut others = self.assignment.previous.clone();
+        others.extend(self.assignment.replicas.iter().filter(|id| !self.assignment.previous.contains(id)));
+        for id in others.into_iter().filter(|id| *id != self.settings.own) {
             let collect = self.envelope(id, epoch, PeerMessage::Collect);
             self.effects.push(Effect::Send(collect));
         }
     }
 
     pub(super) fn on_own_promise(&mut self, epoch: u64, now: Moment) {
-        if self.assignment.previous.contains(&self.settings.own) {
-            let log = self.meta.log.clone();
-            self.on_collected(self.settings.own, epoch, log, now);
-        }
+        let log = self.meta.log.clone();
+        self.on_collected(self.settings.own, epoch, log, now);
     }
 
     /// Every committed entry is at `tolerance + 1` of the previous replicas, so all but `tolerance` have to
@@ -75,16 +76,23 @@
         self.assignment.previous.len().saturating_sub(self.settings.tolerance).max(1)
     }
 
+    /// Whether a log holds all that was told on its own: it was begun after the settled epoch, from enough of the
+    /// previous replicas, which have refused the settled epoch's primary since.
+    fn is_whole(&self, log: &LogIndex) -> bool {
+        self.assignment.settled.is_some_and(|settled| log.end().epoch > settled)
+    }
+
     pub(super) fn on_collected(&mut self, from: StoreId, epoch: u64, log: LogIndex, now: Moment) {
         let needed = self.answers_needed();
         let is_previous = self.assignment.previous.contains(&from);
+        let is_whole = self.is_whole(&log);
         let Role::Taking(takeover) = &mut self.role else { return };
-        if takeover.epoch != epoch || !is_previous || takeover.source.is_some() {
+        if takeover.epoch != epoch || !(is_previous || is_whole) || takeover.source.is_some() {
             return;
         }
         takeover.answers.retain(|(id, _)| *id != from);
         takeover.answers.push((from, log));
-        if takeover.answers.len() < needed {
+        if takeover.answers.len() < needed && !is_whole {
             return;
         }
         let best = takeover.answers.iter().max_by_key(|(_, log)| log.end()).cloned();
@@ -137,7 +145,7 @@
         takeover.asked = now;
         match takeover.source {
             Some(_) => self.fetch(),
-            None => self.ask_previous(epoch),
+            None => self.ask_sources(epoch),
         }
     }
 
--- a/crates/mintlb-lots/tests/client.rs
+++ b/crates/mintlb-lots/tests/client.rs
@@ -36,7 +36,7 @@
     let script = Arc::new(Scripted(Mutex::new(answers.to_vec()), Mutex::default()));
     store.serve(Channel::Lots, script.clone());
     let entry = StoreEntry { id: 1, address: store.own_address().to_string(), ..empty_entry() };
-    let shard = ShardAssignment { epoch: 5, replicas: vec![1], previous: Vec::new() };
+    let shard = ShardAssignment { epoch: 5, replicas: vec![1], ..ShardAssignment::default() };
     let placement = Placement { epoch: 1, stores: vec![entry], shards: vec![shard; SHARD_COUNT as usize] };
     let placement = Arc::new(placement);
     let client = LotClient::new(Transport::start(any).await.unwrap(), Arc::new(move || placement.clone()));
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -22,6 +22,8 @@
     /// Stores that were told to stop.
     leaving: BTreeSet<StoreId>,
     tolerance: usize,
+    /// Primaries do not notice that they can't commit.
+    idle: bool,
     changes: usize,
 }
 
@@ -36,6 +38,7 @@
             slow: BTreeSet::new(),
             leaving: BTreeSet::new(),
             tolerance,
+            idle: false,
             changes: 0,
         };
         for (i, zone) in zones.iter().enumerate() {
@@ -57,7 +60,8 @@
                 ShardReport {
                     shard: i as u32,
                     epoch: shard.epoch,
-                    in_charge: shard.replicas.iter().filter(|id| caught_up(id)).count() > self.tolerance,
+                    in_charge: self.idle
+                        || shard.replicas.iter().filter(|id| caught_up(id)).count() > self.tolerance,
                     caught_up: shard.replicas.iter().copied().filter(caught_up).collect(),
                 }
             });
@@ -233,7 +237,7 @@
 
 fn state(tier: &mut Tier, node: &str) -> Option<Retirement> {
     let view = tier.table.view(&tier.placement, tier.now);
-    retirement(&tier.placement, &view, node)
+    retirement(&tier.placement, &view, node, tier.tolerance)
 }
 
 #[test]
@@ -280,6 +284,21 @@
     assert_eq!(state(&mut tier, &format!("node-{retired}")), Some(Retirement::Completed));
 }
 
+#[test]
+fn a_retirement_is_not_completed_while_only_one_live_replica_is_whole() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    retire(&mut tier, "node-3");
+    tier.settle();
+    // An idle primary does not notice that its partner is gone, and reports on.
+    let primary_of = |tier: &Tier| tier.placement.shards[0].replicas[0];
+    let partner = if primary_of(&tier) == 1 { 2 } else { 1 };
+    tier.live.remove(&partner);
+    tier.idle = true;
+    tier.run(Duration::from_millis(3500));
+    assert_eq!(state(&mut tier, "node-3"), Some(Retirement::Running));
+}
+
 #[test]
 fn a_controller_that_has_just_begun_to_listen_changes_nothing() {
     let mut tier = Tier::new(&["a", "b", "c"], 1);
--- a/crates/mintlb-lots/tests/takeover.rs
+++ b/crates/mintlb-lots/tests/takeover.rs
@@ -20,7 +20,13 @@
 
 /// The register takes an assignment; nobody hears of it yet.
 fn place(model: &mut Model, epoch: u64, replicas: &[u64], previous: &[u64]) {
-    let shard = ShardAssignment { epoch, replicas: replicas.to_vec(), previous: previous.to_vec() };
+    place_after(model, epoch, replicas, previous, epoch - 1);
+}
+
+/// The same after takeovers that were given up: the last epoch that was settled is an older one.
+fn place_after(model: &mut Model, epoch: u64, replicas: &[u64], previous: &[u64], settled: u64) {
+    let (replicas, previous) = (replicas.to_vec(), previous.to_vec());
+    let shard = ShardAssignment { epoch, replicas, previous, settled: Some(settled) };
     let version = model.placements.len() as u64;
     model.placements.push(Placement { epoch: version, stores: Vec::new(), shards: vec![shard] });
 }
@@ -220,3 +226,72 @@
     model.lease(0);
     assert_eq!(model.told.leases, 0);
 }
+
+/// The shard lies on the first two stores, and a lot is told; the third one has nothing.
+fn two_of_three() -> Model {
+    let mut model = three();
+    place(&mut model, 2, &[1, 2], &[1, 2, 3]);
+    quiet(&mut model);
+    place(&mut model, 2, &[1, 2], &[]);
+    quiet(&mut model);
+    model.submit(0, "kept".to_string(), 1);
+    quiet(&mut model);
+    assert!(model.told.accepted.contains_key("kept"));
+    model
+}
+
+fn has_lot(model: &Model, id: u64, lot: &str) -> bool {
+    let replica = model.stores[id as usize - 1].replica.as_ref().unwrap();
+    replica.lots().find(&model::name(lot)).is_some()
+}
+
+#[test]
+fn a_replica_that_was_filled_in_an_epoch_that_was_given_up_is_enough() {
+    let mut model = two_of_three();
+    model.stores[1].cut = true;
+    place(&mut model, 3, &[1, 3], &[1, 2]);
+    quiet(&mut model);
+    assert!(has_lot(&model, 3, "kept"), "it is filled");
+    // The register never hears of it, and the other one is lost as well.
+    model.stores[0].cut = true;
+    place_after(&mut model, 4, &[3, 1], &[1, 2], 2);
+    quiet(&mut model);
+    assert!(model.stores[2].replica.as_ref().unwrap().is_primary(), "it needs none of the previous ones");
+}
+
+#[test]
+fn a_whole_log_at_another_replica_is_read_without_the_previous_ones() {
+    let mut model = two_of_three();
+    model.stores[1].cut = true;
+    place(&mut model, 3, &[1, 3], &[1, 2]);
+    quiet(&mut model);
+    model.stores[0].cut = true;
+    model.add_store();
+    place_after(&mut model, 4, &[4, 3], &[1, 2], 2);
+    for _ in 0..30 {
+        [3, 4].iter().for_each(|id| hear(&mut model, *id));
+        [3, 4].iter().for_each(|id| sync(&mut model, *id));
+        (0..model.messages.len()).for_each(|_| model.deliver(0, false));
+    }
+    assert!(has_lot(&model, 4, "kept"));
+    assert!(model.stores[3].replica.as_ref().unwrap().report().is_some_and(|report| report.in_charge));
+}
+
+#[test]
+fn an_unsettled_epoch_commits_nothing_that_another_takeover_may_contradict() {
+    let mut model = two_of_three();
+    model.stores[1].cut = true;
+    place(&mut model, 3, &[1, 3], &[1, 2]);
+    quiet(&mut model);
+    assert!(model.stores[0].replica.as_ref().unwrap().report().is_some_and(|report| report.in_charge));
+    // The register does not hear of it; the second one takes over by its own log, before it hears the others.
+    (model.stores[0].cut, model.stores[2].cut, model.stores[1].cut) = (true, true, false);
+    place_after(&mut model, 4, &[2, 3, 1], &[1, 2], 2);
+    quiet(&mut model);
+    assert!(model.stores[1].replica.as_ref().unwrap().is_primary());
+    (model.stores[0].cut, model.stores[2].cut) = (false, false);
+    model.tick(Duration::from_millis(800));
+    quiet(&mut model);
+    let logs = [1, 2, 3].map(|id| model.stores[id - 1].replica.as_ref().unwrap().log().end());
+    assert!(logs.iter().all(|end| end.epoch == 4 && *end == logs[0]), "{logs:?}");
+}
--- a/crates/mintlb-tier/src/placement.rs
+++ b/crates/mintlb-tier/src/placement.rs
@@ -56,6 +56,10 @@
     /// in charge; empty after that.
     #[n(2)]
     pub previous: Vec<StoreId>,
+    /// While `previous` is not empty: the epoch of the last assignment that had none. Nothing was told to anybody in a
+    /// later one, so a log that holds an entry of a later epoch holds all that was told. `None`: not known.
+    #[n(3)]
+    pub settled: Option<u64>,
 }
 
 impl Placement {
