--- a/crates/mintlb-control/src/controller/configuration_api.rs
+++ b/crates/mintlb-control/src/controller/configuration_api.rs
@@ -1,7 +1,7 @@
 //! The operator's calls on the configuration.
 
 use super::Controller;
-use super::http::{Answered, RETRY_SOON, body_within, refuse, unavailable};
+use super::answers::{Answered, RETRY_SOON, body_within, out_of_contact, refuse, retry, unavailable};
 use axum::Router;
 use axum::extract::State;
 use axum::http::{HeaderMap, StatusCode, header};
@@ -19,8 +19,8 @@
 const BODY_WITHIN: Duration = Duration::from_secs(4);
 /// The operator calls another controller after a second.
 const ANSWER_WITHIN: Duration = Duration::from_millis(850);
-/// The register may take so long where a majority of it has not been heard of lately.
-const OUT_OF_TOUCH_WITHIN: Duration = Duration::from_millis(300);
+/// How long the register may take, so that time is left for a neighbour's confirmation.
+const REGISTER_WITHIN: Duration = Duration::from_millis(700);
 /// All replicas there are have joined by so long after the start.
 const ALL_JOINED: Duration = Duration::from_secs(6);
 /// How long an accepted configuration may wait for a neighbour that confirms it.
@@ -33,7 +33,10 @@
 
 /// `GET /v1/configuration`: the newest one, whole.
 async fn read(State(controller): State<Arc<Controller>>) -> Answered {
-    match controller.register.read(patience(&controller)).await {
+    if !controller.is_in_contact() {
+        return out_of_contact();
+    }
+    match controller.register.read(REGISTER_WITHIN).await {
         Ok(newest) if newest.state.configuration_version == 0 => {
             refuse(StatusCode::NOT_FOUND, "there is no configuration yet")
         }
@@ -48,14 +51,6 @@
     }
 }
 
-/// How long the register may take: one that is cut off from it sends the operator on soon.
-fn patience(controller: &Controller) -> Duration {
-    match controller.duties.is_in_touch() {
-        true => ANSWER_WITHIN - CONFIRMED_WITHIN,
-        false => OUT_OF_TOUCH_WITHIN,
-    }
-}
-
 /// `PUT /v1/configuration`: replaces the version in `If-Match`.
 async fn replace(
     State(controller): State<Arc<Controller>>,
@@ -74,6 +69,9 @@
         Ok(configuration) => configuration,
         Err(error) => return refuse(StatusCode::BAD_REQUEST, &error.to_string()),
     };
+    if !controller.is_in_contact() {
+        return out_of_contact();
+    }
     let version = configuration.config_version;
     let change = Change::Configuration {
         base,
@@ -82,7 +80,7 @@
         tolerance: controller.settings().fault_tolerance.machines,
         at_least_kept: controller.started_at.elapsed() >= ALL_JOINED,
     };
-    match controller.register.change(change, patience(&controller)).await {
+    match controller.register.change(change, REGISTER_WITHIN).await {
         Ok(outcome) => {
             log::info!("configuration: version {version} on {base}: {:?}", outcome.answer);
             let left = ANSWER_WITHIN.saturating_sub(begun.elapsed()).min(CONFIRMED_WITHIN);
@@ -115,9 +113,7 @@
             let text = format!("M404 config_version: is not above the current version {current}");
             refuse(StatusCode::BAD_REQUEST, &text)
         }
-        Answer::TooFewReplicas | Answer::SetFull => {
-            super::http::retry(RETRY_SOON, "M405 there are too few replicas yet")
-        }
+        Answer::TooFewReplicas | Answer::SetFull => retry(RETRY_SOON, "M405 there are too few replicas yet"),
     }
 }
 
--- a/crates/mintlb-control/src/controller/duties.rs
+++ b/crates/mintlb-control/src/controller/duties.rs
@@ -3,22 +3,22 @@
 //! heartbeats, so that any can take the duties over.
 
 use super::Controller;
+use super::duty_messages::{DutyAnswer, DutyCall, encoded};
 use super::membership;
 use super::orphans::{Orphans, id_hash};
 use super::peers::Peers;
+use super::pings::STEP;
 use super::register::is_done;
-use super::retire_api::{self, RetireCall};
-use bytes::Bytes;
-use minicbor::{Decode, Encode};
-use mintlb_lots::framing;
+use super::stamps::Stamps;
 use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_lots::placement_planner::{StoreTable, StoreView, plan};
 use mintlb_register::change::{Answer as ChangeAnswer, Change};
 use mintlb_register::state::{ReplicaId, ReplicaSet};
 use mintlb_tier::placement::Placement;
 use mintlb_tier::record::PLACEMENT;
-use mintlb_tier::transport::{Answer, Channel, Service};
+use mintlb_tier::transport::Channel;
 use parking_lot::Mutex;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -26,89 +26,41 @@
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep, timeout};
 
-/// How often controllers ping each other, and the one with the duties looks at the placement.
-const STEP: Duration = Duration::from_millis(300);
-/// A controller without a replica pings at each so many steps.
-const STEPS_WITHOUT_REPLICA: u32 = 4;
 /// Between two looks at the placement at least.
 const LEAST_PAUSE: Duration = Duration::from_millis(20);
-/// How long a ping may take.
-const PING_WITHIN: Duration = Duration::from_millis(600);
 /// How long a change of the register for a duty may take.
 const CHANGE_WITHIN: Duration = Duration::from_millis(700);
 /// How long a read of the register for a duty may take.
 const READ_WITHIN: Duration = Duration::from_millis(200);
+/// How long another controller may take to say which workers call it.
+const WORKERS_WITHIN: Duration = Duration::from_millis(600);
 /// How often workers without a controller are looked for.
 const ORPHANS_EVERY: Duration = Duration::from_secs(5);
-
-/// A call between controllers.
-#[derive(Debug, Encode, Decode)]
-pub enum DutyCall {
-    /// I run.
-    #[n(0)]
-    Ping {
-        /// The replica, if the controller has one.
-        #[n(0)]
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that the controller knows.
-        #[n(1)]
-        epoch: u64,
-    },
-    /// Which workers call you? Refused under an epoch that is too low.
-    #[n(1)]
-    Workers {
-        /// The epoch of the duties under which it is asked.
-        #[n(0)]
-        epoch: u64,
-    },
-    /// The operator's call on the retirement of a store, passed on by a controller that does not hear the stores.
-    #[n(2)]
-    Retire(#[n(0)] RetireCall),
-}
-
-/// The answer to a [`DutyCall`].
-#[derive(Debug, Encode, Decode)]
-pub enum DutyAnswer {
-    /// I run as well.
-    #[n(0)]
-    Pong {
-        /// The replica, if the controller has one.
-        #[n(0)]
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that the controller knows.
-        #[n(1)]
-        epoch: u64,
-    },
-    /// Hashes of the ids of the workers that call here.
-    #[n(1)]
-    Workers(#[n(0)] Vec<u32>),
-    /// A higher epoch is known.
-    #[n(2)]
-    Stale {
-        /// That epoch.
-        #[n(0)]
-        epoch: u64,
-    },
-    /// What to answer to the operator.
-    #[n(3)]
-    Retire(#[n(0)] retire_api::RetireAnswer),
-}
+/// Controllers of which the newest stamp is kept.
+const MOST_STAMPS: usize = 64;
 
 /// The state behind the duties.
 pub struct Duties {
+    /// Stamps of answers to pings.
+    pub stamps: Stamps,
     peers: Mutex<Peers>,
+    /// The newest stamp of each controller that was pinged.
+    echoes: Mutex<FxHashMap<SocketAddr, u64>>,
     stores: Mutex<StoreTable>,
     begun: Instant,
     news: Notify,
 }
 
 impl Duties {
-    /// Nothing is known yet.
-    pub fn new(own: Option<ReplicaId>) -> Duties {
+    /// Nothing is known yet. `draw` is a random number of this life of the process.
+    pub fn new(own: Option<ReplicaId>, draw: u64) -> Duties {
+        let now = Instant::now();
         Duties {
-            peers: Mutex::new(Peers::new(Instant::now(), own)),
+            stamps: Stamps::new(now, draw),
+            peers: Mutex::new(Peers::new(now, own)),
+            echoes: Mutex::default(),
             stores: Mutex::new(StoreTable::new(Duration::ZERO)),
-            begun: Instant::now(),
+            begun: now,
             news: Notify::new(),
         }
     }
@@ -123,47 +75,81 @@
         self.peers.lock().silent(Instant::now(), set)
     }
 
-    /// Whether a majority of the replicas was heard of lately.
-    pub fn is_in_touch(&self) -> bool {
-        self.peers.lock().is_in_touch()
+    /// Whether this process is in contact with a majority of the set now. `majority_at` is when the newest round of the
+    /// register began that a majority answered.
+    pub fn is_in_contact(&self, set: &ReplicaSet, majority_at: Option<Instant>) -> bool {
+        let mut peers = self.peers.lock();
+        majority_at.into_iter().for_each(|at| peers.majority_reached(at));
+        peers.is_in_contact(Instant::now(), set)
+    }
+
+    /// For how long it has been in contact without a pause.
+    pub fn in_contact_for(&self, set: &ReplicaSet) -> Duration {
+        self.peers.lock().in_contact_for(Instant::now(), set)
+    }
+
+    /// Looks at who has the duties; the epoch under which this process has them.
+    pub fn step(&self, set: &ReplicaSet, majority_at: Option<Instant>) -> Option<u64> {
+        let now = Instant::now();
+        let mut peers = self.peers.lock();
+        majority_at.into_iter().for_each(|at| peers.majority_reached(at));
+        peers.step(now, set);
+        peers.held(now, set)
+    }
+
+    /// The epoch under which this process has the duties now.
+    pub fn held(&self, set: &ReplicaSet) -> Option<u64> {
+        self.peers.lock().held(Instant::now(), set)
+    }
+
+    /// The highest epoch of the duties heard of.
+    pub fn epoch(&self) -> u64 {
+        self.peers.lock().epoch()
     }
 
-    fn note_store(&self, heartbeat: StoreHeartbeat) {
+    /// Lets the duties be looked at now.
+    pub fn wake(&self) {
+        self.news.notify_one();
+    }
+
+    /// Notes a store's heartbeat.
+    pub fn note_store(&self, heartbeat: StoreHeartbeat) {
         if self.stores.lock().note(heartbeat, self.begun.elapsed()) {
-            self.news.notify_one();
+            self.wake();
         }
     }
 
-    fn heard(&self, address: SocketAddr, replica: Option<ReplicaId>, epoch: u64) {
+    /// A controller pinged or answered.
+    pub fn heard(&self, address: SocketAddr, replica: Option<ReplicaId>, epoch: u64) {
         self.peers.lock().heard(Instant::now(), address, replica, epoch);
     }
-}
 
-/// Pings the other replicas and looks at who has the duties, for the life of the process.
-pub async fn run_pings(controller: Arc<Controller>) {
-    controller.transport.serve(Channel::Duties, Arc::new(DutyService(controller.clone())));
-    let mut held = None;
-    let mut step = 0;
-    loop {
-        sleep(STEP).await;
-        step += 1;
-        let Some(set) = controller.register.set() else { continue };
-        if controller.replica_id().is_some() || step % STEPS_WITHOUT_REPLICA == 0 {
-            ping(&controller, &set);
-        }
-        let holds = {
-            let mut peers = controller.duties.peers.lock();
-            peers.step(Instant::now(), &set);
-            peers.held()
-        };
-        if holds != held {
-            log::info!(
-                "duties: {}",
-                holds.map_or("given up".into(), |epoch| format!("taken, epoch {epoch}"))
-            );
-            held = holds;
-            controller.duties.news.notify_one();
+    /// Whether a controller was heard within that time.
+    pub fn is_heard(&self, address: SocketAddr, within: Duration) -> bool {
+        self.peers.lock().is_heard(Instant::now(), address, within)
+    }
+
+    /// A replica has answered what was sent to it at that time, and says whether it is in contact with a majority.
+    pub fn reached(&self, replica: ReplicaId, sent_at: Instant, in_contact: bool) {
+        self.peers.lock().reached(replica, sent_at, in_contact);
+    }
+
+    /// Keeps the stamp of a controller's answer for the next ping.
+    pub fn note_stamp(&self, address: SocketAddr, stamp: u64) {
+        let mut echoes = self.echoes.lock();
+        if echoes.len() >= MOST_STAMPS && !echoes.contains_key(&address) {
+            echoes.clear();
         }
+        echoes.insert(address, stamp);
+    }
+
+    /// The stamp to echo to a controller.
+    pub fn echo_for(&self, address: SocketAddr) -> Option<u64> {
+        self.echoes.lock().get(&address).copied()
+    }
+
+    fn live_addresses(&self) -> Vec<SocketAddr> {
+        self.peers.lock().live_addresses(Instant::now())
     }
 }
 
@@ -173,15 +159,19 @@
     let mut orphans_at = Instant::now();
     loop {
         timeout(STEP, controller.duties.news.notified()).await.ok();
-        let holds = controller.duties.peers.lock().held();
+        let holds = controller.duty_epoch();
         if orphans.0 != holds {
             orphans = (holds, Orphans::default());
             orphans_at = Instant::now() + ORPHANS_EVERY;
         }
         if let Some(epoch) = holds {
             keep_up(&controller).await;
-            place_shards(&controller).await;
-            remove_silent_replica(&controller).await;
+            if controller.has_duties(epoch) {
+                place_shards(&controller).await;
+            }
+            if controller.has_duties(epoch) {
+                remove_silent_replica(&controller).await;
+            }
             if Instant::now() >= orphans_at {
                 orphans_at = Instant::now() + ORPHANS_EVERY;
                 end_orphans(&controller, &mut orphans.1, epoch).await;
@@ -191,33 +181,6 @@
     }
 }
 
-/// Pings every other replica; the answers are noted as they come.
-fn ping(controller: &Arc<Controller>, set: &ReplicaSet) {
-    let own = controller.transport.own_address();
-    let replica = controller.replica_id();
-    let epoch = controller.duties.peers.lock().epoch();
-    let body = encoded(&DutyCall::Ping { replica, epoch });
-    let addresses = set.members().filter_map(|member| member.address.parse::<SocketAddr>().ok());
-    let now = Instant::now();
-    // Of two replicas that hear each other the one with the lower address pings.
-    let pings = |address: &SocketAddr| {
-        let heard = controller.duties.peers.lock().is_heard(now, *address, STEP * 3 / 2);
-        *address != own && !(replica.is_some() && own > *address && heard)
-    };
-    let addresses: Vec<SocketAddr> = addresses.filter(pings).collect();
-    for address in addresses {
-        let (controller, body) = (controller.clone(), body.clone());
-        tokio::spawn(async move {
-            let answer = controller.transport.call(address, Channel::Duties, body, PING_WITHIN).await;
-            if let Some(DutyAnswer::Pong { replica, epoch }) =
-                answer.ok().and_then(|answer| minicbor::decode(&answer).ok())
-            {
-                controller.duties.heard(address, replica, epoch);
-            }
-        });
-    }
-}
-
 /// Reads the register if another controller has written a newer placement than the one known here.
 async fn keep_up(controller: &Controller) {
     let published = controller.overlay.get(PLACEMENT).map_or(0, |record| record.version);
@@ -263,12 +226,12 @@
 /// Ends the records of workers that no controller has heard for long.
 async fn end_orphans(controller: &Arc<Controller>, orphans: &mut Orphans, epoch: u64) {
     let own: Vec<u32> = controller.registry.lock().ids().map(id_hash).collect();
-    let mut claimed: rustc_hash::FxHashSet<u32> = own.into_iter().collect();
+    let mut claimed: FxHashSet<u32> = own.into_iter().collect();
     let body = encoded(&DutyCall::Workers { epoch });
     let mut calls = JoinSet::new();
-    for address in controller.duties.peers.lock().live_addresses(Instant::now()) {
+    for address in controller.duties.live_addresses() {
         let (transport, body) = (controller.transport.clone(), body.clone());
-        calls.spawn(async move { transport.call(address, Channel::Duties, body, PING_WITHIN).await });
+        calls.spawn(async move { transport.call(address, Channel::Duties, body, WORKERS_WITHIN).await });
     }
     while let Some(answer) = calls.join_next().await {
         let answer = answer.ok().and_then(Result::ok);
@@ -278,50 +241,11 @@
             _ => return,
         }
     }
+    if !controller.has_duties(epoch) {
+        return;
+    }
     for record in orphans.look(Instant::now(), &controller.overlay.snapshot(), &claimed) {
         log::info!("duties: no controller hears the worker {}", record.instance_id);
         controller.overlay.publish_now(record.to_record());
     }
 }
-
-/// Answers other controllers, and listens to the stores.
-struct DutyService(Arc<Controller>);
-
-impl Service for DutyService {
-    fn notice(&self, _from: SocketAddr, body: Bytes) {
-        if let Some((heartbeat, _)) = framing::decode::<StoreHeartbeat>(&body) {
-            self.0.duties.note_store(heartbeat);
-        }
-    }
-
-    fn request(&self, from: SocketAddr, body: Bytes) -> Answer {
-        let controller = self.0.clone();
-        Box::pin(async move {
-            let Ok(call) = minicbor::decode(&body) else { return Bytes::new() };
-            encoded(&answer(&controller, from, call).await)
-        })
-    }
-}
-
-async fn answer(controller: &Arc<Controller>, from: SocketAddr, call: DutyCall) -> DutyAnswer {
-    match call {
-        DutyCall::Ping { replica, epoch } => {
-            controller.duties.heard(from, replica, epoch);
-            let epoch = controller.duties.peers.lock().epoch();
-            DutyAnswer::Pong { replica: controller.replica_id(), epoch }
-        }
-        DutyCall::Workers { epoch } => {
-            let known = controller.duties.peers.lock().epoch();
-            match epoch < known {
-                true => DutyAnswer::Stale { epoch: known },
-                false => DutyAnswer::Workers(controller.registry.lock().ids().map(id_hash).collect()),
-            }
-        }
-        DutyCall::Retire(call) => DutyAnswer::Retire(retire_api::carry_out(controller, call).await),
-    }
-}
-
-/// Encodes a message between controllers.
-pub fn encoded<T: Encode<()>>(message: &T) -> Bytes {
-    minicbor::to_vec(message).unwrap_or_default().into()
-}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/duty_messages.rs
@@ -0,0 +1,110 @@
+//! What controllers say to each other on the channel of the duties.
+
+use bytes::Bytes;
+use minicbor::{Decode, Encode};
+use mintlb_register::state::ReplicaId;
+
+/// A call between controllers.
+#[derive(Debug, Encode, Decode)]
+pub enum DutyCall {
+    /// I run.
+    #[n(0)]
+    Ping {
+        /// The replica, if the controller has one.
+        #[n(0)]
+        replica: Option<ReplicaId>,
+        /// The highest epoch of the duties that the controller knows.
+        #[n(1)]
+        epoch: u64,
+        /// Whether it is in contact with a majority of the replicas.
+        #[n(2)]
+        in_contact: bool,
+        /// The stamp of the newest answer that it has from the receiver.
+        #[n(3)]
+        echo: Option<u64>,
+    },
+    /// Which workers call you? Refused under an epoch that is too low.
+    #[n(1)]
+    Workers {
+        /// The epoch of the duties under which it is asked.
+        #[n(0)]
+        epoch: u64,
+    },
+    /// The operator's call on the retirement of a store, passed on by a controller that does not hear the stores.
+    #[n(2)]
+    Retire(#[n(0)] RetireCall),
+}
+
+/// The answer to a [`DutyCall`].
+#[derive(Debug, Encode, Decode)]
+pub enum DutyAnswer {
+    /// I run as well.
+    #[n(0)]
+    Pong {
+        /// The replica, if the controller has one.
+        #[n(0)]
+        replica: Option<ReplicaId>,
+        /// The highest epoch of the duties that the controller knows.
+        #[n(1)]
+        epoch: u64,
+        /// Whether it is in contact with a majority of the replicas.
+        #[n(2)]
+        in_contact: bool,
+        /// When it answered, by its own clock: for the echo in the next ping.
+        #[n(3)]
+        stamp: u64,
+    },
+    /// Hashes of the ids of the workers that call here.
+    #[n(1)]
+    Workers(#[n(0)] Vec<u32>),
+    /// A higher epoch is known.
+    #[n(2)]
+    Stale {
+        /// That epoch.
+        #[n(0)]
+        epoch: u64,
+    },
+    /// What to answer to the operator.
+    #[n(3)]
+    Retire(#[n(0)] RetireAnswer),
+}
+
+/// The operator's call on the retirement of a store, as it is passed on.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct RetireCall {
+    /// The machine's name.
+    #[n(0)]
+    pub node_name: String,
+    /// Begin, rather than tell how far it is.
+    #[n(1)]
+    pub begin: bool,
+}
+
+/// What the operator is answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
+#[cbor(index_only)]
+pub enum RetireAnswer {
+    /// The order stands.
+    #[n(0)]
+    Ordered,
+    /// It is under way.
+    #[n(1)]
+    Running,
+    /// The machine can be taken away.
+    #[n(2)]
+    Completed,
+    /// There is no such store or no such order.
+    #[n(3)]
+    Unknown,
+    /// Too few stores would be left.
+    #[n(4)]
+    TooFew,
+    /// It can't be said now.
+    #[n(5)]
+    Unavailable,
+}
+
+/// Encodes a message between controllers.
+pub fn encoded<T: Encode<()>>(message: &T) -> Bytes {
+    minicbor::to_vec(message).unwrap_or_default().into()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/controller/duty_service.rs
@@ -0,0 +1,51 @@
+//! Answers other controllers, and listens to the stores.
+
+use super::Controller;
+use super::duty_messages::{DutyAnswer, DutyCall, encoded};
+use super::orphans::id_hash;
+use super::{pings, retirement};
+use bytes::Bytes;
+use mintlb_lots::framing;
+use mintlb_lots::heartbeat::StoreHeartbeat;
+use mintlb_tier::transport::{Answer, Channel, Service};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Answers on the channel of the duties from now on.
+pub fn serve(controller: &Arc<Controller>) {
+    controller.transport.serve(Channel::Duties, Arc::new(DutyService(controller.clone())));
+}
+
+struct DutyService(Arc<Controller>);
+
+impl Service for DutyService {
+    fn notice(&self, _from: SocketAddr, body: Bytes) {
+        if let Some((heartbeat, _)) = framing::decode::<StoreHeartbeat>(&body) {
+            self.0.duties.note_store(heartbeat);
+        }
+    }
+
+    fn request(&self, from: SocketAddr, body: Bytes) -> Answer {
+        let controller = self.0.clone();
+        Box::pin(async move {
+            let Ok(call) = minicbor::decode(&body) else { return Bytes::new() };
+            encoded(&answer(&controller, from, call).await)
+        })
+    }
+}
+
+async fn answer(controller: &Arc<Controller>, from: SocketAddr, call: DutyCall) -> DutyAnswer {
+    match call {
+        DutyCall::Ping { replica, epoch, in_contact, echo } => {
+            pings::answer(controller, from, replica, epoch, in_contact, echo)
+        }
+        DutyCall::Workers { epoch } => {
+            let known = controller.duties.epoch();
+            match epoch < known {
+                true => DutyAnswer::Stale { epoch: known },
+                false => DutyAnswer::Workers(controller.registry.lock().ids().map(id_hash).collect()),
+            }
+        }
+        DutyCall::Retire(call) => DutyAnswer::Retire(retirement::carry_out(controller, &call).await),
+    }
+}
--- a/crates/mintlb-control/src/controller/instance_api.rs
+++ b/crates/mintlb-control/src/controller/instance_api.rs
@@ -1,8 +1,11 @@
 //! The workers' calls.
+//!
+//! Out of contact with a majority nothing is acknowledged, so that the worker calls another controller. What it said is
+//! true all the same and goes to whom it reaches: the call sequence orders it among what other controllers publish.
 
 use super::Controller;
-use super::http::{Answered, body_within, refuse, unavailable};
-use super::registry::Heard;
+use super::answers::{Answered, body_within, out_of_contact, refuse, unavailable};
+use super::registry::{Heard, news};
 use axum::Router;
 use axum::extract::{Path, State};
 use axum::http::{StatusCode, header};
@@ -87,14 +90,21 @@
     };
     let told = call.into_record(id, unix_ms());
     let in_force = controller.worker_in_force(&told.instance_id);
+    if !controller.is_in_contact() {
+        if let Some(record) = news(told, in_force.as_ref()) {
+            controller.overlay.publish_now(record.to_record());
+        }
+        return out_of_contact();
+    }
     let heard = controller.registry.lock().heartbeat(Instant::now(), told, in_force.as_ref());
     match heard {
         Heard::Nothing | Heard::Late => acknowledged(),
         Heard::TooMany => unavailable("M413 there are too many workers"),
-        Heard::Publish(record) => {
-            publish(&controller, record).await;
+        Heard::Publish(record) if record.state == WorkerState::InService => {
+            controller.overlay.publish_now(record.to_record());
             acknowledged()
         }
+        Heard::Publish(record) => publish_confirmed(&controller, record).await,
     }
 }
 
@@ -105,21 +115,26 @@
     }
     let in_force = controller.worker_in_force(&id);
     let record = controller.registry.lock().leave(&id, in_force);
-    publish(&controller, record).await;
-    acknowledged()
-}
-
-/// Publishes a worker's record; waits for a neighbour where nothing more may be sent to the worker.
-async fn publish(controller: &Controller, record: WorkerRecord) {
-    if record.state == WorkerState::InService {
+    if !controller.is_in_contact() {
         controller.overlay.publish_now(record.to_record());
-        return;
+        return out_of_contact();
     }
+    publish_confirmed(&controller, record).await
+}
+
+/// Publishes the record of a worker to which nothing new may be sent. That is promised only once a neighbour has the
+/// record, and by a process that is in contact at that moment.
+async fn publish_confirmed(controller: &Controller, record: WorkerRecord) -> Answered {
     let confirmed = controller.overlay.publish(record.to_record(), CONFIRMED_WITHIN).await;
     log::debug!("workers: {} is {:?}, confirmed: {confirmed}", record.instance_id, record.state);
-    if confirmed {
-        controller.registry.lock().confirmed(&record);
+    if !confirmed {
+        return unavailable("M445 no other process has confirmed it yet");
     }
+    if !controller.is_in_contact() {
+        return out_of_contact();
+    }
+    controller.registry.lock().confirmed(&record);
+    acknowledged()
 }
 
 fn acknowledged() -> Answered {
--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -5,24 +5,33 @@
 //! - [`membership`]: founding and joining it.
 //! - [`publisher`]: its value to every process.
 //! - [`registry`]: the workers.
-//! - [`peers`], [`duties`], [`orphans`]: the duties.
-//! - [`http`], [`configuration_api`], [`instance_api`], [`retire_api`]: the calls.
+//! - [`contact`], [`peers`], [`pings`], [`stamps`]: contact with the others, and who has the duties.
+//! - [`duties`], [`orphans`], [`retirement`]: the duties.
+//! - [`duty_messages`], [`duty_service`]: what controllers say to each other.
+//! - [`http`], [`configuration_api`], [`instance_api`], [`retire_api`], [`answers`]: the calls.
 //! - [`reload`]: settings that have changed.
 
+pub mod answers;
 pub mod configuration_api;
+pub mod contact;
 pub mod duties;
+pub mod duty_messages;
+pub mod duty_service;
 pub mod error;
 pub mod http;
 pub mod instance_api;
 pub mod membership;
 pub mod orphans;
 pub mod peers;
+pub mod pings;
 pub mod publisher;
 pub mod register;
 pub mod registry;
 pub mod reload;
 pub mod replica;
 pub mod retire_api;
+pub mod retirement;
+pub mod stamps;
 pub mod vote_store;
 
 use duties::Duties;
@@ -106,6 +115,28 @@
         id.zip(set).is_some_and(|(id, set)| set.current_replica(id).is_some())
     }
 
+    /// Whether this process is in contact with a majority of the register's replicas now. Without that it can promise
+    /// nothing that needs others.
+    pub fn is_in_contact(&self) -> bool {
+        let majority_at = self.register.majority_at();
+        self.register.set().is_some_and(|set| self.duties.is_in_contact(&set, majority_at))
+    }
+
+    /// For how long it has been in contact without a pause.
+    pub fn in_contact_for(&self) -> Duration {
+        self.register.set().map_or(Duration::ZERO, |set| self.duties.in_contact_for(&set))
+    }
+
+    /// The epoch under which this process has the duties now.
+    pub fn duty_epoch(&self) -> Option<u64> {
+        self.duties.held(&self.register.set()?)
+    }
+
+    /// Whether this process has the duties now, still under this epoch.
+    pub fn has_duties(&self, epoch: u64) -> bool {
+        self.duty_epoch() == Some(epoch)
+    }
+
     /// Lets go of the disk, once all that was asked for is synced. The replica does not answer any more.
     pub fn close(&self) {
         if let Some(replica) = self.register.replica() {
@@ -158,7 +189,8 @@
     let controller = assemble(settings, transport)?;
     tokio::spawn(membership::run(controller.clone()));
     tokio::spawn(watch_workers(controller.clone()));
-    tokio::spawn(duties::run_pings(controller.clone()));
+    duty_service::serve(&controller);
+    tokio::spawn(pings::run(controller.clone()));
     tokio::spawn(duties::run(controller.clone()));
     Ok(controller)
 }
@@ -200,7 +232,7 @@
         transport,
         overlay,
         publisher,
-        duties: Duties::new(register.replica().map(|replica| replica.identity().id)),
+        duties: Duties::new(register.replica().map(|replica| replica.identity().id), scramble(!draw)),
         register,
         dice: AtomicU64::new(draw),
     }))
@@ -212,7 +244,7 @@
     loop {
         ticks.tick().await;
         let in_force = |id: &str| controller.worker_in_force(id).map(|record| record.version());
-        let silent = controller.registry.lock().tick(Instant::now(), in_force);
+        let silent = controller.registry.lock().tick(Instant::now(), controller.is_in_contact(), in_force);
         for record in silent {
             log::info!("workers: {} is silent", record.instance_id);
             controller.overlay.publish_now(record.to_record());
--- a/crates/mintlb-control/src/controller/peers.rs
+++ b/crates/mintlb-control/src/controller/peers.rs
@@ -1,16 +1,21 @@
 //! Which controllers run, as their pings show it, and who therefore has the duties; pure.
 //!
-//! The duties belong to the first live replica in the order of addresses. Whoever takes them draws an epoch above every
-//! one heard of and says it with its pings; one that hears of a higher epoch gives its own up and has to qualify anew.
-//! Two may hold them for a moment all the same: what they change lies in the register, which takes one of two changes.
+//! The duties belong to the first live replica in the order of addresses: one that was reached lately, there and back,
+//! and says that it is itself in contact with a majority. Whoever takes them draws an epoch above every one heard of and
+//! says it with its pings; one that hears of a higher epoch gives its own up and has to qualify anew. Two may hold them
+//! for a moment all the same: what they change lies in the register, which takes one of two changes.
+//!
+//! What depends on the time is told for the moment at which it is asked for, so also in the first question after this
+//! process has stood still.
 
+use super::contact::Contact;
 use mintlb_register::state::{Replica, ReplicaId, ReplicaSet};
-use rustc_hash::FxHashMap;
+use rustc_hash::{FxHashMap, FxHashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// A controller that was heard of since then counts as live.
+/// A controller that was reached since then counts as live.
 pub const LIVE: Duration = Duration::from_millis(1000);
 /// A replica that was silent for so long may lose its place to another one.
 pub const SILENT: Duration = Duration::from_millis(3000);
@@ -23,10 +28,13 @@
 #[derive(Debug)]
 pub struct Peers {
     own: Option<ReplicaId>,
+    contact: Contact,
     heard: FxHashMap<ReplicaId, Instant>,
     addresses: FxHashMap<SocketAddr, Instant>,
-    /// Since when this process has run without a pause, in touch with a majority of the set.
-    in_touch_since: Option<Instant>,
+    /// Replicas that said last that they are out of contact with a majority.
+    out_of_contact: FxHashSet<ReplicaId>,
+    /// Since when this process has run without a pause, in contact with a majority of the set.
+    in_contact_since: Option<Instant>,
     stepped_at: Instant,
     first_since: Option<Instant>,
     epoch: u64,
@@ -38,9 +46,11 @@
     pub fn new(now: Instant, own: Option<ReplicaId>) -> Peers {
         Peers {
             own,
+            contact: Contact::new(own),
             heard: FxHashMap::default(),
             addresses: FxHashMap::default(),
-            in_touch_since: None,
+            out_of_contact: FxHashSet::default(),
+            in_contact_since: None,
             stepped_at: now,
             first_since: None,
             epoch: 0,
@@ -64,19 +74,39 @@
         }
     }
 
+    /// A replica has answered what was sent to it at that time, and says whether it is in contact with a majority.
+    pub fn reached(&mut self, replica: ReplicaId, sent_at: Instant, in_contact: bool) {
+        self.contact.reached(replica, sent_at);
+        match in_contact {
+            true => self.out_of_contact.remove(&replica),
+            false => self.out_of_contact.insert(replica),
+        };
+    }
+
+    /// A majority of the set has answered a round that began at that time.
+    pub fn majority_reached(&mut self, begun_at: Instant) {
+        self.contact.majority_reached(begun_at);
+    }
+
     /// The highest epoch of the duties heard of.
     pub fn epoch(&self) -> u64 {
         self.epoch
     }
 
-    /// The epoch under which this process has the duties.
-    pub fn held(&self) -> Option<u64> {
-        self.held
+    /// The epoch under which this process has the duties now.
+    pub fn held(&self, now: Instant, set: &ReplicaSet) -> Option<u64> {
+        self.held.filter(|_| !self.has_paused(now) && self.is_in_contact(now, set))
+    }
+
+    /// Whether the contact with a majority of the set is proved now.
+    pub fn is_in_contact(&self, now: Instant, set: &ReplicaSet) -> bool {
+        self.contact.is_held(now, set)
     }
 
-    /// Whether a majority of the set was heard of lately, as of the last step.
-    pub fn is_in_touch(&self) -> bool {
-        self.in_touch_since.is_some()
+    /// For how long this process has run without a pause, in contact with a majority of the set.
+    pub fn in_contact_for(&self, now: Instant, set: &ReplicaSet) -> Duration {
+        let since = self.in_contact_since.filter(|_| !self.has_paused(now) && self.is_in_contact(now, set));
+        since.map_or(Duration::ZERO, |since| now.saturating_duration_since(since))
     }
 
     /// Controllers heard of lately.
@@ -92,18 +122,15 @@
 
     /// Looks at who has the duties; to be called regularly.
     pub fn step(&mut self, now: Instant, set: &ReplicaSet) {
-        let paused = now.saturating_duration_since(self.stepped_at) > FROZEN;
+        let paused = self.has_paused(now);
         self.stepped_at = now;
-        if paused || !self.hears_majority(now, set) {
-            self.in_touch_since = None;
-        } else {
-            self.in_touch_since.get_or_insert(now);
-        }
-        if paused {
-            (self.first_since, self.held) = (None, None);
+        self.out_of_contact.retain(|replica| set.current_replica(*replica).is_some());
+        if paused || !self.is_in_contact(now, set) {
+            (self.in_contact_since, self.first_since, self.held) = (None, None, None);
+            return;
         }
-        let in_touch = self.in_touch_since.is_some();
-        if self.own.is_none() || !in_touch || self.first_live(now, set) != self.own {
+        self.in_contact_since.get_or_insert(now);
+        if self.own.is_none() || self.first_live(now, set) != self.own {
             (self.first_since, self.held) = (None, None);
             return;
         }
@@ -114,28 +141,27 @@
         }
     }
 
-    /// Replicas of the set that have been silent for long, while this process was in touch with a majority: one that was
-    /// cut off or frozen can't tell.
+    /// Replicas of the set that have been silent for long, while this process was in contact with a majority: one that
+    /// was cut off or frozen can't tell.
     pub fn silent(&self, now: Instant, set: &ReplicaSet) -> Vec<ReplicaId> {
-        let Some(in_touch_since) = self.in_touch_since else { return Vec::new() };
+        let watched = self.in_contact_for(now, set);
         let silence = |id: &ReplicaId| {
-            let since = self.heard.get(id).map_or(in_touch_since, |at| *at.max(&in_touch_since));
-            now.saturating_duration_since(since)
+            let silence = self.heard.get(id).map_or(watched, |at| now.saturating_duration_since(*at));
+            silence.min(watched)
         };
         let others = set.current.iter().map(|replica| replica.id).filter(|id| Some(*id) != self.own);
         others.filter(|id| silence(id) >= SILENT).collect()
     }
 
-    fn hears_majority(&self, now: Instant, set: &ReplicaSet) -> bool {
-        set.is_quorum(|id| Some(id) == self.own || self.is_live(now, id))
-    }
-
-    fn is_live(&self, now: Instant, id: ReplicaId) -> bool {
-        self.heard.get(&id).is_some_and(|at| now.saturating_duration_since(*at) < LIVE)
+    /// Whether this process was not running since the last step.
+    fn has_paused(&self, now: Instant) -> bool {
+        now.saturating_duration_since(self.stepped_at) > FROZEN
     }
 
     fn first_live(&self, now: Instant, set: &ReplicaSet) -> Option<ReplicaId> {
-        let is_live = |replica: &&Replica| Some(replica.id) == self.own || self.is_live(now, replica.id);
+        let is_live = |replica: &&Replica| {
+            self.contact.is_reached(now, replica.id, LIVE) && !self.out_of_contact.contains(&replica.id)
+        };
         let place = |replica: &&Replica| replica.address.parse::<SocketAddr>().ok();
         set.current.iter().filter(is_live).min_by_key(place).map(|replica| replica.id)
     }
--- a/crates/mintlb-control/src/controller/register.rs
+++ b/crates/mintlb-control/src/controller/register.rs
@@ -83,6 +83,8 @@
     first_start: bool,
     grant: Mutex<Grant>,
     turn: tokio::sync::Mutex<()>,
+    /// When the newest round began that a majority answered.
+    majority_at: Mutex<Option<Instant>>,
     listener: Mutex<Option<Listener>>,
 }
 
@@ -105,6 +107,7 @@
             first_start,
             grant: Mutex::default(),
             turn: tokio::sync::Mutex::default(),
+            majority_at: Mutex::default(),
             listener: Mutex::default(),
         });
         transport.serve(Channel::Register, Arc::new(RegisterService(register.clone())));
@@ -133,6 +136,16 @@
         chosen.into_iter().chain(knowledge.hint.clone()).max_by_key(|set| set.epoch)
     }
 
+    /// When the newest read or change began that a majority answered.
+    pub fn majority_at(&self) -> Option<Instant> {
+        *self.majority_at.lock()
+    }
+
+    fn majority_answered(&self, begun_at: Instant) {
+        let mut newest = self.majority_at.lock();
+        *newest = Some(newest.map_or(begun_at, |known| known.max(begun_at)));
+    }
+
     /// Takes note of a set that another process knows.
     pub fn hint(&self, set: ReplicaSet) {
         let mut knowledge = self.knowledge.lock();
@@ -156,7 +169,8 @@
 
     /// Changes the value. Changes of one process wait for each other, within the same time.
     pub async fn change(&self, change: Change, within: Duration) -> Result<Outcome, Unavailable> {
-        let deadline = Instant::now() + within;
+        let begun_at = Instant::now();
+        let deadline = begun_at + within;
         let _turn = timeout_at(deadline, self.turn.lock()).await.map_err(|_| Unavailable)?;
         let set = self.set().ok_or(Unavailable)?;
         let known = self.chosen();
@@ -166,6 +180,7 @@
         let mut timer = deadline;
         loop {
             if let Some(outcome) = effects.outcome {
+                self.majority_answered(begun_at);
                 self.raise_floor(proposal.highest_seen());
                 self.learn(outcome.chosen.clone());
                 return Ok(outcome);
@@ -203,11 +218,13 @@
 
     /// Reads in one round, if a quorum agrees.
     pub async fn read_once(&self, deadline: Instant) -> Option<Accepted> {
+        let begun_at = Instant::now();
         let (mut reading, mut progress) = Reading::start(self.set()?, self.chosen());
         let (replies, mut inputs) = mpsc::channel(REPLIES);
         loop {
             match progress {
                 Progress::Chosen(accepted) => {
+                    self.majority_answered(begun_at);
                     self.learn(accepted.clone());
                     return Some(accepted);
                 }
--- a/crates/mintlb-control/src/controller/registry.rs
+++ b/crates/mintlb-control/src/controller/registry.rs
@@ -80,7 +80,7 @@
         let later = in_force.is_some_and(|known| known.call_sequence > sequence);
         let repeated = self.workers.get(&told.instance_id).is_some_and(|kept| kept.call_sequence >= sequence);
         if gone || later || repeated {
-            return Heard::Late;
+            return self.unconfirmed_drain(&told).map_or(Heard::Late, Heard::Publish);
         }
         if !self.workers.contains_key(&told.instance_id) && self.workers.len() >= MOST_WORKERS {
             return Heard::TooMany;
@@ -104,6 +104,13 @@
         Heard::Publish(told)
     }
 
+    /// The drain of a worker that says again that it drains, if no neighbour has confirmed it yet.
+    fn unconfirmed_drain(&self, told: &WorkerRecord) -> Option<WorkerRecord> {
+        let kept = self.workers.get(&told.instance_id).filter(|kept| !kept.confirmed)?;
+        let drains = |record: &WorkerRecord| record.state == WorkerState::Draining;
+        (drains(told) && drains(&kept.published)).then(|| kept.published.clone())
+    }
+
     /// A neighbour has confirmed this record.
     pub fn confirmed(&mut self, record: &WorkerRecord) {
         if let Some(kept) = self.workers.get_mut(&record.instance_id)
@@ -121,11 +128,18 @@
     }
 
     /// Those that have become silent, as records to publish. `in_force` tells a worker's version as everybody knows it:
-    /// a worker whose record another controller has published since is no longer this one's.
-    pub fn tick(&mut self, now: Instant, in_force: impl Fn(&str) -> Option<u64>) -> Vec<WorkerRecord> {
+    /// a worker whose record another controller has published since is no longer this one's. Nobody is silent to a
+    /// process that stood still, or that is out of contact with a majority of the controllers: its workers may call
+    /// others, and it begins to count anew once that is over.
+    pub fn tick(
+        &mut self,
+        now: Instant,
+        in_contact: bool,
+        in_force: impl Fn(&str) -> Option<u64>,
+    ) -> Vec<WorkerRecord> {
         let paused = now.saturating_duration_since(self.ticked_at) > FROZEN;
         self.ticked_at = now;
-        if paused {
+        if paused || !in_contact {
             self.workers.values_mut().for_each(|kept| kept.heard_at = now);
             return Vec::new();
         }
@@ -148,6 +162,12 @@
     }
 }
 
+/// What a worker's call says beyond its record in force, for a controller that does not take the worker in.
+pub fn news(told: WorkerRecord, in_force: Option<&WorkerRecord>) -> Option<WorkerRecord> {
+    let is_news = in_force.is_none_or(|known| known.version() < told.version() && !is_same(known, &told));
+    is_news.then_some(told)
+}
+
 /// Whether everything but the call sequence is the same.
 fn is_same(a: &WorkerRecord, b: &WorkerRecord) -> bool {
     a.state == b.state
--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -3,7 +3,7 @@
 mod controllers;
 
 use axum::http::{Method, StatusCode};
-use controllers::Fleet;
+use controllers::{Fleet, PATIENCE};
 use mintlb_tier::record::{CONFIGURATION, WorkerRecord, WorkerState};
 
 fn configuration(version: u64) -> String {
@@ -127,3 +127,66 @@
     let (status, _) = fleet.call(2, Method::GET, "/v1/retire/storage-9", None, "");
     assert_eq!(status, StatusCode::NOT_FOUND, "passed on to a replica");
 }
+
+/// Calls until the answer is this one.
+fn until(expected: StatusCode, call: impl Fn(u64) -> StatusCode) {
+    let give_up = std::time::Instant::now() + PATIENCE;
+    let mut seen = Vec::new();
+    for number in 0.. {
+        let status = call(number);
+        if status == expected {
+            return;
+        }
+        seen.push(status);
+        assert!(std::time::Instant::now() < give_up, "never {expected}, last {:?}", seen.last());
+    }
+}
+
+#[test]
+fn a_controller_that_is_cut_off_acknowledges_nothing_and_goes_on_after_it() {
+    let mut fleet = Fleet::assembled(3);
+    let beat = |fleet: &Fleet, id: &str, state: &str, sequence: u64| {
+        let body = heartbeat(state, sequence);
+        fleet.call(2, Method::PUT, &format!("/v1/instances/{id}"), None, &body).0
+    };
+    assert_eq!(beat(&fleet, "i-1", "in_service", 1), StatusCode::OK);
+    fleet.kill(0);
+    fleet.kill(1);
+    // Within the lease, but nobody is there who confirms it.
+    assert_eq!(beat(&fleet, "i-0", "draining", 1), StatusCode::SERVICE_UNAVAILABLE);
+    until(StatusCode::SERVICE_UNAVAILABLE, |number| beat(&fleet, "i-1", "in_service", 2 + number));
+    // From now on the lease is over, for good: nobody is there who could renew it.
+    assert_eq!(beat(&fleet, "i-2", "draining", 7), StatusCode::SERVICE_UNAVAILABLE);
+    let call = |method, path| fleet.call(2, method, path, None, "");
+    let refused = [
+        (Method::DELETE, "/v1/instances/i-3"),
+        (Method::GET, "/v1/configuration"),
+        (Method::GET, "/v1/retire/storage-9"),
+        (Method::POST, "/v1/retire/storage-9"),
+    ];
+    for (method, path) in refused {
+        let (status, text) = call(method, path);
+        assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE, "{path}");
+        assert!(text.starts_with("M444"), "{path}: {text}");
+    }
+    let (status, text) = fleet.call(2, Method::PUT, "/v1/configuration", Some(0), &configuration(4));
+    assert_eq!((status, text.starts_with("M444")), (StatusCode::SERVICE_UNAVAILABLE, true));
+    let state = |id: &str| fleet.at(2).worker_in_force(id).map(|worker| worker.state);
+    assert_eq!(state("i-1"), Some(WorkerState::InService), "nobody is called silent");
+    assert_eq!(state("i-2"), Some(WorkerState::Draining), "what workers say is told all the same");
+    assert_eq!(state("i-3"), Some(WorkerState::Gone));
+    fleet.restart(0);
+    until(StatusCode::OK, |number| beat(&fleet, "i-2", "draining", 8 + number));
+    assert_eq!(fleet.configure(2, 0, &configuration(4)), StatusCode::OK);
+}
+
+#[test]
+fn a_process_that_knows_no_set_acknowledges_nothing() {
+    let mut fleet = Fleet::assembled(3);
+    (0..3).for_each(|place| fleet.kill(place));
+    fleet.lose_disk(1);
+    fleet.restart(1);
+    let put = fleet.call(1, Method::PUT, "/v1/instances/i-1", None, &heartbeat("draining", 1));
+    assert_eq!(put.0, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fleet.call(1, Method::GET, "/v1/configuration", None, "").0, StatusCode::SERVICE_UNAVAILABLE);
+}
--- a/crates/mintlb-control/tests/controller_peers.rs
+++ b/crates/mintlb-control/tests/controller_peers.rs
@@ -1,5 +1,6 @@
 //! Who has the duties, and which replicas are silent.
 
+use mintlb_control::controller::contact::LEASE;
 use mintlb_control::controller::peers::{LIVE, Peers, SILENT, TAKE_AFTER};
 use mintlb_register::state::{Replica, ReplicaSet};
 use std::net::SocketAddr;
@@ -23,12 +24,18 @@
     ReplicaSet { epoch: 1, previous: Vec::new(), current: [11, 9, 10].map(replica).to_vec() }
 }
 
-/// Steps for a time during which these are heard.
+/// One is heard, and has answered what was sent at this moment.
+fn answers(peers: &mut Peers, now: Instant, id: u64) {
+    peers.heard(now, address(id), Some(id), 0);
+    peers.reached(id, now, true);
+}
+
+/// Steps for a time during which these are heard and answer.
 fn pass(peers: &mut Peers, now: &mut Instant, time: Duration, heard: &[u64]) {
     let end = *now + time;
     while *now < end {
         *now += STEP;
-        heard.iter().for_each(|id| peers.heard(*now, address(*id), Some(*id), 0));
+        heard.iter().for_each(|id| answers(peers, *now, *id));
         peers.step(*now, &set());
     }
 }
@@ -38,9 +45,9 @@
     let mut now = Instant::now();
     let mut peers = Peers::new(now, Some(9));
     pass(&mut peers, &mut now, TAKE_AFTER, &[10, 11]);
-    assert_eq!(peers.held(), None);
+    assert_eq!(peers.held(now, &set()), None);
     pass(&mut peers, &mut now, STEP, &[10, 11]);
-    assert_eq!(peers.held(), Some(1));
+    assert_eq!(peers.held(now, &set()), Some(1));
 }
 
 #[test]
@@ -48,11 +55,11 @@
     let mut now = Instant::now();
     let mut peers = Peers::new(now, Some(10));
     pass(&mut peers, &mut now, TAKE_AFTER * 3, &[9, 11]);
-    assert_eq!(peers.held(), None);
+    assert_eq!(peers.held(now, &set()), None);
     pass(&mut peers, &mut now, LIVE + TAKE_AFTER + STEP, &[11]);
-    assert_eq!(peers.held(), Some(1));
+    assert_eq!(peers.held(now, &set()), Some(1));
     pass(&mut peers, &mut now, STEP, &[9, 11]);
-    assert_eq!(peers.held(), None, "the first one is back");
+    assert_eq!(peers.held(now, &set()), None, "the first one is back");
 }
 
 #[test]
@@ -60,11 +67,11 @@
     let mut now = Instant::now();
     let mut peers = Peers::new(now, Some(9));
     pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
-    assert_eq!(peers.held(), Some(1));
+    assert_eq!(peers.held(now, &set()), Some(1));
     peers.heard(now, address(10), Some(10), 5);
-    assert_eq!(peers.held(), None);
+    assert_eq!(peers.held(now, &set()), None);
     pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
-    assert_eq!(peers.held(), Some(6));
+    assert_eq!(peers.held(now, &set()), Some(6));
 }
 
 #[test]
@@ -74,7 +81,7 @@
     pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
     now += Duration::from_secs(4);
     peers.step(now, &set());
-    assert_eq!(peers.held(), None);
+    assert_eq!(peers.held(now, &set()), None);
     assert!(peers.silent(now, &set()).is_empty(), "it was not there to hear them");
 }
 
@@ -83,7 +90,7 @@
     let mut now = Instant::now();
     let mut peers = Peers::new(now, None);
     pass(&mut peers, &mut now, TAKE_AFTER * 3, &[]);
-    assert_eq!(peers.held(), None);
+    assert_eq!(peers.held(now, &set()), None);
 }
 
 #[test]
@@ -118,10 +125,88 @@
     let end = now + SILENT;
     while now < end {
         now += STEP;
-        peers.heard(now, address(10), Some(10), 0);
+        answers(&mut peers, now, 10);
         peers.heard(now, address(11), Some(77), 0);
         peers.step(now, &set());
     }
     assert_eq!(peers.silent(now, &set()), [11]);
     assert_eq!(peers.live_addresses(now).len(), 2);
 }
+
+#[test]
+fn one_that_wakes_has_neither_duties_nor_contact_in_its_first_question() {
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(9));
+    pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
+    assert_eq!(peers.held(now, &set()), Some(1));
+    let sent_before = now;
+    now += Duration::from_secs(20);
+    // What lay in the buffers is read first: pings of the others, and answers to what was sent before.
+    for id in [10, 11] {
+        peers.heard(now, address(id), Some(id), 1);
+        peers.reached(id, sent_before, true);
+    }
+    assert!(!peers.is_in_contact(now, &set()));
+    assert_eq!(peers.held(now, &set()), None);
+    assert_eq!(peers.in_contact_for(now, &set()), Duration::ZERO);
+}
+
+#[test]
+fn one_that_wakes_calls_nobody_silent_before_its_first_step() {
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(9));
+    pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
+    now += Duration::from_secs(20);
+    assert!(peers.silent(now, &set()).is_empty());
+    // Also not where one answer has come since.
+    peers.reached(10, now, true);
+    assert!(peers.silent(now, &set()).is_empty());
+}
+
+#[test]
+fn one_whose_messages_do_not_arrive_is_out_of_contact_however_much_it_hears() {
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(9));
+    pass(&mut peers, &mut now, TAKE_AFTER + STEP, &[10, 11]);
+    let end = now + LEASE;
+    while now < end {
+        now += STEP;
+        [10, 11].into_iter().for_each(|id| peers.heard(now, address(id), Some(id), 0));
+        peers.step(now, &set());
+    }
+    assert!(!peers.is_in_contact(now, &set()));
+    assert_eq!(peers.held(now, &set()), None);
+}
+
+#[test]
+fn the_duties_go_on_to_the_next_one_where_the_first_hears_nobody() {
+    // 9 is heard, but what is sent to it does not arrive: it can't have the duties, so 10 takes them.
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(10));
+    let end = now + LIVE + TAKE_AFTER * 2;
+    while now < end {
+        now += STEP;
+        peers.heard(now, address(9), Some(9), 0);
+        answers(&mut peers, now, 11);
+        peers.step(now, &set());
+    }
+    assert_eq!(peers.held(now, &set()), Some(1));
+}
+
+#[test]
+fn the_duties_go_on_to_the_next_one_where_the_first_reaches_a_minority_alone() {
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(10));
+    let end = now + LIVE + TAKE_AFTER * 2;
+    while now < end {
+        now += STEP;
+        peers.heard(now, address(9), Some(9), 0);
+        peers.reached(9, now, false);
+        answers(&mut peers, now, 11);
+        peers.step(now, &set());
+    }
+    assert_eq!(peers.held(now, &set()), Some(1));
+    answers(&mut peers, now, 9);
+    peers.step(now, &set());
+    assert_eq!(peers.held(now, &set()), None, "9 is back in contact");
+}
--- a/crates/mintlb-control/tests/controller_registry.rs
+++ b/crates/mintlb-control/tests/controller_registry.rs
@@ -1,7 +1,7 @@
 //! The registry of workers: what is published of which calls, in any order.
 
 use arbtest::arbtest;
-use mintlb_control::controller::registry::{Heard, Registry};
+use mintlb_control::controller::registry::{Heard, Registry, news};
 use mintlb_tier::record::{WorkerRecord, WorkerState};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -36,7 +36,7 @@
     let mut passed = Duration::ZERO;
     while passed < time {
         passed += TICK;
-        silent.extend(registry.tick(from + passed, |_| version));
+        silent.extend(registry.tick(from + passed, true, |_| version));
     }
     silent
 }
@@ -121,7 +121,7 @@
     let version = Some(in_service(1).version());
     registry.heartbeat(now, in_service(1), None);
     let woken = now + SILENCE * 3;
-    assert!(registry.tick(woken, |_| version).is_empty());
+    assert!(registry.tick(woken, true, |_| version).is_empty());
     assert!(pass(&mut registry, woken, SILENCE - TICK, version).is_empty());
     assert_eq!(pass(&mut registry, woken + SILENCE - TICK, TICK * 2, version).len(), 1);
 }
@@ -165,3 +165,56 @@
         Ok(())
     });
 }
+
+#[test]
+fn out_of_contact_nobody_is_silent_and_the_time_begins_anew_after_it() {
+    let now = Instant::now();
+    let mut registry = Registry::new(now, SILENCE);
+    let version = Some(in_service(1).version());
+    registry.heartbeat(now, in_service(1), None);
+    let mut passed = Duration::ZERO;
+    while passed < SILENCE * 5 {
+        passed += TICK;
+        assert!(registry.tick(now + passed, false, |_| version).is_empty());
+    }
+    let back = now + passed;
+    assert!(pass(&mut registry, back, SILENCE - TICK, version).is_empty());
+    assert_eq!(pass(&mut registry, back + SILENCE - TICK, TICK * 2, version).len(), 1);
+}
+
+#[test]
+fn a_worker_that_moved_during_the_cut_is_not_called_silent_after_it() {
+    let now = Instant::now();
+    let mut registry = Registry::new(now, SILENCE);
+    registry.heartbeat(now, in_service(1), None);
+    registry.heartbeat(now, in_service(4), Some(&in_service(1)));
+    let back = now + SILENCE;
+    (1..=10).for_each(|tick| _ = registry.tick(now + TICK * tick, false, |_| Some(in_service(1).version())));
+    assert!(pass(&mut registry, back, SILENCE * 2, Some(in_service(5).version())).is_empty());
+    assert!(registry.is_empty());
+}
+
+#[test]
+fn a_drain_that_nobody_confirmed_is_published_again_for_the_same_call_and_for_a_late_one() {
+    let now = Instant::now();
+    let mut registry = Registry::new(now, SILENCE);
+    registry.heartbeat(now, in_service(1), None);
+    registry.heartbeat(now, draining(3), Some(&in_service(1)));
+    assert_eq!(registry.heartbeat(now, draining(3), Some(&draining(3))), Heard::Publish(draining(3)));
+    assert_eq!(registry.heartbeat(now, draining(2), Some(&draining(3))), Heard::Publish(draining(3)));
+    assert_eq!(registry.heartbeat(now, in_service(2), Some(&draining(3))), Heard::Late);
+    registry.confirmed(&draining(3));
+    assert_eq!(registry.heartbeat(now, draining(3), Some(&draining(3))), Heard::Late);
+}
+
+#[test]
+fn out_of_contact_only_what_is_new_and_later_is_told() {
+    assert_eq!(news(in_service(3), None), Some(in_service(3)));
+    assert_eq!(news(in_service(3), Some(&in_service(2))), None, "the same but for its number");
+    assert_eq!(news(draining(3), Some(&in_service(2))), Some(draining(3)));
+    assert_eq!(news(in_service(2), Some(&draining(3))), None, "late");
+    let silent = call("i-1", 2, WorkerState::Silent);
+    assert_eq!(news(in_service(2), Some(&silent)), None, "the call that was followed by silence");
+    assert_eq!(news(in_service(3), Some(&silent)), Some(in_service(3)));
+    assert_eq!(news(in_service(9), Some(&call("i-1", 2, WorkerState::Gone))), None, "it has ended");
+}
