An item is given up by a clock that does not step; 503 while there is no configuration

Cause: a lot's age was the time of day here less the time of day of whoever took it. A long body was answered 413 by a dispatcher without a configuration, though the limit stands in the configuration. Change: the runner goes by the process's steady clock (unix time at its start and the time run since), and by 5 s of tolerance between two processes. 413 becomes 503 until a configuration is known.

--- a/crates/mintlb-dispatch/src/batch/calls.rs
+++ b/crates/mintlb-dispatch/src/batch/calls.rs
@@ -20,7 +20,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 
 /// The most bytes of results in one answer.
 const MOST_PAGE_BYTES: usize = 1 << 20;
@@ -112,7 +112,7 @@
             host: host_name(&call.host),
             route: route.name.clone(),
             lot_id: lot_id.to_string(),
-            terms: terms(route),
+            terms: terms(route, self.runner.now_ms()),
             max_queued_tokens: route.max_queued_tokens,
             items,
         };
@@ -210,20 +210,15 @@
     items.into_iter().enumerate().map(leased).collect()
 }
 
-fn terms(route: &Route) -> LotTerms {
+fn terms(route: &Route, now_ms: u64) -> LotTerms {
     LotTerms {
-        sent_at_ms: unix_ms(),
+        sent_at_ms: now_ms,
         completion_target_ms: route.completion_target_ms.unwrap_or(USUAL_RETENTION_MS),
         retention_ms: route.retention_s.map_or(USUAL_RETENTION_MS, |seconds| (seconds * 1e3) as u64),
         max_attempts: route.max_attempts,
     }
 }
 
-/// The time of day in ms.
-pub(super) fn unix_ms() -> u64 {
-    SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default().as_millis() as u64
-}
-
 fn submit_within(headers: &HeaderMap) -> Duration {
     let deadline = milliseconds(headers, "mintlb-deadline-ms");
     deadline.map_or(SUBMIT_WITHIN, |deadline| deadline.saturating_sub(SUBMIT_MARGIN).min(SUBMIT_WITHIN))
--- a/crates/mintlb-dispatch/src/batch/progress.rs
+++ b/crates/mintlb-dispatch/src/batch/progress.rs
@@ -11,6 +11,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// An item whose route is gone for so long can't be done: a configuration that has the route may be under way.
 const ROUTE_GONE_MS: u64 = 6_000;
+/// By so much the time of day of the dispatcher that took a lot may have been behind the one here, in ms: either clock
+/// may be two seconds off when its process starts.
+const CLOCK_TOLERANCE_MS: u64 = 5_000;
 
 /// How one attempt ended.
 #[derive(Clone, Debug, PartialEq)]
@@ -46,7 +49,7 @@
     last_event: Option<u64>,
     failures: u32,
     fruitless: u32,
-    /// When no route was first found for it, in Unix ms.
+    /// When no route was first found for it, in ms of the steady clock below.
     no_route_since: Option<u64>,
 }
 
@@ -70,7 +73,8 @@
         self.fruitless = 0;
     }
 
-    /// The attempt under way has ended.
+    /// The attempt under way has ended. `now_ms` is the time of day at the start of this process and the time that it
+    /// has run since, in ms; so a step of the clock while it runs changes nothing.
     pub fn ended(&mut self, outcome: &AttemptOutcome, terms: &LotTerms, now_ms: u64) -> Next {
         match outcome {
             AttemptOutcome::Completed => return Next::Record(ItemResult::Completed(self.take_text())),
@@ -81,7 +85,8 @@
         let no_route = *outcome == AttemptOutcome::NoRoute;
         self.no_route_since = no_route.then(|| self.no_route_since.unwrap_or(now_ms));
         let is_gone = self.no_route_since.is_some_and(|since| now_ms >= since + ROUTE_GONE_MS);
-        let given_up_at = terms.sent_at_ms.saturating_add(terms.retention_ms);
+        let given_up_at =
+            terms.sent_at_ms.saturating_add(terms.retention_ms).saturating_add(CLOCK_TOLERANCE_MS);
         let spent = self.failures >= terms.max_attempts.max(1);
         let too_old = terms.retention_ms > 0 && now_ms >= given_up_at;
         if spent || too_old || is_gone {
--- a/crates/mintlb-dispatch/src/batch/runner.rs
+++ b/crates/mintlb-dispatch/src/batch/runner.rs
@@ -1,6 +1,5 @@
 //! Runs the items that this dispatcher holds leases of, beside live requests and through the same reducer.
 
-use super::calls::unix_ms;
 use super::progress::{AttemptOutcome, Next, Progress};
 use super::queue::{ItemNumber, ItemQueue};
 use crate::events::{event_data, event_id, split_events};
@@ -56,6 +55,11 @@
         runner
     }
 
+    /// Unix time in ms, which never steps while the process runs.
+    pub fn now_ms(&self) -> u64 {
+        self.intake.now_ms()
+    }
+
     /// Takes items in whose leases this dispatcher holds.
     pub fn take(self: &Arc<Self>, items: Vec<LeasedItem>) {
         if self.leaving.load(Relaxed) {
@@ -114,7 +118,7 @@
         let mut progress = Progress::default();
         while self.queue.lock().is_held(number) {
             let outcome = self.attempt(&item, id.clone(), headers.clone(), &mut progress).await;
-            match progress.ended(&outcome, &item.terms, unix_ms()) {
+            match progress.ended(&outcome, &item.terms, self.now_ms()) {
                 Next::Record(result) => return self.record(&item, result).await,
                 Next::RunAgain(pause) => sleep(pause).await,
             }
--- a/crates/mintlb-dispatch/src/front.rs
+++ b/crates/mintlb-dispatch/src/front.rs
@@ -197,6 +197,8 @@
                 seen.taken();
                 self.whole(whole).await
             }
+            // Without a configuration nobody knows how long a body may be.
+            Err(StatusCode::PAYLOAD_TOO_LARGE) if self.hub.routing().is_none() => refused(COME_BACK),
             Err(status) => plain(status),
         };
         if self.closes() || !seen.may_go_on() {
--- a/crates/mintlb-dispatch/src/intake.rs
+++ b/crates/mintlb-dispatch/src/intake.rs
@@ -99,6 +99,11 @@
         Intake { hub }
     }
 
+    /// Unix time in ms, which never steps while the process runs.
+    pub fn now_ms(&self) -> u64 {
+        (self.hub.clock.now() * 1e3) as u64
+    }
+
     /// Whether workers of some service of the item's route take requests.
     pub fn has_workers(&self, host: &str, path: &str) -> bool {
         let target = self.hub.routing().and_then(|table| self.hub.target(&table, host, path));
--- a/crates/mintlb-dispatch/tests/lifecycle.rs
+++ b/crates/mintlb-dispatch/tests/lifecycle.rs
@@ -54,6 +54,32 @@
     });
 }
 
+/// A process that has just started and knows nobody, or only processes that know nothing.
+#[test]
+fn without_a_configuration_all_is_503_and_it_is_not_ready() {
+    on_one_thread(async {
+        let machine = Machine::start().await;
+        let worker = Worker::start("i-1", "s").await;
+        machine.know(&worker, WorkerState::InService, 1).await;
+        machine.tell.send(Known::Joined).unwrap();
+        for path in ["/p/1", "/o/1", "/b/1", "/v1/lots/l", "/v1/items/l?instance_id=e", "/nowhere"] {
+            let mut client = machine.client().await;
+            client.post(path, "a", "", "x").await;
+            assert_eq!(client.get().await.status, 503, "{path}");
+            for method in ["GET", "DELETE"] {
+                let mut client = machine.client().await;
+                client.write(&format!("{method} {path} HTTP/1.1\r\nHost: shop.example\r\n\r\n")).await;
+                assert_eq!(client.get().await.status, 503, "{method} {path}");
+            }
+        }
+        // How long a body may be stands in the configuration, too.
+        let mut client = machine.client().await;
+        client.write("POST /p/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 8000000\r\n\r\n").await;
+        assert_eq!(client.get().await.status, 503, "a long body");
+        assert!(!is_ready(&machine).await);
+    });
+}
+
 #[test]
 fn told_to_end_it_finishes_what_it_has_and_what_still_comes() {
     on_one_thread(async {
