A request that may run once only counts as sent from the end of its head on

Cause: the last byte of the whole request was held back to prove a connection, and a write that failed, or a connection that broke before that byte, counted as not run. A worker may begin, and answer, before it has read a long body: such a request was sent to a second worker. A connection stayed in use after a surplus answer; a long body whose answer came early was written to its end before the answer was read; a refused request went out again by the connection that had carried it, where a surplus refusal would count for the second send; answers without a length were all broken.

Change: the last byte of the head is held back instead; from it on a request may have run. The rest is written while the answer is read. A connection is closed after a surplus or an early answer, never carries an id twice, and the system is asked whether an idle one is quiet. An answer without a length that is no stream's ends with its connection, unless that is reset.

Test: tests/whose_answer.rs.

--- a/crates/mintlb-dispatch/src/answer.rs
+++ b/crates/mintlb-dispatch/src/answer.rs
@@ -142,7 +142,8 @@
         another.then_some(usual.max(LEAST_SILENCE))
     }
 
-    /// The head of the answer to this request; those to earlier ones are passed over.
+    /// The head of the answer to this request; those to earlier ones are passed over, and the connection then carries no
+    /// other request.
     async fn own_head(
         &self,
         connection: &mut Connection,
@@ -160,6 +161,7 @@
             match (ids.next(), ids.next()) {
                 (Some(id), None) if *id == self.exchange.request.id => return Ok(head),
                 (Some(_), None) if head.framing != Framing::UntilClose => {
+                    connection.spoil();
                     self.skip(connection, silence, head.framing).await?;
                 }
                 _ => return Err(Failed::Broken),
@@ -205,10 +207,11 @@
             return Ok(Answered { came: Came::with(Outcome::Full), not_run: true, keep });
         }
         if head.status.is_success() {
-            if !head.headers.contains_key(SIGNATURE) || framing == Framing::UntilClose {
+            let stream = self.is_stream(head);
+            // A stream that ends with its connection may have been cut between two events.
+            if !head.headers.contains_key(SIGNATURE) || stream && framing == Framing::UntilClose {
                 return Err(Failed::Broken);
             }
-            let stream = self.is_stream(head);
             return match stream {
                 true => self.events(connection, silence, head, framing).await,
                 false => self.success(connection, silence, head, framing).await,
@@ -292,7 +295,7 @@
                 self.exchange.pass(&mut given, held.split().freeze(), None);
                 poll_fn(|cx| self.exchange.poll_room(cx)).await;
             }
-            silence.fill(connection).await?;
+            more(connection, silence, &mut body).await?;
         }
     }
 
@@ -313,7 +316,7 @@
                 return Err(Failed::Broken);
             }
             if !body.is_done() {
-                silence.fill(connection).await?;
+                more(connection, silence, &mut body).await?;
             }
         }
         let failed = Answered { came: Came::with(Outcome::Error), ..whole(connection) };
@@ -342,7 +345,20 @@
     }
 }
 
-/// The answer is whole, and the connection good unless more has come.
+/// Waits for more of a body that is no stream's. One without a length ends with its connection, unless that is reset.
+async fn more(
+    connection: &mut Connection,
+    silence: &mut Silence,
+    body: &mut BodyReader,
+) -> Result<(), Failed> {
+    let filled = silence.fill(connection).await;
+    match filled.is_err() && connection.has_ended() && body.ends_with_connection() {
+        true => Ok(()),
+        false => filled,
+    }
+}
+
+/// The answer is whole, and the connection good unless more has come, or something was out of order.
 fn whole(connection: &Connection) -> Answered {
     let keep = connection.buffer.is_empty().then_some(Keep { idle: None });
     Answered { came: Came::with(Outcome::Completed), not_run: false, keep }
--- a/crates/mintlb-dispatch/src/back.rs
+++ b/crates/mintlb-dispatch/src/back.rs
@@ -1,12 +1,12 @@
 //! Sends to workers: one send an order, its outcome told once.
 //!
-//! What has surely not run is told as such, all else may have run. A request counts as sent when its last byte is
-//! handed to the system; before that no worker can run it.
+//! What has surely not run is told as such, all else may have run. A request counts as sent once the last byte of its
+//! head may have reached the worker, which may begin, and answer, before it has read a long body.
 
 use crate::answer::{Answered, Reading};
 use crate::connection::Connection;
 use crate::exchange::Exchange;
-use crate::request;
+use crate::request::{self, RequestBytes};
 use crate::workers::WorkerEntry;
 use mintlb::{Outcome, Report};
 use mintlb_core::reducer::Event;
@@ -18,7 +18,7 @@
 use tokio::time::timeout_at;
 
 /// A connection that is to be reset as it comes up, or that the worker is closing, shows it within a round trip: so long
-/// the last byte of a request that may run once only waits.
+/// the last byte of the head of a request that may run once only waits.
 const PROVING: Duration = Duration::from_millis(3);
 
 /// The way to one worker.
@@ -93,7 +93,8 @@
         if self.exchange.has_begun() && !self.exchange.can_go_on() {
             return Came::with(Outcome::Moot);
         }
-        let connection = match self.worker.pool.reuse(self.order.payload.once) {
+        let id = self.exchange.request.id.as_bytes();
+        let connection = match self.worker.pool.reuse(self.order.payload.once, id) {
             Some(connection) => Ok(connection),
             None => tokio::select! {
                 connection = self.worker.pool.connect() => connection,
@@ -102,7 +103,7 @@
         };
         let Ok(mut connection) = connection else { return Came::with(Outcome::NoConnection) };
         let ran_before = self.exchange.may_have_run();
-        if let Err(outcome) = self.write(&mut connection).await {
+        if let Err(outcome) = self.send(&mut connection).await {
             return Came::with(outcome);
         }
         let reading = Reading { worker: &self.worker, exchange: &self.exchange, alloc: self.order.alloc };
@@ -116,33 +117,32 @@
         came
     }
 
-    /// Writes the request. An error where its last byte was not written, so that it can't run.
-    async fn write(&self, connection: &mut Connection) -> Result<(), Outcome> {
+    /// Sends the request. An error where its head is not whole at the worker, so that it can't run.
+    async fn send(&self, connection: &mut Connection) -> Result<(), Outcome> {
         let left = self.order.until - self.exchange.hub().clock.now();
-        let bytes = request::bytes(&self.exchange, &self.worker.instance_id, left);
-        if self.order.taken_back.is_cancelled() || !self.worker.in_service() {
-            return Err(Outcome::Full);
-        }
-        let mut rest = &bytes[..];
+        let RequestBytes { mut bytes, head_length } =
+            request::bytes(&self.exchange, &self.worker.instance_id, left);
+        self.still_meant()?;
         if self.order.payload.once && !connection.is_proven() {
-            let (first, last) = bytes.split_at(bytes.len() - 1);
-            connection.write(first).await.map_err(|_| Outcome::NoConnection)?;
+            let first = bytes.split_to(head_length - 1);
+            connection.write(&first).await.map_err(|_| Outcome::NoConnection)?;
             if !connection.stays_quiet(PROVING).await {
                 return Err(Outcome::NoConnection);
             }
-            rest = last;
-            if self.order.taken_back.is_cancelled() || !self.worker.in_service() {
-                return Err(Outcome::Full);
-            }
+            self.still_meant()?;
         }
         let ran_before = self.exchange.may_have_run();
         self.exchange.sent(self.worker.id);
-        match connection.write(rest).await {
-            Ok(()) => Ok(()),
-            Err(_) => {
-                self.exchange.not_sent(ran_before);
-                Err(Outcome::NoConnection)
-            }
-        }
+        let id = self.exchange.request.id.as_bytes();
+        connection.send(id, bytes).map_err(|_| {
+            self.exchange.not_sent(ran_before);
+            Outcome::NoConnection
+        })
+    }
+
+    /// An error where nothing more may go to this worker.
+    fn still_meant(&self) -> Result<(), Outcome> {
+        let meant = !self.order.taken_back.is_cancelled() && self.worker.in_service();
+        meant.then_some(()).ok_or(Outcome::Full)
     }
 }
--- a/crates/mintlb-dispatch/src/connection.rs
+++ b/crates/mintlb-dispatch/src/connection.rs
@@ -1,15 +1,18 @@
 //! Connections to one worker, kept for further requests while it is sure that they are still good.
 
-use bytes::BytesMut;
-use nix::sys::socket::{setsockopt, sockopt};
+use bytes::{Buf, Bytes, BytesMut};
+use nix::errno::Errno;
+use nix::sys::socket::{MsgFlags, recv, setsockopt, sockopt};
 use parking_lot::Mutex;
+use rustc_hash::FxHasher;
+use std::hash::Hasher;
 use std::io;
 use std::net::SocketAddr;
-use std::os::fd::AsFd;
+use std::os::fd::{AsFd, AsRawFd};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
-use tokio::io::AsyncWriteExt;
+use tokio::io::{AsyncWriteExt, Interest};
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 
@@ -32,19 +35,38 @@
 const LEAST_ROOM: usize = 1 << 10;
 /// Idle connections to one worker.
 const MOST_IDLE: usize = 16;
+/// Requests that a connection remembers to have carried.
+const CARRIED: usize = 8;
 
 /// A connection to a worker. It carries one request at a time.
 pub struct Connection {
     stream: TcpStream,
     /// What was read and not used yet.
     pub buffer: BytesMut,
+    /// The part of the request under way that the system has not taken yet.
+    unwritten: Bytes,
+    state: ConnectionState,
     idle_since: Instant,
     keep: Option<Duration>,
-    /// It has carried a whole answer before.
-    is_kept: bool,
+    /// The requests that it carried last, by a hash of their ids: one that is sent once more would take a surplus answer
+    /// to its first send for its own.
+    carried: [u64; CARRIED],
+    /// Whole answers that it has carried.
+    answers: usize,
     _open: Open,
 }
 
+/// Whether a connection may carry another request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum ConnectionState {
+    /// Nothing out of order has come.
+    Sound,
+    /// A surplus or an early answer has come: nobody knows what comes next.
+    Spoiled,
+    /// The worker has closed its side, after whole bytes.
+    Ended,
+}
+
 /// Counts a connection for as long as it is open.
 struct Open(Arc<AtomicUsize>);
 
@@ -77,11 +99,16 @@
         self.open.load(Relaxed)
     }
 
-    /// An idle connection, the one used last first; `once` if what it is to carry may not be sent again.
-    pub fn reuse(&self, once: bool) -> Option<Connection> {
+    /// An idle connection for the request with this id, the one used last first; `once` if the request may not be sent
+    /// again. One that has carried a request with this id is passed over.
+    pub fn reuse(&self, once: bool, id: &[u8]) -> Option<Connection> {
         let now = Instant::now();
         let mut idle = self.idle.lock();
         while let Some(connection) = idle.pop() {
+            if connection.has_carried(id) {
+                idle.push(connection);
+                return None;
+            }
             if now < connection.good_until(once) && connection.is_quiet() {
                 return Some(connection);
             }
@@ -106,20 +133,25 @@
         Ok(Connection {
             stream,
             buffer: BytesMut::new(),
+            unwritten: Bytes::new(),
+            state: ConnectionState::Sound,
             idle_since: Instant::now(),
             keep: None,
-            is_kept: false,
+            carried: [0; CARRIED],
+            answers: 0,
             _open: open,
         })
     }
 
-    /// Keeps a connection whose last answer is whole; `keep` is how long the worker keeps it when idle.
+    /// Keeps a connection whose last answer is whole; `keep` is how long the worker keeps it when idle. One on which
+    /// anything is left over or was out of order is closed.
     pub fn give_back(&self, mut connection: Connection, keep: Option<Duration>) {
-        if !connection.buffer.is_empty() {
+        if !connection.is_sound() {
             return;
         }
         connection.buffer = BytesMut::new();
-        (connection.idle_since, connection.keep, connection.is_kept) = (Instant::now(), keep, true);
+        (connection.idle_since, connection.keep) = (Instant::now(), keep);
+        connection.answers += 1;
         let mut idle = self.idle.lock();
         if idle.len() < MOST_IDLE && Instant::now() < connection.good_until(false) {
             idle.push(connection);
@@ -153,15 +185,38 @@
         self.idle_since + length
     }
 
-    /// Nothing has come since its last answer: neither its end nor a surplus answer.
+    /// Nothing has come since its last answer: neither its end nor a surplus answer. The system is asked as well, as the
+    /// runtime may not have heard of it yet.
     fn is_quiet(&self) -> bool {
-        let nothing = self.stream.try_read(&mut [0]);
-        self.buffer.is_empty() && nothing.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+        let known = self.stream.try_read(&mut [0]);
+        let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
+        let come = recv(self.stream.as_raw_fd(), &mut [0], look);
+        let nothing = known.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock);
+        self.is_sound() && nothing && come == Err(Errno::EAGAIN)
+    }
+
+    /// Nothing of its last request or answer is left over, and nothing was out of order.
+    fn is_sound(&self) -> bool {
+        self.state == ConnectionState::Sound && self.buffer.is_empty() && self.unwritten.is_empty()
     }
 
     /// Whether it has just carried an answer, so that it can't have died unnoticed.
     pub fn is_proven(&self) -> bool {
-        self.is_kept && self.idle_since.elapsed() < FRESH
+        self.answers > 0 && self.idle_since.elapsed() < FRESH
+    }
+
+    fn has_carried(&self, id: &[u8]) -> bool {
+        self.carried.contains(&hash(id))
+    }
+
+    /// It never carries another request: something has come that was not asked for.
+    pub fn spoil(&mut self) {
+        self.state = ConnectionState::Spoiled;
+    }
+
+    /// Whether the worker has closed its side, with no reset.
+    pub fn has_ended(&self) -> bool {
+        self.state == ConnectionState::Ended
     }
 
     /// Writes all of it.
@@ -169,24 +224,78 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Begins to write the rest of the request with this id; [`Connection::fill`] goes on with what the system does not
+    /// take at once, so that an answer that comes early is read meanwhile. An error where nothing of it was written.
+    pub fn send(&mut self, id: &[u8], rest: Bytes) -> io::Result<()> {
+        self.carried[self.answers % CARRIED] = hash(id);
+        self.unwritten = rest;
+        let all = self.unwritten.len();
+        let written = self.write_on();
+        if self.unwritten.len() == all { written } else { Ok(()) }
+    }
+
+    /// Writes what the system takes now.
+    fn write_on(&mut self) -> io::Result<()> {
+        while !self.unwritten.is_empty() {
+            match self.stream.try_write(&self.unwritten) {
+                Ok(written) => self.unwritten.advance(written),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(())
+    }
+
     /// Whether it stays without an end, an error or an unexpected byte for so long.
     pub async fn stays_quiet(&mut self, length: Duration) -> bool {
         timeout(length, self.stream.readable()).await.is_err()
     }
 
-    /// Waits for more bytes; an error where there will be none.
+    /// Waits until more bytes have come, or more of the request was written; an error where no byte will come.
     pub async fn fill(&mut self) -> io::Result<()> {
         loop {
-            self.stream.readable().await?;
-            if self.buffer.capacity() - self.buffer.len() < LEAST_ROOM {
-                self.buffer.reserve(READ_BYTES);
+            let waits = !self.unwritten.is_empty();
+            let interest = if waits { Interest::READABLE | Interest::WRITABLE } else { Interest::READABLE };
+            let ready = self.stream.ready(interest).await?;
+            if ready.is_readable() && self.read_some()? {
+                return Ok(());
             }
-            match self.stream.try_read_buf(&mut self.buffer) {
-                Ok(0) => return Err(io::ErrorKind::UnexpectedEof.into()),
-                Ok(_) => return Ok(()),
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {}
-                Err(error) => return Err(error),
+            if waits && ready.is_writable() {
+                // What came before the connection broke is still to be read.
+                if self.write_on().is_err() {
+                    self.unwritten = Bytes::new();
+                    self.spoil();
+                }
+                return Ok(());
+            }
+        }
+    }
+
+    /// Reads what has come; whether anything has.
+    fn read_some(&mut self) -> io::Result<bool> {
+        if self.buffer.capacity() - self.buffer.len() < LEAST_ROOM {
+            self.buffer.reserve(READ_BYTES);
+        }
+        match self.stream.try_read_buf(&mut self.buffer) {
+            Ok(0) => {
+                self.state = ConnectionState::Ended;
+                Err(io::ErrorKind::UnexpectedEof.into())
             }
+            Ok(_) => {
+                if !self.unwritten.is_empty() {
+                    self.spoil();
+                }
+                Ok(true)
+            }
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(false),
+            Err(error) => Err(error),
         }
     }
 }
+
+fn hash(id: &[u8]) -> u64 {
+    let mut hasher = FxHasher::default();
+    hasher.write(id);
+    // 0 stands for none.
+    hasher.finish().max(1)
+}
--- a/crates/mintlb-dispatch/src/exchange.rs
+++ b/crates/mintlb-dispatch/src/exchange.rs
@@ -90,7 +90,7 @@
 struct State {
     /// The number under which it is with the reducer now.
     wu: u64,
-    /// Workers that it was sent to whole.
+    /// Workers that were handed its whole head.
     attempts: u32,
     tried: [Option<u64>; MOST_TRIED],
     may_have_run: bool,
@@ -220,7 +220,7 @@
         self.state.lock().tried.contains(&Some(worker))
     }
 
-    /// The last byte of the request is about to be written to this worker.
+    /// The head of the request is about to be whole at this worker, which may begin then.
     pub fn sent(&self, worker: u64) {
         let mut state = self.state.lock();
         let place = state.attempts as usize % MOST_TRIED;
@@ -234,7 +234,7 @@
         self.state.lock().may_have_run = ran_before;
     }
 
-    /// The last byte was not written after all.
+    /// Its head was not written whole after all.
     pub fn not_sent(&self, ran_before: bool) {
         let mut state = self.state.lock();
         state.attempts -= 1;
@@ -428,7 +428,7 @@
     }
     state.refusal = Some(match refusal {
         Refusal::NotRun(_) if state.may_have_run => Refusal::Unknown,
-        // No worker was handed its last byte, and none will be.
+        // No worker was handed its whole head, and none will be.
         Refusal::Unknown | Refusal::TimedOut if !state.may_have_run => Refusal::NotRun(NEVER_SENT_COME_BACK),
         refusal => refusal,
     });
--- a/crates/mintlb-dispatch/src/request.rs
+++ b/crates/mintlb-dispatch/src/request.rs
@@ -5,6 +5,7 @@
     CONNECTION, CONTENT_LENGTH, EXPECT, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use axum::http::{HeaderMap, HeaderValue, Method};
+use bytes::Bytes;
 
 /// Names the worker that is meant: any other does not run the request.
 pub const TARGET_INSTANCE: &str = "mintlb-target-instance";
@@ -48,8 +49,16 @@
     }
 }
 
+/// The bytes of a request to one worker.
+pub struct RequestBytes {
+    /// All of it.
+    pub bytes: Bytes,
+    /// The length of its head, the blank line included. Without its last byte no worker can begin the request.
+    pub head_length: usize,
+}
+
 /// The bytes of a request to this worker; `left` are the seconds that it has.
-pub fn bytes(exchange: &Exchange, instance_id: &str, left: f64) -> Vec<u8> {
+pub fn bytes(exchange: &Exchange, instance_id: &str, left: f64) -> RequestBytes {
     let request = &exchange.request;
     let headers = request.headers.iter().map(|(name, value)| name.as_str().len() + value.len() + 4);
     let most = headers.sum::<usize>() + request.target.len() + exchange.body.len() + 320;
@@ -72,8 +81,9 @@
         put(&mut bytes, CONTENT_LENGTH.as_str(), HeaderValue::from(exchange.body.len()).as_bytes());
     }
     bytes.extend_from_slice(b"\r\n");
+    let head_length = bytes.len();
     bytes.extend_from_slice(&exchange.body);
-    bytes
+    RequestBytes { bytes: bytes.into(), head_length }
 }
 
 fn put(bytes: &mut Vec<u8>, name: &str, value: &[u8]) {
--- a/crates/mintlb-dispatch/src/wire.rs
+++ b/crates/mintlb-dispatch/src/wire.rs
@@ -27,7 +27,7 @@
     Length(u64),
     /// With the last chunk.
     Chunked,
-    /// With the connection, so that a break can't be told from an end.
+    /// With the connection; one that is reset was not whole.
     UntilClose,
 }
 
@@ -156,6 +156,14 @@
         self.at == At::Done
     }
 
+    /// The connection has ended, with no reset. Whether the body has ended with it, as one without a length does.
+    pub fn ends_with_connection(&mut self) -> bool {
+        if self.at == At::UntilClose {
+            self.at = At::Done;
+        }
+        self.is_done()
+    }
+
     /// The next piece of the body, if one is there.
     pub fn take(&mut self, bytes: &mut BytesMut) -> Result<Option<Bytes>, Garbled> {
         loop {
--- a/crates/mintlb-dispatch/tests/machine/mod.rs
+++ b/crates/mintlb-dispatch/tests/machine/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod raw;
+
 use mintlb_dispatch::dispatcher::{Dispatcher, Grants};
 use mintlb_dispatch::hub::Hub;
 use mintlb_dispatch::intake::Intake;
@@ -95,6 +97,13 @@
         self.until(|hub| hub.workers.age() > age).await;
     }
 
+    /// Tells it of a worker whose connections the test handles, and waits until it knows.
+    pub async fn know_raw(&self, worker: &raw::RawWorker) {
+        let age = self.hub.workers.age();
+        self.tell.send(Known::Worker(worker.record.clone())).unwrap();
+        self.until(|hub| hub.workers.age() > age).await;
+    }
+
     async fn until(&self, holds: impl Fn(&Hub) -> bool) {
         let reached = async {
             while !holds(&self.hub) {
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/whose_answer.rs
@@ -0,0 +1,201 @@
+//! Whose answer: one message of a worker altered at a time. Nothing that belongs to another request passes, a connection
+//! on which something was out of order carries no other request, and what may run once only is never run again.
+
+mod machine;
+
+use machine::raw::{RawConnection, RawWorker, not_run, ok};
+use machine::{CONFIGURATION, Client, Machine, Worker, on_one_thread};
+use mintlb_tier::record::WorkerState;
+
+/// Longer than what sockets on loopback hold.
+const LONG: usize = 24 << 20;
+
+async fn with_raw_worker() -> (Machine, RawWorker) {
+    let machine = Machine::start().await;
+    let worker = RawWorker::start("i-1", "s").await;
+    let limits = "\"max_body_bytes\":30000000";
+    machine.configure(&CONFIGURATION.replace("\"max_body_bytes\":4096", limits)).await;
+    machine.know_raw(&worker).await;
+    (machine, worker)
+}
+
+async fn with_another(machine: &Machine) -> Worker {
+    let worker = Worker::start("i-2", "s").await;
+    machine.know(&worker, WorkerState::InService, 1).await;
+    worker
+}
+
+async fn asks(machine: &Machine, path: &str, id: &str, body: &str) -> Client {
+    let mut client = machine.client().await;
+    client.post(path, id, "", body).await;
+    client
+}
+
+/// A client whose request `a` was answered, and the connection by which its worker answered it.
+async fn answered(machine: &Machine, worker: &RawWorker, path: &str) -> (Client, RawConnection) {
+    let mut client = asks(machine, path, "a", "").await;
+    let first = answers_anew(worker, &mut client, "a").await;
+    (client, first)
+}
+
+/// The client's request `id` comes on a new connection and is answered there.
+async fn answers_anew(worker: &RawWorker, client: &mut Client, id: &str) -> RawConnection {
+    let mut connection = worker.accept().await;
+    connection.request().await;
+    connection.answer(id, id).await;
+    assert_eq!(client.get().await.text(), id);
+    connection
+}
+
+#[test]
+fn after_a_late_answer_to_another_request_the_connection_carries_no_other() {
+    on_one_thread(async {
+        for path in ["/o/1", "/p/1"] {
+            let (machine, worker) = with_raw_worker().await;
+            let (mut client, mut first) = answered(&machine, &worker, path).await;
+            client.post(path, "b", "", "").await;
+            first.request().await;
+            first.write(&(ok("a", "late") + &ok("b", "second"))).await;
+            assert_eq!(client.get().await.text(), "second");
+            client.post(path, "c", "", "").await;
+            answers_anew(&worker, &mut client, "c").await;
+            assert_eq!(first.rest().await, b"", "{path}");
+        }
+    });
+}
+
+#[test]
+fn a_surplus_answer_on_an_idle_connection_ends_it() {
+    on_one_thread(async {
+        for path in ["/o/1", "/p/1"] {
+            let (machine, worker) = with_raw_worker().await;
+            let (mut client, mut first) = answered(&machine, &worker, path).await;
+            first.answer("a", "again").await;
+            client.post(path, "b", "", "").await;
+            answers_anew(&worker, &mut client, "b").await;
+            assert_eq!(first.rest().await, b"", "{path}");
+        }
+    });
+}
+
+#[test]
+fn a_request_that_was_refused_takes_another_connection_to_the_same_worker() {
+    on_one_thread(async {
+        let (machine, worker) = with_raw_worker().await;
+        let mut client = asks(&machine, "/o/1", "a", "").await;
+        let mut first = worker.accept().await;
+        first.request().await;
+        first.write(&not_run("a")).await;
+        // The surplus refusal would count for the second send, which runs.
+        answers_anew(&worker, &mut client, "a").await;
+    });
+}
+
+#[test]
+fn an_answer_before_the_body_was_read_is_taken_and_no_other_bytes_follow() {
+    on_one_thread(async {
+        for path in ["/o/1", "/p/1"] {
+            let (machine, worker) = with_raw_worker().await;
+            let body = "x".repeat(LONG);
+            let sends = async {
+                let mut client = machine.client().await;
+                client.post(path, "a", "", &body).await;
+                client
+            };
+            let (mut client, mut early) = tokio::join!(sends, worker.accept());
+            early.head().await;
+            let mut other = with_another(&machine).await;
+            early.write(&not_run("a")).await;
+            let asked = other.asked().await;
+            assert_eq!(asked.body.len(), LONG);
+            asked.answer("ran").await;
+            assert_eq!(client.get().await.text(), "ran");
+            let rest = early.rest().await;
+            assert!(rest.len() < LONG && rest.iter().all(|byte| *byte == b'x'), "{path}: {}", rest.len());
+        }
+    });
+}
+
+#[test]
+fn what_was_answered_before_its_last_byte_is_not_sent_elsewhere() {
+    on_one_thread(async {
+        let (machine, worker) = with_raw_worker().await;
+        let mut client = asks(&machine, "/o/1", "a", "the body").await;
+        let mut early = worker.accept().await;
+        early.head().await;
+        let mut other = with_another(&machine).await;
+        early.answer("a", "ran").await;
+        assert_eq!(client.get().await.text(), "ran");
+        assert!(!other.has_request());
+    });
+}
+
+#[test]
+fn what_a_worker_has_seen_the_head_of_is_not_sent_again_after_a_reset() {
+    on_one_thread(async {
+        for (path, body) in [("/o/1", "the body"), ("/s/1", "prompt"), ("/o/1", "")] {
+            let (machine, worker) = with_raw_worker().await;
+            let mut client = asks(&machine, path, "a", body).await;
+            let mut seen = worker.accept().await;
+            seen.head().await;
+            let mut other = with_another(&machine).await;
+            seen.reset();
+            let got = client.get().await;
+            assert_eq!(got.status, 502, "it may have run: {path}");
+            assert!(!other.has_request());
+        }
+    });
+}
+
+#[test]
+fn an_answer_without_a_length_ends_with_its_connection_unless_that_is_reset() {
+    on_one_thread(async {
+        for path in ["/o/1", "/p/1"] {
+            for status in ["200 OK", "500 Oh"] {
+                let (machine, worker) = with_raw_worker().await;
+                let mut client = asks(&machine, path, "a", "").await;
+                let mut first = worker.accept().await;
+                first.request().await;
+                let own = "mintlb-request-id: a\r\nmintlb-response-signature: s\r\n";
+                first.write(&format!("HTTP/1.1 {status}\r\n{own}\r\nall of it")).await;
+                drop(first);
+                let got = match (path, status) {
+                    ("/p/1", "500 Oh") => {
+                        let mut again = worker.accept().await;
+                        again.request().await;
+                        again.answer("a", "all of it").await;
+                        client.get().await
+                    }
+                    _ => client.get().await,
+                };
+                assert_eq!((got.text().as_str(), got.whole), ("all of it", true), "{path} {status}");
+            }
+        }
+        let (machine, worker) = with_raw_worker().await;
+        let mut client = asks(&machine, "/o/1", "a", "").await;
+        let mut first = worker.accept().await;
+        first.request().await;
+        let own = "mintlb-request-id: a\r\nmintlb-response-signature: s\r\n";
+        first.write(&format!("HTTP/1.1 200 OK\r\n{own}\r\npart of it")).await;
+        first.reset();
+        assert_eq!(client.get().await.status, 502);
+    });
+}
+
+#[test]
+fn an_answer_that_names_no_request_or_two_is_nobodys() {
+    on_one_thread(async {
+        for own in ["", "mintlb-request-id: a\r\nmintlb-request-id: b\r\n"] {
+            let (machine, worker) = with_raw_worker().await;
+            let mut client = asks(&machine, "/o/1", "a", "").await;
+            let mut first = worker.accept().await;
+            first.request().await;
+            let stamp = "mintlb-response-signature: s\r\n";
+            first.write(&format!("HTTP/1.1 200 OK\r\n{own}{stamp}content-length: 2\r\n\r\nno")).await;
+            assert_eq!(client.get().await.status, 502, "{own}");
+            client.post("/o/1", "b", "", "").await;
+            answers_anew(&worker, &mut client, "b").await;
+            assert_eq!(first.rest().await, b"");
+        }
+    });
+}
