A client's time counts from its head, and one that leaves bytes behind is noticed

Change: time counts from the head. While a request waits with more bytes behind it, its socket is looked at each 0.2 s.

Test: tests/clients.rs.

--- a/crates/mintlb-dispatch/src/exchange.rs
+++ b/crates/mintlb-dispatch/src/exchange.rs
@@ -450,7 +450,8 @@
 impl Settle for Settlement {
     fn settle(self: Box<Self>, answer: Answer) {
         let exchange = self.0;
-        let over = exchange.hub.clock.now() >= exchange.limit;
+        // The last send ends shortly before its client's time is over.
+        let over = exchange.hub.clock.now() + LEAST_TIME_LEFT >= exchange.limit;
         match answer {
             // The back has passed it on already.
             Answer::Completed(_) => {}
--- a/crates/mintlb-dispatch/src/front.rs
+++ b/crates/mintlb-dispatch/src/front.rs
@@ -30,9 +30,9 @@
 use std::os::fd::{AsRawFd, RawFd};
 use std::pin::{Pin, pin};
 use std::sync::Arc;
-use std::task::Poll;
+use std::task::{Context, Poll};
 use std::time::Duration;
-use tokio::io::AsyncReadExt;
+use tokio::io::{AsyncReadExt, Interest};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{Instant, sleep, sleep_until, timeout};
 use tokio_util::io::InspectReader;
@@ -41,6 +41,8 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// A connection that has sent an error is read on for so long, so that the error is not lost by a reset.
 const LINGER: Duration = Duration::from_millis(500);
+/// So often a client that has sent more than its request is looked at, whether it has left.
+const LEFT_LOOK: Duration = Duration::from_millis(200);
 /// After a failure to accept, so long until the next try.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// A client that came before the first configuration, or found no room, is told to come back after so many seconds.
@@ -87,6 +89,8 @@
     host: String,
     headers: HeaderMap,
     body: Bytes,
+    /// When its head had come, in seconds of the clock: its client counts its time from then, or earlier.
+    began: f64,
     room: (Held, Option<Held>),
 }
 
@@ -163,6 +167,19 @@
             }
             // What waits for its answer has its own bounds.
             if place.seen.phase() == Phase::Open {
+                if place.seen.may_go_on() {
+                    return Poll::Pending;
+                }
+                // More has come than the request. The library reads none of it, and so misses that its client leaves.
+                if alarm.deadline() > Instant::now() + LEFT_LOOK {
+                    alarm.as_mut().reset(Instant::now() + LEFT_LOOK);
+                }
+                while alarm.as_mut().poll(cx).is_ready() {
+                    if has_left(&socket, cx) {
+                        return Poll::Ready(None);
+                    }
+                    alarm.as_mut().reset(Instant::now() + LEFT_LOOK);
+                }
                 return Poll::Pending;
             }
             loop {
@@ -210,6 +227,7 @@
         if seen.fault().is_some() {
             return Err(StatusCode::BAD_REQUEST);
         }
+        let began = self.hub.clock.now();
         let most = self.limits().max_body_bytes;
         let (head, body) = request.into_parts();
         if body.size_hint().lower() > most as u64 {
@@ -244,6 +262,7 @@
             host,
             headers: head.headers,
             body,
+            began,
             room: (work_room, Some(body_room)),
         })
     }
@@ -282,7 +301,7 @@
     }
 
     async fn live(&self, whole: Whole, id: HeaderValue, target: Target) -> Answer {
-        let Whole { method, path_and_query, mut headers, body, room, .. } = whole;
+        let Whole { method, path_and_query, mut headers, body, began, room, .. } = whole;
         let deadline = headers.get(DEADLINE).and_then(|ms| ms.to_str().ok()?.trim().parse::<f64>().ok());
         let deadline = deadline.filter(|ms| *ms >= 0.0).map_or(f64::INFINITY, |ms| ms / 1e3);
         let last_event_id = last_event_id(&headers);
@@ -292,7 +311,7 @@
         let new = NewExchange {
             request,
             body,
-            time_budget: deadline.min(target.terms.timeout),
+            time_budget: (deadline.min(target.terms.timeout) - (self.hub.clock.now() - began)).max(0.0),
             terms: target.terms,
             service: target.service,
             manner: Manner::Live,
@@ -374,3 +393,11 @@
     let look = MsgFlags::MSG_PEEK | MsgFlags::MSG_DONTWAIT;
     recv(socket, &mut [0], look).is_ok_and(|bytes| bytes > 0)
 }
+
+/// Whether the client has closed its side, also with bytes unread before that.
+fn has_left(socket: &TcpStream, cx: &mut Context) -> bool {
+    match pin!(socket.ready(Interest::READABLE)).poll(cx) {
+        Poll::Ready(ready) => ready.map_or(true, |ready| ready.is_read_closed()),
+        Poll::Pending => false,
+    }
+}
--- /dev/null
+++ b/crates/mintlb-dispatch/tests/clients.rs
@@ -0,0 +1,221 @@
+//! What a client gets and when, what each send says of the time that is left, and what happens once a client has left.
+
+mod machine;
+
+use machine::{Asked, CONFIGURATION, Client, Machine, Worker, event, header, on_one_thread};
+use mintlb_tier::record::WorkerState;
+use std::time::Duration;
+use tokio::time::{Instant, advance, pause, resume, timeout};
+
+async fn with_worker() -> (Machine, Worker) {
+    let machine = Machine::start().await;
+    machine.configure(CONFIGURATION).await;
+    let worker = another(&machine, "i-1").await;
+    (machine, worker)
+}
+
+async fn another(machine: &Machine, instance_id: &str) -> Worker {
+    let worker = Worker::start(instance_id, "s").await;
+    machine.know(&worker, WorkerState::InService, 1).await;
+    worker
+}
+
+/// Lets this time pass at once.
+async fn pass(length: Duration) {
+    pause();
+    advance(length).await;
+    resume();
+}
+
+fn deadline(asked: &Asked) -> u64 {
+    header(&asked.head, "mintlb-deadline-ms").unwrap().parse().unwrap()
+}
+
+/// A request by a client that waits for 20 s, longer than any route allows.
+async fn patient(machine: &Machine, path: &str) -> Client {
+    let mut client = machine.client().await;
+    let head = format!("POST {path} HTTP/1.1\r\nHost: shop.example\r\nMintlb-Request-Id: a\r\n");
+    client.write(&format!("{head}Mintlb-Deadline-Ms: 20000\r\nContent-Length: 0\r\n\r\n")).await;
+    client
+}
+
+#[test]
+fn a_request_has_its_final_answer_when_its_routes_time_is_over() {
+    on_one_thread(async {
+        for path in ["/o/1", "/s/1"] {
+            let (machine, mut worker) = with_worker().await;
+            let began = Instant::now();
+            let mut client = patient(&machine, path).await;
+            let silent = worker.asked().await;
+            assert!((4500..=5000).contains(&deadline(&silent)), "the route's 5 s are the shorter");
+            pass(Duration::from_millis(4900) - began.elapsed()).await;
+            assert_eq!(client.get().await.status, 504, "{path}");
+            let waited = began.elapsed();
+            assert!(
+                waited > Duration::from_millis(4900) && waited < Duration::from_millis(5300),
+                "{waited:?}"
+            );
+            silent.on.closed().await;
+            assert!(!worker.has_request(), "it may have run");
+        }
+    });
+}
+
+#[test]
+fn a_stream_that_has_begun_ends_when_its_routes_time_is_over() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let began = Instant::now();
+        let mut client = patient(&machine, "/s/1").await;
+        let mut asked = worker.asked().await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        client.head().await;
+        client.chunks(event(1).len()).await;
+        pass(Duration::from_millis(4900) - began.elapsed()).await;
+        assert_eq!(client.rest().await, (event(1), false));
+        let waited = began.elapsed();
+        assert!(waited > Duration::from_millis(4900) && waited < Duration::from_millis(5300), "{waited:?}");
+        asked.on.closed().await;
+    });
+}
+
+#[test]
+fn a_clients_time_counts_from_its_head() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        let head =
+            "POST /o/1 HTTP/1.1\r\nHost: shop.example\r\nMintlb-Request-Id: a\r\nContent-Length: 4\r\n";
+        client.write(&format!("{head}Mintlb-Deadline-Ms: 3000\r\nExpect: 100-continue\r\n\r\n")).await;
+        assert_eq!(client.head().await.0, 100, "its head was read");
+        pass(Duration::from_millis(1200)).await;
+        client.write("body").await;
+        let asked = worker.asked().await;
+        assert!((1000..=1800).contains(&deadline(&asked)), "{}", deadline(&asked));
+        asked.answer("ok").await;
+        assert_eq!(client.get().await.text(), "ok");
+    });
+}
+
+#[test]
+fn each_further_send_says_what_is_left() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/p/1", "a", "", "").await;
+        let first = one.asked().await;
+        assert!(deadline(&first) <= 5000);
+        let mut two = another(&machine, "i-2").await;
+        pass(Duration::from_millis(600)).await;
+        let before = deadline(&first);
+        first.on.reset();
+        let second = two.asked().await;
+        assert!(deadline(&second) + 600 <= before, "{before} {}", deadline(&second));
+        second.answer("ok").await;
+        assert_eq!(client.get().await.text(), "ok");
+    });
+}
+
+#[test]
+fn no_more_workers_than_max_attempts_get_a_try() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/p/1", "a", "", "").await;
+        let first = one.asked().await;
+        let (mut two, mut three) = (another(&machine, "i-2").await, another(&machine, "i-3").await);
+        first.on.reset();
+        let second = tokio::select! { asked = two.asked() => asked, asked = three.asked() => asked };
+        second.on.reset();
+        assert_eq!(client.get().await.status, 502);
+        assert!(!one.has_request() && !two.has_request() && !three.has_request());
+    });
+}
+
+#[test]
+fn a_worker_of_another_version_is_passed_over_and_stays_in_service() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "Expect-Version: 7\r\n", "").await;
+        let asked = one.asked().await;
+        assert_eq!(header(&asked.head, "expect-version").as_deref(), Some("7"));
+        let mut two = another(&machine, "i-2").await;
+        asked
+            .answer_with(
+                "HTTP/1.1 421 No\r\nmintlb-request-id: a\r\nversions: 6\r\ncontent-length: 0\r\n\r\n",
+            )
+            .await;
+        two.asked().await.answer_as("200 OK", "versions: 7\r\ncontent-length: 2\r\n\r\nok").await;
+        let got = client.get().await;
+        assert_eq!((got.text().as_str(), header(&got.head, "versions").as_deref()), ("ok", Some("7")));
+        assert_eq!(machine.hub.workers.in_service(), 2);
+    });
+}
+
+#[test]
+fn a_stream_that_goes_on_keeps_its_first_head_and_tells_of_a_new_version() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/r/1", "a", "", "prompt").await;
+        let mut asked = one.asked().await;
+        let mut two = another(&machine, "i-2").await;
+        let head = "HTTP/1.1 200 OK\r\nmintlb-request-id: a\r\ncontent-type: text/event-stream\r\n\
+                    transfer-encoding: chunked\r\nmintlb-response-signature: ";
+        asked.on.write(&format!("{head}first\r\nversions: 1\r\n\r\n")).await;
+        asked.event(1).await;
+        // It breaks off in the middle of an event.
+        asked.chunk("id: 2\ndata: ha").await;
+        let (_, given) = client.head().await;
+        client.chunks(event(1).len()).await;
+        asked.on.reset();
+        let mut asked = two.asked().await;
+        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("1"));
+        asked.on.write(&format!("{head}second\r\nversions: 2\r\n\r\n")).await;
+        let second = format!("versions: 2\n{}", event(2));
+        asked.chunk(&second).await;
+        asked.end_stream().await;
+        assert_eq!(client.rest().await, (event(1) + &second, true));
+        assert_eq!(header(&given, "mintlb-response-signature").as_deref(), Some("first"));
+        assert_eq!(header(&given, "versions").as_deref(), Some("1"));
+    });
+}
+
+#[test]
+fn a_client_that_leaves_behind_more_bytes_takes_its_request_along() {
+    on_one_thread(async {
+        for path in ["/o/1", "/p/1", "/s/1", "/r/1"] {
+            let (machine, mut worker) = with_worker().await;
+            let mut client = machine.client().await;
+            client.post(path, "a", "", "").await;
+            let asked = worker.asked().await;
+            // Too early, so that it is no request; then it leaves.
+            client.post(path, "b", "", "").await;
+            drop(client);
+            let gone = timeout(Duration::from_millis(500), asked.on.closed()).await;
+            assert!(gone.is_ok(), "its work goes on: {path}");
+            assert!(!worker.has_request());
+        }
+    });
+}
+
+#[test]
+fn a_request_that_comes_before_the_answer_to_the_last_is_not_run() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let mut client = machine.client().await;
+        client.post("/o/1", "a", "", "").await;
+        let asked = worker.asked().await;
+        client.post("/o/1", "b", "", "").await;
+        asked.answer("to a").await;
+        let got = client.get().await;
+        assert_eq!(
+            (got.text().as_str(), header(&got.head, "mintlb-request-id").as_deref()),
+            ("to a", Some("a"))
+        );
+        assert!(client.ends().await, "nothing else passes");
+        assert!(!worker.has_request());
+    });
+}
