A full disk costs no store its file, its identity or its process

Cause: any failure to open the lots' file, also 'no space left' while redb repairs it or takes its lock, put the file aside; the store came back empty under a new identity. A failed commit ended the process, so a full disk made it start, put its file aside and end again: two stores with full disks lost what was acknowledged. Change: only a file whose contents are wrong is put aside. A failed commit suspends the store (no heartbeat, no message, no answer: as if it were down) and the file is opened again, with a probe of 64 KiB, until the disk takes bytes; replicas are loaded as after a restart. A start on a full disk waits likewise. M606 is gone. A folder that may not be used is still M602. Tests: store_faults.rs, store_full_disk.rs on a disk of the tests' own (full; power lost with writes kept, lost, torn; at opening too). Red with the guard out: 'Damaged | Refused' put aside: 'assertion failed: directory.path().join(FILE).exists()'; a sync that covers nothing: 'left: 99 right: 77'; the process ends at a failed commit: 'left: Unclear right: Accepted'; what follows a failed commit is said all the same: 'Accepted { items_leased: true }' while all disks are full. The stores of store_cluster.rs are shared by both files now and run by the store's own driver; its checks are as they were.

--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -1,7 +1,8 @@
 //! Dispatchers' calls, answered by the primaries among this store's replicas.
 
 use super::core::Core;
-use super::disk::Opened;
+use super::disk::LoadedShards;
+use super::writer::Opened;
 use bytes::Bytes;
 use mintlb_lots::entry::Entry;
 use mintlb_lots::framing;
@@ -97,6 +98,28 @@
         self.core.lock().tick(self.now());
     }
 
+    /// A commit failed: lets go of the file, and says and promises nothing until [`Store::resume`].
+    pub fn suspend(&self) {
+        let disk = {
+            let mut core = self.core.lock();
+            core.suspend(self.now());
+            core.disk.clone()
+        };
+        disk.close();
+        self.report_changed.notify_one();
+    }
+
+    /// Goes on with what the file held when it was opened again.
+    pub fn resume(&self, shards: LoadedShards) {
+        self.core.lock().resume(shards, self.now());
+        self.report_changed.notify_one();
+    }
+
+    /// Whether the disk has failed and could not be opened again yet.
+    pub fn is_suspended(&self) -> bool {
+        self.core.lock().is_suspended()
+    }
+
     /// Lets the controllers know that this store was told to stop, so that its shards get other primaries.
     pub fn leave(&self) {
         self.leaving.store(true, Relaxed);
--- a/crates/mintlb-control/src/store/core.rs
+++ b/crates/mintlb-control/src/store/core.rs
@@ -1,7 +1,8 @@
 //! The replicas of all shards, with their effects carried out.
 
-use super::disk::{LotDisk, Opened, Writer};
+use super::disk::{LoadedShards, LotDisk};
 use super::recent::Recent;
+use super::writer::{Opened, Writer};
 use bytes::Bytes;
 use mintlb_lots::framing;
 use mintlb_lots::heartbeat::ShardReport;
@@ -34,6 +35,9 @@
     replicas: Vec<Replica>,
     waiting: Vec<Waiting>,
     recent: Recent,
+    settings: ReplicaSettings,
+    /// A commit failed and what is on disk is not known: nothing is promised, told or taken.
+    suspended: bool,
     placement: Placement,
     addresses: FxHashMap<StoreId, SocketAddr>,
     transport: Arc<Transport>,
@@ -47,20 +51,13 @@
 
 impl Core {
     /// Replicas with what the disk held.
-    pub fn new(
-        transport: Arc<Transport>,
-        mut opened: Opened,
-        settings: ReplicaSettings,
-        now: Moment,
-    ) -> Core {
-        let replicas = (0..SHARD_COUNT).map(|shard| {
-            let loaded = opened.shards.remove(&shard).unwrap_or_default();
-            Replica::load(shard, settings, loaded.meta, loaded.entries.into_iter(), now)
-        });
+    pub fn new(transport: Arc<Transport>, opened: Opened, settings: ReplicaSettings, now: Moment) -> Core {
         Core {
-            replicas: replicas.collect(),
-            waiting: (0..SHARD_COUNT).map(|_| Waiting::default()).collect(),
+            replicas: load(opened.shards, settings, now),
+            waiting: no_calls(),
             recent: Recent::default(),
+            settings,
+            suspended: false,
             placement: Placement::default(),
             addresses: FxHashMap::default(),
             transport,
@@ -70,6 +67,32 @@
         }
     }
 
+    /// What is on disk is not known any more: all calls that wait are answered as unsure, and no replica says
+    /// anything until [`Core::resume`]. To the others it is as if the process had ended.
+    pub fn suspend(&mut self, now: Moment) {
+        self.suspended = true;
+        self.replicas = load(LoadedShards::new(), self.settings, now);
+        self.waiting = no_calls();
+        self.recent = Recent::default();
+    }
+
+    /// Goes on with what the disk holds, like a process that starts.
+    pub fn resume(&mut self, shards: LoadedShards, now: Moment) {
+        self.replicas = load(shards, self.settings, now);
+        self.writer.resume();
+        self.suspended = false;
+        for (shard, assignment) in (0..SHARD_COUNT).zip(std::mem::take(&mut self.placement.shards)) {
+            self.replica(shard).set_assignment(&assignment, now);
+            self.act(shard, now);
+            self.placement.shards.push(assignment);
+        }
+    }
+
+    /// Whether what is on disk is not known.
+    pub fn is_suspended(&self) -> bool {
+        self.suspended
+    }
+
     /// A shard's replica. Call [`Core::act`] after a change.
     pub fn replica(&mut self, shard: u32) -> &mut Replica {
         &mut self.replicas[shard as usize]
@@ -94,6 +117,9 @@
             placement.stores.iter().filter_map(|store| Some((store.id, store.address.parse().ok()?)));
         self.addresses = addresses.collect();
         for (shard, assignment) in (0..SHARD_COUNT).zip(&placement.shards) {
+            if self.suspended {
+                break;
+            }
             self.replica(shard).set_assignment(assignment, now);
             self.act(shard, now);
         }
@@ -103,7 +129,7 @@
     /// A message of another store's replica.
     pub fn message(&mut self, envelope: Envelope, raw: Bytes, now: Moment) {
         let shard = envelope.shard;
-        if shard >= SHARD_COUNT || (!raw.is_empty() && self.writer.is_full()) {
+        if self.suspended || shard >= SHARD_COUNT || (!raw.is_empty() && self.writer.is_full()) {
             return;
         }
         self.replica(shard).message(envelope, raw, now);
@@ -112,6 +138,9 @@
 
     /// What follows a commit.
     pub fn synced(&mut self, after: Vec<(u32, AfterSync)>, now: Moment) {
+        if self.suspended {
+            return;
+        }
         for (shard, after) in after {
             self.replica(shard).synced(after, now);
             self.act(shard, now);
@@ -120,6 +149,9 @@
 
     /// Time passes.
     pub fn tick(&mut self, now: Moment) {
+        if self.suspended {
+            return;
+        }
         for shard in 0..SHARD_COUNT {
             self.replica(shard).tick(now);
             self.act(shard, now);
@@ -258,3 +290,15 @@
         self.recent.drop_through(shard, u64::MAX);
     }
 }
+
+fn load(mut shards: LoadedShards, settings: ReplicaSettings, now: Moment) -> Vec<Replica> {
+    let replicas = (0..SHARD_COUNT).map(|shard| {
+        let loaded = shards.remove(&shard).unwrap_or_default();
+        Replica::load(shard, settings, loaded.meta, loaded.entries.into_iter(), now)
+    });
+    replicas.collect()
+}
+
+fn no_calls() -> Vec<Waiting> {
+    (0..SHARD_COUNT).map(|_| Waiting::default()).collect()
+}
--- /dev/null
+++ b/crates/mintlb-control/src/store/file.rs
@@ -0,0 +1,156 @@
+//! The lots' file: how it is made, opened and read, and what a failure says of it.
+
+use super::disk::{LoadedShard, LoadedShards};
+use mintlb_lots::entry::Entry;
+use mintlb_lots::framing;
+use mintlb_tier::placement::StoreId;
+use redb::{Database, DatabaseError, ReadableDatabase, ReadableTable, TableDefinition};
+use std::io::ErrorKind;
+use std::path::Path;
+use std::sync::Arc;
+
+/// The file in the data directory.
+pub const FILE: &str = "lots.redb";
+/// The file while it is being made.
+const UNFINISHED_FILE: &str = "lots.redb.new";
+/// A file that could not be read, kept for whoever looks into it.
+pub const UNREADABLE_FILE: &str = "lots.redb.unreadable";
+/// Bytes of the file kept in memory.
+pub const CACHE_BYTES: usize = 2 << 20;
+
+/// Entries by shard and index.
+pub(super) const ENTRIES: TableDefinition<(u32, u64), &[u8]> = TableDefinition::new("entries");
+/// Meta data by shard.
+pub(super) const SHARDS: TableDefinition<u32, &[u8]> = TableDefinition::new("shards");
+/// Bytes that only show that the disk takes some.
+pub(super) const PROBE: TableDefinition<(), &[u8]> = TableDefinition::new("probe");
+/// The store's identity, under [`IDENTITY`].
+const STORE: TableDefinition<&str, u64> = TableDefinition::new("store");
+const IDENTITY: &str = "identity";
+
+/// Opens the database at a path, or makes it there.
+pub type OpenDatabase = Arc<dyn Fn(&Path) -> Result<Database, DatabaseError> + Send + Sync>;
+
+/// Why the lots' file can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum DiskError {
+    /// What the file holds is not what was written.
+    #[error("{0}")]
+    Damaged(String),
+    /// The disk does not take or give bytes now, as it is full or broken. The file itself may be whole.
+    #[error("{0}")]
+    Refused(String),
+    /// The folder is none, or may not be used.
+    #[error("{0}")]
+    Folder(String),
+}
+
+/// A file that was opened, with what it holds.
+pub(super) struct Loaded {
+    pub database: Database,
+    pub id: StoreId,
+    pub shards: LoadedShards,
+}
+
+/// How files are opened outside tests.
+pub(super) fn usual_open() -> OpenDatabase {
+    Arc::new(|path| Database::builder().set_cache_size(CACHE_BYTES).create(path))
+}
+
+/// Whether a failure is the file's or the disk's: only a file that is damaged itself may ever be put aside.
+pub(super) fn failed(cause: impl Into<redb::Error>) -> DiskError {
+    use redb::Error;
+    let cause = cause.into();
+    let text = cause.to_string();
+    match cause {
+        Error::Corrupted(_)
+        | Error::TableDoesNotExist(_)
+        | Error::TableTypeMismatch { .. }
+        | Error::TypeDefinitionChanged { .. } => DiskError::Damaged(text),
+        Error::Io(error) if matches!(error.kind(), ErrorKind::InvalidData | ErrorKind::UnexpectedEof) => {
+            DiskError::Damaged(text)
+        }
+        _ => DiskError::Refused(text),
+    }
+}
+
+fn refused(directory: &Path, cause: std::io::Error) -> DiskError {
+    let text = format!("{}: {cause}", directory.display());
+    match cause.kind() {
+        ErrorKind::PermissionDenied | ErrorKind::NotADirectory | ErrorKind::AlreadyExists => {
+            DiskError::Folder(text)
+        }
+        _ => DiskError::Refused(text),
+    }
+}
+
+/// Makes the file under another name first, so that a file with the right name is whole.
+pub(super) fn create(open: &OpenDatabase, directory: &Path, id: StoreId) -> Result<Loaded, DiskError> {
+    let refused = |cause| refused(directory, cause);
+    std::fs::create_dir_all(directory).map_err(refused)?;
+    let unfinished = directory.join(UNFINISHED_FILE);
+    if unfinished.exists() {
+        std::fs::remove_file(&unfinished).map_err(refused)?;
+    }
+    {
+        let new = open(&unfinished).map_err(failed)?;
+        let transaction = new.begin_write().map_err(failed)?;
+        {
+            transaction.open_table(ENTRIES).map_err(failed)?;
+            transaction.open_table(SHARDS).map_err(failed)?;
+            let mut store = transaction.open_table(STORE).map_err(failed)?;
+            store.insert(IDENTITY, id).map_err(failed)?;
+        }
+        transaction.commit().map_err(failed)?;
+    }
+    let path = directory.join(FILE);
+    std::fs::rename(&unfinished, &path).map_err(refused)?;
+    std::fs::File::open(directory).and_then(|folder| folder.sync_all()).map_err(refused)?;
+    open_existing(open, &path)?.ok_or_else(|| DiskError::Refused("the new file is gone".to_string()))
+}
+
+/// Gives a damaged file another name.
+pub(super) fn put_aside(directory: &Path) -> Result<(), DiskError> {
+    std::fs::rename(directory.join(FILE), directory.join(UNREADABLE_FILE))
+        .map_err(|cause| refused(directory, cause))
+}
+
+/// Opens and reads the file, if there is one.
+pub(super) fn open_existing(open: &OpenDatabase, path: &Path) -> Result<Option<Loaded>, DiskError> {
+    match std::fs::metadata(path) {
+        Ok(meta) if meta.len() == 0 => return Err(DiskError::Damaged("it is empty".to_string())),
+        Ok(_) => (),
+        Err(error) if error.kind() == ErrorKind::NotFound => return Ok(None),
+        Err(error) => return Err(refused(path, error)),
+    }
+    let database = open(path).map_err(failed)?;
+    let transaction = database.begin_read().map_err(failed)?;
+    let store = transaction.open_table(STORE).map_err(failed)?;
+    let id = store.get(IDENTITY).map_err(failed)?.map(|id| id.value());
+    let id = id.ok_or_else(|| DiskError::Damaged("there is no identity in it".to_string()))?;
+    let shards = read_shards(&transaction)?;
+    drop((store, transaction));
+    Ok(Some(Loaded { database, id, shards }))
+}
+
+fn read_shards(transaction: &redb::ReadTransaction) -> Result<LoadedShards, DiskError> {
+    let mut shards = LoadedShards::new();
+    let metas = transaction.open_table(SHARDS).map_err(failed)?;
+    for row in metas.iter().map_err(failed)? {
+        let (shard, meta) = row.map_err(failed)?;
+        let meta = minicbor::decode(meta.value()).map_err(|error| DiskError::Damaged(error.to_string()))?;
+        shards.entry(shard.value()).or_default().meta = meta;
+    }
+    let entries = transaction.open_table(ENTRIES).map_err(failed)?;
+    for row in entries.iter().map_err(failed)? {
+        let (key, bytes) = row.map_err(failed)?;
+        let (shard, index) = key.value();
+        let loaded: &mut LoadedShard = shards.entry(shard).or_default();
+        let bytes = bytes.value();
+        let Some((entry, end)) = framing::decode_head::<Entry>(bytes) else {
+            return Err(DiskError::Damaged(format!("entry {index} of shard {shard} can't be read")));
+        };
+        loaded.entries.push((index, entry, bytes.len() as u64, (bytes.len() - end) as u64));
+    }
+    Ok(shards)
+}
--- a/crates/mintlb-control/src/store/heartbeats.rs
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -25,6 +25,11 @@
 ) {
     let address = settings.internal_address(InternalPort::Store).to_string();
     loop {
+        if store.is_suspended() {
+            // Without its disk it is no better than a store that is down, and counts as one.
+            store.report_changed().notified().await;
+            continue;
+        }
         let (shards, placement) = store.report();
         let heartbeat = StoreHeartbeat {
             id: store.id(),
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -1,7 +1,8 @@
 //! The store: keeps replicas of the lots' shards on its disk and answers dispatchers for those it is the
 //! primary of.
 //!
-//! - [`disk`]: the file, and the thread that commits.
+//! - [`file`]: how the file is made and opened; [`disk`]: its tables; [`writer`]: the thread that commits.
+//! - [`driver`]: time, commits, and opening the file again after one has failed.
 //! - [`core`]: the replicas, their effects carried out.
 //! - [`calls`]: dispatchers' calls.
 //! - [`recent`]: entries that are still on their way to other replicas.
@@ -10,12 +11,16 @@
 pub mod calls;
 pub mod core;
 pub mod disk;
+pub mod driver;
+pub mod file;
 pub mod heartbeats;
 pub mod recent;
+pub mod writer;
 
 use calls::{Store, StoreService};
-use disk::{LotDisk, Opened};
-use mintlb_lots::replica::{ReplicaSettings, TICK};
+use driver::Driver;
+use file::DiskError;
+use mintlb_lots::replica::ReplicaSettings;
 use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
 use mintlb_tier::placement::Placement;
 use mintlb_tier::record::PLACEMENT;
@@ -24,10 +29,10 @@
 use mintlb_tier::transport::{Channel, Transport};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
-use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, sleep};
+use writer::{Opened, Writer};
 
 /// How long an address that is still taken is tried again.
 const BIND_WITHIN: Duration = Duration::from_secs(5);
@@ -42,17 +47,12 @@
     /// There is no disk.
     #[error("M601 data_directory: is missing")]
     NoDisk,
-    /// The file or its folder can't be used.
-    #[error("M602 {path}: {cause}")]
-    Disk {
-        /// The file or folder.
-        path: PathBuf,
-        /// What the system said.
-        cause: std::io::Error,
-    },
-    /// The database can't be used.
+    /// The folder can't be used.
+    #[error("M602 {0}")]
+    Folder(String),
+    /// The file was damaged or exchanged while it was in use: as another store it begins anew.
     #[error("M603 the lots' file: {0}")]
-    Database(String),
+    File(DiskError),
     /// The internal address can't be listened on.
     #[error("M604 {address}: {cause}")]
     Listen {
@@ -64,16 +64,25 @@
     /// The runtime or a signal can't be set up.
     #[error("M605 {0}")]
     System(std::io::Error),
-    /// A commit failed: what is on disk is not known any more.
-    #[error("M606 the disk failed")]
-    CommitFailed,
+}
+
+impl From<DiskError> for StoreError {
+    fn from(error: DiskError) -> StoreError {
+        match error {
+            DiskError::Folder(cause) => StoreError::Folder(cause),
+            other => StoreError::File(other),
+        }
+    }
 }
 
 /// Runs the store until it is told to stop.
 pub fn run(settings: NodeSettings) -> Result<(), StoreError> {
     let runtime =
         tokio::runtime::Builder::new_current_thread().enable_all().build().map_err(StoreError::System)?;
-    runtime.block_on(serve(settings))
+    let outcome = runtime.block_on(serve(settings));
+    // A disk that answers nothing keeps the process no longer.
+    runtime.shutdown_background();
+    outcome
 }
 
 async fn serve(settings: NodeSettings) -> Result<(), StoreError> {
@@ -81,7 +90,11 @@
     let directory = settings.data_directory.clone().ok_or(StoreError::NoDisk)?;
     let own = settings.internal_address(InternalPort::Store);
     let draw = RandomState::new().hash_one((own, &settings.node_name, std::time::SystemTime::now()));
-    let (disk, shards) = LotDisk::open(&directory, draw.max(1))?;
+    let opening = driver::open_when_possible(directory, draw.max(1));
+    let (disk, shards) = tokio::select! {
+        opened = opening => opened?,
+        () = signals.stop() => return Ok(()),
+    };
     let transport = bound(own).await?;
     log::info!("store: {:x} at {own}, {} MB of lots", disk.id(), disk.file_bytes() >> 20);
     let replica_settings = ReplicaSettings {
@@ -89,9 +102,9 @@
         tolerance: settings.fault_tolerance.machines,
         status: Duration::from_secs_f64(settings.bounds.status_s.clamp(0.0, 1e9)),
     };
-    let (committed, mut commits) = tokio::sync::mpsc::unbounded_channel();
-    let writer = disk::Writer::start(disk.clone(), committed)?;
-    let opened = Opened { disk, writer: writer.clone(), shards };
+    let (committed, commits) = tokio::sync::mpsc::unbounded_channel();
+    let writer = Writer::start(disk.clone(), committed)?;
+    let opened = Opened { disk: disk.clone(), writer: writer.clone(), shards };
     let disk_bytes = settings.limits.disk_mb.unwrap_or(u64::MAX >> 20) << 20;
     let store = Store::new(transport.clone(), opened, replica_settings, disk_bytes, draw);
     let hand_over =
@@ -100,15 +113,10 @@
     transport.serve(Channel::Lots, Arc::new(StoreService(store.clone())));
     tokio::spawn(heartbeats::run(settings, store.clone(), transport, overlay));
 
-    let mut ticks = interval(TICK);
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut driver = Driver::new(store.clone(), disk, commits);
     loop {
         tokio::select! {
-            batch = commits.recv() => match batch {
-                Some(Ok(after)) => store.synced(after),
-                Some(Err(_)) | None => return Err(StoreError::CommitFailed),
-            },
-            _ = ticks.tick() => store.tick(),
+            step = driver.step() => step?,
             () = signals.stop() => break,
         }
     }
@@ -116,13 +124,7 @@
     store.leave();
     let until = Instant::now() + hand_over;
     while Instant::now() < until && (store.is_primary() || !writer.is_idle()) {
-        tokio::select! {
-            batch = commits.recv() => match batch {
-                Some(Ok(after)) => store.synced(after),
-                Some(Err(_)) | None => return Err(StoreError::CommitFailed),
-            },
-            _ = ticks.tick() => store.tick(),
-        }
+        driver.step().await?;
     }
     // What is on its way to others gets there.
     sleep(BIND_PAUSE).await;
--- /dev/null
+++ b/crates/mintlb-control/tests/faulty_file/mod.rs
@@ -0,0 +1,145 @@
+//! Files of a disk that may be full, and that may lose power: what was not synced is then kept, lost or torn.
+#![allow(dead_code)]
+
+use mintlb_control::store::file::{CACHE_BYTES, OpenDatabase};
+use parking_lot::Mutex;
+use redb::backends::FileBackend;
+use redb::{Database, StorageBackend};
+use std::io::{Error, ErrorKind};
+use std::path::Path;
+use std::sync::Arc;
+
+/// What a disk is asked to keep.
+#[derive(Clone, Debug)]
+enum Change {
+    Write(u64, Vec<u8>),
+    Length(u64),
+}
+
+#[derive(Debug, Default)]
+struct State {
+    /// It takes no more bytes.
+    full: bool,
+    /// It takes so many more writes and syncs, and then the power fails.
+    left: Option<u64>,
+    /// The file was opened before.
+    known: bool,
+    /// What the last sync covered.
+    durable: Vec<u8>,
+    /// What came after it.
+    unsynced: Vec<Change>,
+}
+
+/// A disk with one file that counts. Cheap to clone.
+#[derive(Clone, Debug, Default)]
+pub struct Disk(Arc<Mutex<State>>);
+
+impl Disk {
+    /// How a store opens its file on this disk.
+    pub fn opener(&self) -> OpenDatabase {
+        let disk = self.clone();
+        Arc::new(move |path| {
+            let mut options = std::fs::OpenOptions::new();
+            let file = options.read(true).write(true).create(true).truncate(false).open(path)?;
+            {
+                let mut state = disk.0.lock();
+                if !std::mem::replace(&mut state.known, true) {
+                    state.durable = std::fs::read(path)?;
+                }
+            }
+            let backend = FaultyFile { file: FileBackend::new(file)?, disk: disk.clone() };
+            Database::builder().set_cache_size(CACHE_BYTES).create_with_backend(backend)
+        })
+    }
+
+    pub fn set_full(&self, full: bool) {
+        self.0.lock().full = full;
+    }
+
+    /// The power fails after so many more writes and syncs; `None`: it does not.
+    pub fn fail_after(&self, left: Option<u64>) {
+        self.0.lock().left = left;
+    }
+
+    /// What the file is after the loss of power. `choose` says how many bytes of a write are kept, of so many.
+    pub fn lose_power(&self, path: &Path, mut choose: impl FnMut(usize) -> usize) {
+        let mut state = self.0.lock();
+        let mut image = state.durable.clone();
+        for change in std::mem::take(&mut state.unsynced) {
+            match change {
+                Change::Length(length) => {
+                    if choose(1) == 1 {
+                        image.resize(length as usize, 0);
+                    }
+                }
+                Change::Write(offset, bytes) => {
+                    let kept = choose(bytes.len());
+                    let end = offset as usize + kept;
+                    if kept > 0 {
+                        image.resize(image.len().max(end), 0);
+                        image[offset as usize..end].copy_from_slice(&bytes[..kept]);
+                    }
+                }
+            }
+        }
+        std::fs::write(path, &image).unwrap();
+        (state.durable, state.left) = (image, None);
+    }
+
+    fn take(&self, change: Option<Change>) -> Result<(), Error> {
+        let mut state = self.0.lock();
+        if state.full {
+            return Err(ErrorKind::StorageFull.into());
+        }
+        match &mut state.left {
+            Some(0) => return Err(Error::other("no power")),
+            Some(left) => *left -= 1,
+            None => (),
+        }
+        state.unsynced.extend(change);
+        Ok(())
+    }
+}
+
+#[derive(Debug)]
+struct FaultyFile {
+    file: FileBackend,
+    disk: Disk,
+}
+
+impl StorageBackend for FaultyFile {
+    fn len(&self) -> Result<u64, Error> {
+        self.file.len()
+    }
+
+    fn read(&self, offset: u64, out: &mut [u8]) -> Result<(), Error> {
+        self.file.read(offset, out)
+    }
+
+    fn set_len(&self, length: u64) -> Result<(), Error> {
+        self.disk.take(Some(Change::Length(length)))?;
+        self.file.set_len(length)
+    }
+
+    fn sync_data(&self) -> Result<(), Error> {
+        self.disk.take(None)?;
+        let mut state = self.disk.0.lock();
+        for change in std::mem::take(&mut state.unsynced) {
+            match change {
+                Change::Length(length) => state.durable.resize(length as usize, 0),
+                Change::Write(offset, bytes) => {
+                    let end = offset as usize + bytes.len();
+                    let length = state.durable.len().max(end);
+                    state.durable.resize(length, 0);
+                    state.durable[offset as usize..end].copy_from_slice(&bytes);
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn write(&self, offset: u64, bytes: &[u8]) -> Result<(), Error> {
+        self.disk.take(Some(Change::Write(offset, bytes.to_vec())))?;
+        self.file.write(offset, bytes)
+    }
+}
--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -2,7 +2,9 @@
 
 use bytes::Bytes;
 use mintlb_control::store::calls::longest_file;
-use mintlb_control::store::disk::{FILE, LotDisk, Writer};
+use mintlb_control::store::disk::LotDisk;
+use mintlb_control::store::file::FILE;
+use mintlb_control::store::writer::Writer;
 use mintlb_lots::entry::{Entry, ItemHead, LotHead, LotTerms};
 use mintlb_lots::framing;
 use mintlb_lots::log_index::LogIndex;
