A lot that was dropped does not come back from a replica that was away

Cause: each replica drops lots by itself, and what is dropped is left out of what it sends. A replica that had missed the results or the end of such a lot had them left out and kept the lot as one that waits: as primary it counted its tokens and gave its items out again, also after the lot's end. Entries of no lot (beginnings of epochs, ends of lots that are gone) were never removed. Change: a part of a log in which entries are left out names the lots that the sender still has; the receiver drops the others.

--- a/crates/mintlb-lots/src/lots.rs
+++ b/crates/mintlb-lots/src/lots.rs
@@ -29,6 +29,8 @@
     open: BTreeSet<(u64, u64)>,
     /// Lots that got finished or ended since the last sweep, whose payloads are still there.
     to_strip: BTreeSet<u64>,
+    /// Entries of no lot that is there: they are not needed once they are committed.
+    of_no_lot: BTreeSet<u64>,
     bytes: u64,
 }
 
@@ -200,6 +202,9 @@
             Entry::Result { lot, item, state } => self.apply_result(index, *lot, *item, *state, length),
             Entry::Ended { lot } => self.apply_ended(index, *lot),
         };
+        if matches!(kind, Kind::Other) {
+            self.of_no_lot.insert(index);
+        }
         self.bytes += length;
         self.entries.insert(index, Kept { length, kind });
     }
@@ -281,7 +286,7 @@
             let (index, kept) = entry.remove_entry();
             self.bytes -= kept.length;
             match kept.kind {
-                Kind::Other => (),
+                Kind::Other => _ = self.of_no_lot.remove(&index),
                 Kind::Accepted => self.forget(index),
                 Kind::Result { lot } => self.undo_result(lot),
                 Kind::Ended { lot } => self.undo_ended(lot),
@@ -340,18 +345,42 @@
             })
             .map(|(index, _)| *index)
             .collect();
-        for number in expired {
-            let Some(lot) = self.lots.get(&number) else { continue };
-            let indexes = lot.listed.iter().map(|listed| listed.index).chain(lot.ended).chain([number]);
-            sweep.remove.extend(indexes);
-            self.forget(number);
-        }
-        for index in &sweep.remove {
+        expired.into_iter().for_each(|number| self.drop_lot(number, &mut sweep.remove));
+        let behind = self.of_no_lot.split_off(&(committed + 1));
+        sweep.remove.extend(std::mem::replace(&mut self.of_no_lot, behind));
+        self.remove_entries(&mut sweep.remove);
+        sweep
+    }
+
+    /// Drops the lots up to an index that are not among these; returns the entries to be removed.
+    pub fn drop_all_but(&mut self, numbers: &[u64], through: u64) -> Vec<u64> {
+        let kept: BTreeSet<u64> = numbers.iter().copied().collect();
+        let gone: Vec<u64> =
+            self.lots.range(..=through).map(|(number, _)| *number).filter(|n| !kept.contains(n)).collect();
+        let mut remove = Vec::new();
+        gone.into_iter().for_each(|number| self.drop_lot(number, &mut remove));
+        self.remove_entries(&mut remove);
+        remove
+    }
+
+    /// All lots up to an index, by the index of their entries.
+    pub fn numbers_through(&self, through: u64) -> Vec<u64> {
+        self.lots.range(..=through).map(|(number, _)| *number).collect()
+    }
+
+    /// Drops a lot; adds its entries to `remove`.
+    fn drop_lot(&mut self, number: u64, remove: &mut Vec<u64>) {
+        let Some(lot) = self.lots.get(&number) else { return };
+        remove.extend(lot.listed.iter().map(|listed| listed.index).chain(lot.ended).chain([number]));
+        self.forget(number);
+    }
+
+    fn remove_entries(&mut self, indexes: &mut [u64]) {
+        for index in indexes.iter() {
             let kept = self.entries.remove(index);
             self.bytes -= kept.map_or(0, |kept| kept.length);
         }
-        sweep.remove.sort_unstable();
-        sweep
+        indexes.sort_unstable();
     }
 
     fn strip_done(&mut self, committed: u64, sweep: &mut Sweep) {
--- a/crates/mintlb-lots/src/peer.rs
+++ b/crates/mintlb-lots/src/peer.rs
@@ -97,6 +97,11 @@
     /// The primary's clock, given back by the answer.
     #[n(5)]
     pub sent_at: u64,
+    /// Where entries of the part are no longer needed and left out: all lots up to its end that the sender has,
+    /// by the index of their entries. Any others are dropped by the receiver, as the results or the end of such
+    /// a lot may be what is left out, and without them it would seem to wait.
+    #[n(6)]
+    pub lots: Option<Vec<u64>>,
 }
 
 /// An entry's index and the bytes it takes.
--- a/crates/mintlb-lots/src/replica.rs
+++ b/crates/mintlb-lots/src/replica.rs
@@ -354,7 +354,9 @@
         let previous =
             crate::log_index::Place { epoch: self.meta.log.epoch_at(after).unwrap_or(0), index: after };
         let runs = self.meta.log.runs(after + 1, end);
-        let append = Append { previous, through: end, runs, ..Append::default() };
+        let left_out = (indexes.len() as u64) < end - after;
+        let lots = left_out.then(|| self.lots.numbers_through(end));
+        let append = Append { previous, through: end, runs, lots, ..Append::default() };
         (append, indexes)
     }
 }
--- a/crates/mintlb-lots/src/replica/follower.rs
+++ b/crates/mintlb-lots/src/replica/follower.rs
@@ -67,9 +67,19 @@
             }
         }
         self.extend_by(part);
+        self.drop_lots_that_are_gone(part);
         Ok(())
     }
 
+    /// Lots that the sender of a part has dropped, of which this replica may not have all entries.
+    fn drop_lots_that_are_gone(&mut self, part: &Append) {
+        let Some(lots) = &part.lots else { return };
+        let removed = self.lots.drop_all_but(lots, part.through);
+        if !removed.is_empty() {
+            self.effects.push(Effect::Write(DiskWrite::Remove(removed)));
+        }
+    }
+
     /// The first index of a part at which the own log has another epoch or nothing.
     fn first_difference(&self, part: &Append) -> Result<Option<u64>, NotTaken> {
         // Epochs of both change at run starts only; the own log's end is a change as well.
