--- a/crates/mintlb-control/src/controller/retirement.rs
+++ b/crates/mintlb-control/src/controller/retirement.rs
@@ -36,7 +36,7 @@
         let view = controller.duties.store_view(placement);
         let has_listened = controller.in_contact_for() >= LISTENS_FIRST;
         if !call.begin {
-            return progress(placement, &view, &call.node_name, has_listened);
+            return progress(placement, &view, &call.node_name, tolerance, has_listened);
         }
         let next = match order_retirement(placement, &view, &call.node_name, tolerance) {
             RetirementOrder::Begun => return RetireAnswer::Ordered,
@@ -61,9 +61,10 @@
     placement: &Placement,
     view: &StoreView,
     node_name: &str,
+    tolerance: usize,
     has_listened: bool,
 ) -> RetireAnswer {
-    match retirement(placement, view, node_name) {
+    match retirement(placement, view, node_name, tolerance) {
         Some(Retirement::Completed) if has_listened && hears_primaries(placement, view) => {
             RetireAnswer::Completed
         }
--- a/crates/mintlb-control/tests/controller_retirement.rs
+++ b/crates/mintlb-control/tests/controller_retirement.rs
@@ -14,7 +14,7 @@
 
 /// One shard on the stores 2 and 3; store 1 is emptied.
 fn placement() -> Placement {
-    let shard = ShardAssignment { epoch: 4, replicas: vec![2, 3], previous: Vec::new() };
+    let shard = ShardAssignment { epoch: 4, replicas: vec![2, 3], previous: Vec::new(), settled: None };
     let stores = vec![entry(1, true), entry(2, false), entry(3, false)];
     Placement { epoch: 9, stores, shards: vec![shard] }
 }
@@ -30,15 +30,15 @@
 #[test]
 fn it_is_completed_by_what_primaries_said_lately() {
     let fresh = view(LIVE - Duration::from_millis(1));
-    assert_eq!(progress(&placement(), &fresh, "storage-1", true), RetireAnswer::Completed);
+    assert_eq!(progress(&placement(), &fresh, "storage-1", 1, true), RetireAnswer::Completed);
     let stale = view(LIVE);
-    assert_eq!(progress(&placement(), &stale, "storage-1", true), RetireAnswer::Unavailable);
+    assert_eq!(progress(&placement(), &stale, "storage-1", 1, true), RetireAnswer::Unavailable);
 }
 
 #[test]
 fn it_is_not_completed_to_a_controller_that_has_only_just_come_back() {
     let fresh = view(Duration::ZERO);
-    assert_eq!(progress(&placement(), &fresh, "storage-1", false), RetireAnswer::Unavailable);
-    assert_eq!(progress(&placement(), &fresh, "storage-7", false), RetireAnswer::Unknown);
-    assert_eq!(progress(&placement(), &StoreView::default(), "storage-1", false), RetireAnswer::Running);
+    assert_eq!(progress(&placement(), &fresh, "storage-1", 1, false), RetireAnswer::Unavailable);
+    assert_eq!(progress(&placement(), &fresh, "storage-7", 1, false), RetireAnswer::Unknown);
+    assert_eq!(progress(&placement(), &StoreView::default(), "storage-1", 1, false), RetireAnswer::Running);
 }
