--- a/crates/mintlb-control/src/controller/instance_api.rs
+++ b/crates/mintlb-control/src/controller/instance_api.rs
@@ -22,8 +22,9 @@
 const MOST_BYTES: usize = 64 << 10;
 /// How long its bytes may take to come.
 const BODY_WITHIN: Duration = Duration::from_secs(1);
-/// How long the acknowledgement of a drain or an end may wait for a neighbour that confirms the record.
-const CONFIRMED_WITHIN: Duration = Duration::from_millis(250);
+/// How long the acknowledgement of a drain or an end may wait for a neighbour that confirms the record: while a process
+/// finds its first neighbours, the record is offered to them two or three times. A worker waits for a second.
+const CONFIRMED_WITHIN: Duration = Duration::from_millis(600);
 /// The longest instance id.
 const MOST_ID_BYTES: usize = 128;
 
