--- a/crates/mintlb-control/src/controller/configuration_api.rs
+++ b/crates/mintlb-control/src/controller/configuration_api.rs
@@ -110,9 +110,13 @@
             refuse(StatusCode::PRECONDITION_FAILED, &text)
         }
         Answer::VersionNotAbove => {
-            let text = format!("M404 config_version: is not above the current version {current}");
+            let text =
+                format!("M404 config_version: is not above the version it builds on; current is {current}");
             refuse(StatusCode::BAD_REQUEST, &text)
         }
+        Answer::Forgotten => unavailable(&format!(
+            "M406 config_version: is so old that it can't be told whether it was taken; current is {current}"
+        )),
         Answer::TooFewReplicas | Answer::SetFull => retry(RETRY_SOON, "M405 there are too few replicas yet"),
     }
 }
--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -190,3 +190,52 @@
     assert_eq!(put.0, StatusCode::SERVICE_UNAVAILABLE);
     assert_eq!(fleet.call(1, Method::GET, "/v1/configuration", None, "").0, StatusCode::SERVICE_UNAVAILABLE);
 }
+
+#[test]
+fn of_two_orders_at_once_under_one_number_one_is_confirmed_unless_they_are_the_same() {
+    let fleet = Fleet::assembled(3);
+    let other = |version| configuration(version).replace("/a/", "/b/");
+    for round in 0..8 {
+        let (base, version) = (round * 3, round * 3 + 3);
+        let texts = match round % 2 {
+            0 => [configuration(version), other(version)],
+            _ => [configuration(version), configuration(version)],
+        };
+        let statuses = std::thread::scope(|scope| {
+            let orders = texts.each_ref().map(|text| {
+                let place = if *text == texts[0] { 0 } else { 1 };
+                let fleet = &fleet;
+                scope.spawn(move || fleet.configure(place + (round as usize % 2), base, text))
+            });
+            orders.map(|order| order.join().unwrap())
+        });
+        let confirmed: Vec<&String> = statuses
+            .iter()
+            .zip(&texts)
+            .filter(|(status, _)| **status == StatusCode::OK)
+            .map(|of| of.1)
+            .collect();
+        assert!(statuses.iter().all(|status| matches!(status.as_u16(), 200 | 412)), "{statuses:?}");
+        let expected = if texts[0] == texts[1] { 2 } else { 1 };
+        assert_eq!(confirmed.len(), expected, "round {round}: {statuses:?}");
+        (0..3).for_each(|place| assert_eq!(read(&fleet, place), (StatusCode::OK, confirmed[0].clone())));
+        // Sent again, each gets the answer that it had.
+        let again = texts.each_ref().map(|text| fleet.configure(2, base, text));
+        assert_eq!(again, statuses);
+    }
+}
+
+#[test]
+fn an_old_configuration_on_the_newest_version_is_invalid() {
+    let fleet = Fleet::assembled(3);
+    assert_eq!(fleet.configure(0, 0, &configuration(4)), StatusCode::OK);
+    assert_eq!(fleet.configure(1, 4, &configuration(7)), StatusCode::OK);
+    assert_eq!(fleet.configure(2, 7, &configuration(4)), StatusCode::BAD_REQUEST, "back to an old one");
+    assert_eq!(fleet.configure(2, 7, &configuration(7)), StatusCode::BAD_REQUEST, "the same number again");
+    assert_eq!(
+        fleet.configure(2, 0, &configuration(4)),
+        StatusCode::OK,
+        "the order that was taken, as it was"
+    );
+    assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(7)));
+}
--- a/crates/mintlb-register/src/change.rs
+++ b/crates/mintlb-register/src/change.rs
@@ -1,6 +1,7 @@
 //! The changes of the register's value, each with the condition under which it applies.
 
 use crate::state::{ControlState, Replica, ReplicaId};
+use crate::taken::Remembered;
 use mintlb_tier::placement::Placement;
 
 /// What is to be done to the value.
@@ -52,8 +53,10 @@
     AlreadyDone,
     /// It builds on another version than the current one.
     StaleBase,
-    /// Its version is not above the current one.
+    /// Its version is not above the one it builds on.
     VersionNotAbove,
+    /// It may have been part of the value long ago; that can't be told any more.
+    Forgotten,
     /// There are too few replicas for it.
     TooFewReplicas,
     /// The set is as large as it may become, and none is silent.
@@ -100,15 +103,18 @@
     body: &[u8],
     enough_replicas: bool,
 ) -> Result<ControlState, Answer> {
-    if state.has_taken(version, body) {
-        return Err(Answer::AlreadyDone);
+    // Such an order was never taken, also if its text was, by an order that built on a lower version.
+    if version <= base {
+        return Err(Answer::VersionNotAbove);
+    }
+    match state.remembers(version, body) {
+        Remembered::Taken => return Err(Answer::AlreadyDone),
+        Remembered::Forgotten => return Err(Answer::Forgotten),
+        Remembered::NotTaken => (),
     }
     if base != state.configuration_version {
         return Err(Answer::StaleBase);
     }
-    if version <= state.configuration_version {
-        return Err(Answer::VersionNotAbove);
-    }
     if !enough_replicas {
         return Err(Answer::TooFewReplicas);
     }
--- a/crates/mintlb-register/src/lib.rs
+++ b/crates/mintlb-register/src/lib.rs
@@ -6,6 +6,7 @@
 //!
 //! - [`ballot`]: the order of attempts.
 //! - [`state`]: the value, the set of replicas, quorums.
+//! - [`taken`]: which configurations were taken before the current one.
 //! - [`change`]: the changes of the value, each with the condition under which it applies.
 //! - [`message`]: what proposers and acceptors say to each other.
 //! - [`acceptor`]: one replica's vote.
@@ -28,3 +29,4 @@
 pub mod proposal;
 pub mod reading;
 pub mod state;
+pub mod taken;
--- a/crates/mintlb-register/src/state.rs
+++ b/crates/mintlb-register/src/state.rs
@@ -1,14 +1,13 @@
 //! The value of the register: the set of replicas, the operator's configuration, the placement.
 
+use crate::taken::{Remembered, TakenHistory};
 use minicbor::{Decode, Encode};
 use mintlb_tier::placement::Placement;
+use std::cmp::Ordering;
 
 /// Identifies a replica with its disk: an emptied disk is another replica.
 pub type ReplicaId = u64;
 
-/// Changes of the configuration that are remembered, so that a repeated call can be answered.
-pub const TAKEN_KEPT: usize = 16;
-
 /// A controller that holds a copy of the register.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct Replica {
@@ -100,17 +99,6 @@
     2 * side.iter().filter(|replica| has(replica.id)).count() > side.len()
 }
 
-/// A configuration that was taken, as it is remembered after others have followed it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Encode, Decode)]
-pub struct TakenConfiguration {
-    /// Its `config_version`.
-    #[n(0)]
-    pub version: u64,
-    /// Digest of its bytes.
-    #[n(1)]
-    pub digest: u64,
-}
-
 /// The value of the register.
 #[derive(Clone, Debug, Default, PartialEq, Encode, Decode)]
 pub struct ControlState {
@@ -129,37 +117,49 @@
     /// Which stores hold which shard.
     #[n(4)]
     pub placement: Placement,
-    /// The latest configurations taken, the current one last.
-    #[n(5)]
-    pub taken: Vec<TakenConfiguration>,
+    /// The configurations that were taken before the current one. A value without it was written by a program that kept
+    /// fewer of them, with a weaker digest (field 5).
+    #[n(6)]
+    pub superseded: Option<TakenHistory>,
 }
 
 impl ControlState {
     /// The value with which a register begins.
     pub fn founded_by(replica: Replica) -> ControlState {
-        ControlState { revision: 1, replicas: ReplicaSet::founded_by(replica), ..ControlState::default() }
+        let superseded = Some(TakenHistory::default());
+        ControlState {
+            revision: 1,
+            replicas: ReplicaSet::founded_by(replica),
+            superseded,
+            ..ControlState::default()
+        }
     }
 
     /// Whether this very configuration is in force or was before.
-    pub fn has_taken(&self, version: u64, body: &[u8]) -> bool {
-        self.taken.contains(&TakenConfiguration { version, digest: digest(body) })
+    pub fn remembers(&self, version: u64, text: &[u8]) -> Remembered {
+        match version.cmp(&self.configuration_version) {
+            Ordering::Greater => Remembered::NotTaken,
+            Ordering::Equal if text == self.configuration => Remembered::Taken,
+            Ordering::Equal => Remembered::NotTaken,
+            Ordering::Less => {
+                self.superseded.as_ref().map_or(Remembered::Forgotten, |taken| taken.look_up(version, text))
+            }
+        }
     }
 
     /// The value with another configuration.
-    pub(crate) fn with_configuration(&self, version: u64, body: &[u8]) -> ControlState {
+    pub(crate) fn with_configuration(&self, version: u64, text: &[u8]) -> ControlState {
+        let mut superseded = self
+            .superseded
+            .clone()
+            .unwrap_or_else(|| TakenHistory::beginning_after(self.configuration_version.saturating_sub(1)));
+        if self.configuration_version > 0 {
+            superseded.push(self.configuration_version, &self.configuration);
+        }
         let mut next = self.clone();
         next.configuration_version = version;
-        next.configuration = body.to_vec();
-        next.taken.push(TakenConfiguration { version, digest: digest(body) });
-        let surplus = next.taken.len().saturating_sub(TAKEN_KEPT);
-        next.taken.drain(..surplus);
+        next.configuration = text.to_vec();
+        next.superseded = Some(superseded);
         next
     }
 }
-
-/// FNV-1a: tells apart two configurations of one version.
-fn digest(bytes: &[u8]) -> u64 {
-    bytes
-        .iter()
-        .fold(0xcbf2_9ce4_8422_2325, |hash, byte| (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3))
-}
--- a/crates/mintlb-register/tests/change.rs
+++ b/crates/mintlb-register/tests/change.rs
@@ -1,85 +1,17 @@
 //! One proposal before replicas that answer at once: each kind of change and its answers.
 
+mod replicas;
+
 use mintlb_register::acceptor::{Acceptor, Sync, Vote};
 use mintlb_register::ballot::Ballot;
 use mintlb_register::change::{Answer, Change};
 use mintlb_register::message::{Accepted, Reply};
-use mintlb_register::proposal::{Effects, Input, Outcome, Proposal};
 use mintlb_register::reading::{Progress, Reading};
-use mintlb_register::state::{ControlState, Replica, ReplicaSet};
+use mintlb_register::state::Replica;
 use mintlb_tier::placement::Placement;
+use replicas::{Replicas, configuration, replica};
 use std::sync::Arc;
 
-struct Replicas {
-    acceptors: Vec<Acceptor>,
-    silent: Vec<u64>,
-    proposer: u64,
-}
-
-fn replica(id: u64) -> Replica {
-    let address = format!("10.0.0.{id}:7661");
-    Replica { id, address, node_name: format!("edge-{id}"), zone: format!("z{id}") }
-}
-
-impl Replicas {
-    /// Replicas 1 to `size` of a settled set.
-    fn settled(size: u64) -> Replicas {
-        let set = ReplicaSet { epoch: 1, previous: Vec::new(), current: (1..=size).map(replica).collect() };
-        let state = ControlState { revision: 1, replicas: set, ..ControlState::default() };
-        let ballot = Ballot { counter: 1, proposer: 1 };
-        let accepted = Some(Accepted { ballot, state: Arc::new(state) });
-        let vote = |id| match id <= size {
-            true => Vote { promised: ballot, accepted: accepted.clone() },
-            false => Vote::default(),
-        };
-        let acceptors = (1..=9).map(|id| Acceptor::new(id, vote(id))).collect();
-        Replicas { acceptors, silent: Vec::new(), proposer: 100 }
-    }
-
-    fn rule(&self) -> ReplicaSet {
-        let votes = self.acceptors.iter().filter_map(|acceptor| acceptor.vote().accepted.as_ref());
-        votes.max_by_key(|accepted| accepted.ballot).unwrap().state.replicas.clone()
-    }
-
-    /// The outcome of a change, or `None` if it has none after many attempts.
-    fn change(&mut self, change: Change) -> Option<Outcome> {
-        self.proposer += 1;
-        let (mut proposal, mut effects) =
-            Proposal::start(self.proposer, Ballot::default(), self.rule(), None, change);
-        for _ in 0..20 {
-            let mut replies = Vec::new();
-            for (to, request) in std::mem::take(&mut effects).send {
-                if !self.silent.contains(&to.id) {
-                    let at = self.acceptors.iter_mut().find(|acceptor| acceptor.id() == to.id).unwrap();
-                    replies.push(Input::Reply(to.id, at.handle(request).reply));
-                }
-            }
-            if replies.is_empty() {
-                replies.push(Input::Timer);
-            }
-            let mut next = Effects::default();
-            for reply in replies {
-                let more = proposal.handle(reply);
-                next.send.extend(more.send);
-                next.outcome = next.outcome.or(more.outcome);
-            }
-            effects = next;
-            if effects.outcome.is_some() {
-                return effects.outcome;
-            }
-        }
-        None
-    }
-
-    fn answer(&mut self, change: Change) -> Option<Answer> {
-        self.change(change).map(|outcome| outcome.answer)
-    }
-}
-
-fn configuration(base: u64, version: u64, text: &str) -> Change {
-    Change::Configuration { base, version, body: text.into(), tolerance: 1, at_least_kept: false }
-}
-
 #[test]
 fn a_configuration_is_taken_on_the_current_version_alone() {
     let mut replicas = Replicas::settled(3);
@@ -102,16 +34,6 @@
     assert_eq!(replicas.answer(configuration(0, 4, "another")), Some(Answer::StaleBase));
 }
 
-#[test]
-fn the_memory_of_taken_configurations_is_bounded() {
-    let mut replicas = Replicas::settled(3);
-    for version in 1..=40 {
-        assert_eq!(replicas.answer(configuration(version - 1, version, "a")), Some(Answer::Done));
-    }
-    assert_eq!(replicas.change(Change::Confirm).unwrap().chosen.state.taken.len(), 16);
-    assert_eq!(replicas.answer(configuration(0, 1, "a")), Some(Answer::StaleBase));
-}
-
 #[test]
 fn a_configuration_waits_for_enough_replicas() {
     for (size, answer) in [(1, Answer::TooFewReplicas), (2, Answer::TooFewReplicas), (3, Answer::Done)] {
