--- a/crates/mintlb-control/src/controller/duties.rs
+++ b/crates/mintlb-control/src/controller/duties.rs
@@ -6,10 +6,8 @@
 use super::duty_messages::{DutyAnswer, DutyCall, encoded};
 use super::membership;
 use super::orphans::{Orphans, id_hash};
-use super::peers::Peers;
-use super::pings::STEP;
+use super::ping_state::{PingState, STEP};
 use super::register::is_done;
-use super::stamps::Stamps;
 use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_lots::placement_planner::{StoreTable, StoreView, plan};
 use mintlb_register::change::{Answer as ChangeAnswer, Change};
@@ -17,8 +15,8 @@
 use mintlb_tier::placement::Placement;
 use mintlb_tier::record::PLACEMENT;
 use mintlb_tier::transport::Channel;
-use parking_lot::Mutex;
-use rustc_hash::{FxHashMap, FxHashSet};
+use parking_lot::{Mutex, MutexGuard};
+use rustc_hash::FxHashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -36,16 +34,9 @@
 const WORKERS_WITHIN: Duration = Duration::from_millis(600);
 /// How often workers without a controller are looked for.
 const ORPHANS_EVERY: Duration = Duration::from_secs(5);
-/// Controllers of which the newest stamp is kept.
-const MOST_STAMPS: usize = 64;
-
 /// The state behind the duties.
 pub struct Duties {
-    /// Stamps of answers to pings.
-    pub stamps: Stamps,
-    peers: Mutex<Peers>,
-    /// The newest stamp of each controller that was pinged.
-    echoes: Mutex<FxHashMap<SocketAddr, u64>>,
+    pings: Mutex<PingState>,
     stores: Mutex<StoreTable>,
     begun: Instant,
     news: Notify,
@@ -53,18 +44,21 @@
 
 impl Duties {
     /// Nothing is known yet. `draw` is a random number of this life of the process.
-    pub fn new(own: Option<ReplicaId>, draw: u64) -> Duties {
+    pub fn new(own: Option<ReplicaId>, own_address: SocketAddr, draw: u64) -> Duties {
         let now = Instant::now();
         Duties {
-            stamps: Stamps::new(now, draw),
-            peers: Mutex::new(Peers::new(now, own)),
-            echoes: Mutex::default(),
+            pings: Mutex::new(PingState::new(now, own, own_address, draw)),
             stores: Mutex::new(StoreTable::new(Duration::ZERO)),
             begun: now,
             news: Notify::new(),
         }
     }
 
+    /// The pings, locked: not to be held while anything is waited for.
+    pub fn pings(&self) -> MutexGuard<'_, PingState> {
+        self.pings.lock()
+    }
+
     /// What is known of the stores under a placement.
     pub fn store_view(&self, placement: &Placement) -> StoreView {
         self.stores.lock().view(placement, self.begun.elapsed())
@@ -72,26 +66,26 @@
 
     /// Replicas that have long been silent.
     pub fn silent_replicas(&self, set: &ReplicaSet) -> Vec<ReplicaId> {
-        self.peers.lock().silent(Instant::now(), set)
+        self.pings().peers.silent(Instant::now(), set)
     }
 
     /// Whether this process is in contact with a majority of the set now. `majority_at` is when the newest round of the
     /// register began that a majority answered.
     pub fn is_in_contact(&self, set: &ReplicaSet, majority_at: Option<Instant>) -> bool {
-        let mut peers = self.peers.lock();
+        let peers = &mut self.pings().peers;
         majority_at.into_iter().for_each(|at| peers.majority_reached(at));
         peers.is_in_contact(Instant::now(), set)
     }
 
     /// For how long it has been in contact without a pause.
     pub fn in_contact_for(&self, set: &ReplicaSet) -> Duration {
-        self.peers.lock().in_contact_for(Instant::now(), set)
+        self.pings().peers.in_contact_for(Instant::now(), set)
     }
 
     /// Looks at who has the duties; the epoch under which this process has them.
     pub fn step(&self, set: &ReplicaSet, majority_at: Option<Instant>) -> Option<u64> {
         let now = Instant::now();
-        let mut peers = self.peers.lock();
+        let peers = &mut self.pings().peers;
         majority_at.into_iter().for_each(|at| peers.majority_reached(at));
         peers.step(now, set);
         peers.held(now, set)
@@ -99,12 +93,7 @@
 
     /// The epoch under which this process has the duties now.
     pub fn held(&self, set: &ReplicaSet) -> Option<u64> {
-        self.peers.lock().held(Instant::now(), set)
-    }
-
-    /// The highest epoch of the duties heard of.
-    pub fn epoch(&self) -> u64 {
-        self.peers.lock().epoch()
+        self.pings().peers.held(Instant::now(), set)
     }
 
     /// Lets the duties be looked at now.
@@ -119,37 +108,8 @@
         }
     }
 
-    /// A controller pinged or answered.
-    pub fn heard(&self, address: SocketAddr, replica: Option<ReplicaId>, epoch: u64) {
-        self.peers.lock().heard(Instant::now(), address, replica, epoch);
-    }
-
-    /// Whether a controller was heard within that time.
-    pub fn is_heard(&self, address: SocketAddr, within: Duration) -> bool {
-        self.peers.lock().is_heard(Instant::now(), address, within)
-    }
-
-    /// A replica has answered what was sent to it at that time, and says whether it is in contact with a majority.
-    pub fn reached(&self, replica: ReplicaId, sent_at: Instant, in_contact: bool) {
-        self.peers.lock().reached(replica, sent_at, in_contact);
-    }
-
-    /// Keeps the stamp of a controller's answer for the next ping.
-    pub fn note_stamp(&self, address: SocketAddr, stamp: u64) {
-        let mut echoes = self.echoes.lock();
-        if echoes.len() >= MOST_STAMPS && !echoes.contains_key(&address) {
-            echoes.clear();
-        }
-        echoes.insert(address, stamp);
-    }
-
-    /// The stamp to echo to a controller.
-    pub fn echo_for(&self, address: SocketAddr) -> Option<u64> {
-        self.echoes.lock().get(&address).copied()
-    }
-
     fn live_addresses(&self) -> Vec<SocketAddr> {
-        self.peers.lock().live_addresses(Instant::now())
+        self.pings().peers.live_addresses(Instant::now())
     }
 }
 
--- a/crates/mintlb-control/src/controller/duty_messages.rs
+++ b/crates/mintlb-control/src/controller/duty_messages.rs
@@ -1,28 +1,15 @@
 //! What controllers say to each other on the channel of the duties.
 
+use super::ping_state::{Ping, Pong};
 use bytes::Bytes;
 use minicbor::{Decode, Encode};
-use mintlb_register::state::ReplicaId;
 
 /// A call between controllers.
 #[derive(Debug, Encode, Decode)]
 pub enum DutyCall {
     /// I run.
     #[n(0)]
-    Ping {
-        /// The replica, if the controller has one.
-        #[n(0)]
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that the controller knows.
-        #[n(1)]
-        epoch: u64,
-        /// Whether it is in contact with a majority of the replicas.
-        #[n(2)]
-        in_contact: bool,
-        /// The stamp of the newest answer that it has from the receiver.
-        #[n(3)]
-        echo: Option<u64>,
-    },
+    Ping(#[n(0)] Ping),
     /// Which workers call you? Refused under an epoch that is too low.
     #[n(1)]
     Workers {
@@ -40,20 +27,7 @@
 pub enum DutyAnswer {
     /// I run as well.
     #[n(0)]
-    Pong {
-        /// The replica, if the controller has one.
-        #[n(0)]
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that the controller knows.
-        #[n(1)]
-        epoch: u64,
-        /// Whether it is in contact with a majority of the replicas.
-        #[n(2)]
-        in_contact: bool,
-        /// When it answered, by its own clock: for the echo in the next ping.
-        #[n(3)]
-        stamp: u64,
-    },
+    Pong(#[n(0)] Pong),
     /// Hashes of the ids of the workers that call here.
     #[n(1)]
     Workers(#[n(0)] Vec<u32>),
--- a/crates/mintlb-control/src/controller/duty_service.rs
+++ b/crates/mintlb-control/src/controller/duty_service.rs
@@ -3,13 +3,14 @@
 use super::Controller;
 use super::duty_messages::{DutyAnswer, DutyCall, encoded};
 use super::orphans::id_hash;
-use super::{pings, retirement};
+use super::retirement;
 use bytes::Bytes;
 use mintlb_lots::framing;
 use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_tier::transport::{Answer, Channel, Service};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use tokio::time::Instant;
 
 /// Answers on the channel of the duties from now on.
 pub fn serve(controller: &Arc<Controller>) {
@@ -36,11 +37,12 @@
 
 async fn answer(controller: &Arc<Controller>, from: SocketAddr, call: DutyCall) -> DutyAnswer {
     match call {
-        DutyCall::Ping { replica, epoch, in_contact, echo } => {
-            pings::answer(controller, from, replica, epoch, in_contact, echo)
+        DutyCall::Ping(ping) => {
+            let set = controller.register.set();
+            DutyAnswer::Pong(controller.duties.pings().answer(Instant::now(), from, &ping, set.as_ref()))
         }
         DutyCall::Workers { epoch } => {
-            let known = controller.duties.epoch();
+            let known = controller.duties.pings().peers.epoch();
             match epoch < known {
                 true => DutyAnswer::Stale { epoch: known },
                 false => DutyAnswer::Workers(controller.registry.lock().ids().map(id_hash).collect()),
--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -5,7 +5,7 @@
 //! - [`membership`]: founding and joining it.
 //! - [`publisher`]: its value to every process.
 //! - [`registry`]: the workers.
-//! - [`contact`], [`peers`], [`pings`], [`stamps`]: contact with the others, and who has the duties.
+//! - [`contact`], [`peers`], [`stamps`], [`ping_state`], [`pings`]: contact with the others, and who has the duties.
 //! - [`duties`], [`orphans`], [`retirement`]: the duties.
 //! - [`duty_messages`], [`duty_service`]: what controllers say to each other.
 //! - [`http`], [`configuration_api`], [`instance_api`], [`retire_api`], [`answers`]: the calls.
@@ -23,6 +23,7 @@
 pub mod membership;
 pub mod orphans;
 pub mod peers;
+pub mod ping_state;
 pub mod pings;
 pub mod publisher;
 pub mod register;
@@ -222,6 +223,7 @@
     let seeds = settings.seed_addresses();
     let overlay = Overlay::start(OverlayConfig { transport: transport.clone(), seeds, member });
     let register = Register::start(transport.clone(), replica, draw, settings.first_start);
+    let replica_id = register.replica().map(|replica| replica.identity().id);
     let publisher = Arc::new(Publisher::new(overlay.clone()));
     let on_chosen = publisher.clone();
     register.listen(Box::new(move |chosen| on_chosen.publish(&chosen.state)));
@@ -232,7 +234,7 @@
         transport,
         overlay,
         publisher,
-        duties: Duties::new(register.replica().map(|replica| replica.identity().id), scramble(!draw)),
+        duties: Duties::new(replica_id, own, scramble(!draw)),
         register,
         dice: AtomicU64::new(draw),
     }))
--- /dev/null
+++ b/crates/mintlb-control/src/controller/ping_state.rs
@@ -0,0 +1,126 @@
+//! What pings say and what is learned of them, on both sides; pure.
+
+use super::peers::Peers;
+use super::stamps::Stamps;
+use minicbor::{Decode, Encode};
+use mintlb_register::state::{ReplicaId, ReplicaSet};
+use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// How often controllers ping each other.
+pub const STEP: Duration = Duration::from_millis(300);
+/// A replica whose own pings have come for so long is not pinged by one with a higher address.
+const HEARD_WITHIN: Duration = Duration::from_millis(450);
+/// Controllers of which the newest stamp is kept.
+const MOST_STAMPS: usize = 64;
+
+/// I run.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Ping {
+    /// The replica, if the controller has one.
+    #[n(0)]
+    pub replica: Option<ReplicaId>,
+    /// The highest epoch of the duties that the controller knows.
+    #[n(1)]
+    pub epoch: u64,
+    /// Whether it is in contact with a majority of the replicas.
+    #[n(2)]
+    pub in_contact: bool,
+    /// The stamp of the newest answer that it has from the receiver.
+    #[n(3)]
+    pub echo: Option<u64>,
+}
+
+/// I run as well.
+#[derive(Clone, Debug, Encode, Decode)]
+pub struct Pong {
+    /// The replica, if the controller has one.
+    #[n(0)]
+    pub replica: Option<ReplicaId>,
+    /// The highest epoch of the duties that the controller knows.
+    #[n(1)]
+    pub epoch: u64,
+    /// Whether it is in contact with a majority of the replicas.
+    #[n(2)]
+    pub in_contact: bool,
+    /// When it answered, by its own clock: for the echo in the next ping.
+    #[n(3)]
+    pub stamp: u64,
+}
+
+/// One controller's side of the pings.
+#[derive(Debug)]
+pub struct PingState {
+    own: Option<ReplicaId>,
+    own_address: SocketAddr,
+    stamps: Stamps,
+    /// The newest stamp of each controller that has answered.
+    echoes: FxHashMap<SocketAddr, u64>,
+    /// What is known of the other controllers.
+    pub peers: Peers,
+}
+
+impl PingState {
+    /// Nothing is known yet. `own` is the replica here, if there is one, `draw` a random number of this life of the
+    /// process.
+    pub fn new(now: Instant, own: Option<ReplicaId>, own_address: SocketAddr, draw: u64) -> PingState {
+        let (stamps, peers) = (Stamps::new(now, draw), Peers::new(now, own));
+        PingState { own, own_address, stamps, echoes: FxHashMap::default(), peers }
+    }
+
+    /// Whether the replica here has a vote in this set.
+    pub fn votes(&self, set: &ReplicaSet) -> bool {
+        self.own.is_some_and(|own| set.members().any(|replica| replica.id == own))
+    }
+
+    /// Whom to ping now. Of two replicas that hear each other the one with the lower address pings.
+    pub fn targets(&self, now: Instant, set: &ReplicaSet) -> Vec<SocketAddr> {
+        let voting = self.votes(set);
+        let is_target = |address: &SocketAddr| {
+            let pings_here =
+                voting && self.own_address > *address && self.peers.is_heard(now, *address, HEARD_WITHIN);
+            *address != self.own_address && !pings_here
+        };
+        let addresses = set.members().filter_map(|replica| replica.address.parse().ok());
+        addresses.filter(is_target).collect()
+    }
+
+    /// The ping to this controller.
+    pub fn ping(&self, now: Instant, to: SocketAddr, set: &ReplicaSet) -> Ping {
+        Ping {
+            replica: self.own,
+            epoch: self.peers.epoch(),
+            in_contact: self.peers.is_in_contact(now, set),
+            echo: self.echoes.get(&to).copied(),
+        }
+    }
+
+    /// The answer to a ping. `set` is the newest set known here, if there is one.
+    pub fn answer(&mut self, now: Instant, from: SocketAddr, ping: &Ping, set: Option<&ReplicaSet>) -> Pong {
+        self.peers.heard(now, from, ping.replica, ping.epoch);
+        let answered_at = ping.echo.and_then(|echo| self.stamps.made_at(now, echo));
+        if let (Some(replica), Some(answered_at)) = (ping.replica, answered_at) {
+            self.peers.reached(replica, answered_at, ping.in_contact);
+        }
+        Pong {
+            replica: self.own,
+            epoch: self.peers.epoch(),
+            in_contact: set.is_some_and(|set| self.peers.is_in_contact(now, set)),
+            stamp: self.stamps.stamp(now),
+        }
+    }
+
+    /// A ping that was sent at that time has been answered.
+    pub fn answered(&mut self, now: Instant, from: SocketAddr, sent_at: Instant, pong: &Pong) {
+        self.peers.heard(now, from, pong.replica, pong.epoch);
+        if let Some(replica) = pong.replica {
+            self.peers.reached(replica, sent_at, pong.in_contact);
+        }
+        if self.echoes.len() >= MOST_STAMPS && !self.echoes.contains_key(&from) {
+            self.echoes.clear();
+        }
+        self.echoes.insert(from, pong.stamp);
+    }
+}
--- a/crates/mintlb-control/src/controller/pings.rs
+++ b/crates/mintlb-control/src/controller/pings.rs
@@ -2,15 +2,14 @@
 
 use super::Controller;
 use super::duty_messages::{DutyAnswer, DutyCall, encoded};
-use mintlb_register::state::{ReplicaId, ReplicaSet};
+use super::ping_state::STEP;
+use mintlb_register::state::ReplicaSet;
 use mintlb_tier::transport::Channel;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep};
 
-/// How often controllers ping each other, and who has the duties is looked at.
-pub const STEP: Duration = Duration::from_millis(300);
 /// A controller without a vote pings at each so many steps.
 const STEPS_WITHOUT_VOTE: u32 = 2;
 /// How long a ping may take.
@@ -24,8 +23,9 @@
         sleep(STEP).await;
         step += 1;
         let Some(set) = controller.register.set() else { continue };
-        if votes(&controller, &set) || step % STEPS_WITHOUT_VOTE == 0 {
-            ping(&controller, &set);
+        let votes = controller.duties.pings().votes(&set);
+        if votes || step % STEPS_WITHOUT_VOTE == 0 {
+            ping_all(&controller, &set);
         }
         let holds = controller.duties.step(&set, controller.register.majority_at());
         if holds != held {
@@ -39,67 +39,20 @@
     }
 }
 
-/// What this controller answers to a ping.
-pub fn answer(
-    controller: &Controller,
-    from: SocketAddr,
-    replica: Option<ReplicaId>,
-    epoch: u64,
-    in_contact: bool,
-    echo: Option<u64>,
-) -> DutyAnswer {
-    let duties = &controller.duties;
-    let now = Instant::now();
-    duties.heard(from, replica, epoch);
-    let answered_at = echo.and_then(|echo| duties.stamps.made_at(now, echo));
-    if let (Some(replica), Some(answered_at)) = (replica, answered_at) {
-        duties.reached(replica, answered_at, in_contact);
-    }
-    DutyAnswer::Pong {
-        replica: controller.replica_id(),
-        epoch: duties.epoch(),
-        in_contact: controller.is_in_contact(),
-        stamp: duties.stamps.stamp(now),
-    }
-}
-
-fn votes(controller: &Controller, set: &ReplicaSet) -> bool {
-    controller.replica_id().is_some_and(|id| set.members().any(|replica| replica.id == id))
-}
-
 /// Pings every other replica; the answers are noted as they come.
-fn ping(controller: &Arc<Controller>, set: &ReplicaSet) {
-    let own = controller.transport.own_address();
-    let voting = votes(controller, set);
-    let addresses = set.members().filter_map(|member| member.address.parse::<SocketAddr>().ok());
-    // Of two replicas that hear each other the one with the lower address pings.
-    let pings = |address: &SocketAddr| {
-        let heard = controller.duties.is_heard(*address, STEP * 3 / 2);
-        *address != own && !(voting && own > *address && heard)
-    };
-    for address in addresses.filter(pings) {
-        let controller = controller.clone();
-        tokio::spawn(async move { ping_one(&controller, address).await });
+fn ping_all(controller: &Arc<Controller>, set: &ReplicaSet) {
+    let targets = controller.duties.pings().targets(Instant::now(), set);
+    for address in targets {
+        let (controller, set) = (controller.clone(), set.clone());
+        tokio::spawn(async move { ping(&controller, address, &set).await });
     }
 }
 
-async fn ping_one(controller: &Controller, address: SocketAddr) {
-    let duties = &controller.duties;
-    let ping = DutyCall::Ping {
-        replica: controller.replica_id(),
-        epoch: duties.epoch(),
-        in_contact: controller.is_in_contact(),
-        echo: duties.echo_for(address),
-    };
+async fn ping(controller: &Controller, to: SocketAddr, set: &ReplicaSet) {
     let sent_at = Instant::now();
-    let answer = controller.transport.call(address, Channel::Duties, encoded(&ping), PING_WITHIN).await;
-    if let Some(DutyAnswer::Pong { replica, epoch, in_contact, stamp }) =
-        answer.ok().and_then(|answer| minicbor::decode(&answer).ok())
-    {
-        duties.heard(address, replica, epoch);
-        duties.note_stamp(address, stamp);
-        if let Some(replica) = replica {
-            duties.reached(replica, sent_at, in_contact);
-        }
+    let call = DutyCall::Ping(controller.duties.pings().ping(sent_at, to, set));
+    let answer = controller.transport.call(to, Channel::Duties, encoded(&call), PING_WITHIN).await;
+    if let Some(DutyAnswer::Pong(pong)) = answer.ok().and_then(|answer| minicbor::decode(&answer).ok()) {
+        controller.duties.pings().answered(Instant::now(), to, sent_at, &pong);
     }
 }
