A controller that returns with an old value hands it to nobody: a test

Seen red with Register::read answering from the disk of its own replica: controller_fleet a_controller_that_returns_... FAILED, left version 4, right version 24. A first form sent the text of a version that had been taken by another order, on an older base, and expected 412: it got 200, as this very configuration was taken.

--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -239,3 +239,38 @@
     );
     assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(7)));
 }
+
+#[test]
+fn a_controller_that_returns_with_an_old_value_hands_it_to_nobody() {
+    let mut fleet = Fleet::assembled(3);
+    assert_eq!(fleet.configure(0, 0, &configuration(4)), StatusCode::OK);
+    fleet.wait_for_record(2, |record| record.key == CONFIGURATION && record.version == 4);
+    fleet.kill(2);
+    for version in 5..25 {
+        assert_eq!(
+            fleet.configure(version as usize % 2, version - 1, &configuration(version)),
+            StatusCode::OK
+        );
+    }
+    fleet.restart(2);
+    // Whatever it answers before it has read the register anew, it is not the old one.
+    let give_up = std::time::Instant::now() + PATIENCE;
+    let answer = loop {
+        let answer = read_once(&fleet, 2);
+        if answer.0 != StatusCode::SERVICE_UNAVAILABLE || std::time::Instant::now() > give_up {
+            break answer;
+        }
+    };
+    assert_eq!(answer, (StatusCode::OK, configuration(24)));
+    let seen = |place: usize| fleet.at(place).overlay.get(CONFIGURATION).map(|record| record.version);
+    fleet.wait_for_record(2, |record| record.key == CONFIGURATION && record.version == 24);
+    assert_eq!([0, 1, 2].map(seen), [Some(24); 3]);
+    assert_eq!(fleet.configure(2, 4, &configuration(5)), StatusCode::OK, "an order of that time, sent again");
+    let another = configuration(5).replace("/a/", "/b/");
+    assert_eq!(
+        fleet.configure(2, 4, &another),
+        StatusCode::PRECONDITION_FAILED,
+        "another one of that number"
+    );
+    assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(24)));
+}
