--- a/crates/mintlb-control/src/controller/answers.rs
+++ b/crates/mintlb-control/src/controller/answers.rs
@@ -21,10 +21,10 @@
     match timeout(within, Limited::new(body, most_bytes).collect()).await {
         Ok(Ok(body)) => Ok(body.to_bytes()),
         Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => {
-            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "M421 the body is too long"))
+            Err(refuse(StatusCode::PAYLOAD_TOO_LARGE, "M471 the body is too long"))
         }
-        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "M422 the body ended early")),
-        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "M423 the body did not come in time")),
+        Ok(Err(_)) => Err(refuse(StatusCode::BAD_REQUEST, "M472 the body ended early")),
+        Err(_) => Err(refuse(StatusCode::REQUEST_TIMEOUT, "M473 the body did not come in time")),
     }
 }
 
--- a/crates/mintlb-control/src/controller/configuration_api.rs
+++ b/crates/mintlb-control/src/controller/configuration_api.rs
@@ -63,7 +63,7 @@
     };
     let begun = Instant::now();
     let Some(base) = base_version(&headers) else {
-        return refuse(StatusCode::BAD_REQUEST, "M402 If-Match: has to hold the version it builds on");
+        return refuse(StatusCode::BAD_REQUEST, "M452 If-Match: has to hold the version it builds on");
     };
     let configuration = match Configuration::parse_from_operator(&body) {
         Ok(configuration) => configuration,
@@ -106,7 +106,7 @@
             StatusCode::OK.into_response()
         }
         Answer::StaleBase => {
-            let text = format!("M403 If-Match: the current version is {current}");
+            let text = format!("M453 If-Match: the current version is {current}");
             refuse(StatusCode::PRECONDITION_FAILED, &text)
         }
         Answer::VersionNotAbove => {
--- a/crates/mintlb-control/src/controller/instance_api.rs
+++ b/crates/mintlb-control/src/controller/instance_api.rs
@@ -79,7 +79,7 @@
     body: axum::body::Body,
 ) -> Answered {
     if id.len() > MOST_ID_BYTES {
-        return refuse(StatusCode::BAD_REQUEST, "M411 the instance id is too long");
+        return refuse(StatusCode::BAD_REQUEST, "M461 the instance id is too long");
     }
     let body = match body_within(body, MOST_BYTES, BODY_WITHIN).await {
         Ok(body) => body,
@@ -87,7 +87,7 @@
     };
     let call: InstanceCall = match serde_json::from_slice(&body) {
         Ok(call) => call,
-        Err(error) => return refuse(StatusCode::BAD_REQUEST, &format!("M412 {error}")),
+        Err(error) => return refuse(StatusCode::BAD_REQUEST, &format!("M462 {error}")),
     };
     let told = call.into_record(id, unix_ms());
     let in_force = controller.worker_in_force(&told.instance_id);
@@ -100,7 +100,7 @@
     let heard = controller.registry.lock().heartbeat(Instant::now(), told, in_force.as_ref());
     match heard {
         Heard::Nothing | Heard::Late => acknowledged(),
-        Heard::TooMany => unavailable("M413 there are too many workers"),
+        Heard::TooMany => unavailable("M463 there are too many workers"),
         Heard::Publish(record) if record.state == WorkerState::InService => {
             controller.overlay.publish_now(record.to_record());
             acknowledged()
@@ -112,7 +112,7 @@
 /// `DELETE /v1/instances/ID`: the worker ends.
 async fn leave(State(controller): State<Arc<Controller>>, Path(id): Path<String>) -> Answered {
     if id.len() > MOST_ID_BYTES {
-        return refuse(StatusCode::BAD_REQUEST, "M411 the instance id is too long");
+        return refuse(StatusCode::BAD_REQUEST, "M461 the instance id is too long");
     }
     let in_force = controller.worker_in_force(&id);
     let record = controller.registry.lock().leave(&id, in_force);
--- a/crates/mintlb-control/src/controller/register.rs
+++ b/crates/mintlb-control/src/controller/register.rs
@@ -25,7 +25,7 @@
 
 /// No quorum answered in time. The change may or may not become part of the value.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("M401 no majority of the register's replicas answered in time")]
+#[error("M451 no majority of the register's replicas answered in time")]
 pub struct Unavailable;
 
 /// A message on the register's channel.
