--- a/crates/mintlb-control/src/controller/configuration_api.rs
+++ b/crates/mintlb-control/src/controller/configuration_api.rs
@@ -63,7 +63,7 @@
     };
     let begun = Instant::now();
     let Some(base) = base_version(&headers) else {
-        return refuse(StatusCode::BAD_REQUEST, "M402 If-Match: has to hold the version it builds on");
+        return refuse(StatusCode::BAD_REQUEST, "M452 If-Match: has to hold the version it builds on");
     };
     let configuration = match Configuration::parse_from_operator(&body) {
         Ok(configuration) => configuration,
@@ -106,13 +106,17 @@
             StatusCode::OK.into_response()
         }
         Answer::StaleBase => {
-            let text = format!("M403 If-Match: the current version is {current}");
+            let text = format!("M453 If-Match: the current version is {current}");
             refuse(StatusCode::PRECONDITION_FAILED, &text)
         }
         Answer::VersionNotAbove => {
-            let text = format!("M404 config_version: is not above the current version {current}");
+            let text =
+                format!("M404 config_version: is not above the version it builds on; current is {current}");
             refuse(StatusCode::BAD_REQUEST, &text)
         }
+        Answer::Forgotten => unavailable(&format!(
+            "M406 config_version: is so old that it can't be told whether it was taken; current is {current}"
+        )),
         Answer::TooFewReplicas | Answer::SetFull => retry(RETRY_SOON, "M405 there are too few replicas yet"),
     }
 }
