A message reaches the life of a process that it is meant for; incarnations are drawn

Cause: the incarnation was the time of day at the start, in three programs; set back by 2 s, a restarted process was older than its former life and hearsay of the dead one won. Frames named no life: what was meant for an earlier process at an address went to its successor, an ended life's connection was read on, and an answer was matched by peer address and number, also if it came on another connection. Change: mintlb_tier::incarnation draws the identity. The greeting (protocol mintl2) names the sender's life and the one that is expected; the receiver answers with its own and takes nothing meant for another. A dialler that names another life than the known one is believed only if the one that answers at the address agrees or nobody does. Calls wait at their own connection. CallError has M304 (not carried out), which the client of stores tries again. Service::restarted tells the overlay; a neighbour of another life is none until it asks; ended lives are not brought back by hearsay; of two lives by hearsay the later heard of wins. The simulated network of the overlay drops what was meant for an earlier life, as the transport does.

--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -182,7 +182,7 @@
     };
     let member = Member {
         address: own,
-        incarnation: unix_ms(),
+        incarnation: transport.incarnation(),
         role: Role::Controller,
         node_name: settings.node_name.clone(),
         zone: settings.zone.clone(),
@@ -236,8 +236,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis() as u64)
-}
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -133,7 +133,7 @@
 fn join_overlay(settings: &NodeSettings, transport: &Arc<Transport>, store: &Arc<Store>) -> Arc<Overlay> {
     let member = Member {
         address: transport.own_address(),
-        incarnation: unix_ms(),
+        incarnation: transport.incarnation(),
         role: Role::Store,
         node_name: settings.node_name.clone(),
         zone: settings.zone.clone(),
@@ -165,8 +165,3 @@
         }
     }
 }
-
-fn unix_ms() -> u64 {
-    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
-    now.map_or(0, |now| now.as_millis() as u64)
-}
--- a/crates/mintlb-dispatch/src/run.rs
+++ b/crates/mintlb-dispatch/src/run.rs
@@ -6,13 +6,14 @@
 use crate::hub::Hub;
 use crate::knowledge::{self, Known};
 use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
 use mintlb_tier::settings::{InternalPort, NodeSettings};
 use mintlb_tier::signals::Signals;
 use mintlb_tier::transport::Transport;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
-use std::time::{Duration, SystemTime};
+use std::time::Duration;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::time::sleep;
 
@@ -36,10 +37,9 @@
     let internal = settings.internal_address(InternalPort::Dispatcher);
     let cause = |cause| DispatchError::Listen { address: internal, cause };
     let transport = Transport::start(internal).await.map_err(cause)?;
-    let incarnation = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH).unwrap_or_default();
     let member = Member {
         address: internal,
-        incarnation: incarnation.as_millis() as u64,
+        incarnation: transport.incarnation(),
         role: Role::Dispatcher,
         node_name: settings.node_name.clone(),
         zone: settings.zone.clone(),
@@ -49,7 +49,7 @@
         seeds: settings.seed_addresses(),
         member,
     });
-    let grants = grants(&settings, internal, incarnation);
+    let grants = grants(&settings, transport.incarnation());
     let holder = grants.seed;
     let mut dispatcher = Dispatcher::new(grants);
     dispatcher.batch = Some(batch::start(transport, overlay.clone(), dispatcher.intake(), holder));
@@ -83,17 +83,14 @@
     }
 }
 
-fn grants(settings: &NodeSettings, internal: SocketAddr, started: Duration) -> Grants {
-    let seed = internal.to_string().bytes().fold(started.as_nanos() as u64, |seed, byte| {
-        (seed ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3)
-    });
+fn grants(settings: &NodeSettings, incarnation: Incarnation) -> Grants {
     Grants {
         zone: settings.zone.clone(),
         zones: settings.zones.keys().cloned().collect(),
         memory_mb: settings.limits.memory_mb,
         max_open_files: settings.limits.max_open_files,
         grace_period_s: settings.bounds.grace_period_s,
-        seed,
+        seed: incarnation.number(),
     }
 }
 
--- a/crates/mintlb-lots/src/client/calls.rs
+++ b/crates/mintlb-lots/src/client/calls.rs
@@ -47,7 +47,7 @@
             Some((Answer::Unsure, _)) | None => Try::Unclear,
             Some((answer, raw)) => Try::Answered(answer, raw),
         },
-        Err(CallError::NotUnderstood) => Try::NotDone,
+        Err(CallError::NotUnderstood | CallError::Replaced) => Try::NotDone,
         Err(CallError::TimedOut | CallError::Unreachable) => Try::Unclear,
     }
 }
--- a/crates/mintlb-overlay/src/driver.rs
+++ b/crates/mintlb-overlay/src/driver.rs
@@ -6,6 +6,7 @@
 use crate::node::{Input, Node};
 use crate::table::Table;
 use bytes::Bytes;
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
 use mintlb_tier::transport::{Channel, Service, Transport};
 use parking_lot::Mutex;
@@ -63,7 +64,7 @@
     /// Joins the overlay; its task runs on the current runtime from now on.
     pub fn start(config: OverlayConfig) -> Arc<Overlay> {
         let now = Instant::now();
-        let seed = record_id(&config.member.address.to_string()) ^ config.member.incarnation;
+        let seed = record_id(&config.member.address.to_string()) ^ config.member.incarnation.number();
         let node = Node::new(now, config.member, &config.seeds, seed);
         let overlay = Arc::new(Overlay {
             transport: config.transport.clone(),
@@ -225,4 +226,8 @@
     fn unreachable(&self, peer: SocketAddr) {
         self.handle(Input::Unreachable(peer));
     }
+
+    fn restarted(&self, peer: SocketAddr, incarnation: Incarnation) {
+        self.handle(Input::Restarted { peer, incarnation });
+    }
 }
--- a/crates/mintlb-overlay/src/message.rs
+++ b/crates/mintlb-overlay/src/message.rs
@@ -5,6 +5,7 @@
 use crate::views::{NeighbourReply, NeighbourRequest, Probe, Shuffle};
 use bytes::Bytes;
 use minicbor::{Decode, Encode};
+use mintlb_tier::incarnation::Incarnation;
 use std::net::SocketAddr;
 
 /// What a process of the tier is.
@@ -29,9 +30,9 @@
     #[n(0)]
     #[cbor(with = "crate::codec::address")]
     pub address: SocketAddr,
-    /// Of two starts at one address the later one has the higher incarnation.
+    /// Which life of the process it is.
     #[n(1)]
-    pub incarnation: u64,
+    pub incarnation: Incarnation,
     /// What it is.
     #[n(2)]
     pub role: Role,
--- a/crates/mintlb-overlay/src/node.rs
+++ b/crates/mintlb-overlay/src/node.rs
@@ -9,6 +9,7 @@
 use crate::table::{Put, RecordStore, Table};
 use crate::views::{LinkChange, Views};
 use bytes::Bytes;
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -35,6 +36,13 @@
     },
     /// A process can't be reached, or messages to it were lost.
     Unreachable(SocketAddr),
+    /// Another life than the one known so far is at an address.
+    Restarted {
+        /// The address.
+        peer: SocketAddr,
+        /// Who is there now.
+        incarnation: Incarnation,
+    },
     /// A record of the process's own.
     Publish {
         /// The record.
@@ -119,6 +127,9 @@
                 }
             }
             Input::Unreachable(peer) => self.views.on_unreachable(now, peer, &mut effects),
+            Input::Restarted { peer, incarnation } => {
+                self.views.on_restarted(now, peer, incarnation, &mut effects);
+            }
             Input::Publish { record, confirm_until } => {
                 self.publish(now, record, confirm_until, &mut effects);
             }
--- a/crates/mintlb-overlay/src/views.rs
+++ b/crates/mintlb-overlay/src/views.rs
@@ -12,6 +12,7 @@
 use crate::random::Random;
 use candidates::{Lost, Seed};
 use minicbor::{Decode, Encode};
+use mintlb_tier::incarnation::Incarnation;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,8 @@
 const BREAK: Duration = Duration::from_secs(1);
 /// How many failed processes are remembered, so that stale hearsay of them is ignored.
 const MOST_FAILED: usize = 64;
+/// How many ended lives are remembered for the same reason.
+const MOST_ENDED: usize = 64;
 
 /// A member and how long ago it was heard from.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -145,6 +148,8 @@
     requests: Vec<Request>,
     lost: VecDeque<Lost>,
     failed: VecDeque<(SocketAddr, Instant)>,
+    /// Lives that have ended, as their successors have shown.
+    ended: VecDeque<(SocketAddr, Incarnation)>,
     refusals: u32,
     ticked: Instant,
     shuffle_at: Instant,
@@ -168,6 +173,7 @@
             requests: Vec::new(),
             lost: VecDeque::new(),
             failed: VecDeque::new(),
+            ended: VecDeque::new(),
             refusals: 0,
             ticked: now,
             shuffle_at: now + phase,
@@ -211,6 +217,13 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Whether this life of a process is a neighbour.
+    fn is_linked(&self, member: &Member) -> bool {
+        let same =
+            |n: &Neighbour| (n.member.address, n.member.incarnation) == (member.address, member.incarnation);
+        self.active.iter().any(same)
+    }
+
     /// Anything from a neighbour is a sign of life.
     pub fn heard_from(&mut self, now: Instant, from: SocketAddr) {
         if let Some(neighbour) = self.active.iter_mut().find(|n| n.member.address == from) {
@@ -263,7 +276,7 @@
         let asked = self.is_asked(from);
         self.requests.retain(|request| request.to != from);
         self.learn(now, reply.sample);
-        if reply.member.address != from || self.is_neighbour(from) {
+        if reply.member.address != from || self.is_linked(&reply.member) {
             return;
         }
         if !asked {
@@ -298,7 +311,7 @@
     /// Another process takes this one for no neighbour.
     pub fn on_disconnect(&mut self, now: Instant, from: SocketAddr, effects: &mut Effects) {
         if let Some(member) = self.remove(from) {
-            self.meet(now, member);
+            self.remember(now, member, now);
             self.fill(now, effects);
         }
     }
@@ -319,6 +332,19 @@
         self.learn(now, shuffle.entries);
     }
 
+    /// Another life is at the address: what was known of the former one holds no more.
+    pub fn on_restarted(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        effects: &mut Effects,
+    ) {
+        self.requests.retain(|request| request.to != address);
+        self.end_former(now, address, incarnation);
+        self.fill(now, effects);
+    }
+
     /// A process can't be reached, or messages to it were lost.
     pub fn on_unreachable(&mut self, now: Instant, peer: SocketAddr, effects: &mut Effects) {
         if self.is_asked(peer) {
@@ -404,6 +430,7 @@
 
     fn add(&mut self, now: Instant, member: Member) {
         let address = member.address;
+        self.end_former(now, address, member.incarnation);
         self.passive.retain(|other| other.member.address != address);
         self.lost.retain(|lost| lost.member.address != address);
         self.failed.retain(|&(failed, _)| failed != address);
@@ -432,7 +459,7 @@
         if let Some(address) = self.random.pick(&open) {
             effects.send(address, &Message::Disconnect);
             let member = self.remove(address);
-            member.into_iter().for_each(|member| self.meet(now, member));
+            member.into_iter().for_each(|member| self.remember(now, member, now));
         }
     }
 
--- a/crates/mintlb-overlay/src/views/candidates.rs
+++ b/crates/mintlb-overlay/src/views/candidates.rs
@@ -1,11 +1,12 @@
 //! Whom a process asks to become a neighbour, and whom it looks for.
 
 use super::{
-    ANSWER_TIME, Acquaintance, Heard, MOST_FAILED, MOST_NEIGHBOURS, NeighbourRequest, PASSIVE_VIEW,
-    PROBE_INTERVAL, Probe, REFUSALS, Request, SEED_PROBE_INTERVAL, Views, WANTED_NEIGHBOURS,
+    ANSWER_TIME, Acquaintance, Heard, MOST_ENDED, MOST_FAILED, MOST_NEIGHBOURS, NeighbourRequest,
+    PASSIVE_VIEW, PROBE_INTERVAL, Probe, REFUSALS, Request, SEED_PROBE_INTERVAL, Views, WANTED_NEIGHBOURS,
 };
 use crate::effects::Effects;
 use crate::message::{Member, Message, Role};
+use mintlb_tier::incarnation::Incarnation;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -54,6 +55,9 @@
             let heard = now.checked_sub(Duration::from_secs(entry.age_s.into()));
             let address = entry.member.address;
             let failed = self.failed.iter().find(|(failed, _)| *failed == address);
+            if self.ended.contains(&(address, entry.member.incarnation)) {
+                continue;
+            }
             match heard {
                 Some(heard) if failed.is_none_or(|&(_, at)| heard > at) => {
                     self.remember(now, entry.member, heard);
@@ -66,19 +70,44 @@
     /// Takes over a process that has been heard from directly.
     pub(super) fn meet(&mut self, now: Instant, member: Member) {
         self.failed.retain(|&(failed, _)| failed != member.address);
+        self.end_former(now, member.address, member.incarnation);
         self.remember(now, member, now);
     }
 
-    fn remember(&mut self, now: Instant, member: Member, heard: Instant) {
+    /// This life has shown itself at the address. Any other one that is known there has ended; and if this one was taken
+    /// for ended, that was wrong. What else is known of the process goes over to the new life until it says more.
+    pub(super) fn end_former(&mut self, now: Instant, address: SocketAddr, incarnation: Incarnation) {
+        self.ended.retain(|ended| *ended != (address, incarnation));
+        let is_former = |member: &Member| member.address == address && member.incarnation != incarnation;
+        let mut ended = Vec::new();
+        if self.active.iter().any(|neighbour| is_former(&neighbour.member))
+            && let Some(former) = self.remove(address)
+        {
+            ended.push(former.incarnation);
+            self.remember(now, Member { incarnation, ..former }, now);
+        }
+        let passive = self.passive.iter_mut().map(|other| &mut other.member);
+        let lost = self.lost.iter_mut().map(|lost| &mut lost.member);
+        for member in passive.chain(lost).filter(|member| is_former(member)) {
+            ended.push(std::mem::replace(&mut member.incarnation, incarnation));
+        }
+        self.ended.extend(ended.into_iter().map(|ended| (address, ended)));
+        while self.ended.len() > MOST_ENDED {
+            self.ended.pop_front();
+        }
+    }
+
+    /// Takes note of a member that was heard of then.
+    pub(super) fn remember(&mut self, now: Instant, member: Member, heard: Instant) {
         let address = member.address;
         if address == self.own.address || self.is_neighbour(address) {
             return;
         }
         if let Some(known) = self.passive.iter_mut().find(|other| other.member.address == address) {
-            if member.incarnation >= known.member.incarnation || heard == now {
+            if member.incarnation == known.member.incarnation || heard > known.heard {
+                known.heard = known.heard.max(heard);
                 known.member = member;
             }
-            known.heard = known.heard.max(heard);
             return;
         }
         if self.passive.len() >= PASSIVE_VIEW {
--- a/crates/mintlb-overlay/tests/common/mod.rs
+++ b/crates/mintlb-overlay/tests/common/mod.rs
@@ -9,6 +9,7 @@
 use mintlb_overlay::node::{Input, Node};
 use mintlb_overlay::random::Random;
 use mintlb_overlay::{Member, Role};
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -50,7 +51,7 @@
 }
 
 enum Happening {
-    Message { from: SocketAddr, to: SocketAddr, body: Bytes },
+    Message { from: (SocketAddr, Incarnation), to: SocketAddr, meant_for: Incarnation, body: Bytes },
     Unreachable { at: SocketAddr, peer: SocketAddr },
     Wake(SocketAddr),
     Start(SocketAddr),
@@ -70,7 +71,9 @@
     node: Option<Node>,
     condition: Condition,
     wake_at: Instant,
-    inbox: Vec<(SocketAddr, Bytes)>,
+    inbox: Vec<((SocketAddr, Incarnation), Bytes)>,
+    /// Which life was last heard at an address, as the transport keeps it.
+    lives: HashMap<SocketAddr, Incarnation>,
     sent: u64,
     messages: u64,
     /// When which version of which key came into force, in order.
@@ -137,7 +140,7 @@
         let role = if number < 3 { Role::Controller } else { Role::Dispatcher };
         let member = Member {
             address: address(number),
-            incarnation: 1,
+            incarnation: self.draw_incarnation(),
             role,
             node_name: format!("machine{number}"),
             zone: zone.into(),
@@ -148,6 +151,7 @@
             condition: Condition::Down,
             wake_at: self.now,
             inbox: Vec::new(),
+            lives: HashMap::new(),
             sent: 0,
             messages: 0,
             history: Vec::new(),
@@ -157,6 +161,10 @@
         self.schedule(self.now + delay, Happening::Start(address(number)));
     }
 
+    fn draw_incarnation(&mut self) -> Incarnation {
+        Incarnation::from_number(self.random.next_number()).unwrap()
+    }
+
     fn schedule(&mut self, at: Instant, happening: Happening) {
         self.counter += 1;
         self.queue.push(Reverse((at, self.counter)));
@@ -197,11 +205,15 @@
     /// Whether a node had something to handle.
     fn happen(&mut self, happening: Happening) -> bool {
         match happening {
-            Happening::Message { from, to, .. } if self.is_cut(from, to) => return false,
-            Happening::Message { from, to, body } => {
+            Happening::Message { from, to, .. } if self.is_cut(from.0, to) => return false,
+            Happening::Message { from, to, meant_for, body } => {
                 let Some(process) = self.processes.get_mut(&to) else { return false };
+                if process.member.incarnation != meant_for {
+                    self.warn(from.0, to, DIAL_PAUSE);
+                    return false;
+                }
                 match process.condition {
-                    Condition::Running => self.handle(to, Input::Received { from, body }),
+                    Condition::Running => self.receive(to, from, body),
                     Condition::Frozen => process.inbox.push((from, body)),
                     Condition::Down | Condition::Vanished => return false,
                 }
@@ -237,6 +249,22 @@
         self.schedule(self.now, Happening::Wake(at));
     }
 
+    /// Hands a message over as the transport does: another life at the sender's address is told of first, and one that
+    /// has ended is not heard any more.
+    fn receive(&mut self, at: SocketAddr, from: (SocketAddr, Incarnation), body: Bytes) {
+        let (peer, incarnation) = from;
+        let living = self.processes.get(&peer).map(|process| process.member.incarnation);
+        let known = self.processes[&at].lives.get(&peer).copied();
+        if known.is_some_and(|known| known != incarnation) {
+            if living.is_some_and(|living| living != incarnation) {
+                return;
+            }
+            self.handle(at, Input::Restarted { peer, incarnation });
+        }
+        self.processes.get_mut(&at).unwrap().lives.insert(peer, incarnation);
+        self.handle(at, Input::Received { from: peer, body });
+    }
+
     fn handle(&mut self, at: SocketAddr, input: Input) {
         let now = self.now;
         let process = self.processes.get_mut(&at).unwrap();
@@ -297,11 +325,13 @@
             Fate::Mutate(bit) => flip(&body, bit),
             _ => body,
         };
+        let from = (from, self.processes[&from].member.incarnation);
+        let meant_for = self.processes[&to].member.incarnation;
         if fate == Fate::Duplicate {
             let again = arrival + ms(50);
-            self.schedule(again, Happening::Message { from, to, body: body.clone() });
+            self.schedule(again, Happening::Message { from, to, meant_for, body: body.clone() });
         }
-        self.schedule(arrival, Happening::Message { from, to, body });
+        self.schedule(arrival, Happening::Message { from, to, meant_for, body });
     }
 
     fn warn(&mut self, from: SocketAddr, to: SocketAddr, after: Duration) {
@@ -350,8 +380,10 @@
 
     /// Starts the process anew, with a new incarnation and empty.
     pub fn restart(&mut self, number: usize) {
+        let incarnation = self.draw_incarnation();
         let process = self.processes.get_mut(&address(number)).unwrap();
-        process.member.incarnation += 1;
+        process.member.incarnation = incarnation;
+        process.lives.clear();
         process.history.clear();
         self.boot(address(number));
     }
@@ -364,7 +396,7 @@
         let process = self.processes.get_mut(&address(number)).unwrap();
         process.condition = Condition::Running;
         for (from, body) in std::mem::take(&mut process.inbox) {
-            self.handle(address(number), Input::Received { from, body });
+            self.receive(address(number), from, body);
         }
         self.handle(address(number), Input::Tick);
     }
--- a/crates/mintlb-overlay/tests/common/questions.rs
+++ b/crates/mintlb-overlay/tests/common/questions.rs
@@ -2,6 +2,7 @@
 
 use super::{Condition, Process, Simulation, address};
 use mintlb_overlay::node::Node;
+use mintlb_tier::incarnation::Incarnation;
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -16,6 +17,10 @@
         &self.processes[&address(number)].member.zone
     }
 
+    pub fn incarnation(&self, number: usize) -> Incarnation {
+        self.processes[&address(number)].member.incarnation
+    }
+
     pub fn node(&self, number: usize) -> &Node {
         self.processes[&address(number)].node.as_ref().unwrap()
     }
--- a/crates/mintlb-overlay/tests/driver.rs
+++ b/crates/mintlb-overlay/tests/driver.rs
@@ -24,7 +24,7 @@
 fn start(transport: &Arc<Transport>, seeds: &[SocketAddr], number: usize) -> Arc<Overlay> {
     let member = Member {
         address: transport.own_address(),
-        incarnation: 1,
+        incarnation: transport.incarnation(),
         role: Role::Controller,
         node_name: format!("machine{number}"),
         zone: format!("zone{}", number % 2),
--- a/crates/mintlb-overlay/tests/faults.rs
+++ b/crates/mintlb-overlay/tests/faults.rs
@@ -85,6 +85,7 @@
             simulation.publish(5, record("configuration", 7));
             simulation.run_for(ms(1000));
             let number = (seed % 4) as usize;
+            let former = simulation.incarnation(number);
             simulation.kill(number);
             simulation.run_for(ms(pause));
             simulation.restart(number);
@@ -95,7 +96,7 @@
             assert_eq!(simulation.one_sided(), 0);
             let stale = |&other: &usize| {
                 let members = simulation.node(other).views().members(simulation.now);
-                members.iter().any(|m| m.address == address(number) && m.incarnation == 1)
+                members.iter().any(|m| m.address == address(number) && m.incarnation == former)
             };
             let neighbours: Vec<_> = simulation.node(number).views().neighbours().collect();
             let knows = |other: &usize| neighbours.contains(&address(*other));
--- a/crates/mintlb-tier/src/transport.rs
+++ b/crates/mintlb-tier/src/transport.rs
@@ -3,8 +3,25 @@
 //! A process listens on one internal address and is known to the others by it. [`Transport::notify`] sends a message
 //! that gets no answer; [`Transport::call`] waits for one, within a time. A message that can't be sent is lost, and
 //! [`Service::unreachable`] tells of its receiver. Every queue is bounded: what does not fit is lost like any message.
+//!
+//! Both sides of a connection begin with the identity of their life ([`Incarnation`]). The dialling side names the one
+//! that its messages are meant for, if it knows one; a process with another identity, restarted or on a reused address,
+//! takes none of them. What an ended life sent is not taken once its successor is known. An answer counts on the
+//! connection that its call went out on and nowhere else.
+
+mod frame;
+mod greeting;
+mod link;
+pub mod lives;
+
+pub use frame::MOST_BYTES;
 
-use bytes::{Buf, BufMut, Bytes, BytesMut};
+use crate::incarnation::Incarnation;
+use bytes::{Bytes, BytesMut};
+use frame::{Frame, Kind, put, take};
+use greeting::{GREETING_BYTES, Greeting, Purpose, REPLY_BYTES, read_reply, reply_bytes};
+use link::Link;
+use lives::{Claim, Lives};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::future::Future;
@@ -16,13 +33,10 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 use tokio::time::{sleep, timeout};
 
-/// The longest message.
-pub const MOST_BYTES: usize = 24 << 20;
-
-/// Messages that wait for one connection.
+/// Answers that wait for one connection.
 const QUEUE: usize = 512;
 /// How long a connection may take to come up, and unacknowledged bytes may be out.
 const PATIENCE: Duration = Duration::from_millis(1200);
@@ -30,10 +44,6 @@
 const IDLE: Duration = Duration::from_secs(30);
 /// How long a receiver that could not be reached is not dialled again.
 const PAUSE: Duration = Duration::from_millis(150);
-/// The first bytes of each connection: the protocol's name and version.
-const GREETING: [u8; 6] = *b"mintl1";
-/// Length, channel, kind and call number of a frame.
-const HEAD: usize = 4 + 1 + 1 + 8;
 
 /// Which part of a process a message is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -70,9 +80,11 @@
     }
     /// Messages to this process were lost, as it can't be reached or its connection broke.
     fn unreachable(&self, _peer: SocketAddr) {}
+    /// Another life than the one known so far is at this address.
+    fn restarted(&self, _peer: SocketAddr, _incarnation: Incarnation) {}
 }
 
-/// Why a call has no answer. It may have been carried out.
+/// Why a call has no answer. It may have been carried out, where nothing else is said.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum CallError {
     /// No answer came in time.
@@ -84,46 +96,49 @@
     /// The other process does not understand the call.
     #[error("M303 not understood")]
     NotUnderstood,
+    /// Another process is at the address now. The call was not carried out and never will be.
+    #[error("M304 another process is at the address")]
+    Replaced,
 }
 
-#[derive(Clone, Copy, PartialEq)]
-enum Kind {
-    Notice = 0,
-    Request = 1,
-    Answer = 2,
-}
-
-struct Frame {
-    channel: u8,
-    kind: Kind,
-    call: u64,
-    body: Bytes,
+/// How a connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum End {
+    /// There was nothing more to send.
+    Idle,
+    /// It could not be made, or broke, or the process that it led to is gone.
+    Broken,
+    /// Another life answered than the one that the messages were meant for, and took none of them.
+    Refused,
 }
 
-type Waiting = HashMap<u64, oneshot::Sender<Bytes>>;
-
 /// Messages of one process. Cheap to clone behind its `Arc`.
 pub struct Transport {
-    own: SocketAddr,
+    own: SocketAddrV4,
+    incarnation: Incarnation,
     services: Mutex<HashMap<Channel, Arc<dyn Service>>>,
-    links: Mutex<HashMap<SocketAddr, mpsc::Sender<Frame>>>,
-    waiting: Mutex<HashMap<SocketAddr, Waiting>>,
+    links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
+    lives: Mutex<Lives>,
     calls: AtomicU64,
     sent_bytes: AtomicU64,
 }
 
 impl Transport {
-    /// Listens on the process's internal address and serves from then on.
+    /// Listens on the process's internal address and serves from then on, as a new life.
     pub async fn start(own: SocketAddr) -> std::io::Result<Arc<Transport>> {
         let socket = TcpSocket::new_v4()?;
         socket.set_reuseaddr(true)?;
         socket.bind(own)?;
         let listener = socket.listen(256)?;
+        let SocketAddr::V4(own) = listener.local_addr()? else {
+            return Err(std::io::ErrorKind::AddrNotAvailable.into());
+        };
         let transport = Arc::new(Transport {
-            own: listener.local_addr()?,
+            own,
+            incarnation: Incarnation::draw(own.into()),
             services: Mutex::default(),
             links: Mutex::default(),
-            waiting: Mutex::default(),
+            lives: Mutex::default(),
             calls: AtomicU64::new(1),
             sent_bytes: AtomicU64::new(0),
         });
@@ -133,7 +148,12 @@
 
     /// The internal address of this process, by which others know it.
     pub fn own_address(&self) -> SocketAddr {
-        self.own
+        self.own.into()
+    }
+
+    /// The identity of this life of the process.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
     }
 
     /// Bytes handed to the system so far.
@@ -148,7 +168,7 @@
 
     /// Sends a message that gets no answer; whether there was room for it in the queue.
     pub fn notify(self: &Arc<Self>, to: SocketAddr, channel: Channel, body: Bytes) -> bool {
-        self.enqueue(to, Frame { channel: channel as u8, kind: Kind::Notice, call: 0, body })
+        self.link(to).send(Frame { channel: channel as u8, kind: Kind::Notice, call: 0, body })
     }
 
     /// Sends a message and waits for its answer.
@@ -160,71 +180,141 @@
         within: Duration,
     ) -> Result<Bytes, CallError> {
         let call = self.calls.fetch_add(1, Relaxed);
-        let (answer, answered) = oneshot::channel();
-        self.waiting.lock().entry(to).or_default().insert(call, answer);
-        let queued = self.enqueue(to, Frame { channel: channel as u8, kind: Kind::Request, call, body });
+        let link = self.link(to);
+        let answered = link.expect_answer(call);
+        let queued = link.send(Frame { channel: channel as u8, kind: Kind::Request, call, body });
         let outcome = match queued {
             false => Err(CallError::Unreachable),
             true => match timeout(within, answered).await {
-                Ok(Ok(body)) if body.is_empty() => Err(CallError::NotUnderstood),
-                Ok(Ok(body)) => Ok(body),
+                Ok(Ok(Ok(body))) if body.is_empty() => Err(CallError::NotUnderstood),
+                Ok(Ok(outcome)) => outcome,
                 Ok(Err(_)) => Err(CallError::Unreachable),
                 Err(_) => Err(CallError::TimedOut),
             },
         };
-        if let Some(waiting) = self.waiting.lock().get_mut(&to) {
-            waiting.remove(&call);
-        }
+        link.forget_call(call);
         outcome
     }
 
-    fn enqueue(self: &Arc<Self>, to: SocketAddr, frame: Frame) -> bool {
+    /// The link to a process. A new one is meant for the life that is known there now.
+    fn link(self: &Arc<Self>, to: SocketAddr) -> Arc<Link> {
+        let expected = self.lives.lock().at(to);
         let mut links = self.links.lock();
         let link = links.entry(to).or_insert_with(|| {
-            let (link, queue) = mpsc::channel(QUEUE);
-            tokio::spawn(self.clone().dial(to, queue));
+            let (link, queue) = Link::new(expected);
+            tokio::spawn(self.clone().dial(to, link.clone(), queue));
             link
         });
-        link.try_send(frame).is_ok()
+        link.clone()
     }
 
     /// Carries the messages to one process until the connection breaks or is idle.
-    async fn dial(self: Arc<Self>, to: SocketAddr, mut queue: mpsc::Receiver<Frame>) {
-        let clean = match self.connect(to).await {
-            Ok(stream) => {
-                let (read, write) = stream.into_split();
-                let reads = self.clone().read(read, to, None);
-                let writes = self.write(write, &mut queue, true);
-                tokio::select! { () = reads => false, clean = writes => clean }
-            }
-            Err(_) => {
-                sleep(PAUSE).await;
-                false
-            }
+    async fn dial(self: Arc<Self>, to: SocketAddr, link: Arc<Link>, mut queue: mpsc::Receiver<Frame>) {
+        let end = self.carry(to, &link, &mut queue).await;
+        drop(queue);
+        self.unlink(to, &link);
+        link.ended(if end == End::Refused { CallError::Replaced } else { CallError::Unreachable });
+        if end != End::Idle {
+            self.services().iter().for_each(|service| service.unreachable(to));
+        }
+    }
+
+    async fn carry(
+        self: &Arc<Self>,
+        to: SocketAddr,
+        link: &Arc<Link>,
+        queue: &mut mpsc::Receiver<Frame>,
+    ) -> End {
+        let Ok(stream) = self.connect(to, Purpose::Messages, link.expected).await else {
+            sleep(PAUSE).await;
+            return End::Broken;
+        };
+        let (read, write) = stream.into_split();
+        let reads = self.read_answers(read, to, link);
+        let writes = self.write(write, queue, true);
+        tokio::select! {
+            biased;
+            end = reads => end,
+            clean = writes => if clean { End::Idle } else { End::Broken },
+            () = link.replaced() => End::Broken,
+        }
+    }
+
+    /// Reads the answers on a dialled connection until it ends.
+    async fn read_answers(&self, mut read: OwnedReadHalf, to: SocketAddr, link: &Arc<Link>) -> End {
+        let mut reply = [0; REPLY_BYTES];
+        let Some(there) = read.read_exact(&mut reply).await.ok().and_then(|_| read_reply(&reply)) else {
+            return End::Broken;
         };
-        self.links.lock().remove(&to);
-        self.waiting.lock().remove(&to);
-        if !clean {
-            let services: Vec<_> = self.services.lock().values().cloned().collect();
-            services.iter().for_each(|service| service.unreachable(to));
+        self.settle(to, there, Some(link));
+        if link.expected.is_some_and(|expected| expected != there) {
+            return End::Refused;
+        }
+        let mut frames = Frames::new(read);
+        while let Some(frame) = frames.next().await {
+            if frame.kind != Kind::Answer {
+                return End::Broken;
+            }
+            link.answered(frame.call, frame.body);
+        }
+        End::Broken
+    }
+
+    fn unlink(&self, to: SocketAddr, link: &Arc<Link>) {
+        let mut links = self.links.lock();
+        if links.get(&to).is_some_and(|current| Arc::ptr_eq(current, link)) {
+            links.remove(&to);
         }
     }
 
-    async fn connect(&self, to: SocketAddr) -> std::io::Result<TcpStream> {
+    /// This life is at the address. If it is another than the one known so far, the connections to that one end, but for
+    /// the one that told of it.
+    fn settle(&self, address: SocketAddr, incarnation: Incarnation, told_by: Option<&Arc<Link>>) {
+        if !self.lives.lock().settle(address, incarnation) {
+            return;
+        }
+        log::debug!("transport: another process is at {address}");
+        let is_other = |link: &Arc<Link>| told_by.is_none_or(|told_by| !Arc::ptr_eq(told_by, link));
+        let former = {
+            let mut links = self.links.lock();
+            let is_former = links.get(&address).is_some_and(is_other);
+            if is_former { links.remove(&address) } else { None }
+        };
+        former.iter().for_each(|link| link.replace());
+        self.services().iter().for_each(|service| service.restarted(address, incarnation));
+    }
+
+    fn services(&self) -> Vec<Arc<dyn Service>> {
+        self.services.lock().values().cloned().collect()
+    }
+
+    async fn connect(
+        &self,
+        to: SocketAddr,
+        purpose: Purpose,
+        expected: Option<Incarnation>,
+    ) -> std::io::Result<TcpStream> {
         let socket = TcpSocket::new_v4()?;
         prepare(&socket2::SockRef::from(&socket));
         let late = || std::io::Error::from(std::io::ErrorKind::TimedOut);
         let mut stream = timeout(PATIENCE, socket.connect(to)).await.map_err(|_| late())??;
         stream.set_nodelay(true)?;
-        let mut greeting = BytesMut::from(&GREETING[..]);
-        if let SocketAddr::V4(own) = self.own {
-            greeting.put_slice(&own.ip().octets());
-            greeting.put_u16(own.port());
-        }
-        stream.write_all(&greeting).await?;
+        let greeting = Greeting { purpose, address: self.own, incarnation: self.incarnation, expected };
+        stream.write_all(&greeting.to_bytes()).await?;
         Ok(stream)
     }
 
+    /// Who is at an address; none if nobody answers.
+    async fn ask(&self, address: SocketAddr) -> Option<Incarnation> {
+        let asked = async {
+            let mut stream = self.connect(address, Purpose::Question, None).await.ok()?;
+            let mut reply = [0; REPLY_BYTES];
+            stream.read_exact(&mut reply).await.ok()?;
+            read_reply(&reply)
+        };
+        timeout(PATIENCE, asked).await.ok().flatten()
+    }
+
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
@@ -239,21 +329,41 @@
     async fn accepted(self: Arc<Self>, mut stream: TcpStream) {
         prepare(&socket2::SockRef::from(&stream));
         stream.set_nodelay(true).ok();
-        let mut greeting = [0; GREETING.len() + 6];
-        let greeted = timeout(PATIENCE, stream.read_exact(&mut greeting)).await;
-        if !matches!(greeted, Ok(Ok(_))) || greeting[..GREETING.len()] != GREETING {
+        let mut bytes = [0; GREETING_BYTES];
+        let greeted = timeout(PATIENCE, stream.read_exact(&mut bytes)).await;
+        let Some(greeting) = matches!(greeted, Ok(Ok(_))).then(|| Greeting::from_bytes(&bytes)).flatten()
+        else {
+            return;
+        };
+        let replied = stream.write_all(&reply_bytes(self.incarnation)).await.is_ok();
+        if !replied || greeting.purpose == Purpose::Question {
+            return;
+        }
+        if greeting.expected.is_some_and(|expected| expected != self.incarnation) {
+            return refuse(stream).await;
+        }
+        let (from, incarnation) = (greeting.from(), greeting.incarnation);
+        if !self.admits(from, incarnation).await {
             return;
         }
-        let mut address = &greeting[GREETING.len()..];
-        let ip = address.get_u32();
-        let from = SocketAddr::V4(SocketAddrV4::new(ip.into(), address.get_u16()));
         let (read, write) = stream.into_split();
         let (answers, mut queue) = mpsc::channel(QUEUE);
-        let reads = self.clone().read(read, from, Some(answers));
+        let reads = self.read_messages(read, from, incarnation, answers);
         let writes = self.write(write, &mut queue, false);
         tokio::select! { () = reads => (), _ = writes => () }
     }
 
+    /// Whether a process that dials is the one at its address.
+    async fn admits(&self, from: SocketAddr, incarnation: Incarnation) -> bool {
+        let claim = self.lives.lock().dialled_by(from, incarnation);
+        if claim == Claim::Known {
+            return true;
+        }
+        let there = self.ask(from).await.unwrap_or(incarnation);
+        self.settle(from, there, None);
+        there == incarnation
+    }
+
     /// Writes what is queued; whether it ended for want of anything to do.
     async fn write(
         &self,
@@ -285,48 +395,70 @@
         }
     }
 
-    /// Reads frames until the connection ends. Answers to what is read go into `answers`.
-    async fn read(
-        self: Arc<Self>,
-        mut read: OwnedReadHalf,
+    /// Reads messages on an accepted connection until it ends or its sender's life has. Answers go into `answers`.
+    async fn read_messages(
+        &self,
+        read: OwnedReadHalf,
         from: SocketAddr,
-        answers: Option<mpsc::Sender<Frame>>,
+        incarnation: Incarnation,
+        answers: mpsc::Sender<Frame>,
     ) {
-        let mut bytes = BytesMut::with_capacity(4 << 10);
-        loop {
-            while let Some(frame) = match take(&mut bytes) {
-                Ok(frame) => frame,
-                Err(NoFrame) => return,
-            } {
-                self.take(frame, from, answers.as_ref());
-            }
-            if bytes.is_empty() && bytes.capacity() > 256 << 10 {
-                bytes = BytesMut::with_capacity(4 << 10);
-            }
-            if !read.read_buf(&mut bytes).await.is_ok_and(|read| read > 0) {
+        let mut frames = Frames::new(read);
+        while let Some(frame) = frames.next().await {
+            if frame.kind == Kind::Answer || !self.lives.lock().is_current(from, incarnation) {
                 return;
             }
+            self.take(frame, from, &answers);
         }
     }
 
-    fn take(self: &Arc<Self>, frame: Frame, from: SocketAddr, answers: Option<&mpsc::Sender<Frame>>) {
-        if frame.kind == Kind::Answer {
-            let waits = self.waiting.lock().get_mut(&from).and_then(|waiting| waiting.remove(&frame.call));
-            waits.map(|waits| waits.send(frame.body));
-            return;
-        }
+    fn take(&self, frame: Frame, from: SocketAddr, answers: &mpsc::Sender<Frame>) {
         let service = Channel::from_byte(frame.channel).and_then(|c| self.services.lock().get(&c).cloned());
         let Some(service) = service else { return };
-        match (frame.kind, answers) {
-            (Kind::Request, Some(answers)) => {
-                let (answers, answer) = (answers.clone(), service.request(from, frame.body));
-                tokio::spawn(async move {
-                    let body = answer.await;
-                    let answer = Frame { channel: frame.channel, kind: Kind::Answer, call: frame.call, body };
-                    answers.send(answer).await.ok();
-                });
+        if frame.kind == Kind::Notice {
+            return service.notice(from, frame.body);
+        }
+        let (answers, answer) = (answers.clone(), service.request(from, frame.body));
+        tokio::spawn(async move {
+            let body = answer.await;
+            let answer = Frame { channel: frame.channel, kind: Kind::Answer, call: frame.call, body };
+            answers.send(answer).await.ok();
+        });
+    }
+}
+
+/// Ends a connection whose messages are not taken. They are read and dropped for a while, as closing over bytes that
+/// were not read would reset the connection and lose the reply.
+async fn refuse(mut stream: TcpStream) {
+    stream.shutdown().await.ok();
+    let mut unread = vec![0; 4 << 10];
+    let rest = async { while stream.read(&mut unread).await.is_ok_and(|read| read > 0) {} };
+    timeout(PATIENCE, rest).await.ok();
+}
+
+/// Reads frames from a connection.
+struct Frames {
+    read: OwnedReadHalf,
+    bytes: BytesMut,
+}
+
+impl Frames {
+    fn new(read: OwnedReadHalf) -> Frames {
+        Frames { read, bytes: BytesMut::with_capacity(4 << 10) }
+    }
+
+    /// The next frame; none when the connection has ended or brings something else.
+    async fn next(&mut self) -> Option<Frame> {
+        loop {
+            if let Some(frame) = take(&mut self.bytes).ok()? {
+                return Some(frame);
+            }
+            if self.bytes.is_empty() && self.bytes.capacity() > 256 << 10 {
+                self.bytes = BytesMut::with_capacity(4 << 10);
+            }
+            if !self.read.read_buf(&mut self.bytes).await.is_ok_and(|read| read > 0) {
+                return None;
             }
-            _ => service.notice(from, frame.body),
         }
     }
 }
@@ -340,40 +472,3 @@
         .with_retries(2);
     socket.set_tcp_keepalive(&probes).ok();
 }
-
-/// The bytes are no frame of this protocol.
-struct NoFrame;
-
-fn put(out: &mut BytesMut, frame: &Frame) {
-    out.put_u32(frame.body.len() as u32);
-    out.put_u8(frame.channel);
-    out.put_u8(frame.kind as u8);
-    out.put_u64(frame.call);
-    out.put_slice(&frame.body);
-}
-
-/// The next whole frame, if it is there.
-fn take(bytes: &mut BytesMut) -> Result<Option<Frame>, NoFrame> {
-    if bytes.len() < HEAD {
-        return Ok(None);
-    }
-    let length = u32::from_be_bytes([bytes[0], bytes[1], bytes[2], bytes[3]]) as usize;
-    if length > MOST_BYTES {
-        return Err(NoFrame);
-    }
-    if bytes.len() < HEAD + length {
-        bytes.reserve(HEAD + length - bytes.len());
-        return Ok(None);
-    }
-    let mut head = bytes.split_to(HEAD);
-    head.advance(4);
-    let channel = head.get_u8();
-    let kind = match head.get_u8() {
-        0 => Kind::Notice,
-        1 => Kind::Request,
-        2 => Kind::Answer,
-        _ => return Err(NoFrame),
-    };
-    let call = head.get_u64();
-    Ok(Some(Frame { channel, kind, call, body: bytes.split_to(length).freeze() }))
-}
--- a/crates/mintlb-tier/tests/transport.rs
+++ b/crates/mintlb-tier/tests/transport.rs
@@ -1,51 +1,15 @@
 //! Messages between processes over real loopback sockets.
 
+mod messages;
+
 use bytes::Bytes;
-use mintlb_tier::transport::{Answer, CallError, Channel, Service, Transport};
-use std::net::SocketAddr;
-use std::sync::Arc;
+use messages::{Seen, WAIT, process};
+use mintlb_tier::transport::{CallError, Channel};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use tokio::time::timeout;
 
-const WAIT: Duration = Duration::from_secs(10);
-
-#[derive(Debug, PartialEq)]
-enum Seen {
-    Notice(SocketAddr, Bytes),
-    Unreachable(SocketAddr),
-}
-
-/// Answers a call with its body doubled; `silence` gets no answer, `what` is not understood.
-struct Echo(UnboundedSender<Seen>);
-
-impl Service for Echo {
-    fn notice(&self, from: SocketAddr, body: Bytes) {
-        self.0.send(Seen::Notice(from, body)).unwrap();
-    }
-    fn request(&self, _from: SocketAddr, body: Bytes) -> Answer {
-        Box::pin(async move {
-            match &body[..] {
-                b"silence" => std::future::pending().await,
-                b"what" => Bytes::new(),
-                _ => [body.clone(), body].concat().into(),
-            }
-        })
-    }
-    fn unreachable(&self, peer: SocketAddr) {
-        self.0.send(Seen::Unreachable(peer)).unwrap();
-    }
-}
-
-async fn process() -> (Arc<Transport>, UnboundedReceiver<Seen>) {
-    let transport = Transport::start("127.0.0.1:0".parse().unwrap()).await.unwrap();
-    let (seen, sees) = unbounded_channel();
-    transport.serve(Channel::Lots, Arc::new(Echo(seen)));
-    (transport, sees)
-}
-
 #[tokio::test]
 async fn a_notice_comes_with_its_senders_address() {
     let (a, _) = process().await;
