A worker's end counts at a dispatcher also when it names no address

Cause: a controller that does not know a worker (just started, table not compared yet) acknowledges its DELETE and publishes Gone with an empty address; WorkerTable::hear read the address first and passed the record over. The worker stayed in service at all dispatchers, for good, as nothing is above Gone: DRAIN. Change: the address is needed only for a worker that is new here.

--- a/crates/mintlb-dispatch/src/workers.rs
+++ b/crates/mintlb-dispatch/src/workers.rs
@@ -8,6 +8,7 @@
 use mintlb_tier::record::{WorkerRecord, WorkerState};
 use parking_lot::Mutex;
 use rustc_hash::FxHashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
@@ -166,7 +167,8 @@
         numbers: LineNumbers,
         reach: impl FnOnce(Arc<WorkerEntry>) -> Arc<dyn Reach>,
     ) -> Option<Member> {
-        let address = record.address.parse().ok()?;
+        // A controller that did not know the worker says no more of it than that it has ended.
+        let address: Option<SocketAddr> = record.address.parse().ok();
         let id = worker_id(&record.instance_id);
         let gone = record.state == WorkerState::Gone;
         let mut entries = self.entries.lock();
@@ -177,7 +179,7 @@
                     id,
                     instance_id: record.instance_id.clone(),
                     service: record.service.clone(),
-                    pool: Pool::new(address),
+                    pool: Pool::new(address?),
                     numbers,
                     in_service: AtomicBool::new(false),
                     silent_since: Mutex::default(),
@@ -206,7 +208,7 @@
             WorkerState::Gone => Listed::Gone,
         };
         let (name, line) = (record.instance_id.clone(), entry.line(listed));
-        Some(Member { name, line, host: Some(address.ip()), reach: Some(reach(entry)) })
+        Some(Member { name, line, host: address.map(|address| address.ip()), reach: Some(reach(entry)) })
     }
 
     /// Forgets the workers that have been silent for long and have none of our requests: one that comes back has to
--- a/crates/mintlb-dispatch/tests/machine/mod.rs
+++ b/crates/mintlb-dispatch/tests/machine/mod.rs
@@ -80,16 +80,11 @@
 
     /// Tells it of a worker and waits until it knows.
     pub async fn know(&self, worker: &Worker, state: WorkerState, call: u64) {
-        let record = WorkerRecord {
-            instance_id: worker.instance_id.clone(),
-            service: worker.service.clone(),
-            address: worker.address.to_string(),
-            zone: "a".to_string(),
-            capacity_slots: 4,
-            state,
-            call_sequence: call,
-            warm_at_ms: 0,
-        };
+        self.hear(worker_record(worker, state, call)).await;
+    }
+
+    /// Tells it this of a worker and waits until it knows.
+    pub async fn hear(&self, record: WorkerRecord) {
         let age = self.hub.workers.age();
         self.tell.send(Known::Worker(record)).unwrap();
         self.until(|hub| hub.workers.age() > age).await;
@@ -109,6 +104,20 @@
     }
 }
 
+/// What the records say of a worker.
+pub fn worker_record(worker: &Worker, state: WorkerState, call: u64) -> WorkerRecord {
+    WorkerRecord {
+        instance_id: worker.instance_id.clone(),
+        service: worker.service.clone(),
+        address: worker.address.to_string(),
+        zone: "a".to_string(),
+        capacity_slots: 4,
+        state,
+        call_sequence: call,
+        warm_at_ms: 0,
+    }
+}
+
 pub async fn listener() -> TcpListener {
     TcpListener::bind("127.0.0.1:0").await.unwrap()
 }
--- a/crates/mintlb-dispatch/tests/trouble.rs
+++ b/crates/mintlb-dispatch/tests/trouble.rs
@@ -2,8 +2,8 @@
 
 mod machine;
 
-use machine::{CONFIGURATION, Machine, Worker, event, header, on_one_thread};
-use mintlb_tier::record::WorkerState;
+use machine::{CONFIGURATION, Machine, Worker, event, header, on_one_thread, worker_record};
+use mintlb_tier::record::{WorkerRecord, WorkerState};
 use std::time::{Duration, Instant};
 
 async fn with_worker() -> (Machine, Worker) {
@@ -14,6 +14,23 @@
     (machine, worker)
 }
 
+/// The controller that took the worker's word had just started and did not know the worker.
+#[test]
+fn a_worker_that_ended_is_sent_nothing_though_its_end_names_no_address() {
+    on_one_thread(async {
+        let (machine, mut worker) = with_worker().await;
+        let gone = worker_record(&worker, WorkerState::Gone, 0);
+        let (service, address, zone) = Default::default();
+        machine.hear(WorkerRecord { service, address, zone, capacity_slots: 0, ..gone }).await;
+        assert_eq!(machine.hub.workers.in_service(), 0);
+        let mut client = machine.client().await;
+        client.write("POST /p/1 HTTP/1.1\r\nHost: shop.example\r\nMintlb-Request-Id: a\r\n").await;
+        client.write("Mintlb-Deadline-Ms: 300\r\nContent-Length: 0\r\n\r\n").await;
+        assert_ne!(client.get().await.status, 200);
+        assert!(!worker.has_request());
+    });
+}
+
 #[test]
 fn connections_to_workers_are_kept_while_they_are_good() {
     on_one_thread(async {
