Overlay: a newcomer that reaches only seeds that are cut off hears of the others

Cause: a process that starts while all seeds are cut off from the rest knows nobody else; the seeds drop those they can't reach from their views within seconds, so that nobody told it of the others, though it reaches them: it kept the old configuration for as long as the cut lasted, while it counts as in touch.

--- a/crates/mintlb-overlay/src/views.rs
+++ b/crates/mintlb-overlay/src/views.rs
@@ -84,6 +84,9 @@
     /// Others that the sender has heard of.
     #[n(1)]
     pub sample: Vec<Heard>,
+    /// Neighbours that the sender has lost lately, and when: they may be on the other side of a cut, which a newcomer reaches.
+    #[n(2)]
+    pub lost: Vec<Heard>,
 }
 
 /// Entries of the sender's views.
@@ -137,6 +140,11 @@
     until: Instant,
 }
 
+/// The seconds since then, rounded up.
+fn age_s(now: Instant, then: Instant) -> u32 {
+    (now.saturating_duration_since(then).as_millis() as u32).div_ceil(1000)
+}
+
 /// The views of one process.
 #[derive(Debug)]
 pub struct Views {
@@ -254,13 +262,13 @@
         self.learn(now, request.sample);
         if !self.is_neighbour(from) && self.active.len() >= MOST_NEIGHBOURS {
             if !request.urgent {
-                let reply = NeighbourReply { member: self.own.clone(), sample: self.sample(now, from) };
+                let reply = self.reply(now, from);
                 self.meet(now, request.member);
                 return effects.send(from, &Message::Refused(reply));
             }
             self.evict(now, effects);
         }
-        let reply = NeighbourReply { member: self.own.clone(), sample: self.sample(now, from) };
+        let reply = self.reply(now, from);
         effects.send(from, &Message::Accepted(reply));
         self.add(now, request.member);
     }
@@ -276,6 +284,7 @@
         let asked = self.is_asked(from);
         self.requests.retain(|request| request.to != from);
         self.learn(now, reply.sample);
+        self.look_for(now, reply.lost);
         if reply.member.address != from || self.is_linked(&reply.member) {
             return;
         }
@@ -301,6 +310,7 @@
         self.requests.retain(|request| request.to != from);
         self.refusals += 1;
         self.learn(now, reply.sample);
+        self.look_for(now, reply.lost);
         if reply.member.address == from {
             self.meet(now, reply.member);
         }
@@ -414,7 +424,7 @@
 
     /// Itself and some of whom it knows, neighbours and others.
     fn sample(&mut self, now: Instant, to: SocketAddr) -> Vec<Heard> {
-        let age = |heard: Instant| (now.saturating_duration_since(heard).as_millis() as u32).div_ceil(1000);
+        let age = |heard| age_s(now, heard);
         let active = self.active.iter().map(|n| Heard { member: n.member.clone(), age_s: age(n.heard) });
         let passive = self.passive.iter().map(|o| Heard { member: o.member.clone(), age_s: age(o.heard) });
         let mut active: Vec<_> = active.filter(|heard| heard.member.address != to).collect();
--- a/crates/mintlb-overlay/src/views/candidates.rs
+++ b/crates/mintlb-overlay/src/views/candidates.rs
@@ -1,8 +1,9 @@
 //! Whom a process asks to become a neighbour, and whom it looks for.
 
 use super::{
-    ANSWER_TIME, Acquaintance, Heard, MOST_ENDED, MOST_FAILED, MOST_NEIGHBOURS, NeighbourRequest,
-    PASSIVE_VIEW, PROBE_INTERVAL, Probe, REFUSALS, Request, SEED_PROBE_INTERVAL, Views, WANTED_NEIGHBOURS,
+    ANSWER_TIME, Acquaintance, Heard, MOST_ENDED, MOST_FAILED, MOST_NEIGHBOURS, NeighbourReply,
+    NeighbourRequest, PASSIVE_VIEW, PROBE_INTERVAL, Probe, RECENT, REFUSALS, Request, SEED_PROBE_INTERVAL,
+    Views, WANTED_NEIGHBOURS, age_s,
 };
 use crate::effects::Effects;
 use crate::message::{Member, Message, Role};
@@ -34,6 +35,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct Lost {
     pub(super) member: Member,
+    since: Instant,
 }
 
 impl Views {
@@ -126,12 +128,31 @@
         log::info!("overlay: lost {} at {address}, {} neighbours left", member.node_name, self.active.len());
         self.fail(now, address);
         self.lost.retain(|lost| lost.member.address != address);
-        self.lost.push_back(Lost { member });
+        self.lost.push_back(Lost { member, since: now });
         if self.lost.len() > MOST_LOST {
             self.lost.pop_front();
         }
     }
 
+    /// The answer to a process that wants to be a neighbour.
+    pub(super) fn reply(&mut self, now: Instant, to: SocketAddr) -> NeighbourReply {
+        let recent = self.lost.iter().filter(|lost| now < lost.since + RECENT && lost.member.address != to);
+        let lost = recent.map(|lost| Heard { member: lost.member.clone(), age_s: age_s(now, lost.since) });
+        let lost = lost.collect();
+        NeighbourReply { member: self.own.clone(), sample: self.sample(now, to), lost }
+    }
+
+    /// Looks for those that another process has lost lately, while there is room beside the own ones.
+    pub(super) fn look_for(&mut self, now: Instant, lost: Vec<Heard>) {
+        for Heard { member, age_s } in lost {
+            let age = Duration::from_secs(age_s.into());
+            let known = self.lost.iter().any(|lost| lost.member.address == member.address);
+            if self.lost.len() < MOST_LOST && age < RECENT && !known && self.is_free(member.address) {
+                self.lost.push_back(Lost { member, since: now.checked_sub(age).unwrap_or(now) });
+            }
+        }
+    }
+
     fn fail(&mut self, now: Instant, address: SocketAddr) {
         self.failed.retain(|&(failed, _)| failed != address);
         self.failed.push_back((address, now));
--- a/crates/mintlb-overlay/tests/faults.rs
+++ b/crates/mintlb-overlay/tests/faults.rs
@@ -323,3 +323,65 @@
     println!("steady again: {rate} bytes a second and process");
     assert!(rate < 1000, "{rate} bytes a second");
 }
+
+/// The seeds, and nobody else, are cut off from all others for 20 s in which two configurations are published.
+fn seeds_cut_off(seed: u64) -> Simulation {
+    let mut simulation = grown(seed, 12, 3);
+    simulation.publish(5, record("configuration", 1));
+    simulation.run_for(ms(1000));
+    cut_from_seeds(&mut simulation, 3..12);
+    for version in 2..=3 {
+        simulation.run_for(ms(10_000));
+        simulation.publish(5, record("configuration", version));
+    }
+    simulation.run_for(ms(1000));
+    assert_eq!(simulation.lacking(&[0, 1, 2], "configuration", 1), 0);
+    assert_eq!(simulation.lacking(&[3, 4, 5, 6, 7, 8, 9, 10, 11], "configuration", 3), 0);
+    simulation
+}
+
+fn cut_from_seeds(simulation: &mut Simulation, others: std::ops::Range<usize>) {
+    for (seed, other) in others.flat_map(|other| (0..3).map(move |seed| (seed, other))) {
+        simulation.lose_way(seed, other);
+        simulation.lose_way(other, seed);
+    }
+}
+
+/// It knows nobody but the seeds, and they know the others from before.
+#[test]
+fn a_newcomer_that_reaches_cut_off_seeds_and_the_others_finds_the_others() {
+    for seed in 0..20 {
+        let mut simulation = seeds_cut_off(seed);
+        simulation.add(12, "zone1", ms(0));
+        let until = simulation.now + ms(10);
+        simulation.run_until(until, |s| s.running().len() == 13);
+        let took = simulation.time_until_known(&[12], "configuration", 3, ms(2000));
+        assert!(took.is_some(), "seed {seed}: it knows {:?}", simulation.version(12, "configuration"));
+        println!("seed {seed}: up to date after {took:?}");
+    }
+}
+
+#[test]
+fn a_newcomer_that_reaches_nobody_waits_and_one_that_reaches_stale_seeds_catches_up() {
+    for seed in 0..10 {
+        for reaches_seeds in [false, true] {
+            let mut simulation = seeds_cut_off(seed);
+            if !reaches_seeds {
+                cut_from_seeds(&mut simulation, 12..13);
+            }
+            for other in 3..12 {
+                simulation.lose_way(12, other);
+                simulation.lose_way(other, 12);
+            }
+            simulation.add(12, "zone1", ms(0));
+            simulation.run_for(ms(8000));
+            assert_eq!(simulation.node(12).joined(), reaches_seeds, "seed {seed}");
+            assert_eq!(simulation.version(12, "configuration"), reaches_seeds.then_some(1));
+            simulation.heal();
+            let all = simulation.running();
+            let took = simulation.time_until_known(&all, "configuration", 3, ms(2000));
+            assert!(took.is_some(), "seed {seed}, reaches seeds: {reaches_seeds}");
+            assert!(simulation.node(12).joined() && simulation.only_rises());
+        }
+    }
+}
--- a/crates/mintlb-overlay/tests/identity.rs
+++ b/crates/mintlb-overlay/tests/identity.rs
@@ -153,7 +153,10 @@
         assert!(!watcher.node.views().is_neighbour(address(RESTARTED)));
         // An answer to what the former life was asked makes no link.
         let member = member(RESTARTED, former);
-        watcher.hear(RESTARTED, Message::Accepted(NeighbourReply { member, sample: Vec::new() }));
+        watcher.hear(
+            RESTARTED,
+            Message::Accepted(NeighbourReply { member, sample: Vec::new(), lost: Vec::new() }),
+        );
         watcher.hear(RESTARTED, request(new));
         assert!(watcher.node.views().is_neighbour(address(RESTARTED)));
         assert_eq!(watcher.known(), [new]);
