Overlay: a process killed and started again at its address is linked again, over sockets

Red with a fault planted in the transport (a successor is never learnt): "joined: Elapsed(())". With Service::restarted not told it stays green: the newcomer's own request makes the link.

--- a/crates/mintlb-overlay/tests/driver.rs
+++ b/crates/mintlb-overlay/tests/driver.rs
@@ -2,12 +2,16 @@
 
 use bytes::Bytes;
 use mintlb_overlay::{Member, Overlay, OverlayConfig, Role};
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
 use mintlb_tier::transport::Transport;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::thread::JoinHandle;
 use std::time::Duration;
-use tokio::sync::mpsc;
+use tokio::net::TcpListener;
+use tokio::runtime::Builder;
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::timeout;
 
 const PATIENCE: Duration = Duration::from_secs(10);
@@ -121,3 +125,54 @@
     assert_eq!(overlay.get("configuration").map(|record| record.version), Some(1));
     assert!(!*overlay.joined().borrow());
 }
+
+/// A process on a thread of its own, which ends with its runtime, as one that is killed.
+struct Killable {
+    overlay: Arc<Overlay>,
+    incarnation: Incarnation,
+    kill: oneshot::Sender<()>,
+    thread: JoinHandle<()>,
+}
+
+impl Killable {
+    /// Starts a process at this address and waits until it has joined.
+    async fn start(address: SocketAddr, seeds: [SocketAddr; 1]) -> Killable {
+        let (kill, killed) = oneshot::channel();
+        let (tell, told) = oneshot::channel();
+        let thread = std::thread::spawn(move || {
+            let runtime = Builder::new_current_thread().enable_all().build().unwrap();
+            runtime.block_on(async {
+                let transport = Transport::start(address).await.unwrap();
+                let overlay = start(&transport, &seeds, 1);
+                overlay.settled().await;
+                tell.send((overlay, transport.incarnation())).ok();
+                killed.await.ok();
+            });
+        });
+        let (overlay, incarnation) = timeout(PATIENCE, told).await.expect("joined").unwrap();
+        Killable { overlay, incarnation, kill, thread }
+    }
+
+    fn kill(self) {
+        self.kill.send(()).unwrap();
+        self.thread.join().unwrap();
+    }
+}
+
+#[tokio::test]
+async fn a_process_that_is_restarted_at_its_address_is_linked_again() {
+    let transport = transports(1).await.remove(0);
+    let seeds = [transport.own_address()];
+    let one = start(&transport, &seeds, 0);
+    let address = TcpListener::bind("127.0.0.1:0").await.unwrap().local_addr().unwrap();
+    let mut former = None;
+    for version in 1..=4 {
+        let process = Killable::start(address, seeds).await;
+        assert_ne!(former.replace(process.incarnation), Some(process.incarnation));
+        assert!(one.publish(record("configuration", version), PATIENCE).await, "not confirmed");
+        assert_eq!(process.overlay.get("configuration").map(|record| record.version), Some(version));
+        let known = one.members().into_iter().find(|member| member.address == address);
+        assert_eq!(known.map(|member| member.incarnation), Some(process.incarnation));
+        process.kill();
+    }
+}
