--- a/crates/mintlb-overlay/src/views.rs
+++ b/crates/mintlb-overlay/src/views.rs
@@ -12,6 +12,7 @@
 use crate::random::Random;
 use candidates::{Lost, Seed};
 use minicbor::{Decode, Encode};
+use mintlb_tier::incarnation::Incarnation;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -46,6 +47,8 @@
 const BREAK: Duration = Duration::from_secs(1);
 /// How many failed processes are remembered, so that stale hearsay of them is ignored.
 const MOST_FAILED: usize = 64;
+/// How many ended lives are remembered for the same reason.
+const MOST_ENDED: usize = 64;
 
 /// A member and how long ago it was heard from.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -81,6 +84,9 @@
     /// Others that the sender has heard of.
     #[n(1)]
     pub sample: Vec<Heard>,
+    /// Neighbours that the sender has lost lately, and when: they may be on the other side of a cut, which a newcomer reaches.
+    #[n(2)]
+    pub lost: Vec<Heard>,
 }
 
 /// Entries of the sender's views.
@@ -134,6 +140,11 @@
     until: Instant,
 }
 
+/// The seconds since then, rounded up.
+fn age_s(now: Instant, then: Instant) -> u32 {
+    (now.saturating_duration_since(then).as_millis() as u32).div_ceil(1000)
+}
+
 /// The views of one process.
 #[derive(Debug)]
 pub struct Views {
@@ -145,6 +156,8 @@
     requests: Vec<Request>,
     lost: VecDeque<Lost>,
     failed: VecDeque<(SocketAddr, Instant)>,
+    /// Lives that have ended, as their successors have shown.
+    ended: VecDeque<(SocketAddr, Incarnation)>,
     refusals: u32,
     ticked: Instant,
     shuffle_at: Instant,
@@ -168,6 +181,7 @@
             requests: Vec::new(),
             lost: VecDeque::new(),
             failed: VecDeque::new(),
+            ended: VecDeque::new(),
             refusals: 0,
             ticked: now,
             shuffle_at: now + phase,
@@ -211,6 +225,13 @@
         std::mem::take(&mut self.changes)
     }
 
+    /// Whether this life of a process is a neighbour.
+    fn is_linked(&self, member: &Member) -> bool {
+        let same =
+            |n: &Neighbour| (n.member.address, n.member.incarnation) == (member.address, member.incarnation);
+        self.active.iter().any(same)
+    }
+
     /// Anything from a neighbour is a sign of life.
     pub fn heard_from(&mut self, now: Instant, from: SocketAddr) {
         if let Some(neighbour) = self.active.iter_mut().find(|n| n.member.address == from) {
@@ -241,13 +262,13 @@
         self.learn(now, request.sample);
         if !self.is_neighbour(from) && self.active.len() >= MOST_NEIGHBOURS {
             if !request.urgent {
-                let reply = NeighbourReply { member: self.own.clone(), sample: self.sample(now, from) };
+                let reply = self.reply(now, from);
                 self.meet(now, request.member);
                 return effects.send(from, &Message::Refused(reply));
             }
             self.evict(now, effects);
         }
-        let reply = NeighbourReply { member: self.own.clone(), sample: self.sample(now, from) };
+        let reply = self.reply(now, from);
         effects.send(from, &Message::Accepted(reply));
         self.add(now, request.member);
     }
@@ -263,7 +284,8 @@
         let asked = self.is_asked(from);
         self.requests.retain(|request| request.to != from);
         self.learn(now, reply.sample);
-        if reply.member.address != from || self.is_neighbour(from) {
+        self.look_for(now, reply.lost);
+        if reply.member.address != from || self.is_linked(&reply.member) {
             return;
         }
         if !asked {
@@ -288,6 +310,7 @@
         self.requests.retain(|request| request.to != from);
         self.refusals += 1;
         self.learn(now, reply.sample);
+        self.look_for(now, reply.lost);
         if reply.member.address == from {
             self.meet(now, reply.member);
         }
@@ -298,7 +321,7 @@
     /// Another process takes this one for no neighbour.
     pub fn on_disconnect(&mut self, now: Instant, from: SocketAddr, effects: &mut Effects) {
         if let Some(member) = self.remove(from) {
-            self.meet(now, member);
+            self.remember(now, member, now);
             self.fill(now, effects);
         }
     }
@@ -319,6 +342,19 @@
         self.learn(now, shuffle.entries);
     }
 
+    /// Another life is at the address: what was known of the former one holds no more.
+    pub fn on_restarted(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        incarnation: Incarnation,
+        effects: &mut Effects,
+    ) {
+        self.requests.retain(|request| request.to != address);
+        self.end_former(now, address, incarnation);
+        self.fill(now, effects);
+    }
+
     /// A process can't be reached, or messages to it were lost.
     pub fn on_unreachable(&mut self, now: Instant, peer: SocketAddr, effects: &mut Effects) {
         if self.is_asked(peer) {
@@ -388,7 +424,7 @@
 
     /// Itself and some of whom it knows, neighbours and others.
     fn sample(&mut self, now: Instant, to: SocketAddr) -> Vec<Heard> {
-        let age = |heard: Instant| (now.saturating_duration_since(heard).as_millis() as u32).div_ceil(1000);
+        let age = |heard| age_s(now, heard);
         let active = self.active.iter().map(|n| Heard { member: n.member.clone(), age_s: age(n.heard) });
         let passive = self.passive.iter().map(|o| Heard { member: o.member.clone(), age_s: age(o.heard) });
         let mut active: Vec<_> = active.filter(|heard| heard.member.address != to).collect();
@@ -404,6 +440,7 @@
 
     fn add(&mut self, now: Instant, member: Member) {
         let address = member.address;
+        self.end_former(now, address, member.incarnation);
         self.passive.retain(|other| other.member.address != address);
         self.lost.retain(|lost| lost.member.address != address);
         self.failed.retain(|&(failed, _)| failed != address);
@@ -432,7 +469,7 @@
         if let Some(address) = self.random.pick(&open) {
             effects.send(address, &Message::Disconnect);
             let member = self.remove(address);
-            member.into_iter().for_each(|member| self.meet(now, member));
+            member.into_iter().for_each(|member| self.remember(now, member, now));
         }
     }
 
