An ended lot's items don't run from a lease that crosses its end

Cause: a lease granted before a lot's end whose answer came after the news of the end brought items that ran until the next renewal said so (UNASKED). The news went by the lot's id alone, whatever its host.

Change: the queue remembers the last 4096 ended lots, by host and id.

Test: tests/batch.rs.

--- a/crates/mintlb-dispatch/src/batch/calls.rs
+++ b/crates/mintlb-dispatch/src/batch/calls.rs
@@ -159,7 +159,7 @@
         Box::pin(async move {
             match client.end(&host, &lot_id).await {
                 EndOutcome::Ended => {
-                    runner.lot_ended(&lot_id);
+                    runner.lot_ended(&host, &lot_id);
                     overlay.publish_now(Record {
                         key: format!("{ENDED_LOT_PREFIX}{lot_id}"),
                         version: 1,
--- a/crates/mintlb-dispatch/src/batch/mod.rs
+++ b/crates/mintlb-dispatch/src/batch/mod.rs
@@ -38,7 +38,7 @@
                 Err(why) => log::warn!("lots: the placement {} can't be read: {why}", record.version),
             }
         } else if let Some(lot_id) = record.key.strip_prefix(ENDED_LOT_PREFIX) {
-            listener.lot_ended(lot_id);
+            listener.lot_ended(&String::from_utf8_lossy(&record.body), lot_id);
         }
     }));
     Arc::new(calls::BatchCalls::new(client, runner, overlay, holder))
--- a/crates/mintlb-dispatch/src/batch/queue.rs
+++ b/crates/mintlb-dispatch/src/batch/queue.rs
@@ -1,7 +1,10 @@
 //! The items that this dispatcher holds leases of: which runs next, and how many run at once. Pure.
 
 use mintlb_lots::client::{HeldLot, LeasedItem};
-use std::collections::{BTreeMap, HashMap, HashSet};
+use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+
+/// Ended lots that are remembered: their items may still come with an answer that was under way.
+const MOST_ENDED: usize = 4096;
 
 /// An item's place among those held here.
 pub type ItemNumber = u64;
@@ -15,14 +18,17 @@
     waiting: BTreeMap<(u64, ItemNumber), LeasedItem>,
     held: HashMap<LotKey, HashSet<u32>>,
     running: HashMap<ItemNumber, (LotKey, u32)>,
+    /// Lots that ended last, and the same in their order.
+    ended: HashSet<LotKey>,
+    ended_order: VecDeque<LotKey>,
     next_number: ItemNumber,
 }
 
 impl ItemQueue {
-    /// Takes an item in, unless it is here already.
+    /// Takes an item in, unless it is here already or its lot is known to be ended.
     pub fn add(&mut self, item: LeasedItem) {
         let key = (item.host.clone(), item.lot_id.clone());
-        if !self.held.entry(key).or_default().insert(item.index) {
+        if self.ended.contains(&key) || !self.held.entry(key).or_default().insert(item.index) {
             return;
         }
         let due = item.terms.sent_at_ms.saturating_add(item.terms.completion_target_ms);
@@ -67,9 +73,18 @@
         running.map(|(number, _)| *number).collect()
     }
 
-    /// The lots of this id that have items here, whatever their host.
-    pub fn lots_with_id(&self, lot_id: &str) -> Vec<LotKey> {
-        self.held.keys().filter(|(_, id)| id == lot_id).cloned().collect()
+    /// A lot is ended: none of its items is to run here, nor those that come later. Returns those that run.
+    pub fn end_lot(&mut self, key: LotKey) -> Vec<ItemNumber> {
+        let stopped = self.drop_items(&key, None);
+        if self.ended.insert(key.clone()) {
+            self.ended_order.push_back(key);
+        }
+        if self.ended_order.len() > MOST_ENDED
+            && let Some(oldest) = self.ended_order.pop_front()
+        {
+            self.ended.remove(&oldest);
+        }
+        stopped
     }
 
     /// What is held, for the renewal of its leases.
--- a/crates/mintlb-dispatch/src/batch/runner.rs
+++ b/crates/mintlb-dispatch/src/batch/runner.rs
@@ -65,12 +65,9 @@
         self.run_next();
     }
 
-    /// No item of this lot runs here any more.
-    pub fn lot_ended(&self, lot_id: &str) {
-        let mut queue = self.queue.lock();
-        let keys = queue.lots_with_id(lot_id);
-        let stopped: Vec<ItemNumber> = keys.iter().flat_map(|key| queue.drop_items(key, None)).collect();
-        drop(queue);
+    /// No item of this lot runs here any more, nor one whose lease is still under way.
+    pub fn lot_ended(&self, host: &str, lot_id: &str) {
+        let stopped = self.queue.lock().end_lot((host.to_string(), lot_id.to_string()));
         self.cancel(&stopped);
     }
 
--- a/crates/mintlb-dispatch/tests/batch.rs
+++ b/crates/mintlb-dispatch/tests/batch.rs
@@ -156,11 +156,41 @@
     queue.add(leased("other", 0, 5_000));
     let (number, _) = queue.start(1).unwrap();
     let key = ("a.example".to_string(), "ended".to_string());
-    assert_eq!(queue.lots_with_id("ended"), std::slice::from_ref(&key));
-    assert_eq!(queue.drop_items(&key, None), [number]);
+    assert_eq!(queue.end_lot(key), [number]);
     assert!(!queue.is_held(number));
     queue.finish(number);
     assert_eq!(queue.held().len(), 1);
     assert_eq!(queue.start(9).unwrap().1.lot_id, "other");
     assert!(queue.start(9).is_none());
 }
+
+#[test]
+fn a_lease_that_crosses_the_end_of_its_lot_brings_nothing_to_run() {
+    let mut queue = ItemQueue::default();
+    let host = "a.example".to_string();
+    assert!(queue.end_lot((host.clone(), "ended".to_string())).is_empty());
+    // The store had granted it before the end; the answer comes after it.
+    queue.add(leased("ended", 0, 0));
+    queue.add(leased("other", 0, 0));
+    let mut elsewhere = leased("ended", 0, 1);
+    elsewhere.host = "b.example".to_string();
+    queue.add(elsewhere);
+    let next = |queue: &mut ItemQueue| queue.start(9).map(|(_, item)| (item.host, item.lot_id));
+    assert_eq!(next(&mut queue), Some((host, "other".to_string())));
+    assert_eq!(next(&mut queue), Some(("b.example".to_string(), "ended".to_string())), "another lot");
+    assert_eq!(next(&mut queue), None);
+    assert_eq!(queue.held().len(), 2, "its lease is not renewed");
+}
+
+#[test]
+fn ended_lots_are_remembered_within_a_bound() {
+    let mut queue = ItemQueue::default();
+    for number in 0..5000 {
+        queue.end_lot(("a.example".to_string(), number.to_string()));
+    }
+    for lot in ["0", "4999", "904"] {
+        queue.add(leased(lot, 0, 0));
+    }
+    let left: Vec<String> = std::iter::from_fn(|| queue.start(9)).map(|(_, item)| item.lot_id).collect();
+    assert_eq!(left, ["0"], "the oldest are forgotten, the newest 4096 are not");
+}
