A refusal whose body does not come is told at once; a forgotten connection costs no request

Cause: after a head that says that the request has not run, its body was awaited for as long as the request had, and the request given up with it.

Change: 50 ms are given to it, only to keep the connection.

Test: tests/whose_answer.rs. With 60 s in place of 50 ms a_refusal_whose_body_does_not_come_is_one_all_the_same FAILED (whose_answer.rs:217, its time goes by). a_connection_that_the_worker_has_forgotten_costs_no_request holds what was so before: with is_proven without the 50 ms FAILED, without the wait of 3 ms FAILED.

--- a/crates/mintlb-dispatch/src/answer.rs
+++ b/crates/mintlb-dispatch/src/answer.rs
@@ -19,12 +19,14 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
-use tokio::time::{Instant, Sleep, sleep_until};
+use tokio::time::{Instant, Sleep, sleep_until, timeout};
 
 /// An answer that is no stream is held until it is whole, up to so many bytes.
 const MOST_HELD_BYTES: usize = 256 << 10;
 /// Answers to earlier requests that are passed over in one send.
 const MOST_SURPLUS: usize = 2;
+/// The body of a refusal says nothing more: it is waited for so long, only to keep the connection.
+const REFUSAL_BODY: Duration = Duration::from_millis(50);
 /// A worker that says nothing for so long, and for so many times what is usual, may be gone: what may run again and goes
 /// on elsewhere is sent elsewhere.
 const LEAST_SILENCE: f64 = 0.8;
@@ -202,7 +204,8 @@
             if misplaced && !self.exchange.request.headers.contains_key("expect-version") {
                 self.worker.mark_gone();
             }
-            let whole = self.skip(connection, silence, framing).await.is_ok();
+            let rest = timeout(REFUSAL_BODY, self.skip(connection, silence, framing)).await;
+            let whole = matches!(rest, Ok(Ok(())));
             let keep = (whole && !misplaced).then_some(Keep { idle: None });
             return Ok(Answered { came: Came::with(Outcome::Full), not_run: true, keep });
         }
--- a/crates/mintlb-dispatch/tests/machine/raw.rs
+++ b/crates/mintlb-dispatch/tests/machine/raw.rs
@@ -71,6 +71,11 @@
         self.read
     }
 
+    /// Waits for some bytes.
+    pub async fn some(&mut self) {
+        assert!(self.more().await, "closed");
+    }
+
     async fn more(&mut self) -> bool {
         let read = timeout(STEP, self.stream.read_buf(&mut self.read)).await.expect("no bytes come");
         matches!(read, Ok(1..))
--- a/crates/mintlb-dispatch/tests/whose_answer.rs
+++ b/crates/mintlb-dispatch/tests/whose_answer.rs
@@ -6,6 +6,8 @@
 use machine::raw::{RawConnection, RawWorker, not_run, ok};
 use machine::{CONFIGURATION, Client, Machine, Worker, on_one_thread};
 use mintlb_tier::record::WorkerState;
+use std::time::Duration;
+use tokio::time::{advance, pause, resume, timeout};
 
 /// Longer than what sockets on loopback hold.
 const LONG: usize = 24 << 20;
@@ -199,3 +201,61 @@
         }
     });
 }
+
+#[test]
+fn a_refusal_whose_body_does_not_come_is_one_all_the_same() {
+    on_one_thread(async {
+        for rest in ["content-length: 5\r\n\r\n", "transfer-encoding: chunked\r\n\r\n5\r\nfu", "\r\n"] {
+            let (machine, worker) = with_raw_worker().await;
+            let mut client = asks(&machine, "/o/1", "a", "").await;
+            let mut refuses = worker.accept().await;
+            refuses.request().await;
+            let mut other = with_another(&machine).await;
+            let own = "mintlb-request-id: a\r\nmintlb-not-executed: full\r\n";
+            refuses.write(&format!("HTTP/1.1 503 Full\r\n{own}{rest}")).await;
+            let came = timeout(Duration::from_secs(1), other.asked()).await;
+            came.expect("its time goes by at the worker that refused it").answer("ran").await;
+            assert_eq!(client.get().await.text(), "ran");
+            assert_eq!(refuses.rest().await, b"");
+        }
+    });
+}
+
+/// A request by a connection that its worker has forgotten since; whether the worker had not seen its whole head, so that
+/// it was sent again.
+async fn by_a_forgotten_connection(path: &str, body: &str) -> bool {
+    let (machine, worker) = with_raw_worker().await;
+    let (mut client, mut first) = answered(&machine, &worker, "/o/1").await;
+    // Longer than a connection counts as proven, shorter than the worker says that it keeps it.
+    pause();
+    advance(Duration::from_millis(200)).await;
+    resume();
+    client.post(path, "b", "", body).await;
+    first.some().await;
+    let may_run = first.read.windows(4).any(|end| end == b"\r\n\r\n");
+    first.reset();
+    if may_run {
+        assert_eq!(client.get().await.status, 502, "{path}");
+        return false;
+    }
+    let mut second = worker.accept().await;
+    assert_eq!(second.request().await.1, body.as_bytes());
+    second.answer("b", "ran").await;
+    let got = client.get().await;
+    assert_eq!((got.status, got.text().contains("ran")), (200, true), "{path}");
+    true
+}
+
+#[test]
+fn a_connection_that_the_worker_has_forgotten_costs_no_request() {
+    on_one_thread(async {
+        for (path, body) in [("/o/1", ""), ("/o/1", "the body"), ("/s/1", "prompt")] {
+            // On a machine that is too busy the proof may be over before the reset comes.
+            let mut sent_again = false;
+            for _ in 0..10 {
+                sent_again = sent_again || by_a_forgotten_connection(path, body).await;
+            }
+            assert!(sent_again, "{path}");
+        }
+    });
+}
