A lease lives by its own renewals, so that a lost grant does not hide an item

Cause: a primary took all leases of a holder in a lot for alive when it renewed any of them. Items whose grant got lost on its way were run by nobody until their holder had ended all others of the lot.

Change: each item's lease has its own time of renewal.

--- a/crates/mintlb-lots/src/leases.rs
+++ b/crates/mintlb-lots/src/leases.rs
@@ -17,36 +17,36 @@
     lots: FxHashMap<u64, LotLeases>,
 }
 
+/// The lease of each item of a lot. An item's lease lives by its own renewals: one whose grant got lost on its way is
+/// renewed by nobody, and is open again, also while its holder runs others of the lot.
 #[derive(Clone, Debug, Default)]
 struct LotLeases {
-    /// By item; 0 is nobody.
-    holders: Vec<DispatcherId>,
-    /// When each holder was last heard of.
-    renewed: Vec<(DispatcherId, Moment)>,
+    items: Vec<ItemLease>,
 }
 
-impl LotLeases {
-    fn live(&self, holder: DispatcherId, now: Moment) -> bool {
-        let renewed = self.renewed.iter().find(|(id, _)| *id == holder);
-        holder != 0 && renewed.is_some_and(|(_, at)| now.saturating_sub(*at) < LEASE)
-    }
+/// Who runs an item, and when that was last said; 0 is nobody.
+#[derive(Clone, Copy, Debug, Default)]
+struct ItemLease {
+    holder: DispatcherId,
+    renewed: Moment,
+}
 
-    fn touch(&mut self, holder: DispatcherId, now: Moment) {
-        match self.renewed.iter_mut().find(|(id, _)| *id == holder) {
-            Some((_, at)) => *at = now,
-            None => self.renewed.push((holder, now)),
-        }
+impl ItemLease {
+    fn is_live(&self, now: Moment) -> bool {
+        self.holder != 0 && now.saturating_sub(self.renewed) < LEASE
     }
+}
 
-    fn holder(&self, item: u32) -> DispatcherId {
-        self.holders.get(item as usize).copied().unwrap_or(0)
+impl LotLeases {
+    fn of(&self, item: u32) -> ItemLease {
+        self.items.get(item as usize).copied().unwrap_or_default()
     }
 
-    fn set(&mut self, item: u32, holder: DispatcherId) {
-        if self.holders.len() <= item as usize {
-            self.holders.resize(item as usize + 1, 0);
+    fn set(&mut self, item: u32, holder: DispatcherId, now: Moment) {
+        if self.items.len() <= item as usize {
+            self.items.resize(item as usize + 1, ItemLease::default());
         }
-        self.holders[item as usize] = holder;
+        self.items[item as usize] = ItemLease { holder, renewed: now };
     }
 }
 
@@ -64,14 +64,14 @@
 
     /// The holder is to run all items of a new lot.
     pub fn grant_all(&mut self, number: u64, items: usize, holder: DispatcherId, now: Moment) {
-        let leases = LotLeases { holders: vec![holder; items], renewed: vec![(holder, now)] };
-        self.lots.insert(number, leases);
+        let leases = vec![ItemLease { holder, renewed: now }; items];
+        self.lots.insert(number, LotLeases { items: leases });
     }
 
     /// Whether this holder has all items of a lot.
     pub fn holds_all(&self, number: u64, lot: &Lot, holder: DispatcherId) -> bool {
         let Some(leases) = self.lots.get(&number) else { return false };
-        (0..lot.items.len()).all(|item| leases.holder(item as u32) == holder)
+        (0..lot.items.len()).all(|item| leases.of(item as u32).holder == holder)
     }
 
     /// Renews the holder's leases of a lot; returns the items that are not its any more.
@@ -84,15 +84,14 @@
         now: Moment,
     ) -> Vec<u32> {
         let leases = self.lots.entry(number).or_default();
-        leases.touch(holder, now);
         let mut lost = Vec::new();
         for &item in items {
             let waits = lot.ended.is_none()
                 && lot.items.get(item as usize).is_some_and(|item| item.position.is_none());
-            let current = leases.holder(item);
-            let free = current == holder || !leases.live(current, now);
+            let current = leases.of(item);
+            let free = current.holder == holder || !current.is_live(now);
             match waits && free {
-                true => leases.set(item, holder),
+                true => leases.set(item, holder, now),
                 false => lost.push(item),
             }
         }
@@ -101,10 +100,8 @@
 
     /// Gives all leases of a holder up.
     pub fn release(&mut self, holder: DispatcherId) {
-        for leases in self.lots.values_mut() {
-            leases.renewed.retain(|(id, _)| *id != holder);
-            leases.holders.iter_mut().filter(|id| **id == holder).for_each(|id| *id = 0);
-        }
+        let all = self.lots.values_mut().flat_map(|leases| &mut leases.items);
+        all.filter(|lease| lease.holder == holder).for_each(|lease| *lease = ItemLease::default());
     }
 
     /// Committed items that nobody runs, those of the lot due first in front.
@@ -120,7 +117,7 @@
             let leases = self.lots.get(&number);
             let is_open = move |item: u32| match leases {
                 None => true,
-                Some(leases) => !leases.live(leases.holder(item), now),
+                Some(leases) => !leases.of(item).is_live(now),
             };
             lot.waiting_items()
                 .map(|(item, _)| item)
@@ -131,9 +128,7 @@
 
     /// Leases one item.
     pub fn grant(&mut self, number: u64, item: u32, holder: DispatcherId, now: Moment) {
-        let leases = self.lots.entry(number).or_default();
-        leases.touch(holder, now);
-        leases.set(item, holder);
+        self.lots.entry(number).or_default().set(item, holder, now);
     }
 
     /// Forgets leases of lots that are done.
