An item's failure is told by the head of its answer, also after part of the item was done

Change: the head decides; 50 ms are given to the body, to keep the connection.

Test: tests/items.rs.

--- a/crates/mintlb-dispatch/src/answer.rs
+++ b/crates/mintlb-dispatch/src/answer.rs
@@ -25,8 +25,9 @@
 const MOST_HELD_BYTES: usize = 256 << 10;
 /// Answers to earlier requests that are passed over in one send.
 const MOST_SURPLUS: usize = 2;
-/// The body of a refusal says nothing more: it is waited for so long, only to keep the connection.
-const REFUSAL_BODY: Duration = Duration::from_millis(50);
+/// The body of a refusal, or of an item's failure, says nothing more: it is waited for so long, only to keep the
+/// connection.
+const UNUSED_BODY: Duration = Duration::from_millis(50);
 /// A worker that says nothing for so long, and for so many times what is usual, may be gone: what may run again and goes
 /// on elsewhere is sent elsewhere.
 const LEAST_SILENCE: f64 = 0.8;
@@ -204,8 +205,7 @@
             if misplaced && !self.exchange.request.headers.contains_key("expect-version") {
                 self.worker.mark_gone();
             }
-            let rest = timeout(REFUSAL_BODY, self.skip(connection, silence, framing)).await;
-            let whole = matches!(rest, Ok(Ok(())));
+            let whole = self.skip_soon(connection, silence, framing).await;
             let keep = (whole && !misplaced).then_some(Keep { idle: None });
             return Ok(Answered { came: Came::with(Outcome::Full), not_run: true, keep });
         }
@@ -220,7 +220,30 @@
                 false => self.success(connection, silence, head, framing).await,
             };
         }
-        self.failure(connection, silence, head, framing).await
+        match self.exchange.manner {
+            Manner::Live => self.failure(connection, silence, head, framing).await,
+            Manner::Item => Ok(self.item_failure(connection, silence, head, framing).await),
+        }
+    }
+
+    /// Passes over a body that is not used; whether it came whole, and soon.
+    async fn skip_soon(&self, connection: &mut Connection, silence: &mut Silence, framing: Framing) -> bool {
+        let rest = timeout(UNUSED_BODY, self.skip(connection, silence, framing)).await;
+        matches!(rest, Ok(Ok(())))
+    }
+
+    /// The head alone tells how an item failed, also where the rest of the answer breaks off.
+    async fn item_failure(
+        &self,
+        connection: &mut Connection,
+        silence: &mut Silence,
+        head: &AnswerHead,
+        framing: Framing,
+    ) -> Answered {
+        let whole = self.skip_soon(connection, silence, framing).await;
+        self.exchange.fail_item(client_head(head));
+        let keep = whole.then_some(Keep { idle: None });
+        Answered { came: Came::with(Outcome::Completed), not_run: false, keep }
     }
 
     fn is_stream(&self, head: &AnswerHead) -> bool {
@@ -327,10 +350,6 @@
             return Ok(failed);
         }
         let mut given = Some(client_head(head));
-        if self.exchange.manner == Manner::Item {
-            self.exchange.finish(&mut given, held.freeze());
-            return Ok(whole(connection));
-        }
         // These would promise that it has not run, which only the worker can say, and has not said.
         let promises = matches!(
             head.status,
--- a/crates/mintlb-dispatch/src/exchange.rs
+++ b/crates/mintlb-dispatch/src/exchange.rs
@@ -102,6 +102,8 @@
     refusal: Option<Refusal>,
     /// A failure that a worker answered, kept in case no other does better.
     failure: Option<(Head, Bytes)>,
+    /// The status by which a worker ended an item that it does not do.
+    item_failure: Option<StatusCode>,
     queue: VecDeque<Bytes>,
     queued_bytes: usize,
     end: Option<End>,
@@ -284,6 +286,23 @@
         self.complete();
     }
 
+    /// A worker has answered an item with a failure, also after others had done part of it.
+    pub fn fail_item(&self, head: Head) {
+        let mut state = self.state.lock();
+        state.item_failure = Some(head.status);
+        let end = if state.begun { End::Broken } else { End::Complete };
+        if !state.begun {
+            (state.head, state.begun) = (Some(head), true);
+        }
+        state.end = state.end.or(Some(end));
+        wake(&mut state);
+    }
+
+    /// The status by which a worker ended an item that it does not do.
+    pub fn item_failure(&self) -> Option<StatusCode> {
+        self.state.lock().item_failure
+    }
+
     /// The answer is whole.
     pub fn complete(&self) {
         let mut state = self.state.lock();
--- a/crates/mintlb-dispatch/src/intake.rs
+++ b/crates/mintlb-dispatch/src/intake.rs
@@ -154,13 +154,10 @@
             match poll_fn(|cx| exchange.poll_piece(cx)).await {
                 Piece::Data(events) if status.is_success() => return ItemStep::Events(events),
                 Piece::Data(_) => {}
-                Piece::Complete => {
-                    return ItemStep::Ended(match status {
-                        StatusCode::UNPROCESSABLE_ENTITY => ItemOutcome::CannotBeDone,
-                        status if status.is_success() => ItemOutcome::Completed,
-                        status => ItemOutcome::Failed(status),
-                    });
+                Piece::Complete | Piece::Broken if exchange.item_failure().is_some() => {
+                    return ItemStep::Ended(failed(exchange.item_failure().unwrap_or(status)));
                 }
+                Piece::Complete => return ItemStep::Ended(ItemOutcome::Completed),
                 Piece::Broken => {
                     return ItemStep::Ended(ItemOutcome::Broken { last_event_id: exchange.last_event() });
                 }
@@ -180,6 +177,14 @@
     }
 }
 
+/// How an item ended that a worker answered with this status.
+fn failed(status: StatusCode) -> ItemOutcome {
+    match status {
+        StatusCode::UNPROCESSABLE_ENTITY => ItemOutcome::CannotBeDone,
+        status => ItemOutcome::Failed(status),
+    }
+}
+
 /// The last event that a client says it has.
 pub fn last_event_id(headers: &HeaderMap) -> Option<u64> {
     headers.get(LAST_EVENT_ID)?.to_str().ok()?.trim().parse().ok()
--- a/crates/mintlb-dispatch/tests/items.rs
+++ b/crates/mintlb-dispatch/tests/items.rs
@@ -92,6 +92,46 @@
     });
 }
 
+#[test]
+fn a_failure_that_breaks_off_behind_its_head_counts() {
+    on_one_thread(async {
+        let failures = [
+            ("422 Never", ItemOutcome::CannotBeDone),
+            ("500 Oh", ItemOutcome::Failed(StatusCode::INTERNAL_SERVER_ERROR)),
+        ];
+        for (status, outcome) in failures {
+            for rest in ["content-length: 5\r\n\r\nwh", "transfer-encoding: chunked\r\n\r\n", "\r\nwhy"] {
+                let (machine, mut worker) = with_worker().await;
+                let mut run = machine.intake.run(item("e5", None));
+                let mut asked = worker.asked().await;
+                let own = asked.own();
+                asked.on.write(&format!("HTTP/1.1 {status}\r\n{own}{rest}")).await;
+                asked.on.reset();
+                assert_eq!(run.next().await, ItemStep::Ended(outcome), "{status} {rest:?}");
+                assert!(!worker.has_request());
+            }
+        }
+    });
+}
+
+#[test]
+fn a_failure_after_part_of_an_item_counts() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut run = machine.intake.run(item("e5", None));
+        let mut asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        assert_eq!(run.next().await, ItemStep::Events(event(1).into()));
+        asked.on.reset();
+        two.asked().await.answer_as("422 Never", "content-length: 0\r\n\r\n").await;
+        assert_eq!(run.next().await, ItemStep::Ended(ItemOutcome::CannotBeDone));
+        assert!(!one.has_request() && !two.has_request());
+    });
+}
+
 #[test]
 fn an_item_that_is_dropped_leaves_its_worker() {
     on_one_thread(async {
