Nothing new is promised on a copy that leaves; readers that left leave nothing

Cause: a store that was told to stop confirmed entries until its end, so an entry could be at it and one other only when it went for good. A reader that left a lot before its next result stayed noted for ever, if none came.

--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -120,9 +120,11 @@
         self.core.lock().is_suspended()
     }
 
-    /// Lets the controllers know that this store was told to stop, so that its shards get other primaries.
+    /// Lets the controllers know that this store was told to stop, so that its shards get other primaries. Its
+    /// copies confirm nothing new: what is promised from now on is at enough others.
     pub fn leave(&self) {
         self.leaving.store(true, Relaxed);
+        self.core.lock().leave();
         self.report_changed.notify_one();
     }
 
@@ -136,6 +138,11 @@
         self.core.lock().replicas().iter().any(Replica::is_primary)
     }
 
+    /// Lots that readers wait for.
+    pub fn lots_waited_for(&self) -> usize {
+        self.core.lock().lots_waited_for()
+    }
+
     async fn call(self: Arc<Self>, call: Call, raw: Bytes) -> Bytes {
         let answer = match call {
             Call::Submit(submit) => self.submit(submit, raw).await,
--- a/crates/mintlb-control/src/store/core.rs
+++ b/crates/mintlb-control/src/store/core.rs
@@ -30,6 +30,15 @@
     confirmations: Vec<oneshot::Sender<()>>,
 }
 
+impl Waiting {
+    fn forget_readers_that_left(&mut self) {
+        self.readers.retain(|_, readers| {
+            readers.retain(|reader| !reader.is_closed());
+            !readers.is_empty()
+        });
+    }
+}
+
 /// The replicas and what they need.
 pub struct Core {
     replicas: Vec<Replica>,
@@ -38,6 +47,7 @@
     settings: ReplicaSettings,
     /// A commit failed and what is on disk is not known: nothing is promised, told or taken.
     suspended: bool,
+    leaving: bool,
     placement: Placement,
     addresses: FxHashMap<StoreId, SocketAddr>,
     transport: Arc<Transport>,
@@ -58,6 +68,7 @@
             recent: Recent::default(),
             settings,
             suspended: false,
+            leaving: false,
             placement: Placement::default(),
             addresses: FxHashMap::default(),
             transport,
@@ -88,6 +99,11 @@
         }
     }
 
+    /// This store was told to stop, perhaps for good: its copy counts for nothing that is promised from now on.
+    pub fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Whether what is on disk is not known.
     pub fn is_suspended(&self) -> bool {
         self.suspended
@@ -156,6 +172,7 @@
             self.replica(shard).tick(now);
             self.act(shard, now);
         }
+        self.waiting.iter_mut().for_each(Waiting::forget_readers_that_left);
     }
 
     /// What the controllers are told.
@@ -184,6 +201,11 @@
         receiver
     }
 
+    /// Lots that readers wait for.
+    pub fn lots_waited_for(&self) -> usize {
+        self.waiting.iter().map(|waiting| waiting.readers.len()).sum()
+    }
+
     /// Waits for a sign of the followers.
     pub fn wait_confirmation(&mut self, shard: u32) -> oneshot::Receiver<()> {
         let (told, receiver) = oneshot::channel();
@@ -232,6 +254,9 @@
 
     fn send(&self, envelope: &Envelope, raw: &[&[u8]]) {
         let Some(address) = self.addresses.get(&envelope.to) else { return };
+        if self.leaving && matches!(envelope.message, PeerMessage::Appended { .. }) {
+            return;
+        }
         self.transport.notify(*address, Channel::Lots, framing::encode(envelope, raw));
     }
 
--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -103,3 +103,24 @@
     assert!(cluster.client.record(HOST, "b", 0, ItemResult::Completed("b".into())).await);
     assert_eq!(cluster.texts("b", 0).await.len(), 1);
 }
+
+#[tokio::test]
+async fn readers_that_left_leave_nothing_behind() {
+    let cluster = Cluster::start(3).await;
+    cluster.place(placement(&cluster.nodes, 1, &[0, 1, 2], &[]));
+    let client = &cluster.client;
+    for i in 0..20 {
+        let id = format!("r{i}");
+        client.submit(lot(&id, 1, 0), 7, WITHIN).await;
+        client.read(HOST, &id, 0, Duration::from_millis(5), 1000).await;
+        client.end(HOST, &id).await;
+    }
+    let mut ticks = tokio::time::interval(Duration::from_millis(10));
+    let none = async {
+        while cluster.nodes[0].store.lots_waited_for() > 0 {
+            _ = ticks.tick().await
+        }
+    };
+    let left = tokio::time::timeout(Duration::from_secs(3), none).await;
+    assert!(left.is_ok(), "{} lots are waited for", cluster.nodes[0].store.lots_waited_for());
+}
--- /dev/null
+++ b/crates/mintlb-control/tests/store_long_day.rs
@@ -0,0 +1,133 @@
+//! A store over a long day: what it keeps on disk and in memory is bounded by what is open and by `status_s`.
+
+use bytes::Bytes;
+use mintlb_control::store::disk::LotDisk;
+use mintlb_lots::entry::{ItemHead, ItemState, LotHead, LotTerms};
+use mintlb_lots::messages::LotName;
+use mintlb_lots::replica::{AfterSync, DiskWrite, Effect, Replica, ReplicaSettings};
+use mintlb_tier::placement::ShardAssignment;
+use std::path::Path;
+use std::time::Duration;
+
+const SHARD: u32 = 5;
+const STATUS: Duration = Duration::from_secs(20);
+const LOTS: u64 = 600;
+const ITEMS: usize = 8;
+const ITEM_BYTES: usize = 20_000;
+const TEXT_BYTES: usize = 3_000;
+
+/// One replica that is a quorum of its own, on a real file.
+struct Store {
+    disk: LotDisk,
+    replica: Replica,
+    now: Duration,
+}
+
+/// What a store holds at a moment.
+#[derive(Debug)]
+struct Held {
+    lots: usize,
+    entries: usize,
+    bytes: u64,
+    file: u64,
+}
+
+impl Store {
+    fn open(directory: &Path, now: Duration) -> Store {
+        let (disk, mut shards) = LotDisk::open(directory, 7).unwrap();
+        let settings = ReplicaSettings { own: disk.id(), tolerance: 0, status: STATUS };
+        let loaded = shards.remove(&SHARD).unwrap_or_default();
+        let replica = Replica::load(SHARD, settings, loaded.meta, loaded.entries.into_iter(), now);
+        let mut store = Store { disk, replica, now };
+        let shard = ShardAssignment { epoch: 1, replicas: vec![store.disk.id()], previous: Vec::new() };
+        store.replica.set_assignment(&shard, now);
+        store.act();
+        store
+    }
+
+    fn act(&mut self) {
+        loop {
+            let effects = self.replica.take_effects();
+            if effects.is_empty() {
+                return;
+            }
+            let (mut writes, mut after): (Vec<(u32, DiskWrite)>, Vec<AfterSync>) = Default::default();
+            for effect in effects {
+                match effect {
+                    Effect::Write(write) => writes.push((SHARD, write)),
+                    Effect::AfterSync(next) => after.push(next),
+                    _ => (),
+                }
+            }
+            self.disk.commit(&writes).unwrap();
+            after.into_iter().for_each(|after| self.replica.synced(after, self.now));
+        }
+    }
+
+    fn run_lot(&mut self, number: u64) {
+        let id = format!("lot{number}");
+        let item = |i| ItemHead { id: format!("{id}-{i}"), tokens: 10, length: ITEM_BYTES as u64 };
+        let head = LotHead {
+            host: "h".to_string(),
+            id: id.clone(),
+            route: "r".to_string(),
+            terms: LotTerms { retention_ms: 5_000, ..LotTerms::default() },
+            items: (0..ITEMS).map(item).collect(),
+        };
+        let raw = Bytes::from(vec![number as u8; ITEMS * ITEM_BYTES]);
+        self.replica.submit(1, head, &raw, 3, 0, self.now);
+        let name = LotName { host: "h".to_string(), id };
+        let text = Bytes::from(vec![b't'; TEXT_BYTES]);
+        // One in ten is ended half-way.
+        let run = if number.is_multiple_of(10) { ITEMS / 2 } else { ITEMS };
+        for item in 0..run as u32 {
+            self.replica.record(&name, item, ItemState::Completed, &text, self.now);
+        }
+        if run < ITEMS {
+            self.replica.end(&name, self.now);
+        }
+        self.act();
+        self.now += Duration::from_secs(1);
+        self.replica.tick(self.now);
+        self.act();
+    }
+
+    fn held(&self) -> Held {
+        Held {
+            lots: self.replica.lots().all().count(),
+            entries: self.replica.lots().entries_after(0).count(),
+            bytes: self.replica.bytes(),
+            file: self.disk.file_bytes(),
+        }
+    }
+}
+
+#[test]
+fn what_is_kept_does_not_grow_with_the_day() {
+    let directory = tempfile::tempdir().unwrap();
+    let mut store = Store::open(directory.path(), Duration::from_secs(50));
+    let mut seen = Vec::new();
+    for number in 1..=LOTS {
+        store.run_lot(number);
+        if number.is_multiple_of(100) {
+            println!("after {number} lots: {:?}", store.held());
+            seen.push(store.held());
+        }
+    }
+    let (first, last) = (&seen[0], &seen[seen.len() - 1]);
+    // Those of status_s and 10 s.
+    assert!(last.lots <= 32 && last.entries <= 32 * (ITEMS + 1), "{last:?}");
+    assert!(last.bytes <= first.bytes + (first.bytes >> 3), "{first:?} {last:?}");
+    assert!(last.file <= seen[1].file, "{seen:?}");
+
+    // A restart reads as much, and begins the time anew.
+    let now = store.now;
+    drop(store);
+    let mut again = Store::open(directory.path(), now);
+    assert_eq!(again.held().lots, last.lots);
+    again.now += STATUS + Duration::from_secs(11);
+    again.replica.tick(again.now);
+    again.act();
+    assert_eq!((again.held().lots, again.held().entries, again.held().bytes), (0, 0, 0));
+    println!("all dropped: {:?}", again.held());
+}
