A store keeps room for the results of the lots it has taken

Cause: lots were taken until entries filled the disk's part for them; the results of these very lots came on top. At the limit the file would have had to double past the disk, which fails each commit from then on, also those that remove. Change: a lot is taken only if the texts that open lots may still bring fit as well; a file that was put aside counts as used. What fits is told by store/room.rs.

--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -2,6 +2,7 @@
 
 use super::core::Core;
 use super::disk::LoadedShards;
+use super::room;
 use super::writer::Opened;
 use bytes::Bytes;
 use mintlb_lots::entry::Entry;
@@ -29,11 +30,6 @@
 const LONGEST_READ: Duration = Duration::from_millis(5000);
 /// The most bytes of payloads in one lease.
 const LEASE_BYTES: u64 = 1 << 20;
-/// What entries take on disk, against their bytes: space comes in powers of two.
-const DISK_FACTOR: f64 = 1.45;
-/// No more lots are taken when this part of the disk is in use.
-const DISK_FULL: f64 = 0.85;
-
 /// The store. Messages and calls come in as [`Service`].
 pub struct Store {
     core: Mutex<Core>,
@@ -211,9 +207,9 @@
     fn is_disk_full(&self, more: u64) -> bool {
         let core = self.core.lock();
         let file = core.disk.file_bytes();
-        let most = longest_file(file, self.disk_bytes);
-        let used: u64 = core.replicas().iter().map(Replica::bytes).sum();
-        core.writer.is_full() || (used + more) as f64 * DISK_FACTOR > most as f64 * DISK_FULL
+        let lots = || core.replicas().iter().map(Replica::lots);
+        let held: u64 = lots().map(|lots| lots.bytes() + lots.texts_to_come()).sum();
+        core.writer.is_full() || !room::fits(held + more, file, self.disk_bytes)
     }
 
     async fn end(&self, lot: LotName) -> messages::Answer {
@@ -454,13 +450,3 @@
         })
     }
 }
-
-/// The longest that a file of so many bytes can become on a disk of so many: it grows by doubling its length, and when
-/// that is not to be had it stays as it is.
-pub fn longest_file(file_bytes: u64, disk_bytes: u64) -> u64 {
-    let mut longest = file_bytes.max(1);
-    while longest.saturating_mul(2) <= disk_bytes {
-        longest *= 2;
-    }
-    longest
-}
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -6,6 +6,7 @@
 //! - [`core`]: the replicas, their effects carried out.
 //! - [`calls`]: dispatchers' calls.
 //! - [`recent`]: entries that are still on their way to other replicas.
+//! - [`room`]: how much the disk has room for.
 //! - [`heartbeats`]: what the controllers are told.
 
 pub mod calls;
@@ -15,6 +16,7 @@
 pub mod file;
 pub mod heartbeats;
 pub mod recent;
+pub mod room;
 pub mod writer;
 
 use calls::{Store, StoreService};
@@ -92,7 +94,7 @@
     let directory = settings.data_directory.clone().ok_or(StoreError::NoDisk)?;
     let own = settings.internal_address(InternalPort::Store);
     let draw = RandomState::new().hash_one((own, &settings.node_name, std::time::SystemTime::now()));
-    let opening = driver::open_when_possible(directory, draw.max(1));
+    let opening = driver::open_when_possible(directory.clone(), draw.max(1));
     let (disk, shards) = tokio::select! {
         opened = opening => opened?,
         () = signals.stop() => return Ok(()),
@@ -107,7 +109,8 @@
     let (committed, commits) = tokio::sync::mpsc::unbounded_channel();
     let writer = Writer::start(disk.clone(), committed)?;
     let opened = Opened { disk: disk.clone(), writer: writer.clone(), shards };
-    let disk_bytes = settings.limits.disk_mb.unwrap_or(u64::MAX >> 20) << 20;
+    let put_aside = std::fs::metadata(directory.join(file::UNREADABLE_FILE)).map_or(0, |meta| meta.len());
+    let disk_bytes = (settings.limits.disk_mb.unwrap_or(u64::MAX >> 20) << 20).saturating_sub(put_aside);
     let store = Store::new(transport.clone(), opened, replica_settings, disk_bytes, draw);
     let hand_over =
         HAND_OVER.min(Duration::from_secs_f64(settings.bounds.grace_period_s.clamp(0.0, 60.0) / 2.0));
--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -1,9 +1,9 @@
 //! The lots' file: what is committed is there again, a damaged file is put aside.
 
 use bytes::Bytes;
-use mintlb_control::store::calls::longest_file;
 use mintlb_control::store::disk::LotDisk;
 use mintlb_control::store::file::FILE;
+use mintlb_control::store::room::longest_file;
 use mintlb_control::store::writer::Writer;
 use mintlb_lots::entry::{Entry, ItemHead, LotHead, LotTerms};
 use mintlb_lots::framing;
--- a/crates/mintlb-control/tests/store_long_day.rs
+++ b/crates/mintlb-control/tests/store_long_day.rs
@@ -2,6 +2,7 @@
 
 use bytes::Bytes;
 use mintlb_control::store::disk::LotDisk;
+use mintlb_control::store::room;
 use mintlb_lots::entry::{ItemHead, ItemState, LotHead, LotTerms};
 use mintlb_lots::messages::LotName;
 use mintlb_lots::replica::{AfterSync, DiskWrite, Effect, Replica, ReplicaSettings};
@@ -23,6 +24,10 @@
     now: Duration,
 }
 
+fn name(number: u64) -> LotName {
+    LotName { host: "h".to_string(), id: format!("lot{number}") }
+}
+
 /// What a store holds at a moment.
 #[derive(Debug)]
 struct Held {
@@ -64,7 +69,7 @@
         }
     }
 
-    fn run_lot(&mut self, number: u64) {
+    fn submit(&mut self, number: u64) {
         let id = format!("lot{number}");
         let item = |i| ItemHead { id: format!("{id}-{i}"), tokens: 10, length: ITEM_BYTES as u64 };
         let head = LotHead {
@@ -76,15 +81,20 @@
         };
         let raw = Bytes::from(vec![number as u8; ITEMS * ITEM_BYTES]);
         self.replica.submit(1, head, &raw, 3, 0, self.now);
-        let name = LotName { host: "h".to_string(), id };
-        let text = Bytes::from(vec![b't'; TEXT_BYTES]);
+    }
+
+    fn record(&mut self, number: u64, item: u32, bytes: usize) {
+        let text = Bytes::from(vec![b't'; bytes]);
+        self.replica.record(&name(number), item, ItemState::Completed, &text, self.now);
+    }
+
+    fn run_lot(&mut self, number: u64) {
+        self.submit(number);
         // One in ten is ended half-way.
         let run = if number.is_multiple_of(10) { ITEMS / 2 } else { ITEMS };
-        for item in 0..run as u32 {
-            self.replica.record(&name, item, ItemState::Completed, &text, self.now);
-        }
+        (0..run as u32).for_each(|item| self.record(number, item, TEXT_BYTES));
         if run < ITEMS {
-            self.replica.end(&name, self.now);
+            self.replica.end(&name(number), self.now);
         }
         self.act();
         self.now += Duration::from_secs(1);
@@ -131,3 +141,35 @@
     assert_eq!((again.held().lots, again.held().entries, again.held().bytes), (0, 0, 0));
     println!("all dropped: {:?}", again.held());
 }
+
+/// Lots until the store takes no more, then the result of each of their items: the file never has to become longer
+/// than its disk lets it.
+#[test]
+fn results_find_room_on_a_disk_that_takes_no_more_lots() {
+    const DISK: u64 = 24 << 20;
+    let directory = tempfile::tempdir().unwrap();
+    let mut store = Store::open(directory.path(), Duration::from_secs(50));
+    let mut taken = 0;
+    loop {
+        let (lots, file) = (store.replica.lots(), store.disk.file_bytes());
+        let more = (ITEMS * ITEM_BYTES) as u64;
+        if !room::fits(lots.bytes() + lots.texts_to_come() + more, file, DISK) {
+            break;
+        }
+        taken += 1;
+        store.submit(taken);
+        // Of a first one it is seen how long texts are.
+        store.record(taken, 0, ITEM_BYTES);
+        store.act();
+    }
+    println!("{taken} lots taken, file {}", store.disk.file_bytes());
+    for item in 1..ITEMS as u32 {
+        for number in 1..=taken {
+            store.record(number, item, ITEM_BYTES);
+            store.act();
+        }
+    }
+    println!("with all results: file {}, entries {}", store.disk.file_bytes(), store.replica.bytes());
+    assert!(taken >= 20, "{taken}");
+    assert!(store.disk.file_bytes() <= DISK, "{}", store.disk.file_bytes());
+}
--- a/crates/mintlb-lots/src/lots.rs
+++ b/crates/mintlb-lots/src/lots.rs
@@ -15,6 +15,8 @@
 const DROP_AFTER: Duration = Duration::from_secs(10);
 /// A lot that nobody finishes is dropped so long after its items could be given up and its results read.
 const ABANDONED_AFTER: Duration = Duration::from_secs(120);
+/// Bytes that an item's text is taken to have while none of its lot is there.
+const USUAL_TEXT: u64 = 2 << 10;
 
 /// All lots of a shard.
 #[derive(Clone, Debug, Default)]
@@ -140,6 +142,12 @@
         self.waiting_items().map(|(_, item)| item.tokens).sum()
     }
 
+    fn texts_to_come(&self) -> u64 {
+        let texts: u64 = self.listed.iter().map(|listed| listed.length).sum();
+        let each = texts.checked_div(self.listed.len() as u64).unwrap_or(USUAL_TEXT);
+        each * (self.items.len() - self.listed.len()) as u64
+    }
+
     /// When it is due, Unix time in ms.
     pub fn due_at_ms(&self) -> u64 {
         self.terms.sent_at_ms.saturating_add(self.terms.completion_target_ms)
@@ -162,6 +170,11 @@
         self.bytes
     }
 
+    /// Bytes that the texts of items that wait may take: as much as those of their lot that are there.
+    pub fn texts_to_come(&self) -> u64 {
+        self.open().map(|(_, lot)| lot.texts_to_come()).sum()
+    }
+
     /// A lot by its name, with the index of its entry.
     pub fn find(&self, name: &LotName) -> Option<(u64, &Lot)> {
         let index = *self.by_name.get(name)?;
