--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -116,11 +116,9 @@
         self.core.lock().is_suspended()
     }
 
-    /// Lets the controllers know that this store was told to stop, so that its shards get other primaries. Its
-    /// copies confirm nothing new: what is promised from now on is at enough others.
+    /// Lets the controllers know that this store was told to stop, so that its shards get other primaries.
     pub fn leave(&self) {
         self.leaving.store(true, Relaxed);
-        self.core.lock().leave();
         self.report_changed.notify_one();
     }
 
--- a/crates/mintlb-control/src/store/core.rs
+++ b/crates/mintlb-control/src/store/core.rs
@@ -47,7 +47,6 @@
     settings: ReplicaSettings,
     /// A commit failed and what is on disk is not known: nothing is promised, told or taken.
     suspended: bool,
-    leaving: bool,
     placement: Placement,
     addresses: FxHashMap<StoreId, SocketAddr>,
     transport: Arc<Transport>,
@@ -68,7 +67,6 @@
             recent: Recent::default(),
             settings,
             suspended: false,
-            leaving: false,
             placement: Placement::default(),
             addresses: FxHashMap::default(),
             transport,
@@ -99,11 +97,6 @@
         }
     }
 
-    /// This store was told to stop, perhaps for good: its copy counts for nothing that is promised from now on.
-    pub fn leave(&mut self) {
-        self.leaving = true;
-    }
-
     /// Whether what is on disk is not known.
     pub fn is_suspended(&self) -> bool {
         self.suspended
@@ -254,9 +247,6 @@
 
     fn send(&self, envelope: &Envelope, raw: &[&[u8]]) {
         let Some(address) = self.addresses.get(&envelope.to) else { return };
-        if self.leaving && matches!(envelope.message, PeerMessage::Appended { .. }) {
-            return;
-        }
         self.transport.notify(*address, Channel::Lots, framing::encode(envelope, raw));
     }
 
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -42,9 +42,6 @@
 const BIND_PAUSE: Duration = Duration::from_millis(100);
 /// How long a store that was told to stop goes on at most, until its shards have other primaries.
 const HAND_OVER: Duration = Duration::from_millis(2500);
-/// A store that was told to stop stays so long at least: what it had confirmed before reaches the others meanwhile.
-const OTHERS_CATCH_UP: Duration = Duration::from_millis(400);
-
 /// Why the store ended.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -127,10 +124,8 @@
     }
     log::info!("store: told to stop");
     store.leave();
-    let told = Instant::now();
-    while told.elapsed() < hand_over
-        && (told.elapsed() < OTHERS_CATCH_UP || store.is_primary() || !writer.is_idle())
-    {
+    let until = Instant::now() + hand_over;
+    while Instant::now() < until && (store.is_primary() || !writer.is_idle()) {
         driver.step().await?;
     }
     // What is on its way to others gets there.
--- a/crates/mintlb-dispatch/src/batch/progress.rs
+++ b/crates/mintlb-dispatch/src/batch/progress.rs
@@ -10,19 +10,7 @@
 /// The longest of these pauses.
 const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 /// An item whose route is gone for so long can't be done: a configuration that has the route may be under way.
-const ROUTE_GONE: Duration = Duration::from_secs(6);
-/// The times of day of the dispatcher that took a lot and of the one that runs it may differ by so much, and no item
-/// may be given up before its time.
-const CLOCKS_APART_MS: u64 = 5_000;
-
-/// A moment by both clocks.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Now {
-    /// The time of day in Unix ms; it may jump.
-    pub unix_ms: u64,
-    /// The process's steady clock.
-    pub steady: Duration,
-}
+const ROUTE_GONE_MS: u64 = 6_000;
 
 /// How one attempt ended.
 #[derive(Clone, Debug, PartialEq)]
@@ -58,8 +46,8 @@
     last_event: Option<u64>,
     failures: u32,
     fruitless: u32,
-    /// When no route was first found for it, by the steady clock.
-    no_route_since: Option<Duration>,
+    /// When no route was first found for it, in Unix ms.
+    no_route_since: Option<u64>,
 }
 
 impl Progress {
@@ -83,7 +71,7 @@
     }
 
     /// The attempt under way has ended.
-    pub fn ended(&mut self, outcome: &AttemptOutcome, terms: &LotTerms, now: Now) -> Next {
+    pub fn ended(&mut self, outcome: &AttemptOutcome, terms: &LotTerms, now_ms: u64) -> Next {
         match outcome {
             AttemptOutcome::Completed => return Next::Record(ItemResult::Completed(self.take_text())),
             AttemptOutcome::CannotBeDone => return Next::Record(ItemResult::Unrecoverable),
@@ -91,11 +79,11 @@
             AttemptOutcome::NotRun | AttemptOutcome::Broken | AttemptOutcome::NoRoute => (),
         }
         let no_route = *outcome == AttemptOutcome::NoRoute;
-        self.no_route_since = no_route.then(|| self.no_route_since.unwrap_or(now.steady));
-        let is_gone = self.no_route_since.is_some_and(|since| now.steady >= since + ROUTE_GONE);
-        let given_up_at = terms.sent_at_ms.saturating_add(terms.retention_ms).saturating_add(CLOCKS_APART_MS);
+        self.no_route_since = no_route.then(|| self.no_route_since.unwrap_or(now_ms));
+        let is_gone = self.no_route_since.is_some_and(|since| now_ms >= since + ROUTE_GONE_MS);
+        let given_up_at = terms.sent_at_ms.saturating_add(terms.retention_ms);
         let spent = self.failures >= terms.max_attempts.max(1);
-        let too_old = terms.retention_ms > 0 && now.unix_ms >= given_up_at;
+        let too_old = terms.retention_ms > 0 && now_ms >= given_up_at;
         if spent || too_old || is_gone {
             return Next::Record(ItemResult::Unrecoverable);
         }
--- a/crates/mintlb-dispatch/src/batch/runner.rs
+++ b/crates/mintlb-dispatch/src/batch/runner.rs
@@ -1,7 +1,7 @@
 //! Runs the items that this dispatcher holds leases of, beside live requests and through the same reducer.
 
 use super::calls::unix_ms;
-use super::progress::{AttemptOutcome, Next, Now, Progress};
+use super::progress::{AttemptOutcome, Next, Progress};
 use super::queue::{ItemNumber, ItemQueue};
 use crate::events::{event_data, event_id, split_events};
 use crate::intake::{Intake, ItemOutcome, ItemRequest, ItemStep};
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
-use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
+use tokio::time::{MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Items that run at once here.
@@ -112,11 +112,9 @@
             return self.record(&item, ItemResult::Unrecoverable).await;
         };
         let mut progress = Progress::default();
-        let started = Instant::now();
         while self.queue.lock().is_held(number) {
             let outcome = self.attempt(&item, id.clone(), headers.clone(), &mut progress).await;
-            let now = Now { unix_ms: unix_ms(), steady: started.elapsed() };
-            match progress.ended(&outcome, &item.terms, now) {
+            match progress.ended(&outcome, &item.terms, unix_ms()) {
                 Next::Record(result) => return self.record(&item, result).await,
                 Next::RunAgain(pause) => sleep(pause).await,
             }
