--- a/crates/mintlb-control/src/store/core.rs
+++ b/crates/mintlb-control/src/store/core.rs
@@ -30,6 +30,15 @@
     confirmations: Vec<oneshot::Sender<()>>,
 }
 
+impl Waiting {
+    fn forget_readers_that_left(&mut self) {
+        self.readers.retain(|_, readers| {
+            readers.retain(|reader| !reader.is_closed());
+            !readers.is_empty()
+        });
+    }
+}
+
 /// The replicas and what they need.
 pub struct Core {
     replicas: Vec<Replica>,
@@ -156,6 +165,7 @@
             self.replica(shard).tick(now);
             self.act(shard, now);
         }
+        self.waiting.iter_mut().for_each(Waiting::forget_readers_that_left);
     }
 
     /// What the controllers are told.
@@ -184,6 +194,11 @@
         receiver
     }
 
+    /// Lots that readers wait for.
+    pub fn lots_waited_for(&self) -> usize {
+        self.waiting.iter().map(|waiting| waiting.readers.len()).sum()
+    }
+
     /// Waits for a sign of the followers.
     pub fn wait_confirmation(&mut self, shard: u32) -> oneshot::Receiver<()> {
         let (told, receiver) = oneshot::channel();
