--- a/crates/mintlb-control/tests/store_long_day.rs
+++ b/crates/mintlb-control/tests/store_long_day.rs
@@ -44,7 +44,8 @@
         let loaded = shards.remove(&SHARD).unwrap_or_default();
         let replica = Replica::load(SHARD, settings, loaded.meta, loaded.entries.into_iter(), now);
         let mut store = Store { disk, replica, now };
-        let shard = ShardAssignment { epoch: 1, replicas: vec![store.disk.id()], previous: Vec::new() };
+        let shard =
+            ShardAssignment { epoch: 1, replicas: vec![store.disk.id()], ..ShardAssignment::default() };
         store.replica.set_assignment(&shard, now);
         store.act();
         store
