--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -274,3 +274,34 @@
     );
     assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(24)));
 }
+
+#[test]
+fn a_hundred_changes_leave_small_files_and_values() {
+    let fleet = Fleet::assembled(3);
+    let routes = |version: u64| {
+        let route = |number: u64| {
+            format!(
+                r#"{{"name":"r{number}","host_name":"h{number}.example","path_prefix":"/a/","route_type":"idempotent","timeout_ms":{version},"target_service":"s"}}"#
+            )
+        };
+        let routes: Vec<String> = (0..40).map(route).collect();
+        let list = routes.join(",");
+        format!(r#"{{"config_version":{version},"route_list":[{list}],"service_list":[{{"name":"s"}}]}}"#)
+    };
+    let mut sizes = Vec::new();
+    for version in 1..=100 {
+        assert_eq!(fleet.configure(version as usize % 3, version - 1, &routes(version)), StatusCode::OK);
+        if [10, 50, 100].contains(&version) {
+            let value = minicbor::to_vec(fleet.at(0).register.chosen().unwrap()).unwrap().len();
+            sizes.push((version, routes(version).len(), value, fleet.register_file_bytes(0)));
+        }
+    }
+    println!("changes, bytes of the text, of the value, of the file: {sizes:?}");
+    let (_, text, value, file) = sizes[2];
+    assert!(value < text + 100 * 18 + 1000, "{sizes:?}");
+    assert_eq!(file, sizes[0].3, "the file does not grow: {sizes:?}");
+    for version in [1, 77, 99, 100] {
+        let again = fleet.configure(version as usize % 2, version - 1, &routes(version));
+        assert_eq!(again, StatusCode::OK, "version {version}, sent again");
+    }
+}
--- a/crates/mintlb-control/tests/controllers/mod.rs
+++ b/crates/mintlb-control/tests/controllers/mod.rs
@@ -3,6 +3,7 @@
 
 use axum::body::{Body, to_bytes};
 use axum::http::{Method, Request, StatusCode};
+use mintlb_control::controller::vote_store::FILE;
 use mintlb_control::controller::{Controller, http, start};
 use mintlb_overlay::Overlay;
 use mintlb_register::state::ReplicaSet;
@@ -91,6 +92,12 @@
         self.folders[place] = Some(tempfile::tempdir().unwrap());
     }
 
+    /// The size of the file of a machine's replica.
+    pub fn register_file_bytes(&self, place: usize) -> u64 {
+        let folder = self.folders[place].as_ref().unwrap();
+        std::fs::metadata(folder.path().join(FILE)).unwrap().len()
+    }
+
     /// Waits until a settled set of so many replicas, to which `fits` applies, is known at this machine.
     pub fn wait_for_set(
         &self,
