--- a/crates/mintlb-control/src/controller/duties.rs
+++ b/crates/mintlb-control/src/controller/duties.rs
@@ -34,6 +34,7 @@
 const WORKERS_WITHIN: Duration = Duration::from_millis(600);
 /// How often workers without a controller are looked for.
 const ORPHANS_EVERY: Duration = Duration::from_secs(5);
+
 /// The state behind the duties.
 pub struct Duties {
     pings: Mutex<PingState>,
--- a/crates/mintlb-control/src/controller/duty_service.rs
+++ b/crates/mintlb-control/src/controller/duty_service.rs
@@ -39,7 +39,7 @@
     match call {
         DutyCall::Ping(ping) => {
             let set = controller.register.set();
-            DutyAnswer::Pong(controller.duties.pings().answer(Instant::now(), from, &ping, set.as_ref()))
+            DutyAnswer::Pong(controller.duties.pings().answer(Instant::now(), from, ping, set.as_ref()))
         }
         DutyCall::Workers { epoch } => {
             let known = controller.duties.pings().peers.epoch();
--- a/crates/mintlb-control/src/controller/ping_state.rs
+++ b/crates/mintlb-control/src/controller/ping_state.rs
@@ -16,9 +16,9 @@
 /// Controllers of which the newest stamp is kept.
 const MOST_STAMPS: usize = 64;
 
-/// I run.
-#[derive(Clone, Debug, Encode, Decode)]
-pub struct Ping {
+/// What each side says of itself.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+pub struct Status {
     /// The replica, if the controller has one.
     #[n(0)]
     pub replica: Option<ReplicaId>,
@@ -28,25 +28,27 @@
     /// Whether it is in contact with a majority of the replicas.
     #[n(2)]
     pub in_contact: bool,
+}
+
+/// I run.
+#[derive(Clone, Copy, Debug, Encode, Decode)]
+pub struct Ping {
+    /// The sender.
+    #[n(0)]
+    pub status: Status,
     /// The stamp of the newest answer that it has from the receiver.
-    #[n(3)]
+    #[n(1)]
     pub echo: Option<u64>,
 }
 
 /// I run as well.
-#[derive(Clone, Debug, Encode, Decode)]
+#[derive(Clone, Copy, Debug, Encode, Decode)]
 pub struct Pong {
-    /// The replica, if the controller has one.
+    /// The sender.
     #[n(0)]
-    pub replica: Option<ReplicaId>,
-    /// The highest epoch of the duties that the controller knows.
-    #[n(1)]
-    pub epoch: u64,
-    /// Whether it is in contact with a majority of the replicas.
-    #[n(2)]
-    pub in_contact: bool,
+    pub status: Status,
     /// When it answered, by its own clock: for the echo in the next ping.
-    #[n(3)]
+    #[n(1)]
     pub stamp: u64,
 }
 
@@ -89,38 +91,38 @@
 
     /// The ping to this controller.
     pub fn ping(&self, now: Instant, to: SocketAddr, set: &ReplicaSet) -> Ping {
-        Ping {
-            replica: self.own,
-            epoch: self.peers.epoch(),
-            in_contact: self.peers.is_in_contact(now, set),
-            echo: self.echoes.get(&to).copied(),
-        }
+        Ping { status: self.status(now, Some(set)), echo: self.echoes.get(&to).copied() }
     }
 
     /// The answer to a ping. `set` is the newest set known here, if there is one.
-    pub fn answer(&mut self, now: Instant, from: SocketAddr, ping: &Ping, set: Option<&ReplicaSet>) -> Pong {
-        self.peers.heard(now, from, ping.replica, ping.epoch);
+    pub fn answer(&mut self, now: Instant, from: SocketAddr, ping: Ping, set: Option<&ReplicaSet>) -> Pong {
         let answered_at = ping.echo.and_then(|echo| self.stamps.made_at(now, echo));
-        if let (Some(replica), Some(answered_at)) = (ping.replica, answered_at) {
-            self.peers.reached(replica, answered_at, ping.in_contact);
+        self.note(now, from, ping.status, answered_at);
+        Pong { status: self.status(now, set), stamp: self.stamps.stamp(now) }
+    }
+
+    /// A ping that was sent at that time has been answered.
+    pub fn answered(&mut self, now: Instant, from: SocketAddr, sent_at: Instant, pong: Pong) {
+        self.note(now, from, pong.status, Some(sent_at));
+        if self.echoes.len() >= MOST_STAMPS && !self.echoes.contains_key(&from) {
+            self.echoes.clear();
         }
-        Pong {
+        self.echoes.insert(from, pong.stamp);
+    }
+
+    fn status(&self, now: Instant, set: Option<&ReplicaSet>) -> Status {
+        Status {
             replica: self.own,
             epoch: self.peers.epoch(),
             in_contact: set.is_some_and(|set| self.peers.is_in_contact(now, set)),
-            stamp: self.stamps.stamp(now),
         }
     }
 
-    /// A ping that was sent at that time has been answered.
-    pub fn answered(&mut self, now: Instant, from: SocketAddr, sent_at: Instant, pong: &Pong) {
-        self.peers.heard(now, from, pong.replica, pong.epoch);
-        if let Some(replica) = pong.replica {
-            self.peers.reached(replica, sent_at, pong.in_contact);
+    /// Takes note of what a controller says. It is known to have received what was sent to it at `reached_at`.
+    fn note(&mut self, now: Instant, from: SocketAddr, status: Status, reached_at: Option<Instant>) {
+        self.peers.heard(now, from, status.replica, status.epoch);
+        if let Some((replica, reached_at)) = status.replica.zip(reached_at) {
+            self.peers.reached(replica, reached_at, status.in_contact);
         }
-        if self.echoes.len() >= MOST_STAMPS && !self.echoes.contains_key(&from) {
-            self.echoes.clear();
-        }
-        self.echoes.insert(from, pong.stamp);
     }
 }
--- a/crates/mintlb-control/src/controller/pings.rs
+++ b/crates/mintlb-control/src/controller/pings.rs
@@ -53,6 +53,6 @@
     let call = DutyCall::Ping(controller.duties.pings().ping(sent_at, to, set));
     let answer = controller.transport.call(to, Channel::Duties, encoded(&call), PING_WITHIN).await;
     if let Some(DutyAnswer::Pong(pong)) = answer.ok().and_then(|answer| minicbor::decode(&answer).ok()) {
-        controller.duties.pings().answered(Instant::now(), to, sent_at, &pong);
+        controller.duties.pings().answered(Instant::now(), to, sent_at, pong);
     }
 }
--- a/crates/mintlb-control/tests/contact_world/mod.rs
+++ b/crates/mintlb-control/tests/contact_world/mod.rs
@@ -175,12 +175,12 @@
         match message.message {
             Message::Ping(ping) => {
                 let sent_at = message.due;
-                let pong = state.answer(now, address(from), &ping, Some(&set));
+                let pong = state.answer(now, address(from), ping, Some(&set));
                 // The asker knows when it sent the ping; here that is its due time less the delay at most.
                 let ping_sent_at = sent_at - TICK * MOST_DELAY as u32;
                 self.send(to, from, Message::Pong { ping_sent_at, pong });
             }
-            Message::Pong { ping_sent_at, pong } => state.answered(now, address(from), ping_sent_at, &pong),
+            Message::Pong { ping_sent_at, pong } => state.answered(now, address(from), ping_sent_at, pong),
         }
         self.check(to);
     }
--- a/crates/mintlb-control/tests/controller_peers.rs
+++ b/crates/mintlb-control/tests/controller_peers.rs
@@ -178,33 +178,32 @@
     assert_eq!(peers.held(now, &set()), None);
 }
 
-#[test]
-fn the_duties_go_on_to_the_next_one_where_the_first_hears_nobody() {
-    // 9 is heard, but what is sent to it does not arrive: it can't have the duties, so 10 takes them.
+/// As 10, which reaches 11; 9 is heard, and is reached as told. Long enough to take the duties.
+fn beside_the_first(first_is_reached: bool) -> (Instant, Peers) {
     let mut now = Instant::now();
     let mut peers = Peers::new(now, Some(10));
     let end = now + LIVE + TAKE_AFTER * 2;
     while now < end {
         now += STEP;
         peers.heard(now, address(9), Some(9), 0);
+        if first_is_reached {
+            peers.reached(9, now, false);
+        }
         answers(&mut peers, now, 11);
         peers.step(now, &set());
     }
+    (now, peers)
+}
+
+#[test]
+fn the_duties_go_on_to_the_next_one_where_the_first_hears_nobody() {
+    let (now, peers) = beside_the_first(false);
     assert_eq!(peers.held(now, &set()), Some(1));
 }
 
 #[test]
 fn the_duties_go_on_to_the_next_one_where_the_first_reaches_a_minority_alone() {
-    let mut now = Instant::now();
-    let mut peers = Peers::new(now, Some(10));
-    let end = now + LIVE + TAKE_AFTER * 2;
-    while now < end {
-        now += STEP;
-        peers.heard(now, address(9), Some(9), 0);
-        peers.reached(9, now, false);
-        answers(&mut peers, now, 11);
-        peers.step(now, &set());
-    }
+    let (now, mut peers) = beside_the_first(true);
     assert_eq!(peers.held(now, &set()), Some(1));
     answers(&mut peers, now, 9);
     peers.step(now, &set());
