--- a/crates/mintlb-control/src/controller/pings.rs
+++ b/crates/mintlb-control/src/controller/pings.rs
@@ -17,7 +17,7 @@
 
 /// Pings the replicas and looks at who has the duties, for the life of the process.
 pub async fn run(controller: Arc<Controller>) {
-    let mut held = None;
+    let (mut held, mut in_contact) = (None, false);
     let mut step = 0;
     loop {
         sleep(STEP).await;
@@ -28,6 +28,10 @@
             ping_all(&controller, &set);
         }
         let holds = controller.duties.step(&set, controller.register.majority_at());
+        if controller.is_in_contact() != in_contact {
+            in_contact = !in_contact;
+            log::info!("contact: {}", if in_contact { "with a majority" } else { "lost" });
+        }
         if holds != held {
             log::info!(
                 "duties: {}",
