A majority has to name the one that has the duties

Cause, found with the model: where two replicas did not reach each other but both reached the rest, both were the first live one to themselves.

Change: a ping names the first live replica as its sender sees it (in place of the word whether it is in contact, which follows from it); the duties need a majority that names this one. The lowest replica that is in contact is named by all whom it reaches, so that one is always found.

--- a/crates/mintlb-control/src/controller/peers.rs
+++ b/crates/mintlb-control/src/controller/peers.rs
@@ -1,16 +1,17 @@
 //! Which controllers run, as their pings show it, and who therefore has the duties; pure.
 //!
 //! The duties belong to the first live replica in the order of addresses: one that was reached lately, there and back,
-//! and says that it is itself in contact with a majority. Whoever takes them draws an epoch above every one heard of and
-//! says it with its pings; one that hears of a higher epoch gives its own up and has to qualify anew. Two may hold them
-//! for a moment all the same: what they change lies in the register, which takes one of two changes.
+//! and says that it is itself in contact with a majority. A majority has to name it, so that of two that can't reach
+//! each other, but others, one alone has them. Whoever takes them draws an epoch above every one heard of and says it
+//! with its pings; one that hears of a higher epoch gives its own up and has to qualify anew. Two may hold them for a
+//! moment all the same: what they change lies in the register, which takes one of two changes.
 //!
 //! What depends on the time is told for the moment at which it is asked for, so also in the first question after this
 //! process has stood still.
 
 use super::contact::Contact;
 use mintlb_register::state::{Replica, ReplicaId, ReplicaSet};
-use rustc_hash::{FxHashMap, FxHashSet};
+use rustc_hash::FxHashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -31,8 +32,8 @@
     contact: Contact,
     heard: FxHashMap<ReplicaId, Instant>,
     addresses: FxHashMap<SocketAddr, Instant>,
-    /// Replicas that said last that they are out of contact with a majority.
-    out_of_contact: FxHashSet<ReplicaId>,
+    /// Whom each replica that is in contact with a majority named last as the first live one.
+    named: FxHashMap<ReplicaId, ReplicaId>,
     /// Since when this process has run without a pause, in contact with a majority of the set.
     in_contact_since: Option<Instant>,
     stepped_at: Instant,
@@ -49,7 +50,7 @@
             contact: Contact::new(own),
             heard: FxHashMap::default(),
             addresses: FxHashMap::default(),
-            out_of_contact: FxHashSet::default(),
+            named: FxHashMap::default(),
             in_contact_since: None,
             stepped_at: now,
             first_since: None,
@@ -74,12 +75,13 @@
         }
     }
 
-    /// A replica has answered what was sent to it at that time, and says whether it is in contact with a majority.
-    pub fn reached(&mut self, replica: ReplicaId, sent_at: Instant, in_contact: bool) {
+    /// A replica has answered what was sent to it at that time, and names the first live one; none if it is itself out of
+    /// contact with a majority.
+    pub fn reached(&mut self, replica: ReplicaId, sent_at: Instant, first: Option<ReplicaId>) {
         self.contact.reached(replica, sent_at);
-        match in_contact {
-            true => self.out_of_contact.remove(&replica),
-            false => self.out_of_contact.insert(replica),
+        match first {
+            Some(first) => self.named.insert(replica, first),
+            None => self.named.remove(&replica),
         };
     }
 
@@ -124,13 +126,13 @@
     pub fn step(&mut self, now: Instant, set: &ReplicaSet) {
         let paused = self.has_paused(now);
         self.stepped_at = now;
-        self.out_of_contact.retain(|replica| set.current_replica(*replica).is_some());
+        self.named.retain(|replica, _| set.members().any(|member| member.id == *replica));
         if paused || !self.is_in_contact(now, set) {
             (self.in_contact_since, self.first_since, self.held) = (None, None, None);
             return;
         }
         self.in_contact_since.get_or_insert(now);
-        if self.own.is_none() || self.first_live(now, set) != self.own {
+        if !self.is_named_first(now, set) {
             (self.first_since, self.held) = (None, None);
             return;
         }
@@ -158,9 +160,24 @@
         now.saturating_duration_since(self.stepped_at) > FROZEN
     }
 
-    fn first_live(&self, now: Instant, set: &ReplicaSet) -> Option<ReplicaId> {
+    /// Whether the replica here is the first live one, by its own word and that of a majority.
+    fn is_named_first(&self, now: Instant, set: &ReplicaSet) -> bool {
+        let Some(own) = self.own else { return false };
+        let names_own = |replica| {
+            replica == own
+                || self.contact.is_reached(now, replica, LIVE) && self.named.get(&replica) == Some(&own)
+        };
+        self.first_live(now, set) == Some(own) && set.is_quorum(names_own)
+    }
+
+    /// The first live replica, as it is seen here; none out of contact.
+    pub fn first_live(&self, now: Instant, set: &ReplicaSet) -> Option<ReplicaId> {
+        if !self.is_in_contact(now, set) {
+            return None;
+        }
         let is_live = |replica: &&Replica| {
-            self.contact.is_reached(now, replica.id, LIVE) && !self.out_of_contact.contains(&replica.id)
+            Some(replica.id) == self.own
+                || self.contact.is_reached(now, replica.id, LIVE) && self.named.contains_key(&replica.id)
         };
         let place = |replica: &&Replica| replica.address.parse::<SocketAddr>().ok();
         set.current.iter().filter(is_live).min_by_key(place).map(|replica| replica.id)
--- a/crates/mintlb-control/src/controller/ping_state.rs
+++ b/crates/mintlb-control/src/controller/ping_state.rs
@@ -25,9 +25,9 @@
     /// The highest epoch of the duties that the controller knows.
     #[n(1)]
     pub epoch: u64,
-    /// Whether it is in contact with a majority of the replicas.
+    /// Whom it sees as the first live replica; none if it is out of contact with a majority.
     #[n(2)]
-    pub in_contact: bool,
+    pub first: Option<ReplicaId>,
 }
 
 /// I run.
@@ -114,7 +114,7 @@
         Status {
             replica: self.own,
             epoch: self.peers.epoch(),
-            in_contact: set.is_some_and(|set| self.peers.is_in_contact(now, set)),
+            first: set.and_then(|set| self.peers.first_live(now, set)),
         }
     }
 
@@ -122,7 +122,7 @@
     fn note(&mut self, now: Instant, from: SocketAddr, status: Status, reached_at: Option<Instant>) {
         self.peers.heard(now, from, status.replica, status.epoch);
         if let Some((replica, reached_at)) = status.replica.zip(reached_at) {
-            self.peers.reached(replica, reached_at, status.in_contact);
+            self.peers.reached(replica, reached_at, status.first);
         }
     }
 }
--- a/crates/mintlb-control/tests/controller_contact_model.rs
+++ b/crates/mintlb-control/tests/controller_contact_model.rs
@@ -138,3 +138,18 @@
     println!("{plays} plays, {questions} times in contact");
     assert!(questions > plays * 1000);
 }
+
+#[test]
+fn of_two_that_reach_each_other_by_nobody_one_alone_has_the_duties() {
+    for (replicas, pair) in [(3, [0, 1]), (3, [0, 2]), (5, [0, 1]), (9, [0, 1])] {
+        let mut world = settled(replicas, 0);
+        world.set_cut(&pair, &pair, true);
+        let end = world.now + CUT_FOR;
+        while world.now < end {
+            world.pass(Duration::from_millis(10));
+            assert_eq!(world.holders(), [0], "{pair:?} of {replicas}");
+        }
+        assert_eq!(world.broken, None);
+        assert!((0..replicas).all(|place| world.is_in_contact(place)));
+    }
+}
--- a/crates/mintlb-control/tests/controller_peers.rs
+++ b/crates/mintlb-control/tests/controller_peers.rs
@@ -24,10 +24,11 @@
     ReplicaSet { epoch: 1, previous: Vec::new(), current: [11, 9, 10].map(replica).to_vec() }
 }
 
-/// One is heard, and has answered what was sent at this moment.
+/// One is heard, and has answered what was sent at this moment; it sees the same replica as the first.
 fn answers(peers: &mut Peers, now: Instant, id: u64) {
+    let first = peers.first_live(now, &set()).unwrap_or(id);
     peers.heard(now, address(id), Some(id), 0);
-    peers.reached(id, now, true);
+    peers.reached(id, now, Some(first));
 }
 
 /// Steps for a time during which these are heard and answer.
@@ -144,7 +145,7 @@
     // What lay in the buffers is read first: pings of the others, and answers to what was sent before.
     for id in [10, 11] {
         peers.heard(now, address(id), Some(id), 1);
-        peers.reached(id, sent_before, true);
+        peers.reached(id, sent_before, Some(9));
     }
     assert!(!peers.is_in_contact(now, &set()));
     assert_eq!(peers.held(now, &set()), None);
@@ -159,7 +160,7 @@
     now += Duration::from_secs(20);
     assert!(peers.silent(now, &set()).is_empty());
     // Also not where one answer has come since.
-    peers.reached(10, now, true);
+    peers.reached(10, now, Some(9));
     assert!(peers.silent(now, &set()).is_empty());
 }
 
@@ -187,7 +188,7 @@
         now += STEP;
         peers.heard(now, address(9), Some(9), 0);
         if first_is_reached {
-            peers.reached(9, now, false);
+            peers.reached(9, now, None);
         }
         answers(&mut peers, now, 11);
         peers.step(now, &set());
@@ -209,3 +210,18 @@
     peers.step(now, &set());
     assert_eq!(peers.held(now, &set()), None, "9 is back in contact");
 }
+
+#[test]
+fn one_that_alone_does_not_reach_the_first_leaves_it_the_duties() {
+    let mut now = Instant::now();
+    let mut peers = Peers::new(now, Some(10));
+    let end = now + TAKE_AFTER * 5;
+    while now < end {
+        now += STEP;
+        peers.heard(now, address(11), Some(11), 0);
+        peers.reached(11, now, Some(9));
+        peers.step(now, &set());
+        assert_eq!(peers.held(now, &set()), None);
+    }
+    assert_eq!(peers.first_live(now, &set()), Some(10), "as far as it sees");
+}
