Programs of the first release can read the register's value

Its field 5, the list of the last 16, was left out; they would have refused each value of a newer program (a null where a list is due), so that a mixed set had no majority for its own writers. It is written as an empty list and not read. Pings of the two do not understand each other; contact comes by the register's rounds then, and two may have the duties during such an upgrade.

--- a/crates/mintlb-register/src/state.rs
+++ b/crates/mintlb-register/src/state.rs
@@ -117,8 +117,11 @@
     /// Which stores hold which shard.
     #[n(4)]
     pub placement: Placement,
-    /// The configurations that were taken before the current one. A value without it was written by a program that kept
-    /// fewer of them, with a weaker digest (field 5).
+    /// Where programs of the first release keep the latest configurations, with a weaker digest: not read any more, and
+    /// written empty, so that they can read the rest.
+    #[cbor(n(5), with = "former_list")]
+    pub former_taken: (),
+    /// The configurations that were taken before the current one. None in a value that such a program has written.
     #[n(6)]
     pub superseded: Option<TakenHistory>,
 }
@@ -163,3 +166,17 @@
         next
     }
 }
+
+/// Codec of a list that is no longer used.
+mod former_list {
+    use minicbor::encode::{Error as EncodeError, Write};
+    use minicbor::{Decoder, Encoder};
+
+    pub fn encode<C, W: Write>((): &(), e: &mut Encoder<W>, _: &mut C) -> Result<(), EncodeError<W::Error>> {
+        e.array(0).map(|_| ())
+    }
+
+    pub fn decode<C>(d: &mut Decoder<'_>, _: &mut C) -> Result<(), minicbor::decode::Error> {
+        d.skip()
+    }
+}
--- a/crates/mintlb-register/tests/orders.rs
+++ b/crates/mintlb-register/tests/orders.rs
@@ -3,10 +3,12 @@
 mod replicas;
 
 use arbtest::arbtest;
-use minicbor::Encoder;
+use minicbor::{Decode, Encode, Encoder};
 use mintlb_register::change::{Answer, Change};
 use mintlb_register::state::ControlState;
+use mintlb_register::state::ReplicaSet;
 use mintlb_register::taken::{MOST_KEPT, Remembered, TakenHistory};
+use mintlb_tier::placement::Placement;
 use replicas::{Replicas, configuration};
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -72,7 +74,7 @@
     encoder.array(6).unwrap().u64(40).unwrap();
     encoder.encode(Replicas::settled(3).rule()).unwrap();
     encoder.u64(9).unwrap().bytes(b"text 9").unwrap();
-    encoder.encode(mintlb_tier::placement::Placement::default()).unwrap();
+    encoder.encode(Placement::default()).unwrap();
     encoder.array(2).unwrap();
     encoder.array(2).unwrap().u64(8).unwrap().u64(0x1234_5678_9abc_def0).unwrap();
     encoder.array(2).unwrap().u64(9).unwrap().u64(0xfedc_ba98_7654_3210).unwrap();
@@ -92,6 +94,36 @@
     assert_eq!(again, state);
 }
 
+/// What a program of the first release reads and writes.
+#[derive(Encode, Decode)]
+struct FormerState {
+    #[n(0)]
+    revision: u64,
+    #[n(1)]
+    replicas: ReplicaSet,
+    #[n(2)]
+    configuration_version: u64,
+    #[cbor(n(3), with = "minicbor::bytes")]
+    configuration: Vec<u8>,
+    #[n(4)]
+    placement: Placement,
+    #[n(5)]
+    taken: Vec<(u64, u64)>,
+}
+
+#[test]
+fn a_program_before_reads_the_value_and_what_it_writes_is_read_again() {
+    let state = newest(&mut after_changes(30));
+    let mut former: FormerState = minicbor::decode(&minicbor::to_vec(&state).unwrap()).unwrap();
+    assert_eq!((former.revision, former.configuration_version), (state.revision, 30));
+    assert_eq!((former.configuration.as_slice(), former.taken.len()), (b"text 30".as_slice(), 0));
+    (former.revision, former.configuration_version) = (state.revision + 1, 31);
+    (former.configuration, former.taken) = (b"text 31".to_vec(), vec![(31, 99)]);
+    let written: ControlState = minicbor::decode(&minicbor::to_vec(&former).unwrap()).unwrap();
+    assert_eq!(written.remembers(31, b"text 31"), Remembered::Taken);
+    assert_eq!(written.remembers(30, b"text 30"), Remembered::Forgotten, "it has lost the history");
+}
+
 #[test]
 fn two_texts_that_share_a_checksum_are_told_apart() {
     // These share their FNV-1a sum of 64 bits, by which configurations were told apart once.
