Overlay: a worker that ended stays ended when a process that stood still comes back

Suspicion refuted: that a record which was dropped at the end of its lifetime lets an older one back in from a process that was frozen, by way of processes that were started meanwhile and never heard of the worker's end.

--- a/crates/mintlb-overlay/tests/faults.rs
+++ b/crates/mintlb-overlay/tests/faults.rs
@@ -385,3 +385,38 @@
         }
     }
 }
+
+/// One process stands still from before a worker's end until long after its record was dropped; meanwhile others have
+/// been started anew and never heard of the worker. What the frozen one knows of the worker is old.
+#[test]
+fn a_worker_that_ended_does_not_come_back_with_a_process_that_stood_still() {
+    let mut longest = ms(0);
+    for seed in 0..10 {
+        let mut simulation = grown(seed, 12, 3);
+        simulation.publish(4, record("worker/x", 4));
+        simulation.run_for(ms(1000));
+        simulation.freeze(7);
+        simulation.run_for(ms(3000));
+        let body = "gone".into();
+        simulation.publish(0, Record { key: "worker/x".into(), version: u64::MAX, lifetime_s: 20, body });
+        simulation.run_for(ms(25_000));
+        assert!(simulation.running().iter().all(|&number| simulation.version(number, "worker/x").is_none()));
+        for number in [1, 2, 3, 5, 8] {
+            simulation.kill(number);
+            simulation.run_for(ms(200));
+            simulation.restart(number);
+        }
+        simulation.run_for(ms(3000));
+        simulation.thaw(7);
+        let thawed = simulation.now;
+        let is_back =
+            |s: &Simulation| s.running().iter().any(|&number| s.version(number, "worker/x") == Some(4));
+        let until = simulation.now + ms(2500);
+        assert!(simulation.run_until(until, |s| !is_back(s)), "seed {seed}: it is back");
+        longest = longest.max(simulation.now - thawed);
+        simulation.run_for(ms(3000));
+        assert!(!is_back(&simulation), "seed {seed}: it came back");
+        assert!(simulation.only_rises());
+    }
+    println!("no process has the old record any more, at the latest after {longest:?}");
+}
