A primary's report of an earlier epoch does not come over that of a newer one

Cause: StoreTable::note kept the last list of caught-up replicas of a shard, of whatever epoch. A former primary that still reaches the controller, or a heartbeat that lay about, put its old list over the new primary's; the planner picks the next primary by it. Change: the list of the highest epoch is kept. Test: placement.rs a_report_of_an_earlier_epoch_does_not_come_over_a_newer_one, red before the change: left [1, 3], right [2, 3]. mintlb-lots: all suites ok.

--- a/crates/mintlb-lots/src/placement_planner/view.rs
+++ b/crates/mintlb-lots/src/placement_planner/view.rs
@@ -18,8 +18,15 @@
     stores: FxHashMap<StoreId, Heard>,
     /// By shard: the epoch, since when it is known, and whether it has been in charge.
     shards: Vec<ShardView>,
-    /// By shard: the replicas that were last reported to be caught up.
-    caught_up: FxHashMap<u32, Vec<StoreId>>,
+    /// By shard: the replicas that were last reported to be caught up, by the primary of the highest epoch.
+    caught_up: FxHashMap<u32, CaughtUp>,
+}
+
+/// The replicas that a primary has reported to be caught up.
+#[derive(Clone, Debug, Default)]
+struct CaughtUp {
+    epoch: u64,
+    replicas: Vec<StoreId>,
 }
 
 #[derive(Clone, Debug)]
@@ -87,7 +94,10 @@
     pub fn note(&mut self, heartbeat: StoreHeartbeat, now: Duration) -> bool {
         self.stores.retain(|_, heard| now.saturating_sub(heard.last) < FORGET);
         for report in heartbeat.shards.iter().filter(|report| report.in_charge) {
-            self.caught_up.insert(report.shard, report.caught_up.clone());
+            let known = self.caught_up.entry(report.shard).or_default();
+            if report.epoch >= known.epoch {
+                *known = CaughtUp { epoch: report.epoch, replicas: report.caught_up.clone() };
+            }
         }
         if let Some(heard) = self.stores.get_mut(&heartbeat.id) {
             let news = heard.heartbeat != heartbeat;
@@ -117,7 +127,7 @@
             stores: stores.collect(),
             watched: now.saturating_sub(self.since),
             unsettled: Vec::new(),
-            caught_up: self.caught_up.clone(),
+            caught_up: self.caught_up.iter().map(|(shard, known)| (*shard, known.replicas.clone())).collect(),
         };
         view.stores.sort_by_key(|store| store.id);
         self.shards.resize(current.shards.len(), ShardView::default());
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -309,6 +309,31 @@
     assert_eq!(tier.changes, changes);
 }
 
+/// The former primary is cut off from the other stores but not from this controller, and has not noticed.
+#[test]
+fn a_report_of_an_earlier_epoch_does_not_come_over_a_newer_one() {
+    let now = Duration::from_secs(100);
+    let mut table = StoreTable::new(now);
+    let says = |id: StoreId, epoch, caught_up: &[StoreId]| StoreHeartbeat {
+        id,
+        node_name: format!("node-{id}"),
+        address: format!("node-{id}:1"),
+        zone: "a".to_string(),
+        shards: vec![ShardReport { shard: 0, epoch, in_charge: true, caught_up: caught_up.to_vec() }],
+        placement: epoch,
+        leaving: false,
+    };
+    for (heartbeat, known) in [
+        (says(1, 3, &[1, 2]), [1, 2]),
+        (says(2, 4, &[2, 3]), [2, 3]),
+        (says(1, 3, &[1, 3]), [2, 3]),
+        (says(2, 4, &[2, 1]), [2, 1]),
+    ] {
+        table.note(heartbeat, now);
+        assert_eq!(table.view(&Placement::default(), now).last_caught_up(0), known);
+    }
+}
+
 #[test]
 fn any_row_of_deaths_and_returns_settles() {
     arbtest::arbtest(|u| {
