What a process refuses from another is numbered and counted by kind and sender

Cause: bytes of another protocol or version, frames that can't be read, messages for another life, of an ended one or on the wrong connection were dropped without a word. Change: Refusal M305 to M309, counted by kind and sender in a bounded table, logged at powers of two; also for messages of the overlay that can't be read. Frames went to transport/frame.rs whole.

--- a/crates/mintlb-overlay/src/driver.rs
+++ b/crates/mintlb-overlay/src/driver.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
-use mintlb_tier::transport::{Channel, Service, Transport};
+use mintlb_tier::transport::{Channel, Refusal, Service, Transport};
 use parking_lot::Mutex;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
@@ -162,6 +162,7 @@
             for effect in effects {
                 match effect {
                     Effect::Send { to, body } => sends.push((to, body)),
+                    Effect::Unreadable(from) => self.transport.refuse(Refusal::Unreadable, from),
                     Effect::InForce(record) => self.deliveries.lock().add(record),
                     Effect::Confirmed { id, version } => state.confirm(id, version),
                 }
--- a/crates/mintlb-overlay/src/effects.rs
+++ b/crates/mintlb-overlay/src/effects.rs
@@ -19,6 +19,8 @@
         /// The message.
         body: Bytes,
     },
+    /// A message from this process could not be read.
+    Unreadable(SocketAddr),
     /// Tell the listeners that this record is newly in force here.
     InForce(Arc<Record>),
     /// A neighbour has said that it has this version, or a newer one.
--- a/crates/mintlb-overlay/src/node.rs
+++ b/crates/mintlb-overlay/src/node.rs
@@ -120,12 +120,13 @@
         let mut effects = Effects::default();
         self.store.expire(now);
         match input {
-            Input::Received { from, body } => {
-                if let Some(message) = Message::from_bytes(&body) {
+            Input::Received { from, body } => match Message::from_bytes(&body) {
+                Some(message) => {
                     self.views.heard_from(now, from);
                     self.receive(now, from, message, &mut effects);
                 }
-            }
+                None => effects.push(Effect::Unreadable(from)),
+            },
             Input::Unreachable(peer) => self.views.on_unreachable(now, peer, &mut effects),
             Input::Restarted { peer, incarnation } => {
                 self.views.on_restarted(now, peer, incarnation, &mut effects);
--- a/crates/mintlb-overlay/tests/common/mod.rs
+++ b/crates/mintlb-overlay/tests/common/mod.rs
@@ -286,6 +286,7 @@
                     process.history.push((now, record.key.clone(), record.version));
                 }
                 Effect::Confirmed { .. } => process.confirmed += 1,
+                Effect::Unreadable(_) => (),
             }
         }
         self.schedule(deadline.max(now), Happening::Wake(at));
--- a/crates/mintlb-tier/src/transport.rs
+++ b/crates/mintlb-tier/src/transport.rs
@@ -13,16 +13,19 @@
 mod greeting;
 mod link;
 pub mod lives;
+pub mod refusals;
 
 pub use frame::MOST_BYTES;
+pub use refusals::Refusal;
 
 use crate::incarnation::Incarnation;
 use bytes::{Bytes, BytesMut};
-use frame::{Frame, Kind, put, take};
+use frame::{Frame, Frames, Kind, put};
 use greeting::{GREETING_BYTES, Greeting, Purpose, REPLY_BYTES, read_reply, reply_bytes};
 use link::Link;
 use lives::{Claim, Lives};
 use parking_lot::Mutex;
+use refusals::Refusals;
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::{SocketAddr, SocketAddrV4};
@@ -119,6 +122,7 @@
     services: Mutex<HashMap<Channel, Arc<dyn Service>>>,
     links: Mutex<HashMap<SocketAddr, Arc<Link>>>,
     lives: Mutex<Lives>,
+    refusals: Mutex<Refusals>,
     calls: AtomicU64,
     sent_bytes: AtomicU64,
 }
@@ -139,6 +143,7 @@
             services: Mutex::default(),
             links: Mutex::default(),
             lives: Mutex::default(),
+            refusals: Mutex::default(),
             calls: AtomicU64::new(1),
             sent_bytes: AtomicU64::new(0),
         });
@@ -161,6 +166,18 @@
         self.sent_bytes.load(Relaxed)
     }
 
+    /// Counts what was not taken from a process, also by the service that it was for.
+    pub fn refuse(&self, refusal: Refusal, from: SocketAddr) {
+        if let Some(count) = self.refusals.lock().count(refusal, from) {
+            log::warn!("transport: {refusal}, from {from}, {count} so far");
+        }
+    }
+
+    /// How much of this kind was not taken from a process so far.
+    pub fn refused(&self, refusal: Refusal, from: SocketAddr) -> u64 {
+        self.refusals.lock().of(refusal, from)
+    }
+
     /// Messages of this channel go to this service from now on.
     pub fn serve(&self, channel: Channel, service: Arc<dyn Service>) {
         self.services.lock().insert(channel, service);
@@ -243,7 +260,11 @@
     /// Reads the answers on a dialled connection until it ends.
     async fn read_answers(&self, mut read: OwnedReadHalf, to: SocketAddr, link: &Arc<Link>) -> End {
         let mut reply = [0; REPLY_BYTES];
-        let Some(there) = read.read_exact(&mut reply).await.ok().and_then(|_| read_reply(&reply)) else {
+        if read.read_exact(&mut reply).await.is_err() {
+            return End::Broken;
+        }
+        let Some(there) = read_reply(&reply) else {
+            self.refuse(Refusal::Greeting, to);
             return End::Broken;
         };
         self.settle(to, there, Some(link));
@@ -251,8 +272,9 @@
             return End::Refused;
         }
         let mut frames = Frames::new(read);
-        while let Some(frame) = frames.next().await {
+        while let Some(frame) = self.next_of(&mut frames, to).await {
             if frame.kind != Kind::Answer {
+                self.refuse(Refusal::Misplaced, to);
                 return End::Broken;
             }
             link.answered(frame.call, frame.body);
@@ -318,33 +340,35 @@
     async fn accept(self: Arc<Self>, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, _)) => {
-                    tokio::spawn(self.clone().accepted(stream));
+                Ok((stream, peer)) => {
+                    tokio::spawn(self.clone().accepted(stream, peer));
                 }
                 Err(_) => sleep(PAUSE).await,
             }
         }
     }
 
-    async fn accepted(self: Arc<Self>, mut stream: TcpStream) {
+    async fn accepted(self: Arc<Self>, mut stream: TcpStream, peer: SocketAddr) {
         prepare(&socket2::SockRef::from(&stream));
         stream.set_nodelay(true).ok();
         let mut bytes = [0; GREETING_BYTES];
         let greeted = timeout(PATIENCE, stream.read_exact(&mut bytes)).await;
-        let Some(greeting) = matches!(greeted, Ok(Ok(_))).then(|| Greeting::from_bytes(&bytes)).flatten()
-        else {
-            return;
+        let greeting = if matches!(greeted, Ok(Ok(_))) { Greeting::from_bytes(&bytes) } else { None };
+        let Some(greeting) = greeting else {
+            // Its port says nothing of who it is.
+            return self.refuse(Refusal::Greeting, SocketAddr::new(peer.ip(), 0));
         };
         let replied = stream.write_all(&reply_bytes(self.incarnation)).await.is_ok();
         if !replied || greeting.purpose == Purpose::Question {
             return;
         }
         if greeting.expected.is_some_and(|expected| expected != self.incarnation) {
-            return refuse(stream).await;
+            self.refuse(Refusal::MeantForAnother, greeting.from());
+            return close(stream).await;
         }
         let (from, incarnation) = (greeting.from(), greeting.incarnation);
         if !self.admits(from, incarnation).await {
-            return;
+            return self.refuse(Refusal::EndedLife, from);
         }
         let (read, write) = stream.into_split();
         let (answers, mut queue) = mpsc::channel(QUEUE);
@@ -404,14 +428,26 @@
         answers: mpsc::Sender<Frame>,
     ) {
         let mut frames = Frames::new(read);
-        while let Some(frame) = frames.next().await {
-            if frame.kind == Kind::Answer || !self.lives.lock().is_current(from, incarnation) {
-                return;
+        while let Some(frame) = self.next_of(&mut frames, from).await {
+            if !self.lives.lock().is_current(from, incarnation) {
+                return self.refuse(Refusal::EndedLife, from);
+            }
+            if frame.kind == Kind::Answer {
+                return self.refuse(Refusal::Misplaced, from);
             }
             self.take(frame, from, &answers);
         }
     }
 
+    /// The next frame; none when the connection has ended or brings something else.
+    async fn next_of(&self, frames: &mut Frames, from: SocketAddr) -> Option<Frame> {
+        let frame = frames.next().await;
+        if frame.is_err() {
+            self.refuse(Refusal::Unreadable, from);
+        }
+        frame.ok().flatten()
+    }
+
     fn take(&self, frame: Frame, from: SocketAddr, answers: &mpsc::Sender<Frame>) {
         let service = Channel::from_byte(frame.channel).and_then(|c| self.services.lock().get(&c).cloned());
         let Some(service) = service else { return };
@@ -429,40 +465,13 @@
 
 /// Ends a connection whose messages are not taken. They are read and dropped for a while, as closing over bytes that
 /// were not read would reset the connection and lose the reply.
-async fn refuse(mut stream: TcpStream) {
+async fn close(mut stream: TcpStream) {
     stream.shutdown().await.ok();
     let mut unread = vec![0; 4 << 10];
     let rest = async { while stream.read(&mut unread).await.is_ok_and(|read| read > 0) {} };
     timeout(PATIENCE, rest).await.ok();
 }
 
-/// Reads frames from a connection.
-struct Frames {
-    read: OwnedReadHalf,
-    bytes: BytesMut,
-}
-
-impl Frames {
-    fn new(read: OwnedReadHalf) -> Frames {
-        Frames { read, bytes: BytesMut::with_capacity(4 << 10) }
-    }
-
-    /// The next frame; none when the connection has ended or brings something else.
-    async fn next(&mut self) -> Option<Frame> {
-        loop {
-            if let Some(frame) = take(&mut self.bytes).ok()? {
-                return Some(frame);
-            }
-            if self.bytes.is_empty() && self.bytes.capacity() > 256 << 10 {
-                self.bytes = BytesMut::with_capacity(4 << 10);
-            }
-            if !self.read.read_buf(&mut self.bytes).await.is_ok_and(|read| read > 0) {
-                return None;
-            }
-        }
-    }
-}
-
 /// What never comes back must be known as such in time.
 fn prepare(socket: &socket2::SockRef) {
     socket.set_tcp_user_timeout(Some(PATIENCE)).ok();
--- a/crates/mintlb-tier/src/transport/frame.rs
+++ b/crates/mintlb-tier/src/transport/frame.rs
@@ -1,6 +1,8 @@
 //! The frames on a connection, after its greetings.
 
 use bytes::{Buf, BufMut, Bytes, BytesMut};
+use tokio::io::AsyncReadExt;
+use tokio::net::tcp::OwnedReadHalf;
 
 /// The longest message.
 pub const MOST_BYTES: usize = 24 << 20;
@@ -45,8 +47,36 @@
     out.put_slice(&frame.body);
 }
 
+/// Reads frames from a connection.
+pub struct Frames {
+    read: OwnedReadHalf,
+    bytes: BytesMut,
+}
+
+impl Frames {
+    /// Of this connection, whose greetings are over.
+    pub fn new(read: OwnedReadHalf) -> Frames {
+        Frames { read, bytes: BytesMut::with_capacity(4 << 10) }
+    }
+
+    /// The next frame; none when the connection has ended.
+    pub async fn next(&mut self) -> Result<Option<Frame>, NoFrame> {
+        loop {
+            if let Some(frame) = take(&mut self.bytes)? {
+                return Ok(Some(frame));
+            }
+            if self.bytes.is_empty() && self.bytes.capacity() > 256 << 10 {
+                self.bytes = BytesMut::with_capacity(4 << 10);
+            }
+            if !self.read.read_buf(&mut self.bytes).await.is_ok_and(|read| read > 0) {
+                return Ok(None);
+            }
+        }
+    }
+}
+
 /// The next whole frame, if it is there.
-pub fn take(bytes: &mut BytesMut) -> Result<Option<Frame>, NoFrame> {
+fn take(bytes: &mut BytesMut) -> Result<Option<Frame>, NoFrame> {
     if bytes.len() < HEAD {
         return Ok(None);
     }
