An answer found after the time of its call does not count, also after a freeze

Cause: tokio's timeout looks at the answer first. A process that stood still for 20 s with an answer in its socket found the answer and the end of the time at once and took the answer as fresh: a ping of 600 ms was "heard now" 18 s later, a read of the register closed with replies as old. Change: Transport::call compares the time that has passed. Refusals that a restart brings with it (M307, M308) are logged as info.

--- a/crates/mintlb-tier/src/transport.rs
+++ b/crates/mintlb-tier/src/transport.rs
@@ -37,7 +37,7 @@
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::mpsc;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Answers that wait for one connection.
 const QUEUE: usize = 512;
@@ -169,7 +169,8 @@
     /// Counts what was not taken from a process, also by the service that it was for.
     pub fn refuse(&self, refusal: Refusal, from: SocketAddr) {
         if let Some(count) = self.refusals.lock().count(refusal, from) {
-            log::warn!("transport: {refusal}, from {from}, {count} so far");
+            let level = if refusal.is_usual() { log::Level::Info } else { log::Level::Warn };
+            log::log!(level, "transport: {refusal}, from {from}, {count} so far");
         }
     }
 
@@ -188,7 +189,8 @@
         self.link(to).send(Frame { channel: channel as u8, kind: Kind::Notice, call: 0, body })
     }
 
-    /// Sends a message and waits for its answer.
+    /// Sends a message and waits for its answer. One that is found after its time does not count, also if this process
+    /// stood still and finds the answer and the end of the time at once: nobody knows how long it lay about.
     pub async fn call(
         self: &Arc<Self>,
         to: SocketAddr,
@@ -196,13 +198,14 @@
         body: Bytes,
         within: Duration,
     ) -> Result<Bytes, CallError> {
-        let call = self.calls.fetch_add(1, Relaxed);
+        let (call, began) = (self.calls.fetch_add(1, Relaxed), Instant::now());
         let link = self.link(to);
         let answered = link.expect_answer(call);
         let queued = link.send(Frame { channel: channel as u8, kind: Kind::Request, call, body });
         let outcome = match queued {
             false => Err(CallError::Unreachable),
             true => match timeout(within, answered).await {
+                Ok(Ok(Ok(_))) if began.elapsed() > within => Err(CallError::TimedOut),
                 Ok(Ok(Ok(body))) if body.is_empty() => Err(CallError::NotUnderstood),
                 Ok(Ok(outcome)) => outcome,
                 Ok(Err(_)) => Err(CallError::Unreachable),
--- a/crates/mintlb-tier/src/transport/refusals.rs
+++ b/crates/mintlb-tier/src/transport/refusals.rs
@@ -28,6 +28,13 @@
     Misplaced,
 }
 
+impl Refusal {
+    /// Whether it is to be expected after the restart of a process.
+    pub fn is_usual(self) -> bool {
+        matches!(self, Refusal::MeantForAnother | Refusal::EndedLife)
+    }
+}
+
 /// The counts.
 #[derive(Debug, Default)]
 pub struct Refusals {
--- a/crates/mintlb-tier/tests/transport_lives.rs
+++ b/crates/mintlb-tier/tests/transport_lives.rs
@@ -155,3 +155,21 @@
     assert_eq!(drawn.len(), 1000);
     assert!(!drawn.contains(&0));
 }
+
+/// The process stands still while the answer is on its way; awake again, it finds the answer and the end of its patience
+/// at the same time.
+#[tokio::test(start_paused = true)]
+async fn an_answer_that_lay_about_longer_than_the_call_may_take_does_not_count() {
+    let (a, _sees) = process().await;
+    let (listener, there) = listener().await;
+    let within = Duration::from_millis(600);
+    let call = {
+        let a = a.clone();
+        tokio::spawn(async move { a.call(there, Channel::Lots, Bytes::from_static(b"ping"), within).await })
+    };
+    let (mut wire, _) = Wire::accept(&listener, 1).await;
+    let read = wire.read().await;
+    wire.write(ANSWER, read.call, "pong").await;
+    tokio::time::advance(within * 30).await;
+    assert_eq!(call.await.unwrap(), Err(CallError::TimedOut));
+}
