The transport remembers a bounded number of addresses: a test

Test: transport_lives.rs lives_are_remembered_of_a_bounded_number_of_addresses, red with the bound taken out of Lives::settle.

--- a/crates/mintlb-tier/tests/transport_lives.rs
+++ b/crates/mintlb-tier/tests/transport_lives.rs
@@ -4,6 +4,8 @@
 
 use bytes::Bytes;
 use messages::{ANSWER, NOTICE, REQUEST, Seen, WAIT, Wire, listener, next, notice, process};
+use mintlb_tier::incarnation::Incarnation;
+use mintlb_tier::transport::lives::{Claim, Lives};
 use mintlb_tier::transport::{CallError, Channel, Transport};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -150,8 +152,7 @@
     let (b, _) = process().await;
     assert_ne!(a.incarnation(), b.incarnation());
     let own = a.own_address();
-    let drawn: std::collections::HashSet<_> =
-        (0..1000).map(|_| mintlb_tier::incarnation::Incarnation::draw(own).number()).collect();
+    let drawn: std::collections::HashSet<_> = (0..1000).map(|_| Incarnation::draw(own).number()).collect();
     assert_eq!(drawn.len(), 1000);
     assert!(!drawn.contains(&0));
 }
@@ -173,3 +174,20 @@
     tokio::time::advance(within * 30).await;
     assert_eq!(call.await.unwrap(), Err(CallError::TimedOut));
 }
+
+#[test]
+fn lives_are_remembered_of_a_bounded_number_of_addresses() {
+    let address = |number: u32| SocketAddr::from((std::net::Ipv4Addr::from_bits(number), 1));
+    let life = |number| Incarnation::from_number(number).unwrap();
+    let mut lives = Lives::default();
+    for number in 1..=5000 {
+        assert_eq!(lives.dialled_by(address(number), life(1)), Claim::Known);
+    }
+    assert_eq!((1..=5000).filter(|number| lives.at(address(*number)).is_some()).count(), 4096);
+    // Of one that there was no room for anything is taken; of a known one the other life is asked for.
+    assert!(lives.is_current(address(5000), life(2)));
+    assert_eq!(lives.dialled_by(address(1), life(2)), Claim::Conflict);
+    assert!(lives.settle(address(1), life(2)));
+    assert!(!lives.is_current(address(1), life(1)) && lives.is_current(address(1), life(2)));
+    assert!(!lives.settle(address(1), life(2)), "nothing new");
+}
