A store whose disk answers nothing counts as silent

Cause: a primary's log counts as waiting for a commit only once it is on its own disk. While that disk stood still the primary said that it was in charge, for as long as it took: its shards' calls timed out and nobody took over. Change: while a commit is under way for 1.5 s or more the store sends no heartbeat. Test: a_disk_that_answers_nothing_counts_as_gone (store_disk.rs); red with the guard out: 'the stall is not noticed'.

--- a/crates/mintlb-control/src/store/calls.rs
+++ b/crates/mintlb-control/src/store/calls.rs
@@ -111,6 +111,11 @@
         self.report_changed.notify_one();
     }
 
+    /// Whether the disk has failed or answers nothing: others are to take this store for silent.
+    pub fn is_without_disk(&self) -> bool {
+        self.core.lock().is_without_disk(std::time::Instant::now())
+    }
+
     /// Whether the disk has failed and could not be opened again yet.
     pub fn is_suspended(&self) -> bool {
         self.core.lock().is_suspended()
--- a/crates/mintlb-control/src/store/core.rs
+++ b/crates/mintlb-control/src/store/core.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Whether the disk is of no use at this time: what is on it is not known, or it answers nothing.
+    pub fn is_without_disk(&self, now: std::time::Instant) -> bool {
+        self.suspended || self.writer.is_stalled(now)
+    }
+
     /// Whether what is on disk is not known.
     pub fn is_suspended(&self) -> bool {
         self.suspended
--- a/crates/mintlb-control/src/store/heartbeats.rs
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -25,9 +25,9 @@
 ) {
     let address = settings.internal_address(InternalPort::Store).to_string();
     loop {
-        if store.is_suspended() {
-            // Without its disk it is no better than a store that is down, and counts as one.
-            store.report_changed().notified().await;
+        if store.is_without_disk() {
+            // It is no better than a store that is down, and counts as one.
+            timeout(HEARTBEAT, store.report_changed().notified()).await.ok();
             continue;
         }
         let (shards, placement) = store.report();
--- a/crates/mintlb-control/src/store/writer.rs
+++ b/crates/mintlb-control/src/store/writer.rs
@@ -15,6 +15,8 @@
 const WORTH_A_COMMIT: usize = 64 << 10;
 /// Writes that wait for a commit take no more than this; the store takes nothing new meanwhile.
 pub const MOST_WAITING: usize = 12 << 20;
+/// A commit that takes so long tells that the disk answers nothing.
+const STALLED: Duration = Duration::from_millis(1500);
 
 /// An opened file with its thread.
 pub struct Opened {
@@ -42,7 +44,8 @@
     /// What follows the commit under way beside what it was begun with.
     after_current: Vec<(u32, AfterSync)>,
     bytes: usize,
-    committing: bool,
+    /// Since when a commit is under way.
+    committing: Option<Instant>,
     /// A commit failed: nothing is taken until the file has been opened again.
     failed: bool,
 }
@@ -73,7 +76,7 @@
             drop(writes);
             {
                 let mut waiting = self.shared.0.lock();
-                waiting.committing = false;
+                waiting.committing = None;
                 after.append(&mut waiting.after_current);
                 if outcome.is_err() {
                     *waiting = Waiting { failed: true, ..Waiting::default() };
@@ -101,7 +104,7 @@
         }
         let until = Instant::now() + LINGER;
         while waiting.bytes < WORTH_A_COMMIT && !condition.wait_until(&mut waiting, until).timed_out() {}
-        waiting.committing = true;
+        waiting.committing = Some(Instant::now());
         waiting.bytes = 0;
         Batch { writes: std::mem::take(&mut waiting.writes), after: std::mem::take(&mut waiting.after) }
     }
@@ -109,7 +112,13 @@
     /// Whether nothing is on its way to the disk.
     pub fn is_idle(&self) -> bool {
         let waiting = self.shared.0.lock();
-        waiting.writes.is_empty() && !waiting.committing
+        waiting.writes.is_empty() && waiting.committing.is_none()
+    }
+
+    /// Whether a commit has been under way for so long that the disk counts as one that answers nothing.
+    pub fn is_stalled(&self, now: Instant) -> bool {
+        let since = self.shared.0.lock().committing;
+        since.is_some_and(|since| now.saturating_duration_since(since) >= STALLED)
     }
 
     /// Whether so much waits that nothing new should be taken.
@@ -130,7 +139,7 @@
         if waiting.failed {
             return Ok(());
         }
-        if writes.is_empty() && waiting.writes.is_empty() && !waiting.committing {
+        if writes.is_empty() && waiting.writes.is_empty() && waiting.committing.is_none() {
             return Err(after);
         }
         let before = waiting.bytes;
--- a/crates/mintlb-control/tests/faulty_file/mod.rs
+++ b/crates/mintlb-control/tests/faulty_file/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use mintlb_control::store::file::{CACHE_BYTES, OpenDatabase};
-use parking_lot::Mutex;
+use parking_lot::{Condvar, Mutex};
 use redb::backends::FileBackend;
 use redb::{Database, StorageBackend};
 use std::io::{Error, ErrorKind};
@@ -20,6 +20,8 @@
 struct State {
     /// It takes no more bytes.
     full: bool,
+    /// It answers nothing.
+    stalled: bool,
     /// It takes so many more writes and syncs, and then the power fails.
     left: Option<u64>,
     /// The file was opened before.
@@ -32,7 +34,7 @@
 
 /// A disk with one file that counts. Cheap to clone.
 #[derive(Clone, Debug, Default)]
-pub struct Disk(Arc<Mutex<State>>);
+pub struct Disk(Arc<(Mutex<State>, Condvar)>);
 
 impl Disk {
     /// How a store opens its file on this disk.
@@ -42,7 +44,7 @@
             let mut options = std::fs::OpenOptions::new();
             let file = options.read(true).write(true).create(true).truncate(false).open(path)?;
             {
-                let mut state = disk.0.lock();
+                let mut state = disk.0.0.lock();
                 if !std::mem::replace(&mut state.known, true) {
                     state.durable = std::fs::read(path)?;
                 }
@@ -53,17 +55,22 @@
     }
 
     pub fn set_full(&self, full: bool) {
-        self.0.lock().full = full;
+        self.0.0.lock().full = full;
+    }
+
+    pub fn set_stalled(&self, stalled: bool) {
+        self.0.0.lock().stalled = stalled;
+        self.0.1.notify_all();
     }
 
     /// The power fails after so many more writes and syncs; `None`: it does not.
     pub fn fail_after(&self, left: Option<u64>) {
-        self.0.lock().left = left;
+        self.0.0.lock().left = left;
     }
 
     /// What the file is after the loss of power. `choose` says how many bytes of a write are kept, of so many.
     pub fn lose_power(&self, path: &Path, mut choose: impl FnMut(usize) -> usize) {
-        let mut state = self.0.lock();
+        let mut state = self.0.0.lock();
         let mut image = state.durable.clone();
         for change in std::mem::take(&mut state.unsynced) {
             match change {
@@ -87,7 +94,10 @@
     }
 
     fn take(&self, change: Option<Change>) -> Result<(), Error> {
-        let mut state = self.0.lock();
+        let mut state = self.0.0.lock();
+        while state.stalled {
+            self.0.1.wait(&mut state);
+        }
         if state.full {
             return Err(ErrorKind::StorageFull.into());
         }
@@ -123,7 +133,7 @@
 
     fn sync_data(&self) -> Result<(), Error> {
         self.disk.take(None)?;
-        let mut state = self.disk.0.lock();
+        let mut state = self.disk.0.0.lock();
         for change in std::mem::take(&mut state.unsynced) {
             match change {
                 Change::Length(length) => state.durable.resize(length as usize, 0),
--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -1,6 +1,9 @@
 //! The lots' file: what is committed is there again, a damaged file is put aside.
 
+mod faulty_file;
+
 use bytes::Bytes;
+use faulty_file::Disk;
 use mintlb_control::store::disk::LotDisk;
 use mintlb_control::store::file::FILE;
 use mintlb_control::store::room::longest_file;
@@ -10,6 +13,7 @@
 use mintlb_lots::log_index::LogIndex;
 use mintlb_lots::replica::{AfterSync, DiskWrite, ShardMeta};
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 fn lot(payload: &[u8]) -> Bytes {
     let items = vec![ItemHead { id: "i".to_string(), tokens: 5, length: payload.len() as u64 }];
@@ -126,3 +130,28 @@
     assert_eq!(megabytes(140, 130), 140);
     assert_eq!(longest_file(0, 0), 1);
 }
+
+#[tokio::test]
+async fn a_disk_that_answers_nothing_counts_as_gone() {
+    let directory = tempfile::tempdir().unwrap();
+    let faulty = Disk::default();
+    let (disk, _) = LotDisk::open_by(faulty.opener(), directory.path(), 77).unwrap();
+    let (committed, mut commits) = tokio::sync::mpsc::unbounded_channel();
+    let writer = Writer::start(disk, committed).unwrap();
+    let later = |seconds: u64| Instant::now() + Duration::from_secs(seconds);
+    assert!(!writer.is_stalled(later(60)), "nothing is under way");
+    faulty.set_stalled(true);
+    writer.write(3, vec![DiskWrite::Put(1, begin())], Vec::new()).unwrap();
+    // The thread begins it when it likes.
+    let stalled = async {
+        while !writer.is_stalled(later(2)) {
+            tokio::task::yield_now().await;
+        }
+    };
+    let noticed = tokio::time::timeout(Duration::from_secs(5), stalled).await;
+    assert!(noticed.is_ok(), "the stall is not noticed");
+    assert!(!writer.is_stalled(Instant::now()));
+    faulty.set_stalled(false);
+    commits.recv().await.unwrap().unwrap();
+    assert!(!writer.is_stalled(later(60)));
+}
