Entries lie in parts that share pages; a store at its limit does not outgrow its disk

Cause: a value longer than a page takes the next power of two of it. Measured until a file of 19 MB was full: texts of 4300 bytes took 2.04 times their bytes, lots of 48 kB 2.02, of 96 kB 2.41; the store counted 1.45 and stopped taking lots at 85%, that is at 1.71. So a store of 130 MB, whose file ends at 91 MB, could have to double past its disk before it said that it was full, and each commit failed from then on. Up to twice the bytes were written and held. A file of the first version is converted when it is opened, in one commit.

--- a/crates/mintlb-control/src/store/disk.rs
+++ b/crates/mintlb-control/src/store/disk.rs
@@ -3,14 +3,14 @@
 //! After a failed commit redb takes nothing more until the file is opened again, and only that tells what the
 //! disk holds: [`LotDisk::close`], then [`LotDisk::reopen`] until the disk takes bytes.
 
-use super::file::{self, DiskError, ENTRIES, OpenDatabase, PROBE, SHARDS, failed};
+use super::file::{self, DiskError, OpenDatabase, PROBE, SHARDS, failed};
+use super::parts::{self, PARTS};
 use bytes::Bytes;
 use mintlb_lots::entry::Entry;
-use mintlb_lots::framing;
 use mintlb_lots::replica::{DiskWrite, ShardMeta};
 use mintlb_tier::placement::StoreId;
 use parking_lot::RwLock;
-use redb::{Database, ReadableDatabase, ReadableTable, Table};
+use redb::{Database, ReadableDatabase};
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
@@ -109,11 +109,11 @@
     pub fn read(&self, shard: u32, indexes: &[u64]) -> Result<Vec<(u64, Bytes)>, DiskError> {
         let database = self.shared.database.read();
         let transaction = opened(&database)?.begin_read().map_err(failed)?;
-        let table = transaction.open_table(ENTRIES).map_err(failed)?;
+        let table = transaction.open_table(PARTS).map_err(failed)?;
         let mut entries = Vec::with_capacity(indexes.len());
         for index in indexes {
-            if let Some(bytes) = table.get((shard, *index)).map_err(failed)? {
-                entries.push((*index, Bytes::copy_from_slice(bytes.value())));
+            if let Some(bytes) = parts::read(&table, shard, *index).map_err(failed)? {
+                entries.push((*index, bytes));
             }
         }
         Ok(entries)
@@ -124,12 +124,12 @@
         let database = self.shared.database.read();
         let transaction = opened(&database)?.begin_write().map_err(failed)?;
         {
-            let mut entries = transaction.open_table(ENTRIES).map_err(failed)?;
+            let mut entries = transaction.open_table(PARTS).map_err(failed)?;
             let mut metas: BTreeMap<u32, &ShardMeta> = BTreeMap::new();
             for (shard, write) in writes {
                 match write {
                     DiskWrite::Meta(meta) => _ = metas.insert(*shard, meta),
-                    write => apply(&mut entries, *shard, write).map_err(failed)?,
+                    write => parts::apply(&mut entries, *shard, write).map_err(failed)?,
                 }
             }
             let mut shards = transaction.open_table(SHARDS).map_err(failed)?;
@@ -160,40 +160,6 @@
     Ok(())
 }
 
-fn apply(
-    entries: &mut Table<(u32, u64), &[u8]>,
-    shard: u32,
-    write: &DiskWrite,
-) -> Result<(), redb::StorageError> {
-    match write {
-        DiskWrite::Put(index, bytes) => _ = entries.insert((shard, *index), &bytes[..])?,
-        DiskWrite::Truncate(last) => {
-            entries.retain_in((shard, last + 1)..=(shard, u64::MAX), |_, _| false)?
-        }
-        DiskWrite::Clear => entries.retain_in((shard, 0)..=(shard, u64::MAX), |_, _| false)?,
-        DiskWrite::Remove(indexes) => {
-            for index in indexes {
-                entries.remove((shard, *index))?;
-            }
-        }
-        DiskWrite::Strip(indexes) => {
-            for index in indexes {
-                let head = entries.get((shard, *index))?.and_then(|bytes| head_of(bytes.value()));
-                if let Some(head) = head {
-                    entries.insert((shard, *index), &*head)?;
-                }
-            }
-        }
-        DiskWrite::Meta(_) => (),
-    }
-    Ok(())
-}
-
-fn head_of(bytes: &[u8]) -> Option<Vec<u8>> {
-    let (_, end) = framing::decode_head::<Entry>(bytes)?;
-    Some(bytes[..end].to_vec())
-}
-
 fn encoded(meta: &ShardMeta) -> Vec<u8> {
     minicbor::to_vec(meta).unwrap_or_default()
 }
--- a/crates/mintlb-control/src/store/file.rs
+++ b/crates/mintlb-control/src/store/file.rs
@@ -1,6 +1,7 @@
 //! The lots' file: how it is made, opened and read, and what a failure says of it.
 
 use super::disk::{LoadedShard, LoadedShards};
+use super::parts::{self, PARTS};
 use mintlb_lots::entry::Entry;
 use mintlb_lots::framing;
 use mintlb_tier::placement::StoreId;
@@ -18,8 +19,6 @@
 /// Bytes of the file kept in memory.
 pub const CACHE_BYTES: usize = 2 << 20;
 
-/// Entries by shard and index.
-pub(super) const ENTRIES: TableDefinition<(u32, u64), &[u8]> = TableDefinition::new("entries");
 /// Meta data by shard.
 pub(super) const SHARDS: TableDefinition<u32, &[u8]> = TableDefinition::new("shards");
 /// Bytes that only show that the disk takes some.
@@ -74,6 +73,12 @@
     }
 }
 
+impl From<redb::StorageError> for DiskError {
+    fn from(error: redb::StorageError) -> DiskError {
+        failed(error)
+    }
+}
+
 fn refused(directory: &Path, cause: std::io::Error) -> DiskError {
     let text = format!("{}: {cause}", directory.display());
     match cause.kind() {
@@ -96,7 +101,7 @@
         let new = open(&unfinished).map_err(failed)?;
         let transaction = new.begin_write().map_err(failed)?;
         {
-            transaction.open_table(ENTRIES).map_err(failed)?;
+            transaction.open_table(PARTS).map_err(failed)?;
             transaction.open_table(SHARDS).map_err(failed)?;
             let mut store = transaction.open_table(STORE).map_err(failed)?;
             store.insert(IDENTITY, id).map_err(failed)?;
@@ -124,6 +129,7 @@
         Err(error) => return Err(refused(path, error)),
     }
     let database = open(path).map_err(failed)?;
+    parts::convert(&database).map_err(failed)?;
     let transaction = database.begin_read().map_err(failed)?;
     let store = transaction.open_table(STORE).map_err(failed)?;
     let id = store.get(IDENTITY).map_err(failed)?.map(|id| id.value());
@@ -141,16 +147,14 @@
         let meta = minicbor::decode(meta.value()).map_err(|error| DiskError::Damaged(error.to_string()))?;
         shards.entry(shard.value()).or_default().meta = meta;
     }
-    let entries = transaction.open_table(ENTRIES).map_err(failed)?;
-    for row in entries.iter().map_err(failed)? {
-        let (key, bytes) = row.map_err(failed)?;
-        let (shard, index) = key.value();
-        let loaded: &mut LoadedShard = shards.entry(shard).or_default();
-        let bytes = bytes.value();
+    let entries = transaction.open_table(PARTS).map_err(failed)?;
+    parts::read_all(&entries, |shard, index, bytes| {
         let Some((entry, end)) = framing::decode_head::<Entry>(bytes) else {
             return Err(DiskError::Damaged(format!("entry {index} of shard {shard} can't be read")));
         };
+        let loaded: &mut LoadedShard = shards.entry(shard).or_default();
         loaded.entries.push((index, entry, bytes.len() as u64, (bytes.len() - end) as u64));
-    }
+        Ok(())
+    })?;
     Ok(shards)
 }
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -1,7 +1,8 @@
 //! The store: keeps replicas of the lots' shards on its disk and answers dispatchers for those it is the
 //! primary of.
 //!
-//! - [`file`]: how the file is made and opened; [`disk`]: its tables; [`writer`]: the thread that commits.
+//! - [`file`]: how the file is made and opened; [`disk`]: its tables; [`parts`]: how entries
+//!   lie in them; [`writer`]: the thread that commits.
 //! - [`driver`]: time, commits, and opening the file again after one has failed.
 //! - [`core`]: the replicas, their effects carried out.
 //! - [`calls`]: dispatchers' calls.
@@ -15,6 +16,7 @@
 pub mod driver;
 pub mod file;
 pub mod heartbeats;
+mod parts;
 pub mod recent;
 pub mod room;
 pub mod writer;
--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -155,3 +155,46 @@
     commits.recv().await.unwrap().unwrap();
     assert!(!writer.is_stalled(later(60)));
 }
+
+#[test]
+fn entries_of_every_length_take_little_more_than_their_bytes() {
+    for bytes in [30, 900, 1001, 2100, 4300, 9000, 96_000, 300_000] {
+        let directory = tempfile::tempdir().unwrap();
+        let (disk, _) = open(directory.path());
+        let (mut index, mut sum, mut full) = (0, 0, 0);
+        while disk.file_bytes() < 3 << 20 {
+            full = disk.file_bytes();
+            let writes = (0..(100_000 / bytes).max(1)).map(|_| {
+                index += 1;
+                sum += bytes as u64;
+                (0, DiskWrite::Put(index, lot(&vec![7; bytes])))
+            });
+            disk.commit(&writes.collect::<Vec<_>>()).unwrap();
+        }
+        // What was the whole file until it doubled.
+        let factor = full as f64 / sum as f64;
+        println!("{bytes} bytes: {factor:.2}");
+        assert!(factor < 1.7 || bytes < 100, "{bytes} bytes: {factor:.2}");
+        assert_eq!(disk.read(0, &[1, index]).unwrap()[1], (index, lot(&vec![7; bytes])));
+    }
+}
+
+#[test]
+fn a_file_of_the_first_version_is_converted() {
+    let directory = tempfile::tempdir().unwrap();
+    drop(open(directory.path()));
+    {
+        let whole: redb::TableDefinition<(u32, u64), &[u8]> = redb::TableDefinition::new("entries");
+        let parts: redb::TableDefinition<(u32, u64, u16), &[u8]> = redb::TableDefinition::new("parts");
+        let database = redb::Database::open(directory.path().join(FILE)).unwrap();
+        let transaction = database.begin_write().unwrap();
+        transaction.delete_table(parts).unwrap();
+        transaction.open_table(whole).unwrap().insert((2, 9), &lot(&[5; 40_000])[..]).unwrap();
+        transaction.commit().unwrap();
+    }
+    for _ in 0..2 {
+        let (disk, shards) = open(directory.path());
+        assert_eq!((disk.id(), shards[0].0, &shards[0].2), (77, 2, &vec![9]));
+        assert_eq!(disk.read(2, &[9]).unwrap(), vec![(9, lot(&[5; 40_000]))]);
+    }
+}
