--- a/crates/mintlb-control/tests/store_disk.rs
+++ b/crates/mintlb-control/tests/store_disk.rs
@@ -1,6 +1,9 @@
 //! The lots' file: what is committed is there again, a damaged file is put aside.
 
+mod faulty_file;
+
 use bytes::Bytes;
+use faulty_file::Disk;
 use mintlb_control::store::disk::LotDisk;
 use mintlb_control::store::file::FILE;
 use mintlb_control::store::room::longest_file;
@@ -10,6 +13,7 @@
 use mintlb_lots::log_index::LogIndex;
 use mintlb_lots::replica::{AfterSync, DiskWrite, ShardMeta};
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 fn lot(payload: &[u8]) -> Bytes {
     let items = vec![ItemHead { id: "i".to_string(), tokens: 5, length: payload.len() as u64 }];
@@ -126,3 +130,71 @@
     assert_eq!(megabytes(140, 130), 140);
     assert_eq!(longest_file(0, 0), 1);
 }
+
+#[tokio::test]
+async fn a_disk_that_answers_nothing_counts_as_gone() {
+    let directory = tempfile::tempdir().unwrap();
+    let faulty = Disk::default();
+    let (disk, _) = LotDisk::open_by(faulty.opener(), directory.path(), 77).unwrap();
+    let (committed, mut commits) = tokio::sync::mpsc::unbounded_channel();
+    let writer = Writer::start(disk, committed).unwrap();
+    let later = |seconds: u64| Instant::now() + Duration::from_secs(seconds);
+    assert!(!writer.is_stalled(later(60)), "nothing is under way");
+    faulty.set_stalled(true);
+    writer.write(3, vec![DiskWrite::Put(1, begin())], Vec::new()).unwrap();
+    // The thread begins it when it likes.
+    let stalled = async {
+        while !writer.is_stalled(later(2)) {
+            tokio::task::yield_now().await;
+        }
+    };
+    let noticed = tokio::time::timeout(Duration::from_secs(5), stalled).await;
+    assert!(noticed.is_ok(), "the stall is not noticed");
+    assert!(!writer.is_stalled(Instant::now()));
+    faulty.set_stalled(false);
+    commits.recv().await.unwrap().unwrap();
+    assert!(!writer.is_stalled(later(60)));
+}
+
+#[test]
+fn entries_of_every_length_take_little_more_than_their_bytes() {
+    for bytes in [30, 900, 1001, 2100, 4300, 9000, 96_000, 300_000] {
+        let directory = tempfile::tempdir().unwrap();
+        let (disk, _) = open(directory.path());
+        let (mut index, mut sum, mut full) = (0, 0, 0);
+        while disk.file_bytes() < 3 << 20 {
+            full = disk.file_bytes();
+            let writes = (0..(100_000 / bytes).max(1)).map(|_| {
+                index += 1;
+                sum += bytes as u64;
+                (0, DiskWrite::Put(index, lot(&vec![7; bytes])))
+            });
+            disk.commit(&writes.collect::<Vec<_>>()).unwrap();
+        }
+        // What was the whole file until it doubled.
+        let factor = full as f64 / sum as f64;
+        println!("{bytes} bytes: {factor:.2}");
+        assert!(factor < 1.7 || bytes < 100, "{bytes} bytes: {factor:.2}");
+        assert_eq!(disk.read(0, &[1, index]).unwrap()[1], (index, lot(&vec![7; bytes])));
+    }
+}
+
+#[test]
+fn a_file_of_the_first_version_is_converted() {
+    let directory = tempfile::tempdir().unwrap();
+    drop(open(directory.path()));
+    {
+        let whole: redb::TableDefinition<(u32, u64), &[u8]> = redb::TableDefinition::new("entries");
+        let parts: redb::TableDefinition<(u32, u64, u16), &[u8]> = redb::TableDefinition::new("parts");
+        let database = redb::Database::open(directory.path().join(FILE)).unwrap();
+        let transaction = database.begin_write().unwrap();
+        transaction.delete_table(parts).unwrap();
+        transaction.open_table(whole).unwrap().insert((2, 9), &lot(&[5; 40_000])[..]).unwrap();
+        transaction.commit().unwrap();
+    }
+    for _ in 0..2 {
+        let (disk, shards) = open(directory.path());
+        assert_eq!((disk.id(), shards[0].0, &shards[0].2), (77, 2, &vec![9]));
+        assert_eq!(disk.read(2, &[9]).unwrap(), vec![(9, lot(&[5; 40_000]))]);
+    }
+}
