Stores: the settled primary alone is enough; lost replicas are replaced, not joined; model by the promise

Now a lost replica is replaced at once, and a takeover reads the settled epoch's primary alone: an entry is on its disk before it is committed. - A store that lost its disk while it was being emptied came back as a new one that was not to be emptied, got shards, and its machine was taken away at `completed`.

--- a/crates/mintlb-lots/src/placement_planner.rs
+++ b/crates/mintlb-lots/src/placement_planner.rs
@@ -77,7 +77,7 @@
     for store in view.live() {
         match next.stores.iter_mut().find(|entry| entry.id == store.id) {
             Some(entry) => entry.address.clone_from(&store.address),
-            None => next.stores.push(store.entry()),
+            None => next.stores.push(new_entry(next, store)),
         }
     }
     let named: Vec<StoreId> =
@@ -89,6 +89,14 @@
     next.stores.retain(|entry| named.contains(&entry.id) || !gone(entry));
 }
 
+/// A store that was not known. With an emptied disk the machine is still to be taken away if that was ordered.
+fn new_entry(next: &Placement, store: &StoreSeen) -> StoreEntry {
+    let is_ordered = |entry: &StoreEntry| {
+        entry.retiring && entry.node_name == store.node_name && entry.address == store.address
+    };
+    StoreEntry { retiring: next.stores.iter().any(is_ordered), ..store.entry() }
+}
+
 struct Planner<'a> {
     next: Placement,
     view: &'a StoreView,
--- a/crates/mintlb-lots/src/placement_planner/members.rs
+++ b/crates/mintlb-lots/src/placement_planner/members.rs
@@ -74,7 +74,8 @@
     }
 
     /// A replica was told to stop and a store that may be its successor is there: the copy moves at once, while the
-    /// one that leaves can still be read. False if there is nothing to do.
+    /// one that leaves can still be read. If the successor has a copy already, the other one goes. False if there is
+    /// nothing to do: without a successor the store comes back with its disk.
     pub(super) fn hand_over(
         &mut self,
         shard: usize,
@@ -85,13 +86,18 @@
         let leaves =
             |id: &&StoreId| self.is_live(**id) && self.view.is_leaving(**id) && !self.is_retiring(**id);
         let Some(leaving) = replicas.iter().find(leaves).copied() else { return false };
-        let Some(candidate) = self.candidate(shard, replicas).filter(|id| self.is_new(*id)) else {
+        let candidate = self.candidate(shard, replicas).filter(|id| self.is_new(*id));
+        let mut changed = replace(replicas, leaving, candidate);
+        let is_good =
+            |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
+        let good: Vec<StoreId> = changed.iter().copied().filter(is_good).collect();
+        let may_shrink = good.len() > self.tolerance && good.iter().any(|id| self.is_new(*id));
+        if good.is_empty() || candidate.is_none() && !may_shrink {
             return false;
-        };
-        let mut changed = replace(replicas, leaving, Some(candidate));
-        let good = |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
-        let Some(place) = changed.iter().position(good) else { return false };
-        changed.swap(0, place);
+        }
+        if let Some(place) = changed.iter().position(|id| good.contains(id)) {
+            changed.swap(0, place);
+        }
         self.change(shard, assignment, changed);
         true
     }
@@ -122,7 +128,8 @@
         }
         let stays = |leaving: StoreId| good.iter().filter(|id| **id != leaving).count() > self.tolerance;
         let changed = match (leaving, candidate) {
-            (Some(leaving), Some(candidate)) if stays(leaving) => {
+            // One that is lost makes no quorum: beside its successor it would only be one more that can't be read.
+            (Some(leaving), Some(candidate)) if stays(leaving) || self.is_lost(leaving, REPLICA_DEAD) => {
                 Some(replace(replicas, leaving, Some(candidate)))
             }
             // One more for a while, until there are enough copies without the one that leaves.
--- a/crates/mintlb-lots/src/replica/takeover.rs
+++ b/crates/mintlb-lots/src/replica/takeover.rs
@@ -2,7 +2,8 @@
 //! committed entry is at one of them, takes the log that ends at the highest place, and begins its epoch on
 //! top of that. A takeover that was begun before and did not come to be in charge may have left such a log at a
 //! replica already: one that holds an entry of an epoch later than the settled one is read alone. So the previous
-//! replicas are not needed any more once one replica has begun.
+//! replicas are not needed any more once one replica has begun. Nor are the others if the settled epoch's primary has
+//! its disk: it has all that was committed.
 
 use super::primary::Primary;
 use super::{AfterSync, DiskWrite, Effect, Replica, Role};
@@ -76,16 +77,20 @@
         self.assignment.previous.len().saturating_sub(self.settings.tolerance).max(1)
     }
 
-    /// Whether a log holds all that was told on its own: it was begun after the settled epoch, from enough of the
-    /// previous replicas, which have refused the settled epoch's primary since.
-    fn is_whole(&self, log: &LogIndex) -> bool {
-        self.assignment.settled.is_some_and(|settled| log.end().epoch > settled)
+    /// Whether the log of this replica holds all that was told, so that no other has to be read. It does if it was
+    /// begun after the settled epoch, from enough of the previous replicas, which have refused the settled epoch's
+    /// primary since. And it does if it is the one of that primary: nobody else appended in that epoch, an entry is
+    /// on its disk before it is committed, and with its promise it commits nothing more.
+    fn is_whole(&self, from: StoreId, log: &LogIndex) -> bool {
+        let Some(settled) = self.assignment.settled else { return false };
+        let epoch = log.end().epoch;
+        epoch > settled || epoch == settled && self.assignment.previous.first() == Some(&from)
     }
 
     pub(super) fn on_collected(&mut self, from: StoreId, epoch: u64, log: LogIndex, now: Moment) {
         let needed = self.answers_needed();
         let is_previous = self.assignment.previous.contains(&from);
-        let is_whole = self.is_whole(&log);
+        let is_whole = self.is_whole(from, &log);
         let Role::Taking(takeover) = &mut self.role else { return };
         if takeover.epoch != epoch || !(is_previous || is_whole) || takeover.source.is_some() {
             return;
--- a/crates/mintlb-lots/tests/fleet/machines.rs
+++ b/crates/mintlb-lots/tests/fleet/machines.rs
@@ -1,6 +1,6 @@
 //! Machines of the fleet: what happens to them, and which of them count as lost.
 
-use super::{Fleet, HAND_OVER, RESTART};
+use super::{Fleet, HAND_OVER, LEAST_HAND_OVER, RESTART};
 use mintlb_tier::placement::StoreId;
 use std::cell::Cell;
 use std::time::Duration;
@@ -108,7 +108,7 @@
         let (id, now) = (machine.id, self.now);
         let primary = self.placement.shards.iter().any(|shard| shard.replicas.first() == Some(&id));
         let read = self.placement.shards.iter().any(|shard| shard.previous.contains(&id));
-        if !(primary || read) && now >= since + Duration::from_millis(300) || now >= since + HAND_OVER {
+        if !(primary || read) && now >= since + LEAST_HAND_OVER || now >= since + HAND_OVER {
             let machine = &mut self.machines[place];
             machine.state = if for_good { State::Removed } else { State::Down(now + RESTART) };
         }
--- a/crates/mintlb-lots/tests/fleet/mod.rs
+++ b/crates/mintlb-lots/tests/fleet/mod.rs
@@ -19,6 +19,8 @@
 const HEARTBEAT_STEPS: u64 = 4;
 /// How long a store that was told to stop goes on while shards name it.
 const HAND_OVER: Duration = Duration::from_millis(4000);
+/// And at least.
+const LEAST_HAND_OVER: Duration = Duration::from_millis(800);
 /// How long a restart takes.
 const RESTART: Duration = Duration::from_millis(1000);
 
@@ -133,6 +135,7 @@
             RetirementOrder::Begun => (),
             RetirementOrder::TooFew | RetirementOrder::Unknown => return false,
         }
+        self.note(format!("{node} is to be emptied"));
         self.retiring.push(node);
         true
     }
--- a/crates/mintlb-lots/tests/fleet/shards.rs
+++ b/crates/mintlb-lots/tests/fleet/shards.rs
@@ -100,6 +100,11 @@
     fn read(&self, shard: usize, assignment: &ShardAssignment) -> Option<Place> {
         let log = |id: &StoreId| self.shards[shard].logs.get(id).copied().unwrap_or_default();
         let up = |id: &&StoreId| self.is_store_up(**id);
+        // The settled epoch's primary has all that was told, and so has who began a later epoch.
+        let first = assignment.previous[0];
+        if self.is_store_up(first) && Some(log(&first).epoch) >= assignment.settled {
+            return Some(log(&first));
+        }
         let answers = assignment.previous.iter().filter(up).map(log);
         let whole = assignment.replicas.iter().filter(up).map(log).chain(answers.clone());
         if let Some(whole) = whole.filter(|log| Some(log.epoch) > assignment.settled).max() {
--- a/crates/mintlb-lots/tests/model/mod.rs
+++ b/crates/mintlb-lots/tests/model/mod.rs
@@ -1,28 +1,32 @@
 //! A model of stores with one shard: virtual time, disks that lose what is not synced, messages that are
 //! lost, repeated and reordered, a register of the placement that everybody hears of late.
 
+#![allow(dead_code)]
+
 pub mod checks;
 pub mod disk;
+pub mod machines;
+pub mod plays;
 
 use bytes::Bytes;
 use checks::Told;
 use disk::Disk;
+use machines::Machine;
 use mintlb_lots::entry::{Entry, ItemHead, ItemState, LotHead, LotTerms};
 use mintlb_lots::framing;
-use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_lots::messages::{Answer, LotName};
 use mintlb_lots::peer::{EntryLength, Envelope, PeerMessage};
-use mintlb_lots::placement_planner::{StoreTable, plan};
+use mintlb_lots::placement_planner::StoreTable;
 use mintlb_lots::replica::{AfterSync, DiskWrite, Effect, Proposal, Replica, ReplicaSettings};
-use mintlb_tier::placement::{Placement, ShardAssignment, StoreId};
+use mintlb_tier::placement::{Placement, StoreId};
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 pub const HOST: &str = "h";
 pub const SHARD: u32 = 0;
 pub const LIMIT: u64 = 900;
-/// A lost store counts for so long after its return (`catch_up_s`).
-const CATCH_UP: Duration = Duration::from_secs(5);
+/// The time at the model's start.
+pub const START: Duration = Duration::from_secs(1000);
 pub const STATUS: Duration = Duration::from_secs(100_000);
 
 /// What a caller waits for.
@@ -45,6 +49,9 @@
     pub placement: usize,
     pub zone: String,
     pub cut: bool,
+    /// Does nothing; what is sent to it waits.
+    pub frozen: bool,
+    pub machine: Machine,
 }
 
 pub struct Random(pub u64);
@@ -73,7 +80,14 @@
     pub placements: Vec<Placement>,
     pub table: StoreTable,
     pub told: Told,
+    /// Disks that were lost, and when.
     pub lost_disks: BTreeMap<StoreId, Duration>,
+    /// Nodes that are to be emptied.
+    pub retiring: Vec<String>,
+    /// A lot was accepted since this was last cleared.
+    pub accepted_now: bool,
+    pub catch_up: Duration,
+    pub history: Vec<String>,
     pub next_id: StoreId,
     pub next_lot: u64,
     pub losses: u64,
@@ -82,7 +96,7 @@
 
 impl Model {
     pub fn new(seed: u64, count: usize, tolerance: usize) -> Model {
-        let now = Duration::from_secs(1000);
+        let now = START;
         let mut model = Model {
             random: Random(seed),
             now,
@@ -93,6 +107,10 @@
             table: StoreTable::new(now),
             told: Told::default(),
             lost_disks: BTreeMap::new(),
+            retiring: Vec::new(),
+            accepted_now: false,
+            catch_up: Duration::from_secs(if tolerance == 1 { 5 } else { 12 }),
+            history: Vec::new(),
             next_id: 1,
             next_lot: 0,
             losses: 0,
@@ -116,6 +134,8 @@
             placement: 0,
             zone: format!("z{}", id % 3),
             cut: false,
+            frozen: false,
+            machine: Machine::new(id, self.now),
         });
         let place = self.stores.len() - 1;
         self.start(place);
@@ -132,44 +152,7 @@
         let replica = Replica::load(SHARD, settings, store.disk.meta.clone(), store.disk.load(), self.now);
         store.replica = Some(replica);
         store.placement = 0;
-    }
-
-    /// The process ends; of what was on its way to the disk a first part has got there, or nothing.
-    pub fn crash(&mut self, place: usize) {
-        let store = &mut self.stores[place];
-        store.replica = None;
-        store.waiting.clear();
-        let written = self.random.below(store.pending.len() as u64 + 1) as usize;
-        for (writes, _) in store.pending.drain(..).take(written) {
-            store.disk.apply(writes);
-        }
-        store.pending.clear();
-    }
-
-    /// The process ends and its disk is empty: it comes back as another store.
-    pub fn lose_disk(&mut self, place: usize) -> bool {
-        let id = self.stores[place].id;
-        if !self.may_lose(id) {
-            return false;
-        }
-        self.crash(place);
-        self.lost_disks.insert(id, self.now);
-        self.losses += 1;
-        let store = &mut self.stores[place];
-        store.disk = Disk::default();
-        store.id = self.next_id;
-        self.next_id += 1;
-        true
-    }
-
-    /// No more than the tolerance of the stores may be lost at once: a lost one counts until the newest
-    /// placement names it no more and for a while after.
-    fn may_lose(&self, id: StoreId) -> bool {
-        let Some(shard) = self.placements.last().and_then(|p| p.shards.first()) else { return false };
-        let named = |id: &StoreId| shard.replicas.contains(id) || shard.previous.contains(id);
-        let counts = |id: &StoreId, at: &Duration| named(id) || *at + CATCH_UP > self.now;
-        let lost = self.lost_disks.iter().filter(|(other, at)| **other != id && counts(other, at)).count();
-        lost < self.tolerance
+        store.machine.started(self.now);
     }
 
     pub fn act(&mut self, place: usize) {
@@ -218,6 +201,9 @@
     /// The disk has everything that was on its way.
     pub fn sync(&mut self, place: usize) {
         let store = &mut self.stores[place];
+        if store.frozen {
+            return;
+        }
         let pending = std::mem::take(&mut store.pending);
         let mut follow = Vec::new();
         for (writes, after) in pending {
@@ -244,6 +230,9 @@
             return;
         }
         let Some(place) = self.stores.iter().position(|store| store.id == envelope.to) else { return };
+        if self.stores[place].frozen {
+            return self.messages.push((envelope, raw));
+        }
         let Some(replica) = &mut self.stores[place].replica else { return };
         replica.message(envelope, raw, self.now);
         self.act(place);
@@ -253,7 +242,7 @@
     pub fn hear(&mut self, place: usize) {
         let newest = self.placements.len() - 1;
         let store = &mut self.stores[place];
-        if store.cut || store.placement >= newest {
+        if store.cut || store.frozen || store.placement >= newest {
             return;
         }
         let next = store.placement + 1 + self.random.below((newest - store.placement) as u64) as usize;
@@ -265,35 +254,12 @@
         self.act(place);
     }
 
-    /// Stores that are not cut off report; the controller plans.
-    pub fn control(&mut self) {
-        for store in self.stores.iter().filter(|store| !store.cut) {
-            let Some(replica) = &store.replica else { continue };
-            let heartbeat = StoreHeartbeat {
-                id: store.id,
-                node_name: format!("node-{}", store.id),
-                address: format!("10.0.0.{}:1", store.id),
-                zone: store.zone.clone(),
-                shards: replica.report().into_iter().collect(),
-                placement: 0,
-                leaving: false,
-            };
-            self.table.note(heartbeat, self.now);
-        }
-        let current = self.placements.last().unwrap().clone();
-        let view = self.table.view(&current, self.now);
-        let Some(mut next) = plan(&current, &view, self.tolerance) else { return };
-        // One shard is enough here.
-        next.shards.truncate(1);
-        if next.shards.first().map(epoch_of) != current.shards.first().map(epoch_of) {
-            self.takeovers += 1;
-        }
-        self.placements.push(next);
-    }
-
     pub fn tick(&mut self, passed: Duration) {
         self.now += passed;
         for place in 0..self.stores.len() {
+            if self.stores[place].frozen {
+                continue;
+            }
             if let Some(replica) = &mut self.stores[place].replica {
                 replica.tick(self.now);
                 self.act(place);
@@ -314,7 +280,10 @@
     fn tell(&mut self, place: usize, expected: Expected) {
         let (now, random) = (self.now, self.random.below(2));
         match expected {
-            Expected::Accepted { lot, items } => self.told.accepted(lot, items, now),
+            Expected::Accepted { lot, items } => {
+                self.accepted_now = true;
+                self.told.accepted(lot, items, now);
+            }
             Expected::Ended { lot } => self.told.ended(lot, now),
             Expected::Listed { lot } => {
                 self.told.records += 1;
@@ -423,9 +392,5 @@
     LotName { host: HOST.to_string(), id: lot.to_string() }
 }
 
-fn epoch_of(shard: &ShardAssignment) -> u64 {
-    shard.epoch
-}
-
 /// By position, what readers were told.
 pub type Results = BTreeMap<String, Vec<(String, String)>>;
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -284,6 +284,19 @@
     assert_eq!(state(&mut tier, &format!("node-{retired}")), Some(Retirement::Completed));
 }
 
+#[test]
+fn a_store_that_loses_its_disk_while_it_is_emptied_is_emptied_on() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    retire(&mut tier, "node-3");
+    let (zone, node) = tier.live.remove(&3).unwrap();
+    tier.run(STEP);
+    tier.add(33, &zone, &node);
+    tier.settle();
+    assert_eq!(tier.holds(33), 0, "{:?}", tier.placement);
+    assert_eq!(state(&mut tier, "node-3"), Some(Retirement::Completed));
+}
+
 #[test]
 fn a_retirement_is_not_completed_while_only_one_live_replica_is_whole() {
     let mut tier = Tier::new(&["a", "b", "c"], 1);
--- a/crates/mintlb-lots/tests/placement_losses.rs
+++ b/crates/mintlb-lots/tests/placement_losses.rs
@@ -96,6 +96,19 @@
     fleet.settle(BOUND);
 }
 
+#[test]
+fn a_store_whose_successor_has_a_copy_already_leaves_the_set() {
+    let mut fleet = small(3);
+    assert!(fleet.retire(2));
+    fleet.run(SECOND * 10);
+    fleet.replace_planned(0, SECOND * 5);
+    while fleet.machines[0].is_up() || fleet.lost() > 0 {
+        fleet.step();
+    }
+    fleet.wipe(1, SECOND * 2);
+    fleet.settle(BOUND);
+}
+
 #[test]
 fn a_store_that_restarts_keeps_its_copies_without_a_successor() {
     let mut fleet = small(3);
--- a/crates/mintlb-lots/tests/shard_model.rs
+++ b/crates/mintlb-lots/tests/shard_model.rs
@@ -4,6 +4,7 @@
 mod model;
 
 use model::Model;
+use model::plays::{call, check_all, heal};
 use std::time::Duration;
 
 const STEPS: u64 = 1500;
@@ -37,7 +38,7 @@
         195 if trouble && model.random.chance(50) => model.crash(place),
         196 if trouble && model.random.chance(20) => _ = model.lose_disk(place),
         197 if trouble && model.random.chance(40) => model.stores[place].cut = true,
-        198 => model.stores[place].cut = false,
+        198 if model.stores[place].cut => model.join_again(place),
         _ => {
             if model.stores[place].replica.is_none() {
                 model.start(place);
@@ -46,104 +47,6 @@
     }
 }
 
-/// A dispatcher's call, mostly at a store that serves.
-fn call(model: &mut Model, any: usize) {
-    let serves = |place: &usize| model.stores[*place].replica.as_ref().is_some_and(|r| r.is_serving());
-    let serving: Vec<usize> = (0..model.stores.len()).filter(serves).collect();
-    let place = match serving.is_empty() || model.random.chance(10) {
-        true => any,
-        false => serving[model.random.below(serving.len() as u64) as usize],
-    };
-    let kind = model.random.below(33);
-    if kind < 7 {
-        model.next_lot += 1;
-        let lot = format!("lot{:05}", model.next_lot);
-        let items = 1 + model.random.below(4) as usize;
-        return model.submit(place, lot, items);
-    }
-    let Some((lot, items)) = any_lot(model) else { return };
-    match kind {
-        // The same lot again, perhaps at another store.
-        7..=8 => model.submit(place, lot, items),
-        9..=19 => {
-            let item = model.random.below(items as u64) as u32;
-            model.told.finished(&lot, item);
-            model.record(place, lot, item);
-        }
-        20 if model.random.chance(40) => {
-            model.told.end_asked.insert(lot.clone());
-            model.end(place, lot);
-        }
-        21..=28 => model.read(place, &lot),
-        29..=30 => model.lease(place),
-        _ => (),
-    }
-}
-
-fn any_lot(model: &mut Model) -> Option<(String, usize)> {
-    let count = model.told.accepted.len() as u64;
-    // The newest ones are of most interest.
-    let back = model.random.below(count.min(8)) as usize;
-    let lot = model.told.accepted.keys().rev().nth(back)?.clone();
-    let items = model.told.accepted[&lot].1;
-    Some((lot, items))
-}
-
-/// All is well again: everything runs, everything arrives.
-fn heal(model: &mut Model) {
-    for place in 0..model.stores.len() {
-        model.stores[place].cut = false;
-        if model.stores[place].replica.is_none() {
-            model.start(place);
-        }
-    }
-    for _ in 0..400 {
-        exchange(model);
-        model.control();
-        model.tick(Duration::from_millis(50));
-    }
-}
-
-/// Everything on its way arrives.
-fn exchange(model: &mut Model) {
-    for place in 0..model.stores.len() {
-        model.hear(place);
-        model.sync(place);
-    }
-    let mut most = 5000;
-    while !model.messages.is_empty() && most > 0 {
-        model.deliver(0, false);
-        most -= 1;
-    }
-}
-
-/// What was told can be read at the one store that serves.
-fn check_all(model: &mut Model) {
-    let serving: Vec<usize> = (0..model.stores.len())
-        .filter(|place| model.stores[*place].replica.as_ref().is_some_and(|replica| replica.is_serving()))
-        .collect();
-    assert_eq!(serving.len(), 1, "one store serves: {:?}", model.placements.last());
-    let place = serving[0];
-    model.stores[place].replica.as_mut().unwrap().confirm(model.now);
-    model.act(place);
-    exchange(model);
-    exchange(model);
-    assert!(model.stores[place].replica.as_mut().unwrap().confirm(model.now));
-    let lots: Vec<(String, usize)> =
-        model.told.accepted.iter().map(|(lot, (_, items))| (lot.clone(), *items)).collect();
-    for (lot, _) in &lots {
-        let (_, found) =
-            model.stores[place].replica.as_ref().unwrap().lots().find(&model::name(lot)).unwrap();
-        if model.told.ended.contains_key(lot) {
-            assert!(found.ended.is_some(), "an end is lost");
-        }
-        let read = model.told.results.get(lot).map_or(0, Vec::len);
-        assert!(found.listed.len() >= read, "a result is lost");
-        model.read(place, lot);
-    }
-    model.lease(place);
-}
-
 fn run(seed: u64, count: usize, tolerance: usize, trouble: bool) -> Model {
     let mut model = Model::new(seed, count, tolerance);
     // The first placement.
--- a/crates/mintlb-lots/tests/takeover.rs
+++ b/crates/mintlb-lots/tests/takeover.rs
@@ -295,3 +295,33 @@
     let logs = [1, 2, 3].map(|id| model.stores[id - 1].replica.as_ref().unwrap().log().end());
     assert!(logs.iter().all(|end| end.epoch == 4 && *end == logs[0]), "{logs:?}");
 }
+
+#[test]
+fn the_settled_primary_needs_no_other_to_take_over_again() {
+    let mut model = three();
+    model.submit(0, "kept".to_string(), 1);
+    quiet(&mut model);
+    assert!(model.told.accepted.contains_key("kept"));
+    // Both others are gone for good; two new stores come.
+    (model.stores[1].cut, model.stores[2].cut) = (true, true);
+    model.add_store();
+    place(&mut model, 2, &[1, 4], &[1, 2, 3]);
+    for _ in 0..30 {
+        [1, 4].iter().for_each(|id| hear(&mut model, *id));
+        [1, 4].iter().for_each(|id| sync(&mut model, *id));
+        (0..model.messages.len()).for_each(|_| model.deliver(0, false));
+    }
+    assert!(model.stores[0].replica.as_ref().unwrap().report().is_some_and(|report| report.in_charge));
+    assert!(has_lot(&model, 4, "kept"));
+}
+
+#[test]
+fn a_follower_alone_is_not_enough() {
+    let mut model = three();
+    model.submit(0, "kept".to_string(), 1);
+    quiet(&mut model);
+    (model.stores[0].cut, model.stores[1].cut) = (true, true);
+    place(&mut model, 2, &[3, 1], &[1, 2, 3]);
+    quiet(&mut model);
+    assert!(!model.stores[2].replica.as_ref().unwrap().is_primary(), "the others may have more");
+}
--- a/crates/mintlb-tier/src/placement.rs
+++ b/crates/mintlb-tier/src/placement.rs
@@ -52,8 +52,8 @@
     /// The replicas that hold it, the primary first.
     #[n(1)]
     pub replicas: Vec<StoreId>,
-    /// The replicas of the previous epochs that a new primary has to read from, until it has reported that it is
-    /// in charge; empty after that.
+    /// The replicas of the settled epoch, its primary first, that a new primary has to read from, until it has
+    /// reported that it is in charge; empty after that.
     #[n(2)]
     pub previous: Vec<StoreId>,
     /// While `previous` is not empty: the epoch of the last assignment that had none. Nothing was told to anybody in a
