Stores: a lost replica is replaced before one that is to be emptied; the models lose the controller, too

- `change_members` looked at the first replica that has to go.
If that was one to be emptied and too few others were left for it, a lost one beside it was never replaced: [1 to be emptied, 6 lost], 7 there, nothing written, then 1 was lost as well.
Now lost ones come first.
The set may grow to f + 1 others while one is to be emptied (red was only the order; the size is taken along so that the order can be completed).
- A controller that takes the duty again went by when it had seen a shard out of charge long ago, and replaced its primary at once.
Now it looks afresh after 1.5 s without a look.
- A store that was told to stop is shown to go on while its copies move (store_cluster.rs).

--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -124,3 +124,18 @@
     let left = tokio::time::timeout(Duration::from_secs(3), none).await;
     assert!(left.is_ok(), "{} lots are waited for", cluster.nodes[0].store.lots_waited_for());
 }
+
+#[tokio::test]
+async fn a_store_is_needed_until_its_copies_have_moved() {
+    let cluster = Cluster::start(4).await;
+    cluster.place(placement(&cluster.nodes, 1, &[0, 1, 2], &[]));
+    let is_needed = |node: usize| cluster.nodes[node].store.is_needed();
+    assert!(is_needed(0) && !is_needed(2), "the primary is");
+    // The third one's copies move to the fourth: while the takeover may have to read it, it goes on.
+    cluster.place(placement(&cluster.nodes, 2, &[0, 1, 3], &[0, 1, 2]));
+    assert!(is_needed(2));
+    cluster.in_charge(0, 2).await;
+    let settled = placement(&cluster.nodes, 2, &[0, 1, 3], &[]);
+    cluster.place(Placement { epoch: 3, ..settled });
+    assert!(!is_needed(2));
+}
--- a/crates/mintlb-lots/src/placement_planner/members.rs
+++ b/crates/mintlb-lots/src/placement_planner/members.rs
@@ -118,7 +118,9 @@
         let good: Vec<StoreId> =
             replicas.iter().copied().filter(|id| self.is_live(*id) && caught_up.contains(id)).collect();
         let at_ease = replicas.iter().filter(|id| self.is_live(**id)).count() > self.tolerance + 1;
-        let leaving = replicas.iter().copied().find(|id| self.is_to_leave(*id, at_ease));
+        // First of all a copy that is missing, then one that is to move.
+        let lost = replicas.iter().find(|id| self.is_lost(**id, self.patience(**id, at_ease)));
+        let leaving = lost.or(replicas.iter().find(|id| self.is_retiring(**id))).copied();
         let candidate = self.candidate(shard, replicas);
         // A copy that is missing is made good at once: the next loss may come as soon as the new store counts no
         // more.
@@ -133,7 +135,9 @@
                 Some(replace(replicas, leaving, Some(candidate)))
             }
             // One more for a while, until there are enough copies without the one that leaves.
-            (Some(_), Some(candidate)) if replicas.len() <= self.size() => Some(with(replicas, candidate)),
+            (Some(_), Some(candidate)) if replicas.len() <= self.size().max(self.tolerance + 1) => {
+                Some(with(replicas, candidate))
+            }
             (Some(leaving), None) if stays(leaving) && self.may_shrink(leaving) => {
                 Some(replace(replicas, leaving, None))
             }
@@ -157,9 +161,9 @@
         silent.or(replicas.last()).copied()
     }
 
-    fn is_to_leave(&self, id: StoreId, at_ease: bool) -> bool {
-        let patience = if at_ease && !self.has_successor(id) { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD };
-        self.is_retiring(id) || self.is_lost(id, patience)
+    /// How long a replica may be silent before its copy is made anew.
+    fn patience(&self, id: StoreId, at_ease: bool) -> Duration {
+        if at_ease && !self.has_successor(id) { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD }
     }
 
     /// Whether its disk is lost, or it was silent for so long.
--- a/crates/mintlb-lots/src/placement_planner/view.rs
+++ b/crates/mintlb-lots/src/placement_planner/view.rs
@@ -11,6 +11,9 @@
 /// A store that was silent for so long is forgotten.
 const FORGET: Duration = Duration::from_secs(900);
 
+/// Who did not look for so long does not know whether a shard was in charge meanwhile.
+const LOOKED_AWAY: Duration = Duration::from_millis(1500);
+
 /// Collects heartbeats. Times are of the process's steady clock.
 #[derive(Clone, Debug)]
 pub struct StoreTable {
@@ -20,6 +23,8 @@
     shards: Vec<ShardView>,
     /// By shard: the replicas that were last reported to be caught up.
     caught_up: FxHashMap<u32, Vec<StoreId>>,
+    /// When the shards were last looked at.
+    viewed: Duration,
 }
 
 #[derive(Clone, Debug)]
@@ -80,6 +85,7 @@
             stores: FxHashMap::default(),
             shards: Vec::new(),
             caught_up: FxHashMap::default(),
+            viewed: now,
         }
     }
 
@@ -120,6 +126,10 @@
             caught_up: self.caught_up.clone(),
         };
         view.stores.sort_by_key(|store| store.id);
+        if now.saturating_sub(self.viewed) > LOOKED_AWAY {
+            self.shards.clear();
+        }
+        self.viewed = now;
         self.shards.resize(current.shards.len(), ShardView::default());
         for (shard, (known, assignment)) in self.shards.iter_mut().zip(&current.shards).enumerate() {
             let primary = assignment.replicas.first().copied().unwrap_or(0);
--- a/crates/mintlb-lots/tests/fleet/machines.rs
+++ b/crates/mintlb-lots/tests/fleet/machines.rs
@@ -1,6 +1,7 @@
 //! Machines of the fleet: what happens to them, and which of them count as lost.
 
 use super::{Fleet, HAND_OVER, LEAST_HAND_OVER, RESTART};
+use mintlb_lots::placement_planner::StoreTable;
 use mintlb_tier::placement::StoreId;
 use std::cell::Cell;
 use std::time::Duration;
@@ -136,7 +137,20 @@
             let successor = self.machines[*place].successor;
             successor.is_some_and(|successor| self.counts(successor))
         };
-        (0..self.machines.len()).filter(|place| self.counts(*place) && !replaced(place)).count()
+        let stores = (0..self.machines.len()).filter(|place| self.counts(*place) && !replaced(place)).count();
+        // The controller that had the duty counts as well.
+        let pauses = self.paused_until > Duration::ZERO && self.now < self.paused_until + self.catch_up;
+        stores + usize::from(pauses)
+    }
+
+    /// The controller with the duty is lost, and another one takes it after a while: one that has heard the stores all
+    /// along, or one that has just started.
+    pub fn lose_controller(&mut self, pause: Duration, is_fresh: bool) {
+        self.note(format!("the controller is lost, another one comes in {pause:?}, fresh: {is_fresh}"));
+        self.paused_until = self.now + pause;
+        if is_fresh {
+            self.table = StoreTable::new(self.now);
+        }
     }
 
     /// Whether the promise lets this machine be lost now.
--- a/crates/mintlb-lots/tests/model/machines.rs
+++ b/crates/mintlb-lots/tests/model/machines.rs
@@ -74,7 +74,8 @@
     }
 
     pub fn lost(&self) -> usize {
-        (0..self.stores.len()).filter(|place| self.counts(*place)).count()
+        let pauses = self.paused_until > START && self.now < self.paused_until + self.catch_up;
+        (0..self.stores.len()).filter(|place| self.counts(*place)).count() + usize::from(pauses)
     }
 
     /// Whether the operators' promise lets this machine be lost now.
@@ -224,6 +225,9 @@
             };
             self.table.note(heartbeat, self.now);
         }
+        if self.now < self.paused_until {
+            return;
+        }
         let current = self.placements.last().unwrap().clone();
         let view = self.table.view(&current, self.now);
         if let Some(mut next) = plan(&current, &view, self.tolerance) {
--- a/crates/mintlb-lots/tests/model/mod.rs
+++ b/crates/mintlb-lots/tests/model/mod.rs
@@ -87,6 +87,10 @@
     /// A lot was accepted since this was last cleared.
     pub accepted_now: bool,
     pub catch_up: Duration,
+    /// Nobody calls, so that a primary does not notice that it can't commit.
+    pub idle: bool,
+    /// No controller does anything until then.
+    pub paused_until: Duration,
     pub history: Vec<String>,
     pub next_id: StoreId,
     pub next_lot: u64,
@@ -110,6 +114,8 @@
             retiring: Vec::new(),
             accepted_now: false,
             catch_up: Duration::from_secs(if tolerance == 1 { 5 } else { 6 }),
+            idle: false,
+            paused_until: Duration::ZERO,
             history: Vec::new(),
             next_id: 1,
             next_lot: 0,
--- a/crates/mintlb-lots/tests/model/plays.rs
+++ b/crates/mintlb-lots/tests/model/plays.rs
@@ -107,7 +107,8 @@
     model.accepted_now = false;
     while model.now < end && !(until_accepted && model.accepted_now) {
         model.move_machines();
-        for _ in 0..model.random.below(3) {
+        let calls = if model.idle { 0 } else { model.random.below(3) };
+        for _ in 0..calls {
             let any = model.random.below(model.stores.len() as u64) as usize;
             call(model, any);
         }
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -322,6 +322,20 @@
     assert_eq!(tier.changes, changes);
 }
 
+#[test]
+fn a_controller_that_takes_the_duty_again_does_not_go_by_what_it_saw_long_ago() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    let epoch = tier.placement.shards[0].epoch;
+    // Not in charge for a moment; then another controller looks after the shards.
+    let mut table = StoreTable::new(tier.now);
+    assert_eq!(table.view(&tier.placement, tier.now).unsettled_for(0, epoch), Duration::ZERO);
+    let later = table.view(&tier.placement, tier.now + STEP);
+    assert_eq!(later.unsettled_for(0, epoch), STEP);
+    let much_later = table.view(&tier.placement, tier.now + Duration::from_secs(60));
+    assert_eq!(much_later.unsettled_for(0, epoch), Duration::ZERO);
+}
+
 #[test]
 fn any_row_of_deaths_and_returns_settles() {
     arbtest::arbtest(|u| {
--- a/crates/mintlb-lots/tests/placement_losses.rs
+++ b/crates/mintlb-lots/tests/placement_losses.rs
@@ -88,6 +88,24 @@
     }
 }
 
+#[test]
+fn a_lost_replica_is_replaced_beside_one_that_is_to_be_emptied() {
+    let mut fleet = small(3);
+    assert!(fleet.retire(2));
+    fleet.run(SECOND * 10);
+    // It is ordered while the one that leaves still counts, and can't be completed.
+    fleet.replace_planned(1, SECOND * 6);
+    fleet.run(SECOND * 7);
+    assert!(fleet.retire(0));
+    fleet.idle = true;
+    fleet.run(SECOND * 2);
+    let successor = fleet.machines.len() - 1;
+    fleet.wipe(successor, SECOND);
+    fleet.run(SECOND * 6 + STEP);
+    fleet.replace(0, SECOND);
+    fleet.settle(BOUND);
+}
+
 #[test]
 fn a_lost_disk_is_made_good_before_the_next_may_be_lost() {
     let mut fleet = small(3);
@@ -175,13 +193,18 @@
 fn event(fleet: &mut Fleet, u: &mut arbtest::arbitrary::Unstructured) -> arbtest::arbitrary::Result<()> {
     let place = u.int_in_range(0..=fleet.machines.len() - 1)?;
     let time = STEP * u.int_in_range(5..=45)?;
+    if u.ratio(1, 8)? && fleet.lost() < fleet.tolerance {
+        fleet.lose_controller(time.min(STEP * 25), u.arbitrary()?);
+        return Ok(());
+    }
     if !fleet.may_lose(place) {
         return Ok(());
     }
     match u.int_in_range(0..=9)? {
         0 | 1 => fleet.down(place, time),
         2..=4 => fleet.wipe(place, time),
-        5 => fleet.replace(place, time),
+        // The successor may come at once.
+        5 => fleet.replace(place, time / u.int_in_range(1..=5)?),
         6 => fleet.replace_planned(place, time),
         7 => fleet.restart(place),
         8 if fleet.lost() == 0 && fleet.retiring.is_empty() => _ = fleet.retire(place),
--- a/crates/mintlb-lots/tests/shard_losses.rs
+++ b/crates/mintlb-lots/tests/shard_losses.rs
@@ -3,6 +3,7 @@
 
 mod model;
 
+use mintlb_lots::placement_planner::StoreTable;
 use model::Model;
 use model::plays::{check_all, heal, span};
 use std::time::Duration;
@@ -18,6 +19,9 @@
         return;
     }
     let time = Duration::from_millis(300 + model.random.below(4000));
+    if model.lost() < model.tolerance && model.random.chance(10) {
+        return lose_controller(model, time / 2);
+    }
     let kind = model.random.below(16);
     let names = [
         "power", "power", "wipe", "wipe", "wipe", "cut", "freeze", "replace", "planned", "restart", "retire",
@@ -39,11 +43,15 @@
             model.stores[place].frozen = true;
             model.stores[place].machine.returns_at = returns_at;
         }
-        7 => model.replace(place, time),
+        7 => {
+            let parts = 1 + model.random.below(5) as u32;
+            model.replace(place, time / parts);
+        }
         8 => model.replace_planned(place, time),
         9 => model.stores[place].machine.stops_at = Some(model.now),
         10 if model.lost() == 0 && model.retiring.is_empty() => _ = model.retire(place),
         _ => {
+            model.idle = false;
             // The machine that has just said that it has the lot, or any other.
             span(model, SECOND * 2, true);
             if model.may_lose(place) {
@@ -53,6 +61,15 @@
     }
 }
 
+/// The controller with the duty is lost; another one takes it, which has heard the stores or has just started.
+fn lose_controller(model: &mut Model, pause: Duration) {
+    model.note(format!("the controller is lost for {pause:?}"));
+    model.paused_until = model.now + pause;
+    if model.random.chance(50) {
+        model.table = StoreTable::new(model.now);
+    }
+}
+
 fn lose(model: &mut Model, place: usize, time: Duration) {
     model.wipe(place);
     model.stores[place].machine.returns_at = Some(model.now + time);
@@ -68,6 +85,7 @@
 /// Right after a lot was accepted some stores lose their disks, and the others lose power.
 fn closing_fault(model: &mut Model) {
     wait_until_nothing_counts(model);
+    model.idle = false;
     span(model, SECOND * 3, true);
     let mut places: Vec<usize> =
         (0..model.stores.len()).filter(|place| !model.stores[*place].machine.removed).collect();
@@ -92,6 +110,7 @@
     heal(&mut model);
     for _ in 0..1 + model.random.below(8) {
         event(&mut model);
+        model.idle = model.random.chance(30);
         match model.random.chance(50) {
             true => wait_until_nothing_counts(&mut model),
             false => {
