--- a/crates/mintlb-lots/src/placement_planner/members.rs
+++ b/crates/mintlb-lots/src/placement_planner/members.rs
@@ -6,7 +6,7 @@
 
 /// A replica that was silent for so long is replaced when its shard could not lose another one.
 const REPLICA_DEAD: Duration = Duration::from_millis(2000);
-/// The same while its shard could: a machine that comes back soon has its copy still.
+/// The same while its shard could and no other store has come since: a machine that comes back soon has its copy still.
 const REPLICA_DEAD_AT_EASE: Duration = Duration::from_millis(7000);
 /// A store that was first heard of so lately may be there to replace one that leaves.
 const NEW_STORE: Duration = Duration::from_secs(60);
@@ -74,7 +74,8 @@
     }
 
     /// A replica was told to stop and a store that may be its successor is there: the copy moves at once, while the
-    /// one that leaves can still be read. False if there is nothing to do.
+    /// one that leaves can still be read. If the successor has a copy already, the other one goes. False if there is
+    /// nothing to do: without a successor the store comes back with its disk.
     pub(super) fn hand_over(
         &mut self,
         shard: usize,
@@ -85,13 +86,18 @@
         let leaves =
             |id: &&StoreId| self.is_live(**id) && self.view.is_leaving(**id) && !self.is_retiring(**id);
         let Some(leaving) = replicas.iter().find(leaves).copied() else { return false };
-        let Some(candidate) = self.candidate(shard, replicas).filter(|id| self.is_new(*id)) else {
+        let candidate = self.candidate(shard, replicas).filter(|id| self.is_new(*id));
+        let mut changed = replace(replicas, leaving, candidate);
+        let is_good =
+            |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
+        let good: Vec<StoreId> = changed.iter().copied().filter(is_good).collect();
+        let may_shrink = good.len() > self.tolerance && good.iter().any(|id| self.is_new(*id));
+        if good.is_empty() || candidate.is_none() && !may_shrink {
             return false;
-        };
-        let mut changed = replace(replicas, leaving, Some(candidate));
-        let good = |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
-        let Some(place) = changed.iter().position(good) else { return false };
-        changed.swap(0, place);
+        }
+        if let Some(place) = changed.iter().position(|id| good.contains(id)) {
+            changed.swap(0, place);
+        }
         self.change(shard, assignment, changed);
         true
     }
@@ -112,7 +118,9 @@
         let good: Vec<StoreId> =
             replicas.iter().copied().filter(|id| self.is_live(*id) && caught_up.contains(id)).collect();
         let at_ease = replicas.iter().filter(|id| self.is_live(**id)).count() > self.tolerance + 1;
-        let leaving = replicas.iter().copied().find(|id| self.is_to_leave(*id, at_ease));
+        // First of all a copy that is missing, then one that is to move.
+        let lost = replicas.iter().find(|id| self.is_lost(**id, self.patience(**id, at_ease)));
+        let leaving = lost.or(replicas.iter().find(|id| self.is_retiring(**id))).copied();
         let candidate = self.candidate(shard, replicas);
         // A copy that is missing is made good at once: the next loss may come as soon as the new store counts no
         // more.
@@ -122,11 +130,14 @@
         }
         let stays = |leaving: StoreId| good.iter().filter(|id| **id != leaving).count() > self.tolerance;
         let changed = match (leaving, candidate) {
-            (Some(leaving), Some(candidate)) if stays(leaving) => {
+            // One that is lost makes no quorum: beside its successor it would only be one more that can't be read.
+            (Some(leaving), Some(candidate)) if stays(leaving) || self.is_lost(leaving, REPLICA_DEAD) => {
                 Some(replace(replicas, leaving, Some(candidate)))
             }
             // One more for a while, until there are enough copies without the one that leaves.
-            (Some(_), Some(candidate)) if replicas.len() <= self.size() => Some(with(replicas, candidate)),
+            (Some(_), Some(candidate)) if replicas.len() <= self.size().max(self.tolerance + 1) => {
+                Some(with(replicas, candidate))
+            }
             (Some(leaving), None) if stays(leaving) && self.may_shrink(leaving) => {
                 Some(replace(replicas, leaving, None))
             }
@@ -150,9 +161,9 @@
         silent.or(replicas.last()).copied()
     }
 
-    fn is_to_leave(&self, id: StoreId, at_ease: bool) -> bool {
-        let patience = if at_ease { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD };
-        self.is_retiring(id) || self.is_lost(id, patience)
+    /// How long a replica may be silent before its copy is made anew.
+    fn patience(&self, id: StoreId, at_ease: bool) -> Duration {
+        if at_ease && !self.has_successor(id) { REPLICA_DEAD_AT_EASE } else { REPLICA_DEAD }
     }
 
     /// Whether its disk is lost, or it was silent for so long.
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -284,6 +284,19 @@
     assert_eq!(state(&mut tier, &format!("node-{retired}")), Some(Retirement::Completed));
 }
 
+#[test]
+fn a_store_that_loses_its_disk_while_it_is_emptied_is_emptied_on() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    retire(&mut tier, "node-3");
+    let (zone, node) = tier.live.remove(&3).unwrap();
+    tier.run(STEP);
+    tier.add(33, &zone, &node);
+    tier.settle();
+    assert_eq!(tier.holds(33), 0, "{:?}", tier.placement);
+    assert_eq!(state(&mut tier, "node-3"), Some(Retirement::Completed));
+}
+
 #[test]
 fn a_retirement_is_not_completed_while_only_one_live_replica_is_whole() {
     let mut tier = Tier::new(&["a", "b", "c"], 1);
@@ -334,6 +347,20 @@
     }
 }
 
+#[test]
+fn a_controller_that_takes_the_duty_again_does_not_go_by_what_it_saw_long_ago() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    let epoch = tier.placement.shards[0].epoch;
+    // Not in charge for a moment; then another controller looks after the shards.
+    let mut table = StoreTable::new(tier.now);
+    assert_eq!(table.view(&tier.placement, tier.now).unsettled_for(0, epoch), Duration::ZERO);
+    let later = table.view(&tier.placement, tier.now + STEP);
+    assert_eq!(later.unsettled_for(0, epoch), STEP);
+    let much_later = table.view(&tier.placement, tier.now + Duration::from_secs(60));
+    assert_eq!(much_later.unsettled_for(0, epoch), Duration::ZERO);
+}
+
 #[test]
 fn any_row_of_deaths_and_returns_settles() {
     arbtest::arbtest(|u| {
