A request that may run once only and comes twice at once runs once; a late answer says timed out

Cause: two requests with one id at one dispatcher ran both (TWICE), where a client or something between sends again while the first is under way.

Change: an id of a request that may run once only is held while its client waits; the second gets 502, which promises nothing.

Test: tests/clients.rs. a_request_that_comes_twice_at_once_runs_once: with any id taken for new FAILED (clients.rs:232). what_may_run_again_has_its_final_answer_then_too: FAILED before the change (left: 502, right: 504, after 4.98 s).

--- a/crates/mintlb-dispatch/src/body.rs
+++ b/crates/mintlb-dispatch/src/body.rs
@@ -1,6 +1,7 @@
 //! The bodies of answers to clients.
 
 use crate::exchange::{Exchange, Piece};
+use crate::hub::OnceId;
 use axum::body::Body as AxumBody;
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -34,12 +35,13 @@
     is_over: bool,
     /// Room for the request, and for its body.
     _room: (Held, Option<Held>),
+    _once: Option<OnceId>,
 }
 
 impl Relay {
-    /// The body of this exchange's answer.
-    pub fn new(exchange: Arc<Exchange>, room: (Held, Option<Held>)) -> Relay {
-        Relay { exchange, is_over: false, _room: room }
+    /// The body of this exchange's answer. Room and id are held until it is over.
+    pub fn new(exchange: Arc<Exchange>, room: (Held, Option<Held>), once: Option<OnceId>) -> Relay {
+        Relay { exchange, is_over: false, _room: room, _once: once }
     }
 
     /// What it reads.
--- a/crates/mintlb-dispatch/src/exchange.rs
+++ b/crates/mintlb-dispatch/src/exchange.rs
@@ -474,8 +474,8 @@
         match answer {
             // The back has passed it on already.
             Answer::Completed(_) => {}
+            Answer::Deferred(_) | Answer::Aborted if over => exchange.settle(Refusal::TimedOut),
             Answer::Deferred(come_back) => exchange.settle(Refusal::NotRun(come_back)),
-            Answer::Aborted if over => exchange.settle(Refusal::TimedOut),
             Answer::Aborted | Answer::Repeated => exchange.settle(Refusal::Unknown),
         }
     }
--- a/crates/mintlb-dispatch/src/front.rs
+++ b/crates/mintlb-dispatch/src/front.rs
@@ -304,6 +304,14 @@
 
     async fn live(&self, whole: Whole, id: HeaderValue, target: Target) -> Answer {
         let Whole { method, path_and_query, mut headers, body, began, room, .. } = whole;
+        // The same request twice at once would run twice, and nothing can be promised of the one that runs.
+        let once = match target.terms.idempotent {
+            true => None,
+            false => match self.hub.once(&id) {
+                Some(once) => Some(once),
+                None => return plain(StatusCode::BAD_GATEWAY),
+            },
+        };
         let deadline = headers.get(DEADLINE).and_then(|ms| ms.to_str().ok()?.trim().parse::<f64>().ok());
         let deadline = deadline.filter(|ms| *ms >= 0.0).map_or(f64::INFINITY, |ms| ms / 1e3);
         let last_event_id = last_event_id(&headers);
@@ -319,7 +327,7 @@
             manner: Manner::Live,
             project_type: target.project_type,
         };
-        let relay = Relay::new(Exchange::start(&self.hub, new), room);
+        let relay = Relay::new(Exchange::start(&self.hub, new), room, once);
         // Dropped while it waits, the client has left: `relay` tells.
         match poll_fn(|cx| relay.exchange().poll_head(cx)).await {
             Ok(head) => {
--- a/crates/mintlb-dispatch/src/hub.rs
+++ b/crates/mintlb-dispatch/src/hub.rs
@@ -3,11 +3,13 @@
 use crate::routing::{RoutingTable, Target};
 use crate::workers::WorkerTable;
 use arc_swap::ArcSwapOption;
+use axum::http::HeaderValue;
 use mintlb::tools::Chance;
 use mintlb_core::clock::Clock;
 use mintlb_core::reducer::Event;
 use mintlb_core::work::Numbers;
 use parking_lot::Mutex;
+use rustc_hash::FxHashSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use tokio::sync::mpsc::UnboundedSender;
@@ -26,6 +28,19 @@
     dispatchers: AtomicUsize,
     ending: AtomicBool,
     chance: Mutex<Chance>,
+    once_ids: Mutex<FxHashSet<HeaderValue>>,
+}
+
+/// The id of a request that may run once only, for as long as its client waits for the answer.
+pub struct OnceId {
+    hub: Arc<Hub>,
+    id: HeaderValue,
+}
+
+impl Drop for OnceId {
+    fn drop(&mut self) {
+        self.hub.once_ids.lock().remove(&self.id);
+    }
 }
 
 impl Hub {
@@ -41,9 +56,16 @@
             dispatchers: AtomicUsize::new(1),
             ending: AtomicBool::new(false),
             chance: Mutex::new(Chance::new(seed)),
+            once_ids: Mutex::default(),
         }
     }
 
+    /// Takes a request in that may run once only; none if one with its id is under way here, which would run again.
+    pub fn once(self: &Arc<Self>, id: &HeaderValue) -> Option<OnceId> {
+        let is_new = self.once_ids.lock().insert(id.clone());
+        is_new.then(|| OnceId { hub: self.clone(), id: id.clone() })
+    }
+
     /// The routes in force, once a configuration is known.
     pub fn routing(&self) -> Option<Arc<RoutingTable>> {
         self.routing.load_full()
--- a/crates/mintlb-dispatch/tests/clients.rs
+++ b/crates/mintlb-dispatch/tests/clients.rs
@@ -61,6 +61,29 @@
     });
 }
 
+#[test]
+fn what_may_run_again_has_its_final_answer_then_too() {
+    on_one_thread(async {
+        for path in ["/p/1", "/r/1"] {
+            let (machine, mut worker) = with_worker().await;
+            let began = Instant::now();
+            let mut client = patient(&machine, path).await;
+            let _silent = worker.asked().await;
+            // Its worker is given up before, and is asked once more.
+            pass(Duration::from_millis(3000) - began.elapsed()).await;
+            let _again = worker.asked().await;
+            pass(Duration::from_millis(4900) - began.elapsed()).await;
+            let status = client.get().await.status;
+            let waited = began.elapsed();
+            assert_eq!(status, 504, "{path} after {waited:?}");
+            assert!(
+                waited > Duration::from_millis(4900) && waited < Duration::from_millis(5300),
+                "{waited:?}"
+            );
+        }
+    });
+}
+
 #[test]
 fn a_stream_that_has_begun_ends_when_its_routes_time_is_over() {
     on_one_thread(async {
@@ -219,3 +242,26 @@
         assert!(!worker.has_request());
     });
 }
+
+#[test]
+fn a_request_that_comes_twice_at_once_runs_once() {
+    on_one_thread(async {
+        for path in ["/o/1", "/s/1"] {
+            let (machine, mut worker) = with_worker().await;
+            let (mut one, mut two) = (machine.client().await, machine.client().await);
+            one.post(path, "a", "", "").await;
+            let asked = worker.asked().await;
+            two.post(path, "a", "", "").await;
+            assert_eq!(two.get().await.status, 502, "nothing is promised of it");
+            // Its two sends are refused.
+            asked.refuse().await;
+            worker.asked().await.refuse().await;
+            assert_eq!(one.get().await.status, 503, "{path}");
+            // With that promise it may come again.
+            two.post(path, "a", "", "").await;
+            worker.asked().await.answer("ran").await;
+            assert!(two.get().await.text().contains("ran"));
+            assert!(!worker.has_request());
+        }
+    });
+}
