--- a/crates/mintlb-dispatch/tests/chaos.rs
+++ b/crates/mintlb-dispatch/tests/chaos.rs
@@ -39,10 +39,15 @@
             let own = own.replace("{id}", &id);
             return asked.answer_with(&format!("HTTP/1.1 429 Busy\r\n{own}")).await;
         }
+        3 => {
+            // A surplus refusal stands where the answer to the next request is due.
+            let refusal = machine::raw::not_run(&id);
+            return asked.answer_with(&refusal.repeat(2)).await;
+        }
         _ => *runs.borrow_mut().entry(id.clone()).or_default() += 1,
     }
     let is_stream = asked.head.starts_with("POST /s/") || asked.head.starts_with("POST /r/");
-    match one_of(chance, 30) {
+    match one_of(chance, 34) {
         0 => drop(asked),
         1 => asked.on.reset(),
         2 => asked.answer_as("500 Oh", "content-length: 3\r\n\r\nwhy").await,
@@ -64,6 +69,19 @@
             asked.on.write(&format!("HTTP/1.1 200 OK\r\n{late}")).await;
             succeed(asked, &id, is_stream, "").await;
         }
+        9 | 10 if !is_stream => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", asked.own());
+            asked.on.write(&(head + &body(&id))).await;
+        }
+        11 if !is_stream => {
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", asked.own());
+            asked.on.write(&(head + &body(&id)[..4])).await;
+            asked.on.reset();
+        }
+        12 if !is_stream => {
+            let again = machine::raw::ok(&id, &body(&id));
+            succeed(asked, &id, is_stream, &again).await;
+        }
         8 => succeed(asked, &id, is_stream, "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nextra").await,
         _ => succeed(asked, &id, is_stream, "").await,
     }
