A resumable run that ends in the middle of an event has broken off

Cause: an answer whose framing was whole passed also when it ended in half an event: the half went to the client, and the item's text lacked the event.

Change: on a route that may be resumed, and for items, it goes on elsewhere after the last whole event.

--- a/crates/mintlb-dispatch/src/answer.rs
+++ b/crates/mintlb-dispatch/src/answer.rs
@@ -278,6 +278,10 @@
                 }
             }
             if body.is_done() {
+                // A worker that ends in the middle of an event has broken off, whatever the framing says.
+                if events.has_part() && self.exchange.terms.resumable {
+                    return Err(Failed::Broken);
+                }
                 // The framing says that the body is whole, so what is left is its end.
                 let last = events.last();
                 self.exchange.pass(&mut given, events.into_rest(), last);
--- a/crates/mintlb-dispatch/src/events.rs
+++ b/crates/mintlb-dispatch/src/events.rs
@@ -43,6 +43,11 @@
         self.last
     }
 
+    /// Whether it holds part of an event.
+    pub fn has_part(&self) -> bool {
+        !self.held.is_empty()
+    }
+
     /// What is left of a stream whose last event has no blank line.
     pub fn into_rest(self) -> Bytes {
         self.held.freeze()
--- a/crates/mintlb-dispatch/tests/clients.rs
+++ b/crates/mintlb-dispatch/tests/clients.rs
@@ -180,29 +180,34 @@
 #[test]
 fn a_stream_that_goes_on_keeps_its_first_head_and_tells_of_a_new_version() {
     on_one_thread(async {
-        let (machine, mut one) = with_worker().await;
-        let mut client = machine.client().await;
-        client.post("/r/1", "a", "", "prompt").await;
-        let mut asked = one.asked().await;
-        let mut two = another(&machine, "i-2").await;
-        let head = "HTTP/1.1 200 OK\r\nmintlb-request-id: a\r\ncontent-type: text/event-stream\r\n\
+        for reset in [true, false] {
+            let (machine, mut one) = with_worker().await;
+            let mut client = machine.client().await;
+            client.post("/r/1", "a", "", "prompt").await;
+            let mut asked = one.asked().await;
+            let mut two = another(&machine, "i-2").await;
+            let head = "HTTP/1.1 200 OK\r\nmintlb-request-id: a\r\ncontent-type: text/event-stream\r\n\
                     transfer-encoding: chunked\r\nmintlb-response-signature: ";
-        asked.on.write(&format!("{head}first\r\nversions: 1\r\n\r\n")).await;
-        asked.event(1).await;
-        // It breaks off in the middle of an event.
-        asked.chunk("id: 2\ndata: ha").await;
-        let (_, given) = client.head().await;
-        client.chunks(event(1).len()).await;
-        asked.on.reset();
-        let mut asked = two.asked().await;
-        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("1"));
-        asked.on.write(&format!("{head}second\r\nversions: 2\r\n\r\n")).await;
-        let second = format!("versions: 2\n{}", event(2));
-        asked.chunk(&second).await;
-        asked.end_stream().await;
-        assert_eq!(client.rest().await, (event(1) + &second, true));
-        assert_eq!(header(&given, "mintlb-response-signature").as_deref(), Some("first"));
-        assert_eq!(header(&given, "versions").as_deref(), Some("1"));
+            asked.on.write(&format!("{head}first\r\nversions: 1\r\n\r\n")).await;
+            asked.event(1).await;
+            // It breaks off in the middle of an event.
+            asked.chunk("id: 2\ndata: ha").await;
+            let (_, given) = client.head().await;
+            client.chunks(event(1).len()).await;
+            match reset {
+                true => asked.on.reset(),
+                false => asked.end_stream().await,
+            }
+            let mut asked = two.asked().await;
+            assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("1"));
+            asked.on.write(&format!("{head}second\r\nversions: 2\r\n\r\n")).await;
+            let second = format!("versions: 2\n{}", event(2));
+            asked.chunk(&second).await;
+            asked.end_stream().await;
+            assert_eq!(client.rest().await, (event(1) + &second, true));
+            assert_eq!(header(&given, "mintlb-response-signature").as_deref(), Some("first"));
+            assert_eq!(header(&given, "versions").as_deref(), Some("1"));
+        }
     });
 }
 
--- a/crates/mintlb-dispatch/tests/items.rs
+++ b/crates/mintlb-dispatch/tests/items.rs
@@ -132,6 +132,29 @@
     });
 }
 
+#[test]
+fn a_run_that_ends_in_the_middle_of_an_event_has_broken_off() {
+    on_one_thread(async {
+        let (machine, mut one) = with_worker().await;
+        let mut two = Worker::start("i-2", "s").await;
+        let mut run = machine.intake.run(item("e5", None));
+        let mut asked = one.asked().await;
+        machine.know(&two, WorkerState::InService, 1).await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        assert_eq!(run.next().await, ItemStep::Events(event(1).into()));
+        asked.chunk("id: 2\ndata: e").await;
+        asked.end_stream().await;
+        let mut asked = two.asked().await;
+        assert_eq!(header(&asked.head, "last-event-id").as_deref(), Some("1"));
+        asked.begin_stream().await;
+        asked.event(2).await;
+        asked.end_stream().await;
+        assert_eq!(run.next().await, ItemStep::Events(event(2).into()));
+        assert_eq!(run.next().await, ItemStep::Ended(ItemOutcome::Completed));
+    });
+}
+
 #[test]
 fn an_item_that_is_dropped_leaves_its_worker() {
     on_one_thread(async {
