Failed attempts of an item count on when another dispatcher takes its lease

Cause: a dispatcher counted an item's 500s for as long as it held the lease.

Change: a holder tells the count at once after each failed attempt, and with each renewal; the primary keeps the greatest by item, and tells it with the next lease. Who gets an item that is spent records it without a run. A takeover of the shard forgets the counts, as it does the leases.

Test: mintlb-dispatch/tests/batch.rs failed_attempts_count_on_at_another_dispatcher, mintlb-lots/tests/leases.rs failed_attempts_outlast_their_holder, mintlb-lots/tests/takeover.rs a_lease_tells_how_often_its_item_has_failed. Seen FAILED with: release forgets the count (two tests), a lease does not tell it, an older word replaces a newer one, the next holder begins anew, a 422 is not told. store_cluster.rs names the new field; what it asks is the same. The call at once in runner.rs has no test of its own.

--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -45,9 +45,14 @@
     assert_eq!(client.body(HOST, "a", "a-2").await, BodyOutcome::Unknown);
     assert_eq!(client.read(HOST, "x", 0, Duration::ZERO, 1000).await, ReadOutcome::Unknown);
 
-    let held = HeldLot { host: HOST.to_string(), lot_id: "a".to_string(), items: vec![1, 2] };
+    let held = HeldLot {
+        host: HOST.to_string(),
+        lot_id: "a".to_string(),
+        items: vec![1, 2],
+        failures: vec![(2, 1)],
+    };
     let lost = client.renew(7, vec![held.clone()]).await;
-    assert_eq!(lost, vec![HeldLot { items: vec![2], ..held.clone() }]);
+    assert_eq!(lost, vec![HeldLot { items: vec![2], failures: vec![], ..held.clone() }]);
     assert_eq!(client.lease(9, 10).await, vec![], "all items are leased");
     client.release(7).await;
 
@@ -55,7 +60,7 @@
     assert_eq!(client.end(HOST, "a").await, EndOutcome::Ended);
     assert_eq!(client.end(HOST, "x").await, EndOutcome::Unknown);
     assert_eq!(client.body(HOST, "a", "a-1").await, BodyOutcome::Unknown);
-    assert_eq!(client.renew(7, vec![held.clone()]).await, vec![held]);
+    assert_eq!(client.renew(7, vec![held.clone()]).await, vec![HeldLot { failures: vec![], ..held }]);
     assert_eq!(cluster.texts("a", 0).await, expected);
 }
 
--- a/crates/mintlb-dispatch/src/batch/calls.rs
+++ b/crates/mintlb-dispatch/src/batch/calls.rs
@@ -206,6 +206,7 @@
         terms,
         index: index as u32,
         item,
+        failures: 0,
     };
     items.into_iter().enumerate().map(leased).collect()
 }
--- a/crates/mintlb-dispatch/src/batch/progress.rs
+++ b/crates/mintlb-dispatch/src/batch/progress.rs
@@ -54,6 +54,21 @@
 }
 
 impl Progress {
+    /// Of an item that has failed so often before, at whatever dispatcher.
+    pub fn after_failures(failures: u32) -> Progress {
+        Progress { failures, ..Progress::default() }
+    }
+
+    /// How often it has failed, at whatever dispatcher.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Whether it has failed as often as it may.
+    pub fn is_spent(&self, terms: &LotTerms) -> bool {
+        self.failures >= terms.max_attempts.max(1)
+    }
+
     /// The id of the last event that is kept; the next attempt goes on after it.
     pub fn last_event(&self) -> Option<u64> {
         self.last_event
@@ -78,7 +93,10 @@
     pub fn ended(&mut self, outcome: &AttemptOutcome, terms: &LotTerms, now_ms: u64) -> Next {
         match outcome {
             AttemptOutcome::Completed => return Next::Record(ItemResult::Completed(self.take_text())),
-            AttemptOutcome::CannotBeDone => return Next::Record(ItemResult::Unrecoverable),
+            AttemptOutcome::CannotBeDone => {
+                self.failures = terms.max_attempts.max(1);
+                return Next::Record(ItemResult::Unrecoverable);
+            }
             AttemptOutcome::Failed => self.failures += 1,
             AttemptOutcome::NotRun | AttemptOutcome::Broken | AttemptOutcome::NoRoute => (),
         }
@@ -87,9 +105,8 @@
         let is_gone = self.no_route_since.is_some_and(|since| now_ms >= since + ROUTE_GONE_MS);
         let given_up_at =
             terms.sent_at_ms.saturating_add(terms.retention_ms).saturating_add(CLOCK_TOLERANCE_MS);
-        let spent = self.failures >= terms.max_attempts.max(1);
         let too_old = terms.retention_ms > 0 && now_ms >= given_up_at;
-        if spent || too_old || is_gone {
+        if self.is_spent(terms) || too_old || is_gone {
             return Next::Record(ItemResult::Unrecoverable);
         }
         let pause = FIRST_PAUSE.saturating_mul(1 << self.fruitless.min(3)).min(LONGEST_PAUSE);
--- a/crates/mintlb-dispatch/src/batch/queue.rs
+++ b/crates/mintlb-dispatch/src/batch/queue.rs
@@ -18,6 +18,8 @@
     waiting: BTreeMap<(u64, ItemNumber), LeasedItem>,
     held: HashMap<LotKey, HashSet<u32>>,
     running: HashMap<ItemNumber, (LotKey, u32)>,
+    /// Failed attempts of the items that run.
+    failures: HashMap<LotKey, BTreeMap<u32, u32>>,
     /// Lots that ended last, and the same in their order.
     ended: HashSet<LotKey>,
     ended_order: VecDeque<LotKey>,
@@ -53,6 +55,14 @@
         }
     }
 
+    /// An item that runs has failed so often, over all holders. What is to be told of it at once.
+    pub fn failed(&mut self, number: ItemNumber, count: u32) -> Option<HeldLot> {
+        let (key, index) = self.running.get(&number).filter(|_| count > 0)?;
+        self.failures.entry(key.clone()).or_default().insert(*index, count);
+        let (host, lot_id) = key.clone();
+        Some(HeldLot { host, lot_id, items: vec![*index], failures: vec![(*index, count)] })
+    }
+
     /// Whether an item that runs is still held: its lot is not ended, its lease not lost.
     pub fn is_held(&self, number: ItemNumber) -> bool {
         let running = self.running.get(&number);
@@ -89,10 +99,11 @@
 
     /// What is held, for the renewal of its leases.
     pub fn held(&self) -> Vec<HeldLot> {
-        let lot = |((host, lot_id), items): (&LotKey, &HashSet<u32>)| HeldLot {
-            host: host.clone(),
-            lot_id: lot_id.clone(),
-            items: items.iter().copied().collect(),
+        let lot = |(key, items): (&LotKey, &HashSet<u32>)| {
+            let (host, lot_id) = key.clone();
+            let failures = self.failures.get(key).into_iter().flatten();
+            let failures = failures.map(|(item, count)| (*item, *count)).collect();
+            HeldLot { host, lot_id, items: items.iter().copied().collect(), failures }
         };
         self.held.iter().map(lot).collect()
     }
@@ -108,6 +119,12 @@
     }
 
     fn forget(&mut self, key: &LotKey, index: u32) {
+        if let Some(failures) = self.failures.get_mut(key) {
+            failures.remove(&index);
+            if failures.is_empty() {
+                self.failures.remove(key);
+            }
+        }
         if let Some(items) = self.held.get_mut(key) {
             items.remove(&index);
             if items.is_empty() {
--- a/crates/mintlb-dispatch/src/batch/runner.rs
+++ b/crates/mintlb-dispatch/src/batch/runner.rs
@@ -112,12 +112,23 @@
         let Some((id, headers)) = request_headers(&item) else {
             return self.record(&item, ItemResult::Unrecoverable).await;
         };
-        let mut progress = Progress::default();
+        let mut progress = Progress::after_failures(item.failures);
+        if progress.is_spent(&item.terms) {
+            return self.record(&item, ItemResult::Unrecoverable).await;
+        }
         while self.queue.lock().is_held(number) {
             let outcome = self.attempt(&item, id.clone(), headers.clone(), &mut progress).await;
-            match progress.ended(&outcome, &item.terms, self.now_ms()) {
+            let next = progress.ended(&outcome, &item.terms, self.now_ms());
+            let failed = self.queue.lock().failed(number, progress.failures());
+            match next {
                 Next::Record(result) => return self.record(&item, result).await,
-                Next::RunAgain(pause) => sleep(pause).await,
+                Next::RunAgain(pause) => {
+                    // The store knows at once, so that another holder does not begin to count anew.
+                    if let Some(failed) = failed.filter(|_| outcome == AttemptOutcome::Failed) {
+                        self.client.renew(self.holder, vec![failed]).await;
+                    }
+                    sleep(pause).await;
+                }
             }
         }
     }
--- a/crates/mintlb-dispatch/tests/batch.rs
+++ b/crates/mintlb-dispatch/tests/batch.rs
@@ -127,6 +127,7 @@
         terms: LotTerms { sent_at_ms, ..TERMS },
         index,
         item: Item::default(),
+        failures: 0,
     }
 }
 
@@ -203,3 +204,27 @@
     let left: Vec<String> = std::iter::from_fn(|| queue.start(9)).map(|(_, item)| item.lot_id).collect();
     assert_eq!(left, ["0"], "the oldest are forgotten, the newest 4096 are not");
 }
+
+#[test]
+fn failed_attempts_count_on_at_another_dispatcher() {
+    let mut queue = ItemQueue::default();
+    queue.add(leased("lot", 2, 0));
+    let (number, _) = queue.start(1).unwrap();
+    let mut progress = Progress::default();
+    assert!(matches!(progress.ended(&AttemptOutcome::Failed, &TERMS, 2_000), Next::RunAgain(_)));
+    assert!(matches!(progress.ended(&AttemptOutcome::Failed, &TERMS, 2_000), Next::RunAgain(_)));
+    let told = queue.failed(number, progress.failures()).unwrap();
+    assert_eq!((told.items, told.failures), (vec![2], vec![(2, 2)]));
+    assert_eq!(queue.held()[0].failures, [(2, 2)], "and again with each renewal");
+    queue.finish(number);
+    assert!(queue.held().is_empty());
+    // The next holder is told of it with the lease: the third failure is the last.
+    let mut next = Progress::after_failures(2);
+    assert!(!next.is_spent(&TERMS));
+    assert_eq!(next.ended(&AttemptOutcome::Failed, &TERMS, 2_000), Next::Record(ItemResult::Unrecoverable));
+    // After the third, or a 422, whose record got lost, nobody runs it again.
+    assert!(Progress::after_failures(next.failures()).is_spent(&TERMS));
+    let mut never = Progress::default();
+    never.ended(&AttemptOutcome::CannotBeDone, &TERMS, 2_000);
+    assert!(Progress::after_failures(never.failures()).is_spent(&TERMS));
+}
--- a/crates/mintlb-lots/src/client/calls.rs
+++ b/crates/mintlb-lots/src/client/calls.rs
@@ -261,6 +261,7 @@
             terms: head.terms,
             index: head.index,
             item: Item { instance_id: head.item, path, headers, body, tokens: head.tokens },
+            failures: head.failures,
         })
     });
     items.collect()
@@ -272,7 +273,8 @@
     for lot in held {
         let store = placement.primary(Placement::shard_of(&lot.host));
         if let Some(address) = store.and_then(|store| Some((store.id, store.address.parse().ok()?))) {
-            let lot = HeldItems { lot: LotName { host: lot.host, id: lot.lot_id }, items: lot.items };
+            let HeldLot { host, lot_id, items, failures } = lot;
+            let lot = HeldItems { lot: LotName { host, id: lot_id }, items, failures };
             by_store.entry(address).or_default().push(lot);
         }
     }
@@ -295,6 +297,7 @@
                 host: items.lot.host,
                 lot_id: items.lot.id,
                 items: items.items,
+                failures: items.failures,
             }));
         }
     }
--- a/crates/mintlb-lots/src/client/types.rs
+++ b/crates/mintlb-lots/src/client/types.rs
@@ -128,6 +128,8 @@
     pub index: u32,
     /// The item.
     pub item: Item,
+    /// Its failed attempts so far, as far as its holders told of them.
+    pub failures: u32,
 }
 
 /// Items of one lot that a dispatcher runs.
@@ -139,4 +141,6 @@
     pub lot_id: String,
     /// The items, by their place in the lot.
     pub items: Vec<u32>,
+    /// Those of them that failed, each with the count of its failed attempts over all holders.
+    pub failures: Vec<(u32, u32)>,
 }
--- a/crates/mintlb-lots/src/leases.rs
+++ b/crates/mintlb-lots/src/leases.rs
@@ -24,11 +24,12 @@
     items: Vec<ItemLease>,
 }
 
-/// Who runs an item, and when that was last said; 0 is nobody.
+/// Who runs an item, and when that was last said; 0 is nobody. Failed attempts are counted over all holders.
 #[derive(Clone, Copy, Debug, Default)]
 struct ItemLease {
     holder: DispatcherId,
     renewed: Moment,
+    failures: u32,
 }
 
 impl ItemLease {
@@ -43,10 +44,15 @@
     }
 
     fn set(&mut self, item: u32, holder: DispatcherId, now: Moment) {
+        let lease = self.entry(item);
+        (lease.holder, lease.renewed) = (holder, now);
+    }
+
+    fn entry(&mut self, item: u32) -> &mut ItemLease {
         if self.items.len() <= item as usize {
             self.items.resize(item as usize + 1, ItemLease::default());
         }
-        self.items[item as usize] = ItemLease { holder, renewed: now };
+        &mut self.items[item as usize]
     }
 }
 
@@ -64,7 +70,7 @@
 
     /// The holder is to run all items of a new lot.
     pub fn grant_all(&mut self, number: u64, items: usize, holder: DispatcherId, now: Moment) {
-        let leases = vec![ItemLease { holder, renewed: now }; items];
+        let leases = vec![ItemLease { holder, renewed: now, failures: 0 }; items];
         self.lots.insert(number, LotLeases { items: leases });
     }
 
@@ -98,10 +104,23 @@
         lost
     }
 
+    /// A holder tells how often an item has failed so far.
+    pub fn failed(&mut self, number: u64, lot: &Lot, item: u32, count: u32) {
+        if (item as usize) < lot.items.len() {
+            let lease = self.lots.entry(number).or_default().entry(item);
+            lease.failures = lease.failures.max(count);
+        }
+    }
+
+    /// How often an item has failed so far, as far as its holders told this primary.
+    pub fn failures(&self, number: u64, item: u32) -> u32 {
+        self.lots.get(&number).map_or(0, |leases| leases.of(item).failures)
+    }
+
     /// Gives all leases of a holder up.
     pub fn release(&mut self, holder: DispatcherId) {
         let all = self.lots.values_mut().flat_map(|leases| &mut leases.items);
-        all.filter(|lease| lease.holder == holder).for_each(|lease| *lease = ItemLease::default());
+        all.filter(|lease| lease.holder == holder).for_each(|lease| lease.holder = 0);
     }
 
     /// Committed items that nobody runs, those of the lot due first in front.
--- a/crates/mintlb-lots/src/messages.rs
+++ b/crates/mintlb-lots/src/messages.rs
@@ -125,6 +125,10 @@
     /// The items.
     #[n(1)]
     pub items: Vec<u32>,
+    /// Those of them that failed, each with the count of its failed attempts over all holders.
+    #[n(2)]
+    #[cbor(default)]
+    pub failures: Vec<(u32, u32)>,
 }
 
 /// The result of an item.
@@ -244,6 +248,10 @@
     /// Bytes of its payload.
     #[n(6)]
     pub length: u64,
+    /// Its failed attempts so far, as far as its holders told of them.
+    #[n(7)]
+    #[cbor(default)]
+    pub failures: u32,
 }
 
 /// What became of leases.
--- a/crates/mintlb-lots/src/replica/serving.rs
+++ b/crates/mintlb-lots/src/replica/serving.rs
@@ -221,6 +221,7 @@
             item: place.id.to_string(),
             tokens: place.tokens,
             length: place.length,
+            failures: self.leases.failures(number, item),
         };
         let range = lot.payload_range(item as usize);
         self.leases.grant(number, item, holder, now);
@@ -233,11 +234,14 @@
             return;
         }
         let lost = match self.lots.find(&held.lot) {
-            Some((number, lot)) => self.leases.renew(number, lot, &held.items, holder, now),
+            Some((number, lot)) => {
+                held.failures.iter().for_each(|(item, count)| self.leases.failed(number, lot, *item, *count));
+                self.leases.renew(number, lot, &held.items, holder, now)
+            }
             None => held.items.clone(),
         };
         if !lost.is_empty() {
-            renewed.lost.push(HeldItems { lot: held.lot.clone(), items: lost });
+            renewed.lost.push(HeldItems { lot: held.lot.clone(), items: lost, failures: Vec::new() });
         }
     }
 
--- a/crates/mintlb-lots/tests/leases.rs
+++ b/crates/mintlb-lots/tests/leases.rs
@@ -66,3 +66,17 @@
     leases.release(TWO);
     assert_eq!(open(&leases, &lots, LEASE), [0, 1]);
 }
+
+#[test]
+fn failed_attempts_outlast_their_holder() {
+    let (lots, mut leases) = (lots(), Leases::default());
+    leases.grant_all(LOT, 3, ONE, Moment::ZERO);
+    let lot = lots.get(LOT).unwrap();
+    leases.failed(LOT, lot, 1, 2);
+    // An older word of it comes late; another names an item that is none.
+    leases.failed(LOT, lot, 1, 1);
+    leases.failed(LOT, lot, 900, 1);
+    leases.release(ONE);
+    leases.grant(LOT, 1, TWO, LEASE);
+    assert_eq!((leases.failures(LOT, 1), leases.failures(LOT, 0), leases.failures(LOT, 900)), (2, 0, 0));
+}
--- a/crates/mintlb-lots/tests/takeover.rs
+++ b/crates/mintlb-lots/tests/takeover.rs
@@ -4,6 +4,7 @@
 
 mod model;
 
+use mintlb_lots::messages::{HeldItems, Renewed};
 use mintlb_lots::peer::PeerMessage;
 use mintlb_tier::placement::{Placement, ShardAssignment};
 use model::Model;
@@ -295,3 +296,30 @@
     let logs = [1, 2, 3].map(|id| model.stores[id - 1].replica.as_ref().unwrap().log().end());
     assert!(logs.iter().all(|end| end.epoch == 4 && *end == logs[0]), "{logs:?}");
 }
+
+#[test]
+fn a_lease_tells_how_often_its_item_has_failed() {
+    let mut model = three();
+    model.submit(0, "a".to_string(), 3);
+    quiet(&mut model);
+    // Until then earlier holders might renew.
+    for _ in 0..4 {
+        model.tick(Duration::from_millis(900));
+        quiet(&mut model);
+    }
+    let now = model.now;
+    let replica = model.stores[0].replica.as_mut().unwrap();
+    let held = HeldItems { lot: model::name("a"), items: vec![0, 1, 2], failures: vec![(1, 2), (7, 1)] };
+    let mut renewed = Renewed::default();
+    replica.renew(7, &held, &mut renewed, now);
+    assert_eq!(renewed.lost, [], "the holder of the submission");
+    replica.release(7);
+    // The first question has the others confirm that it is in charge.
+    model.lease(0);
+    quiet(&mut model);
+    let replica = model.stores[0].replica.as_mut().unwrap();
+    assert!(replica.confirm(now));
+    let leased = replica.lease(9, 10, u64::MAX, now);
+    let failures: Vec<_> = leased.iter().map(|plan| (plan.head.index, plan.head.failures)).collect();
+    assert_eq!(failures, [(0, 0), (1, 2), (2, 0)]);
+}
