--- a/crates/mintlb-control/src/controller/replica.rs
+++ b/crates/mintlb-control/src/controller/replica.rs
@@ -1,6 +1,6 @@
 //! This process's replica of the register: its vote in memory, the file behind it, and its answers.
 
-use super::vote_store::{Opened, VoteStore};
+use super::vote_store::{Health, Opened, VoteStore};
 use mintlb_register::acceptor::{Acceptor, Sync};
 use mintlb_register::message::{Accepted, Reply, Request};
 use mintlb_register::state::{ControlState, Replica};
@@ -41,20 +41,46 @@
         self.store.close();
     }
 
-    /// Answers once everything that the answer tells of is synced; `None` if it could not be.
+    /// Answers once everything that the answer tells of is synced; `None` if it could not be, or while too much waits.
     pub async fn answer(&self, request: Request) -> Option<Reply> {
-        let (reply, synced) = {
-            let mut acceptor = self.acceptor.lock();
+        self.synced(|acceptor| {
             let answered = acceptor.handle(request);
-            let must_wait = answered.sync != Sync::Nothing || self.store.is_busy();
-            (answered.reply, must_wait.then(|| self.store.sync(answered.sync)))
-        };
-        match synced {
-            Some(synced) => synced.await.ok().map(|()| reply),
-            None => Some(reply),
+            (answered.sync, answered.reply)
+        })
+        .await
+    }
+
+    /// Takes in a chosen value that has not come here: then the disk here is as new as those of the majority. Nothing
+    /// happens if it has it, or something newer, or is no member of the value's set.
+    pub async fn catch_up(&self, chosen: &Accepted) {
+        let is_behind = self.accepted().is_none_or(|accepted| accepted.ballot < chosen.ballot);
+        let is_member = chosen.state.replicas.members().any(|member| member.id == self.identity.id);
+        if is_behind && is_member {
+            self.synced(|acceptor| (acceptor.learn(chosen), ())).await;
         }
     }
 
+    /// What came of the vote, once all that it has taken in is on disk.
+    async fn synced<T>(&self, vote: impl FnOnce(&mut Acceptor) -> (Sync, T)) -> Option<T> {
+        let (result, synced) = {
+            let mut acceptor = self.acceptor.lock();
+            match self.store.take_health() {
+                Health::Good => (),
+                Health::Failed => return None,
+                Health::Reloaded(vote) => *acceptor = Acceptor::new(self.identity.id, vote),
+            }
+            if self.store.is_full() {
+                return None;
+            }
+            let (sync, result) = vote(&mut acceptor);
+            if sync == Sync::Nothing && self.store.is_synced() {
+                return Some(result);
+            }
+            (result, self.store.sync(sync))
+        };
+        synced.await.ok().map(|()| result)
+    }
+
     /// Writes the first value of a register, with this replica as the only one; `None` if it could not be synced.
     pub async fn found(&self, ballot: Ballot) -> Option<Accepted> {
         let state = Arc::new(ControlState::founded_by(self.identity.clone()));
