--- /dev/null
+++ b/crates/mintlb-model/src/context.rs
@@ -0,0 +1,114 @@
+//! What a process of the model sees of the world while it handles one event, and what it wants done.
+
+use crate::message::{Answer, Body, Call, Packet, Told};
+use crate::planted::Planted;
+use crate::random::Random;
+use mintlb_register::message::Accepted;
+use mintlb_tier::record::Record;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Time since the model's start.
+pub type Time = Duration;
+
+/// A timer of a process.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Timer {
+    /// The overlay wants its tick.
+    Overlay,
+    /// The commit under way is on disk.
+    Disk,
+    /// A proposal's timer.
+    Attempt {
+        /// The task.
+        task: u64,
+        /// Only the newest timer counts.
+        generation: u64,
+    },
+    /// A task's time is over.
+    Deadline(u64),
+    /// A call's time is over.
+    CallLost(u64),
+    /// The membership's pause is over.
+    Member,
+    /// Pings and the look at the duties.
+    Step,
+    /// An answer waits no longer for a neighbour's confirmation.
+    Confirm(u64),
+}
+
+/// What a process wants done.
+#[derive(Clone, Debug)]
+pub enum Out {
+    /// Send this.
+    Send(Packet),
+    /// Wake me.
+    Wake(Duration, Timer),
+    /// Answer a call from outside.
+    Tell(u64, Told),
+    /// This was learnt to be chosen.
+    Chosen(Accepted),
+    /// This record is newly in force here.
+    InForce(Arc<Record>),
+    /// For the trace.
+    Note(String),
+}
+
+/// One event's surroundings.
+pub struct Context<'a> {
+    /// Since the model's start.
+    pub now: Time,
+    /// The same as an instant of the steady clock.
+    pub instant: Instant,
+    /// The machine's time of day, in ms; it may go back.
+    pub wall_ms: u64,
+    /// The process's address.
+    pub own: SocketAddr,
+    /// The process's life.
+    pub life: u64,
+    /// Draws.
+    pub random: &'a mut Random,
+    /// The fault that is planted.
+    pub planted: Planted,
+    /// How long the disk takes for a commit.
+    pub commit_time: Duration,
+    /// What is to be done.
+    pub out: Vec<Out>,
+}
+
+impl Context<'_> {
+    /// Sends a call.
+    pub fn call(&mut self, to: SocketAddr, id: u64, call: Call) {
+        let body = Body::Call { id, life: self.life, call };
+        self.out.push(Out::Send(Packet { from: self.own, to, to_life: None, body }));
+    }
+
+    /// Answers a call.
+    pub fn answer(&mut self, caller: &Caller, answer: Answer) {
+        let body = Body::Answer { id: caller.id, answer };
+        self.out.push(Out::Send(Packet {
+            from: self.own,
+            to: caller.address,
+            to_life: Some(caller.life),
+            body,
+        }));
+    }
+
+    /// Sets a timer.
+    pub fn wake(&mut self, after: Duration, timer: Timer) {
+        self.out.push(Out::Wake(after, timer));
+    }
+}
+
+/// Who made a call.
+#[derive(Clone, Debug)]
+pub struct Caller {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Its life.
+    pub life: u64,
+    /// Its number of the call.
+    pub id: u64,
+}
--- /dev/null
+++ b/crates/mintlb-model/src/controller/membership.rs
@@ -0,0 +1,159 @@
+//! How a controller keeps in touch with the register; mirrors `controller/membership.rs`. The campaign among seeds
+//! without a disk is left out: every controller of the model has one.
+
+use super::tasks::{Awaited, Ended, Purpose};
+use super::vote::ReplyTo;
+use super::{Controller, is_done};
+use crate::context::{Context, Timer};
+use crate::message::{Answer, Call};
+use mintlb_register::ballot::Ballot;
+use mintlb_register::change::{Answer as ChangeAnswer, Change};
+use mintlb_register::founding::{Founding, SeedAnswer, Step};
+use mintlb_register::message::{Accepted, Ask, Request};
+use mintlb_register::state::{ControlState, ReplicaSet};
+use mintlb_tier::record::REPLICAS;
+use std::sync::Arc;
+use std::time::Duration;
+
+const MOST_REPLICAS: usize = 9;
+const SEED_WITHIN: Duration = Duration::from_millis(250);
+const SEED_PAUSE: Duration = Duration::from_millis(40);
+const JOIN_WITHIN: Duration = Duration::from_millis(1500);
+const JOIN_PAUSE: Duration = Duration::from_millis(60);
+const READ_WITHIN: Duration = Duration::from_millis(400);
+const READ_EVERY: Duration = Duration::from_millis(1000);
+const UNCLEAR_READS: u32 = 2;
+
+/// How far the look is.
+#[derive(Debug, Default)]
+pub struct Membership {
+    unclear: u32,
+    answers: Vec<Option<SeedAnswer>>,
+    open: usize,
+}
+
+impl Controller {
+    /// Begins a look; the next one begins after the pause that it ends with.
+    pub(super) fn look(&mut self, context: &mut Context) {
+        if self.register.set().is_some() {
+            return self.read_once(context, READ_WITHIN, Purpose::MemberRead);
+        }
+        if self.hint_from_overlay() {
+            return self.pause(context, SEED_PAUSE);
+        }
+        self.ask_seeds(context);
+    }
+
+    fn pause(&mut self, context: &mut Context, pause: Duration) {
+        let spread = context.random.below(pause.as_millis() as usize / 4 + 1) as u64;
+        context.wake(pause + Duration::from_millis(spread), Timer::Member);
+    }
+
+    fn ask_seeds(&mut self, context: &mut Context) {
+        self.membership.answers = vec![None; self.seeds.len()];
+        self.membership.open = 0;
+        for (place, seed) in self.seeds.clone().into_iter().enumerate() {
+            if seed != context.own {
+                let id = self.register.await_call(Awaited::Seed(place));
+                context.call(seed, id, Call::Status);
+                context.wake(SEED_WITHIN, Timer::CallLost(id));
+                self.membership.open += 1;
+            }
+        }
+        if self.membership.open == 0 {
+            self.seeds_answered(context);
+        }
+    }
+
+    /// A seed's answer, or its loss.
+    pub(super) fn seed_answered(&mut self, context: &mut Context, place: usize, answer: Option<Answer>) {
+        if let Some(Answer::Status(answer)) = answer {
+            self.membership.answers[place] = Some(answer);
+        }
+        self.membership.open -= 1;
+        if self.membership.open == 0 {
+            self.seeds_answered(context);
+        }
+    }
+
+    fn seeds_answered(&mut self, context: &mut Context) {
+        let answers = std::mem::take(&mut self.membership.answers);
+        if self.register.set().is_some() {
+            self.hint_from_overlay();
+            let sets = answers.into_iter().flatten().filter_map(|answer| answer.set);
+            sets.for_each(|set| self.register.hint(set));
+            return self.pause(context, JOIN_PAUSE);
+        }
+        let own_place = self.seeds.iter().position(|seed| *seed == context.own);
+        let founding =
+            Founding { first_start: self.first_start, has_disk: true, own_place, answers: &answers };
+        match founding.step() {
+            Step::Found => self.found(context),
+            Step::Join(set) => self.register.hint(set),
+            Step::Campaign | Step::Wait => (),
+        }
+        self.pause(context, SEED_PAUSE);
+    }
+
+    fn found(&mut self, context: &mut Context) {
+        let ballot = Ballot::default().next(context.random.number());
+        let state = Arc::new(ControlState::founded_by(self.replica.identity().clone()));
+        let proposed = Accepted { ballot, state };
+        let target = self.replica.identity().id;
+        let request = Request { target, ask: Ask::Accept { proposed: proposed.clone() } };
+        let replies = self.replica.answer(context, request, ReplyTo::Found(proposed));
+        self.hand_out(context, replies);
+    }
+
+    fn hint_from_overlay(&mut self) -> bool {
+        let Some(record) = self.gossip.get(REPLICAS) else { return false };
+        let Ok(set) = minicbor::decode::<ReplicaSet>(&record.body) else { return false };
+        self.register.hint(set);
+        true
+    }
+
+    /// A read or change of the membership has ended.
+    pub(super) fn member_completed(&mut self, context: &mut Context, purpose: Purpose, ended: Ended) {
+        match (purpose, ended) {
+            (Purpose::MemberRead, Ended::Failed) => self.read_failed(context),
+            (Purpose::MemberRead, _) => {
+                self.membership.unclear = 0;
+                self.keep_place(context);
+            }
+            (Purpose::MemberConfirm, Ended::Failed) => self.ask_seeds(context),
+            (Purpose::MemberConfirm, _) => self.keep_place(context),
+            (Purpose::Join, Ended::Changed(outcome)) if is_done(outcome.answer) => {
+                self.change(context, Change::Settle, JOIN_WITHIN, Purpose::Settle { joined: true });
+            }
+            (Purpose::Join, Ended::Changed(outcome)) if outcome.answer == ChangeAnswer::SetFull => {
+                self.pause(context, READ_EVERY);
+            }
+            (Purpose::Settle { joined: true }, Ended::Changed(_)) => self.pause(context, Duration::ZERO),
+            (Purpose::Settle { joined: false }, _) => self.pause(context, READ_EVERY),
+            _ => self.pause(context, JOIN_PAUSE),
+        }
+    }
+
+    fn read_failed(&mut self, context: &mut Context) {
+        self.membership.unclear += 1;
+        if self.membership.unclear < UNCLEAR_READS && self.register.chosen().is_some() {
+            return self.ask_seeds(context);
+        }
+        self.change(context, Change::Confirm, READ_WITHIN, Purpose::MemberConfirm);
+    }
+
+    fn keep_place(&mut self, context: &mut Context) {
+        let Some(chosen) = self.register.chosen() else { return self.pause(context, JOIN_PAUSE) };
+        let set = &chosen.state.replicas;
+        if !set.current.contains(self.replica.identity()) {
+            let silent = self.duties.silent(context, set);
+            let change =
+                Change::Join { replica: self.replica.identity().clone(), silent, most: MOST_REPLICAS };
+            return self.change(context, change, JOIN_WITHIN, Purpose::Join);
+        }
+        if set.is_joint() {
+            return self.change(context, Change::Settle, JOIN_WITHIN, Purpose::Settle { joined: false });
+        }
+        self.pause(context, READ_EVERY);
+    }
+}
--- /dev/null
+++ b/crates/mintlb-model/src/controller/mod.rs
@@ -0,0 +1,169 @@
+//! A controller's process, as a state machine.
+
+mod configuration;
+mod duties;
+mod membership;
+mod tasks;
+pub mod vote;
+
+pub use duties::TOLERANCE;
+
+use crate::context::{Caller, Context, Timer};
+use crate::gossip::Gossip;
+use crate::message::{Answer, Body, Call, Packet};
+use crate::random::Random;
+use duties::Duties;
+use membership::Membership;
+use mintlb_overlay::Role;
+use mintlb_register::change::Answer as ChangeAnswer;
+use mintlb_register::founding::SeedAnswer;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use tasks::{Ended, Purpose, Register};
+use vote::{LocalReplica, ReplyTo, VoteDisk};
+
+/// What a controller starts from.
+#[derive(Clone, Debug)]
+pub struct Start {
+    /// The machine's name.
+    pub name: String,
+    /// The seeds of its settings.
+    pub seeds: Vec<SocketAddr>,
+    /// `first_start` of its settings.
+    pub first_start: bool,
+}
+
+/// A controller's process.
+pub struct Controller {
+    name: String,
+    seeds: Vec<SocketAddr>,
+    first_start: bool,
+    started: crate::context::Time,
+    replica: LocalReplica,
+    register: Register,
+    membership: Membership,
+    duties: Duties,
+    gossip: Gossip,
+    /// Operators' changes under way: when each came.
+    puts: BTreeMap<u64, crate::context::Time>,
+    /// Those that wait for a neighbour's confirmation.
+    confirming: BTreeSet<u64>,
+}
+
+impl Controller {
+    /// Starts the process with what its disk holds.
+    pub fn start(context: &mut Context, start: Start, disk: VoteDisk) -> Controller {
+        let replica = LocalReplica::new(disk, context.own.to_string(), start.name.clone());
+        let hint = replica.accepted().map(|accepted| accepted.state.replicas.clone());
+        let mut controller = Controller {
+            duties: Duties::new(context, replica.identity().id),
+            gossip: Gossip::start(context, Role::Controller, &start.name, &start.seeds),
+            name: start.name,
+            seeds: start.seeds,
+            first_start: start.first_start,
+            started: context.now,
+            replica,
+            register: Register::new(hint),
+            membership: Membership::default(),
+            puts: BTreeMap::new(),
+            confirming: BTreeSet::new(),
+        };
+        context.wake(duties::STEP, Timer::Step);
+        controller.look(context);
+        controller.hand_over_replies(context);
+        controller
+    }
+
+    /// What it knows by the overlay.
+    pub fn gossip(&self) -> &Gossip {
+        &self.gossip
+    }
+
+    /// The process ends; what its disk holds.
+    pub fn crash(self, random: &mut Random) -> VoteDisk {
+        self.replica.crash(random)
+    }
+
+    /// A message came.
+    pub fn packet(&mut self, context: &mut Context, packet: Packet) {
+        match packet.body {
+            Body::Overlay(body) => {
+                let confirmed = self.gossip.received(context, packet.from, body);
+                self.confirmed(context, &confirmed);
+            }
+            Body::Call { id, life, call } => {
+                let caller = Caller { address: packet.from, life, id };
+                self.call(context, caller, call);
+            }
+            Body::Answer { id, answer } => self.task_answer(context, id, Some(answer)),
+        }
+        self.hand_over_replies(context);
+    }
+
+    fn call(&mut self, context: &mut Context, caller: Caller, call: Call) {
+        match call {
+            Call::Vote(request) => {
+                let replies = self.replica.answer(context, request, ReplyTo::Remote(caller));
+                self.hand_out(context, replies);
+            }
+            Call::Status => {
+                let set = self.register.set().cloned();
+                context.answer(&caller, Answer::Status(SeedAnswer { has_disk: true, set }));
+            }
+            Call::Ping { replica, epoch } => {
+                self.duties.heard(context, caller.address, replica, epoch);
+                let replica = Some(self.replica.identity().id);
+                context.answer(&caller, Answer::Pong { replica, epoch: self.duties.epoch() });
+            }
+        }
+    }
+
+    /// A call's receiver can't be reached.
+    pub fn call_lost(&mut self, context: &mut Context, id: u64) {
+        self.task_answer(context, id, None);
+        self.hand_over_replies(context);
+    }
+
+    /// A process can't be reached.
+    pub fn unreachable(&mut self, context: &mut Context, peer: SocketAddr) {
+        self.gossip.unreachable(context, peer);
+    }
+
+    /// A timer ran out.
+    pub fn timer(&mut self, context: &mut Context, timer: Timer) {
+        match timer {
+            Timer::Overlay => {
+                let confirmed = self.gossip.tick(context);
+                self.confirmed(context, &confirmed);
+            }
+            Timer::Disk => {
+                let replies = self.replica.committed(context);
+                self.hand_out(context, replies);
+            }
+            Timer::Attempt { task, generation } => self.attempt_timer(context, task, generation),
+            Timer::Deadline(task) => self.out_of_time(context, task),
+            Timer::CallLost(id) => self.task_answer(context, id, None),
+            Timer::Member => self.look(context),
+            Timer::Step => self.step(context),
+            Timer::Confirm(ask) => self.confirmed(context, &[ask]),
+        }
+        self.hand_over_replies(context);
+    }
+
+    /// A change or read has ended.
+    fn completed(&mut self, context: &mut Context, purpose: Purpose, ended: Ended) {
+        match purpose {
+            Purpose::Put(ask) => self.put_completed(context, ask, ended),
+            Purpose::Get(ask) => self.get_completed(context, ask, ended),
+            Purpose::Remove | Purpose::SettleRemoved => {
+                self.duty_completed(context, purpose, ended);
+            }
+            purpose => self.member_completed(context, purpose, ended),
+        }
+    }
+}
+
+/// Whether a change is part of the chosen value.
+fn is_done(answer: ChangeAnswer) -> bool {
+    matches!(answer, ChangeAnswer::Done | ChangeAnswer::AlreadyDone)
+}
--- /dev/null
+++ b/crates/mintlb-model/src/controller/tasks.rs
@@ -0,0 +1,421 @@
+//! A controller's changes and reads of the register; mirrors `controller/register.rs`.
+
+use super::Controller;
+use super::vote::ReplyTo;
+use crate::context::{Context, Out, Time, Timer};
+use crate::message::{Answer, Call};
+use crate::planted::Planted;
+use mintlb_register::ballot::Ballot;
+use mintlb_register::change::Change;
+use mintlb_register::message::{Accepted, Ask, Reply, Report, Request};
+use mintlb_register::proposal::{Effects, Input, Outcome, Proposal, ROUND};
+use mintlb_register::reading::{Progress, Reading};
+use mintlb_register::state::{Replica, ReplicaId, ReplicaSet};
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// How long a read may try to do with one round.
+const ONE_ROUND_READ: Duration = Duration::from_millis(120);
+
+/// What a task is for.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Purpose {
+    /// An operator's change, by the call's number.
+    Put(u64),
+    /// An operator's read.
+    Get(u64),
+    /// The membership's read.
+    MemberRead,
+    /// The membership makes sure of the value.
+    MemberConfirm,
+    /// The replica here joins the set.
+    Join,
+    /// A change of the set is ended, after a join here or not.
+    Settle {
+        /// After a join.
+        joined: bool,
+    },
+    /// A silent replica is taken out.
+    Remove,
+    /// A change of the set is ended after that.
+    SettleRemoved,
+}
+
+/// How a task ended.
+#[derive(Clone, Debug)]
+pub enum Ended {
+    /// The change has an outcome.
+    Changed(Outcome),
+    /// This was read.
+    Read(Accepted),
+    /// No majority answered in time.
+    Failed,
+}
+
+enum Work {
+    /// Waits for its turn.
+    Waiting(Change),
+    Proposal {
+        proposal: Box<Proposal>,
+        generation: u64,
+    },
+    /// With `then_confirm_by`, an unclear read goes on as a proposal until then.
+    Reading {
+        reading: Box<Reading>,
+        then_confirm_by: Option<Time>,
+    },
+}
+
+/// One change or read.
+pub struct Task {
+    purpose: Purpose,
+    deadline: Time,
+    work: Work,
+}
+
+/// Whose answer is awaited.
+#[derive(Clone, Debug)]
+pub enum Awaited {
+    /// A replica's, by a task.
+    Task {
+        /// The task.
+        task: u64,
+        /// The replica.
+        from: ReplicaId,
+        /// The attempt.
+        ballot: Ballot,
+    },
+    /// A seed's, by the membership.
+    Seed(usize),
+    /// Another controller's to a ping.
+    Ping(SocketAddr),
+}
+
+/// What the process knows of the register, and what it has under way.
+#[derive(Default)]
+pub struct Register {
+    chosen: Option<Accepted>,
+    hint: Option<ReplicaSet>,
+    floor: Ballot,
+    tasks: BTreeMap<u64, Task>,
+    /// Changes in their order; the first has its turn.
+    turns: VecDeque<u64>,
+    calls: BTreeMap<u64, Awaited>,
+    /// Replies of the replica here that are still to be handed over.
+    replies: VecDeque<(u64, Option<Answer>)>,
+    numbers: u64,
+}
+
+impl Register {
+    /// With the set that the disk holds.
+    pub fn new(hint: Option<ReplicaSet>) -> Register {
+        Register { hint, ..Register::default() }
+    }
+
+    /// The newest value known to be chosen.
+    pub fn chosen(&self) -> Option<&Accepted> {
+        self.chosen.as_ref()
+    }
+
+    /// The newest set known.
+    pub fn set(&self) -> Option<&ReplicaSet> {
+        let chosen = self.chosen.as_ref().map(|chosen| &chosen.state.replicas);
+        chosen.into_iter().chain(&self.hint).max_by_key(|set| set.epoch)
+    }
+
+    /// Takes note of a set that another process knows.
+    pub fn hint(&mut self, set: ReplicaSet) {
+        if self.hint.as_ref().is_none_or(|known| known.epoch < set.epoch) {
+            self.hint = Some(set);
+        }
+    }
+
+    /// A number that this process has not used.
+    pub fn number(&mut self) -> u64 {
+        self.numbers += 1;
+        self.numbers
+    }
+
+    /// Takes note of a call that is under way.
+    pub fn await_call(&mut self, awaited: Awaited) -> u64 {
+        let id = self.number();
+        self.calls.insert(id, awaited);
+        id
+    }
+
+    fn raise_floor(&mut self, seen: Ballot) {
+        self.floor = self.floor.max(seen);
+    }
+}
+
+impl Controller {
+    /// Begins a change. Changes of one process wait for each other, within the same time.
+    pub(super) fn change(
+        &mut self,
+        context: &mut Context,
+        change: Change,
+        within: Duration,
+        purpose: Purpose,
+    ) {
+        let id = self.register.number();
+        let task = Task { purpose, deadline: context.now + within, work: Work::Waiting(change) };
+        self.register.tasks.insert(id, task);
+        self.queue_change(context, id, within);
+    }
+
+    fn queue_change(&mut self, context: &mut Context, id: u64, within: Duration) {
+        context.wake(within, Timer::Deadline(id));
+        self.register.turns.push_back(id);
+        if self.register.turns.len() == 1 {
+            self.begin_proposal(context, id);
+        }
+    }
+
+    fn begin_proposal(&mut self, context: &mut Context, id: u64) {
+        let Some(set) = self.register.set().cloned() else { return self.end(context, id, Ended::Failed) };
+        let proposer = context.random.number();
+        let (floor, known) = (self.register.floor, self.register.chosen.clone());
+        let Some(task) = self.register.tasks.get_mut(&id) else { return };
+        let Work::Waiting(change) = &task.work else { return };
+        let (proposal, effects) = Proposal::start(proposer, floor, set, known, change.clone());
+        task.work = Work::Proposal { proposal: Box::new(proposal), generation: 0 };
+        self.carry_out(context, id, effects);
+    }
+
+    /// Begins a read: in one round within 120 ms, then by a proposal.
+    pub(super) fn read(&mut self, context: &mut Context, within: Duration, purpose: Purpose) {
+        let then_confirm_by = Some(context.now + within);
+        self.begin_reading(context, within.min(ONE_ROUND_READ), then_confirm_by, purpose);
+    }
+
+    /// Begins a read in one round.
+    pub(super) fn read_once(&mut self, context: &mut Context, within: Duration, purpose: Purpose) {
+        self.begin_reading(context, within, None, purpose);
+    }
+
+    fn begin_reading(
+        &mut self,
+        context: &mut Context,
+        within: Duration,
+        then_confirm_by: Option<Time>,
+        purpose: Purpose,
+    ) {
+        let Some(set) = self.register.set().cloned() else {
+            return self.completed(context, purpose, Ended::Failed);
+        };
+        let (reading, progress) = Reading::start(set, self.register.chosen.clone());
+        let id = self.register.number();
+        let work = Work::Reading { reading: Box::new(reading), then_confirm_by };
+        self.register.tasks.insert(id, Task { purpose, deadline: context.now + within, work });
+        context.wake(within, Timer::Deadline(id));
+        self.progress(context, id, progress);
+    }
+
+    /// An answer to a call of this process, or its loss.
+    pub(super) fn task_answer(&mut self, context: &mut Context, id: u64, answer: Option<Answer>) {
+        let Some(awaited) = self.register.calls.remove(&id) else { return };
+        match awaited {
+            Awaited::Seed(place) => self.seed_answered(context, place, answer),
+            Awaited::Ping(address) => {
+                if let Some(Answer::Pong { replica, epoch }) = answer {
+                    self.duties.heard(context, address, replica, epoch);
+                }
+            }
+            Awaited::Task { task, from, ballot } => {
+                let reply = match answer {
+                    Some(Answer::Vote(reply)) => Some(altered(context.planted, reply)),
+                    _ => None,
+                };
+                self.give_reply(context, task, from, ballot, reply);
+            }
+        }
+    }
+
+    fn give_reply(
+        &mut self,
+        context: &mut Context,
+        id: u64,
+        from: ReplicaId,
+        ballot: Ballot,
+        reply: Option<Reply>,
+    ) {
+        let Some(task) = self.register.tasks.get_mut(&id) else { return };
+        if let Work::Reading { reading, .. } = &mut task.work {
+            let progress = reading.reply(from, reply);
+            let promise = reading.highest_promise();
+            self.register.raise_floor(promise);
+            return self.progress(context, id, progress);
+        }
+        let input = reply.map_or(Input::Lost(from, ballot), |reply| Input::Reply(from, reply));
+        self.give(context, id, input);
+    }
+
+    fn give(&mut self, context: &mut Context, id: u64, input: Input) {
+        let Some(task) = self.register.tasks.get_mut(&id) else { return };
+        if context.now >= task.deadline {
+            return self.out_of_time(context, id);
+        }
+        let Work::Proposal { proposal, .. } = &mut task.work else { return };
+        let effects = proposal.handle(input);
+        self.carry_out(context, id, effects);
+    }
+
+    /// A proposal's timer ran out.
+    pub(super) fn attempt_timer(&mut self, context: &mut Context, id: u64, generation: u64) {
+        let Some(task) = self.register.tasks.get(&id) else { return };
+        if matches!(&task.work, Work::Proposal { generation: newest, .. } if *newest == generation) {
+            self.give(context, id, Input::Timer);
+        }
+    }
+
+    /// A task's time is over.
+    pub(super) fn out_of_time(&mut self, context: &mut Context, id: u64) {
+        let Some(task) = self.register.tasks.get(&id) else { return };
+        if context.now < task.deadline {
+            return;
+        }
+        if let Work::Reading { .. } = task.work {
+            return self.progress(context, id, Progress::Unclear);
+        }
+        if let Work::Proposal { proposal, .. } = &task.work {
+            let seen = proposal.highest_seen();
+            self.register.raise_floor(seen);
+        }
+        self.end(context, id, Ended::Failed);
+    }
+
+    fn carry_out(&mut self, context: &mut Context, id: u64, effects: Effects) {
+        for (replica, request) in effects.send {
+            self.post(context, id, replica, request);
+        }
+        let Some(task) = self.register.tasks.get_mut(&id) else { return };
+        let Work::Proposal { proposal, generation } = &mut task.work else { return };
+        if let Some(after) = effects.timer {
+            *generation += 1;
+            context.wake(after, Timer::Attempt { task: id, generation: *generation });
+        }
+        let Some(outcome) = effects.outcome else { return };
+        let seen = proposal.highest_seen();
+        self.register.raise_floor(seen);
+        self.learn(context, outcome.chosen.clone());
+        self.end(context, id, Ended::Changed(outcome));
+    }
+
+    fn progress(&mut self, context: &mut Context, id: u64, progress: Progress) {
+        match progress {
+            Progress::Ask(messages) => {
+                messages.into_iter().for_each(|(replica, request)| self.post(context, id, replica, request));
+            }
+            Progress::Chosen(chosen) => {
+                self.learn(context, chosen.clone());
+                self.end(context, id, Ended::Read(chosen));
+            }
+            Progress::Unclear => {
+                let Some(task) = self.register.tasks.get_mut(&id) else { return };
+                let Work::Reading { then_confirm_by, .. } = &task.work else { return };
+                let Some(by) = *then_confirm_by else { return self.end(context, id, Ended::Failed) };
+                task.work = Work::Waiting(Change::Confirm);
+                task.deadline = by;
+                self.queue_change(context, id, by.saturating_sub(context.now));
+            }
+        }
+    }
+
+    fn end(&mut self, context: &mut Context, id: u64, ended: Ended) {
+        let Some(task) = self.register.tasks.remove(&id) else { return };
+        let had_turn = self.register.turns.front() == Some(&id);
+        self.register.turns.retain(|other| *other != id);
+        if had_turn && let Some(next) = self.register.turns.front().copied() {
+            self.begin_proposal(context, next);
+        }
+        self.completed(context, task.purpose, ended);
+    }
+
+    fn post(&mut self, context: &mut Context, task: u64, replica: Replica, request: Request) {
+        let ballot = match &request.ask {
+            Ask::Prepare { ballot, .. } => *ballot,
+            Ask::Accept { proposed } => proposed.ballot,
+            Ask::Read { .. } => Ballot::default(),
+        };
+        let id = self.register.await_call(Awaited::Task { task, from: replica.id, ballot });
+        if replica.id == self.replica.identity().id {
+            let replies = self.replica.answer(context, request, ReplyTo::Local(id));
+            return self.hand_out(context, replies);
+        }
+        context.wake(ROUND, Timer::CallLost(id));
+        match replica.address.parse() {
+            Ok(address) => context.call(address, id, Call::Vote(request)),
+            Err(_) => self.register.replies.push_back((id, None)),
+        }
+    }
+
+    /// Gives replies of the replica here to who waits for them.
+    pub(super) fn hand_out(&mut self, context: &mut Context, replies: Vec<(ReplyTo, Reply)>) {
+        for (to, reply) in replies {
+            match to {
+                ReplyTo::Remote(caller) => context.answer(&caller, Answer::Vote(reply)),
+                ReplyTo::Local(id) => self.register.replies.push_back((id, Some(Answer::Vote(reply)))),
+                ReplyTo::Found(accepted) => {
+                    if matches!(reply, Reply::Accepted { .. }) {
+                        context.out.push(Out::Note(format!("{} founds", self.name)));
+                        self.learn(context, accepted);
+                    }
+                }
+                ReplyTo::Nobody => (),
+            }
+        }
+    }
+
+    /// Hands over what the replica here has answered.
+    pub(super) fn hand_over_replies(&mut self, context: &mut Context) {
+        while let Some((id, answer)) = self.register.replies.pop_front() {
+            self.task_answer(context, id, answer);
+        }
+    }
+
+    /// Takes note of a value that is chosen, and publishes what is news in it.
+    pub(super) fn learn(&mut self, context: &mut Context, accepted: Accepted) {
+        context.out.push(Out::Chosen(accepted.clone()));
+        if self.register.chosen.as_ref().is_some_and(|known| known.ballot >= accepted.ballot) {
+            return;
+        }
+        let before = self.register.chosen.replace(accepted.clone());
+        let set = &accepted.state.replicas;
+        if before.is_none_or(|before| before.state.replicas.epoch != set.epoch) {
+            let ids = |side: &[Replica]| side.iter().map(|replica| replica.id).collect::<Vec<_>>();
+            let (previous, current) = (ids(&set.previous), ids(&set.current));
+            let note = format!("{} knows set {} {previous:?} {current:?}", self.name, set.epoch);
+            context.out.push(Out::Note(note));
+        }
+        self.publish_state(context, &accepted.state);
+    }
+}
+
+/// What a planted fault makes of a replica's reply.
+fn altered(planted: Planted, reply: Reply) -> Reply {
+    match (planted, reply) {
+        (Planted::JointSetLeft, Reply::Promised { ballot, report }) => {
+            Reply::Promised { ballot, report: left_joint(report) }
+        }
+        (Planted::JointSetLeft, Reply::Read { report, promised }) => {
+            Reply::Read { report: left_joint(report), promised }
+        }
+        (_, reply) => reply,
+    }
+}
+
+/// The report with the set's change ended without a round.
+fn left_joint(report: Report) -> Report {
+    match report {
+        Report::Value(accepted) if accepted.state.replicas.is_joint() => {
+            let mut state = (*accepted.state).clone();
+            state.revision += 1;
+            state.replicas.epoch += 1;
+            state.replicas.previous.clear();
+            Report::Value(Accepted { ballot: accepted.ballot, state: Arc::new(state) })
+        }
+        report => report,
+    }
+}
--- /dev/null
+++ b/crates/mintlb-model/src/gossip.rs
@@ -0,0 +1,109 @@
+//! The records' overlay of one process: the product's `Node`, with the publications that wait for a confirmation as
+//! in `mintlb-overlay/src/driver.rs`.
+
+use crate::context::{Context, Out, Timer};
+use crate::message::{Body, Packet};
+use bytes::Bytes;
+use mintlb_overlay::codec::record_id;
+use mintlb_overlay::effects::Effect;
+use mintlb_overlay::node::{Input, Node};
+use mintlb_overlay::{Member, Role};
+use mintlb_tier::record::Record;
+use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::time::Instant;
+
+struct Waiter {
+    id: u64,
+    version: u64,
+    token: u64,
+}
+
+/// The overlay of one process.
+pub struct Gossip {
+    node: Node,
+    waiters: Vec<Waiter>,
+    wake_at: Option<Instant>,
+}
+
+impl Gossip {
+    /// A node that knows nobody but the seeds.
+    pub fn start(context: &mut Context, role: Role, name: &str, seeds: &[SocketAddr]) -> Gossip {
+        let member = Member {
+            address: context.own,
+            incarnation: context.wall_ms,
+            role,
+            node_name: name.to_string(),
+            zone: "z".to_string(),
+        };
+        let node = Node::new(context.instant, member, seeds, context.random.number());
+        let mut gossip = Gossip { node, waiters: Vec::new(), wake_at: None };
+        gossip.handle(context, Input::Tick);
+        gossip
+    }
+
+    /// The record in force of this key.
+    pub fn get(&self, key: &str) -> Option<&Record> {
+        self.node.table().get(key)
+    }
+
+    /// A message came.
+    pub fn received(&mut self, context: &mut Context, from: SocketAddr, body: Bytes) -> Vec<u64> {
+        self.handle(context, Input::Received { from, body })
+    }
+
+    /// A process can't be reached.
+    pub fn unreachable(&mut self, context: &mut Context, peer: SocketAddr) -> Vec<u64> {
+        self.handle(context, Input::Unreachable(peer))
+    }
+
+    /// The tick's time has come.
+    pub fn tick(&mut self, context: &mut Context) -> Vec<u64> {
+        if self.wake_at.is_some_and(|at| at > context.instant) {
+            return Vec::new();
+        }
+        self.wake_at = None;
+        self.handle(context, Input::Tick)
+    }
+
+    /// Publishes a record.
+    pub fn publish_now(&mut self, context: &mut Context, record: Record) -> Vec<u64> {
+        self.handle(context, Input::Publish { record, confirm_until: None })
+    }
+
+    /// Publishes a record; the token comes back once a neighbour has confirmed it.
+    pub fn publish(&mut self, context: &mut Context, record: Record, wait: Duration, token: u64) -> Vec<u64> {
+        self.waiters.push(Waiter { id: record_id(&record.key), version: record.version, token });
+        let confirm_until = Some(context.instant + wait);
+        self.handle(context, Input::Publish { record, confirm_until })
+    }
+
+    /// Nobody waits for this confirmation any more.
+    pub fn give_up(&mut self, token: u64) {
+        self.waiters.retain(|waiter| waiter.token != token);
+    }
+
+    fn handle(&mut self, context: &mut Context, input: Input) -> Vec<u64> {
+        let mut confirmed = Vec::new();
+        for effect in self.node.handle(context.instant, input) {
+            match effect {
+                Effect::Send { to, body } => {
+                    let packet = Packet { from: context.own, to, to_life: None, body: Body::Overlay(body) };
+                    context.out.push(Out::Send(packet));
+                }
+                Effect::InForce(record) => context.out.push(Out::InForce(record)),
+                Effect::Confirmed { id, version } => {
+                    let is_done = |waiter: &Waiter| waiter.id == id && waiter.version <= version;
+                    confirmed.extend(self.waiters.iter().filter(|w| is_done(w)).map(|waiter| waiter.token));
+                    self.waiters.retain(|waiter| !is_done(waiter));
+                }
+            }
+        }
+        let deadline = self.node.deadline();
+        if self.wake_at.is_none_or(|at| deadline < at) {
+            self.wake_at = Some(deadline);
+            context.wake(deadline.saturating_duration_since(context.instant), Timer::Overlay);
+        }
+        confirmed
+    }
+}
--- /dev/null
+++ b/crates/mintlb-model/src/history.rs
@@ -0,0 +1,224 @@
+//! Histories: a seed, and faults drawn from it that keep the operators' promise.
+//!
+//! The promise: at most one of the machines that count (controllers and stores) is lost at a time. One is lost while
+//! it is down, frozen, cut off or its disk stands still, and for [`CATCH_UP`] after that; a new one until so long
+//! after its start. Only whole failures of power, or of all processes at once, are outside of it: disks stay then.
+//! Nothing is held back for the state that the tier is in: no fault waits for a change of a set or a placement.
+
+use crate::context::Time;
+use crate::random::Random;
+use std::time::Duration;
+
+/// `catch_up_s`: how long a machine that is back still counts as lost.
+pub const CATCH_UP: Duration = Duration::from_secs(5);
+/// Faults begin at the earliest at this time: a new tier counts as caught up then.
+const FIRST: Time = Duration::from_secs(7);
+/// After this time nothing begins any more.
+const LAST: Time = Duration::from_secs(40);
+
+/// How long a common loss waits for an acknowledgement.
+pub const STRIKES_WITHIN: Duration = Duration::from_secs(1);
+
+/// The machines of a tier.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Tier {
+    /// Controllers; they come first.
+    pub controllers: usize,
+    /// Stores; they follow.
+    pub stores: usize,
+    /// Dispatchers; they come last.
+    pub dispatchers: usize,
+}
+
+impl Tier {
+    /// How many machines there are.
+    pub fn machines(&self) -> usize {
+        self.controllers + self.stores + self.dispatchers
+    }
+
+    /// Those that count: a loss of one of them takes a part of the promise.
+    pub fn counted(&self) -> usize {
+        self.controllers + self.stores
+    }
+}
+
+/// What happens to a machine, by its number.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Fault {
+    /// The process ends and starts again after a while.
+    Kill(usize, Duration),
+    /// The same with the machine's power: what was not synced is lost.
+    PowerLoss(usize, Duration),
+    /// Power and disk are lost.
+    Wipe(usize, Duration),
+    /// Its disk takes nothing for a while.
+    Stall(usize, Duration),
+    /// It does not run for a while.
+    Freeze(usize, Duration),
+    /// Nothing goes to it or comes from it.
+    CutOff(usize, Duration),
+    /// Nothing comes to it.
+    Deaf(usize, Duration),
+    /// Nothing that it sends arrives.
+    Mute(usize, Duration),
+    /// It and one other don't reach each other.
+    Apart(usize, usize, Duration),
+    /// It is gone with its disk; another machine at another address starts after a while.
+    Replace(usize, Duration),
+    /// All machines that count lose power at once, for up to so long; disks stay. It strikes as the next configuration
+    /// is acknowledged, or after a second.
+    AllLosePower(Duration),
+    /// All processes that count end at once, at such a moment; they start again after up to so long.
+    AllKilled(Duration),
+    /// Its time of day is set back by so many ms.
+    ClockBack(usize, u64),
+    /// Messages are dropped, doubled or late, each so many of a hundred, for a while.
+    Weather(Weather, Duration),
+}
+
+/// How bad the network is.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Weather {
+    /// Of a hundred messages so many are dropped.
+    pub dropped: u32,
+    /// So many come twice.
+    pub doubled: u32,
+    /// So many come up to 300 ms late, and so out of order.
+    pub late: u32,
+}
+
+/// A fault and its time.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Timed {
+    /// When it begins.
+    pub at: Time,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// What a world plays.
+#[derive(Clone, Debug, PartialEq)]
+pub struct History {
+    /// All that the world draws follows from it.
+    pub seed: u64,
+    /// The machines.
+    pub tier: Tier,
+    /// The longest that a disk takes for a commit, in ms.
+    pub commit_ms: u64,
+    /// The faults, in the order of their times.
+    pub faults: Vec<Timed>,
+    /// From now on nothing is wrong.
+    pub calm_from: Time,
+}
+
+impl History {
+    /// A history drawn from its seed.
+    pub fn draw(seed: u64, tier: Tier) -> History {
+        let mut random = Random::new(seed ^ 0x5eed);
+        let last = FIRST + random.time(2_000, (LAST - FIRST).as_millis() as u64);
+        let mut faults = losses(&mut random, tier, last);
+        faults.extend(others(&mut random, tier, last));
+        faults.sort_by_key(|timed| timed.at);
+        let calm_from = faults.iter().map(Timed::end).max().unwrap_or(last);
+        let commit_ms = [2, 8, 30, 80][random.below(4)];
+        History { seed, tier, commit_ms, faults, calm_from }
+    }
+
+    /// The history without one of its faults.
+    pub fn without(&self, place: usize) -> History {
+        let mut fewer = self.clone();
+        fewer.faults.remove(place);
+        fewer
+    }
+}
+
+impl Timed {
+    /// When nothing more of it is felt.
+    pub fn end(&self) -> Time {
+        self.at + self.fault.lasts()
+    }
+}
+
+impl Fault {
+    /// How long it lasts.
+    pub fn lasts(&self) -> Duration {
+        match self {
+            Fault::Kill(_, time)
+            | Fault::PowerLoss(_, time)
+            | Fault::Wipe(_, time)
+            | Fault::Stall(_, time)
+            | Fault::Freeze(_, time)
+            | Fault::CutOff(_, time)
+            | Fault::Deaf(_, time)
+            | Fault::Mute(_, time)
+            | Fault::Apart(_, _, time)
+            | Fault::Replace(_, time)
+            | Fault::Weather(_, time) => *time,
+            Fault::AllLosePower(time) | Fault::AllKilled(time) => *time + STRIKES_WITHIN,
+            Fault::ClockBack(..) => Duration::ZERO,
+        }
+    }
+}
+
+/// Losses of machines that count, each after the one before has been caught up with.
+fn losses(random: &mut Random, tier: Tier, last: Time) -> Vec<Timed> {
+    let mut faults = Vec::new();
+    let mut at = FIRST + random.time(0, 4000);
+    while at < last {
+        let fault = draw_loss(random, tier);
+        let timed = Timed { at, fault };
+        // Often right after the promise allows it.
+        let pause = if random.chance(60) { random.time(0, 300) } else { random.time(0, 5000) };
+        at = timed.end() + CATCH_UP + pause;
+        faults.push(timed);
+    }
+    faults
+}
+
+fn draw_loss(random: &mut Random, tier: Tier) -> Fault {
+    let machine = random.below(tier.counted());
+    let short = random.time(50, 1500);
+    let long = if random.chance(60) { random.time(300, 6000) } else { random.time(6000, 20_000) };
+    match random.below(100) {
+        0..=11 => Fault::Kill(machine, short),
+        12..=23 => Fault::PowerLoss(machine, short),
+        24..=49 => Fault::Wipe(machine, short),
+        50..=54 => Fault::Stall(machine, random.time(200, 4000)),
+        55..=60 => Fault::Freeze(machine, long),
+        61..=66 => Fault::CutOff(machine, long),
+        67..=69 => Fault::Deaf(machine, long),
+        70..=72 => Fault::Mute(machine, long),
+        73..=76 => Fault::Apart(machine, random.below(tier.machines()), long),
+        77..=88 => Fault::Replace(machine, random.time(50, 4000)),
+        89..=95 => Fault::AllLosePower(short),
+        _ => Fault::AllKilled(short),
+    }
+}
+
+/// What takes nothing of the promise: dispatchers, clocks, the network.
+fn others(random: &mut Random, tier: Tier, last: Time) -> Vec<Timed> {
+    let span = (last - FIRST).as_millis() as u64;
+    let mut faults = Vec::new();
+    for _ in 0..random.below(5) {
+        let at = FIRST + random.time(0, span);
+        let long = random.time(200, 6000);
+        let dispatcher = tier.counted() + random.below(tier.dispatchers);
+        let fault = match random.below(10) {
+            0..=1 if tier.dispatchers > 0 => Fault::Kill(dispatcher, long),
+            2 if tier.dispatchers > 0 => Fault::Freeze(dispatcher, long),
+            3..=4 if tier.dispatchers > 0 => Fault::CutOff(dispatcher, long),
+            5..=6 => Fault::ClockBack(random.below(tier.machines()), 1000 * (1 + random.below(600) as u64)),
+            _ => Fault::Weather(draw_weather(random), random.time(500, 4000)),
+        };
+        faults.push(Timed { at, fault });
+    }
+    faults
+}
+
+fn draw_weather(random: &mut Random) -> Weather {
+    Weather {
+        dropped: random.below(15) as u32,
+        doubled: random.below(10) as u32,
+        late: random.below(30) as u32,
+    }
+}
--- /dev/null
+++ b/crates/mintlb-model/src/message.rs
@@ -0,0 +1,109 @@
+//! What goes over the model's network.
+
+use bytes::Bytes;
+use mintlb_register::founding::SeedAnswer;
+use mintlb_register::message::{Reply, Request};
+use mintlb_register::state::ReplicaId;
+use std::net::SocketAddr;
+
+/// One message between two processes.
+#[derive(Clone, Debug)]
+pub struct Packet {
+    /// The sender's address.
+    pub from: SocketAddr,
+    /// The receiver's address.
+    pub to: SocketAddr,
+    /// Only this life of the receiver gets it: answers go back on the connection that asked.
+    pub to_life: Option<u64>,
+    /// What it holds.
+    pub body: Body,
+}
+
+/// What a message holds.
+#[derive(Clone, Debug)]
+pub enum Body {
+    /// A call that is to be answered.
+    Call {
+        /// The caller's number of it.
+        id: u64,
+        /// The caller's life.
+        life: u64,
+        /// The call.
+        call: Call,
+    },
+    /// The answer to a call.
+    Answer {
+        /// The caller's number of the call.
+        id: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A message of the overlay.
+    Overlay(Bytes),
+}
+
+/// A call between processes.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// For the register's replica.
+    Vote(Request),
+    /// Which set is known, and is there a disk?
+    Status,
+    /// A ping of the duties.
+    Ping {
+        /// The sender's replica.
+        replica: Option<ReplicaId>,
+        /// The highest epoch of the duties that it knows.
+        epoch: u64,
+    },
+}
+
+/// The answer to a [`Call`].
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// To [`Call::Vote`].
+    Vote(Reply),
+    /// To [`Call::Status`].
+    Status(SeedAnswer),
+    /// To [`Call::Ping`].
+    Pong {
+        /// The receiver's replica.
+        replica: Option<ReplicaId>,
+        /// The highest epoch of the duties that it knows.
+        epoch: u64,
+    },
+}
+
+/// A call from outside the tier.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    /// `PUT /v1/configuration`.
+    Put {
+        /// `If-Match`.
+        base: u64,
+        /// `config_version`.
+        version: u64,
+        /// The text.
+        body: Vec<u8>,
+    },
+    /// `GET /v1/configuration`.
+    Get,
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// 200 to a change.
+    Done,
+    /// 200 to a read.
+    Configuration {
+        /// Its version; 0 if there is none (404).
+        version: u64,
+        /// Its text.
+        body: Vec<u8>,
+    },
+    /// 400 or 412: it is not in force and never will be by this call.
+    Refused,
+    /// 503.
+    Unavailable,
+}
--- /dev/null
+++ b/crates/mintlb-model/src/planted.rs
@@ -0,0 +1,21 @@
+//! Faults that can be planted, to see that the checks find them.
+
+/// A fault of the product that the model can play.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Planted {
+    /// None.
+    #[default]
+    None,
+    /// A replica answers a promise that it has not synced, and a loss of power forgets it.
+    PromiseNotSynced,
+    /// A replica answers all before it is synced.
+    AnswerBeforeSync,
+    /// A replica whose disk was emptied goes on under its old identity.
+    VoteAfterWipe,
+    /// Proposers take a joint set for the settled one that follows it.
+    JointSetLeft,
+    /// Controllers forget which configurations were taken.
+    TakenForgotten,
+    /// A read is answered from the value that the controller knows, without asking a majority.
+    ReadWithoutMajority,
+}
--- /dev/null
+++ b/crates/mintlb-model/src/world/faults.rs
@@ -0,0 +1,190 @@
+//! How a world carries out the faults of its history.
+
+use super::{Event, World};
+use crate::controller::vote::VoteDisk;
+use crate::history::{Fault, STRIKES_WITHIN, Weather};
+use crate::planted::Planted;
+use crate::process::{Disk, Role};
+use std::time::Duration;
+
+/// What ends with a fault.
+#[derive(Clone, Debug)]
+pub enum Ending {
+    /// The machine starts.
+    Start(usize),
+    /// It goes on.
+    Thaw(usize),
+    /// Its disk takes writes again.
+    Flow(usize),
+    /// These ways are joined.
+    Join(Vec<(usize, usize)>),
+    /// The network is fine.
+    Fair,
+}
+
+impl World {
+    /// A fault begins.
+    pub(super) fn begin_fault(&mut self, fault: Fault) {
+        self.checks.counts.faults += 1;
+        self.note(|| format!("fault: {fault:?}"));
+        match fault {
+            Fault::Kill(machine, time) | Fault::PowerLoss(machine, time) => self.restart(machine, time),
+            Fault::Wipe(machine, time) => {
+                self.restart(machine, time);
+                self.wipe(machine);
+            }
+            Fault::Stall(machine, time) => {
+                self.machines[machine].stalled_until = self.now + time;
+                self.touch(machine);
+                self.schedule(time, Event::Ending(Ending::Flow(machine)));
+            }
+            Fault::Freeze(machine, time) => {
+                self.touch(machine);
+                self.machines[machine].frozen = true;
+                self.schedule(time, Event::Ending(Ending::Thaw(machine)));
+            }
+            Fault::CutOff(machine, time) => self.cut(self.ways(machine, true, true), time),
+            Fault::Deaf(machine, time) => self.cut(self.ways(machine, true, false), time),
+            Fault::Mute(machine, time) => self.cut(self.ways(machine, false, true), time),
+            Fault::Apart(one, other, time) if one != other => {
+                self.cut(vec![(one, other), (other, one)], time);
+            }
+            Fault::Apart(..) => (),
+            Fault::Replace(machine, time) => self.replace(machine, time),
+            Fault::AllLosePower(time) | Fault::AllKilled(time) => {
+                self.armed = Some(time);
+                self.schedule(STRIKES_WITHIN, Event::Strike);
+            }
+            Fault::ClockBack(machine, ms) => {
+                self.machines[machine].clock_behind += ms;
+                self.touch(machine);
+            }
+            Fault::Weather(weather, time) => {
+                self.network.weather = weather;
+                self.schedule(time, Event::Ending(Ending::Fair));
+            }
+        }
+    }
+
+    /// A fault ends.
+    pub(super) fn end_fault(&mut self, ending: Ending) {
+        match ending {
+            Ending::Start(machine) => self.start(machine),
+            Ending::Thaw(machine) => {
+                self.machines[machine].frozen = false;
+                self.touch(machine);
+                let held = std::mem::take(&mut self.machines[machine].held);
+                held.into_iter().for_each(|event| self.schedule(Duration::ZERO, event));
+            }
+            Ending::Join(ways) => {
+                for (from, to) in ways {
+                    self.network.join(from, to);
+                    self.touch_way(from, to);
+                }
+            }
+            Ending::Flow(machine) => self.touch(machine),
+            Ending::Fair => {
+                self.network.weather = Weather::default();
+                self.fair_since = self.now;
+            }
+        }
+    }
+
+    fn restart(&mut self, machine: usize, after: Duration) {
+        self.stop(machine);
+        self.schedule(after, Event::Ending(Ending::Start(machine)));
+    }
+
+    /// The common loss that was waiting comes about.
+    pub(super) fn strike(&mut self) {
+        if let Some(longest) = self.armed.take() {
+            self.note(|| "all machines that count end".to_string());
+            self.restart_all(longest);
+        }
+    }
+
+    /// All machines that count.
+    fn restart_all(&mut self, longest: Duration) {
+        for machine in 0..self.tier.counted() {
+            let longest = longest.as_millis() as u64;
+            let after = self.random.time(longest / 4, longest);
+            self.restart(machine, after);
+        }
+    }
+
+    /// The process ends.
+    fn stop(&mut self, machine: usize) {
+        let Some(process) = self.machines[machine].process.take() else { return };
+        self.machines[machine].disk = process.crash(&mut self.random);
+        self.touch(machine);
+    }
+
+    /// A machine has trouble, or its end.
+    pub(super) fn touch(&mut self, machine: usize) {
+        self.machines[machine].touched = self.now;
+        if machine < self.tier.counted() {
+            self.core_touched = self.now;
+        }
+    }
+
+    /// The same of the way between two machines; a core machine has none from its way to another one.
+    fn touch_way(&mut self, from: usize, to: usize) {
+        let in_core = |machine: usize| machine < self.tier.counted();
+        if in_core(from) && in_core(to) {
+            self.core_touched = self.now;
+        }
+        for machine in [from, to].into_iter().filter(|machine| !in_core(*machine)).collect::<Vec<_>>() {
+            self.machines[machine].touched = self.now;
+        }
+    }
+
+    fn wipe(&mut self, machine: usize) {
+        let keeps = self.planted == Planted::VoteAfterWipe;
+        let new_id = self.draw_identity();
+        match &mut self.machines[machine].disk {
+            Disk::Vote(disk) => {
+                let id = if keeps { disk.id } else { new_id };
+                *disk = VoteDisk { id, ..VoteDisk::default() };
+            }
+            Disk::None => (),
+        }
+    }
+
+    /// Another machine takes the place of this one, at another address.
+    fn replace(&mut self, machine: usize, after: Duration) {
+        self.stop(machine);
+        let address = self.draw_address();
+        let disk = self.new_disk(self.machines[machine].role);
+        let old = &mut self.machines[machine];
+        old.address = address;
+        old.name = format!("{}'", old.name);
+        old.disk = disk;
+        old.first_start = false;
+        self.schedule(after, Event::Ending(Ending::Start(machine)));
+    }
+
+    fn ways(&self, machine: usize, to_it: bool, from_it: bool) -> Vec<(usize, usize)> {
+        let others = (0..self.machines.len()).filter(|other| *other != machine);
+        let ways = others.flat_map(|other| {
+            let to = to_it.then_some((other, machine));
+            to.into_iter().chain(from_it.then_some((machine, other)))
+        });
+        ways.collect()
+    }
+
+    fn cut(&mut self, ways: Vec<(usize, usize)>, time: Duration) {
+        for (from, to) in ways.iter().copied() {
+            self.network.cut(from, to);
+            self.touch_way(from, to);
+        }
+        self.schedule(time, Event::Ending(Ending::Join(ways)));
+    }
+
+    /// An empty disk.
+    pub(super) fn new_disk(&mut self, role: Role) -> Disk {
+        match role {
+            Role::Controller => Disk::Vote(VoteDisk { id: self.draw_identity(), ..VoteDisk::default() }),
+            Role::Dispatcher => Disk::None,
+        }
+    }
+}
