--- a/crates/mintlb-model/src/controller/membership.rs
+++ b/crates/mintlb-model/src/controller/membership.rs
@@ -4,7 +4,7 @@
 use super::tasks::{Awaited, Ended, Purpose};
 use super::vote::ReplyTo;
 use super::{Controller, is_done};
-use crate::context::{Context, Timer};
+use crate::context::{Context, Out, Timer};
 use crate::message::{Answer, Call};
 use mintlb_register::ballot::Ballot;
 use mintlb_register::change::{Answer as ChangeAnswer, Change};
@@ -88,7 +88,8 @@
         let founding =
             Founding { first_start: self.first_start, has_disk: true, own_place, answers: &answers };
         match founding.step() {
-            Step::Found => self.found(context),
+            // The pause begins once it is synced.
+            Step::Found => return self.found(context),
             Step::Join(set) => self.register.hint(set),
             Step::Campaign | Step::Wait => (),
         }
@@ -105,6 +106,13 @@
         self.hand_out(context, replies);
     }
 
+    /// The founding value is on disk.
+    pub(super) fn founded(&mut self, context: &mut Context, accepted: Accepted) {
+        context.out.push(Out::Note(format!("{} founds", self.name)));
+        self.learn(context, accepted);
+        self.pause(context, SEED_PAUSE);
+    }
+
     fn hint_from_overlay(&mut self) -> bool {
         let Some(record) = self.gossip.get(REPLICAS) else { return false };
         let Ok(set) = minicbor::decode::<ReplicaSet>(&record.body) else { return false };
--- a/crates/mintlb-model/src/controller/tasks.rs
+++ b/crates/mintlb-model/src/controller/tasks.rs
@@ -357,12 +357,7 @@
             match to {
                 ReplyTo::Remote(caller) => context.answer(&caller, Answer::Vote(reply)),
                 ReplyTo::Local(id) => self.register.replies.push_back((id, Some(Answer::Vote(reply)))),
-                ReplyTo::Found(accepted) => {
-                    if matches!(reply, Reply::Accepted { .. }) {
-                        context.out.push(Out::Note(format!("{} founds", self.name)));
-                        self.learn(context, accepted);
-                    }
-                }
+                ReplyTo::Found(accepted) => self.founded(context, accepted),
                 ReplyTo::Nobody => (),
             }
         }
