--- a/crates/mintlb-model/src/checks.rs
+++ b/crates/mintlb-model/src/checks.rs
@@ -63,6 +63,32 @@
     pub reads: u64,
     /// Sets of replicas, as their epochs.
     pub sets: u64,
+    /// Placements, as their epochs.
+    pub placements: u64,
+    /// Lots accepted.
+    pub lots: u64,
+    /// Results acknowledged.
+    pub results: u64,
+    /// Retirements completed.
+    pub retired: u64,
+}
+
+impl Counts {
+    /// Adds what happened in another history.
+    pub fn add(&mut self, other: &Counts) {
+        let Counts { events, faults, acknowledged, repeated, refused, reads, .. } = other;
+        self.events += events;
+        self.faults += faults;
+        self.acknowledged += acknowledged;
+        self.repeated += repeated;
+        self.refused += refused;
+        self.reads += reads;
+        self.sets += other.sets;
+        self.placements += other.placements;
+        self.lots += other.lots;
+        self.results += other.results;
+        self.retired += other.retired;
+    }
 }
 
 /// What is known of the tier from outside.
@@ -184,6 +210,7 @@
             self.violates("P2", now, what);
         }
         self.counts.sets = self.counts.sets.max(state.replicas.epoch);
+        self.counts.placements = self.counts.placements.max(state.placement.epoch);
         self.taken.insert(state.configuration.clone());
         self.chosen.insert(state.revision, state.clone());
     }
--- a/crates/mintlb-model/src/context.rs
+++ b/crates/mintlb-model/src/context.rs
@@ -35,6 +35,14 @@
     Member,
     /// Pings and the look at the duties.
     Step,
+    /// The duties look again.
+    Duty,
+    /// A store's replicas are ticked.
+    Tick,
+    /// A store's heartbeat is due.
+    Heartbeat,
+    /// A dispatcher tries a call on a lot again.
+    Retry(u64),
     /// An answer waits no longer for a neighbour's confirmation.
     Confirm(u64),
 }
--- a/crates/mintlb-model/src/controller/configuration.rs
+++ b/crates/mintlb-model/src/controller/configuration.rs
@@ -31,6 +31,8 @@
                 }
                 _ => self.read(context, patience, Purpose::Get(id)),
             },
+            Ask::Retire { node, begin } => self.retire(context, id, node, begin),
+            Ask::Lots(..) => (),
             Ask::Put { base, version, body } => {
                 self.puts.insert(id, context.now);
                 let at_least_kept = context.now.saturating_sub(self.started) >= ALL_JOINED;
--- a/crates/mintlb-model/src/controller/mod.rs
+++ b/crates/mintlb-model/src/controller/mod.rs
@@ -3,6 +3,7 @@
 mod configuration;
 mod duties;
 mod membership;
+mod placing;
 mod tasks;
 pub mod vote;
 
@@ -22,6 +23,9 @@
 use tasks::{Ended, Purpose, Register};
 use vote::{LocalReplica, ReplyTo, VoteDisk};
 
+/// Between two looks at the placement at least.
+const LEAST_PAUSE: std::time::Duration = std::time::Duration::from_millis(20);
+
 /// What a controller starts from.
 #[derive(Clone, Debug)]
 pub struct Start {
@@ -96,6 +100,12 @@
                 self.call(context, caller, call);
             }
             Body::Answer { id, answer } => self.task_answer(context, id, Some(answer)),
+            Body::Heartbeat(heartbeat) => {
+                if self.duties.note_store(context, heartbeat) {
+                    context.wake(LEAST_PAUSE, Timer::Duty);
+                }
+            }
+            Body::Lots(..) => (),
         }
         self.hand_over_replies(context);
     }
@@ -106,6 +116,7 @@
                 let replies = self.replica.answer(context, request, ReplyTo::Remote(caller));
                 self.hand_out(context, replies);
             }
+            Call::Lots(..) => (),
             Call::Status => {
                 let set = self.register.set().cloned();
                 context.answer(&caller, Answer::Status(SeedAnswer { has_disk: true, set }));
@@ -145,6 +156,8 @@
             Timer::CallLost(id) => self.task_answer(context, id, None),
             Timer::Member => self.look(context),
             Timer::Step => self.step(context),
+            Timer::Tick | Timer::Heartbeat | Timer::Retry(_) => (),
+            Timer::Duty => self.do_duties(context),
             Timer::Confirm(ask) => self.confirmed(context, &[ask]),
         }
         self.hand_over_replies(context);
@@ -155,9 +168,18 @@
         match purpose {
             Purpose::Put(ask) => self.put_completed(context, ask, ended),
             Purpose::Get(ask) => self.get_completed(context, ask, ended),
-            Purpose::Remove | Purpose::SettleRemoved => {
+            Purpose::KeepUp | Purpose::Place | Purpose::Remove | Purpose::SettleRemoved => {
                 self.duty_completed(context, purpose, ended);
             }
+            Purpose::Retire { ask, node, begin } => {
+                let state = match &ended {
+                    Ended::Changed(outcome) => Some(outcome.chosen.state.clone()),
+                    Ended::Read(chosen) => Some(chosen.state.clone()),
+                    Ended::Failed => None,
+                };
+                self.retire_read(context, (ask, node, begin), state.as_deref());
+            }
+            Purpose::RetireOrder(ask) => self.retire_ordered(context, ask, ended),
             purpose => self.member_completed(context, purpose, ended),
         }
     }
--- /dev/null
+++ b/crates/mintlb-model/src/controller/placing.rs
@@ -0,0 +1,106 @@
+//! The placement duty and the retirement of stores; mirrors `controller/duties.rs` and `controller/retire_api.rs`
+//! around the product's planner.
+
+use super::duties::TOLERANCE;
+use super::tasks::{Ended, Purpose};
+use super::{Controller, is_done};
+use crate::context::{Context, Out};
+use crate::message::Told;
+use crate::planted::Planted;
+use crate::store::SHARDS;
+use mintlb_lots::placement_planner::{Retirement, RetirementOrder, order_retirement, plan, retirement};
+use mintlb_register::change::Change;
+use mintlb_register::state::ControlState;
+use mintlb_tier::placement::Placement;
+use mintlb_tier::record::PLACEMENT;
+use std::time::Duration;
+
+const CHANGE_WITHIN: Duration = Duration::from_millis(700);
+const KEEP_UP_WITHIN: Duration = Duration::from_millis(200);
+const RETIRE_READ_WITHIN: Duration = Duration::from_millis(400);
+const RETIRE_CHANGE_WITHIN: Duration = Duration::from_millis(450);
+
+impl Controller {
+    /// Does the duties, one after the other, if they fall to this process.
+    pub(super) fn do_duties(&mut self, context: &mut Context) {
+        if !self.duties.may_begin() {
+            return;
+        }
+        let published = self.gossip.get(PLACEMENT).map_or(0, |record| record.version);
+        let known = self.register.chosen().map_or(0, |chosen| chosen.state.placement.epoch);
+        match published > known {
+            true => self.read_once(context, KEEP_UP_WITHIN, Purpose::KeepUp),
+            false => self.place_shards(context),
+        }
+    }
+
+    /// Writes the next placement, if the planner has one.
+    pub(super) fn place_shards(&mut self, context: &mut Context) {
+        let Some(chosen) = self.register.chosen() else { return self.remove_silent_replica(context) };
+        let placement = chosen.state.placement.clone();
+        let view = self.duties.store_view(context, &placement);
+        let Some(mut next) = plan(&placement, &view, TOLERANCE) else {
+            return self.remove_silent_replica(context);
+        };
+        next.shards.truncate(SHARDS as usize);
+        if context.planted == Planted::PreviousNotRead {
+            next.shards.iter_mut().for_each(|shard| shard.previous.clear());
+        }
+        context.out.push(Out::Note(format!("{} places {}", self.name, described(&next))));
+        self.change(context, Change::Placement(next), CHANGE_WITHIN, Purpose::Place);
+    }
+
+    /// A call on a retirement.
+    pub(super) fn retire(&mut self, context: &mut Context, ask: u64, node: String, begin: bool) {
+        let own = self.replica.identity().id;
+        let hears = self.register.set().is_some_and(|set| set.current_replica(own).is_some());
+        if !hears {
+            return context.out.push(Out::Tell(ask, Told::Unavailable));
+        }
+        self.read(context, RETIRE_READ_WITHIN, Purpose::Retire { ask, node, begin });
+    }
+
+    /// The newest placement for a call on a retirement was read.
+    pub(super) fn retire_read(
+        &mut self,
+        context: &mut Context,
+        (ask, node, begin): (u64, String, bool),
+        state: Option<&ControlState>,
+    ) {
+        let Some(state) = state else { return context.out.push(Out::Tell(ask, Told::Unavailable)) };
+        let placement = &state.placement;
+        let view = self.duties.store_view(context, placement);
+        let early = context.planted == Planted::LeavingNotWaitedFor;
+        let told = match begin {
+            true => match order_retirement(placement, &view, &node, TOLERANCE) {
+                RetirementOrder::Begin(next) => {
+                    let change = Change::Placement(next);
+                    return self.change(context, change, RETIRE_CHANGE_WITHIN, Purpose::RetireOrder(ask));
+                }
+                RetirementOrder::Begun => Told::Retiring { completed: false },
+                RetirementOrder::Unknown | RetirementOrder::TooFew => Told::Refused,
+            },
+            false => match retirement(placement, &view, &node) {
+                Some(Retirement::Completed) => Told::Retiring { completed: true },
+                Some(Retirement::Running) => Told::Retiring { completed: early },
+                None => Told::Refused,
+            },
+        };
+        context.out.push(Out::Tell(ask, told));
+    }
+
+    /// The order of a retirement has ended.
+    pub(super) fn retire_ordered(&mut self, context: &mut Context, ask: u64, ended: Ended) {
+        let ordered = matches!(ended, Ended::Changed(outcome) if is_done(outcome.answer));
+        let told = if ordered { Told::Retiring { completed: false } } else { Told::Unavailable };
+        context.out.push(Out::Tell(ask, told));
+    }
+}
+
+fn described(placement: &Placement) -> String {
+    let shard = |shard: &mintlb_tier::placement::ShardAssignment| {
+        format!("{}: {:?} from {:?}", shard.epoch, shard.replicas, shard.previous)
+    };
+    let shards: Vec<String> = placement.shards.iter().map(shard).collect();
+    format!("{} [{}]", placement.epoch, shards.join("; "))
+}
--- a/crates/mintlb-model/src/controller/tasks.rs
+++ b/crates/mintlb-model/src/controller/tasks.rs
@@ -37,6 +37,21 @@
         /// After a join.
         joined: bool,
     },
+    /// The duties' read of a newer placement.
+    KeepUp,
+    /// The duties' next placement.
+    Place,
+    /// The read for a call on a retirement.
+    Retire {
+        /// The call.
+        ask: u64,
+        /// The machine.
+        node: String,
+        /// Whether it begins.
+        begin: bool,
+    },
+    /// The order of a retirement, by the call's number.
+    RetireOrder(u64),
     /// A silent replica is taken out.
     Remove,
     /// A change of the set is ended after that.
--- a/crates/mintlb-model/src/message.rs
+++ b/crates/mintlb-model/src/message.rs
@@ -1,6 +1,9 @@
 //! What goes over the model's network.
 
 use bytes::Bytes;
+use mintlb_lots::heartbeat::StoreHeartbeat;
+use mintlb_lots::messages;
+use mintlb_lots::peer::Envelope;
 use mintlb_register::founding::SeedAnswer;
 use mintlb_register::message::{Reply, Request};
 use mintlb_register::state::ReplicaId;
@@ -40,6 +43,10 @@
     },
     /// A message of the overlay.
     Overlay(Bytes),
+    /// A message between stores' replicas, with its entries.
+    Lots(Envelope, Bytes),
+    /// What a store tells the controllers.
+    Heartbeat(StoreHeartbeat),
 }
 
 /// A call between processes.
@@ -49,6 +56,8 @@
     Vote(Request),
     /// Which set is known, and is there a disk?
     Status,
+    /// A dispatcher's call to a store, with what is raw in it.
+    Lots(messages::Call, Bytes),
     /// A ping of the duties.
     Ping {
         /// The sender's replica.
@@ -65,6 +74,8 @@
     Vote(Reply),
     /// To [`Call::Status`].
     Status(SeedAnswer),
+    /// To [`Call::Lots`], with what is raw in it.
+    Lots(messages::Answer, Bytes),
     /// To [`Call::Ping`].
     Pong {
         /// The receiver's replica.
@@ -88,6 +99,15 @@
     },
     /// `GET /v1/configuration`.
     Get,
+    /// `POST /v1/retire/NODE` if it begins, otherwise `GET`.
+    Retire {
+        /// The machine's name.
+        node: String,
+        /// Whether it begins.
+        begin: bool,
+    },
+    /// A call on a lot at a dispatcher, with what is raw in it.
+    Lots(messages::Call, Bytes),
 }
 
 /// The answer to an [`Ask`].
@@ -106,4 +126,11 @@
     Refused,
     /// 503.
     Unavailable,
+    /// How far a retirement is: it stands or runs, or it is completed.
+    Retiring {
+        /// Whether it is completed.
+        completed: bool,
+    },
+    /// An answer on a lot, with what is raw in it.
+    Lots(messages::Answer, Bytes),
 }
--- a/crates/mintlb-model/src/planted.rs
+++ b/crates/mintlb-model/src/planted.rs
@@ -18,4 +18,12 @@
     TakenForgotten,
     /// A read is answered from the value that the controller knows, without asking a majority.
     ReadWithoutMajority,
+    /// A store takes messages of a former epoch for ones of the epoch that it has promised.
+    EpochNotCompared,
+    /// A store says what it has before it is synced.
+    StoreAnswersBeforeSync,
+    /// A new placement names no previous replicas: the new primary does not read from them.
+    PreviousNotRead,
+    /// A retirement is called completed as soon as it is ordered.
+    LeavingNotWaitedFor,
 }
--- /dev/null
+++ b/crates/mintlb-model/src/store/calls.rs
@@ -0,0 +1,197 @@
+//! Dispatchers' calls at a store; mirrors `store/calls.rs`.
+
+use super::{SHARDS, Store};
+use crate::context::{Caller, Context, Time};
+use crate::message;
+use bytes::Bytes;
+use mintlb_lots::entry::Entry;
+use mintlb_lots::framing;
+use mintlb_lots::messages::{self, Answer};
+use mintlb_lots::replica::{PagePlan, Proposal, Replica};
+use mintlb_tier::placement::Placement;
+use std::time::Duration;
+
+/// How long an answer waits until the followers have confirmed that nobody has taken over.
+const CONFIRM: Duration = Duration::from_millis(700);
+
+/// Calls of a shard that wait.
+#[derive(Default)]
+pub struct Waiting {
+    /// For the commit of an index.
+    commits: Vec<(u64, Caller, Proposal, Option<Submitted>)>,
+    /// For a confirmation, until a time.
+    confirmations: Vec<(Time, Caller, Answer)>,
+}
+
+/// A lot that came again has to be the same.
+#[derive(Clone)]
+struct Submitted {
+    head: mintlb_lots::entry::LotHead,
+    raw: Bytes,
+}
+
+impl Store {
+    /// A dispatcher's call.
+    pub(super) fn call(&mut self, context: &mut Context, caller: Caller, call: messages::Call, raw: Bytes) {
+        let now = context.now;
+        let host = match &call {
+            messages::Call::Submit(submit) => &submit.lot.host,
+            messages::Call::Read(read) => &read.lot.host,
+            messages::Call::End(lot) => &lot.host,
+            messages::Call::Record(record) => &record.lot.host,
+            _ => return,
+        };
+        let shard = Placement::shard_of(host);
+        if shard >= SHARDS {
+            return;
+        }
+        let replica = &mut self.replicas[shard as usize];
+        let (proposal, submitted) = match call {
+            messages::Call::Submit(submit) => {
+                let messages::Submit { epoch, holder, max_queued_tokens, lot } = submit;
+                let submitted = Submitted { head: lot.clone(), raw: raw.clone() };
+                let proposal = replica.submit(epoch, lot, &raw, holder, max_queued_tokens, now);
+                (proposal, Some(submitted))
+            }
+            messages::Call::End(lot) => (replica.end(&lot, now), None),
+            messages::Call::Record(record) => {
+                (replica.record(&record.lot, record.item, record.state, &raw, now), None)
+            }
+            messages::Call::Read(read) => return self.page(context, caller, shard, &read),
+            _ => return,
+        };
+        self.proposed(context, shard, caller, proposal, submitted);
+        self.act(context, shard);
+    }
+
+    fn proposed(
+        &mut self,
+        context: &mut Context,
+        shard: u32,
+        caller: Caller,
+        proposal: Proposal,
+        submitted: Option<Submitted>,
+    ) {
+        let committed = self.replicas[shard as usize].committed();
+        match proposal {
+            Proposal::Pending(index, _) | Proposal::Compare(index, _) if index > committed => {
+                self.waiting[shard as usize].commits.push((index, caller, proposal, submitted));
+            }
+            proposal => self.finish(context, shard, caller, proposal, submitted),
+        }
+    }
+
+    fn finish(
+        &mut self,
+        context: &mut Context,
+        shard: u32,
+        caller: Caller,
+        proposal: Proposal,
+        submitted: Option<Submitted>,
+    ) {
+        match proposal {
+            Proposal::Done(Answer::Unknown) => self.confirm(context, shard, caller, Answer::Unknown),
+            Proposal::Done(answer) | Proposal::Pending(_, answer) => reply(context, &caller, answer),
+            Proposal::Compare(index, answer) => {
+                let stored = self.read(shard, &[index]);
+                let entry = stored.first().and_then(|(_, bytes)| framing::decode::<Entry>(bytes));
+                let same = match (entry, submitted) {
+                    (Some((Entry::Accepted(head), stored)), Some(new)) => {
+                        Replica::same_items(&head, &new.head) && (stored.is_empty() || stored == new.raw)
+                    }
+                    _ => return reply(context, &caller, Answer::Unsure),
+                };
+                reply(context, &caller, if same { answer } else { Answer::Conflict });
+            }
+        }
+    }
+
+    fn page(&mut self, context: &mut Context, caller: Caller, shard: u32, read: &messages::Read) {
+        let replica = &self.replicas[shard as usize];
+        if !replica.is_serving() {
+            return reply(context, &caller, Answer::NotInCharge);
+        }
+        match replica.page(&read.lot, read.start_after, read.most_bytes) {
+            Some(plan) if !plan.entries.is_empty() => self.texts(context, &caller, shard, plan),
+            Some(plan) => self.confirm(context, shard, caller, Answer::Page(plan.page)),
+            None => self.confirm(context, shard, caller, Answer::Unknown),
+        }
+        self.act(context, shard);
+    }
+
+    fn texts(&self, context: &mut Context, caller: &Caller, shard: u32, plan: PagePlan) {
+        let mut page = plan.page;
+        let stored = self.read(shard, &plan.entries);
+        let texts: Vec<Bytes> =
+            stored.iter().filter_map(|(_, bytes)| Some(framing::decode::<Entry>(bytes)?.1)).collect();
+        if texts.len() != page.results.len() {
+            return reply(context, caller, Answer::Unsure);
+        }
+        page.results.iter_mut().zip(&texts).for_each(|(result, text)| result.length = text.len() as u64);
+        let raw: Vec<u8> = texts.iter().flat_map(|text| text.to_vec()).collect();
+        context.answer(caller, message::Answer::Lots(Answer::Page(page), raw.into()));
+    }
+
+    /// Answers once this is confirmed to be the primary in charge still.
+    fn confirm(&mut self, context: &mut Context, shard: u32, caller: Caller, answer: Answer) {
+        let until = context.now + CONFIRM;
+        self.waiting[shard as usize].confirmations.push((until, caller, answer));
+        self.on_confirmed(context, shard);
+    }
+
+    /// The followers have given a sign.
+    pub(super) fn on_confirmed(&mut self, context: &mut Context, shard: u32) {
+        let replica = &mut self.replicas[shard as usize];
+        let waiting = &mut self.waiting[shard as usize];
+        if waiting.confirmations.is_empty() {
+            return;
+        }
+        let serving = replica.is_serving();
+        if serving && !replica.confirm(context.now) {
+            return;
+        }
+        for (_, caller, answer) in waiting.confirmations.drain(..) {
+            reply(context, &caller, if serving { answer } else { Answer::Unsure });
+        }
+    }
+
+    /// The log is committed up to here.
+    pub(super) fn on_committed(&mut self, context: &mut Context, shard: u32, through: u64) {
+        let waiting = std::mem::take(&mut self.waiting[shard as usize].commits);
+        for (index, caller, proposal, submitted) in waiting {
+            match index <= through {
+                true => self.finish(context, shard, caller, proposal, submitted),
+                false => {
+                    self.waiting[shard as usize].commits.push((index, caller, proposal, submitted));
+                }
+            }
+        }
+    }
+
+    /// What waited is answered as unsure.
+    pub(super) fn on_stepped_down(&mut self, context: &mut Context, shard: u32) {
+        let waiting = std::mem::take(&mut self.waiting[shard as usize]);
+        let callers = waiting.commits.into_iter().map(|(_, caller, ..)| caller);
+        let others = waiting.confirmations.into_iter().map(|(_, caller, _)| caller);
+        callers.chain(others).for_each(|caller| reply(context, &caller, Answer::Unsure));
+    }
+
+    /// Those that have waited too long for a confirmation.
+    pub(super) fn give_up_waiting(&mut self, context: &mut Context) {
+        for waiting in &mut self.waiting {
+            let late = |(until, ..): &(Time, Caller, Answer)| *until <= context.now;
+            let callers: Vec<Caller> = waiting
+                .confirmations
+                .iter()
+                .filter(|w| late(w))
+                .map(|(_, caller, _)| caller.clone())
+                .collect();
+            waiting.confirmations.retain(|w| !late(w));
+            callers.iter().for_each(|caller| reply(context, caller, Answer::Unsure));
+        }
+    }
+}
+
+fn reply(context: &mut Context, caller: &Caller, answer: Answer) {
+    context.answer(caller, message::Answer::Lots(answer, Bytes::new()));
+}
--- a/crates/mintlb-model/src/world/machine.rs
+++ b/crates/mintlb-model/src/world/machine.rs
@@ -29,6 +29,8 @@
     pub clock_behind: u64,
     /// `first_start` of its settings.
     pub first_start: bool,
+    /// It was taken away for good.
+    pub gone: bool,
     /// When trouble of its own last began or ended.
     pub touched: Time,
 }
@@ -48,6 +50,7 @@
             stalled_until: Time::ZERO,
             clock_behind: 0,
             first_start: true,
+            gone: false,
             touched: Time::ZERO,
         }
     }
--- a/crates/mintlb-model/src/world/network.rs
+++ b/crates/mintlb-model/src/world/network.rs
@@ -101,7 +101,7 @@
             Body::Call { id, life, .. } => {
                 self.schedule(after, Event::CallLost { machine: from, life, id });
             }
-            Body::Answer { .. } => (),
+            Body::Answer { .. } | Body::Lots(..) | Body::Heartbeat(_) => (),
         }
     }
 }
