--- a/crates/mintlb-model/src/history.rs
+++ b/crates/mintlb-model/src/history.rs
@@ -19,8 +19,8 @@
 /// How long a common loss waits for an acknowledgement.
 pub const STRIKES_WITHIN: Duration = Duration::from_secs(1);
 
-/// Stores that a tier needs to bear one loss.
-const LEAST_STORES: usize = 3;
+/// Stores that a tier needs to take lots while it bears one loss.
+const LEAST_STORES: usize = 2;
 
 /// The machines of a tier.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -232,7 +232,7 @@
         };
         faults.push(Timed { at, fault });
     }
-    // One store more than the shards need: it may go.
+    // More stores than are needed at least: one may go.
     if tier.stores > LEAST_STORES && random.chance(60) {
         let store = tier.controllers + random.below(tier.stores);
         faults.push(Timed { at: FIRST + random.time(0, span), fault: Fault::Retire(store) });
