--- a/crates/mintlb-model/src/checks.rs
+++ b/crates/mintlb-model/src/checks.rs
@@ -9,7 +9,7 @@
 use std::sync::Arc;
 
 /// The register remembers at least so many configurations that were taken; a repeat of an older one is not checked.
-const REPEATS_WITHIN: u64 = 12;
+const REPEATS_WITHIN: u64 = 4000;
 
 /// An operator's order.
 #[derive(Clone, Debug, PartialEq)]
--- a/crates/mintlb-model/src/context.rs
+++ b/crates/mintlb-model/src/context.rs
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug)]
 pub enum Out {
     /// Send this.
-    Send(Packet),
+    Send(Box<Packet>),
     /// Wake me.
     Wake(Duration, Timer),
     /// Answer a call from outside.
@@ -87,21 +87,27 @@
 }
 
 impl Context<'_> {
+    /// Sends a message.
+    pub fn send(&mut self, packet: Packet) {
+        self.out.push(Out::Send(Box::new(packet)));
+    }
+
     /// Sends a call.
     pub fn call(&mut self, to: SocketAddr, id: u64, call: Call) {
         let body = Body::Call { id, life: self.life, call };
-        self.out.push(Out::Send(Packet { from: self.own, to, to_life: None, body }));
+        self.send(Packet { from: self.own, from_life: self.life, to, to_life: None, body });
     }
 
     /// Answers a call.
     pub fn answer(&mut self, caller: &Caller, answer: Answer) {
         let body = Body::Answer { id: caller.id, answer };
-        self.out.push(Out::Send(Packet {
+        self.send(Packet {
             from: self.own,
+            from_life: self.life,
             to: caller.address,
             to_life: Some(caller.life),
             body,
-        }));
+        });
     }
 
     /// Sets a timer.
--- a/crates/mintlb-model/src/controller/configuration.rs
+++ b/crates/mintlb-model/src/controller/configuration.rs
@@ -12,24 +12,23 @@
 use std::time::Duration;
 
 const ANSWER_WITHIN: Duration = Duration::from_millis(850);
-const OUT_OF_TOUCH_WITHIN: Duration = Duration::from_millis(300);
+const REGISTER_WITHIN: Duration = Duration::from_millis(700);
 const ALL_JOINED: Duration = Duration::from_secs(6);
 const CONFIRMED_WITHIN: Duration = Duration::from_millis(150);
 
 impl Controller {
     /// A call from outside the tier.
     pub fn ask(&mut self, context: &mut Context, id: u64, ask: Ask) {
-        let patience = match self.duties.is_in_touch() {
-            true => ANSWER_WITHIN - CONFIRMED_WITHIN,
-            false => OUT_OF_TOUCH_WITHIN,
-        };
+        if !self.is_in_contact(context) && matches!(ask, Ask::Get | Ask::Put { .. }) {
+            return context.out.push(Out::Tell(id, Told::Unavailable));
+        }
         match ask {
             Ask::Get => match self.register.chosen() {
                 Some(chosen) if context.planted == Planted::ReadWithoutMajority => {
                     let told = configuration_of(&chosen.state);
                     context.out.push(Out::Tell(id, told));
                 }
-                _ => self.read(context, patience, Purpose::Get(id)),
+                _ => self.read(context, REGISTER_WITHIN, Purpose::Get(id)),
             },
             Ask::Retire { node, begin } => self.retire(context, id, node, begin),
             Ask::Lots(..) => (),
@@ -38,7 +37,7 @@
                 let at_least_kept = context.now.saturating_sub(self.started) >= ALL_JOINED;
                 let change =
                     Change::Configuration { base, version, body, tolerance: TOLERANCE, at_least_kept };
-                self.change(context, change, patience, Purpose::Put(id));
+                self.change(context, change, REGISTER_WITHIN, Purpose::Put(id));
             }
         }
         self.hand_over_replies(context);
@@ -69,7 +68,7 @@
                 return self.confirm_configuration(context, ask, &outcome.chosen.state, left);
             }
             Answer::StaleBase | Answer::VersionNotAbove => Told::Refused,
-            Answer::TooFewReplicas | Answer::SetFull => Told::Unavailable,
+            Answer::Forgotten | Answer::TooFewReplicas | Answer::SetFull => Told::Unavailable,
         };
         context.out.push(Out::Tell(ask, told));
     }
--- a/crates/mintlb-model/src/controller/duties.rs
+++ b/crates/mintlb-model/src/controller/duties.rs
@@ -1,10 +1,12 @@
-//! A controller's pings and duties; mirrors `controller/duties.rs` around the product's `Peers`.
+//! A controller's pings and duties; mirrors `controller/duties.rs` and `controller/pings.rs` around the product's
+//! `PingState`.
 
 use super::Controller;
 use super::tasks::{Awaited, Ended, Purpose};
 use crate::context::{Context, Out, Time, Timer};
 use crate::message::Call;
-use mintlb_control::controller::peers::Peers;
+use crate::planted::Planted;
+use mintlb_control::controller::ping_state::{Ping, PingState, Pong, STEP};
 use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_lots::placement_planner::{StoreTable, StoreView};
 use mintlb_register::change::{Answer as ChangeAnswer, Change};
@@ -12,9 +14,10 @@
 use mintlb_tier::placement::Placement;
 use std::net::SocketAddr;
 use std::time::Duration;
+use tokio::time::Instant;
 
-/// How often controllers ping each other.
-pub const STEP: Duration = Duration::from_millis(300);
+/// A controller without a vote pings at each so many steps.
+const STEPS_WITHOUT_VOTE: u32 = 2;
 const PING_WITHIN: Duration = Duration::from_millis(600);
 const CHANGE_WITHIN: Duration = Duration::from_millis(700);
 const SETTLE_WITHIN: Duration = Duration::from_millis(1500);
@@ -23,18 +26,21 @@
 
 /// What the duties know.
 pub struct Duties {
-    peers: Peers,
+    pings: PingState,
+    steps: u32,
     stores: StoreTable,
     begun: Time,
+    /// As noted last.
     held: Option<u64>,
     busy: bool,
 }
 
 impl Duties {
     /// Nothing is known yet.
-    pub fn new(context: &Context, own: ReplicaId) -> Duties {
+    pub fn new(context: &mut Context, own: ReplicaId) -> Duties {
         Duties {
-            peers: Peers::new(context.instant, Some(own)),
+            pings: PingState::new(context.instant, Some(own), context.own, context.random.number()),
+            steps: 0,
             stores: StoreTable::new(Duration::ZERO),
             begun: context.now,
             held: None,
@@ -42,13 +48,6 @@
         }
     }
 
-    /// Whether the duties fall to this process and none is under way; they are under way from now on then.
-    pub fn may_begin(&mut self) -> bool {
-        let begins = self.held.is_some() && !self.busy;
-        self.busy |= begins;
-        begins
-    }
-
     /// What is known of the stores under a placement.
     pub fn store_view(&mut self, context: &Context, placement: &Placement) -> StoreView {
         self.stores.view(placement, context.now - self.begun)
@@ -59,35 +58,70 @@
         self.stores.note(heartbeat, context.now - self.begun)
     }
 
-    /// A controller pinged or answered.
-    pub fn heard(&mut self, context: &Context, address: SocketAddr, replica: Option<ReplicaId>, epoch: u64) {
-        self.peers.heard(context.instant, address, replica, epoch);
+    /// A controller pings.
+    pub fn pinged(
+        &mut self,
+        context: &Context,
+        from: SocketAddr,
+        ping: &Ping,
+        set: Option<&ReplicaSet>,
+    ) -> Pong {
+        self.pings.answer(context.instant, from, ping, set)
     }
 
-    /// The highest epoch of the duties heard of.
-    pub fn epoch(&self) -> u64 {
-        self.peers.epoch()
+    /// A ping that was sent at that time was answered.
+    pub fn answered(&mut self, context: &Context, from: SocketAddr, sent_at: Instant, pong: &Pong) {
+        self.pings.answered(context.instant, from, sent_at, pong);
     }
 
     /// Replicas that have long been silent.
     pub fn silent(&self, context: &Context, set: &ReplicaSet) -> Vec<ReplicaId> {
-        self.peers.silent(context.instant, set)
-    }
-
-    /// Whether a majority was heard of lately.
-    pub fn is_in_touch(&self) -> bool {
-        self.peers.is_in_touch()
+        self.pings.peers.silent(context.instant, set)
     }
 }
 
 impl Controller {
+    /// Whether this process is in contact with a majority now.
+    pub(super) fn is_in_contact(&mut self, context: &Context) -> bool {
+        if context.planted == Planted::ContactNotChecked {
+            return true;
+        }
+        let Some(set) = self.register.set() else { return false };
+        let peers = &mut self.duties.pings.peers;
+        self.register.majority_at().into_iter().for_each(|at| peers.majority_reached(at));
+        peers.is_in_contact(context.instant, set)
+    }
+
+    /// For how long it has been in contact without a pause.
+    pub(super) fn in_contact_for(&self, context: &Context) -> Duration {
+        let set = self.register.set();
+        set.map_or(Duration::ZERO, |set| self.duties.pings.peers.in_contact_for(context.instant, set))
+    }
+
+    /// Whether the duties fall to this process now.
+    pub(super) fn has_duties(&self, context: &Context) -> bool {
+        self.register.set().and_then(|set| self.duties.pings.peers.held(context.instant, set)).is_some()
+    }
+
+    /// Whether duties are to be begun; they are under way from now on then.
+    pub(super) fn may_begin_duties(&mut self, context: &Context) -> bool {
+        let begins = !self.duties.busy && self.has_duties(context);
+        self.duties.busy |= begins;
+        begins
+    }
+
     /// Pings, looks who has the duties, and does them.
     pub(super) fn step(&mut self, context: &mut Context) {
         context.wake(STEP, Timer::Step);
+        self.duties.steps += 1;
         let Some(set) = self.register.set().cloned() else { return };
-        self.ping(context, &set);
-        self.duties.peers.step(context.instant, &set);
-        let held = self.duties.peers.held();
+        if self.duties.pings.votes(&set) || self.duties.steps.is_multiple_of(STEPS_WITHOUT_VOTE) {
+            self.ping(context, &set);
+        }
+        let peers = &mut self.duties.pings.peers;
+        self.register.majority_at().into_iter().for_each(|at| peers.majority_reached(at));
+        peers.step(context.instant, &set);
+        let held = peers.held(context.instant, &set);
         if held != self.duties.held {
             self.duties.held = held;
             context.out.push(Out::Note(format!("{} has duties {held:?}", self.name)));
@@ -96,18 +130,10 @@
     }
 
     fn ping(&mut self, context: &mut Context, set: &ReplicaSet) {
-        let own = context.own;
-        let call = Call::Ping { replica: Some(self.replica.identity().id), epoch: self.duties.epoch() };
-        let addresses: Vec<SocketAddr> =
-            set.members().filter_map(|member| member.address.parse().ok()).collect();
-        for address in addresses {
-            // Of two replicas that hear each other the one with the lower address pings.
-            let heard = self.duties.peers.is_heard(context.instant, address, STEP * 3 / 2);
-            if address == own || (own > address && heard) {
-                continue;
-            }
-            let id = self.register.await_call(Awaited::Ping(address));
-            context.call(address, id, call.clone());
+        for address in self.duties.pings.targets(context.instant, set) {
+            let ping = self.duties.pings.ping(context.instant, address, set);
+            let id = self.register.await_call(Awaited::Ping(address, context.instant));
+            context.call(address, id, Call::Ping(ping));
             context.wake(PING_WITHIN, Timer::CallLost(id));
         }
     }
@@ -115,6 +141,9 @@
     /// Takes a long silent replica out of a set that is larger than it has to be.
     pub(super) fn remove_silent_replica(&mut self, context: &mut Context) {
         self.duties.busy = false;
+        if !self.has_duties(context) {
+            return;
+        }
         let Some(chosen) = self.register.chosen() else { return };
         let set = &chosen.state.replicas;
         let fewest = 2 * TOLERANCE + 1;
--- a/crates/mintlb-model/src/controller/mod.rs
+++ b/crates/mintlb-model/src/controller/mod.rs
@@ -15,6 +15,7 @@
 use crate::random::Random;
 use duties::Duties;
 use membership::Membership;
+use mintlb_control::controller::ping_state::STEP;
 use mintlb_overlay::Role;
 use mintlb_register::change::Answer as ChangeAnswer;
 use mintlb_register::founding::SeedAnswer;
@@ -72,7 +73,7 @@
             puts: BTreeMap::new(),
             confirming: BTreeSet::new(),
         };
-        context.wake(duties::STEP, Timer::Step);
+        context.wake(STEP, Timer::Step);
         controller.look(context);
         controller.hand_over_replies(context);
         controller
@@ -92,7 +93,7 @@
     pub fn packet(&mut self, context: &mut Context, packet: Packet) {
         match packet.body {
             Body::Overlay(body) => {
-                let confirmed = self.gossip.received(context, packet.from, body);
+                let confirmed = self.gossip.received(context, packet.from, packet.from_life, body);
                 self.confirmed(context, &confirmed);
             }
             Body::Call { id, life, call } => {
@@ -121,10 +122,10 @@
                 let set = self.register.set().cloned();
                 context.answer(&caller, Answer::Status(SeedAnswer { has_disk: true, set }));
             }
-            Call::Ping { replica, epoch } => {
-                self.duties.heard(context, caller.address, replica, epoch);
-                let replica = Some(self.replica.identity().id);
-                context.answer(&caller, Answer::Pong { replica, epoch: self.duties.epoch() });
+            Call::Ping(ping) => {
+                let set = self.register.set();
+                let pong = self.duties.pinged(context, caller.address, &ping, set);
+                context.answer(&caller, Answer::Pong(pong));
             }
         }
     }
--- a/crates/mintlb-model/src/controller/placing.rs
+++ b/crates/mintlb-model/src/controller/placing.rs
@@ -1,4 +1,4 @@
-//! The placement duty and the retirement of stores; mirrors `controller/duties.rs` and `controller/retire_api.rs`
+//! The placement duty and the retirement of stores; mirrors `controller/duties.rs` and `controller/retirement.rs`
 //! around the product's planner.
 
 use super::duties::TOLERANCE;
@@ -8,13 +8,17 @@
 use crate::message::Told;
 use crate::planted::Planted;
 use crate::store::SHARDS;
-use mintlb_lots::placement_planner::{Retirement, RetirementOrder, order_retirement, plan, retirement};
+use mintlb_control::controller::duty_messages::RetireAnswer;
+use mintlb_control::controller::retirement::progress;
+use mintlb_lots::placement_planner::{RetirementOrder, order_retirement, plan};
 use mintlb_register::change::Change;
 use mintlb_register::state::ControlState;
 use mintlb_tier::placement::Placement;
 use mintlb_tier::record::PLACEMENT;
 use std::time::Duration;
 
+/// After a cut or a pause the stores are listened to for so long before anything is said of them.
+const LISTENS_FIRST: Duration = Duration::from_millis(900);
 const CHANGE_WITHIN: Duration = Duration::from_millis(700);
 const KEEP_UP_WITHIN: Duration = Duration::from_millis(200);
 const RETIRE_READ_WITHIN: Duration = Duration::from_millis(400);
@@ -23,7 +27,7 @@
 impl Controller {
     /// Does the duties, one after the other, if they fall to this process.
     pub(super) fn do_duties(&mut self, context: &mut Context) {
-        if !self.duties.may_begin() {
+        if !self.may_begin_duties(context) {
             return;
         }
         let published = self.gossip.get(PLACEMENT).map_or(0, |record| record.version);
@@ -36,7 +40,8 @@
 
     /// Writes the next placement, if the planner has one.
     pub(super) fn place_shards(&mut self, context: &mut Context) {
-        let Some(chosen) = self.register.chosen() else { return self.remove_silent_replica(context) };
+        let chosen = self.register.chosen().filter(|_| self.has_duties(context));
+        let Some(chosen) = chosen else { return self.remove_silent_replica(context) };
         let placement = chosen.state.placement.clone();
         let view = self.duties.store_view(context, &placement);
         let Some(mut next) = plan(&placement, &view, TOLERANCE) else {
@@ -54,7 +59,7 @@
     pub(super) fn retire(&mut self, context: &mut Context, ask: u64, node: String, begin: bool) {
         let own = self.replica.identity().id;
         let hears = self.register.set().is_some_and(|set| set.current_replica(own).is_some());
-        if !hears {
+        if !hears || !self.is_in_contact(context) {
             return context.out.push(Out::Tell(ask, Told::Unavailable));
         }
         self.read(context, RETIRE_READ_WITHIN, Purpose::Retire { ask, node, begin });
@@ -70,20 +75,24 @@
         let Some(state) = state else { return context.out.push(Out::Tell(ask, Told::Unavailable)) };
         let placement = &state.placement;
         let view = self.duties.store_view(context, placement);
-        let early = context.planted == Planted::LeavingNotWaitedFor;
+        let has_listened = self.in_contact_for(context) >= LISTENS_FIRST;
         let told = match begin {
             true => match order_retirement(placement, &view, &node, TOLERANCE) {
+                RetirementOrder::Begun => Told::Retiring { completed: false },
+                RetirementOrder::Unknown => Told::Refused,
+                _ if !has_listened => Told::Unavailable,
+                RetirementOrder::TooFew => Told::Refused,
                 RetirementOrder::Begin(next) => {
                     let change = Change::Placement(next);
                     return self.change(context, change, RETIRE_CHANGE_WITHIN, Purpose::RetireOrder(ask));
                 }
-                RetirementOrder::Begun => Told::Retiring { completed: false },
-                RetirementOrder::Unknown | RetirementOrder::TooFew => Told::Refused,
             },
-            false => match retirement(placement, &view, &node) {
-                Some(Retirement::Completed) => Told::Retiring { completed: true },
-                Some(Retirement::Running) => Told::Retiring { completed: early },
-                None => Told::Refused,
+            false => match progress(placement, &view, &node, TOLERANCE, has_listened) {
+                RetireAnswer::Completed => Told::Retiring { completed: true },
+                RetireAnswer::Unknown => Told::Refused,
+                _ if context.planted == Planted::LeavingNotWaitedFor => Told::Retiring { completed: true },
+                RetireAnswer::Running => Told::Retiring { completed: false },
+                _ => Told::Unavailable,
             },
         };
         context.out.push(Out::Tell(ask, told));
--- a/crates/mintlb-model/src/controller/tasks.rs
+++ b/crates/mintlb-model/src/controller/tasks.rs
@@ -15,6 +15,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
+use tokio::time::Instant;
 
 /// How long a read may try to do with one round.
 const ONE_ROUND_READ: Duration = Duration::from_millis(120);
@@ -87,6 +88,8 @@
 pub struct Task {
     purpose: Purpose,
     deadline: Time,
+    /// When the read or the change began.
+    begun: Instant,
     work: Work,
 }
 
@@ -105,13 +108,15 @@
     /// A seed's, by the membership.
     Seed(usize),
     /// Another controller's to a ping.
-    Ping(SocketAddr),
+    Ping(SocketAddr, Instant),
 }
 
 /// What the process knows of the register, and what it has under way.
 #[derive(Default)]
 pub struct Register {
     chosen: Option<Accepted>,
+    /// When the newest read or change began that a majority answered.
+    majority_at: Option<Instant>,
     hint: Option<ReplicaSet>,
     floor: Ballot,
     tasks: BTreeMap<u64, Task>,
@@ -129,6 +134,11 @@
         Register { hint, ..Register::default() }
     }
 
+    /// When the newest read or change began that a majority answered.
+    pub fn majority_at(&self) -> Option<Instant> {
+        self.majority_at
+    }
+
     /// The newest value known to be chosen.
     pub fn chosen(&self) -> Option<&Accepted> {
         self.chosen.as_ref()
@@ -175,7 +185,8 @@
         purpose: Purpose,
     ) {
         let id = self.register.number();
-        let task = Task { purpose, deadline: context.now + within, work: Work::Waiting(change) };
+        let (deadline, begun) = (context.now + within, context.instant);
+        let task = Task { purpose, deadline, begun, work: Work::Waiting(change) };
         self.register.tasks.insert(id, task);
         self.queue_change(context, id, within);
     }
@@ -223,7 +234,8 @@
         let (reading, progress) = Reading::start(set, self.register.chosen.clone());
         let id = self.register.number();
         let work = Work::Reading { reading: Box::new(reading), then_confirm_by };
-        self.register.tasks.insert(id, Task { purpose, deadline: context.now + within, work });
+        let (deadline, begun) = (context.now + within, context.instant);
+        self.register.tasks.insert(id, Task { purpose, deadline, begun, work });
         context.wake(within, Timer::Deadline(id));
         self.progress(context, id, progress);
     }
@@ -233,9 +245,9 @@
         let Some(awaited) = self.register.calls.remove(&id) else { return };
         match awaited {
             Awaited::Seed(place) => self.seed_answered(context, place, answer),
-            Awaited::Ping(address) => {
-                if let Some(Answer::Pong { replica, epoch }) = answer {
-                    self.duties.heard(context, address, replica, epoch);
+            Awaited::Ping(address, sent_at) => {
+                if let Some(Answer::Pong(pong)) = answer {
+                    self.duties.answered(context, address, sent_at, &pong);
                 }
             }
             Awaited::Task { task, from, ballot } => {
@@ -333,6 +345,7 @@
                 let Some(by) = *then_confirm_by else { return self.end(context, id, Ended::Failed) };
                 task.work = Work::Waiting(Change::Confirm);
                 task.deadline = by;
+                task.begun = context.instant;
                 self.queue_change(context, id, by.saturating_sub(context.now));
             }
         }
@@ -340,6 +353,9 @@
 
     fn end(&mut self, context: &mut Context, id: u64, ended: Ended) {
         let Some(task) = self.register.tasks.remove(&id) else { return };
+        if !matches!(ended, Ended::Failed) {
+            self.register.majority_at = self.register.majority_at.max(Some(task.begun));
+        }
         let had_turn = self.register.turns.front() == Some(&id);
         self.register.turns.retain(|other| *other != id);
         if had_turn && let Some(next) = self.register.turns.front().copied() {
--- a/crates/mintlb-model/src/dispatcher.rs
+++ b/crates/mintlb-model/src/dispatcher.rs
@@ -51,7 +51,7 @@
     /// A message came.
     pub fn packet(&mut self, context: &mut Context, packet: Packet) {
         match packet.body {
-            Body::Overlay(body) => _ = self.gossip.received(context, packet.from, body),
+            Body::Overlay(body) => _ = self.gossip.received(context, packet.from, packet.from_life, body),
             Body::Answer { id, answer } => self.answered(context, id, Some(answer)),
             _ => (),
         }
--- a/crates/mintlb-model/src/gossip.rs
+++ b/crates/mintlb-model/src/gossip.rs
@@ -8,7 +8,9 @@
 use mintlb_overlay::effects::Effect;
 use mintlb_overlay::node::{Input, Node};
 use mintlb_overlay::{Member, Role};
+use mintlb_tier::incarnation::Incarnation;
 use mintlb_tier::record::Record;
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -24,6 +26,8 @@
     node: Node,
     waiters: Vec<Waiter>,
     wake_at: Option<Instant>,
+    /// The newest life that was met at each address.
+    lives: BTreeMap<SocketAddr, u64>,
 }
 
 impl Gossip {
@@ -31,13 +35,13 @@
     pub fn start(context: &mut Context, role: Role, name: &str, seeds: &[SocketAddr]) -> Gossip {
         let member = Member {
             address: context.own,
-            incarnation: context.wall_ms,
+            incarnation: incarnation(context.life),
             role,
             node_name: name.to_string(),
             zone: "z".to_string(),
         };
         let node = Node::new(context.instant, member, seeds, context.random.number());
-        let mut gossip = Gossip { node, waiters: Vec::new(), wake_at: None };
+        let mut gossip = Gossip { node, waiters: Vec::new(), wake_at: None, lives: BTreeMap::new() };
         gossip.handle(context, Input::Tick);
         gossip
     }
@@ -47,8 +51,17 @@
         self.node.table().get(key)
     }
 
-    /// A message came.
-    pub fn received(&mut self, context: &mut Context, from: SocketAddr, body: Bytes) -> Vec<u64> {
+    /// A message came. As in the transport, one of another life is told of before it, and one of a former life is
+    /// refused.
+    pub fn received(&mut self, context: &mut Context, from: SocketAddr, life: u64, body: Bytes) -> Vec<u64> {
+        let known = self.lives.insert(from, life);
+        if known.is_some_and(|known| known > life) {
+            self.lives.extend(known.map(|known| (from, known)));
+            return Vec::new();
+        }
+        if known.is_some_and(|known| known < life) {
+            self.handle(context, Input::Restarted { peer: from, incarnation: incarnation(life) });
+        }
         self.handle(context, Input::Received { from, body })
     }
 
@@ -88,8 +101,14 @@
         for effect in self.node.handle(context.instant, input) {
             match effect {
                 Effect::Send { to, body } => {
-                    let packet = Packet { from: context.own, to, to_life: None, body: Body::Overlay(body) };
-                    context.out.push(Out::Send(packet));
+                    let packet = Packet {
+                        from: context.own,
+                        from_life: context.life,
+                        to,
+                        to_life: None,
+                        body: Body::Overlay(body),
+                    };
+                    context.send(packet);
                 }
                 Effect::InForce(record) => context.out.push(Out::InForce(record)),
                 Effect::Confirmed { id, version } => {
@@ -107,3 +126,8 @@
         confirmed
     }
 }
+
+/// The incarnation of a life of the model, of which none is 0.
+fn incarnation(life: u64) -> Incarnation {
+    Incarnation::from_number(life.max(1)).unwrap_or_else(|| unreachable!("it is above 0"))
+}
--- a/crates/mintlb-model/src/message.rs
+++ b/crates/mintlb-model/src/message.rs
@@ -1,12 +1,12 @@
 //! What goes over the model's network.
 
 use bytes::Bytes;
+use mintlb_control::controller::ping_state::{Ping, Pong};
 use mintlb_lots::heartbeat::StoreHeartbeat;
 use mintlb_lots::messages;
 use mintlb_lots::peer::Envelope;
 use mintlb_register::founding::SeedAnswer;
 use mintlb_register::message::{Reply, Request};
-use mintlb_register::state::ReplicaId;
 use std::net::SocketAddr;
 
 /// One message between two processes.
@@ -14,9 +14,11 @@
 pub struct Packet {
     /// The sender's address.
     pub from: SocketAddr,
+    /// The sender's life.
+    pub from_life: u64,
     /// The receiver's address.
     pub to: SocketAddr,
-    /// Only this life of the receiver gets it: answers go back on the connection that asked.
+    /// Only this life of the receiver gets it: a message goes on a connection, and an answer on the one that asked.
     pub to_life: Option<u64>,
     /// What it holds.
     pub body: Body,
@@ -59,12 +61,7 @@
     /// A dispatcher's call to a store, with what is raw in it.
     Lots(messages::Call, Bytes),
     /// A ping of the duties.
-    Ping {
-        /// The sender's replica.
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that it knows.
-        epoch: u64,
-    },
+    Ping(Ping),
 }
 
 /// The answer to a [`Call`].
@@ -77,12 +74,7 @@
     /// To [`Call::Lots`], with what is raw in it.
     Lots(messages::Answer, Bytes),
     /// To [`Call::Ping`].
-    Pong {
-        /// The receiver's replica.
-        replica: Option<ReplicaId>,
-        /// The highest epoch of the duties that it knows.
-        epoch: u64,
-    },
+    Pong(Pong),
 }
 
 /// A call from outside the tier.
--- a/crates/mintlb-model/src/operator.rs
+++ b/crates/mintlb-model/src/operator.rs
@@ -9,7 +9,7 @@
 /// An operator calls another controller after this time.
 pub const PATIENCE: Duration = Duration::from_millis(1000);
 /// Orders that an operator may send again later.
-const REMEMBERED: usize = 4;
+const REMEMBERED: usize = 60;
 
 /// What an operator does.
 #[derive(Clone, Debug)]
--- a/crates/mintlb-model/src/planted.rs
+++ b/crates/mintlb-model/src/planted.rs
@@ -18,6 +18,8 @@
     TakenForgotten,
     /// A read is answered from the value that the controller knows, without asking a majority.
     ReadWithoutMajority,
+    /// Contact with a majority is not checked before something is promised.
+    ContactNotChecked,
     /// A store takes messages of a former epoch for ones of the epoch that it has promised.
     EpochNotCompared,
     /// A store says what it has before it is synced.
--- a/crates/mintlb-model/src/store/mod.rs
+++ b/crates/mintlb-model/src/store/mod.rs
@@ -4,7 +4,7 @@
 mod calls;
 pub mod disk;
 
-use crate::context::{Context, Out, Time, Timer};
+use crate::context::{Context, Time, Timer};
 use crate::gossip::Gossip;
 use crate::message::{Body, Call, Packet};
 use crate::planted::Planted;
@@ -81,7 +81,7 @@
     pub fn packet(&mut self, context: &mut Context, packet: Packet) {
         match packet.body {
             Body::Overlay(body) => {
-                self.gossip.received(context, packet.from, body);
+                self.gossip.received(context, packet.from, packet.from_life, body);
                 self.follow_placement(context);
             }
             Body::Lots(envelope, raw) => self.message(context, envelope, raw),
@@ -201,8 +201,14 @@
 
     fn send(&self, context: &mut Context, envelope: Envelope, raw: Bytes) {
         let Some(to) = self.addresses.get(&envelope.to).copied() else { return };
-        let packet = Packet { from: context.own, to, to_life: None, body: Body::Lots(envelope, raw) };
-        context.out.push(Out::Send(packet));
+        let packet = Packet {
+            from: context.own,
+            from_life: context.life,
+            to,
+            to_life: None,
+            body: Body::Lots(envelope, raw),
+        };
+        context.send(packet);
     }
 
     fn send_entries(&self, context: &mut Context, mut envelope: Envelope, indexes: &[u64]) {
@@ -250,7 +256,7 @@
         for replica in set.iter().flat_map(ReplicaSet::members) {
             if let Ok(to) = replica.address.parse() {
                 let body = Body::Heartbeat(heartbeat.clone());
-                context.out.push(Out::Send(Packet { from: context.own, to, to_life: None, body }));
+                context.send(Packet { from: context.own, from_life: context.life, to, to_life: None, body });
             }
         }
     }
--- a/crates/mintlb-model/src/world/mod.rs
+++ b/crates/mintlb-model/src/world/mod.rs
@@ -396,7 +396,7 @@
         let (now, life) = (self.now, self.machines[number].life);
         for out in out {
             match out {
-                Out::Send(packet) => self.send(number, packet),
+                Out::Send(packet) => self.send(number, *packet),
                 Out::Wake(after, timer) => {
                     self.schedule(after, Event::Timer { machine: number, life, timer });
                 }
--- a/crates/mintlb-model/src/world/network.rs
+++ b/crates/mintlb-model/src/world/network.rs
@@ -40,7 +40,10 @@
 
 impl World {
     /// Puts a message on its way.
-    pub(super) fn send(&mut self, from: usize, packet: Packet) {
+    pub(super) fn send(&mut self, from: usize, mut packet: Packet) {
+        let there = self.machines.iter().find(|machine| machine.address == packet.to);
+        let life = there.filter(|machine| machine.process.is_some()).map(|machine| machine.life);
+        packet.to_life = packet.to_life.or(life);
         let weather = self.network.weather;
         if self.random.chance(weather.dropped) {
             return self.breaks(from, &packet, PATIENCE);
