--- a/crates/mintlb-model/src/gossip.rs
+++ b/crates/mintlb-model/src/gossip.rs
@@ -3,6 +3,7 @@
 
 use crate::context::{Context, Out, Timer};
 use crate::message::{Body, Packet};
+use crate::planted::Planted;
 use bytes::Bytes;
 use mintlb_overlay::codec::record_id;
 use mintlb_overlay::effects::Effect;
@@ -15,6 +16,9 @@
 use std::time::Duration;
 use tokio::time::Instant;
 
+/// Of a hundred ticks at which records are forgotten, if that fault is planted.
+const FORGETS: u32 = 1;
+
 struct Waiter {
     id: u64,
     version: u64,
@@ -23,6 +27,8 @@
 
 /// The overlay of one process.
 pub struct Gossip {
+    member: Member,
+    seeds: Vec<SocketAddr>,
     node: Node,
     waiters: Vec<Waiter>,
     wake_at: Option<Instant>,
@@ -40,8 +46,10 @@
             node_name: name.to_string(),
             zone: "z".to_string(),
         };
-        let node = Node::new(context.instant, member, seeds, context.random.number());
-        let mut gossip = Gossip { node, waiters: Vec::new(), wake_at: None, lives: BTreeMap::new() };
+        let node = Node::new(context.instant, member.clone(), seeds, context.random.number());
+        let seeds = seeds.to_vec();
+        let mut gossip =
+            Gossip { member, seeds, node, waiters: Vec::new(), wake_at: None, lives: BTreeMap::new() };
         gossip.handle(context, Input::Tick);
         gossip
     }
@@ -76,6 +84,10 @@
             return Vec::new();
         }
         self.wake_at = None;
+        if context.planted == Planted::OldRecordOverNewer && context.random.chance(FORGETS) {
+            let (member, draw) = (self.member.clone(), context.random.number());
+            self.node = Node::new(context.instant, member, &self.seeds, draw);
+        }
         self.handle(context, Input::Tick)
     }
 
--- a/crates/mintlb-model/src/planted.rs
+++ b/crates/mintlb-model/src/planted.rs
@@ -22,6 +22,8 @@
     ContactNotChecked,
     /// A drain is acknowledged before a neighbour has confirmed it, and without contact.
     DrainInIsolation,
+    /// A process forgets its records now and then, and so takes older ones for news.
+    OldRecordOverNewer,
     /// A store takes messages of a former epoch for ones of the epoch that it has promised.
     EpochNotCompared,
     /// A store says what it has before it is synced.
--- a/crates/mintlb-model/tests/planted.rs
+++ b/crates/mintlb-model/tests/planted.rs
@@ -98,3 +98,8 @@
 fn a_contact_that_is_not_checked_is_found() {
     must_find(Planted::ContactNotChecked, CONTROL, 3000);
 }
+
+#[test]
+fn an_old_record_that_comes_over_a_newer_one_is_found() {
+    must_find(Planted::OldRecordOverNewer, CONTROL, 300);
+}
