--- /dev/null
+++ b/crates/mintlb-model/src/message.rs
@@ -0,0 +1,133 @@
+//! What goes over the model's network.
+
+use bytes::Bytes;
+use mintlb_control::controller::ping_state::{Ping, Pong};
+use mintlb_lots::heartbeat::StoreHeartbeat;
+use mintlb_lots::messages;
+use mintlb_lots::peer::Envelope;
+use mintlb_register::founding::SeedAnswer;
+use mintlb_register::message::{Reply, Request};
+use mintlb_tier::record::WorkerRecord;
+use std::net::SocketAddr;
+
+/// One message between two processes.
+#[derive(Clone, Debug)]
+pub struct Packet {
+    /// The sender's address.
+    pub from: SocketAddr,
+    /// The sender's life.
+    pub from_life: u64,
+    /// The receiver's address.
+    pub to: SocketAddr,
+    /// Only this life of the receiver gets it: a message goes on a connection, and an answer on the one that asked.
+    pub to_life: Option<u64>,
+    /// What it holds.
+    pub body: Body,
+}
+
+/// What a message holds.
+#[derive(Clone, Debug)]
+pub enum Body {
+    /// A call that is to be answered.
+    Call {
+        /// The caller's number of it.
+        id: u64,
+        /// The caller's life.
+        life: u64,
+        /// The call.
+        call: Call,
+    },
+    /// The answer to a call.
+    Answer {
+        /// The caller's number of the call.
+        id: u64,
+        /// The answer.
+        answer: Answer,
+    },
+    /// A message of the overlay.
+    Overlay(Bytes),
+    /// A message between stores' replicas, with its entries.
+    Lots(Envelope, Bytes),
+    /// What a store tells the controllers.
+    Heartbeat(StoreHeartbeat),
+}
+
+/// A call between processes.
+#[derive(Clone, Debug)]
+pub enum Call {
+    /// For the register's replica.
+    Vote(Request),
+    /// Which set is known, and is there a disk?
+    Status,
+    /// A dispatcher's call to a store, with what is raw in it.
+    Lots(messages::Call, Bytes),
+    /// A ping of the duties.
+    Ping(Ping),
+}
+
+/// The answer to a [`Call`].
+#[derive(Clone, Debug)]
+pub enum Answer {
+    /// To [`Call::Vote`].
+    Vote(Reply),
+    /// To [`Call::Status`].
+    Status(SeedAnswer),
+    /// To [`Call::Lots`], with what is raw in it.
+    Lots(messages::Answer, Bytes),
+    /// To [`Call::Ping`].
+    Pong(Pong),
+}
+
+/// A call from outside the tier.
+#[derive(Clone, Debug)]
+pub enum Ask {
+    /// `PUT /v1/configuration`.
+    Put {
+        /// `If-Match`.
+        base: u64,
+        /// `config_version`.
+        version: u64,
+        /// The text.
+        body: Vec<u8>,
+    },
+    /// `GET /v1/configuration`.
+    Get,
+    /// `POST /v1/retire/NODE` if it begins, otherwise `GET`.
+    Retire {
+        /// The machine's name.
+        node: String,
+        /// Whether it begins.
+        begin: bool,
+    },
+    /// A worker's heartbeat, or its word that it drains.
+    Heartbeat(WorkerRecord),
+    /// A worker ends, by its id.
+    Leave(String),
+    /// A call on a lot at a dispatcher, with what is raw in it.
+    Lots(messages::Call, Bytes),
+}
+
+/// The answer to an [`Ask`].
+#[derive(Clone, Debug, PartialEq)]
+pub enum Told {
+    /// 200 to a change.
+    Done,
+    /// 200 to a read.
+    Configuration {
+        /// Its version; 0 if there is none (404).
+        version: u64,
+        /// Its text.
+        body: Vec<u8>,
+    },
+    /// 400 or 412: it is not in force and never will be by this call.
+    Refused,
+    /// 503.
+    Unavailable,
+    /// How far a retirement is: it stands or runs, or it is completed.
+    Retiring {
+        /// Whether it is completed.
+        completed: bool,
+    },
+    /// An answer on a lot, with what is raw in it.
+    Lots(messages::Answer, Bytes),
+}
