--- a/crates/mintlb-model/src/controller/duties.rs
+++ b/crates/mintlb-model/src/controller/duties.rs
@@ -66,12 +66,12 @@
         ping: &Ping,
         set: Option<&ReplicaSet>,
     ) -> Pong {
-        self.pings.answer(context.instant, from, ping, set)
+        self.pings.answer(context.instant, from, *ping, set)
     }
 
     /// A ping that was sent at that time was answered.
     pub fn answered(&mut self, context: &Context, from: SocketAddr, sent_at: Instant, pong: &Pong) {
-        self.pings.answered(context.instant, from, sent_at, pong);
+        self.pings.answered(context.instant, from, sent_at, *pong);
     }
 
     /// Replicas that have long been silent.
--- a/crates/mintlb-model/src/controller/vote.rs
+++ b/crates/mintlb-model/src/controller/vote.rs
@@ -26,6 +26,9 @@
             Sync::Value(accepted) => {
                 self.vote = Vote { promised: accepted.ballot, accepted: Some(accepted.clone()) };
             }
+            Sync::Learned { promised, chosen } => {
+                self.vote = Vote { promised: *promised, accepted: Some(chosen.clone()) };
+            }
         }
     }
 }
--- a/crates/mintlb-model/src/gossip.rs
+++ b/crates/mintlb-model/src/gossip.rs
@@ -122,6 +122,8 @@
                     };
                     context.send(packet);
                 }
+                // Counted by the product; nothing that is sent here is altered.
+                Effect::Unreadable(_) => (),
                 Effect::InForce(record) => context.out.push(Out::InForce(record)),
                 Effect::Confirmed { id, version } => {
                     let is_done = |waiter: &Waiter| waiter.id == id && waiter.version <= version;
