--- a/rig/days/play.sh
+++ b/rig/days/play.sh
@@ -29,7 +29,11 @@
   line=$(grep -A1 '^day  ' "$log" | tail -1)
   verdict="no rule broken"
   case $line in
-    '') verdict="not played: $(tail -1 "$log")" failed=1 ;;
+    '') case $(tail -1 "$log") in
+          # Its own traffic names zones of another site.
+          *'no zone'*) verdict="for another site" ;;
+          *) verdict="not played: $(tail -1 "$log")" failed=1 ;;
+        esac ;;
     *BROKEN*) verdict="a rule is broken" failed=1 ;;
   esac
   printf '%s | %s | %s\n' "$name" "$line" "$verdict"
