A replica whose sync failed answers nothing unsynced and comes back by itself

Cause: after a failed commit the vote in memory was ahead of the disk, and a repeated accept, a read or a repeated prepare was answered from it at once (Sync::Nothing, nothing waiting). The same after a sync turned away by the full queue. And the replica never voted again until its process was restarted.

Change: the vote store has a health. On a failed commit it drops what waits, opens the file again with pauses of 50 to 800 ms, writes what it finds there once more and hands the vote back; until then nothing is answered. A call beyond the queue is turned away before it reaches the vote. The file's format moved to vote_file.rs.

Tests (controller_disk_faults, redb over a disk in memory). Seen red: - health guard taken out: after_a_failed_sync_nothing_is_told_that_is_not_on_disk: left: Some(Accepted { ballot 2 }), right: None; what_is_told_after_the_failure_outlasts_a_loss_of_power: left ballot 1, right ballot 2; a_replica_votes_again_once_its_disk_takes_bytes_again: left: None, right: Some(true). - queue guard taken out: a_call_turned_away_by_the_queue_leaves_no_promise_in_memory: left: Some(Accepted { ballot 50 }), right: None.

--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -1,7 +1,7 @@
 //! The controller: takes the operator's and the workers' calls, holds a replica of the register where there is a disk,
 //! and has the duties of which each is done by one controller at a time.
 //!
-//! - [`vote_store`], [`replica`], [`register`]: the register.
+//! - [`vote_file`], [`vote_store`], [`replica`], [`register`]: the register.
 //! - [`membership`]: founding and joining it.
 //! - [`publisher`]: its value to every process.
 //! - [`registry`]: the workers.
@@ -33,6 +33,7 @@
 pub mod retire_api;
 pub mod retirement;
 pub mod stamps;
+pub mod vote_file;
 pub mod vote_store;
 
 use duties::Duties;
--- a/crates/mintlb-control/src/controller/replica.rs
+++ b/crates/mintlb-control/src/controller/replica.rs
@@ -1,6 +1,6 @@
 //! This process's replica of the register: its vote in memory, the file behind it, and its answers.
 
-use super::vote_store::{Opened, VoteStore};
+use super::vote_store::{Health, Opened, VoteStore};
 use mintlb_register::acceptor::{Acceptor, Sync};
 use mintlb_register::message::{Accepted, Reply, Request};
 use mintlb_register::state::{ControlState, Replica};
@@ -41,18 +41,25 @@
         self.store.close();
     }
 
-    /// Answers once everything that the answer tells of is synced; `None` if it could not be.
+    /// Answers once everything that the answer tells of is synced; `None` if it could not be, or while too much waits.
     pub async fn answer(&self, request: Request) -> Option<Reply> {
         let (reply, synced) = {
             let mut acceptor = self.acceptor.lock();
+            match self.store.take_health() {
+                Health::Good => (),
+                Health::Failed => return None,
+                Health::Reloaded(vote) => *acceptor = Acceptor::new(self.identity.id, vote),
+            }
+            if self.store.is_full() {
+                return None;
+            }
             let answered = acceptor.handle(request);
-            let must_wait = answered.sync != Sync::Nothing || self.store.is_busy();
-            (answered.reply, must_wait.then(|| self.store.sync(answered.sync)))
+            if answered.sync == Sync::Nothing && self.store.is_synced() {
+                return Some(answered.reply);
+            }
+            (answered.reply, self.store.sync(answered.sync))
         };
-        match synced {
-            Some(synced) => synced.await.ok().map(|()| reply),
-            None => Some(reply),
-        }
+        synced.await.ok().map(|()| reply)
     }
 
     /// Writes the first value of a register, with this replica as the only one; `None` if it could not be synced.
--- a/crates/mintlb-control/src/controller/vote_store.rs
+++ b/crates/mintlb-control/src/controller/vote_store.rs
@@ -1,48 +1,81 @@
-//! A replica's identity and vote on disk, in one redb file. Syncs happen on a thread of their own, and what waits
-//! there is written with one commit.
+//! A replica's vote on disk. Syncs happen on a thread of their own, and what waits there is written with one commit.
+//!
+//! After a failed commit the vote in memory may be ahead of the disk. Nothing is answered from then on: the thread drops
+//! what waits, opens the file again, with bounded pauses until the disk takes bytes, writes the vote that it finds there
+//! once more and hands it back, so that the replica goes on from what is synced.
 
 use super::ControllerError;
-use minicbor::{Decode, Encode};
+pub use super::vote_file::FILE;
+use super::vote_file::{self, Contents};
 use mintlb_register::acceptor::{Sync, Vote};
-use mintlb_register::ballot::Ballot;
-use mintlb_register::message::Accepted;
 use mintlb_register::state::ReplicaId;
 use parking_lot::Mutex;
-use redb::{Database, ReadableDatabase, TableDefinition};
+use redb::Database;
 use std::path::Path;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicUsize, Ordering::SeqCst};
-use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering::SeqCst};
+use std::sync::mpsc::{Receiver, RecvTimeoutError, SyncSender, sync_channel};
 use std::thread::JoinHandle;
+use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// The file in the data directory.
-pub const FILE: &str = "register.redb";
-/// The file while it is being made.
-const UNFINISHED_FILE: &str = "register.redb.new";
 /// A file that could not be read, kept for whoever looks into it.
 const UNREADABLE_FILE: &str = "register.redb.unreadable";
 /// Syncs that may wait.
-const QUEUE: usize = 256;
-/// Bytes of the file kept in memory.
-const CACHE_BYTES: usize = 1 << 20;
+pub const QUEUE: usize = 256;
+/// The pause before a file is opened again after a failure; it doubles with each further try.
+const FIRST_PAUSE: Duration = Duration::from_millis(50);
+/// The longest pause.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
 
-const VOTE: TableDefinition<&str, &[u8]> = TableDefinition::new("vote");
-const IDENTITY: &str = "identity";
-const PROMISED: &str = "promised";
-const ACCEPTED: &str = "accepted";
+/// Opens the file, at the start and after each failure.
+pub type Opener = Box<dyn Fn() -> Result<Database, ControllerError> + Send>;
 
 /// A sync that is asked for, and whom to tell of it.
 struct Job {
     sync: Sync,
+    /// The life of the vote in memory to which it belongs.
+    life: u64,
     done: oneshot::Sender<()>,
 }
 
+/// Whether the vote in memory may be answered from.
+#[derive(Debug, Default, PartialEq)]
+pub enum Health {
+    /// It is on disk, or asked to be synced.
+    #[default]
+    Good,
+    /// A commit has failed: nothing may be answered.
+    Failed,
+    /// The disk takes bytes again: this vote takes the place of the one in memory.
+    Reloaded(Vote),
+}
+
+/// What the thread and its owner share.
+#[derive(Default)]
+struct Shared {
+    unfinished: AtomicUsize,
+    life: AtomicU64,
+    health: Mutex<Health>,
+}
+
+impl Shared {
+    /// Before the jobs are counted as finished, so that whoever finds none unfinished finds the failure.
+    fn fail(&self) {
+        *self.health.lock() = Health::Failed;
+        self.life.fetch_add(1, SeqCst);
+    }
+
+    fn finish(&self, jobs: usize) {
+        self.unfinished.fetch_sub(jobs, SeqCst);
+    }
+}
+
 /// The file with its thread. Dropping it waits until the thread has closed the file.
 pub struct VoteStore {
     jobs: Mutex<Option<SyncSender<Job>>>,
     thread: Mutex<Option<JoinHandle<()>>>,
-    unfinished: Arc<AtomicUsize>,
+    shared: Arc<Shared>,
 }
 
 impl Drop for VoteStore {
@@ -66,20 +99,35 @@
     /// that has lost its disk.
     pub fn open(directory: &Path, new_id: ReplicaId) -> Result<Opened, ControllerError> {
         let path = directory.join(FILE);
+        let reopened = path.clone();
+        let opener = move || vote_file::open(&reopened);
         if path.exists() {
-            match open_existing(&path) {
-                Ok((database, id, vote)) => return start(database, id, vote),
-                Err(error) if !error.is_damage() => return Err(error),
-                Err(error) => {
+            match VoteStore::start(Box::new(opener.clone())) {
+                Err(error) if error.is_damage() => {
                     log::warn!("register: {} is damaged and put aside: {error}", path.display());
                     std::fs::rename(&path, directory.join(UNREADABLE_FILE))
                         .map_err(|cause| ControllerError::disk(&path, cause))?;
                 }
+                opened => return opened,
             }
         }
-        create(directory, new_id)?;
-        let (database, id, vote) = open_existing(&path)?;
-        start(database, id, vote)
+        vote_file::create(directory, new_id)?;
+        VoteStore::start(Box::new(opener))
+    }
+
+    /// Goes on with the vote that a database holds.
+    pub fn start(opener: Opener) -> Result<Opened, ControllerError> {
+        let database = opener()?;
+        let Contents { id, vote } = vote_file::read(&database)?;
+        let (jobs, queue) = sync_channel(QUEUE);
+        let shared = Arc::new(Shared::default());
+        let worker = Worker { opener, id, queue, shared: shared.clone() };
+        let thread = std::thread::Builder::new()
+            .name("register-sync".to_string())
+            .spawn(move || worker.run(database))
+            .map_err(|cause| ControllerError::disk(Path::new(FILE), cause))?;
+        let store = VoteStore { jobs: Mutex::new(Some(jobs)), thread: Mutex::new(Some(thread)), shared };
+        Ok(Opened { store, id, vote })
     }
 
     /// Waits until all that was asked for is synced and the file is closed. No sync comes about after it.
@@ -90,54 +138,118 @@
         }
     }
 
+    /// Whether the vote in memory may be answered from; a vote read anew is handed over once.
+    pub fn take_health(&self) -> Health {
+        let mut health = self.shared.health.lock();
+        match &*health {
+            Health::Failed => Health::Failed,
+            _ => std::mem::take(&mut *health),
+        }
+    }
+
     /// Whether syncs that were asked for before are still to be finished.
     pub fn is_busy(&self) -> bool {
-        self.unfinished.load(SeqCst) > 0
+        self.shared.unfinished.load(SeqCst) > 0
+    }
+
+    /// Whether all that was asked for is on disk.
+    pub fn is_synced(&self) -> bool {
+        !self.is_busy() && *self.shared.health.lock() == Health::Good
+    }
+
+    /// Whether as many syncs wait as may.
+    pub fn is_full(&self) -> bool {
+        self.shared.unfinished.load(SeqCst) >= QUEUE
     }
 
     /// Asks for a sync after all those asked for before; the receiver fails if it did not come about.
     pub fn sync(&self, sync: Sync) -> oneshot::Receiver<()> {
         let (done, receiver) = oneshot::channel();
-        self.unfinished.fetch_add(1, SeqCst);
-        let queued = self.jobs.lock().as_ref().is_some_and(|jobs| jobs.try_send(Job { sync, done }).is_ok());
-        if !queued {
-            self.unfinished.fetch_sub(1, SeqCst);
+        let mut health = self.shared.health.lock();
+        if *health != Health::Good {
+            return receiver;
+        }
+        let job = Job { sync, life: self.shared.life.load(SeqCst), done };
+        self.shared.unfinished.fetch_add(1, SeqCst);
+        if self.jobs.lock().as_ref().is_none_or(|jobs| jobs.try_send(job).is_err()) {
+            // The vote in memory is ahead of the disk, and the file is closed.
+            *health = Health::Failed;
+            self.shared.finish(1);
         }
         receiver
     }
 }
 
-fn start(database: Database, id: ReplicaId, vote: Vote) -> Result<Opened, ControllerError> {
-    let (jobs, queue) = sync_channel(QUEUE);
-    let unfinished = Arc::new(AtomicUsize::new(0));
-    let counter = unfinished.clone();
-    let thread = std::thread::Builder::new()
-        .name("register-sync".to_string())
-        .spawn(move || work(&database, &queue, &counter))
-        .map_err(|cause| ControllerError::disk(Path::new(FILE), cause))?;
-    let store = VoteStore { jobs: Mutex::new(Some(jobs)), thread: Mutex::new(Some(thread)), unfinished };
-    Ok(Opened { store, id, vote })
+/// The thread that commits.
+struct Worker {
+    opener: Opener,
+    id: ReplicaId,
+    queue: Receiver<Job>,
+    shared: Arc<Shared>,
 }
 
-/// Commits what waits, until nobody asks any more. After a failed commit nothing more is confirmed.
-fn work(database: &Database, queue: &Receiver<Job>, unfinished: &AtomicUsize) {
-    let mut failed = false;
-    while let Ok(first) = queue.recv() {
-        let mut jobs = vec![first];
-        while let Ok(job) = queue.try_recv() {
-            jobs.push(job);
-        }
-        if let Err(error) = if failed { Ok(()) } else { commit(database, &jobs) } {
-            log::error!("register: a sync failed, this replica no longer votes: {error}");
-            failed = true;
+impl Worker {
+    /// Commits what waits, until nobody asks any more.
+    fn run(self, mut database: Database) {
+        while let Ok(first) = self.queue.recv() {
+            let mut jobs = vec![first];
+            jobs.extend(self.queue.try_iter());
+            let waited = jobs.len();
+            let life = self.shared.life.load(SeqCst);
+            jobs.retain(|job| job.life == life);
+            let Err(error) = commit(&database, &jobs) else {
+                self.shared.finish(waited);
+                for job in jobs {
+                    job.done.send(()).ok();
+                }
+                continue;
+            };
+            log::error!(
+                "register: a sync failed, this replica answers nothing until the disk is back: {error}"
+            );
+            self.shared.fail();
+            self.shared.finish(waited);
+            drop((jobs, database));
+            match self.reopened() {
+                Some(again) => database = again,
+                None => return,
+            }
+            log::warn!("register: the disk takes bytes again, this replica votes again");
         }
-        unfinished.fetch_sub(jobs.len(), SeqCst);
-        for job in jobs {
-            if !failed {
-                job.done.send(()).ok();
+    }
+
+    /// The file, once it can be read and written again; `None` if nobody asks any more.
+    fn reopened(&self) -> Option<Database> {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            match self.queue.recv_timeout(pause) {
+                // It belongs to the life before.
+                Ok(_) => self.shared.finish(1),
+                Err(RecvTimeoutError::Disconnected) => return None,
+                Err(RecvTimeoutError::Timeout) => {
+                    match self.reload() {
+                        Ok((database, vote)) => {
+                            *self.shared.health.lock() = Health::Reloaded(vote);
+                            return Some(database);
+                        }
+                        Err(error) => log::debug!("register: the file can't be used yet: {error}"),
+                    }
+                    pause = (2 * pause).min(LONGEST_PAUSE);
+                }
             }
         }
     }
+
+    /// What was read is written once more: a commit that failed may have left it where no later sync would cover it.
+    fn reload(&self) -> Result<(Database, Vote), ControllerError> {
+        let database = (self.opener)()?;
+        let contents = vote_file::read(&database)?;
+        if contents.id != self.id {
+            return Err(ControllerError::Damaged("it is another replica's".to_string()));
+        }
+        vote_file::rewrite(&database, &contents)?;
+        Ok((database, contents.vote))
+    }
 }
 
 /// Writes the last promise and the last value of the jobs. Later ones are never lower.
@@ -152,62 +264,5 @@
         Sync::Value(accepted) => Some(accepted),
         _ => None,
     });
-    let transaction = database.begin_write().map_err(ControllerError::database)?;
-    {
-        let mut table = transaction.open_table(VOTE).map_err(ControllerError::database)?;
-        table.insert(PROMISED, &*encoded(&promise)).map_err(ControllerError::database)?;
-        if let Some(accepted) = value {
-            table.insert(ACCEPTED, &*encoded(accepted)).map_err(ControllerError::database)?;
-        }
-    }
-    transaction.commit().map_err(ControllerError::database)
-}
-
-/// Makes the file under another name first, so that a file with the right name is whole.
-fn create(directory: &Path, id: ReplicaId) -> Result<(), ControllerError> {
-    let unfinished = directory.join(UNFINISHED_FILE);
-    let disk = |cause| ControllerError::disk(directory, cause);
-    if unfinished.exists() {
-        std::fs::remove_file(&unfinished).map_err(disk)?;
-    }
-    {
-        let database = builder().create(&unfinished).map_err(ControllerError::database)?;
-        let transaction = database.begin_write().map_err(ControllerError::database)?;
-        {
-            let mut table = transaction.open_table(VOTE).map_err(ControllerError::database)?;
-            table.insert(IDENTITY, &*encoded(&id)).map_err(ControllerError::database)?;
-        }
-        transaction.commit().map_err(ControllerError::database)?;
-    }
-    std::fs::rename(&unfinished, directory.join(FILE)).map_err(disk)?;
-    std::fs::File::open(directory).and_then(|folder| folder.sync_all()).map_err(disk)
-}
-
-fn open_existing(path: &Path) -> Result<(Database, ReplicaId, Vote), ControllerError> {
-    let database = builder().open(path).map_err(ControllerError::opening)?;
-    let transaction = database.begin_read().map_err(ControllerError::database)?;
-    let table = transaction.open_table(VOTE).map_err(|error| ControllerError::Damaged(error.to_string()))?;
-    let read = |key: &str| table.get(key).map_err(ControllerError::database);
-    let id = match read(IDENTITY)? {
-        Some(bytes) => decoded(bytes.value())?,
-        None => return Err(ControllerError::Damaged("there is no identity in it".to_string())),
-    };
-    let promised: Option<Ballot> = read(PROMISED)?.map(|bytes| decoded(bytes.value())).transpose()?;
-    let accepted: Option<Accepted> = read(ACCEPTED)?.map(|bytes| decoded(bytes.value())).transpose()?;
-    drop(table);
-    Ok((database, id, Vote { promised: promised.unwrap_or_default(), accepted }))
-}
-
-fn builder() -> redb::Builder {
-    let mut builder = Database::builder();
-    builder.set_cache_size(CACHE_BYTES);
-    builder
-}
-
-fn encoded<T: Encode<()>>(value: &T) -> Vec<u8> {
-    minicbor::to_vec(value).unwrap_or_default()
-}
-
-fn decoded<T: for<'b> Decode<'b, ()>>(bytes: &[u8]) -> Result<T, ControllerError> {
-    minicbor::decode(bytes).map_err(|error| ControllerError::Damaged(error.to_string()))
+    vote_file::write_vote(database, promise, value)
 }
