A change of the register's set is ended before any other change is begun

Cause: Join, Leave and others were applied to a joint value; the set stayed joint until its author or a look each second settled it, and a second change of the set could begin from a joint one.

Change: a proposal that finds a chosen joint value writes the settled one first, whoever began the change of the set.

--- a/crates/mintlb-register/src/change.rs
+++ b/crates/mintlb-register/src/change.rs
@@ -72,6 +72,15 @@
 }
 
 impl Change {
+    /// The value that is to be chosen before this change is begun: a change of the set is ended first, whoever began it,
+    /// since a member of its `previous` side that is lost for good may leave that side without a majority.
+    pub(crate) fn first(&self, state: &ControlState) -> Option<ControlState> {
+        let waits = !matches!(self, Change::Confirm | Change::Settle);
+        let mut settled = if waits { settle(state).ok()? } else { return None };
+        settled.revision = state.revision + 1;
+        Some(settled)
+    }
+
     /// Applies the change to a chosen value.
     pub(crate) fn apply(&self, state: &ControlState) -> Verdict {
         let next = match self {
--- a/crates/mintlb-register/src/proposal.rs
+++ b/crates/mintlb-register/src/proposal.rs
@@ -192,6 +192,9 @@
 
     /// Applies the change to a value that is chosen.
     fn apply(&mut self, chosen: Accepted) -> Effects {
+        if let Some(settled) = self.change.first(&chosen.state) {
+            return self.accept(Arc::new(settled), None);
+        }
         match self.change.apply(&chosen.state) {
             Verdict::Keep(answer) => self.end(answer, chosen),
             Verdict::Write(next) => self.accept(Arc::new(*next), Some(Answer::Done)),
--- /dev/null
+++ b/crates/mintlb-register/tests/set_changes.rs
@@ -0,0 +1,204 @@
+//! Which second losses are borne at each step of each change of the set, by exhaustion: f = 1 and 2, sets of 2f + 1 to 9,
+//! each least quorum that may hold the value, each choice of lost disks.
+
+mod cluster;
+
+use cluster::{Cluster, choices, replica};
+use mintlb_register::change::{Answer, Change};
+use mintlb_register::state::ReplicaId;
+
+/// The largest set.
+const MOST: usize = 9;
+
+fn join(id: ReplicaId, address: u64) -> Change {
+    Change::Join { replica: replica(id, address), silent: Vec::new(), most: MOST }
+}
+
+/// The steps of one change of the set; the last member of the set of `size` is the one that is changed.
+#[derive(Clone, Copy, Debug)]
+enum Operation {
+    /// Its disk is lost and it comes back at its address.
+    Wipe,
+    /// It is gone; another machine joins, then it is taken out.
+    Replace,
+    /// Another machine joins and has its time to catch up; then it leaves, and ends.
+    PlannedReplace,
+    /// It is cut off, and is taken out.
+    Leave,
+    /// It is cut off, and stays in the set.
+    Cut,
+}
+
+/// One step: what is done, and how many further disks may be lost after it.
+struct Step {
+    change: Option<Change>,
+    ends: Option<ReplicaId>,
+    further: usize,
+}
+
+fn steps(operation: Operation, tolerance: usize, size: usize) -> Vec<Step> {
+    let (old, new) = (size as u64, 100);
+    let leave = || Change::Leave { id: old, fewest: 2 * tolerance + 1 };
+    let step = |change, further| Step { change: Some(change), ends: None, further };
+    let lost = |further| Step { change: None, ends: Some(old), further };
+    let (one_less, all) = (tolerance - 1, tolerance);
+    match operation {
+        Operation::Wipe => vec![lost(one_less), step(join(new, old), one_less), step(Change::Settle, all)],
+        Operation::Replace => vec![
+            lost(one_less),
+            step(join(new, 50), one_less),
+            step(Change::Settle, one_less),
+            step(leave(), one_less),
+            step(Change::Settle, all),
+        ],
+        Operation::PlannedReplace => vec![
+            step(join(new, 50), one_less),
+            step(Change::Settle, all),
+            step(leave(), all),
+            step(Change::Settle, all),
+            lost(all),
+        ],
+        Operation::Leave => vec![lost(one_less), step(leave(), one_less), step(Change::Settle, one_less)],
+        Operation::Cut => vec![lost(one_less)],
+    }
+}
+
+fn is_possible(operation: Operation, tolerance: usize, size: usize) -> bool {
+    match operation {
+        Operation::Replace | Operation::PlannedReplace => size < MOST,
+        Operation::Leave => size > 2 * tolerance + 1,
+        Operation::Wipe | Operation::Cut => true,
+    }
+}
+
+/// Plays the steps up to `last`, each value held by one least quorum alone, then loses these disks; what was broken.
+fn outcome(
+    mut cluster: Cluster,
+    steps: &[Step],
+    lost: &[ReplicaId],
+    spared: u64,
+    tolerance: usize,
+) -> Result<(), String> {
+    for step in steps {
+        if let Some(ends) = step.ends {
+            cluster.silence(ends);
+        }
+        if let Some(change) = &step.change {
+            cluster.change_sparing(change.clone(), spared).ok_or("the step itself is not taken")?;
+        }
+    }
+    lost.iter().for_each(|id| cluster.lose(*id));
+    let newest = cluster.change(Change::Confirm).ok_or("no majority is left")?.chosen.state;
+    if newest.configuration_version != 1 {
+        return Err(format!("the configuration is {}", newest.configuration_version));
+    }
+    for (place, id) in lost.iter().enumerate() {
+        let address = cluster.address_of(*id);
+        let change = join(200 + place as u64, address);
+        cluster.change(change).ok_or("a lost disk's successor does not join")?;
+    }
+    cluster.change(Change::Settle).ok_or("it does not settle")?;
+    let change =
+        Change::Configuration { base: 1, version: 2, body: b"2".to_vec(), tolerance, at_least_kept: false };
+    let after = cluster.change(change).ok_or("no change is taken")?;
+    let set = &after.chosen.state.replicas;
+    if after.answer != Answer::Done || set.is_joint() || set.current.len() < 2 * tolerance + 1 {
+        return Err(format!("{:?} by {} replicas", after.answer, set.current.len()));
+    }
+    Ok(())
+}
+
+#[test]
+fn every_second_loss_within_the_promise_is_borne_at_each_step() {
+    let mut cases = 0;
+    for tolerance in 1..=2 {
+        for size in 2 * tolerance + 1..=MOST {
+            for operation in [
+                Operation::Wipe,
+                Operation::Replace,
+                Operation::PlannedReplace,
+                Operation::Leave,
+                Operation::Cut,
+            ] {
+                if !is_possible(operation, tolerance, size) {
+                    continue;
+                }
+                let steps = steps(operation, tolerance, size);
+                for last in 0..steps.len() {
+                    let played = &steps[..=last];
+                    let members: Vec<u64> = (1..=size as u64)
+                        .filter(|id| !played.iter().any(|step| step.ends == Some(*id)))
+                        .collect();
+                    for lost in choices(&members, played[last].further) {
+                        for spared in 0..size as u64 {
+                            cases += 1;
+                            let cluster = Cluster::settled(size as u64);
+                            let result = outcome(cluster, played, &lost, spared, tolerance);
+                            let case = format!(
+                                "f {tolerance}, set of {size}, {operation:?}, step {last}, lost {lost:?}, spared {spared}"
+                            );
+                            assert_eq!(result, Ok(()), "{case}");
+                        }
+                    }
+                }
+            }
+        }
+    }
+    println!("second losses: {cases} cases, all borne");
+    assert!(cases > 6_000, "{cases}");
+}
+
+#[test]
+fn a_member_that_ends_before_it_has_left_may_cost_the_majority() {
+    // Why a controller that is told to stop leaves the set first.
+    for tolerance in 1..=2 {
+        let size = 2 * tolerance + 1;
+        let joined = [
+            Step { change: Some(join(100, 50)), ends: None, further: 0 },
+            Step { change: Some(Change::Settle), ends: Some(size as u64), further: 0 },
+        ];
+        let lost: Vec<u64> = (1..=tolerance as u64).collect();
+        let result = outcome(Cluster::settled(size as u64), &joined, &lost, 0, tolerance);
+        assert_eq!(result, Err("no majority is left".to_string()));
+    }
+}
+
+#[test]
+fn whatever_change_comes_first_ends_a_change_of_the_set() {
+    let after = [
+        Change::Configuration {
+            base: 1,
+            version: 2,
+            body: b"2".to_vec(),
+            tolerance: 1,
+            at_least_kept: false,
+        },
+        join(101, 51),
+        Change::Leave { id: 1, fewest: 3 },
+    ];
+    for change in after {
+        let mut cluster = Cluster::settled(3);
+        let joint = cluster.change(join(100, 50)).unwrap().chosen.state.replicas.clone();
+        assert!(joint.is_joint());
+        let outcome = cluster.change(change.clone()).unwrap();
+        assert_eq!(outcome.answer, Answer::Done, "{change:?}");
+        let set = &outcome.chosen.state.replicas;
+        // 1 joint, 2 settled; a further change of the set begins from there.
+        assert_eq!((set.epoch >= 3, outcome.chosen.state.revision), (true, 5), "{change:?}: {set:?}");
+        assert!(!set.is_joint() || set.previous == joint.current, "{change:?}: {set:?}");
+    }
+}
+
+#[test]
+fn a_disk_lost_twice_in_a_row_joins_again() {
+    for size in 3..=MOST {
+        let mut cluster = Cluster::settled(size as u64);
+        cluster.lose(size as u64);
+        cluster.change(join(100, size as u64)).unwrap();
+        cluster.lose(100);
+        cluster.change(join(101, size as u64)).unwrap();
+        let settled = cluster.change(Change::Settle).unwrap().chosen.state.replicas.clone();
+        assert_eq!((settled.current.len(), settled.is_joint()), (size, false));
+        assert!(settled.current_replica(101).is_some() && settled.current_replica(100).is_none());
+    }
+}
