A stopping controller leaves the set; unchosen sets give way; late replicas catch up

Changes: on SIGTERM a controller leaves a set of more than 2f+1 before it closes its file, and does not join again; knowledge.rs keeps apart what is chosen and what was heard of, and a majority's answer drops the latter; after each read the replica here accepts the chosen value it lacks, as if its message had come late (higher promises hold).

--- a/crates/mintlb-control/src/controller/membership.rs
+++ b/crates/mintlb-control/src/controller/membership.rs
@@ -8,6 +8,7 @@
 use mintlb_tier::record::REPLICAS;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::Ordering::Relaxed;
 use std::time::Duration;
 use tokio::task::JoinSet;
 use tokio::time::{Instant, sleep};
@@ -135,9 +136,15 @@
 async fn keep_place(controller: &Controller) -> Duration {
     let Some(chosen) = controller.register.chosen() else { return JOIN_PAUSE };
     let set = &chosen.state.replicas;
+    if let Some(replica) = controller.register.replica() {
+        replica.catch_up(&chosen).await;
+    }
     if let Some(replica) = controller.register.replica()
         && !set.current.contains(replica.identity())
     {
+        if controller.stopping.load(Relaxed) {
+            return READ_EVERY;
+        }
         let silent = controller.duties.silent_replicas(set);
         return join(controller, silent).await;
     }
@@ -158,6 +165,23 @@
     }
 }
 
+/// Leaves a set that is larger than it has to be, before the process ends: a member that is gone for good and still
+/// counts would add to the losses that the set has to bear. The replica votes until the change is over.
+pub async fn leave(controller: &Controller) {
+    controller.stopping.store(true, Relaxed);
+    let Some(id) = controller.replica_id() else { return };
+    let Ok(chosen) = controller.register.read(READ_WITHIN).await else { return };
+    let fewest = 2 * controller.settings().fault_tolerance.machines + 1;
+    let set = &chosen.state.replicas;
+    if set.current_replica(id).is_none() || set.current.len() <= fewest {
+        return;
+    }
+    let left = controller.register.change(Change::Leave { id, fewest }, JOIN_WITHIN).await;
+    if left.is_ok_and(|outcome| is_done(outcome.answer)) && settle(controller).await {
+        log::info!("register: this replica has left the set");
+    }
+}
+
 /// Ends a change of the set.
 pub async fn settle(controller: &Controller) -> bool {
     controller.register.change(Change::Settle, JOIN_WITHIN).await.is_ok()
--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -1,7 +1,7 @@
 //! The controller: takes the operator's and the workers' calls, holds a replica of the register where there is a disk,
 //! and has the duties of which each is done by one controller at a time.
 //!
-//! - [`vote_file`], [`vote_store`], [`replica`], [`register`]: the register.
+//! - [`vote_file`], [`vote_store`], [`replica`], [`knowledge`], [`register`]: the register.
 //! - [`membership`]: founding and joining it.
 //! - [`publisher`]: its value to every process.
 //! - [`registry`]: the workers.
@@ -20,6 +20,7 @@
 pub mod error;
 pub mod http;
 pub mod instance_api;
+pub mod knowledge;
 pub mod membership;
 pub mod orphans;
 pub mod peers;
@@ -52,7 +53,7 @@
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::watch;
 use tokio::time::{Instant, interval, sleep, timeout};
@@ -84,6 +85,8 @@
     pub registry: Mutex<Registry>,
     /// What one controller does for all.
     pub duties: Duties,
+    /// Whether the process was told to stop: it does not join the register's set any more.
+    pub stopping: AtomicBool,
     dice: AtomicU64,
 }
 
@@ -179,7 +182,8 @@
     log::info!("controller: told to stop");
     stop.send_replace(true);
     let grace = Duration::from_secs_f64(controller.settings().bounds.grace_period_s.clamp(0.5, 600.0));
-    timeout(grace / 2, server).await.ok();
+    let served_and_left = async { tokio::join!(server, membership::leave(&controller)) };
+    timeout(grace / 2, served_and_left).await.ok();
     controller.close();
     Ok(())
 }
@@ -237,6 +241,7 @@
         publisher,
         duties: Duties::new(replica_id, own, scramble(!draw)),
         register,
+        stopping: AtomicBool::new(false),
         dice: AtomicU64::new(draw),
     }))
 }
--- a/crates/mintlb-control/src/controller/register.rs
+++ b/crates/mintlb-control/src/controller/register.rs
@@ -1,5 +1,6 @@
 //! This process's way to the register: it drives proposals and reads over the transport, and answers for its replica.
 
+use super::knowledge::Knowledge;
 use super::replica::LocalReplica;
 use bytes::Bytes;
 use minicbor::{Decode, Encode};
@@ -14,6 +15,7 @@
 use parking_lot::Mutex;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::sync::mpsc;
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -58,19 +60,6 @@
     Grant(#[n(0)] bool),
 }
 
-/// What the process knows of the register.
-#[derive(Default)]
-struct Knowledge {
-    /// The newest value known to be chosen.
-    chosen: Option<Accepted>,
-    /// The newest set heard of, when there is no value yet.
-    hint: Option<ReplicaSet>,
-    /// The highest ballot heard of.
-    floor: Ballot,
-    /// Proposals so far, to tell their ballots apart.
-    proposals: u64,
-}
-
 /// What is told of each value that is newly known to be chosen.
 pub type Listener = Box<dyn Fn(&Accepted) + Send + std::marker::Sync>;
 
@@ -79,6 +68,8 @@
     transport: Arc<Transport>,
     replica: Option<Arc<LocalReplica>>,
     knowledge: Mutex<Knowledge>,
+    /// Proposals so far, to tell their ballots apart.
+    proposals: AtomicU64,
     draw: u64,
     first_start: bool,
     grant: Mutex<Grant>,
@@ -98,11 +89,11 @@
         first_start: bool,
     ) -> Arc<Register> {
         let stored = replica.as_ref().and_then(|replica| replica.accepted());
-        let hint = stored.map(|accepted| accepted.state.replicas.clone());
         let register = Arc::new(Register {
             transport: transport.clone(),
             replica,
-            knowledge: Mutex::new(Knowledge { hint, ..Knowledge::default() }),
+            knowledge: Mutex::new(Knowledge::stored(stored)),
+            proposals: AtomicU64::default(),
             draw,
             first_start,
             grant: Mutex::default(),
@@ -126,14 +117,13 @@
 
     /// The newest value known to be chosen.
     pub fn chosen(&self) -> Option<Accepted> {
-        self.knowledge.lock().chosen.clone()
+        self.knowledge.lock().chosen().cloned()
     }
 
-    /// The newest set known.
+    /// The set by which to ask: the chosen one, or, if one heard of since is newer or none is known, one that may never
+    /// have been chosen.
     pub fn set(&self) -> Option<ReplicaSet> {
-        let knowledge = self.knowledge.lock();
-        let chosen = knowledge.chosen.as_ref().map(|chosen| chosen.state.replicas.clone());
-        chosen.into_iter().chain(knowledge.hint.clone()).max_by_key(|set| set.epoch)
+        self.knowledge.lock().set().cloned()
     }
 
     /// When the newest read or change began that a majority answered.
@@ -148,10 +138,7 @@
 
     /// Takes note of a set that another process knows.
     pub fn hint(&self, set: ReplicaSet) {
-        let mut knowledge = self.knowledge.lock();
-        if knowledge.hint.as_ref().is_none_or(|known| known.epoch < set.epoch) {
-            knowledge.hint = Some(set);
-        }
+        self.knowledge.lock().hint(set);
     }
 
     /// Founds the register with the replica of this process; whether that is on disk.
@@ -174,7 +161,7 @@
         let _turn = timeout_at(deadline, self.turn.lock()).await.map_err(|_| Unavailable)?;
         let set = self.set().ok_or(Unavailable)?;
         let known = self.chosen();
-        let floor = self.knowledge.lock().floor;
+        let floor = self.knowledge.lock().floor();
         let (mut proposal, mut effects) = Proposal::start(self.proposer(), floor, set, known, change);
         let (replies, mut inputs) = mpsc::channel(REPLIES);
         let mut timer = deadline;
@@ -262,24 +249,16 @@
 
     /// Proposals begin above this ballot from now on.
     fn raise_floor(&self, seen: Ballot) {
-        let mut knowledge = self.knowledge.lock();
-        knowledge.floor = knowledge.floor.max(seen);
+        self.knowledge.lock().raise_floor(seen);
     }
 
     /// Takes note of a value that is chosen.
     fn learn(&self, accepted: Accepted) {
-        {
-            let mut knowledge = self.knowledge.lock();
-            if knowledge.chosen.as_ref().is_some_and(|known| known.ballot >= accepted.ballot) {
-                return;
-            }
-            let before = knowledge.chosen.replace(accepted.clone());
-            let epoch = before.map_or(0, |before| before.state.replicas.epoch);
-            let set = &accepted.state.replicas;
-            if set.epoch != epoch {
-                let joint = if set.is_joint() { ", joint" } else { "" };
-                log::info!("register: set epoch {}, {} replicas{joint}", set.epoch, set.current.len());
-            }
+        let Some(epoch) = self.knowledge.lock().learn(&accepted) else { return };
+        let set = &accepted.state.replicas;
+        if set.epoch != epoch {
+            let joint = if set.is_joint() { ", joint" } else { "" };
+            log::info!("register: set epoch {}, {} replicas{joint}", set.epoch, set.current.len());
         }
         if let Some(listener) = &*self.listener.lock() {
             listener(&accepted);
@@ -288,9 +267,8 @@
 
     /// A number that no other proposal has.
     fn proposer(&self) -> u64 {
-        let mut knowledge = self.knowledge.lock();
-        knowledge.proposals += 1;
-        scramble(self.draw.wrapping_add(knowledge.proposals.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
+        let number = self.proposals.fetch_add(1, Relaxed) + 1;
+        scramble(self.draw.wrapping_add(number.wrapping_mul(0x9e37_79b9_7f4a_7c15)))
     }
 
     /// Sends a message to a replica, and its reply or its loss to `replies`.
--- a/crates/mintlb-control/src/controller/replica.rs
+++ b/crates/mintlb-control/src/controller/replica.rs
@@ -62,6 +62,17 @@
         synced.await.ok().map(|()| reply)
     }
 
+    /// Accepts a chosen value that has not come here, as if its message had come late: then the disk here is as new as
+    /// those of the majority. Nothing happens if it has it, or something newer.
+    pub async fn catch_up(&self, chosen: &Accepted) {
+        let is_behind = self.accepted().is_none_or(|accepted| accepted.ballot < chosen.ballot);
+        let is_member = chosen.state.replicas.members().any(|member| member.id == self.identity.id);
+        if is_behind && is_member {
+            let ask = Ask::Accept { proposed: chosen.clone() };
+            self.answer(Request { target: self.identity.id, ask }).await;
+        }
+    }
+
     /// Writes the first value of a register, with this replica as the only one; `None` if it could not be synced.
     pub async fn found(&self, ballot: Ballot) -> Option<Accepted> {
         let state = Arc::new(ControlState::founded_by(self.identity.clone()));
--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -4,6 +4,8 @@
 
 use axum::http::{Method, StatusCode};
 use controllers::{Fleet, PATIENCE};
+use mintlb_control::controller::membership;
+use mintlb_register::state::{ReplicaId, ReplicaSet};
 use mintlb_tier::record::{CONFIGURATION, WorkerRecord, WorkerState};
 
 fn configuration(version: u64) -> String {
@@ -273,4 +275,26 @@
         "another one of that number"
     );
     assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(24)));
+/// What a controller does when it is told to stop.
+fn leave(fleet: &Fleet, place: usize) {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+    runtime.block_on(membership::leave(fleet.at(place)));
+}
+
+#[test]
+fn a_controller_that_is_told_to_stop_leaves_a_set_that_is_larger_than_needed() {
+    let mut fleet = Fleet::assembled(4);
+    let ids: Vec<Option<ReplicaId>> = (0..4).map(|place| fleet.at(place).replica_id()).collect();
+    let is_out = |place: usize| {
+        let id = ids[place].unwrap();
+        move |set: &ReplicaSet| set.current_replica(id).is_none()
+    };
+    leave(&fleet, 3);
+    fleet.wait_for_set(0, 3, is_out(3));
+    fleet.kill(3);
+    leave(&fleet, 2);
+    let set = fleet.at(2).register.set().unwrap();
+    assert!(set.current_replica(ids[2].unwrap()).is_some(), "three are needed: {set:?}");
+    fleet.restart(3);
+    fleet.wait_for_set(0, 4, move |set| set.current_replica(ids[3].unwrap()).is_some());
 }
--- a/crates/mintlb-register/src/founding.rs
+++ b/crates/mintlb-register/src/founding.rs
@@ -15,7 +15,7 @@
 pub struct SeedAnswer {
     /// Whether it could hold a replica.
     pub has_disk: bool,
-    /// The newest set that it knows to be chosen.
+    /// The newest set that it knows: good for whom to ask. It may never have been chosen.
     pub set: Option<ReplicaSet>,
 }
 
