--- a/crates/mintlb-control/src/controller/replica.rs
+++ b/crates/mintlb-control/src/controller/replica.rs
@@ -43,7 +43,26 @@
 
     /// Answers once everything that the answer tells of is synced; `None` if it could not be, or while too much waits.
     pub async fn answer(&self, request: Request) -> Option<Reply> {
-        let (reply, synced) = {
+        self.synced(|acceptor| {
+            let answered = acceptor.handle(request);
+            (answered.sync, answered.reply)
+        })
+        .await
+    }
+
+    /// Takes in a chosen value that has not come here: then the disk here is as new as those of the majority. Nothing
+    /// happens if it has it, or something newer, or is no member of the value's set.
+    pub async fn catch_up(&self, chosen: &Accepted) {
+        let is_behind = self.accepted().is_none_or(|accepted| accepted.ballot < chosen.ballot);
+        let is_member = chosen.state.replicas.members().any(|member| member.id == self.identity.id);
+        if is_behind && is_member {
+            self.synced(|acceptor| (acceptor.learn(chosen), ())).await;
+        }
+    }
+
+    /// What came of the vote, once all that it has taken in is on disk.
+    async fn synced<T>(&self, vote: impl FnOnce(&mut Acceptor) -> (Sync, T)) -> Option<T> {
+        let (result, synced) = {
             let mut acceptor = self.acceptor.lock();
             match self.store.take_health() {
                 Health::Good => (),
@@ -53,24 +72,13 @@
             if self.store.is_full() {
                 return None;
             }
-            let answered = acceptor.handle(request);
-            if answered.sync == Sync::Nothing && self.store.is_synced() {
-                return Some(answered.reply);
+            let (sync, result) = vote(&mut acceptor);
+            if sync == Sync::Nothing && self.store.is_synced() {
+                return Some(result);
             }
-            (answered.reply, self.store.sync(answered.sync))
+            (result, self.store.sync(sync))
         };
-        synced.await.ok().map(|()| reply)
-    }
-
-    /// Accepts a chosen value that has not come here, as if its message had come late: then the disk here is as new as
-    /// those of the majority. Nothing happens if it has it, or something newer.
-    pub async fn catch_up(&self, chosen: &Accepted) {
-        let is_behind = self.accepted().is_none_or(|accepted| accepted.ballot < chosen.ballot);
-        let is_member = chosen.state.replicas.members().any(|member| member.id == self.identity.id);
-        if is_behind && is_member {
-            let ask = Ask::Accept { proposed: chosen.clone() };
-            self.answer(Request { target: self.identity.id, ask }).await;
-        }
+        synced.await.ok().map(|()| result)
     }
 
     /// Writes the first value of a register, with this replica as the only one; `None` if it could not be synced.
--- a/crates/mintlb-control/src/controller/vote_store.rs
+++ b/crates/mintlb-control/src/controller/vote_store.rs
@@ -258,10 +258,11 @@
         Sync::Nothing => None,
         Sync::Promise(ballot) => Some(*ballot),
         Sync::Value(accepted) => Some(accepted.ballot),
+        Sync::Learned { promised, .. } => Some(*promised),
     });
     let Some(promise) = promise else { return Ok(()) };
     let value = jobs.iter().rev().find_map(|job| match &job.sync {
-        Sync::Value(accepted) => Some(accepted),
+        Sync::Value(accepted) | Sync::Learned { chosen: accepted, .. } => Some(accepted),
         _ => None,
     });
     vote_file::write_vote(database, promise, value)
--- a/crates/mintlb-register/src/acceptor.rs
+++ b/crates/mintlb-register/src/acceptor.rs
@@ -22,6 +22,13 @@
     Promise(Ballot),
     /// The promise and the value, both at the value's ballot.
     Value(Accepted),
+    /// A chosen value, and the promise, which may be higher.
+    Learned {
+        /// What is promised.
+        promised: Ballot,
+        /// The value.
+        chosen: Accepted,
+    },
 }
 
 /// An answer that may be given once `sync` is on disk.
@@ -71,6 +78,17 @@
         }
     }
 
+    /// Takes in a value that is known to be chosen, also where a higher ballot was promised meanwhile: whoever holds that
+    /// promise hears of the value from a majority, so that one more holder changes nothing for it.
+    pub fn learn(&mut self, chosen: &Accepted) -> Sync {
+        if self.vote.accepted.as_ref().is_some_and(|held| held.ballot >= chosen.ballot) {
+            return Sync::Nothing;
+        }
+        self.vote.promised = self.vote.promised.max(chosen.ballot);
+        self.vote.accepted = Some(chosen.clone());
+        Sync::Learned { promised: self.vote.promised, chosen: chosen.clone() }
+    }
+
     fn prepare(&mut self, ballot: Ballot, known: Option<Ballot>) -> Answered {
         if ballot < self.vote.promised {
             return self.refuse(ballot);
--- a/crates/mintlb-register/tests/world/mod.rs
+++ b/crates/mintlb-register/tests/world/mod.rs
@@ -475,6 +475,9 @@
             match sync {
                 Sync::Nothing => (),
                 Sync::Promise(ballot) => machine.durable.promised = ballot,
+                Sync::Learned { promised, chosen } => {
+                    machine.durable = Vote { promised, accepted: Some(chosen) };
+                }
                 Sync::Value(accepted) => {
                     machine.durable = Vote { promised: accepted.ballot, accepted: Some(accepted) };
                 }
