--- a/crates/mintlb-register/src/proposal.rs
+++ b/crates/mintlb-register/src/proposal.rs
@@ -48,7 +48,7 @@
 
 /// One change on its way. It goes on until it has an outcome; whoever drives it may give up, after which the change may
 /// or may not become part of the value.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Proposal {
     proposer: u64,
     change: Change,
@@ -63,7 +63,7 @@
     dice: u64,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Phase {
     Preparing { reported: BTreeMap<ReplicaId, Option<Ballot>>, newest: Option<Accepted> },
     Accepting { read: ReplicaSet, written: Accepted, answer: Option<Answer>, accepted: BTreeSet<ReplicaId> },
--- a/crates/mintlb-register/tests/cluster/mod.rs
+++ b/crates/mintlb-register/tests/cluster/mod.rs
@@ -1,6 +1,6 @@
 //! Replicas that answer at once, some of which are silent, lost, or spared a value.
 
-use mintlb_register::acceptor::{Acceptor, Vote};
+use mintlb_register::acceptor::{Acceptor, Sync, Vote};
 use mintlb_register::ballot::Ballot;
 use mintlb_register::change::Change;
 use mintlb_register::message::{Accepted, Ask};
@@ -39,6 +39,10 @@
     addresses: BTreeMap<ReplicaId, String>,
     unreachable: BTreeSet<ReplicaId>,
     proposer: u64,
+    /// Requests and replies so far.
+    pub messages: usize,
+    /// Syncs so far.
+    pub syncs: usize,
 }
 
 impl Cluster {
@@ -60,6 +64,8 @@
             addresses: current.into_iter().map(|replica| (replica.id, replica.address)).collect(),
             unreachable: BTreeSet::new(),
             proposer: 100,
+            messages: 0,
+            syncs: 0,
         }
     }
 
@@ -110,8 +116,10 @@
                     continue;
                 }
                 let fresh = || Acceptor::new(to.id, Vote::default());
-                let reply = self.acceptors.entry(to.id).or_insert_with(fresh).handle(request).reply;
-                inputs.push(Input::Reply(to.id, reply));
+                let answered = self.acceptors.entry(to.id).or_insert_with(fresh).handle(request);
+                self.messages += 2;
+                self.syncs += usize::from(answered.sync != Sync::Nothing);
+                inputs.push(Input::Reply(to.id, answered.reply));
             }
             if inputs.is_empty() {
                 inputs.push(Input::Timer);
--- a/crates/mintlb-register/tests/set_changes.rs
+++ b/crates/mintlb-register/tests/set_changes.rs
@@ -202,3 +202,26 @@
         assert!(settled.current_replica(101).is_some() && settled.current_replica(100).is_none());
     }
 }
+
+#[test]
+fn messages_and_syncs_of_a_change_stay_level_over_hundreds() {
+    for size in [3, 9] {
+        let mut cluster = Cluster::settled(size);
+        let mut counted = Vec::new();
+        for version in 2..=501 {
+            let before = (cluster.messages, cluster.syncs);
+            let body = version.to_string().into_bytes();
+            let change = Change::Configuration {
+                base: version - 1,
+                version,
+                body,
+                tolerance: 1,
+                at_least_kept: false,
+            };
+            assert_eq!(cluster.change(change).map(|outcome| outcome.answer), Some(Answer::Done));
+            counted.push((cluster.messages - before.0, cluster.syncs - before.1));
+        }
+        println!("set of {size}: {:?} messages and syncs a change", counted[499]);
+        assert!(counted.iter().all(|count| *count == (4 * size as usize, 2 * size as usize)), "{counted:?}");
+    }
+}
