--- a/crates/mintlb-control/tests/controller_fleet.rs
+++ b/crates/mintlb-control/tests/controller_fleet.rs
@@ -275,6 +275,8 @@
         "another one of that number"
     );
     assert_eq!(read(&fleet, 0), (StatusCode::OK, configuration(24)));
+}
+
 /// What a controller does when it is told to stop.
 fn leave(fleet: &Fleet, place: usize) {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
