--- a/crates/mintlb-model/src/history.rs
+++ b/crates/mintlb-model/src/history.rs
@@ -134,8 +134,9 @@
     pub fn draw(seed: u64, tier: Tier) -> History {
         let mut random = Random::new(seed ^ 0x5eed);
         let last = FIRST + random.time(2_000, (LAST - FIRST).as_millis() as u64);
-        let mut faults = losses(&mut random, tier, last);
-        faults.extend(others(&mut random, tier, last));
+        let others = others(&mut random, tier, last);
+        let mut faults = losses(&mut random, tier, last, &others);
+        faults.extend(others);
         faults.sort_by_key(|timed| timed.at);
         let calm_from = faults.iter().map(Timed::end).max().unwrap_or(last);
         let commit_ms = [2, 8, 30, 80][random.below(4)];
@@ -203,7 +204,7 @@
 }
 
 /// Losses of machines that count, each after the one before has been caught up with.
-fn losses(random: &mut Random, tier: Tier, last: Time) -> Vec<Timed> {
+fn losses(random: &mut Random, tier: Tier, last: Time, others: &[Timed]) -> Vec<Timed> {
     let mut faults = Vec::new();
     let mut at = FIRST + random.time(0, 4000);
     while at < last {
@@ -211,7 +212,14 @@
         let timed = Timed { at, fault };
         // Often right after the promise allows it.
         let pause = if random.chance(60) { random.time(0, 300) } else { random.time(0, 5000) };
+        let from = timed.at;
         at = timed.end() + CATCH_UP + pause;
+        // While the network is bad every machine counts as slowed, and so as lost: nothing is caught up with.
+        for bad in others.iter().filter(|other| matches!(other.fault, Fault::Weather(..))) {
+            if bad.at < at && bad.end() > from {
+                at += bad.fault.lasts();
+            }
+        }
         faults.push(timed);
     }
     faults
