--- a/crates/mintlb-model/src/planted.rs
+++ b/crates/mintlb-model/src/planted.rs
@@ -24,7 +24,8 @@
     DrainInIsolation,
     /// A process forgets its records now and then, and so takes older ones for news.
     OldRecordOverNewer,
-    /// A store takes messages of a former epoch for ones of the epoch that it has promised.
+    /// A store takes messages of a former epoch for ones of the epoch that it has promised. The histories do not find
+    /// it reliably yet, so no test asks for it.
     EpochNotCompared,
     /// A store says what it has before it is synced.
     StoreAnswersBeforeSync,
--- a/crates/mintlb-model/src/world/faults.rs
+++ b/crates/mintlb-model/src/world/faults.rs
@@ -128,7 +128,7 @@
         let Some(Fault::Strike { one, wiped, all, time }) = self.armed.take() else { return };
         self.note(|| format!("the strike falls: {one:?}, wiped: {wiped}, all: {all}"));
         if all {
-            self.forget_fresh_drains();
+            self.forget_drains();
             self.restart_all(time);
         } else if let Some(machine) = one {
             self.restart(machine, time);
--- a/crates/mintlb-model/src/world/workers.rs
+++ b/crates/mintlb-model/src/world/workers.rs
@@ -61,11 +61,11 @@
         self.drained.push(Drained { at: self.now, key });
     }
 
-    /// Workers' records lie in memory only: of those acknowledged just before all machines that count lose power
-    /// nothing is claimed here. History 22 with stores shows that one is forgotten then.
-    pub(super) fn forget_fresh_drains(&mut self) {
-        let now = self.now;
-        self.drained.retain(|drained| drained.at + DRAIN <= now);
+    /// Workers' records lie in memory only: once all machines that count have lost theirs, nothing is claimed here of
+    /// drains acknowledged before. A dispatcher that was cut off brings an older record back then, which stands until
+    /// the duty for workers without a controller ends it.
+    pub(super) fn forget_drains(&mut self) {
+        self.drained.clear();
     }
 
     fn worker_at(&self, machine: usize, key: &str) -> Option<WorkerRecord> {
