A dispatcher told to end refuses what comes after 2.6 s, in place of cutting it at the end of its grace

Cause: kept connections, and new ones while few schedulers of a zone are in, bring requests to a process that was told to end up to its last second; what was passed to a worker then was cut at the end of the grace. Change: later than 2.6 s (a third of the grace where that is less) after the word to end a request gets 503 with Retry-After and the connection closes: it has not run. Seen red without the check: lifecycle a_request_that_comes_long_after_...: 'it would be cut by the end'. A first form of the test was green without it (the one slot of the worker was taken, so that the first request was refused anyway).

--- a/crates/mintlb-dispatch/src/dispatcher.rs
+++ b/crates/mintlb-dispatch/src/dispatcher.rs
@@ -36,6 +36,10 @@
 const WORKERS_WAIT: Duration = Duration::from_millis(1500);
 /// A process that is to end keeps idle connections for so many seconds, until the platform has noticed.
 const NOTICE: f64 = 2.2;
+/// Requests that come later than so many seconds after it was told to end are refused: they could outlast it. Also no
+/// later than this part of the grace.
+const TAKES_LATE: f64 = 2.6;
+const TAKES_LATE_SHARE: f64 = 1.0 / 3.0;
 /// It ends no sooner, as clients may still be sent here.
 const LATE_ARRIVALS: f64 = 3.2;
 /// What is still held gets its answer so many seconds before the process is killed, and it ends so many before.
@@ -132,6 +136,7 @@
             room: Room::new(descriptors / 2, bodies),
             connections: descriptors / 2,
             standing: standing.clone(),
+            takes_late: TAKES_LATE.min(grants.grace_period_s * TAKES_LATE_SHARE),
             batch: batch.clone(),
         });
         let asked = standing.clone();
--- a/crates/mintlb-dispatch/src/front.rs
+++ b/crates/mintlb-dispatch/src/front.rs
@@ -66,6 +66,8 @@
     pub connections: usize,
     /// Whether clients are to come and to stay.
     pub standing: Arc<Mutex<Standing>>,
+    /// For so many seconds after the process was told to end, requests that still come are taken.
+    pub takes_late: f64,
     /// Who answers calls that concern lots, if anybody does.
     pub batch: Option<Arc<dyn BatchHandler>>,
 }
@@ -76,6 +78,7 @@
     room: Room,
     places: Arc<Places>,
     standing: Arc<Mutex<Standing>>,
+    takes_late: f64,
     batch: Option<Arc<dyn BatchHandler>>,
 }
 
@@ -97,9 +100,9 @@
 impl Front {
     /// One that does not listen yet.
     pub fn new(parts: FrontParts) -> Arc<Front> {
-        let FrontParts { hub, room, connections, standing, batch } = parts;
+        let FrontParts { hub, room, connections, standing, takes_late, batch } = parts;
         let places = Places::new(connections, Duration::from_millis(500));
-        Arc::new(Front { hub, room, places, standing, batch })
+        Arc::new(Front { hub, room, places, standing, takes_late, batch })
     }
 
     /// Takes clients until it is dropped.
@@ -285,9 +288,18 @@
         let Some(target) = self.hub.target(&table, &whole.host, path) else {
             return plain(StatusCode::NOT_FOUND);
         };
+        if self.is_too_late() {
+            return refused(COME_BACK);
+        }
         self.live(whole, id, target).await
     }
 
+    /// Whether the process was told to end so long ago that a request which comes now might be cut by its end.
+    fn is_too_late(&self) -> bool {
+        let stopped = self.standing.lock().stopped();
+        stopped.is_some_and(|stopped| self.hub.clock.now() - stopped >= self.takes_late)
+    }
+
     async fn batch(&self, whole: Whole, table: &RoutingTable, route: Option<usize>) -> Answer {
         let Some(handler) = &self.batch else { return refused(COME_BACK) };
         let call = BatchCall {
--- a/crates/mintlb-dispatch/tests/lifecycle.rs
+++ b/crates/mintlb-dispatch/tests/lifecycle.rs
@@ -5,6 +5,7 @@
 use machine::{CONFIGURATION, Client, Machine, Worker, header, on_one_thread};
 use mintlb_dispatch::knowledge::Known;
 use mintlb_tier::record::WorkerState;
+use std::time::Duration;
 
 async fn is_ready(machine: &Machine) -> bool {
     let mut client = Client::connect(machine.readiness).await;
@@ -112,6 +113,41 @@
     });
 }
 
+#[test]
+fn a_request_that_comes_long_after_the_word_to_end_is_refused_and_not_cut() {
+    on_one_thread(async {
+        let (mut machine, mut worker, _other) = with_workers().await;
+        // It keeps the process.
+        let mut before = machine.client().await;
+        before.post("/s/1", "a", "", "").await;
+        let mut asked = worker.asked().await;
+        asked.begin_stream().await;
+        asked.event(1).await;
+        before.head().await;
+        machine.stop.take().unwrap().send(()).unwrap();
+        let told = std::time::Instant::now();
+        for number in 0.. {
+            let mut client = machine.client().await;
+            client.post("/p/1", &format!("p{number}"), "", "").await;
+            tokio::select! {
+                asked = worker.asked() => asked.answer("taken").await,
+                got = client.get() => {
+                    assert_eq!(got.status, 503, "it has not run");
+                    assert!(told.elapsed() > Duration::from_millis(1500), "{number} were taken");
+                    assert_eq!(header(&got.head, "connection").as_deref(), Some("close"));
+                    assert!(header(&got.head, "retry-after").is_some());
+                    break;
+                }
+            }
+            assert_eq!(client.get().await.text(), "taken");
+            assert!(told.elapsed() < Duration::from_secs(3), "it would be cut by the end");
+        }
+        assert!(!worker.has_request());
+        asked.end_stream().await;
+        machine.ended.await.unwrap();
+    });
+}
+
 #[test]
 fn what_is_not_over_when_the_grace_ends_is_answered() {
     on_one_thread(async {
