A retirement counts on no store that was told to stop; one that can't be spared keeps its copies

The next loss, within the promise, left no copy. Change: order_retirement answers NotNow (503 M443) while it depends on a leaving store; completed needs more than f live whole replicas that stay; a store to be emptied counts as any other while those that stay are f or fewer, so that it is handed copies.

--- a/crates/mintlb-control/src/controller/retirement.rs
+++ b/crates/mintlb-control/src/controller/retirement.rs
@@ -43,6 +43,7 @@
             RetirementOrder::Unknown => return RetireAnswer::Unknown,
             _ if !has_listened => return RetireAnswer::Unavailable,
             RetirementOrder::TooFew => return RetireAnswer::TooFew,
+            RetirementOrder::NotNow => return RetireAnswer::Unavailable,
             RetirementOrder::Begin(next) => next,
         };
         let left = deadline.saturating_duration_since(Instant::now());
--- a/crates/mintlb-lots/src/placement_planner.rs
+++ b/crates/mintlb-lots/src/placement_planner.rs
@@ -109,13 +109,24 @@
         (2 * self.tolerance + 1).min(self.usable().count())
     }
 
-    /// Live stores that are not to be emptied.
+    /// Live stores that are not to be emptied, or all live ones while the others are too few.
     fn usable(&self) -> impl Iterator<Item = &StoreEntry> {
-        self.next.stores.iter().filter(|entry| !entry.retiring && self.view.silence(entry.id) < LIVE)
+        self.next.stores.iter().filter(|entry| self.is_live(entry.id) && !self.is_emptied(entry))
+    }
+
+    /// Whether a store is to be emptied, and can be: the others are enough to commit.
+    fn is_emptied(&self, entry: &StoreEntry) -> bool {
+        entry.retiring && self.staying().count() > self.tolerance
+    }
+
+    /// Live stores that nobody is to take away.
+    fn staying(&self) -> impl Iterator<Item = &StoreEntry> {
+        let stays = |entry: &&StoreEntry| !entry.retiring && !self.view.is_leaving(entry.id);
+        self.next.stores.iter().filter(stays).filter(|entry| self.is_live(entry.id))
     }
 
     fn is_retiring(&self, id: StoreId) -> bool {
-        self.next.store(id).is_none_or(|entry| entry.retiring)
+        self.next.store(id).is_none_or(|entry| self.is_emptied(entry))
     }
 
     fn is_live(&self, id: StoreId) -> bool {
--- a/crates/mintlb-lots/src/placement_planner/members.rs
+++ b/crates/mintlb-lots/src/placement_planner/members.rs
@@ -86,7 +86,8 @@
         let leaves =
             |id: &&StoreId| self.is_live(**id) && self.view.is_leaving(**id) && !self.is_retiring(**id);
         let Some(leaving) = replicas.iter().find(leaves).copied() else { return false };
-        let candidate = self.candidate(shard, replicas).filter(|id| self.is_new(*id));
+        let candidate =
+            self.candidate(shard, replicas).filter(|id| self.is_new(*id) || self.is_held_back(*id));
         let mut changed = replace(replicas, leaving, candidate);
         let is_good =
             |id: &StoreId| self.is_live(*id) && !self.view.is_leaving(*id) && caught_up.contains(id);
@@ -102,6 +103,11 @@
         true
     }
 
+    /// Whether a store is to be emptied but can't be spared yet.
+    fn is_held_back(&self, id: StoreId) -> bool {
+        self.next.store(id).is_some_and(|entry| entry.retiring && !self.is_emptied(entry))
+    }
+
     fn is_new(&self, id: StoreId) -> bool {
         self.view.store(id).is_some_and(|store| store.known_for < NEW_STORE)
     }
--- a/crates/mintlb-lots/src/placement_planner/retirement.rs
+++ b/crates/mintlb-lots/src/placement_planner/retirement.rs
@@ -19,6 +19,8 @@
     Unknown,
     /// Too few stores would be left: answer 409.
     TooFew,
+    /// Whether enough stores would be left depends on one that was told to stop and may come back: answer 503.
+    NotNow,
 }
 
 /// How far a store is emptied.
@@ -47,9 +49,14 @@
     let stays = |entry: &&StoreEntry| {
         entry.node_name != node_name && !entry.retiring && view.silence(entry.id) < COUNTS
     };
-    if current.stores.iter().filter(stays).count() <= tolerance {
+    let leaves = |entry: &&StoreEntry| view.is_leaving(entry.id);
+    let staying: Vec<&StoreEntry> = current.stores.iter().filter(stays).collect();
+    if staying.len() <= tolerance {
         return RetirementOrder::TooFew;
     }
+    if staying.iter().filter(|entry| !leaves(entry)).count() <= tolerance {
+        return RetirementOrder::NotNow;
+    }
     let mut next = Placement { epoch: current.epoch + 1, ..current.clone() };
     next.stores
         .iter_mut()
@@ -59,7 +66,8 @@
 }
 
 /// How far the store on this machine is emptied; `None` if there is no such order. It is completed only while more than
-/// `tolerance` live replicas of each shard have caught up without it: then any `tolerance` of them may be lost.
+/// `tolerance` live replicas of each shard, none of them told to stop, have caught up without it: then any `tolerance` of
+/// them may be lost.
 pub fn retirement(
     current: &Placement,
     view: &StoreView,
@@ -77,7 +85,8 @@
         let Some(&primary) = assignment.replicas.first() else { return false };
         let Some(report) = view.report(primary, shard, assignment.epoch) else { return false };
         let lacks = |id: &StoreId| view.silence(*id) < COUNTS && !report.caught_up.contains(id);
-        let whole = |id: &&StoreId| view.silence(**id) < LIVE && report.caught_up.contains(id);
+        let stays = |id: &StoreId| view.silence(*id) < LIVE && !view.is_leaving(*id);
+        let whole = |id: &&StoreId| stays(id) && report.caught_up.contains(id);
         assignment.previous.is_empty()
             && report.in_charge
             && !assignment.replicas.iter().any(lacks)
--- a/crates/mintlb-lots/tests/placement.rs
+++ b/crates/mintlb-lots/tests/placement.rs
@@ -270,6 +270,18 @@
     assert_eq!(retire(&mut tier, "node-1"), RetirementOrder::TooFew);
 }
 
+#[test]
+fn a_retirement_that_counts_on_a_store_that_leaves_is_not_ordered_now() {
+    let mut tier = Tier::new(&["a", "b", "c"], 1);
+    tier.settle();
+    tier.leaving.insert(3);
+    tier.run(STEP);
+    assert_eq!(retire(&mut tier, "node-2"), RetirementOrder::NotNow);
+    tier.leaving.clear();
+    tier.run(STEP);
+    assert!(matches!(retire(&mut tier, "node-2"), RetirementOrder::Begin(_)), "it was a restart");
+}
+
 #[test]
 fn a_retirement_is_not_completed_before_the_others_have_caught_up() {
     let mut tier = Tier::new(&["a", "b", "c", "d"], 1);
--- a/crates/mintlb-model/src/controller/placing.rs
+++ b/crates/mintlb-model/src/controller/placing.rs
@@ -82,6 +82,7 @@
                 RetirementOrder::Unknown => Told::Refused,
                 _ if !has_listened => Told::Unavailable,
                 RetirementOrder::TooFew => Told::Refused,
+                RetirementOrder::NotNow => Told::Unavailable,
                 RetirementOrder::Begin(next) => {
                     let change = Change::Placement(next);
                     return self.change(context, change, RETIRE_CHANGE_WITHIN, Purpose::RetireOrder(ask));
