--- a/rig/days/play.sh
+++ b/rig/days/play.sh
@@ -30,8 +30,8 @@
   verdict="no rule broken"
   case $line in
     '') case $(tail -1 "$log") in
-          # Its own traffic names zones of another site.
-          *'no zone'*) verdict="for another site" ;;
+          # Its own traffic or bursts name zones or kinds of requests of another site.
+          *'no zone'* | *'no class'*) verdict="for another site" ;;
           *) verdict="not played: $(tail -1 "$log")" failed=1 ;;
         esac ;;
     *BROKEN*) verdict="a rule is broken" failed=1 ;;
