--- a/crates/mintlb-batch/src/client.rs
+++ b/crates/mintlb-batch/src/client.rs
@@ -15,7 +15,8 @@
 
 pub use error::{JobError, RecordError, SubmitError};
 pub use types::{
-    CommittedResult, Item, ItemResult, LeasedItem, LeasedJob, ResultPage, Submission, Submitted,
+    CommittedResult, Item, ItemResult, Leased, LeasedItem, LeasedJob, Renewed, ResultPage,
+    Submission, Submitted,
 };
 
 use mintlb_common::placement::Placement;
--- a/crates/mintlb-batch/src/client/leases.rs
+++ b/crates/mintlb-batch/src/client/leases.rs
@@ -3,7 +3,7 @@
 
 use super::attempt::Attempt;
 use super::routing::{StoreEndpoint, all_primaries, primary_of};
-use super::{BatchClient, Item, LeasedItem, LeasedJob};
+use super::{BatchClient, Item, Leased, LeasedItem, LeasedJob, Renewed};
 use crate::entry::ItemPayload;
 use crate::framing;
 use crate::messages::{
@@ -26,43 +26,48 @@
 
 impl BatchClient {
     /// Leases up to `max_items` unleased items to `owner`. Asks a few stores that may have some.
-    pub async fn lease(&self, owner: DispatcherId, max_items: usize) -> Vec<LeasedItem> {
-        let mut leased = Vec::new();
+    pub async fn lease(&self, owner: DispatcherId, max_items: usize) -> Leased {
+        let mut leased = Leased::default();
         let primaries = all_primaries(&(self.placement)());
         let stores = self.backlogs.candidates(primaries, owner);
         for store in stores.into_iter().take(MAX_STORES_PER_LEASE) {
-            let left = max_items.saturating_sub(leased.len());
+            let left = max_items.saturating_sub(leased.items.len());
             if left == 0 {
                 break;
             }
-            let items = self.lease_at(store, owner, left).await;
+            let Some(items) = self.lease_at(store, owner, left).await else {
+                leased.unanswered += 1;
+                continue;
+            };
             // A store that had some is asked again by the next call, without a pause.
             self.backlogs.record(store.id, items.len() as u32);
-            leased.extend(items);
+            leased.items.extend(items);
         }
         leased
     }
 
+    /// `None` if the store does not respond in time.
     async fn lease_at(
         &self,
         store: StoreEndpoint,
         owner: DispatcherId,
         max_items: usize,
-    ) -> Vec<LeasedItem> {
+    ) -> Option<Vec<LeasedItem>> {
         let request = StoreRequest::Lease(Lease {
             owner,
             max_items: max_items as u32,
         });
         let request = framing::encode(&request, &[]);
         match self.attempt(store.address, request, LEASE_TIMEOUT).await {
-            Attempt::Answered(StoreResponse::Leased(headers), raw) => leased_items(headers, raw),
-            _ => Vec::new(),
+            Attempt::Answered(StoreResponse::Leased(headers), raw) => {
+                Some(leased_items(headers, raw))
+            }
+            _ => None,
         }
     }
 
-    /// Renews the leases of the items that `owner` runs; to be called each second. Returns the
-    /// items whose leases are lost: `owner` has to stop them.
-    pub async fn renew(&self, owner: DispatcherId, leased: Vec<LeasedJob>) -> Vec<LeasedJob> {
+    /// Renews the leases of the items that `owner` runs; to be called each second.
+    pub async fn renew(&self, owner: DispatcherId, leased: Vec<LeasedJob>) -> Renewed {
         let by_store = self.group_by_store(leased);
         let deadline = Instant::now() + LEASE_TIMEOUT;
         let mut calls = Vec::with_capacity(by_store.len());
@@ -71,17 +76,19 @@
             let call = self.spawn_call(store, framing::encode(&request, &[]));
             calls.push((store, call));
         }
-        let mut lost = Vec::new();
+        let mut renewed = Renewed::default();
         for (store, call) in calls {
             let Ok(Ok(Ok(response))) = timeout_at(deadline, call).await else {
+                renewed.unanswered += 1;
                 continue;
             };
             if let Some((StoreResponse::Renewed(result), _)) = framing::decode(&response) {
                 self.backlogs.record(store.id, result.open);
-                lost.extend(result.lost.into_iter().map(LeasedJob::from));
+                let lost = result.lost.into_iter().map(LeasedJob::from);
+                renewed.lost.extend(lost);
             }
         }
-        lost
+        renewed
     }
 
     /// Leased items by the primary of their shard, without those whose shard has none.
--- a/crates/mintlb-batch/src/client/types.rs
+++ b/crates/mintlb-batch/src/client/types.rs
@@ -93,6 +93,24 @@
     pub failures: u32,
 }
 
+/// The outcome of a call that leases items.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Leased {
+    /// The leased items.
+    pub items: Vec<LeasedItem>,
+    /// Number of stores that did not respond in time.
+    pub unanswered: usize,
+}
+
+/// The outcome of a renewal.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Renewed {
+    /// The items whose leases are lost: their owner has to stop them.
+    pub lost: Vec<LeasedJob>,
+    /// Number of stores that did not respond in time.
+    pub unanswered: usize,
+}
+
 /// Items of one job that a dispatcher has leased.
 #[derive(Clone, Debug, PartialEq)]
 pub struct LeasedJob {
--- a/crates/mintlb-batch/src/job_table/job.rs
+++ b/crates/mintlb-batch/src/job_table/job.rs
@@ -5,6 +5,7 @@
 use crate::messages::JobName;
 use crate::timestamp::Timestamp;
 use std::ops::Range;
+use std::time::Duration;
 
 /// Estimated bytes of a result while the job has none to take an average of.
 const DEFAULT_RESULT_BYTES: u64 = 2 << 10;
@@ -94,6 +95,11 @@
             .partition_point(|result| result.index <= commit_index)
     }
 
+    /// How long ago this process applied the entry that accepted the job.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.saturating_since(self.applied_at)
+    }
+
     /// Whether no item of the job is pending: it was ended, or every item has a result.
     pub fn is_done(&self) -> bool {
         self.ended.is_some() || self.results.len() == self.items.len()
--- a/crates/mintlb-batch/src/lib.rs
+++ b/crates/mintlb-batch/src/lib.rs
@@ -10,6 +10,7 @@
 //! - [`job_table`]: the state machine driven by the log: jobs, results, quota, retention.
 //! - [`leases`]: which dispatcher runs which item.
 //! - [`replica`]: the replica of a shard at one store: primary, follower, takeover, requests.
+//! - [`backlog`]: how much work waits in the shards that a store leads.
 //! - [`placement_planner`]: which stores are assigned to which shard.
 //!
 //! Messages:
@@ -21,6 +22,7 @@
 //! - [`client`]: the dispatchers' client of the stores.
 //! - [`timestamp`]: time of the monotonic clock.
 
+pub mod backlog;
 pub mod client;
 pub mod entry;
 pub mod epoch_history;
--- a/crates/mintlb-batch/src/replica.rs
+++ b/crates/mintlb-batch/src/replica.rs
@@ -29,6 +29,7 @@
 pub use serving::{LeasePlan, PagePlan, PayloadLocation, Proposal};
 pub use state::{LoadedEntry, ReplicaSettings, ShardMeta};
 
+use crate::backlog::Backlog;
 use crate::entry::Entry;
 use crate::epoch_history::{Epoch, EpochHistory, LogIndex};
 use crate::framing;
@@ -238,6 +239,21 @@
         })
     }
 
+    /// The work that waits in this shard; none unless this is the active primary.
+    pub fn backlog(&self, now: Timestamp) -> Backlog {
+        let mut backlog = Backlog::default();
+        if !self.is_serving() {
+            return backlog;
+        }
+        for job in self.jobs.open() {
+            backlog.open_jobs += 1;
+            backlog.pending_items += job.pending_items().count();
+            backlog.oldest_job = backlog.oldest_job.max(job.age(now));
+        }
+        backlog.unleased_items = self.unleased_items(now).count();
+        backlog
+    }
+
     /// Bytes of this shard on disk.
     pub fn bytes(&self) -> u64 {
         self.jobs.bytes()
--- a/crates/mintlb-batch/src/replica/serving/leasing.rs
+++ b/crates/mintlb-batch/src/replica/serving/leasing.rs
@@ -120,7 +120,10 @@
     }
 
     /// Items that nobody owns; none unless this is the active primary.
-    fn unleased_items(&self, now: Timestamp) -> impl Iterator<Item = ItemRef> + '_ {
+    pub(in crate::replica) fn unleased_items(
+        &self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = ItemRef> + '_ {
         let leases = self.is_serving().then_some(&self.leases);
         leases
             .into_iter()
--- a/crates/mintlb-common/src/transport.rs
+++ b/crates/mintlb-common/src/transport.rs
@@ -17,6 +17,7 @@
 //! - `dialer`, `listener`, `connection`: the two directions, and what they share.
 //! - `handshake`, `frame`: the bytes on the wire.
 //! - `link`, `peers`: queue and pending calls of a connection; the table of peers.
+//! - `send_queue`: what waits for its connection, and how long.
 //! - [`incarnations`], [`rejections`]: pure bookkeeping.
 //!
 //! The tasks of a transport have no shutdown of their own: a process answers its peers until it
@@ -33,11 +34,13 @@
 mod listener;
 mod peers;
 pub mod rejections;
+mod send_queue;
 mod service;
 
 pub use error::CallError;
 pub use frame::MAX_MESSAGE_BYTES;
 pub use rejections::Rejection;
+pub use send_queue::SendStatistics;
 pub use service::{Channel, ResponseFuture, Service};
 
 use crate::incarnation::Incarnation;
@@ -47,6 +50,7 @@
 use parking_lot::Mutex;
 use peers::PeerTable;
 use rejections::RejectionCounts;
+use send_queue::SendCounters;
 use service::ServiceRegistry;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
@@ -67,7 +71,7 @@
     peers: PeerTable,
     rejections: Mutex<RejectionCounts>,
     next_call: AtomicU64,
-    sent_bytes: AtomicU64,
+    counters: Arc<SendCounters>,
 }
 
 impl Transport {
@@ -92,7 +96,7 @@
             peers: PeerTable::default(),
             rejections: Mutex::default(),
             next_call: AtomicU64::new(1),
-            sent_bytes: AtomicU64::new(0),
+            counters: Arc::default(),
         });
         tokio::spawn(transport.clone().accept_connections(listener));
         Ok(transport)
@@ -110,7 +114,17 @@
 
     /// Bytes handed to the operating system so far, headers included.
     pub fn sent_bytes(&self) -> u64 {
-        self.sent_bytes.load(Relaxed)
+        self.counters.sent_bytes()
+    }
+
+    /// Bytes of messages that wait to be handed to the operating system.
+    pub fn queued_bytes(&self) -> u64 {
+        self.counters.queued_bytes()
+    }
+
+    /// What was sent and what waits. The longest wait begins anew with each call.
+    pub fn take_send_statistics(&self) -> SendStatistics {
+        self.counters.take()
     }
 
     /// Directs the messages of this channel to this service from now on.
--- a/crates/mintlb-common/src/transport/connection.rs
+++ b/crates/mintlb-common/src/transport/connection.rs
@@ -1,9 +1,8 @@
 //! What dialed and accepted connections share: time limits, socket options and the writing of
 //! queued frames.
 
-use super::frame::Frame;
+use super::send_queue::{QueuedFrame, SendCounters};
 use bytes::BytesMut;
-use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -41,18 +40,19 @@
 }
 
 /// Writes queued frames until the queue is closed or, under [`IdlePolicy::Close`], the connection
-/// is idle. Adds the bytes to `sent_bytes`.
+/// is idle.
 ///
 /// # Errors
 ///
 /// If the connection fails.
 pub async fn write_frames(
     mut stream: OwnedWriteHalf,
-    queue: &mut mpsc::Receiver<Frame>,
-    sent_bytes: &AtomicU64,
+    queue: &mut mpsc::Receiver<QueuedFrame>,
+    counters: &SendCounters,
     idle_policy: IdlePolicy,
 ) -> std::io::Result<()> {
     let mut buffer = BytesMut::new();
+    let mut batch = Vec::new();
     loop {
         let first = match timeout(IDLE_TIMEOUT, queue.recv()).await {
             Ok(Some(frame)) => frame,
@@ -60,13 +60,17 @@
             Err(_) if idle_policy == IdlePolicy::Close => return Ok(()),
             Err(_) => continue,
         };
-        first.encode_into(&mut buffer);
+        first.frame().encode_into(&mut buffer);
+        batch.push(first);
         while buffer.len() < WRITE_BATCH_BYTES {
-            let Ok(frame) = queue.try_recv() else { break };
-            frame.encode_into(&mut buffer);
+            let Ok(queued) = queue.try_recv() else { break };
+            queued.frame().encode_into(&mut buffer);
+            batch.push(queued);
         }
-        sent_bytes.fetch_add(buffer.len() as u64, Relaxed);
+        counters.on_sent(buffer.len());
         stream.write_all(&buffer).await?;
+        batch.iter().for_each(QueuedFrame::on_handed_over);
+        batch.clear();
         buffer.clear();
         if buffer.capacity() > MAX_RETAINED_BUFFER_BYTES {
             buffer = BytesMut::new();
--- a/crates/mintlb-common/src/transport/dialer.rs
+++ b/crates/mintlb-common/src/transport/dialer.rs
@@ -4,9 +4,10 @@
 use super::connection::{
     CONNECTION_TIMEOUT, IdlePolicy, RETRY_DELAY, detect_lost_peer, write_frames,
 };
-use super::frame::{Frame, FrameKind, FrameReader};
+use super::frame::{FrameKind, FrameReader};
 use super::handshake::{Handshake, HandshakeReply, Purpose, REPLY_BYTES};
 use super::link::Link;
+use super::send_queue::QueuedFrame;
 use super::{CallError, Rejection, Transport};
 use crate::incarnation::Incarnation;
 use std::io;
@@ -34,7 +35,7 @@
     /// there now.
     pub(super) fn link_to(self: &Arc<Self>, peer: SocketAddr) -> Arc<Link> {
         self.peers.link_or_open(peer, |expected| {
-            let (link, queue) = Link::new(expected);
+            let (link, queue) = Link::new(expected, self.counters.clone());
             tokio::spawn(self.clone().run_link(peer, link.clone(), queue));
             link
         })
@@ -45,7 +46,7 @@
         self: Arc<Self>,
         peer: SocketAddr,
         link: Arc<Link>,
-        mut queue: mpsc::Receiver<Frame>,
+        mut queue: mpsc::Receiver<QueuedFrame>,
     ) {
         let end = self.run_connection(peer, &link, &mut queue).await;
         // From here on no call can be queued on this link; those that wait fail below.
@@ -64,7 +65,7 @@
         self: &Arc<Self>,
         peer: SocketAddr,
         link: &Arc<Link>,
-        queue: &mut mpsc::Receiver<Frame>,
+        queue: &mut mpsc::Receiver<QueuedFrame>,
     ) -> ConnectionEnd {
         let connected = self.connect(peer, Purpose::Messages, link.expected()).await;
         let Ok(stream) = connected else {
@@ -73,7 +74,7 @@
         };
         let (read_half, write_half) = stream.into_split();
         let reads = self.read_responses(read_half, peer, link);
-        let writes = write_frames(write_half, queue, &self.sent_bytes, IdlePolicy::Close);
+        let writes = write_frames(write_half, queue, &self.counters, IdlePolicy::Close);
         tokio::select! {
             biased;
             end = reads => end,
--- a/crates/mintlb-common/src/transport/link.rs
+++ b/crates/mintlb-common/src/transport/link.rs
@@ -3,6 +3,7 @@
 
 use super::CallError;
 use super::frame::Frame;
+use super::send_queue::{QueuedFrame, SendCounters};
 use crate::incarnation::Incarnation;
 use bytes::Bytes;
 use parking_lot::Mutex;
@@ -25,7 +26,8 @@
 /// connection.
 pub struct Link {
     expected: Option<Incarnation>,
-    queue: mpsc::Sender<Frame>,
+    queue: mpsc::Sender<QueuedFrame>,
+    counters: Arc<SendCounters>,
     pending: Mutex<PendingCalls>,
     close_requested: Notify,
 }
@@ -33,11 +35,15 @@
 impl Link {
     /// Creates a link that is not connected yet, and the receiving end of its queue. Only the
     /// incarnation `expected` may receive its messages; any may if `expected` is `None`.
-    pub fn new(expected: Option<Incarnation>) -> (Arc<Link>, mpsc::Receiver<Frame>) {
+    pub fn new(
+        expected: Option<Incarnation>,
+        counters: Arc<SendCounters>,
+    ) -> (Arc<Link>, mpsc::Receiver<QueuedFrame>) {
         let (queue, queued) = mpsc::channel(QUEUE_CAPACITY);
         let link = Link {
             expected,
             queue,
+            counters,
             pending: Mutex::default(),
             close_requested: Notify::new(),
         };
@@ -51,7 +57,12 @@
 
     /// Queues a message. Returns whether the queue had capacity for it.
     pub fn send(&self, frame: Frame) -> bool {
-        self.queue.try_send(frame).is_ok()
+        let queued = QueuedFrame::new(frame, &self.counters);
+        let has_capacity = self.queue.try_send(queued).is_ok();
+        if !has_capacity {
+            self.counters.on_dropped();
+        }
+        has_capacity
     }
 
     /// Registers a call. Has to precede [`Link::send`], or an early response would find nobody
--- a/crates/mintlb-common/src/transport/listener.rs
+++ b/crates/mintlb-common/src/transport/listener.rs
@@ -7,6 +7,7 @@
 use super::frame::{Frame, FrameKind, FrameReader};
 use super::handshake::{HANDSHAKE_BYTES, Handshake, HandshakeReply, Purpose};
 use super::incarnations::DialCheck;
+use super::send_queue::QueuedFrame;
 use super::{Rejection, Transport};
 use crate::incarnation::Incarnation;
 use std::net::SocketAddr;
@@ -86,12 +87,7 @@
         let (read_half, write_half) = stream.into_split();
         let (responses, mut queue) = mpsc::channel(RESPONSE_QUEUE_CAPACITY);
         let reads = self.read_messages(read_half, sender, responses);
-        let writes = write_frames(
-            write_half,
-            &mut queue,
-            &self.sent_bytes,
-            IdlePolicy::KeepOpen,
-        );
+        let writes = write_frames(write_half, &mut queue, &self.counters, IdlePolicy::KeepOpen);
         tokio::select! { () = reads => (), _ = writes => () }
     }
 
@@ -100,7 +96,7 @@
         &self,
         stream: OwnedReadHalf,
         sender: Sender,
-        responses: mpsc::Sender<Frame>,
+        responses: mpsc::Sender<QueuedFrame>,
     ) {
         let mut frames = FrameReader::new(stream);
         while let Some(frame) = self.next_frame(&mut frames, sender.address).await {
@@ -116,7 +112,7 @@
 
     /// Hands a message to the service of its channel; the response to a request is queued by a task
     /// of its own, so that a slow handler delays no other message.
-    fn dispatch(&self, frame: Frame, from: SocketAddr, responses: &mpsc::Sender<Frame>) {
+    fn dispatch(&self, frame: Frame, from: SocketAddr, responses: &mpsc::Sender<QueuedFrame>) {
         let Some(service) = self.services.get(frame.channel) else {
             return;
         };
@@ -124,6 +120,7 @@
             return service.on_notification(from, frame.body);
         }
         let responses = responses.clone();
+        let counters = self.counters.clone();
         let response = service.on_request(from, frame.body);
         tokio::spawn(async move {
             let response = Frame {
@@ -132,6 +129,7 @@
                 call: frame.call,
                 body: response.await,
             };
+            let response = QueuedFrame::new(response, &counters);
             responses.send(response).await.ok();
         });
     }
--- a/crates/mintlb-control/src/store/handle.rs
+++ b/crates/mintlb-control/src/store/handle.rs
@@ -1,10 +1,12 @@
 //! The store's shared state: the replicas behind one lock, their clock, and whether the store is
 //! shutting down.
 
+use super::load::LoadCounters;
 use super::shard_host::ShardHost;
 use super::storage::commit_queue::ShardContinuation;
 use super::storage::{LoadedShards, OpenedStorage};
 use bytes::Bytes;
+use mintlb_batch::backlog::Backlog;
 use mintlb_batch::heartbeat::ShardReport;
 use mintlb_batch::peer::Envelope;
 use mintlb_batch::replica::{Replica, ReplicaSettings};
@@ -41,6 +43,7 @@
     clock_offset: Duration,
     disk_bytes: u64,
     report_changed: Arc<Notify>,
+    load: Arc<LoadCounters>,
     draining: AtomicBool,
 }
 
@@ -55,11 +58,13 @@
     ) -> Arc<Store> {
         let clock_offset = Duration::from_millis(random_seed >> CLOCK_OFFSET_SHIFT);
         let report_changed = Arc::new(Notify::new());
+        let load = Arc::new(LoadCounters::default());
         let shard_host = ShardHost::new(
             transport,
             opened,
             settings,
             report_changed.clone(),
+            load.clone(),
             clock_offset.into(),
         );
         Arc::new(Store {
@@ -69,6 +74,7 @@
             clock_offset,
             disk_bytes,
             report_changed,
+            load,
             draining: AtomicBool::new(false),
         })
     }
@@ -102,6 +108,16 @@
         &self.report_changed
     }
 
+    /// The counters of what this store carries.
+    pub fn load(&self) -> &LoadCounters {
+        &self.load
+    }
+
+    /// The work that waits in the shards that this store leads.
+    pub fn backlog(&self) -> Backlog {
+        self.shard_host().backlog(self.now())
+    }
+
     /// Applies a placement, unless it is older than the present one.
     pub fn apply_placement(&self, placement: Placement) {
         self.shard_host().apply_placement(placement, self.now());
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -9,13 +9,14 @@
 //!   waiting calls.
 //! - [`storage`]: the file, its commit thread and its capacity.
 //! - [`entry_cache`]: entries that are still being replicated.
-//! - [`heartbeats`]: reports to the controllers.
+//! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, for the log.
 
 pub mod driver;
 pub mod entry_cache;
 pub mod error;
 pub mod handle;
 pub mod heartbeats;
+pub mod load;
 pub mod process;
 mod requests;
 mod running;
--- a/crates/mintlb-control/src/store/requests/mod.rs
+++ b/crates/mintlb-control/src/store/requests/mod.rs
@@ -67,12 +67,16 @@
             shard_host.run_effects(shard, now);
             (proposal, commit)
         };
-        if let Some(commit) = commit
-            && commit.status(COMMIT_TIMEOUT).await == CommitStatus::Indeterminate
-        {
-            return Proposal::Immediate(StoreResponse::Indeterminate);
+        let Some(commit) = commit else {
+            return proposal;
+        };
+        let started = Instant::now();
+        let status = commit.status(COMMIT_TIMEOUT).await;
+        self.load().on_committed(started.elapsed());
+        match status {
+            CommitStatus::Committed => proposal,
+            CommitStatus::Indeterminate => Proposal::Immediate(StoreResponse::Indeterminate),
         }
-        proposal
     }
 
     /// The response to a proposal. Only a primary that is confirmed may answer that there is no
--- a/crates/mintlb-control/src/store/shard_host/effects.rs
+++ b/crates/mintlb-control/src/store/shard_host/effects.rs
@@ -1,6 +1,7 @@
 //! The effects that replicas ask for, carried out.
 
 use super::ShardHost;
+use crate::store::load::MessageKind;
 use crate::store::storage::StoredEntry;
 use crate::store::storage::commit_queue::Enqueued;
 use mintlb_batch::framing;
@@ -88,8 +89,9 @@
         let Some(address) = self.addresses.get(&envelope.to) else {
             return;
         };
-        self.transport
-            .notify(*address, Channel::Batch, framing::encode(envelope, raw));
+        let message = framing::encode(envelope, raw);
+        self.load.on_sent(MessageKind::Replication, message.len());
+        self.transport.notify(*address, Channel::Batch, message);
     }
 
     fn send_entries(&self, mut envelope: Envelope, indexes: &[u64]) {
--- a/crates/mintlb-control/src/store/shard_host/mod.rs
+++ b/crates/mintlb-control/src/store/shard_host/mod.rs
@@ -8,11 +8,13 @@
 pub mod pending_calls;
 
 use super::entry_cache::EntryCache;
+use super::load::LoadCounters;
 use super::storage::commit_queue::ShardContinuation;
 use super::storage::{
     CommitQueue, DiskError, LoadedShards, OpenedStorage, ShardStorage, StoredEntry, capacity,
 };
 use bytes::Bytes;
+use mintlb_batch::backlog::Backlog;
 use mintlb_batch::heartbeat::ShardReport;
 use mintlb_batch::peer::Envelope;
 use mintlb_batch::replica::{Replica, ReplicaSettings};
@@ -41,6 +43,7 @@
     storage: ShardStorage,
     commit_queue: CommitQueue,
     report_changed: Arc<Notify>,
+    load: Arc<LoadCounters>,
 }
 
 impl ShardHost {
@@ -51,6 +54,7 @@
         opened: OpenedStorage,
         settings: ReplicaSettings,
         report_changed: Arc<Notify>,
+        load: Arc<LoadCounters>,
         now: Timestamp,
     ) -> ShardHost {
         ShardHost {
@@ -65,6 +69,7 @@
             storage: opened.storage,
             commit_queue: opened.commit_queue,
             report_changed,
+            load,
         }
     }
 
@@ -208,6 +213,15 @@
         self.replicas.iter().filter_map(Replica::report).collect()
     }
 
+    /// The work that waits in the shards that this store leads.
+    pub fn backlog(&self, now: Timestamp) -> Backlog {
+        let mut backlog = Backlog::default();
+        for replica in &self.replicas {
+            backlog += replica.backlog(now);
+        }
+        backlog
+    }
+
     /// Batch jobs that readers wait for.
     pub fn jobs_with_waiting_readers(&self) -> usize {
         self.pending_calls
--- a/crates/mintlb-control/src/store/startup.rs
+++ b/crates/mintlb-control/src/store/startup.rs
@@ -4,6 +4,7 @@
 use super::error::StoreError;
 use super::handle::Store;
 use super::heartbeats;
+use super::load;
 use super::running::{HandoverLimits, RunningStore};
 use super::service::StoreService;
 use super::storage::{CommitQueue, LoadedStorage, OpenedStorage, file};
@@ -78,6 +79,7 @@
     let gossip = join_gossip(&settings, &transport, &store);
     transport.register_service(Channel::Batch, Arc::new(StoreService(store.clone())));
     let mut tasks = JoinSet::new();
+    tasks.spawn(load::report(store.clone(), transport.clone()));
     tasks.spawn(heartbeats::run(settings, store.clone(), transport, gossip));
     Ok(RunningStore {
         driver: Driver::new(store.clone(), storage, commits),
--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -97,7 +97,7 @@
             attempts: 1,
         }],
     };
-    let lost = client.renew(DISPATCHER, vec![leased.clone()]).await;
+    let lost = client.renew(DISPATCHER, vec![leased.clone()]).await.lost;
     assert_eq!(
         lost,
         vec![LeasedJob {
@@ -106,7 +106,7 @@
             ..leased.clone()
         }]
     );
-    assert_eq!(client.lease(9, 10).await, vec![], "all items are leased");
+    assert_eq!(client.lease(9, 10).await.items, vec![], "all items are leased");
     client.release(DISPATCHER).await;
 
     assert_eq!(client.end(HOST, "a").await, Ok(()));
@@ -114,7 +114,7 @@
     assert_eq!(client.end(HOST, "x").await, Err(JobError::NotFound));
     assert_eq!(client.body(HOST, "a", "a-1").await, Err(JobError::NotFound));
     assert_eq!(
-        client.renew(DISPATCHER, vec![leased.clone()]).await,
+        client.renew(DISPATCHER, vec![leased.clone()]).await.lost,
         vec![LeasedJob {
             failures: vec![],
             ..leased
--- a/crates/mintlb-dispatcher/src/batch/calls.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls.rs
@@ -18,7 +18,7 @@
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Size limit of the results in one response.
 const MAX_PAGE_BYTES: usize = 1 << 20;
@@ -224,7 +224,9 @@
     job: Submission,
     time_limit: Duration,
 ) -> Response {
-    match client.submit(job.clone(), dispatcher_id, time_limit).await {
+    let started = Instant::now();
+    let submitted = client.submit(job.clone(), dispatcher_id, time_limit).await;
+    let response = match submitted {
         Ok(Submitted { items_leased }) => {
             if items_leased {
                 runner.take(leased(job));
@@ -242,7 +244,10 @@
         }
         // It may be committed: no status that denies it is allowed.
         Err(SubmitError::Indeterminate) => StatusCode::GATEWAY_TIMEOUT.into_response(),
-    }
+    };
+    let counters = runner.counters();
+    counters.on_submitted(response.status(), started.elapsed());
+    response
 }
 
 fn leased(job: Submission) -> Vec<LeasedItem> {
--- a/crates/mintlb-dispatcher/src/batch/mod.rs
+++ b/crates/mintlb-dispatcher/src/batch/mod.rs
@@ -1,12 +1,14 @@
 //! Batch jobs at a dispatcher: clients' calls, and the execution of leased items.
 //!
 //! Pure: [`submission`], [`page`], [`progress`], [`queue`]. Joined with the stores and the reducer: [`calls`], [`runner`].
+//! [`statistics`]: counts for the log.
 
 pub mod calls;
 pub mod page;
 pub mod progress;
 pub mod queue;
 pub mod runner;
+pub mod statistics;
 pub mod submission;
 
 use crate::batch_executor::{BatchExecutor, BatchHandler};
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -2,10 +2,11 @@
 
 use super::progress::{AttemptOutcome, Next, Progress};
 use super::queue::{ItemNumber, ItemQueue};
+use super::statistics::{BatchCounters, REPORT_INTERVAL};
 use crate::batch_executor::{BatchExecutor, ItemOutcome, ItemRequest, ItemStep};
 use crate::events::{event_data, event_id, split_events};
 use axum::http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
-use mintlb_batch::client::{BatchClient, ItemResult, LeasedItem};
+use mintlb_batch::client::{BatchClient, ItemResult, Leased, LeasedItem};
 use mintlb_batch::messages::DispatcherId;
 use parking_lot::Mutex;
 use std::collections::HashMap;
@@ -37,6 +38,7 @@
     queue: Mutex<ItemQueue>,
     running: Mutex<HashMap<ItemNumber, CancellationToken>>,
     draining: AtomicBool,
+    counters: BatchCounters,
 }
 
 impl Runner {
@@ -53,9 +55,11 @@
             queue: Mutex::default(),
             running: Mutex::default(),
             draining: AtomicBool::new(false),
+            counters: BatchCounters::default(),
         });
         tokio::spawn(runner.clone().renew());
         tokio::spawn(runner.clone().lease());
+        tokio::spawn(runner.clone().report());
         runner
     }
 
@@ -64,6 +68,28 @@
         self.batch_executor.now_ms()
     }
 
+    /// The counts of this dispatcher's batch work.
+    pub fn counters(&self) -> &BatchCounters {
+        &self.counters
+    }
+
+    /// Logs the counts while there is batch work.
+    async fn report(self: Arc<Self>) {
+        let mut ticks = interval(REPORT_INTERVAL);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while !self.draining.load(Relaxed) {
+            ticks.tick().await;
+            let counts = self.counters.take();
+            let (waiting, running) = {
+                let queue = self.queue.lock();
+                (queue.waiting(), queue.running())
+            };
+            if waiting > 0 || running > 0 || !counts.is_empty() {
+                log::info!("batch: {waiting} items wait, {running} run; {counts}");
+            }
+        }
+    }
+
     /// Queues items leased by this dispatcher.
     pub fn take(self: &Arc<Self>, items: Vec<LeasedItem>) {
         if self.draining.load(Relaxed) {
@@ -182,12 +208,12 @@
 
     async fn record(&self, item: &LeasedItem, result: ItemResult) {
         for _ in 0..MAX_RECORD_ATTEMPTS {
-            if self
+            let recorded = self
                 .client
                 .record(&item.host, &item.job_id, item.index, result.clone())
-                .await
-                .is_ok()
-            {
+                .await;
+            self.counters.on_record_attempt(recorded.is_ok());
+            if recorded.is_ok() {
                 return;
             }
             sleep(RECORD_BACKOFF).await;
@@ -205,7 +231,10 @@
             if leased.is_empty() {
                 continue;
             }
-            for lost in self.client.renew(self.dispatcher_id, leased).await {
+            let renewed = self.client.renew(self.dispatcher_id, leased).await;
+            let lost = renewed.lost.iter().map(|job| job.items.len()).sum();
+            self.counters.on_renewal(lost, renewed.unanswered);
+            for lost in renewed.lost {
                 let key = (lost.host, lost.job_id);
                 let stopped = self.queue.lock().drop_items(&key, Some(&lost.items));
                 self.cancel(&stopped);
@@ -222,8 +251,13 @@
             };
             let leased = match has_few {
                 true => self.client.lease(self.dispatcher_id, LEASE_AT_ONCE).await,
-                false => Vec::new(),
+                false => Leased::default(),
             };
+            let Leased {
+                items: leased,
+                unanswered,
+            } = leased;
+            self.counters.on_lease_call(leased.len(), unanswered);
             let delay = if leased.is_empty() {
                 RENEWAL_INTERVAL
             } else {
