--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -2,9 +2,9 @@
 
 use bytes::Bytes;
 use mintlb_batch::client::{BatchClient, Item, Submission, SubmitError, Submitted};
-use mintlb_batch::entry::JobTerms;
+use mintlb_batch::entry::{ItemPayload, JobTerms};
 use mintlb_batch::framing;
-use mintlb_batch::messages::{StoreRequest, StoreResponse};
+use mintlb_batch::messages::{JobName, LeasedItemHeader, StoreRequest, StoreResponse};
 use mintlb_common::placement::StoreId;
 use mintlb_common::placement::{Placement, SHARD_COUNT, ShardAssignment, StoreEntry};
 use mintlb_common::transport::{Channel, ResponseFuture, Service, Transport};
@@ -17,6 +17,8 @@
 /// The epoch of all shards.
 const EPOCH: u64 = 5;
 const SUBMIT_TIMEOUT: Duration = Duration::from_millis(200);
+/// A store's response after this time is late: a full link holds messages back for seconds.
+const LATE: Duration = Duration::from_millis(900);
 const ACCEPTED: StoreResponse = StoreResponse::Accepted { leased: true };
 const SUBMITTED: Result<Submitted, SubmitError> = Ok(Submitted { items_leased: true });
 
@@ -24,10 +26,11 @@
 #[derive(Clone, Debug)]
 enum Reaction {
     Respond(StoreResponse),
+    RespondRaw(Duration, Bytes),
     StaySilent,
 }
 
-use Reaction::{Respond, StaySilent};
+use Reaction::{Respond, RespondRaw, StaySilent};
 
 /// A store that reacts to submissions by a script, of which the last line is repeated.
 struct ScriptedStore {
@@ -48,14 +51,21 @@
 
 impl Service for ScriptedStore {
     fn on_request(&self, _from: SocketAddr, body: Bytes) -> ResponseFuture {
-        let Some((StoreRequest::Submit(submit), _)) = framing::decode(&body) else {
-            panic!("no submission")
-        };
-        self.requested_epochs.lock().push(submit.epoch);
+        match framing::decode(&body) {
+            Some((StoreRequest::Submit(submit), _)) => {
+                self.requested_epochs.lock().push(submit.epoch);
+            }
+            Some((StoreRequest::Lease(_), _)) => (),
+            other => panic!("neither a submission nor a lease: {other:?}"),
+        }
         let reaction = self.next_reaction();
         Box::pin(async move {
             match reaction {
                 Respond(response) => framing::encode(&response, &[]),
+                RespondRaw(delay, response) => {
+                    tokio::time::sleep(delay).await;
+                    response
+                }
                 StaySilent => std::future::pending().await,
             }
         })
@@ -94,8 +104,8 @@
     }
 }
 
-/// Submits a job to a store that reacts so. All requests have to name the shard's epoch.
-async fn submit(script: &[Reaction]) -> Result<Submitted, SubmitError> {
+/// A client of one store that reacts so.
+async fn client_of(script: &[Reaction]) -> (BatchClient, Arc<ScriptedStore>) {
     let any_port: SocketAddr = "127.0.0.1:0".parse().unwrap();
     let transport = Transport::start(any_port).await.unwrap();
     let store = Arc::new(ScriptedStore {
@@ -108,6 +118,12 @@
         Transport::start(any_port).await.unwrap(),
         Arc::new(move || placement.clone()),
     );
+    (client, store)
+}
+
+/// Submits a job to a store that reacts so. All requests have to name the shard's epoch.
+async fn submit(script: &[Reaction]) -> Result<Submitted, SubmitError> {
+    let (client, store) = client_of(script).await;
     let result = client.submit(job(), 1, SUBMIT_TIMEOUT).await;
     let epochs = store.requested_epochs.lock();
     assert!(epochs.iter().all(|epoch| *epoch == EPOCH), "{epochs:?}");
@@ -155,3 +171,32 @@
         assert_eq!(result, Err(SubmitError::Indeterminate), "{script:?}");
     }
 }
+
+/// Over a full link the response comes late. The store counts the items as leased for 3 s: if the
+/// dispatcher gave up the call, nobody would run them meanwhile, and each further call would lease
+/// more of them to nobody.
+#[tokio::test]
+async fn a_late_lease_response_is_taken() {
+    let header = LeasedItemHeader {
+        job: JobName {
+            host: "h".to_string(),
+            id: "l".to_string(),
+        },
+        route: "r".to_string(),
+        terms: JobTerms::default(),
+        index: 0,
+        item: "l-0".to_string(),
+        tokens: 1,
+        length: 0,
+        failures: 0,
+    };
+    let payload = ItemPayload::default().encode(b"");
+    let header = LeasedItemHeader {
+        length: payload.len() as u64,
+        ..header
+    };
+    let response = framing::encode(&StoreResponse::Leased(vec![header]), &[&payload]);
+    let (client, _store) = client_of(&[RespondRaw(LATE, response)]).await;
+    let leased = client.lease(1, 16).await;
+    assert_eq!((leased.items.len(), leased.unanswered), (1, 0));
+}
--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -106,7 +106,11 @@
             ..leased.clone()
         }]
     );
-    assert_eq!(client.lease(9, 10).await.items, vec![], "all items are leased");
+    assert_eq!(
+        client.lease(9, 10).await.items,
+        vec![],
+        "all items are leased"
+    );
     client.release(DISPATCHER).await;
 
     assert_eq!(client.end(HOST, "a").await, Ok(()));
--- a/crates/mintlb-control/tests/stores/mod.rs
+++ b/crates/mintlb-control/tests/stores/mod.rs
@@ -38,6 +38,7 @@
 
 pub struct Node {
     pub store: Arc<Store>,
+    pub transport: Arc<Transport>,
     pub address: SocketAddr,
     pub id: StoreId,
     pub task: JoinHandle<()>,
@@ -79,6 +80,7 @@
         let task = tokio::spawn(async move { while driver.step().await.is_ok() {} });
         Node {
             store,
+            transport,
             address,
             id,
             task,
@@ -156,6 +158,16 @@
     }
 }
 
+/// A placement in which the shards are led by all stores in turn, each with 3 replicas.
+pub fn rotated_placement(nodes: &[Node], epoch: u64) -> Placement {
+    let mut placement = PlacementBuilder::new(nodes, &[0]).epoch(epoch).build();
+    for (shard, assignment) in placement.shards.iter_mut().enumerate() {
+        let replicas = (shard..shard + 3).map(|position| nodes[position % nodes.len()].id);
+        assignment.replicas = replicas.collect();
+    }
+    placement
+}
+
 /// Builds a batch job; without further calls it has 3 items and no limit of its route's queue.
 pub struct JobBuilder {
     id: String,
