--- a/crates/mintlb-batch/src/client.rs
+++ b/crates/mintlb-batch/src/client.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod error;
+mod host_placed;
 mod jobs;
 mod leases;
 mod routing;
@@ -19,6 +20,7 @@
     Submission, Submitted,
 };
 
+use host_placed::HostPlacedJobs;
 use mintlb_common::placement::Placement;
 use mintlb_common::transport::Transport;
 use std::sync::Arc;
@@ -32,6 +34,7 @@
     transport: Arc<Transport>,
     placement: CurrentPlacement,
     backlogs: StoreBacklogs,
+    host_placed: HostPlacedJobs,
 }
 
 impl BatchClient {
@@ -41,6 +44,7 @@
             transport,
             placement,
             backlogs: StoreBacklogs::default(),
+            host_placed: HostPlacedJobs::default(),
         }
     }
 }
--- a/crates/mintlb-batch/src/client/attempt.rs
+++ b/crates/mintlb-batch/src/client/attempt.rs
@@ -13,6 +13,8 @@
 
 /// Pause between two attempts, while the primary is not active or can't be reached.
 const RETRY_PAUSE: Duration = Duration::from_millis(60);
+/// How often an attempt that waits looks whether its shard has another primary.
+const PLACEMENT_CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
 /// The outcome of one attempt.
 pub(super) enum Attempt {
@@ -25,9 +27,9 @@
 }
 
 impl BatchClient {
-    /// The primary of this host's shard, by the current placement.
-    pub(super) fn primary_of(&self, host: &str) -> Option<ShardPrimary> {
-        primary_of(&(self.placement)(), host)
+    /// The primary of a shard, by the current placement.
+    pub(super) fn primary_of(&self, shard: u32) -> Option<ShardPrimary> {
+        primary_of(&(self.placement)(), shard)
     }
 
     /// Sends a request once.
@@ -53,13 +55,36 @@
         }
     }
 
-    /// Sends an idempotent request to the primary of this host's shard until one answers.
+    /// Sends a request to the primary of a shard once, and waits for as long as the shard keeps this
+    /// primary. It is not sent again to the same primary before that: over a full link the response
+    /// is late, and each repetition would fill the link further.
+    pub(super) async fn attempt_at_primary(
+        &self,
+        shard: u32,
+        primary: ShardPrimary,
+        request: Bytes,
+        timeout: Duration,
+    ) -> Attempt {
+        tokio::select! {
+            biased;
+            attempt = self.attempt(primary.store.address, request, timeout) => attempt,
+            () = self.primary_replaced(shard, primary) => Attempt::Indeterminate,
+        }
+    }
+
+    async fn primary_replaced(&self, shard: u32, primary: ShardPrimary) {
+        while self.primary_of(shard) == Some(primary) {
+            sleep(PLACEMENT_CHECK_INTERVAL).await;
+        }
+    }
+
+    /// Sends an idempotent request to the primary of a shard until one answers.
     ///
     /// # Errors
     /// [`JobError::Unavailable`] if none answers before the deadline.
     pub(super) async fn call_primary(
         &self,
-        host: &str,
+        shard: u32,
         request: &StoreRequest,
         raw: &[&[u8]],
         deadline: Instant,
@@ -70,10 +95,9 @@
             if left.is_zero() {
                 return Err(JobError::Unavailable);
             }
-            if let Some(primary) = self.primary_of(host) {
-                let address = primary.store.address;
-                let attempt = self.attempt(address, request.clone(), left).await;
-                if let Attempt::Answered(response, raw) = attempt {
+            if let Some(primary) = self.primary_of(shard) {
+                let attempt = self.attempt_at_primary(shard, primary, request.clone(), left);
+                if let Attempt::Answered(response, raw) = attempt.await {
                     return Ok((response, raw));
                 }
             }
--- a/crates/mintlb-batch/src/client/jobs.rs
+++ b/crates/mintlb-batch/src/client/jobs.rs
@@ -28,13 +28,14 @@
         max_bytes: usize,
     ) -> Result<ResultPage, JobError> {
         let deadline = Instant::now() + wait + READ_TIMEOUT;
+        let job = job_name(host, job_id);
         let request = StoreRequest::Read(messages::Read {
-            job: job_name(host, job_id),
+            job: job.clone(),
             start_after,
             wait_ms: wait.as_millis() as u64,
             max_bytes: max_bytes as u64,
         });
-        match self.call_primary(host, &request, &[], deadline).await? {
+        match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Page(page), raw) => result_page(page, raw),
             (StoreResponse::NotFound, _) => Err(JobError::NotFound),
             _ => Err(JobError::Unavailable),
@@ -52,11 +53,12 @@
         instance_id: &str,
     ) -> Result<Bytes, JobError> {
         let deadline = Instant::now() + READ_TIMEOUT;
+        let job = job_name(host, job_id);
         let request = StoreRequest::Body(ItemName {
-            job: job_name(host, job_id),
+            job: job.clone(),
             item: instance_id.to_string(),
         });
-        match self.call_primary(host, &request, &[], deadline).await? {
+        match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Body, raw) => {
                 let (_, body) = ItemPayload::decode(&raw).ok_or(JobError::Unavailable)?;
                 Ok(body)
@@ -72,8 +74,9 @@
     /// [`JobError`].
     pub async fn end(&self, host: &str, job_id: &str) -> Result<(), JobError> {
         let deadline = Instant::now() + READ_TIMEOUT;
-        let request = StoreRequest::End(job_name(host, job_id));
-        match self.call_primary(host, &request, &[], deadline).await? {
+        let job = job_name(host, job_id);
+        let request = StoreRequest::End(job.clone());
+        match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Ended, _) => Ok(()),
             (StoreResponse::NotFound, _) => Err(JobError::NotFound),
             _ => Err(JobError::Unavailable),
@@ -93,16 +96,17 @@
         result: ItemResult,
     ) -> Result<(), RecordError> {
         let deadline = Instant::now() + RECORD_TIMEOUT;
+        let job = job_name(host, job_id);
         let (state, text) = match result {
             ItemResult::Completed(text) => (ItemState::Completed, text),
             ItemResult::Unrecoverable => (ItemState::Unrecoverable, Bytes::new()),
         };
         let request = StoreRequest::Record(Record {
-            job: job_name(host, job_id),
+            job: job.clone(),
             item: index,
             state,
         });
-        match self.call_primary(host, &request, &[&text], deadline).await {
+        match self.call_about_job(&job, request, &[&text], deadline).await {
             Ok((StoreResponse::Recorded | StoreResponse::NotFound, _)) => Ok(()),
             _ => Err(RecordError::Unconfirmed),
         }
--- a/crates/mintlb-batch/src/client/leases.rs
+++ b/crates/mintlb-batch/src/client/leases.rs
@@ -16,8 +16,12 @@
 use tokio::task::JoinHandle;
 use tokio::time::{Instant, timeout_at};
 
-/// The time-out of a lease, a renewal or a release at one store.
-const LEASE_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time-out of a renewal or a release at one store.
+const RENEWAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// The time-out of a lease at one store. The store counts the items as leased from then on, so that
+/// a response is given up only when little is left of [`crate::leases::LEASE_DURATION`]: items of a
+/// response that was given up run nowhere until their leases expire.
+const LEASE_TIMEOUT: Duration = Duration::from_millis(2000);
 /// The limit of stores that one call of [`BatchClient::lease`] asks.
 const MAX_STORES_PER_LEASE: usize = 4;
 
@@ -60,6 +64,10 @@
         let request = framing::encode(&request, &[]);
         match self.attempt(store.address, request, LEASE_TIMEOUT).await {
             Attempt::Answered(StoreResponse::Leased(headers), raw) => {
+                let host_placed = headers
+                    .iter()
+                    .filter(|header| header.host_placed == Some(true));
+                host_placed.for_each(|header| self.host_placed.remember(&header.job));
                 Some(leased_items(headers, raw))
             }
             _ => None,
@@ -69,7 +77,7 @@
     /// Renews the leases of the items that `owner` runs; to be called each second.
     pub async fn renew(&self, owner: DispatcherId, leased: Vec<LeasedJob>) -> Renewed {
         let by_store = self.group_by_store(leased);
-        let deadline = Instant::now() + LEASE_TIMEOUT;
+        let deadline = Instant::now() + RENEWAL_TIMEOUT;
         let mut calls = Vec::with_capacity(by_store.len());
         for (store, jobs) in by_store {
             let request = StoreRequest::Renew(Renew { owner, jobs });
@@ -96,8 +104,10 @@
         let placement = (self.placement)();
         let mut by_store: FxHashMap<StoreEndpoint, Vec<LeasedItems>> = FxHashMap::default();
         for job in leased {
-            if let Some(primary) = primary_of(&placement, &job.host) {
-                by_store.entry(primary.store).or_default().push(job.into());
+            let job = LeasedItems::from(job);
+            let shard = self.host_placed.shard_of(&job.job);
+            if let Some(primary) = primary_of(&placement, shard) {
+                by_store.entry(primary.store).or_default().push(job);
             }
         }
         by_store
@@ -106,7 +116,7 @@
     /// Releases all leases of `owner`, when it shuts down.
     pub async fn release(&self, owner: DispatcherId) {
         let request = framing::encode(&StoreRequest::Release(owner), &[]);
-        let deadline = Instant::now() + LEASE_TIMEOUT;
+        let deadline = Instant::now() + RENEWAL_TIMEOUT;
         let stores = all_primaries(&(self.placement)());
         let calls: Vec<PendingCall> = stores
             .into_iter()
@@ -121,7 +131,7 @@
         let transport = self.transport.clone();
         tokio::spawn(async move {
             transport
-                .call(store.address, Channel::Batch, request, LEASE_TIMEOUT)
+                .call(store.address, Channel::Batch, request, RENEWAL_TIMEOUT)
                 .await
         })
     }
--- a/crates/mintlb-batch/src/client/routing.rs
+++ b/crates/mintlb-batch/src/client/routing.rs
@@ -18,9 +18,8 @@
     pub(super) epoch: u64,
 }
 
-/// The primary of the shard that has this host's jobs.
-pub(super) fn primary_of(placement: &Placement, host: &str) -> Option<ShardPrimary> {
-    let shard = Placement::shard_of(host);
+/// The primary of a shard.
+pub(super) fn primary_of(placement: &Placement, shard: u32) -> Option<ShardPrimary> {
     let store = placement.primary(shard)?;
     Some(ShardPrimary {
         store: StoreEndpoint {
--- a/crates/mintlb-batch/src/client/submit.rs
+++ b/crates/mintlb-batch/src/client/submit.rs
@@ -4,14 +4,11 @@
 use super::{BatchClient, Item, Submission, SubmitError, Submitted};
 use crate::entry::{ItemHeader, ItemPayload, JobHeader};
 use crate::framing;
-use crate::messages::{DispatcherId, StoreRequest, StoreResponse, Submit};
+use crate::messages::{DispatcherId, JobName, StoreRequest, StoreResponse, Submit};
 use bytes::Bytes;
 use std::time::Duration;
 use tokio::time::Instant;
 
-/// The time-out of one attempt.
-const ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
-
 impl BatchClient {
     /// Submits a job and leases its items to `owner`. A repeated submission of the same job is
     /// accepted again.
@@ -25,8 +22,14 @@
         timeout: Duration,
     ) -> Result<Submitted, SubmitError> {
         let deadline = Instant::now() + timeout;
-        let host = job.host.clone();
-        let mut request = SubmitRequest::new(job, owner);
+        let name = JobName {
+            host: job.host.clone(),
+            id: job.job_id.clone(),
+        };
+        let is_host_placed = self.is_host_placed(&name, deadline).await;
+        let is_host_placed = is_host_placed.map_err(|_| SubmitError::Rejected)?;
+        let shard = self.host_placed.shard_of(&name);
+        let mut request = SubmitRequest::new(job, owner, is_host_placed);
         // An attempt without a clear answer may be executed at any time later, so that from then on
         // only "accepted" says what became of the job.
         let mut may_have_executed = false;
@@ -35,10 +38,10 @@
             if left.is_zero() {
                 return Err(unless_executed(SubmitError::Rejected, may_have_executed));
             }
-            if let Some(primary) = self.primary_of(&host) {
+            if let Some(primary) = self.primary_of(shard) {
                 let bytes = request.encode(primary.epoch);
-                let timeout = left.min(ATTEMPT_TIMEOUT);
-                match self.attempt(primary.store.address, bytes, timeout).await {
+                let attempt = self.attempt_at_primary(shard, primary, bytes, left);
+                match attempt.await {
                     Attempt::Answered(response, _) => {
                         if let Some(result) = submit_result(&response, may_have_executed) {
                             return result;
@@ -66,7 +69,7 @@
         }
         StoreResponse::Conflict => return Some(Err(SubmitError::Conflict)),
         StoreResponse::QuotaExceeded => SubmitError::QuotaExceeded,
-        StoreResponse::DiskFull => SubmitError::Rejected,
+        StoreResponse::DiskFull | StoreResponse::Overloaded => SubmitError::Rejected,
         _ => return None,
     };
     Some(Err(unless_executed(error, may_have_executed)))
@@ -84,7 +87,9 @@
 
 /// A submission as it is sent. It names the shard's epoch, so that a former primary rejects it.
 struct SubmitRequest {
-    request: StoreRequest,
+    submit: Submit,
+    /// The job lies on its host's shard.
+    is_host_placed: bool,
     payloads: Vec<Bytes>,
     /// The encoded request, for the epoch that it names.
     encoded: Option<EncodedRequest>,
@@ -96,7 +101,7 @@
 }
 
 impl SubmitRequest {
-    fn new(job: Submission, owner: DispatcherId) -> SubmitRequest {
+    fn new(job: Submission, owner: DispatcherId, is_host_placed: bool) -> SubmitRequest {
         let payloads: Vec<Bytes> = job.items.iter().map(encode_payload).collect();
         let items = job.items.into_iter().zip(&payloads);
         let items = items.map(|(item, payload)| ItemHeader {
@@ -104,7 +109,7 @@
             tokens: item.tokens,
             length: payload.len() as u64,
         });
-        let request = StoreRequest::Submit(Submit {
+        let submit = Submit {
             epoch: 0,
             owner,
             max_queued_tokens: job.max_queued_tokens,
@@ -115,9 +120,10 @@
                 terms: job.terms,
                 items: items.collect(),
             },
-        });
+        };
         SubmitRequest {
-            request,
+            submit,
+            is_host_placed,
             payloads,
             encoded: None,
         }
@@ -131,11 +137,14 @@
         {
             return encoded.bytes.clone();
         }
-        if let StoreRequest::Submit(submit) = &mut self.request {
-            submit.epoch = epoch;
-        }
+        self.submit.epoch = epoch;
+        let request = StoreRequest::Submit(self.submit.clone());
+        let request = match self.is_host_placed {
+            true => StoreRequest::InHostShard(Box::new(request)),
+            false => request,
+        };
         let raw: Vec<&[u8]> = self.payloads.iter().map(|payload| &payload[..]).collect();
-        let bytes = framing::encode(&self.request, &raw);
+        let bytes = framing::encode(&request, &raw);
         self.encoded = Some(EncodedRequest {
             epoch,
             bytes: bytes.clone(),
--- a/crates/mintlb-batch/src/messages.rs
+++ b/crates/mintlb-batch/src/messages.rs
@@ -11,6 +11,7 @@
 pub use response::{LeasedItemHeader, Page, PageResult, RenewResult, StoreResponse};
 
 use minicbor::{Decode, Encode};
+use mintlb_common::placement::Placement;
 
 /// Identifies a dispatcher process as the owner of leases; drawn at random when it starts.
 pub type DispatcherId = u64;
@@ -26,6 +27,19 @@
     pub id: String,
 }
 
+impl JobName {
+    /// The shard that the job lies on.
+    pub fn shard(&self) -> u32 {
+        Placement::shard_of_job(&self.host, &self.id)
+    }
+
+    /// The shard that a job of this host lay on in releases that placed all jobs of a host together.
+    /// Jobs that were accepted then stay there until they are dropped.
+    pub fn host_shard(&self) -> u32 {
+        Placement::shard_of_host(&self.host)
+    }
+}
+
 /// Identity of an item towards clients.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct ItemName {
--- a/crates/mintlb-batch/src/messages/request.rs
+++ b/crates/mintlb-batch/src/messages/request.rs
@@ -1,11 +1,12 @@
-//! Requests of dispatchers to the primary of a shard.
+//! Requests to the primary of a shard: of dispatchers and, about quotas, of other primaries.
 
 use super::{DispatcherId, ItemName, JobName, LeasedItems};
 use crate::entry::{ItemState, JobHeader};
 use crate::epoch_history::Epoch;
+use crate::quota::{AcquireAllowance, RecallAllowances};
 use minicbor::{Decode, Encode};
 
-/// A request of a dispatcher to a store.
+/// A request to a store.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub enum StoreRequest {
     /// Accepts a job. Raw: the concatenated payloads of its items.
@@ -32,6 +33,18 @@
     /// Gives all leases of a dispatcher back.
     #[n(7)]
     Release(#[n(0)] DispatcherId),
+    /// The request is about a job on the host's shard, see [`JobName::host_shard`].
+    #[n(8)]
+    InHostShard(#[n(0)] Box<StoreRequest>),
+    /// Asks whether the host's shard still has jobs of this host that lie there by their host.
+    #[n(9)]
+    HasHostPlacedJobs(#[n(0)] String),
+    /// Asks the counter of a route for a larger allowance.
+    #[n(10)]
+    AcquireAllowance(#[n(0)] AcquireAllowance),
+    /// The counter of a route recalls allowances that are not in use.
+    #[n(11)]
+    RecallAllowances(#[n(0)] RecallAllowances),
 }
 
 /// Submission of a job.
--- a/crates/mintlb-batch/src/messages/response.rs
+++ b/crates/mintlb-batch/src/messages/response.rs
@@ -2,6 +2,7 @@
 
 use super::{JobName, LeasedItems};
 use crate::entry::{ItemState, JobTerms};
+use crate::quota::ShardAllowance;
 use minicbor::{Decode, Encode};
 
 /// The response of a store.
@@ -54,6 +55,29 @@
     /// The leases were given back.
     #[n(13)]
     Released,
+    /// Too much waits for the store's connections: the job was rejected.
+    #[n(14)]
+    Overloaded,
+    /// Whether the host's shard has jobs that lie there by their host; confirmed by a quorum.
+    #[n(15)]
+    HostPlacedJobs(#[n(0)] bool),
+    /// The allowance is raised.
+    #[n(16)]
+    AllowanceRaised {
+        /// By so many tokens.
+        #[n(0)]
+        tokens: u64,
+    },
+    /// The request for an allowance is older than what the counter knows.
+    #[n(17)]
+    AllowanceOutdated {
+        /// The newest generation that it knows.
+        #[n(0)]
+        generation: u64,
+    },
+    /// What the primaries of the shards have left.
+    #[n(18)]
+    Recalled(#[n(0)] Vec<ShardAllowance>),
 }
 
 /// A page of results.
@@ -112,6 +136,9 @@
     #[n(7)]
     #[cbor(default)]
     pub failures: u32,
+    /// Present if the job lies on its host's shard, see [`JobName::host_shard`].
+    #[n(8)]
+    pub host_placed: Option<bool>,
 }
 
 /// Outcome of a renewal.
--- a/crates/mintlb-batch/src/replica.rs
+++ b/crates/mintlb-batch/src/replica.rs
@@ -37,6 +37,7 @@
 use crate::job_table::JobTable;
 use crate::leases::Leases;
 use crate::peer::{Envelope, PeerMessage};
+use crate::quota::Allowances;
 use crate::timestamp::Timestamp;
 use bytes::Bytes;
 use mintlb_common::placement::{ShardAssignment, StoreId};
@@ -61,6 +62,7 @@
     meta_changed: bool,
     jobs: JobTable,
     leases: Leases,
+    allowances: Allowances,
     assignment: ShardAssignment,
     role: Role,
     effects: Vec<Effect>,
@@ -94,6 +96,7 @@
             meta_changed: false,
             jobs,
             leases: Leases::default(),
+            allowances: Allowances::default(),
             assignment: ShardAssignment::default(),
             role: Role::Follower,
             effects: Vec::new(),
@@ -124,6 +127,7 @@
             return;
         }
         if is_new_epoch {
+            self.allowances = Allowances::default();
             self.step_down();
             if assignment.replicas.first() == Some(&self.settings.store_id) {
                 self.begin_epoch(now);
--- a/crates/mintlb-batch/src/replica/serving.rs
+++ b/crates/mintlb-batch/src/replica/serving.rs
@@ -2,6 +2,7 @@
 
 mod leasing;
 mod proposing;
+mod quota;
 mod reading;
 
 pub use leasing::LeasePlan;
--- a/crates/mintlb-batch/src/replica/serving/leasing.rs
+++ b/crates/mintlb-batch/src/replica/serving/leasing.rs
@@ -62,6 +62,7 @@
             tokens: stored.tokens,
             length: stored.length,
             failures: self.leases.failures(item),
+            host_placed: self.is_host_placed(job).then_some(true),
         };
         let payload = PayloadLocation {
             entry: job.index,
--- a/crates/mintlb-batch/src/replica/serving/proposing.rs
+++ b/crates/mintlb-batch/src/replica/serving/proposing.rs
@@ -4,6 +4,7 @@
 use crate::entry::{Entry, ItemState, JobHeader};
 use crate::epoch_history::LogIndex;
 use crate::messages::{JobName, StoreResponse, Submit};
+use crate::quota::{ShardAllowance, Shortage};
 use crate::timestamp::Timestamp;
 use bytes::Bytes;
 
@@ -28,16 +29,18 @@
         /// The response if the items are equal.
         response: StoreResponse,
     },
+    /// Not before the shard's allowance is raised: to be proposed again then.
+    NeedsAllowance(Shortage),
 }
 
 impl Replica {
-    /// Accepts a job if it fits into the quota of its route, and leases its items to the submitting
-    /// dispatcher. `raw` is the concatenated payloads.
-    pub fn submit(&mut self, submit: Submit, raw: &Bytes, now: Timestamp) -> Proposal {
+    /// Accepts a job if it fits into the shard's allowance of its route's quota, and leases its
+    /// items to the submitting dispatcher. `raw` is the concatenated payloads.
+    pub fn submit(&mut self, submit: &Submit, raw: &Bytes, now: Timestamp) -> Proposal {
         if !self.is_serving() || submit.epoch != self.assignment.epoch {
             return Proposal::Immediate(StoreResponse::NotPrimary);
         }
-        let (header, owner) = (submit.job, submit.owner);
+        let (header, owner) = (&submit.job, submit.owner);
         if let Some(job) = self.jobs.find(&header.name()) {
             let leased = self.leases.owns_all(job, owner) && !job.is_done();
             return Proposal::CompareItems {
@@ -49,11 +52,11 @@
         if payload_bytes != raw.len() as u64 {
             return Proposal::Immediate(StoreResponse::NotPrimary);
         }
-        if self.exceeds_quota(&header, submit.max_queued_tokens) {
-            return Proposal::Immediate(StoreResponse::QuotaExceeded);
+        if let Err(shortage) = self.admit(header, submit.max_queued_tokens) {
+            return Proposal::NeedsAllowance(shortage);
         }
         let items = header.items.len();
-        let index = self.append_as_primary(&Entry::Accepted(header), &[raw], now);
+        let index = self.append_as_primary(&Entry::Accepted(header.clone()), &[raw], now);
         self.leases.grant_all(index, items, owner, now);
         Proposal::AfterCommit {
             index,
@@ -61,10 +64,24 @@
         }
     }
 
-    fn exceeds_quota(&self, header: &JobHeader, max_queued_tokens: u64) -> bool {
+    /// Whether a job fits into the shard's allowance.
+    fn admit(&mut self, header: &JobHeader, max_queued_tokens: u64) -> Result<(), Shortage> {
+        if max_queued_tokens == 0 {
+            return Ok(());
+        }
         let tokens: u64 = header.items.iter().map(|item| item.tokens).sum();
         let queued = self.jobs.queued_tokens(&header.route);
-        max_queued_tokens > 0 && queued.saturating_add(tokens) > max_queued_tokens
+        let admitted = self
+            .allowances
+            .admit(&header.route, max_queued_tokens, queued, tokens);
+        admitted.map_err(|shortage| Shortage {
+            held: ShardAllowance {
+                shard: self.shard,
+                epoch: self.assignment.epoch,
+                ..shortage.held
+            },
+            ..shortage
+        })
     }
 
     /// Whether a job's header on disk has the same items as a submitted one. The driver compares
--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -56,6 +56,10 @@
                 self.requested_epochs.lock().push(submit.epoch);
             }
             Some((StoreRequest::Lease(_), _)) => (),
+            Some((StoreRequest::HasHostPlacedJobs(_), _)) => {
+                let none = framing::encode(&StoreResponse::HostPlacedJobs(false), &[]);
+                return Box::pin(async move { none });
+            }
             other => panic!("neither a submission nor a lease: {other:?}"),
         }
         let reaction = self.next_reaction();
@@ -189,6 +193,7 @@
         tokens: 1,
         length: 0,
         failures: 0,
+        host_placed: None,
     };
     let payload = ItemPayload::default().encode(b"");
     let header = LeasedItemHeader {
--- a/crates/mintlb-batch/tests/shard_cluster/mod.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/mod.rs
@@ -19,6 +19,7 @@
 use machines::Machine;
 use mintlb_batch::peer::Envelope;
 use mintlb_batch::placement_planner::StoreTable;
+use mintlb_batch::quota::QuotaCounter;
 use mintlb_batch::replica::{AfterSync, DiskWrite, Replica, ReplicaSettings};
 use mintlb_common::placement::{Placement, StoreId};
 use oracle::Oracle;
@@ -72,6 +73,8 @@
     /// All placements, in the order in which the register accepted them.
     pub placements: Vec<Placement>,
     pub table: StoreTable,
+    /// The counter of the only route. It is never lost, as it is not what is tested here.
+    pub quota: QuotaCounter,
     pub oracle: Oracle,
     /// Lost disks, and when each was lost.
     pub lost_disks: BTreeMap<StoreId, Duration>,
@@ -102,6 +105,7 @@
             messages: Vec::new(),
             placements: vec![Placement::default()],
             table: StoreTable::new(now),
+            quota: QuotaCounter::new(1),
             oracle: Oracle::default(),
             lost_disks: BTreeMap::new(),
             decommissioning: Vec::new(),
--- a/crates/mintlb-batch/tests/shard_cluster/requests.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/requests.rs
@@ -5,8 +5,12 @@
 use mintlb_batch::entry::{Entry, ItemHeader, ItemState, JobHeader, JobTerms};
 use mintlb_batch::framing;
 use mintlb_batch::messages::{JobName, StoreResponse, Submit};
+use mintlb_batch::quota::{QuotaCounter, Shortage, Verdict};
 use mintlb_batch::replica::Proposal;
 
+/// The route of all jobs.
+const ROUTE: &str = "r";
+
 impl ShardCluster {
     /// Acknowledges a request at once or once it is committed.
     fn propose(&mut self, store_index: usize, proposal: Proposal, expected: Expected) {
@@ -14,7 +18,7 @@
             Proposal::Immediate(StoreResponse::Recorded | StoreResponse::Ended) => {
                 self.acknowledge(store_index, expected)
             }
-            Proposal::Immediate(_) => (),
+            Proposal::Immediate(_) | Proposal::NeedsAllowance(_) => (),
             Proposal::AfterCommit { index, .. } => {
                 self.stores[store_index].pending.push((index, expected))
             }
@@ -47,7 +51,7 @@
         let head = JobHeader {
             host: HOST.to_string(),
             id: job.clone(),
-            route: "r".to_string(),
+            route: ROUTE.to_string(),
             terms,
             items: heads.collect(),
         };
@@ -57,10 +61,37 @@
             max_queued_tokens: MAX_QUEUED_TOKENS,
             job: head,
         };
-        let proposal = replica.submit(submit, &raw, self.now.into());
+        let proposal = self.admit(store_index, &submit, &raw);
         self.propose(store_index, proposal, Expected::Accepted { job, items });
     }
 
+    /// Submits a job, and acquires an allowance for it if it needs one.
+    fn admit(&mut self, store_index: usize, submit: &Submit, raw: &Bytes) -> Proposal {
+        loop {
+            let replica = self.stores[store_index].replica.as_mut().unwrap();
+            let proposal = replica.submit(submit, raw, self.now.into());
+            let Proposal::NeedsAllowance(Shortage { held, tokens, .. }) = proposal else {
+                return proposal;
+            };
+            let acquire = |quota: &mut QuotaCounter, recalled| {
+                quota.acquire(MAX_QUEUED_TOKENS, held, tokens, recalled)
+            };
+            let mut verdict = acquire(&mut self.quota, None);
+            if verdict == Verdict::NeedsRecall {
+                // There is no other shard to recall from.
+                verdict = acquire(&mut self.quota, Some(1));
+            }
+            let replica = self.stores[store_index].replica.as_mut().unwrap();
+            match verdict {
+                Verdict::Granted(tokens) => assert!(replica.raise_allowance(ROUTE, held, tokens)),
+                Verdict::Outdated { generation } if generation >= held.generation => {
+                    replica.void_allowances_through(ROUTE, generation)
+                }
+                _ => return Proposal::Immediate(StoreResponse::QuotaExceeded),
+            }
+        }
+    }
+
     pub fn record(&mut self, store_index: usize, job: String, item: u32) {
         let Some(replica) = &mut self.stores[store_index].replica else {
             return;
--- a/crates/mintlb-batch/tests/wire_fixtures.rs
+++ b/crates/mintlb-batch/tests/wire_fixtures.rs
@@ -190,6 +190,7 @@
         tokens: 300,
         length: 3,
         failures,
+        host_placed: None,
     }
 }
 
--- a/crates/mintlb-common/src/placement.rs
+++ b/crates/mintlb-common/src/placement.rs
@@ -1,6 +1,6 @@
 //! The placement of shards on stores.
 //!
-//! Batch jobs are divided into shards by host. The placement is kept in the control plane's
+//! Batch jobs are divided into shards by host and id. The placement is kept in the control plane's
 //! register, is changed there by the controller that holds the singleton role, and reaches every
 //! process as the record [`crate::record::PLACEMENT`].
 
@@ -79,15 +79,21 @@
 }
 
 impl Placement {
-    /// The shard of all batch jobs of a host: its lower-case name, hashed with FNV-1a.
-    pub fn shard_of(host: &str) -> u32 {
-        const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
-        const FNV_PRIME: u64 = 0x0100_0000_01b3;
-        let hash = host.bytes().fold(FNV_OFFSET_BASIS, |hash, byte| {
-            (hash ^ u64::from(byte.to_ascii_lowercase())).wrapping_mul(FNV_PRIME)
-        });
-        let folded = hash ^ (hash >> 32);
-        (folded % u64::from(SHARD_COUNT)) as u32
+    /// The shard of a batch job: its host's lower-case name and its id, hashed with FNV-1a.
+    pub fn shard_of_job(host: &str, id: &str) -> u32 {
+        let host = host.bytes().map(|byte| byte.to_ascii_lowercase());
+        shard_of_bytes(host.chain([0]).chain(id.bytes()))
+    }
+
+    /// The shard of all batch jobs of a host, in releases that placed them together: its lower-case
+    /// name, hashed with FNV-1a.
+    pub fn shard_of_host(host: &str) -> u32 {
+        shard_of_bytes(host.bytes().map(|byte| byte.to_ascii_lowercase()))
+    }
+
+    /// The shard whose primary counts the queued tokens of a route.
+    pub fn shard_of_route(route: &str) -> u32 {
+        shard_of_bytes(route.bytes())
     }
 
     /// The store with this identity.
@@ -101,3 +107,14 @@
         self.store(*assignment.replicas.first()?)
     }
 }
+
+/// The shard of a name: its bytes, hashed with FNV-1a.
+fn shard_of_bytes(bytes: impl Iterator<Item = u8>) -> u32 {
+    const FNV_OFFSET_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+    const FNV_PRIME: u64 = 0x0100_0000_01b3;
+    let hash = bytes.fold(FNV_OFFSET_BASIS, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(FNV_PRIME)
+    });
+    let folded = hash ^ (hash >> 32);
+    (folded % u64::from(SHARD_COUNT)) as u32
+}
--- a/crates/mintlb-common/src/transport.rs
+++ b/crates/mintlb-common/src/transport.rs
@@ -178,19 +178,19 @@
         let started = Instant::now();
         let link = self.link_to(to);
         let result = link.register_call(call);
+        // Also if the caller drops the call before its end.
+        let _pending = PendingCall { link: &link, call };
         let queued = link.send(Frame {
             channel: channel as u8,
             kind: FrameKind::Request,
             call,
             body,
         });
-        let outcome = if queued {
+        if queued {
             wait_for_response(result, started, time_limit).await
         } else {
             Err(CallError::Unreachable)
-        };
-        link.forget_call(call);
-        outcome
+        }
     }
 
     /// Stores the incarnation found at an address. If it replaces another one, links to that one
@@ -222,6 +222,18 @@
     }
 }
 
+/// A call that waits for its response; forgotten when dropped.
+struct PendingCall<'a> {
+    link: &'a Link,
+    call: u64,
+}
+
+impl Drop for PendingCall<'_> {
+    fn drop(&mut self) {
+        self.link.forget_call(self.call);
+    }
+}
+
 /// Waits for the result of a call. A response that is found after the time limit does not count,
 /// even if this process was suspended and finds the response and the end of the time limit at once:
 /// how long ago it arrived is unknown.
--- a/crates/mintlb-common/tests/wire_fixtures.rs
+++ b/crates/mintlb-common/tests/wire_fixtures.rs
@@ -359,7 +359,7 @@
 #[test]
 fn hosts_keep_their_shards() {
     assert_eq!(SHARD_COUNT, 16);
-    let shards = ["one.example", "TWO.example", "ficu95.example", ""].map(Placement::shard_of);
+    let shards = ["one.example", "TWO.example", "ficu95.example", ""].map(Placement::shard_of_host);
     assert_eq!(text("shards.txt").trim_end(), format!("{shards:?}"));
 }
 
--- a/crates/mintlb-control/src/store/handle.rs
+++ b/crates/mintlb-control/src/store/handle.rs
@@ -2,6 +2,7 @@
 //! shutting down.
 
 use super::load::LoadCounters;
+use super::quota::Quotas;
 use super::shard_host::ShardHost;
 use super::storage::commit_queue::ShardContinuation;
 use super::storage::{LoadedShards, OpenedStorage};
@@ -36,6 +37,8 @@
 /// A store. Each kind of request is answered in a module of `requests`.
 pub struct Store {
     shard_host: Mutex<ShardHost>,
+    transport: Arc<Transport>,
+    quotas: Quotas,
     id: StoreId,
     started: Instant,
     /// Each process's monotonic clock begins at an offset of its own, so that no echo of another
@@ -60,7 +63,7 @@
         let report_changed = Arc::new(Notify::new());
         let load = Arc::new(LoadCounters::default());
         let shard_host = ShardHost::new(
-            transport,
+            transport.clone(),
             opened,
             settings,
             report_changed.clone(),
@@ -69,6 +72,8 @@
         );
         Arc::new(Store {
             shard_host: Mutex::new(shard_host),
+            transport,
+            quotas: Quotas::default(),
             id: settings.store_id,
             started: Instant::now(),
             clock_offset,
@@ -108,6 +113,16 @@
         &self.report_changed
     }
 
+    /// The messaging endpoint of this store.
+    pub(super) fn transport(&self) -> &Arc<Transport> {
+        &self.transport
+    }
+
+    /// The quotas that this store counts or acquires.
+    pub(super) fn quotas(&self) -> &Quotas {
+        &self.quotas
+    }
+
     /// The counters of what this store carries.
     pub fn load(&self) -> &LoadCounters {
         &self.load
--- a/crates/mintlb-control/src/store/load.rs
+++ b/crates/mintlb-control/src/store/load.rs
@@ -30,6 +30,8 @@
     Renew,
     /// Results of items.
     Record,
+    /// Allowances of quotas.
+    Quota,
     /// Messages between the replicas of a shard.
     Replication,
     /// Everything else.
@@ -37,13 +39,14 @@
 }
 
 impl MessageKind {
-    const ALL: [(MessageKind, &'static str); 8] = [
+    const ALL: [(MessageKind, &'static str); 9] = [
         (MessageKind::Submit, "submit"),
         (MessageKind::Read, "read"),
         (MessageKind::Body, "body"),
         (MessageKind::Lease, "lease"),
         (MessageKind::Renew, "renew"),
         (MessageKind::Record, "record"),
+        (MessageKind::Quota, "quota"),
         (MessageKind::Replication, "replication"),
         (MessageKind::Other, "other"),
     ];
@@ -57,7 +60,13 @@
             StoreRequest::Lease(_) => MessageKind::Lease,
             StoreRequest::Renew(_) => MessageKind::Renew,
             StoreRequest::Record(_) => MessageKind::Record,
-            StoreRequest::End(_) | StoreRequest::Release(_) => MessageKind::Other,
+            StoreRequest::AcquireAllowance(_) | StoreRequest::RecallAllowances(_) => {
+                MessageKind::Quota
+            }
+            StoreRequest::End(_)
+            | StoreRequest::Release(_)
+            | StoreRequest::HasHostPlacedJobs(_) => MessageKind::Other,
+            StoreRequest::InHostShard(request) => MessageKind::of(request),
         }
     }
 }
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -9,6 +9,7 @@
 //!   waiting calls.
 //! - [`storage`]: the file, its commit thread and its capacity.
 //! - [`entry_cache`]: entries that are still being replicated.
+//! - [`quota`]: queued tokens of routes, counted once over all shards.
 //! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, for the log.
 
 pub mod driver;
@@ -18,6 +19,7 @@
 pub mod heartbeats;
 pub mod load;
 pub mod process;
+pub mod quota;
 mod requests;
 mod running;
 pub mod service;
--- a/crates/mintlb-control/src/store/requests/lease.rs
+++ b/crates/mintlb-control/src/store/requests/lease.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use mintlb_batch::framing;
 use mintlb_batch::messages::{
-    DispatcherId, Lease, LeasedItemHeader, Renew, RenewResult, StoreResponse,
+    DispatcherId, JobName, Lease, LeasedItemHeader, Renew, RenewResult, StoreResponse,
 };
 use mintlb_batch::replica::LeasePlan;
-use mintlb_common::placement::{Placement, SHARD_COUNT};
+use mintlb_common::placement::SHARD_COUNT;
 
 /// Bytes of payloads in the response to one request, at which no further shard is searched.
 const MAX_LEASE_PAYLOAD_BYTES: u64 = 1 << 20;
@@ -21,9 +21,7 @@
 
 impl Store {
     /// Leases items that nobody runs, of all shards whose confirmed primary this is.
-    pub(super) fn lease(&self, lease: &Lease) -> Bytes {
-        let mut shard_host = self.shard_host();
-        let now = self.now();
+    pub(super) async fn lease(&self, lease: &Lease) -> Bytes {
         let mut remaining_items = lease.max_items as usize;
         let mut remaining_bytes = MAX_LEASE_PAYLOAD_BYTES;
         let (mut headers, mut payloads) = (Vec::new(), Vec::new());
@@ -32,14 +30,12 @@
                 break;
             }
             // A primary that may have been replaced leases nothing: it would not know which jobs
-            // have ended.
-            let replica = shard_host.replica(shard);
-            let plans = match replica.has_unleased_items(now) && replica.confirm(now) {
-                true => replica.lease(lease.owner, remaining_items, remaining_bytes, now),
-                false => Vec::new(),
-            };
-            shard_host.run_effects(shard, now);
-            for item in read_payloads(&shard_host, shard, plans) {
+            // have ended. An idle shard has to be confirmed first, or its items would wait for a
+            // request that comes right after another one.
+            if !self.has_unleased_items(shard) || !self.confirm_primary(shard).await {
+                continue;
+            }
+            for item in self.lease_of_shard(shard, lease.owner, remaining_items, remaining_bytes) {
                 remaining_items -= 1;
                 remaining_bytes = remaining_bytes.saturating_sub(item.header.length);
                 headers.push(item.header);
@@ -50,13 +46,37 @@
         framing::encode(&StoreResponse::Leased(headers), &raw)
     }
 
+    fn has_unleased_items(&self, shard: u32) -> bool {
+        let mut shard_host = self.shard_host();
+        shard_host.replica(shard).has_unleased_items(self.now())
+    }
+
+    fn lease_of_shard(
+        &self,
+        shard: u32,
+        owner: DispatcherId,
+        max_items: usize,
+        max_bytes: u64,
+    ) -> Vec<LeasedItem> {
+        let mut shard_host = self.shard_host();
+        let now = self.now();
+        let replica = shard_host.replica(shard);
+        // The confirmation may have become outdated while other requests were handled.
+        let plans = match replica.confirm(now) {
+            true => replica.lease(owner, max_items, max_bytes, now),
+            false => Vec::new(),
+        };
+        shard_host.run_effects(shard, now);
+        read_payloads(&shard_host, shard, plans)
+    }
+
     /// Renews a dispatcher's leases and reports which of them it has lost.
     pub(super) fn renew(&self, renew: &Renew) -> StoreResponse {
         let mut shard_host = self.shard_host();
         let now = self.now();
         let mut renewed = RenewResult::default();
         for leased in &renew.jobs {
-            let shard = Placement::shard_of(&leased.job.host);
+            let shard = shard_with_job(&mut shard_host, &leased.job);
             let replica = shard_host.replica(shard);
             replica.renew(renew.owner, leased, &mut renewed, now);
         }
@@ -78,6 +98,16 @@
     }
 }
 
+/// The shard of a job at this store: that of its host only if the job lies there.
+fn shard_with_job(shard_host: &mut ShardHost, job: &JobName) -> u32 {
+    let host_replica = shard_host.replica(job.host_shard());
+    let is_host_placed = host_replica.is_serving() && host_replica.jobs().find(job).is_some();
+    match is_host_placed {
+        true => job.host_shard(),
+        false => job.shard(),
+    }
+}
+
 /// The leased items with their payloads. Items whose payload can't be read are left out: they are
 /// leased again once this lease has expired.
 fn read_payloads(shard_host: &ShardHost, shard: u32, plans: Vec<LeasePlan>) -> Vec<LeasedItem> {
--- a/crates/mintlb-control/src/store/requests/read.rs
+++ b/crates/mintlb-control/src/store/requests/read.rs
@@ -1,6 +1,6 @@
 //! Results of a job, a page at a time, and payloads of items.
 
-use super::{Store, encode, raw_payload, slice};
+use super::{JobLocation, Store, encode, raw_payload, slice};
 use crate::store::shard_host::ShardHost;
 use crate::store::shard_host::pending_calls::Wakeup;
 use bytes::Bytes;
@@ -8,7 +8,6 @@
 use mintlb_batch::job_table::BatchJob;
 use mintlb_batch::messages::{ItemName, Page, Read, StoreResponse};
 use mintlb_batch::replica::PagePlan;
-use mintlb_common::placement::Placement;
 use std::time::Duration;
 use tokio::time::{Instant, timeout_at};
 
@@ -28,8 +27,8 @@
 impl Store {
     /// Returns the job's results from a position on. If there are none yet, waits for the first as
     /// long as the reader asks for.
-    pub(super) async fn read(&self, read: Read) -> Bytes {
-        let shard = Placement::shard_of(&read.job.host);
+    pub(super) async fn read(&self, read: Read, location: JobLocation) -> Bytes {
+        let shard = location.shard(&read.job);
         let deadline = Instant::now() + Duration::from_millis(read.wait_ms).min(MAX_READ_WAIT);
         loop {
             match self.attempt_read(shard, &read, Instant::now() < deadline) {
@@ -72,8 +71,8 @@
     }
 
     /// Returns the payload of an item.
-    pub(super) async fn body(&self, item: ItemName) -> Bytes {
-        let shard = Placement::shard_of(&item.job.host);
+    pub(super) async fn body(&self, item: ItemName, location: JobLocation) -> Bytes {
+        let shard = location.shard(&item.job);
         {
             let mut shard_host = self.shard_host();
             if !shard_host.replica(shard).is_serving() {
--- a/crates/mintlb-control/src/store/requests/submit.rs
+++ b/crates/mintlb-control/src/store/requests/submit.rs
@@ -1,31 +1,114 @@
 //! Submission of a batch job.
 
-use super::Store;
+use super::{CommitWait, JobLocation, Store};
+use crate::store::quota::AcquireError;
 use bytes::Bytes;
 use mintlb_batch::entry::{Entry, JobHeader};
 use mintlb_batch::framing;
 use mintlb_batch::messages::{StoreResponse, Submit};
 use mintlb_batch::replica::{Proposal, Replica};
-use mintlb_common::placement::Placement;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// A submission that has not got its allowance in this time is rejected: in time for its
+/// dispatcher, which would have to treat a later response as unclear.
+const ALLOWANCE_TIMEOUT: Duration = Duration::from_millis(900);
+/// More bytes than this must not wait for the store's connections when a job is accepted: what is
+/// accepted brings as many again to each replica, and later its results.
+const MAX_QUEUED_BYTES: u64 = 8 << 20;
 
 impl Store {
     /// Accepts a job and waits until it is committed. `raw`: the payloads of its items.
-    pub(super) async fn submit(&self, submit: Submit, raw: Bytes) -> StoreResponse {
-        let shard = Placement::shard_of(&submit.job.host);
+    pub(super) async fn submit(
+        &self,
+        submit: Submit,
+        raw: Bytes,
+        location: JobLocation,
+    ) -> StoreResponse {
         if self.is_disk_full(raw.len() as u64) {
             return StoreResponse::DiskFull;
         }
-        let submitted = submit.job.clone();
-        let change = |replica: &mut Replica, now| replica.submit(submit, &raw, now);
-        match self.propose(shard, change, |_, _| ()).await {
+        if self.transport().queued_bytes() > MAX_QUEUED_BYTES {
+            return StoreResponse::Overloaded;
+        }
+        let shard = location.shard(&submit.job.name());
+        let (proposal, commit) = match location {
+            JobLocation::JobShard => self.admit(shard, &submit, &raw).await,
+            JobLocation::HostShard => self.submit_again(shard, &submit, &raw),
+        };
+        match self.committed(proposal, commit).await {
             Proposal::Immediate(response) | Proposal::AfterCommit { response, .. } => response,
             Proposal::CompareItems { index, response } => {
-                match self.compare_job(shard, index, &submitted, &raw) {
+                match self.compare_job(shard, index, &submit.job, &raw) {
                     JobComparison::Same => response,
                     JobComparison::Different => StoreResponse::Conflict,
                     JobComparison::Unreadable => StoreResponse::Indeterminate,
                 }
             }
+            Proposal::NeedsAllowance(_) => StoreResponse::NotPrimary,
+        }
+    }
+
+    /// Proposes a job, after the shard's allowance was raised if it has to be.
+    async fn admit(
+        &self,
+        shard: u32,
+        submit: &Submit,
+        raw: &Bytes,
+    ) -> (Proposal, Option<CommitWait>) {
+        let first = self.propose_submission(shard, submit, raw);
+        if !matches!(first, (Proposal::NeedsAllowance(_), _)) {
+            return first;
+        }
+        let deadline = Instant::now() + ALLOWANCE_TIMEOUT;
+        let route = &submit.job.route;
+        // One request at a time for a route and shard. The job is proposed under the same lock, so
+        // that no other one takes what was handed out for it.
+        let turn = self.allowance_turn(shard, route);
+        let Ok(_turn) = tokio::time::timeout_at(deadline, turn.lock()).await else {
+            return (Proposal::Immediate(StoreResponse::NotPrimary), None);
+        };
+        loop {
+            let proposed = self.propose_submission(shard, submit, raw);
+            let (Proposal::NeedsAllowance(shortage), _) = &proposed else {
+                return proposed;
+            };
+            let limit = submit.max_queued_tokens;
+            let acquired = self.acquire_allowance(route, limit, shortage, deadline);
+            let rejection = match acquired.await {
+                Ok(()) => continue,
+                Err(AcquireError::Exceeded) => StoreResponse::QuotaExceeded,
+                Err(AcquireError::Unavailable) => StoreResponse::NotPrimary,
+            };
+            return (Proposal::Immediate(rejection), None);
+        }
+    }
+
+    fn propose_submission(
+        &self,
+        shard: u32,
+        submit: &Submit,
+        raw: &Bytes,
+    ) -> (Proposal, Option<CommitWait>) {
+        let change = |replica: &mut Replica, now| replica.submit(submit, raw, now);
+        self.begin_proposal(shard, change, |_, _| ())
+    }
+
+    /// A repeated submission of a job that lies on its host's shard. No other job is accepted there.
+    fn submit_again(
+        &self,
+        shard: u32,
+        submit: &Submit,
+        raw: &Bytes,
+    ) -> (Proposal, Option<CommitWait>) {
+        let is_known = {
+            let mut shard_host = self.shard_host();
+            let replica = shard_host.replica(shard);
+            replica.jobs().find(&submit.job.name()).is_some()
+        };
+        match is_known {
+            true => self.propose_submission(shard, submit, raw),
+            false => (Proposal::Immediate(StoreResponse::NotPrimary), None),
         }
     }
 
--- a/crates/mintlb-control/src/store/shard_host/mod.rs
+++ b/crates/mintlb-control/src/store/shard_host/mod.rs
@@ -123,6 +123,11 @@
         &self.storage
     }
 
+    /// Whether there is a shard of this number.
+    pub fn has_shard(&self, shard: u32) -> bool {
+        (shard as usize) < self.replicas.len()
+    }
+
     /// The replica of a shard. Call [`ShardHost::run_effects`] after a change.
     ///
     /// # Panics
--- a/crates/mintlb-control/tests/single_replica/mod.rs
+++ b/crates/mintlb-control/tests/single_replica/mod.rs
@@ -12,7 +12,8 @@
 use std::path::Path;
 use std::time::Duration;
 
-const SHARD: u32 = 5;
+/// The shard of the host of all jobs.
+pub const SHARD: u32 = 11;
 /// How long a job is readable after it was sent.
 pub const RESULT_RETENTION: Duration = Duration::from_secs(20);
 /// The time on the replica's clock at its first start.
@@ -122,7 +123,7 @@
             max_queued_tokens: 0,
             job,
         };
-        self.replica.submit(submit, &raw, self.now);
+        self.replica.submit(&submit, &raw, self.now);
     }
 
     /// Records the result of an item, with a text of so many bytes.
--- a/crates/mintlb-control/tests/store_spread.rs
+++ b/crates/mintlb-control/tests/store_spread.rs
@@ -2,9 +2,11 @@
 
 mod stores;
 
-use mintlb_batch::client::ItemResult;
+use mintlb_batch::client::{ItemResult, SubmitError, Submitted};
+use mintlb_batch::heartbeat::ShardReport;
+use mintlb_common::placement::SHARD_COUNT;
 use std::time::Duration;
-use stores::{ACCEPTED, Cluster, HOST, JobBuilder, rotated_placement};
+use stores::{ACCEPTED, Cluster, DISPATCHER, HOST, JobBuilder, TEST_TIMEOUT, rotated_placement};
 
 const STORES: usize = 5;
 const JOBS: usize = 48;
@@ -12,6 +14,10 @@
 /// The largest share of all bytes that one store may send; the mean is a fifth.
 const MAX_SHARE: f64 = 0.4;
 
+/// Tokens of each job, and so many jobs fit into the quota.
+const JOB_TOKENS: u64 = 300;
+const FITTING_JOBS: usize = 10;
+
 async fn spread_cluster() -> Cluster {
     let cluster = Cluster::start(STORES).await;
     cluster.apply_placement(rotated_placement(&cluster.nodes, 1));
@@ -44,3 +50,83 @@
         "one store sends {most} of {total} bytes: {sent:?}"
     );
 }
+
+/// Submits jobs at once, and returns the outcome of each.
+async fn submit_at_once(
+    cluster: &Cluster,
+    ids: Vec<String>,
+) -> Vec<Result<Submitted, SubmitError>> {
+    let submit = async |id: String| {
+        let job = JobBuilder::new(&id).max_queued_tokens(JOB_TOKENS * FITTING_JOBS as u64);
+        let job = job.build();
+        cluster.client.submit(job, DISPATCHER, TEST_TIMEOUT).await
+    };
+    futures_util::future::join_all(ids.into_iter().map(submit)).await
+}
+
+fn ids(prefix: &str, count: usize) -> Vec<String> {
+    (0..count).map(|job| format!("{prefix}-{job}")).collect()
+}
+
+fn accepted(outcomes: &[Result<Submitted, SubmitError>]) -> usize {
+    let accepted = outcomes.iter().filter(|outcome| **outcome == ACCEPTED);
+    accepted.count()
+}
+
+#[tokio::test]
+async fn the_quota_of_a_route_is_counted_once_over_all_shards() {
+    let cluster = spread_cluster().await;
+    let first = submit_at_once(&cluster, ids("first", 3 * FITTING_JOBS)).await;
+    assert_eq!(accepted(&first), FITTING_JOBS, "{first:?}");
+    let others = first.iter().filter(|outcome| **outcome != ACCEPTED);
+    assert!(
+        others
+            .into_iter()
+            .all(|outcome| *outcome == Err(SubmitError::QuotaExceeded))
+    );
+
+    // What ends makes room, whichever shard it lies on.
+    let id = first
+        .iter()
+        .position(|outcome| *outcome == ACCEPTED)
+        .unwrap();
+    let ended = cluster.client.end(HOST, &format!("first-{id}")).await;
+    assert_eq!(ended, Ok(()));
+    let second = submit_at_once(&cluster, ids("second", FITTING_JOBS)).await;
+    assert_eq!(accepted(&second), 1, "{second:?}");
+}
+
+#[tokio::test]
+async fn the_quota_holds_after_all_primaries_have_changed() {
+    let cluster = spread_cluster().await;
+    let first = submit_at_once(&cluster, ids("first", FITTING_JOBS - 2)).await;
+    assert_eq!(accepted(&first), FITTING_JOBS - 2, "{first:?}");
+
+    let mut takeover = rotated_placement(&cluster.nodes, 2);
+    for shard in &mut takeover.shards {
+        shard.previous = shard.replicas.clone();
+        shard.last_active_epoch = Some(1);
+        shard.replicas.rotate_left(1);
+    }
+    cluster.apply_placement(takeover.clone());
+    let active_shards = || -> usize {
+        let reports = cluster
+            .nodes
+            .iter()
+            .flat_map(|node| node.store.report().shards);
+        let is_active = |report: &ShardReport| report.active && report.epoch == 2;
+        reports.filter(is_active).count()
+    };
+    while active_shards() < SHARD_COUNT as usize {
+        tokio::task::yield_now().await;
+    }
+    takeover.epoch = 3;
+    takeover
+        .shards
+        .iter_mut()
+        .for_each(|shard| shard.previous.clear());
+    cluster.apply_placement(takeover);
+
+    let second = submit_at_once(&cluster, ids("second", FITTING_JOBS)).await;
+    assert_eq!(accepted(&second), 2, "{second:?}");
+}
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
-use tokio::time::{MissedTickBehavior, interval, sleep};
+use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
 /// Limit of items that run at once.
@@ -221,16 +221,20 @@
         log::warn!("batch: could not record a result of job {}", item.job_id);
     }
 
-    /// Renews leases.
+    /// Renews leases regularly.
     async fn renew(self: Arc<Self>) {
         let mut tick = interval(RENEWAL_INTERVAL);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.draining.load(Relaxed) {
             tick.tick().await;
-            let leased = self.queue.lock().leased();
-            if leased.is_empty() {
-                continue;
-            }
+            self.renew_leases().await;
+        }
+    }
+
+    /// Renews all leases, and stops the items whose leases are lost.
+    async fn renew_leases(&self) {
+        let leased = self.queue.lock().leased();
+        if !leased.is_empty() {
             let renewed = self.client.renew(self.dispatcher_id, leased).await;
             let lost = renewed.lost.iter().map(|job| job.items.len()).sum();
             self.counters.on_renewal(lost, renewed.unanswered);
@@ -249,6 +253,7 @@
                 let queue = self.queue.lock();
                 queue.waiting() == 0 && queue.running() < MAX_RUNNING / 2
             };
+            let asked_at = Instant::now();
             let leased = match has_few {
                 true => self.client.lease(self.dispatcher_id, LEASE_AT_ONCE).await,
                 false => Leased::default(),
@@ -263,7 +268,12 @@
             } else {
                 LEASE_INTERVAL
             };
+            let is_late = asked_at.elapsed() >= RENEWAL_INTERVAL;
             self.take(leased);
+            if is_late {
+                // Little is left of the leases of a late response.
+                self.renew_leases().await;
+            }
             sleep(delay).await;
         }
     }
--- a/crates/mintlb-simulation/src/dispatcher.rs
+++ b/crates/mintlb-simulation/src/dispatcher.rs
@@ -5,7 +5,7 @@
 use crate::gossip::Gossip;
 use crate::message::{Answer, Body, Call, ClientRequest, ClientResponse, Packet};
 use bytes::Bytes;
-use mintlb_batch::messages;
+use mintlb_batch::messages::{self, JobName};
 use mintlb_common::placement::Placement;
 use mintlb_common::record::PLACEMENT;
 use mintlb_gossip::Role;
@@ -114,7 +114,7 @@
         }
         let (mut call, raw) = (job_call.call.clone(), job_call.raw.clone());
         let left = job_call.until - context.now;
-        let Some((address, epoch)) = self.primary(host_of(&call)) else {
+        let Some((address, epoch)) = job_of(&call).and_then(|job| self.primary(job.shard())) else {
             return context.wake(RETRY_DELAY, Timer::Retry(request_id));
         };
         if let messages::StoreRequest::Submit(submit) = &mut call {
@@ -152,22 +152,21 @@
         }
     }
 
-    /// The primary of a host's shard and the shard's epoch.
-    fn primary(&self, host: &str) -> Option<(SocketAddr, u64)> {
+    /// The primary of a shard and the shard's epoch.
+    fn primary(&self, shard: u32) -> Option<(SocketAddr, u64)> {
         let record = self.gossip.get(PLACEMENT)?;
         let placement = minicbor::decode::<Placement>(&record.body).ok()?;
-        let shard = Placement::shard_of(host);
         let address = placement.primary(shard)?.address.parse().ok()?;
         Some((address, placement.shards.get(shard as usize)?.epoch))
     }
 }
 
-fn host_of(call: &messages::StoreRequest) -> &str {
+fn job_of(call: &messages::StoreRequest) -> Option<JobName> {
     match call {
-        messages::StoreRequest::Submit(submit) => &submit.job.host,
-        messages::StoreRequest::Read(read) => &read.job.host,
-        messages::StoreRequest::End(job) => &job.host,
-        messages::StoreRequest::Record(record) => &record.job.host,
-        _ => "",
+        messages::StoreRequest::Submit(submit) => Some(submit.job.name()),
+        messages::StoreRequest::Read(read) => Some(read.job.clone()),
+        messages::StoreRequest::End(job) => Some(job.clone()),
+        messages::StoreRequest::Record(record) => Some(record.job.clone()),
+        _ => None,
     }
 }
--- a/crates/mintlb-simulation/src/job_client.rs
+++ b/crates/mintlb-simulation/src/job_client.rs
@@ -161,7 +161,7 @@
     let kind = random.below(100);
     if accepted.is_empty() || kind < 25 {
         let id = format!("job{:04}", oracle.jobs.len());
-        let host = host_of_shard(random.below(SHARDS as usize) as u32);
+        let host = host_of_shard(random.below(SHARDS as usize) as u32, &id);
         oracle.submitted(&id, &host, 1 + random.below(4) as u32);
         return JobAction::Submit(id);
     }
@@ -187,11 +187,11 @@
     }
 }
 
-/// A host whose jobs lie in this shard.
-fn host_of_shard(shard: u32) -> String {
+/// A host whose job of this id lies in this shard.
+fn host_of_shard(shard: u32, id: &str) -> String {
     let hosts = (0..).map(|number: u32| format!("host{number}"));
     hosts
         .into_iter()
-        .find(|host| Placement::shard_of(host) == shard)
+        .find(|host| Placement::shard_of_job(host, id) == shard)
         .unwrap_or_default()
 }
--- a/crates/mintlb-simulation/src/store/requests.rs
+++ b/crates/mintlb-simulation/src/store/requests.rs
@@ -8,7 +8,6 @@
 use mintlb_batch::framing;
 use mintlb_batch::messages::{self, StoreResponse};
 use mintlb_batch::replica::{PagePlan, Proposal, Replica};
-use mintlb_common::placement::Placement;
 use std::time::Duration;
 
 /// How long an answer waits until the followers have confirmed that nobody has taken over.
@@ -40,14 +39,13 @@
         raw: Bytes,
     ) {
         let now = context.now.into();
-        let host = match &call {
-            messages::StoreRequest::Submit(submit) => &submit.job.host,
-            messages::StoreRequest::Read(read) => &read.job.host,
-            messages::StoreRequest::End(job) => &job.host,
-            messages::StoreRequest::Record(record) => &record.job.host,
+        let shard = match &call {
+            messages::StoreRequest::Submit(submit) => submit.job.name().shard(),
+            messages::StoreRequest::Read(read) => read.job.shard(),
+            messages::StoreRequest::End(job) => job.shard(),
+            messages::StoreRequest::Record(record) => record.job.shard(),
             _ => return,
         };
-        let shard = Placement::shard_of(host);
         if shard >= SHARDS {
             return;
         }
@@ -58,7 +56,7 @@
                     head: submit.job.clone(),
                     raw: raw.clone(),
                 };
-                let proposal = replica.submit(submit, &raw, now);
+                let proposal = replica.submit(&submit, &raw, now);
                 (proposal, Some(submitted))
             }
             messages::StoreRequest::End(job) => (replica.end(&job, now), None),
@@ -110,6 +108,8 @@
             | Proposal::AfterCommit {
                 response: answer, ..
             } => reply(context, &caller, answer),
+            // The jobs of the model have no quota.
+            Proposal::NeedsAllowance(_) => reply(context, &caller, StoreResponse::NotPrimary),
             Proposal::CompareItems {
                 index,
                 response: answer,
