--- a/crates/mintlb-batch/src/quota/allowances.rs
+++ b/crates/mintlb-batch/src/quota/allowances.rs
@@ -46,37 +46,46 @@
     ) -> Result<(), Shortage> {
         let allowance = self.entry(route);
         if allowance.limit != limit {
-            // What is left of the former quota is void.
-            allowance.tokens = allowance.tokens.min(queued);
+            // What was handed out under the former quota is void, also what is on its way: under a
+            // lower one even the tokens in use may be too many.
+            allowance.tokens = 0;
             allowance.limit = limit;
+            allowance.generation += 1;
         }
         let needed = queued.saturating_add(job_tokens);
         if needed <= allowance.tokens {
             return Ok(());
         }
         // A new primary begins with what its log holds.
-        allowance.tokens = allowance.tokens.max(queued);
+        let held = allowance.tokens.max(queued);
         Err(Shortage {
             held: ShardAllowance {
                 generation: allowance.generation,
-                tokens: allowance.tokens,
+                tokens: held,
                 ..ShardAllowance::default()
             },
-            tokens: needed - allowance.tokens,
+            tokens: needed - held,
             counter_epoch: allowance.counter_epoch,
         })
     }
 
-    /// Takes what the counter handed out for a request of this generation; false if it is void.
-    pub fn raise(&mut self, route: &str, generation: u64, tokens: u64) -> bool {
+    /// Takes what the counter handed out beyond `held`; false if it is void.
+    pub fn raise(&mut self, route: &str, held: &ShardAllowance, tokens: u64) -> bool {
         let allowance = self.entry(route);
-        let is_current = allowance.generation == generation;
+        let is_current = allowance.generation == held.generation;
         if is_current {
-            allowance.tokens = allowance.tokens.saturating_add(tokens);
+            allowance.tokens = held.tokens.saturating_add(tokens);
         }
         is_current
     }
 
+    /// The generation of a route's allowance.
+    pub fn generation(&self, route: &str) -> u64 {
+        self.by_route
+            .get(route)
+            .map_or(0, |allowance| allowance.generation)
+    }
+
     /// Begins another generation: a request got no response, or the counter knows a later
     /// generation, that of an earlier process of this store. What is handed out for earlier
     /// generations is void.
@@ -85,7 +94,7 @@
         allowance.generation = allowance.generation.max(generation) + 1;
     }
 
-    /// Gives up what is not in use; returns what is left, without shard and epoch. `None` for a
+    /// Gives up what is not in use; returns what is, without shard and epoch. `None` for a
     /// counter that has been replaced.
     pub fn recall(
         &mut self,
@@ -99,7 +108,7 @@
         }
         allowance.counter_epoch = counter_epoch;
         allowance.generation += 1;
-        allowance.tokens = queued;
+        allowance.tokens = allowance.tokens.min(queued);
         Some(ShardAllowance {
             generation: allowance.generation,
             tokens: queued,
--- a/crates/mintlb-batch/src/quota/counter.rs
+++ b/crates/mintlb-batch/src/quota/counter.rs
@@ -10,8 +10,27 @@
 #[derive(Clone, Debug)]
 pub struct QuotaCounter {
     limit: u64,
-    /// The allowance of each shard, once its primary has told it.
-    shards: Vec<Option<ShardAllowance>>,
+    shards: Vec<CountedShard>,
+}
+
+/// What is known of a shard.
+#[derive(Clone, Copy, Debug, Default)]
+struct CountedShard {
+    /// The newest allowance that its primary has told, with what was handed out since.
+    allowance: ShardAllowance,
+    /// The primary has told it since the counter began, or the quota changed.
+    is_known: bool,
+}
+
+impl CountedShard {
+    fn is_newer_than(&self, other: &ShardAllowance) -> bool {
+        version(&self.allowance) > version(other)
+    }
+
+    fn set(&mut self, allowance: ShardAllowance) {
+        self.allowance = allowance;
+        self.is_known = true;
+    }
 }
 
 /// The decision about a request.
@@ -37,7 +56,7 @@
     pub fn new(shards: usize) -> QuotaCounter {
         QuotaCounter {
             limit: 0,
-            shards: vec![None; shards],
+            shards: vec![CountedShard::default(); shards],
         }
     }
 
@@ -51,29 +70,24 @@
         tokens: u64,
         recalled: Option<usize>,
     ) -> Verdict {
-        let Some(entry) = self.shards.get_mut(held.shard as usize) else {
+        let Some(shard) = self.shards.get(held.shard as usize) else {
             return Verdict::Unknown;
         };
-        if let Some(known) = entry
-            && (held.epoch, held.generation) < (known.epoch, known.generation)
-        {
-            let generation = match held.epoch == known.epoch {
-                true => known.generation,
+        if shard.is_newer_than(&held) {
+            let generation = match held.epoch == shard.allowance.epoch {
+                true => shard.allowance.generation,
                 false => 0,
             };
             return Verdict::Outdated { generation };
         }
-        if recalled.is_none() && (self.limit != limit || entry.is_none()) {
-            return Verdict::NeedsRecall;
-        }
-        *entry = Some(held);
-        self.limit = limit;
+        self.set_limit(limit);
+        self.shards[held.shard as usize].set(held);
         let Some(free) = self.free() else {
             return self.unless_recalled(recalled, Verdict::Unknown);
         };
         if tokens <= free {
             let granted = tokens + (free - tokens) / SURPLUS_DIVISOR;
-            self.shards[held.shard as usize] = Some(ShardAllowance {
+            self.shards[held.shard as usize].set(ShardAllowance {
                 tokens: held.tokens.saturating_add(granted),
                 ..held
             });
@@ -87,15 +101,27 @@
         self.unless_recalled(recalled, verdict)
     }
 
+    /// Begins to count another quota. What was handed out under the former one has to be recalled
+    /// first, or it would hold again if the quota changed back.
+    fn set_limit(&mut self, limit: u64) {
+        if self.limit != limit {
+            self.limit = limit;
+            self.shards
+                .iter_mut()
+                .for_each(|shard| shard.is_known = false);
+        }
+    }
+
     /// Notes what the primary of a shard has left after a recall; false if that is outdated.
     pub fn on_recalled(&mut self, left: ShardAllowance) -> bool {
-        let Some(entry) = self.shards.get_mut(left.shard as usize) else {
+        let Some(shard) = self.shards.get_mut(left.shard as usize) else {
             return false;
         };
-        let is_newer = entry
-            .is_none_or(|known| (left.epoch, left.generation) >= (known.epoch, known.generation));
+        // Each recall begins a generation: the same one is an answer to an earlier recall, since
+        // which more may have been handed out.
+        let is_newer = version(&left) > version(&shard.allowance);
         if is_newer {
-            *entry = Some(left);
+            shard.set(left);
         }
         is_newer
     }
@@ -104,7 +130,10 @@
     fn free(&self) -> Option<u64> {
         let mut free = self.limit;
         for shard in &self.shards {
-            free = free.saturating_sub(shard.as_ref()?.tokens);
+            if !shard.is_known {
+                return None;
+            }
+            free = free.saturating_sub(shard.allowance.tokens);
         }
         Some(free)
     }
@@ -116,3 +145,8 @@
         }
     }
 }
+
+/// Orders what is told of one shard.
+fn version(allowance: &ShardAllowance) -> (u64, u64) {
+    (allowance.epoch, allowance.generation)
+}
--- a/crates/mintlb-batch/src/replica/serving/quota.rs
+++ b/crates/mintlb-batch/src/replica/serving/quota.rs
@@ -13,7 +13,7 @@
 
     /// Takes what a counter handed out for `held`; false if that is void by now.
     pub fn raise_allowance(&mut self, route: &str, held: ShardAllowance, tokens: u64) -> bool {
-        held.epoch == self.assignment.epoch && self.allowances.raise(route, held.generation, tokens)
+        held.epoch == self.assignment.epoch && self.allowances.raise(route, &held, tokens)
     }
 
     /// Makes everything void that is handed out for this generation or an earlier one.
