--- a/crates/mintlb-control/tests/soak.rs
+++ b/crates/mintlb-control/tests/soak.rs
@@ -10,7 +10,7 @@
 use mintlb_batch::client::{BatchClient, Item, ItemResult, Submission, Submitted};
 use mintlb_batch::entry::JobTerms;
 use parking_lot::Mutex;
-use soak_cluster::{Network, SoakCluster};
+use soak_cluster::{Machine, Network, SoakCluster};
 use std::collections::BTreeMap;
 use std::ops::Range;
 use std::sync::Arc;
@@ -182,7 +182,7 @@
 }
 
 impl Faults {
-    fn machine<'a>(cluster: &'a mut SoakCluster, target: Target) -> &'a mut soak_cluster::Machine {
+    fn machine(cluster: &mut SoakCluster, target: Target) -> &mut Machine {
         match target {
             Target::Controller(position) => &mut cluster.controllers[position],
             Target::Store(position) => &mut cluster.stores[position],
