--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -205,3 +205,47 @@
     let leased = client.lease(1, 16).await;
     assert_eq!((leased.items.len(), leased.unanswered), (1, 0));
 }
+
+/// A submission carries all bodies: sent again while the first one is under way, it would fill the
+/// link to a store that is busy even further.
+#[tokio::test]
+async fn a_submission_under_way_is_not_repeated_at_the_same_primary() {
+    const FORMER_ATTEMPT_TIMEOUT: Duration = Duration::from_millis(1200);
+    let (client, store) = client_of(&[StaySilent]).await;
+    let timeout = FORMER_ATTEMPT_TIMEOUT + SUBMIT_TIMEOUT;
+    let result = client.submit(job(), 1, timeout).await;
+    assert_eq!(result, Err(SubmitError::Indeterminate));
+    assert_eq!(store.requested_epochs.lock().len(), 1);
+}
+
+#[tokio::test]
+async fn a_submission_under_way_is_given_up_when_the_shard_has_another_primary() {
+    let any_port: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let mut transports = Vec::new();
+    for script in [StaySilent, Respond(ACCEPTED)] {
+        let transport = Transport::start(any_port).await.unwrap();
+        let store = ScriptedStore {
+            script: Mutex::new(vec![script].into()),
+            requested_epochs: Mutex::default(),
+        };
+        transport.register_service(Channel::Batch, Arc::new(store));
+        transports.push(transport);
+    }
+    let placements = transports
+        .iter()
+        .map(|transport| Arc::new(placement(transport.local_address())));
+    let placements: Vec<Arc<Placement>> = placements.collect();
+    let current = Arc::new(Mutex::new(placements[0].clone()));
+    let known = current.clone();
+    let client = BatchClient::new(
+        Transport::start(any_port).await.unwrap(),
+        Arc::new(move || known.lock().clone()),
+    );
+    let submit = client.submit(job(), 1, Duration::from_secs(10));
+    let replace = async {
+        tokio::time::sleep(SUBMIT_TIMEOUT).await;
+        *current.lock() = placements[1].clone();
+    };
+    let (result, ()) = tokio::join!(submit, replace);
+    assert_eq!(result, SUBMITTED);
+}
