--- a/crates/mintlb-control/tests/controllers/mod.rs
+++ b/crates/mintlb-control/tests/controllers/mod.rs
@@ -24,9 +24,6 @@
 /// The longest wait for anything: only a fault exceeds it.
 pub const TEST_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// The number of times that the operator tries to read again.
-const READ_RETRIES: usize = 20;
-
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
 /// A running controller on a thread of its own.
@@ -199,15 +196,16 @@
         }
     }
 
-    /// Reads the configuration as an operator does: an indeterminate call is tried again.
+    /// Reads the configuration as an operator does: an indeterminate call is tried again for a while.
     pub fn read_configuration(&self, index: usize) -> (StatusCode, String) {
-        let mut response = self.read_configuration_once(index);
-        for _ in 0..READ_RETRIES {
-            if response.0 == StatusCode::SERVICE_UNAVAILABLE {
-                response = self.read_configuration_once(index);
+        let until = std::time::Instant::now() + OPERATOR_TIMEOUT;
+        loop {
+            let response = self.read_configuration_once(index);
+            let is_indeterminate = response.0 == StatusCode::SERVICE_UNAVAILABLE;
+            if !is_indeterminate || std::time::Instant::now() >= until {
+                return response;
             }
         }
-        response
     }
 
     /// Reads the configuration by a single call.
