Soak: dispatchers, clients over HTTP, workers and an operator; SIGHUP, lost disks, a retirement

Cause: the soak had no dispatcher and no changes of the configuration, so nothing played clients on open connections through a dispatcher's shutdown.

Change: tests/soak/ has the control plane's soak as before (its faults now also SIGHUP and the loss of one disk) and a second one of the whole tier: three dispatchers, nine clients that keep their connections until the process is gone, eight batch clients over HTTP, workers that register, drain and are replaced, an operator who changes the configuration, at times two changes on one version, and retires a store. Checked are refusals, runs, answers, closed connections, the quota, positions, completion and acknowledged configurations.

--- /dev/null
+++ b/crates/mintlb-control/tests/soak/main.rs
@@ -0,0 +1,61 @@
+//! Soak: real processes are killed, stopped, frozen and restarted, in series that overlap, while
+//! clients go on over the connections that they have.
+//!
+//! - [`control_plane`]: controllers and stores, with the client that a dispatcher has.
+//! - [`tier`]: dispatchers, too, with clients, workers and an operator over HTTP.
+//!
+//! A few seeds run here. By hand: `SOAK_SEEDS=100..150` plays these, and `SOAK_CONTROLLERS`,
+//! `SOAK_STORES` and `SOAK_DISPATCHERS` start more processes.
+
+mod batch_clients;
+mod cluster;
+mod control_plane;
+mod http;
+mod live_clients;
+mod operator;
+mod tier;
+mod workers;
+
+use cluster::ClusterSize;
+use std::ops::Range;
+
+const SEEDS: Range<u64> = 0..3;
+
+fn number_of(variable: &str, default: usize) -> usize {
+    std::env::var(variable).map_or(default, |value| value.parse().unwrap())
+}
+
+fn seeds() -> Range<u64> {
+    std::env::var("SOAK_SEEDS").map_or(SEEDS, |value| {
+        let (first, end) = value.split_once("..").unwrap();
+        first.parse().unwrap()..end.parse().unwrap()
+    })
+}
+
+fn cluster_size(dispatchers: usize) -> ClusterSize {
+    ClusterSize {
+        controllers: number_of("SOAK_CONTROLLERS", 3),
+        stores: number_of("SOAK_STORES", 5),
+        dispatchers,
+    }
+}
+
+#[tokio::test]
+async fn what_was_acknowledged_survives_overlapping_restarts_and_signals() {
+    for seed in seeds() {
+        control_plane::soak(seed, cluster_size(0)).await;
+    }
+}
+
+#[tokio::test]
+async fn clients_are_served_through_overlapping_restarts_signals_and_changes() {
+    for seed in seeds() {
+        tier::soak(seed, cluster_size(number_of("SOAK_DISPATCHERS", 3))).await;
+    }
+}
+
+/// Not a test by itself: the process that the tier's soak starts as a dispatcher.
+#[test]
+fn process_of_a_dispatcher() {
+    cluster::machine::run_as_dispatcher_if_asked();
+}
