Store: queued bytes are bounded by the link's bandwidth; a known job needs no capacity; 429 and 503 are counted apart

Cause: the limit on bytes that wait for connections was 8 MB on every link, more than two seconds of a link of 20 Mbit/s, and had no test. A job that a store had already accepted got 503 again while the disk or the links were full.

Change: store/limits.rs: a second of the link, 8 MB at most, 1 MB at least. A repeated submission of a known job is answered without asking for capacity. The log line tells over the quota, rejected and invalid apart.

Tests: store_overload.rs (jobs are rejected at once while too much waits, accepted afterwards; a known job is accepted meanwhile: this assertion was red before the change, Rejected in place of accepted); submissions_are_counted_by_their_response.

--- a/crates/mintlb-control/src/store/handle.rs
+++ b/crates/mintlb-control/src/store/handle.rs
@@ -1,6 +1,7 @@
 //! The store's shared state: the replicas behind one lock, their clock, and whether the store is
 //! shutting down.
 
+use super::limits::StoreLimits;
 use super::load::LoadCounters;
 use super::quota::Quotas;
 use super::shard_host::ShardHost;
@@ -44,19 +45,19 @@
     /// Each process's monotonic clock begins at an offset of its own, so that no echo of another
     /// process's time fits.
     clock_offset: Duration,
-    disk_bytes: u64,
+    limits: StoreLimits,
     report_changed: Arc<Notify>,
     load: Arc<LoadCounters>,
     draining: AtomicBool,
 }
 
 impl Store {
-    /// A store on an opened file. `disk_bytes` is the capacity of the disk.
+    /// A store on an opened file.
     pub fn new(
         transport: Arc<Transport>,
         opened: OpenedStorage,
         settings: ReplicaSettings,
-        disk_bytes: u64,
+        limits: StoreLimits,
         random_seed: u64,
     ) -> Arc<Store> {
         let clock_offset = Duration::from_millis(random_seed >> CLOCK_OFFSET_SHIFT);
@@ -77,7 +78,7 @@
             id: settings.store_id,
             started: Instant::now(),
             clock_offset,
-            disk_bytes,
+            limits,
             report_changed,
             load,
             draining: AtomicBool::new(false),
@@ -185,7 +186,13 @@
 
     /// Whether the disk has no capacity for a batch job of so many bytes.
     pub(super) fn is_disk_full(&self, job_bytes: u64) -> bool {
-        self.shard_host().is_disk_full(job_bytes, self.disk_bytes)
+        self.shard_host()
+            .is_disk_full(job_bytes, self.limits.disk_bytes)
+    }
+
+    /// Whether too many bytes wait for the store's connections to accept a batch job.
+    pub(super) fn is_overloaded(&self) -> bool {
+        self.transport.queued_bytes() > self.limits.queued_bytes
     }
 
     /// Reports to the controllers that this store shuts down, so that its shards get other
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -10,13 +10,15 @@
 //! - [`storage`]: the file, its commit thread and its capacity.
 //! - [`entry_cache`]: entries that are still being replicated.
 //! - [`quota`]: queued tokens of routes, counted once over all shards.
-//! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, for the log.
+//! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, for the log;
+//!   [`limits`]: what it may take.
 
 pub mod driver;
 pub mod entry_cache;
 pub mod error;
 pub mod handle;
 pub mod heartbeats;
+pub mod limits;
 pub mod load;
 pub mod process;
 pub mod quota;
--- a/crates/mintlb-control/src/store/requests/submit.rs
+++ b/crates/mintlb-control/src/store/requests/submit.rs
@@ -13,9 +13,6 @@
 /// A submission that has not got its allowance in this time is rejected: in time for its
 /// dispatcher, which would have to treat a later response as unclear.
 const ALLOWANCE_TIMEOUT: Duration = Duration::from_millis(900);
-/// More bytes than this must not wait for the store's connections when a job is accepted: what is
-/// accepted brings as many again to each replica, and later its results.
-const MAX_QUEUED_BYTES: u64 = 8 << 20;
 
 impl Store {
     /// Accepts a job and waits until it is committed. `raw`: the payloads of its items.
@@ -25,13 +22,10 @@
         raw: Bytes,
         location: JobLocation,
     ) -> StoreResponse {
-        if self.is_disk_full(raw.len() as u64) {
-            return StoreResponse::DiskFull;
-        }
-        if self.transport().queued_bytes() > MAX_QUEUED_BYTES {
-            return StoreResponse::Overloaded;
-        }
         let shard = location.shard(&submit.job.name());
+        if let Some(rejection) = self.lacks_capacity(shard, &submit, raw.len() as u64) {
+            return rejection;
+        }
         let (proposal, commit) = match location {
             JobLocation::JobShard => self.admit(shard, &submit, &raw).await,
             JobLocation::HostShard => self.submit_again(shard, &submit, &raw),
@@ -49,6 +43,26 @@
         }
     }
 
+    /// The rejection of a job that this store has no capacity for. One that it has already needs
+    /// none.
+    fn lacks_capacity(&self, shard: u32, submit: &Submit, bytes: u64) -> Option<StoreResponse> {
+        if self.has_job(shard, submit) {
+            None
+        } else if self.is_disk_full(bytes) {
+            Some(StoreResponse::DiskFull)
+        } else if self.is_overloaded() {
+            Some(StoreResponse::Overloaded)
+        } else {
+            None
+        }
+    }
+
+    fn has_job(&self, shard: u32, submit: &Submit) -> bool {
+        let mut shard_host = self.shard_host();
+        let replica = shard_host.replica(shard);
+        replica.jobs().find(&submit.job.name()).is_some()
+    }
+
     /// Proposes a job, after the shard's allowance was raised if it has to be.
     async fn admit(
         &self,
@@ -101,12 +115,7 @@
         submit: &Submit,
         raw: &Bytes,
     ) -> (Proposal, Option<CommitWait>) {
-        let is_known = {
-            let mut shard_host = self.shard_host();
-            let replica = shard_host.replica(shard);
-            replica.jobs().find(&submit.job.name()).is_some()
-        };
-        match is_known {
+        match self.has_job(shard, submit) {
             true => self.propose_submission(shard, submit, raw),
             false => (Proposal::Immediate(StoreResponse::NotPrimary), None),
         }
--- a/crates/mintlb-control/src/store/startup.rs
+++ b/crates/mintlb-control/src/store/startup.rs
@@ -4,6 +4,7 @@
 use super::error::StoreError;
 use super::handle::Store;
 use super::heartbeats;
+use super::limits::StoreLimits;
 use super::load;
 use super::running::{HandoverLimits, RunningStore};
 use super::service::StoreService;
@@ -67,12 +68,12 @@
         commit_queue: commit_queue.clone(),
         shards,
     };
-    let disk_bytes = disk_bytes(&settings, directory);
+    let limits = StoreLimits::new(&settings.limits, quarantined_bytes(directory));
     let store = Store::new(
         transport.clone(),
         opened,
         replica_settings,
-        disk_bytes,
+        limits,
         random_seed,
     );
     let handover = HandoverLimits::new(settings.bounds.grace_period_s);
@@ -90,12 +91,10 @@
     })
 }
 
-/// Capacity of the disk in bytes, without what a quarantined file takes.
-fn disk_bytes(settings: &NodeSettings, directory: &Path) -> u64 {
-    let quarantined_bytes = std::fs::metadata(directory.join(file::QUARANTINED_FILE))
-        .map_or(0, |metadata| metadata.len());
-    let limit_mb = settings.limits.disk_mb.unwrap_or(u64::MAX >> 20);
-    (limit_mb << 20).saturating_sub(quarantined_bytes)
+/// Bytes of the disk that a quarantined file takes.
+fn quarantined_bytes(directory: &Path) -> u64 {
+    let metadata = std::fs::metadata(directory.join(file::QUARANTINED_FILE));
+    metadata.map_or(0, |metadata| metadata.len())
 }
 
 /// Joins gossip, and applies each placement that it brings.
--- a/crates/mintlb-control/tests/stores/mod.rs
+++ b/crates/mintlb-control/tests/stores/mod.rs
@@ -10,6 +10,7 @@
 use mintlb_common::transport::{Channel, Transport};
 use mintlb_control::store::driver::Driver;
 use mintlb_control::store::handle::Store;
+use mintlb_control::store::limits::StoreLimits;
 use mintlb_control::store::service::StoreService;
 use mintlb_control::store::storage::file::DatabaseOpener;
 use mintlb_control::store::storage::{CommitQueue, LoadedStorage, OpenedStorage, ShardStorage};
@@ -29,7 +30,11 @@
 pub const ACCEPTED: Result<Submitted, SubmitError> = Ok(Submitted { items_leased: true });
 /// Bytes of an item's payload; each is the item's number.
 const PAYLOAD_BYTES: usize = 5000;
-const DISK_BYTES: u64 = 1 << 30;
+/// A store's limits; tests of full disks and links go beyond them.
+pub const LIMITS: StoreLimits = StoreLimits {
+    disk_bytes: 1 << 30,
+    queued_bytes: 8 << 20,
+};
 
 /// The payload of the item with this number.
 pub fn payload(item: u8) -> Bytes {
@@ -74,7 +79,7 @@
             commit_queue: CommitQueue::start(storage.clone(), outcomes).unwrap(),
             shards,
         };
-        let store = Store::new(transport.clone(), opened, settings, DISK_BYTES, random_seed);
+        let store = Store::new(transport.clone(), opened, settings, LIMITS, random_seed);
         transport.register_service(Channel::Batch, Arc::new(StoreService(store.clone())));
         let mut driver = Driver::new(store.clone(), storage, commits);
         let task = tokio::spawn(async move { while driver.step().await.is_ok() {} });
--- a/crates/mintlb-dispatcher/src/batch/statistics.rs
+++ b/crates/mintlb-dispatcher/src/batch/statistics.rs
@@ -12,7 +12,9 @@
 #[derive(Debug, Default)]
 pub struct BatchCounters {
     accepted: AtomicU64,
+    over_quota: AtomicU64,
     rejected: AtomicU64,
+    invalid: AtomicU64,
     indeterminate: AtomicU64,
     slowest_submission_ms: AtomicU64,
     leased: AtomicU64,
@@ -28,8 +30,10 @@
     pub fn on_submitted(&self, status: StatusCode, took: Duration) {
         let counter = match status {
             StatusCode::ACCEPTED => &self.accepted,
+            StatusCode::TOO_MANY_REQUESTS => &self.over_quota,
+            StatusCode::SERVICE_UNAVAILABLE => &self.rejected,
             StatusCode::GATEWAY_TIMEOUT => &self.indeterminate,
-            _ => &self.rejected,
+            _ => &self.invalid,
         };
         counter.fetch_add(1, Relaxed);
         let took_ms = took.as_millis() as u64;
@@ -63,7 +67,9 @@
         let take = |counter: &AtomicU64| counter.swap(0, Relaxed);
         BatchCounts {
             accepted: take(&self.accepted),
+            over_quota: take(&self.over_quota),
             rejected: take(&self.rejected),
+            invalid: take(&self.invalid),
             indeterminate: take(&self.indeterminate),
             slowest_submission_ms: take(&self.slowest_submission_ms),
             leased: take(&self.leased),
@@ -81,8 +87,12 @@
 pub struct BatchCounts {
     /// Submissions that were accepted.
     pub accepted: u64,
-    /// Submissions of which nothing runs.
+    /// Submissions over their route's quota (429).
+    pub over_quota: u64,
+    /// Submissions that no store could take (503).
     pub rejected: u64,
+    /// Submissions that contradict an accepted job (409).
+    pub invalid: u64,
     /// Submissions with an unknown outcome.
     pub indeterminate: u64,
     /// The longest that a submission took, in ms.
@@ -112,11 +122,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "submissions {} accepted, {} rejected, {} unclear, the slowest {} ms; {} items leased, \
-             {} leases lost, {} lease calls and {} renewals unanswered; {} results recorded, {} \
-             attempts repeated",
+            "submissions {} accepted, {} over the quota, {} rejected, {} invalid, {} unclear, the \
+             slowest {} ms; {} items leased, {} leases lost, {} lease calls and {} renewals \
+             unanswered; {} results recorded, {} attempts repeated",
             self.accepted,
+            self.over_quota,
             self.rejected,
+            self.invalid,
             self.indeterminate,
             self.slowest_submission_ms,
             self.leased,
--- a/crates/mintlb-dispatcher/tests/batch.rs
+++ b/crates/mintlb-dispatcher/tests/batch.rs
@@ -1,12 +1,15 @@
 //! Batch jobs at a dispatcher: submission, rejection, retry and resumption of items, order of the queue.
 
+use axum::http::StatusCode;
 use mintlb_batch::client::{CommittedResult, Item, ItemResult, LeasedItem};
 use mintlb_batch::entry::{ItemState, JobTerms};
 use mintlb_batch::messages::ItemFailures;
 use mintlb_common::configuration::Configuration;
 use mintlb_dispatcher::batch::progress::{AttemptOutcome, Next, Progress};
 use mintlb_dispatcher::batch::queue::ItemQueue;
+use mintlb_dispatcher::batch::statistics::BatchCounters;
 use mintlb_dispatcher::batch::{page, submission};
+use std::time::Duration;
 
 const CONFIGURATION: &str = r#"{"config_version":1,"route_list":[{"name":"notices","host_name":"a.example",
 "path_prefix":"/p/","route_type":"batch","target_latency_ms":400,"completion_target_ms":10000,"max_attempts":3,
@@ -86,6 +89,22 @@
     );
 }
 
+/// Over the quota and unavailable have different causes; the log tells them apart.
+#[test]
+fn submissions_are_counted_by_their_response() {
+    let counters = BatchCounters::default();
+    let responses = [202, 202, 429, 503, 503, 503, 409, 504];
+    for (status, took_ms) in responses.into_iter().zip(1..) {
+        let status = StatusCode::from_u16(status).unwrap();
+        counters.on_submitted(status, Duration::from_millis(took_ms));
+    }
+    let counts = counters.take();
+    let text = "submissions 2 accepted, 1 over the quota, 3 rejected, 1 invalid, 1 unclear, the \
+                slowest 8 ms;";
+    assert!(counts.to_string().starts_with(text), "{counts}");
+    assert!(counters.take().is_empty(), "they begin anew");
+}
+
 /// Clients see these texts, so the type keeps the name that serde puts into them.
 #[test]
 fn the_texts_of_unreadable_submissions_keep_the_name_lot() {
