--- a/crates/mintlb-control/tests/soak/batch_clients.rs
+++ b/crates/mintlb-control/tests/soak/batch_clients.rs
@@ -3,12 +3,14 @@
 use crate::cluster::network::Network;
 use crate::http::{self, Answer, CallError};
 use crate::operator::HOST;
+use crate::spawn_each;
 use crate::workers::{BATCH_PREFIX, Runs, expected_text};
 use parking_lot::Mutex;
 use std::collections::{BTreeMap, HashSet};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::{Instant, sleep};
 
 const CLIENTS: usize = 8;
@@ -147,10 +149,8 @@
 
 impl BatchClients {
     /// Starts all clients; they end when they are told to stop.
-    pub fn start(&self) -> Vec<tokio::task::JoinHandle<()>> {
-        (0..CLIENTS)
-            .map(|number| tokio::spawn(self.clone().run(number)))
-            .collect()
+    pub fn start(&self) -> Vec<JoinHandle<()>> {
+        spawn_each(CLIENTS, |number| self.clone().run(number))
     }
 
     async fn run(self, number: usize) {
--- a/crates/mintlb-control/tests/soak/control_plane.rs
+++ b/crates/mintlb-control/tests/soak/control_plane.rs
@@ -4,6 +4,7 @@
 use crate::cluster::faults::Faults;
 use crate::cluster::network::Network;
 use crate::cluster::{ClusterSize, SoakCluster};
+use crate::spawn_each;
 use mintlb_batch::client::{BatchClient, Item, ItemResult, Submission, Submitted};
 use mintlb_batch::entry::JobTerms;
 use mintlb_common::placement::Placement;
@@ -194,12 +195,9 @@
     let client = start_client(network).await;
     let oracle = Arc::new(Mutex::new(Oracle::default()));
     let stop = Arc::new(AtomicBool::new(false));
-    let clients: Vec<_> = (0..CLIENTS)
-        .map(|number| {
-            let (client, oracle) = (client.clone(), oracle.clone());
-            tokio::spawn(run_client(client, oracle, number, stop.clone()))
-        })
-        .collect();
+    let clients = spawn_each(CLIENTS, |number| {
+        run_client(client.clone(), oracle.clone(), number, stop.clone())
+    });
     // The first jobs are accepted before the first fault.
     let started = Instant::now();
     while oracle.lock().jobs.is_empty() {
--- a/crates/mintlb-control/tests/soak/live_clients.rs
+++ b/crates/mintlb-control/tests/soak/live_clients.rs
@@ -5,12 +5,14 @@
 use crate::cluster::{Disturbed, Incarnation};
 use crate::http::{self, Answer, CallError, Connection};
 use crate::operator::{HOST, IDEMPOTENT_PREFIX, ONCE_PREFIX};
+use crate::spawn_each;
 use crate::workers::{Runs, expected_body};
 use parking_lot::Mutex;
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::time::Duration;
+use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 const CLIENTS: usize = 9;
@@ -114,10 +116,8 @@
 
 impl LiveClients {
     /// Starts all clients; they end when they are told to stop.
-    pub fn start(&self) -> Vec<tokio::task::JoinHandle<()>> {
-        (0..CLIENTS)
-            .map(|number| tokio::spawn(self.clone().run(number)))
-            .collect()
+    pub fn start(&self) -> Vec<JoinHandle<()>> {
+        spawn_each(CLIENTS, |number| self.clone().run(number))
     }
 
     async fn run(self, number: usize) {
--- a/crates/mintlb-control/tests/soak/main.rs
+++ b/crates/mintlb-control/tests/soak/main.rs
@@ -18,9 +18,19 @@
 
 use cluster::ClusterSize;
 use std::ops::Range;
+use tokio::task::JoinHandle;
 
 const SEEDS: Range<u64> = 0..3;
 
+/// Spawns one task for each number below `count`.
+fn spawn_each<F>(count: usize, run: impl Fn(usize) -> F) -> Vec<JoinHandle<()>>
+where
+    F: Future<Output = ()> + Send + 'static,
+{
+    let numbers = 0..count;
+    numbers.map(|number| tokio::spawn(run(number))).collect()
+}
+
 fn number_of(variable: &str, default: usize) -> usize {
     std::env::var(variable).map_or(default, |value| value.parse().unwrap())
 }
