Dispatcher: calls on batch jobs in modules of one job each

Cause: calls.rs held the handler, the submission, the fields of requests and the responses. Change: calls/submit.rs, calls/request_fields.rs, calls/responses.rs; calls.rs keeps the handler. No behaviour changes.

--- a/crates/mintlb-dispatcher/src/batch/calls.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls.rs
@@ -1,41 +1,35 @@
 //! Clients' calls on batch jobs: submit, read results, read a body, end.
 
+mod request_fields;
+mod responses;
+mod submit;
+
 use super::page;
 use super::runner::Runner;
-use super::submission;
+use super::submission::parse;
 use crate::batch_executor::{BatchCall, BatchHandler};
 use axum::body::Body;
-use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
-use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
+use axum::http::{Method, StatusCode};
 use axum::response::{IntoResponse, Response};
-use mintlb_batch::client::{BatchClient, JobError, LeasedItem, Submission, SubmitError, Submitted};
-use mintlb_batch::entry::JobTerms;
+use mintlb_batch::client::{BatchClient, JobError};
 use mintlb_batch::messages::DispatcherId;
-use mintlb_common::configuration::Route;
 use mintlb_common::record::{ENDED_JOB_PREFIX, Record};
 use mintlb_gossip::GossipService;
+use request_fields::{Resource, host_name, milliseconds, parameter, resource};
+use responses::{Answer, answer, bad_request, json, unavailable};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
-use std::time::{Duration, Instant};
+use std::time::Duration;
+use submit::{submission, submit, submit_timeout};
 
 /// Size limit of the results in one response.
 const MAX_PAGE_BYTES: usize = 1 << 20;
 /// The longest that a read waits for a result.
 const MAX_READ_WAIT: Duration = Duration::from_millis(1000);
-/// Timeout of a submission without a client's deadline.
-const SUBMIT_TIMEOUT: Duration = Duration::from_millis(3000);
-/// A submission gets its response this long before the client's deadline.
-const SUBMIT_MARGIN: Duration = Duration::from_millis(300);
-/// `Retry-After` of a rejected call, in seconds.
-const RETRY_AFTER_SECONDS: &str = "0.5";
-/// `Retry-After` of a submission over the quota, in seconds.
-const QUOTA_RETRY_AFTER_SECONDS: &str = "1";
 /// Lifetime of the record that a job was ended, in seconds.
 const ENDED_LIFETIME_S: u32 = 60;
-/// Default retention of a job's items, in milliseconds.
-const USUAL_RETENTION_MS: u64 = 60_000;
 
 /// Handles clients' calls on batch jobs.
 pub struct BatchCalls {
@@ -46,12 +40,6 @@
     draining: AtomicBool,
 }
 
-/// The resource that a path under `/v1/` names.
-enum Resource<'a> {
-    Job(&'a str),
-    Items(&'a str),
-}
-
 impl BatchCalls {
     /// Calls go to the stores by `client`; accepted items go to `runner`.
     pub fn new(
@@ -97,17 +85,13 @@
     }
 }
 
-type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
-
 impl BatchCalls {
     fn submit(&self, call: &BatchCall, route: usize) -> Answer {
         let Some(route) = call.configuration.route_list.get(route) else {
             return answer(StatusCode::NOT_FOUND);
         };
         if self.draining.load(Relaxed) {
-            return Box::pin(async {
-                retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
-            });
+            return Box::pin(async { unavailable() });
         }
         let id = call
             .headers
@@ -116,18 +100,11 @@
         let Some(job_id) = id.filter(|id| !id.is_empty()) else {
             return bad_request("M414 Mintlb-Request-Id: one is needed".to_string());
         };
-        let items = match submission::parse(&call.body, route) {
+        let items = match parse(&call.body, route) {
             Ok(items) => items,
             Err(error) => return bad_request(error.to_string()),
         };
-        let job = Submission {
-            host: host_name(&call.host),
-            route: route.name.clone(),
-            job_id: job_id.to_string(),
-            terms: terms(route, self.runner.now_ms()),
-            max_queued_tokens: route.max_queued_tokens,
-            items,
-        };
+        let job = submission(call, route, job_id, items, self.runner.now_ms());
         let time_limit = submit_timeout(&call.headers);
         let (client, runner, dispatcher_id) =
             (self.client.clone(), self.runner.clone(), self.dispatcher_id);
@@ -162,9 +139,7 @@
             {
                 Ok(found) => json(page::to_json(found.total, found.next, &found.results)),
                 Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => {
-                    retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
-                }
+                Err(JobError::Unavailable) => unavailable(),
             }
         })
     }
@@ -182,9 +157,7 @@
             match client.body(&host, &job_id, &instance_id).await {
                 Ok(body) => Response::new(Body::from(body)),
                 Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => {
-                    retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
-                }
+                Err(JobError::Unavailable) => unavailable(),
             }
         })
     }
@@ -209,138 +182,8 @@
                     StatusCode::OK.into_response()
                 }
                 Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => {
-                    retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
-                }
+                Err(JobError::Unavailable) => unavailable(),
             }
         })
     }
 }
-
-async fn submit(
-    client: &BatchClient,
-    runner: &Arc<Runner>,
-    dispatcher_id: DispatcherId,
-    job: Submission,
-    time_limit: Duration,
-) -> Response {
-    let started = Instant::now();
-    let submitted = client.submit(job.clone(), dispatcher_id, time_limit).await;
-    let response = match submitted {
-        Ok(Submitted { items_leased }) => {
-            if items_leased {
-                runner.take(leased(job));
-            }
-            StatusCode::ACCEPTED.into_response()
-        }
-        Err(SubmitError::QuotaExceeded) => {
-            retry_later(StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_SECONDS)
-        }
-        Err(SubmitError::Conflict) => {
-            (StatusCode::CONFLICT, "M417 another lot has this id").into_response()
-        }
-        Err(SubmitError::Rejected) => {
-            retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
-        }
-        // It may be committed: no status that denies it is allowed.
-        Err(SubmitError::Indeterminate) => StatusCode::GATEWAY_TIMEOUT.into_response(),
-    };
-    let counters = runner.counters();
-    counters.on_submitted(response.status(), started.elapsed());
-    response
-}
-
-fn leased(job: Submission) -> Vec<LeasedItem> {
-    let Submission {
-        host,
-        route,
-        job_id,
-        terms,
-        items,
-        ..
-    } = job;
-    let leased = |(index, item)| LeasedItem {
-        host: host.clone(),
-        route: route.clone(),
-        job_id: job_id.clone(),
-        terms,
-        index: index as u32,
-        item,
-        failures: 0,
-    };
-    items.into_iter().enumerate().map(leased).collect()
-}
-
-fn terms(route: &Route, now_ms: u64) -> JobTerms {
-    JobTerms {
-        sent_at_ms: now_ms,
-        completion_target_ms: route.completion_target_ms.unwrap_or(USUAL_RETENTION_MS),
-        retention_ms: route
-            .retention_s
-            .map_or(USUAL_RETENTION_MS, |seconds| (seconds * 1e3) as u64),
-        max_attempts: route.max_attempts,
-    }
-}
-
-fn submit_timeout(headers: &HeaderMap) -> Duration {
-    let deadline = milliseconds(headers, "mintlb-deadline-ms");
-    deadline.map_or(SUBMIT_TIMEOUT, |deadline| {
-        deadline.saturating_sub(SUBMIT_MARGIN).min(SUBMIT_TIMEOUT)
-    })
-}
-
-fn milliseconds(headers: &HeaderMap, name: &str) -> Option<Duration> {
-    let value: f64 = headers.get(name)?.to_str().ok()?.trim().parse().ok()?;
-    (value.is_finite() && value >= 0.0).then(|| Duration::from_secs_f64(value.min(1e6) / 1e3))
-}
-
-fn resource(path: &str) -> Option<Resource<'_>> {
-    let is_id = |id: &&str| !id.is_empty() && !id.contains('/');
-    let job = path
-        .strip_prefix("/v1/lots/")
-        .filter(is_id)
-        .map(Resource::Job);
-    job.or_else(|| {
-        path.strip_prefix("/v1/items/")
-            .filter(is_id)
-            .map(Resource::Items)
-    })
-}
-
-fn parameter<'a>(query: &'a str, name: &str) -> Option<&'a str> {
-    query
-        .split('&')
-        .find_map(|pair| pair.split_once('=').filter(|(key, _)| *key == name))
-        .map(|(_, value)| value)
-}
-
-/// The host's name without a port, by which jobs are keyed.
-fn host_name(host: &str) -> String {
-    host.rsplit_once(':')
-        .map_or(host, |(name, _)| name)
-        .to_ascii_lowercase()
-}
-
-fn answer(status: StatusCode) -> Answer {
-    Box::pin(async move { status.into_response() })
-}
-
-fn bad_request(why: String) -> Answer {
-    Box::pin(async move { (StatusCode::BAD_REQUEST, why).into_response() })
-}
-
-fn retry_later(status: StatusCode, retry_after: &'static str) -> Response {
-    (
-        status,
-        [(RETRY_AFTER, HeaderValue::from_static(retry_after))],
-    )
-        .into_response()
-}
-
-fn json(body: Vec<u8>) -> Response {
-    (
-        [(CONTENT_TYPE, HeaderValue::from_static("application/json"))],
-        body,
-    )
-        .into_response()
-}
