Store: rejected submissions are counted by cause and logged

Cause: an on-call engineer saw 503 at the dispatchers and nothing at the store that told a full disk, full links, an unknown quota and a shard without an active primary apart. Change: store/rejections.rs; the log line 'store: N submissions rejected, ...' beside the load's lines. A store that is not the shard's active primary says so before it looks at its capacity: the dispatcher then tries the primary. Tests: store_overload.rs (links full), store_spread.rs (over the quota). All tests of mintlb-control pass.

--- a/crates/mintlb-control/src/store/load.rs
+++ b/crates/mintlb-control/src/store/load.rs
@@ -2,6 +2,7 @@
 //! backlog of the shards that it leads. Logged regularly while there are batch jobs.
 
 use super::handle::Store;
+use super::rejections::{RejectionCounters, Rejections};
 use mintlb_batch::messages::StoreRequest;
 use mintlb_common::transport::{SendStatistics, Transport};
 use std::fmt;
@@ -121,6 +122,8 @@
     received: ByteCounts,
     sent: ByteCounts,
     longest_commit_ms: AtomicU64,
+    /// Rejected submissions.
+    pub rejections: RejectionCounters,
 }
 
 impl LoadCounters {
@@ -146,6 +149,7 @@
             received: self.received.take(),
             sent: self.sent.take(),
             longest_commit: Duration::from_millis(self.longest_commit_ms.swap(0, Relaxed)),
+            rejections: self.rejections.take(),
         }
     }
 }
@@ -159,6 +163,8 @@
     pub sent: BytesByKind,
     /// The longest that a change waited for its commit.
     pub longest_commit: Duration,
+    /// Rejected submissions.
+    pub rejections: Rejections,
 }
 
 /// Logs the load of a store until it is dropped, while it carries batch jobs.
@@ -173,6 +179,9 @@
         if backlog.pending_items > 0 || load.received.of(MessageKind::Submit) > 0 {
             log_load(&load, &links);
             log::info!("store: {backlog}");
+            if !load.rejections.is_empty() {
+                log::info!("store: {}", load.rejections);
+            }
         }
     }
 }
--- a/crates/mintlb-control/src/store/mod.rs
+++ b/crates/mintlb-control/src/store/mod.rs
@@ -10,7 +10,7 @@
 //! - [`storage`]: the file, its commit thread and its capacity.
 //! - [`entry_cache`]: entries that are still being replicated.
 //! - [`quota`]: queued tokens of routes, counted once over all shards.
-//! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, for the log;
+//! - [`heartbeats`]: reports to the controllers. [`load`]: what the store carries, and [`rejections`]: what it does not accept, for the log;
 //!   [`limits`]: what it may take.
 
 pub mod driver;
@@ -22,6 +22,7 @@
 pub mod load;
 pub mod process;
 pub mod quota;
+pub mod rejections;
 mod requests;
 mod running;
 pub mod service;
--- a/crates/mintlb-control/src/store/requests/submit.rs
+++ b/crates/mintlb-control/src/store/requests/submit.rs
@@ -2,6 +2,7 @@
 
 use super::{CommitWait, JobLocation, Store};
 use crate::store::quota::AcquireError;
+use crate::store::rejections::RejectionCause;
 use bytes::Bytes;
 use mintlb_batch::entry::{Entry, JobHeader};
 use mintlb_batch::framing;
@@ -23,8 +24,8 @@
         location: JobLocation,
     ) -> StoreResponse {
         let shard = location.shard(&submit.job.name());
-        if let Some(rejection) = self.lacks_capacity(shard, &submit, raw.len() as u64) {
-            return rejection;
+        if let Some(cause) = self.find_rejection(shard, &submit, raw.len() as u64) {
+            return self.reject(cause);
         }
         let (proposal, commit) = match location {
             JobLocation::JobShard => self.admit(shard, &submit, &raw).await,
@@ -43,20 +44,31 @@
         }
     }
 
-    /// The rejection of a job that this store has no capacity for. One that it has already needs
-    /// none.
-    fn lacks_capacity(&self, shard: u32, submit: &Submit, bytes: u64) -> Option<StoreResponse> {
-        if self.has_job(shard, submit) {
+    fn reject(&self, cause: RejectionCause) -> StoreResponse {
+        self.load().rejections.on_rejected(cause);
+        cause.response()
+    }
+
+    /// Why this store does not accept a job, whatever its quota. One that it has already needs no
+    /// capacity.
+    fn find_rejection(&self, shard: u32, submit: &Submit, bytes: u64) -> Option<RejectionCause> {
+        if !self.is_serving(shard) {
+            Some(RejectionCause::NotPrimary)
+        } else if self.has_job(shard, submit) {
             None
         } else if self.is_disk_full(bytes) {
-            Some(StoreResponse::DiskFull)
+            Some(RejectionCause::DiskFull)
         } else if self.is_overloaded() {
-            Some(StoreResponse::Overloaded)
+            Some(RejectionCause::LinksFull)
         } else {
             None
         }
     }
 
+    fn is_serving(&self, shard: u32) -> bool {
+        self.shard_host().replica(shard).is_serving()
+    }
+
     fn has_job(&self, shard: u32, submit: &Submit) -> bool {
         let mut shard_host = self.shard_host();
         let replica = shard_host.replica(shard);
@@ -80,7 +92,7 @@
         // that no other one takes what was handed out for it.
         let turn = self.allowance_turn(shard, route);
         let Ok(_turn) = tokio::time::timeout_at(deadline, turn.lock()).await else {
-            return (Proposal::Immediate(StoreResponse::NotPrimary), None);
+            return self.reject_proposal(RejectionCause::QuotaUnknown);
         };
         loop {
             let proposed = self.propose_submission(shard, submit, raw);
@@ -89,15 +101,19 @@
             };
             let limit = submit.max_queued_tokens;
             let acquired = self.acquire_allowance(route, limit, shortage, deadline);
-            let rejection = match acquired.await {
+            let cause = match acquired.await {
                 Ok(()) => continue,
-                Err(AcquireError::Exceeded) => StoreResponse::QuotaExceeded,
-                Err(AcquireError::Unavailable) => StoreResponse::NotPrimary,
+                Err(AcquireError::Exceeded) => RejectionCause::OverQuota,
+                Err(AcquireError::Unavailable) => RejectionCause::QuotaUnknown,
             };
-            return (Proposal::Immediate(rejection), None);
+            return self.reject_proposal(cause);
         }
     }
 
+    fn reject_proposal(&self, cause: RejectionCause) -> (Proposal, Option<CommitWait>) {
+        (Proposal::Immediate(self.reject(cause)), None)
+    }
+
     fn propose_submission(
         &self,
         shard: u32,
@@ -117,7 +133,7 @@
     ) -> (Proposal, Option<CommitWait>) {
         match self.has_job(shard, submit) {
             true => self.propose_submission(shard, submit, raw),
-            false => (Proposal::Immediate(StoreResponse::NotPrimary), None),
+            false => self.reject_proposal(RejectionCause::NotPrimary),
         }
     }
 
--- a/crates/mintlb-control/tests/store_overload.rs
+++ b/crates/mintlb-control/tests/store_overload.rs
@@ -8,6 +8,7 @@
 use mintlb_common::settings::Limits;
 use mintlb_common::transport::{Channel, Transport};
 use mintlb_control::store::limits::StoreLimits;
+use mintlb_control::store::rejections::RejectionCause;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -35,6 +36,12 @@
     let rejected = cluster.submit(JobBuilder::new("meanwhile")).await;
     assert_eq!(rejected, Err(SubmitError::Rejected));
     assert!(began.elapsed() < AT_ONCE, "after {:?}", began.elapsed());
+    let rejections = cluster.nodes[0].store.load().take().rejections;
+    assert_eq!(rejections.of(RejectionCause::LinksFull), 1);
+    assert_eq!(
+        rejections.to_string(),
+        "1 submissions rejected, links full 1"
+    );
     // What was accepted is served on.
     assert!(cluster.results("before", 0).await.is_empty());
     let again = cluster.submit(JobBuilder::new("before")).await;
--- a/crates/mintlb-control/tests/store_spread.rs
+++ b/crates/mintlb-control/tests/store_spread.rs
@@ -5,6 +5,7 @@
 use mintlb_batch::client::{ItemResult, SubmitError, Submitted};
 use mintlb_batch::heartbeat::ShardReport;
 use mintlb_common::placement::SHARD_COUNT;
+use mintlb_control::store::rejections::RejectionCause;
 use std::time::Duration;
 use stores::{ACCEPTED, Cluster, DISPATCHER, HOST, JobBuilder, TEST_TIMEOUT, rotated_placement};
 
@@ -84,6 +85,12 @@
             .into_iter()
             .all(|outcome| *outcome == Err(SubmitError::QuotaExceeded))
     );
+    let nodes = cluster.nodes.iter();
+    let counted: u64 = nodes
+        .map(|node| node.store.load().take().rejections)
+        .map(|rejections| rejections.of(RejectionCause::OverQuota))
+        .sum();
+    assert_eq!(counted as usize, 2 * FITTING_JOBS, "in the stores' log");
 
     // What ends makes room, whichever shard it lies on.
     let id = first
