Soak: an unclear submission is repeated; processes have groups of their own; logs after a failure

The fault is the test's: a client sends an unclear job again. Cause, 2: four runs by hand were hung up on, with no failure: the system does so to a process group that loses its shell while one of its processes is stopped.

Change: unclear submissions are repeated; each machine's process has a group of its own; a failed run prints the end of each log.

--- a/crates/mintlb-control/tests/soak/cluster/machine.rs
+++ b/crates/mintlb-control/tests/soak/cluster/machine.rs
@@ -4,6 +4,7 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 use std::fs::File;
+use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
@@ -113,7 +114,10 @@
             .open(self.log_path())
             .unwrap();
         let mut command = self.role.command();
+        // In a group of its own: the system hangs up on a whole group that loses its shell while one
+        // of its processes is stopped, and here processes are stopped.
         command
+            .process_group(0)
             .env(SETTINGS_VARIABLE, &settings)
             .stdin(Stdio::null())
             .stdout(Stdio::null())
--- a/crates/mintlb-control/tests/soak/cluster/mod.rs
+++ b/crates/mintlb-control/tests/soak/cluster/mod.rs
@@ -113,3 +113,14 @@
         }
     }
 }
+
+/// After a failure the logs tell what the processes saw.
+impl Drop for SoakCluster {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for machine in &self.machines {
+                eprintln!("{machine}:\n{}", machine.end_of_log());
+            }
+        }
+    }
+}
--- a/crates/mintlb-control/tests/soak/control_plane.rs
+++ b/crates/mintlb-control/tests/soak/control_plane.rs
@@ -5,8 +5,9 @@
 use crate::cluster::network::Network;
 use crate::cluster::{ClusterSize, SoakCluster};
 use crate::spawn_each;
-use mintlb_batch::client::{BatchClient, Item, ItemResult, Submission, Submitted};
+use mintlb_batch::client::{BatchClient, Item, ItemResult, Submission, SubmitError};
 use mintlb_batch::entry::JobTerms;
+use mintlb_batch::messages::DispatcherId;
 use mintlb_common::placement::Placement;
 use mintlb_common::record::{PLACEMENT, Record};
 use mintlb_common::transport::Transport;
@@ -111,8 +112,7 @@
 ) {
     for job in 0.. {
         let id = format!("job-{number}-{job}");
-        let submitted = client.submit(submission(&id), number as u64 + 1, CALL_TIMEOUT);
-        if let Ok(Submitted { .. }) = submitted.await {
+        if submit(&client, &id, number as u64 + 1, &stop).await {
             {
                 let mut oracle = oracle.lock();
                 oracle.jobs.insert(id.clone(), AcknowledgedJob::default());
@@ -130,6 +130,18 @@
     }
 }
 
+/// Submits a job; whether it is accepted. An unclear submission is repeated, as clients do: if it was
+/// accepted, nobody else knows of it, and it would take its part of the quota for ever.
+async fn submit(client: &BatchClient, id: &str, owner: DispatcherId, stop: &AtomicBool) -> bool {
+    loop {
+        let submitted = client.submit(submission(id), owner, CALL_TIMEOUT).await;
+        match submitted {
+            Err(SubmitError::Indeterminate) if !stop.load(Relaxed) => (),
+            submitted => return submitted.is_ok(),
+        }
+    }
+}
+
 async fn record(client: &BatchClient, oracle: &Mutex<Oracle>, id: &str, item: u32) {
     let text = format!("text of {}", item_id(id, item));
     if let Some(job) = oracle.lock().jobs.get_mut(id) {
