--- a/crates/mintlb-core/src/permit.rs
+++ b/crates/mintlb-core/src/permit.rs
@@ -19,4 +19,9 @@
 pub trait Permit: Send + Sync {
     /// Whether this may go there now.
     fn permits(&self, now: f64, wu: &WorkUnit, payload: &Payload, worker: &Worker) -> Permission;
+
+    /// The worker that would serve this best, where one is known to. Asked once, as the request arrives.
+    fn preferred(&self, _payload: &Payload) -> Option<u64> {
+        None
+    }
 }
--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -162,6 +162,10 @@
         self.has.set(Some(has));
         has
     }
+    fn preferred(&self, wu: &WorkUnit) -> Option<u64> {
+        let (permit, held) = self.permit.zip(self.held.get(&wu.id))?;
+        permit.preferred(&held.payload)
+    }
     fn allocate(&mut self, alloc: &Allocation) {
         let Some(wu) = alloc.wu.upgrade() else { return };
         let id = (wu.id, alloc.number);
--- a/crates/mintlb-dispatcher/src/permits.rs
+++ b/crates/mintlb-dispatcher/src/permits.rs
@@ -2,7 +2,7 @@
 //! its prompt is likely to be cached.
 
 use crate::exchange::{Exchange, ExchangeMode};
-use crate::prompts::{Prompt, preferred};
+use crate::prompts::{PREFERRED, Prompt, preferred};
 use crate::routing::ServiceTerms;
 use crate::shared::Shared;
 use crate::workers::WorkerEntry;
@@ -57,6 +57,13 @@
         worker.in_service() && in_memory && worker.requests() < self.connections(service)
     }
 
+    /// The workers that are likely to have its prompt cached, the best first.
+    fn preferred_workers(&self, exchange: &Exchange, prompt: Prompt) -> [Option<u64>; PREFERRED] {
+        let workers = &self.shared.workers;
+        let rank = || workers.with_service(&exchange.service, |ids| preferred(prompt.subject, ids));
+        exchange.preferred(workers.age(), rank)
+    }
+
     /// Whether another worker is likely to have its prompt cached, and has capacity for it.
     fn has_preferred_alternative(
         &self,
@@ -66,8 +73,7 @@
         service: ServiceTerms,
     ) -> bool {
         let workers = &self.shared.workers;
-        let rank = || workers.with_service(&worker.service, |ids| preferred(prompt.subject, ids));
-        let best = exchange.preferred(workers.age(), rank);
+        let best = self.preferred_workers(exchange, prompt);
         let others = || best.iter().flatten().filter_map(|id| workers.get(*id));
         !best.contains(&Some(worker.id))
             && others().any(|other| self.has_capacity(&other, Some(prompt), service))
@@ -102,17 +108,25 @@
             return Permission::Refused;
         }
         let wait_until = wu.arrived + exchange.terms.target * WAIT_SHARE;
-        let prefers_cached = exchange.terms.session_affinity
-            && exchange.mode == ExchangeMode::Live
-            && now < wait_until;
-        match exchange
-            .prompt
-            .filter(|prompt| prefers_cached && prompt.is_long())
-        {
+        match prompt_to_place(exchange).filter(|_| now < wait_until) {
             Some(prompt) if self.has_preferred_alternative(exchange, prompt, &entry, service) => {
                 Permission::NotBefore(wait_until)
             }
             _ => Permission::Granted,
         }
     }
+
+    fn preferred(&self, payload: &Payload) -> Option<u64> {
+        let exchange = payload.own.downcast_ref::<Exchange>()?;
+        let prompt = prompt_to_place(exchange)?;
+        self.preferred_workers(exchange, prompt)[0]
+    }
+}
+
+/// The prompt of a request that prefers the workers that have it cached.
+fn prompt_to_place(exchange: &Exchange) -> Option<Prompt> {
+    let prefers_cached = exchange.terms.session_affinity && exchange.mode == ExchangeMode::Live;
+    exchange
+        .prompt
+        .filter(|prompt| prefers_cached && prompt.is_long())
 }
--- a/crates/mintlb-scheduler/src/decide.rs
+++ b/crates/mintlb-scheduler/src/decide.rs
@@ -639,6 +639,10 @@
     pub fn arrived(&mut self, door: &mut dyn Door, now: f64, wu: &Rc<WorkUnit>) {
         self.shares.pass(wu);
         wu.most.set(self.repeats.most_allocations);
+        // A worker that was never sent anything is one of many to draw from: work that is for it must find it.
+        if let Some(preferred) = door.preferred(wu) {
+            self.fleet.workers.meet_by_id(preferred);
+        }
         self.buffers.of(wu).put(wu, false);
         self.agenda.add(wu.limit, Due::Limit(Rc::downgrade(wu)));
         self.agenda
--- a/crates/mintlb-scheduler/src/lib.rs
+++ b/crates/mintlb-scheduler/src/lib.rs
@@ -586,6 +586,10 @@
     fn permits(&self, _wu: &WorkUnit, _worker: &Worker) -> bool {
         true
     }
+    /// The worker that would serve the work unit best, where the front knows of one.
+    fn preferred(&self, _wu: &WorkUnit) -> Option<u64> {
+        None
+    }
     fn allocate(&mut self, alloc: &Allocation);
     fn recall(&mut self, alloc: &Allocation);
     /// A final answer: turned away, trying again is harmless.
--- a/crates/mintlb-scheduler/src/roll.rs
+++ b/crates/mintlb-scheduler/src/roll.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// It is ranked by itself from now on, as if it had been sent something.
+    pub fn meet_by_id(&mut self, id: u64) {
+        if let Some(worker) = self.workers.get(&id).cloned() {
+            self.meet(&worker);
+        }
+    }
+
     /// Those met, and of the others one drawn by chance for each zone and kind, from those that have room: of
     /// hundreds that are cold a scheduler's budget is open for few, and one closed must not hide them.
     pub fn drawn(
