--- a/crates/mintlb-dispatcher/src/answer.rs
+++ b/crates/mintlb-dispatcher/src/answer.rs
@@ -144,8 +144,7 @@
             .get(LOAD)
             .and_then(|load| Load::read(load.to_str().ok()?));
         if let Some(load) = load {
-            self.worker
-                .record_load(load, self.exchange.shared().clock.now());
+            self.exchange.shared().record_load(self.worker, load);
         }
         let mut answered = self
             .read_by_status(connection, &mut read_timeout, &head)
--- a/crates/mintlb-dispatcher/src/batch/mod.rs
+++ b/crates/mintlb-dispatcher/src/batch/mod.rs
@@ -4,6 +4,7 @@
 //! [`statistics`]: counts for the log.
 
 pub mod calls;
+pub mod concurrency_limit;
 pub mod page;
 pub mod progress;
 pub mod queue;
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -1,5 +1,6 @@
 //! Runs the items leased by this dispatcher, beside live requests and through the same reducer.
 
+use super::concurrency_limit::ConcurrencyLimit;
 use super::progress::{AttemptOutcome, Next, Progress};
 use super::queue::{ItemNumber, ItemQueue};
 use super::statistics::{BatchCounters, REPORT_INTERVAL};
@@ -16,8 +17,6 @@
 use tokio::time::{Instant, MissedTickBehavior, interval, sleep};
 use tokio_util::sync::CancellationToken;
 
-/// Limit of items that run at once.
-const MAX_RUNNING: usize = 192;
 /// How often leases are renewed.
 const RENEWAL_INTERVAL: Duration = Duration::from_millis(1000);
 /// Items requested in one lease call, if none are queued.
@@ -36,6 +35,7 @@
     batch_executor: BatchExecutor,
     dispatcher_id: DispatcherId,
     queue: Mutex<ItemQueue>,
+    limit: Mutex<ConcurrencyLimit>,
     running: Mutex<HashMap<ItemNumber, CancellationToken>>,
     draining: AtomicBool,
     counters: BatchCounters,
@@ -53,6 +53,7 @@
             batch_executor,
             dispatcher_id,
             queue: Mutex::default(),
+            limit: Mutex::default(),
             running: Mutex::default(),
             draining: AtomicBool::new(false),
             counters: BatchCounters::default(),
@@ -85,7 +86,8 @@
                 (queue.waiting(), queue.running())
             };
             if waiting > 0 || running > 0 || !counts.is_empty() {
-                log::info!("batch: {waiting} items wait, {running} run; {counts}");
+                let limit = self.limit.lock().limit();
+                log::info!("batch: {waiting} items wait, {running} of {limit} run; {counts}");
             }
         }
     }
@@ -132,7 +134,8 @@
 
     fn run_next(self: &Arc<Self>) {
         loop {
-            let Some((number, item)) = self.queue.lock().start(MAX_RUNNING) else {
+            let limit = self.limit.lock().limit();
+            let Some((number, item)) = self.queue.lock().start(limit) else {
                 return;
             };
             let stop = CancellationToken::new();
@@ -151,7 +154,7 @@
     }
 
     /// Runs an item until it has a result that is recorded.
-    async fn run(&self, number: ItemNumber, item: LeasedItem) {
+    async fn run(self: &Arc<Self>, number: ItemNumber, item: LeasedItem) {
         let Some((id, headers)) = request_headers(&item) else {
             return self.record(&item, ItemResult::Unrecoverable).await;
         };
@@ -178,8 +181,16 @@
         }
     }
 
+    /// Adapts the limit of concurrent items to the occupancy that an item's service has now.
+    fn adapt_limit(self: &Arc<Self>, occupancy: Option<f64>) {
+        let running = self.queue.lock().running();
+        let now = self.now_ms() as f64 / 1e3;
+        self.limit.lock().update(now, occupancy, running);
+        self.run_next();
+    }
+
     async fn attempt(
-        &self,
+        self: &Arc<Self>,
         item: &LeasedItem,
         id: HeaderValue,
         headers: HeaderMap,
@@ -194,9 +205,11 @@
             time: MAX_ATTEMPT_TIME,
             last_event_id: progress.last_event(),
         });
+        self.adapt_limit(run.occupancy());
         loop {
             match run.next().await {
                 ItemStep::Events(events) => {
+                    self.adapt_limit(run.occupancy());
                     for event in split_events(events) {
                         progress.event(event_id(&event), &event_data(&event));
                     }
@@ -227,7 +240,7 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.draining.load(Relaxed) {
             tick.tick().await;
-            self.renew_leases().await;
+                self.renew_leases().await;
         }
     }
 
@@ -249,13 +262,18 @@
     /// Leases unclaimed items, while this dispatcher has few.
     async fn lease(self: Arc<Self>) {
         while !self.draining.load(Relaxed) {
+            let limit = self.limit.lock().limit();
             let has_few = {
                 let queue = self.queue.lock();
-                queue.waiting() == 0 && queue.running() < MAX_RUNNING / 2
+                queue.waiting() == 0 && queue.running() <= limit
             };
             let asked_at = Instant::now();
             let leased = match has_few {
-                true => self.client.lease(self.dispatcher_id, LEASE_AT_ONCE).await,
+                true => {
+                    self.client
+                        .lease(self.dispatcher_id, LEASE_AT_ONCE.min(limit))
+                        .await
+                }
                 false => Leased::default(),
             };
             let Leased {
@@ -263,7 +281,7 @@
                 unanswered,
             } = leased;
             self.counters.on_lease_call(leased.len(), unanswered);
-            let delay = if leased.is_empty() {
+            let delay = if leased.is_empty() && has_few {
                 RENEWAL_INTERVAL
             } else {
                 LEASE_INTERVAL
--- a/crates/mintlb-dispatcher/src/batch_executor.rs
+++ b/crates/mintlb-dispatcher/src/batch_executor.rs
@@ -204,6 +204,12 @@
         }
     }
 
+    /// The share of its service's slots that is in use, as far as recent responses tell.
+    pub fn occupancy(&self) -> Option<f64> {
+        let exchange = self.exchange.as_ref()?;
+        exchange.shared().occupancy(&exchange.service)
+    }
+
     /// The last event received, or known before.
     pub fn last_event_id(&self) -> Option<u64> {
         self.exchange
--- a/crates/mintlb-dispatcher/src/lib.rs
+++ b/crates/mintlb-dispatcher/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod exchange;
 pub mod load;
 mod log_bridge;
+pub mod occupancy;
 pub mod permits;
 pub mod prompts;
 pub mod readiness;
--- a/crates/mintlb-dispatcher/src/shared.rs
+++ b/crates/mintlb-dispatcher/src/shared.rs
@@ -1,7 +1,9 @@
 //! State shared by the dispatcher's tasks: clock, worker table, routes in force, ids in progress.
 
+use crate::load::Load;
+use crate::occupancy::ServiceOccupancies;
 use crate::routing::{RoutingTable, Target};
-use crate::workers::WorkerTable;
+use crate::workers::{WorkerEntry, WorkerTable};
 use arc_swap::ArcSwapOption;
 use axum::http::HeaderValue;
 use mintlb_core::clock::Clock;
@@ -29,6 +31,7 @@
     ending: AtomicBool,
     rng: Mutex<Chance>,
     reserved_request_ids: Mutex<FxHashSet<HeaderValue>>,
+    occupancies: Mutex<ServiceOccupancies>,
 }
 
 /// Reserves the id of a non-idempotent request while its client waits for the response.
@@ -57,6 +60,7 @@
             ending: AtomicBool::new(false),
             rng: Mutex::new(Chance::new(seed)),
             reserved_request_ids: Mutex::default(),
+            occupancies: Mutex::default(),
         }
     }
 
@@ -99,6 +103,18 @@
         self.ending.store(true, Relaxed);
     }
 
+    /// Records a worker's load report.
+    pub fn record_load(&self, worker: &WorkerEntry, load: Load) {
+        let now = self.clock.now();
+        worker.record_load(load, now);
+        self.occupancies.lock().record(&worker.service, load, now);
+    }
+
+    /// The share of a service's slots that is in use, as far as recent responses tell.
+    pub fn occupancy(&self, service: &str) -> Option<f64> {
+        self.occupancies.lock().get(service, self.clock.now())
+    }
+
     /// The target of a request by these routes; draws the service by weight.
     pub fn target(&self, table: &RoutingTable, host: &str, path: &str) -> Option<Target> {
         let draw = self.rng.lock().draw();
