--- a/crates/mintlb-batch/src/client/leases.rs
+++ b/crates/mintlb-batch/src/client/leases.rs
@@ -7,7 +7,8 @@
 use crate::entry::ItemPayload;
 use crate::framing;
 use crate::messages::{
-    DispatcherId, Lease, LeasedItemHeader, LeasedItems, Renew, StoreRequest, StoreResponse,
+    DispatcherId, Lease, LeasedItemHeader, LeasedItems, ReleaseItems, Renew, StoreRequest,
+    StoreResponse,
 };
 use bytes::Bytes;
 use mintlb_common::transport::{CallError, Channel};
@@ -127,6 +128,23 @@
         }
     }
 
+    /// Releases the leases of some items of `owner`, for other dispatchers to run them. Items of a store that does not
+    /// respond are free once their leases expire.
+    pub async fn release_items(&self, owner: DispatcherId, leased: Vec<LeasedJob>) {
+        let deadline = Instant::now() + RENEWAL_TIMEOUT;
+        let calls: Vec<PendingCall> = self
+            .group_by_store(leased)
+            .into_iter()
+            .map(|(store, jobs)| {
+                let request = StoreRequest::ReleaseItems(ReleaseItems { owner, jobs });
+                self.spawn_call(store, framing::encode(&request, &[]))
+            })
+            .collect();
+        for call in calls {
+            timeout_at(deadline, call).await.ok();
+        }
+    }
+
     fn spawn_call(&self, store: StoreEndpoint, request: Bytes) -> PendingCall {
         let transport = self.transport.clone();
         tokio::spawn(async move {
--- a/crates/mintlb-batch/src/leases.rs
+++ b/crates/mintlb-batch/src/leases.rs
@@ -111,6 +111,15 @@
             .for_each(|leases| leases.release(owner));
     }
 
+    /// Gives an owner's leases of some items of a job back.
+    pub fn release_items(&mut self, job: &BatchJob, items: &[u32], owner: DispatcherId) {
+        if let Some(leases) = self.jobs.get_mut(&job.index) {
+            items
+                .iter()
+                .for_each(|item| leases.release_item(*item, owner));
+        }
+    }
+
     /// Pending items of committed jobs that nobody owns, those of the job due first in front.
     pub fn unleased_items<'a>(
         &'a self,
--- a/crates/mintlb-batch/src/leases/job_leases.rs
+++ b/crates/mintlb-batch/src/leases/job_leases.rs
@@ -59,4 +59,11 @@
         let leases = self.items.iter_mut().filter(|lease| lease.owner == owner);
         leases.for_each(|lease| lease.owner = NOBODY);
     }
+
+    pub(super) fn release_item(&mut self, item: u32, owner: DispatcherId) {
+        let lease = self.items.get_mut(item as usize);
+        if let Some(lease) = lease.filter(|lease| lease.owner == owner) {
+            lease.owner = NOBODY;
+        }
+    }
 }
--- a/crates/mintlb-batch/src/messages/request.rs
+++ b/crates/mintlb-batch/src/messages/request.rs
@@ -45,6 +45,9 @@
     /// The counter of a route recalls allowances that are not in use.
     #[n(11)]
     RecallAllowances(#[n(0)] RecallAllowances),
+    /// Gives the leases of some items back.
+    #[n(12)]
+    ReleaseItems(#[n(0)] ReleaseItems),
 }
 
 /// Submission of a job.
@@ -104,6 +107,17 @@
     pub jobs: Vec<LeasedItems>,
 }
 
+/// Release of some of a dispatcher's leases.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct ReleaseItems {
+    /// The dispatcher that leased the items.
+    #[n(0)]
+    pub owner: DispatcherId,
+    /// The items by job.
+    #[n(1)]
+    pub jobs: Vec<LeasedItems>,
+}
+
 /// The result of an item.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
 pub struct Record {
--- a/crates/mintlb-batch/src/replica/serving/leasing.rs
+++ b/crates/mintlb-batch/src/replica/serving/leasing.rs
@@ -135,4 +135,11 @@
     pub fn release(&mut self, owner: DispatcherId) {
         self.leases.release(owner);
     }
+
+    /// Gives a dispatcher's leases of some items of a job back.
+    pub fn release_items(&mut self, owner: DispatcherId, leased: &LeasedItems) {
+        if let Some(job) = self.jobs.find(&leased.job) {
+            self.leases.release_items(job, &leased.items, owner);
+        }
+    }
 }
--- a/crates/mintlb-batch/tests/leases.rs
+++ b/crates/mintlb-batch/tests/leases.rs
@@ -117,6 +117,25 @@
     assert_eq!(fixture.unleased(expiry), [0, 1]);
 }
 
+#[test]
+fn an_owner_releases_some_of_its_items() {
+    let mut fixture = Fixture::new();
+    fixture
+        .leases
+        .grant_all(JOB, 3, FIRST_OWNER, Timestamp::ZERO);
+    let job = fixture.jobs.iter().next().unwrap();
+    fixture.leases.release_items(job, &[1, 900], SECOND_OWNER);
+    assert!(fixture.unleased(Timestamp::ZERO).is_empty(), "not its own");
+    let job = fixture.jobs.iter().next().unwrap();
+    fixture.leases.release_items(job, &[0, 1, 900], FIRST_OWNER);
+    assert_eq!(fixture.unleased(Timestamp::ZERO), [0, 1]);
+    // A release that is delayed in the network ends no other owner's lease.
+    fixture.grant(0, SECOND_OWNER, Timestamp::ZERO);
+    let job = fixture.jobs.iter().next().unwrap();
+    fixture.leases.release_items(job, &[0], FIRST_OWNER);
+    assert_eq!(fixture.unleased(Timestamp::ZERO), [1]);
+}
+
 #[test]
 fn failed_attempts_outlive_the_lease() {
     let mut fixture = Fixture::new();
--- a/crates/mintlb-batch/tests/wire_fixtures.rs
+++ b/crates/mintlb-batch/tests/wire_fixtures.rs
@@ -314,6 +314,15 @@
         b"",
     );
     check("release", StoreRequest::Release(LONG), b"");
+    let release_items = ReleaseItems {
+        owner: LONG,
+        jobs: vec![leased_items(&[])],
+    };
+    check(
+        "release_items",
+        StoreRequest::ReleaseItems(release_items),
+        b"",
+    );
     let renew = StoreRequest::Renew(Renew {
         owner: LONG,
         jobs: vec![leased_items(&[])],
--- a/crates/mintlb-control/src/store/load.rs
+++ b/crates/mintlb-control/src/store/load.rs
@@ -66,6 +66,7 @@
             }
             StoreRequest::End(_)
             | StoreRequest::Release(_)
+            | StoreRequest::ReleaseItems(_)
             | StoreRequest::HasHostPlacedJobs(_) => MessageKind::Other,
             StoreRequest::InHostShard(request) => MessageKind::of(request),
         }
--- a/crates/mintlb-control/src/store/requests/lease.rs
+++ b/crates/mintlb-control/src/store/requests/lease.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use mintlb_batch::framing;
 use mintlb_batch::messages::{
-    DispatcherId, JobName, Lease, LeasedItemHeader, Renew, RenewResult, StoreResponse,
+    DispatcherId, JobName, Lease, LeasedItemHeader, ReleaseItems, Renew, RenewResult, StoreResponse,
 };
 use mintlb_batch::replica::LeasePlan;
 use mintlb_common::placement::SHARD_COUNT;
@@ -96,6 +96,18 @@
         }
         StoreResponse::Released
     }
+
+    /// Ends a dispatcher's leases of some items.
+    pub(super) fn release_items(&self, release: &ReleaseItems) -> StoreResponse {
+        let mut shard_host = self.shard_host();
+        for leased in &release.jobs {
+            let shard = shard_with_job(&mut shard_host, &leased.job);
+            shard_host
+                .replica(shard)
+                .release_items(release.owner, leased);
+        }
+        StoreResponse::Released
+    }
 }
 
 /// The shard of a job at this store: that of its host only if the job lies there.
--- a/crates/mintlb-control/src/store/requests/mod.rs
+++ b/crates/mintlb-control/src/store/requests/mod.rs
@@ -63,6 +63,7 @@
             StoreRequest::Renew(renew) => self.renew(&renew),
             StoreRequest::Record(record) => self.record(record, raw, location).await,
             StoreRequest::Release(owner) => self.release(owner),
+            StoreRequest::ReleaseItems(release) => self.release_items(&release),
             StoreRequest::HasHostPlacedJobs(host) => self.has_host_placed_jobs(&host).await,
             StoreRequest::AcquireAllowance(acquire) => self.hand_out_allowance(&acquire).await,
             StoreRequest::RecallAllowances(recall) => self.give_up_allowances(&recall),
--- a/crates/mintlb-dispatcher/src/batch/queue.rs
+++ b/crates/mintlb-dispatcher/src/batch/queue.rs
@@ -143,6 +143,26 @@
         self.leased.iter().map(job).collect()
     }
 
+    /// Removes the items that are due last, until `limit` wait. Returns them by job, for the release of their leases.
+    pub fn take_excess(&mut self, limit: usize) -> Vec<LeasedJob> {
+        let mut excess: BTreeMap<JobKey, Vec<u32>> = BTreeMap::new();
+        while self.waiting.len() > limit {
+            let Some((_, item)) = self.waiting.pop_last() else {
+                break;
+            };
+            let key = (item.host, item.job_id);
+            self.remove_lease(&key, item.index);
+            excess.entry(key).or_default().push(item.index);
+        }
+        let job = |((host, job_id), items)| LeasedJob {
+            host,
+            job_id,
+            items,
+            failures: Vec::new(),
+        };
+        excess.into_iter().map(job).collect()
+    }
+
     /// Items that wait to run.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -101,6 +101,23 @@
             .into_iter()
             .for_each(|item| self.queue.lock().add(item));
         self.run_next();
+        self.release_excess();
+    }
+
+    /// Releases the items that wait beyond what may run at once: other dispatchers may run them sooner.
+    fn release_excess(self: &Arc<Self>) {
+        let limit = self.limit.lock().limit();
+        let excess = self.queue.lock().take_excess(limit);
+        if excess.is_empty() {
+            return;
+        }
+        let runner = self.clone();
+        tokio::spawn(async move {
+            runner
+                .client
+                .release_items(runner.dispatcher_id, excess)
+                .await;
+        });
     }
 
     /// Stops all items of an ended job, also those whose lease is still in flight.
@@ -240,7 +257,8 @@
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         while !self.draining.load(Relaxed) {
             tick.tick().await;
-                self.renew_leases().await;
+            self.release_excess();
+            self.renew_leases().await;
         }
     }
 
--- a/crates/mintlb-dispatcher/tests/batch.rs
+++ b/crates/mintlb-dispatcher/tests/batch.rs
@@ -294,6 +294,38 @@
     assert_eq!((queue.waiting(), queue.running()), (0, 2));
 }
 
+#[test]
+fn what_waits_beyond_the_limit_is_released_latest_due_first() {
+    let mut queue = ItemQueue::default();
+    for item in [
+        leased("late", 0, 9_000),
+        leased("late", 1, 9_000),
+        leased("soon", 0, 2_000),
+        leased("soon", 1, 2_000),
+        leased("later", 0, 9_500),
+    ] {
+        queue.add(item);
+    }
+    let (running, _) = queue.start(1).unwrap();
+    assert!(queue.take_excess(4).is_empty());
+    let released: Vec<(String, Vec<u32>)> = queue
+        .take_excess(1)
+        .into_iter()
+        .map(|job| (job.job_id, job.items))
+        .collect();
+    assert_eq!(
+        released,
+        [("late".into(), vec![1, 0]), ("later".into(), vec![0])]
+    );
+    assert_eq!((queue.waiting(), queue.running()), (1, 1));
+    assert!(queue.is_leased(running));
+    let renewed: Vec<String> = queue.leased().into_iter().map(|job| job.job_id).collect();
+    assert_eq!(renewed, ["soon"], "released leases are not renewed");
+    // It may come back with a later lease.
+    queue.add(leased("late", 0, 9_000));
+    assert_eq!(queue.waiting(), 2);
+}
+
 #[test]
 fn an_ended_job_is_neither_run_nor_renewed() {
     let mut queue = ItemQueue::default();
