--- a/crates/mintlb-dispatcher/src/answer.rs
+++ b/crates/mintlb-dispatcher/src/answer.rs
@@ -307,6 +307,9 @@
     }
 
     fn started(&self) {
+        if self.exchange.mode == ExchangeMode::Live {
+            self.exchange.count_start(self.worker.id);
+        }
         self.exchange
             .shared()
             .event_sender
@@ -325,6 +328,7 @@
         let (mut body, mut pending_head) = (BodyReader::new(framing), Some(client_head(head)));
         let mut events = EventReader::after(self.exchange.last_event());
         let mut started = false;
+        let mut pauses = PauseCounter::default();
         loop {
             while let Some(chunk) = body
                 .take(&mut connection.buffer)
@@ -332,6 +336,7 @@
             {
                 let complete = events.take(chunk).map_err(|_| Failed::Broken)?;
                 if !complete.is_empty() {
+                    pauses.on_event(self.exchange);
                     self.exchange
                         .pass(&mut pending_head, complete, events.last());
                     if !std::mem::replace(&mut started, true) {
@@ -481,3 +486,25 @@
         headers,
     }
 }
+
+/// Counts a stream with a pause beyond its route's, once.
+#[derive(Default)]
+struct PauseCounter {
+    last_event: Option<f64>,
+    counted: bool,
+}
+
+impl PauseCounter {
+    fn on_event(&mut self, exchange: &Exchange) {
+        let now = exchange.shared().clock.now();
+        let pause = self.last_event.replace(now).map(|last| now - last);
+        let is_late = pause
+            .zip(exchange.terms.gap)
+            .is_some_and(|(pause, longest)| pause > longest);
+        if is_late && exchange.mode == ExchangeMode::Live && !self.counted {
+            self.counted = true;
+            let counters = &exchange.shared().counters;
+            counters.on_late_pause(&exchange.terms.name);
+        }
+    }
+}
--- a/crates/mintlb-dispatcher/src/dispatcher.rs
+++ b/crates/mintlb-dispatcher/src/dispatcher.rs
@@ -8,6 +8,7 @@
 use crate::readiness;
 use crate::routing::RoutingTable;
 use crate::shared::Shared;
+use crate::statistics::REPORT_INTERVAL;
 use crate::tuning;
 use mintlb_common::configuration::Configuration;
 use mintlb_core::clock::Clock;
@@ -109,6 +110,7 @@
     recheck_at: Option<Instant>,
     final_responses_sent: bool,
     grace: f64,
+    reported_at: Instant,
 }
 
 impl Dispatcher {
@@ -200,6 +202,7 @@
             recheck_at: None,
             final_responses_sent: false,
             grace: config.grace_period_s,
+            reported_at: Instant::now(),
         };
         let actions = event_loop.reducer.start(shared.clock.now(), None, false);
         actions
@@ -377,6 +380,17 @@
         self.batch.iter().for_each(|batch| batch.start_draining());
     }
 
+    /// Logs the counts of requests regularly.
+    fn report(&mut self) {
+        if self.reported_at.elapsed() < REPORT_INTERVAL {
+            return;
+        }
+        self.reported_at = Instant::now();
+        for line in self.shared.counters.take_lines() {
+            log::info!("dispatch: {line}");
+        }
+    }
+
     /// Housekeeping; returns whether the process may exit.
     fn tick(&mut self, events: &mut UnboundedReceiver<Event>) -> bool {
         if let Some((version, configuration)) = self.deferred.take() {
@@ -386,6 +400,7 @@
             self.configure(version, configuration);
         }
         self.update_readiness();
+        self.report();
         self.shared.workers.sweep();
         let members = self.shared.workers.remove_unresponsive();
         if !members.is_empty() {
--- a/crates/mintlb-dispatcher/src/exchange.rs
+++ b/crates/mintlb-dispatcher/src/exchange.rs
@@ -7,6 +7,7 @@
 use crate::prompts::{PREFERRED, Prompt};
 use crate::routing::RouteTerms;
 use crate::shared::Shared;
+use crate::statistics::{PromptPlacement, Start};
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use bytes::Bytes;
 use mintlb_core::reducer::Event;
@@ -94,6 +95,8 @@
     attempts: u32,
     attempted: [Option<u64>; MAX_ATTEMPTED],
     may_have_run: bool,
+    /// When the last attempt's head was about to reach its worker, in seconds of the clock.
+    sent_at: f64,
     head: Option<Head>,
     /// The reader has got the head, or bytes are queued for it.
     begun: bool,
@@ -249,6 +252,29 @@
         state.attempted[position] = Some(worker);
         state.attempts += 1;
         state.may_have_run = true;
+        state.sent_at = self.shared.clock.now();
+    }
+
+    /// Counts its first event, or its head if it is no stream, at this worker.
+    pub fn count_start(&self, worker: u64) {
+        let placement = self.long_prompt().and_then(|_| self.placement(worker));
+        let sent_at = self.state.lock().sent_at;
+        let start = Start {
+            waited: sent_at - self.arrived,
+            latency: self.shared.clock.now() - self.arrived,
+            target: self.terms.target,
+            placement,
+        };
+        self.shared.counters.on_start(&self.terms.name, start);
+    }
+
+    /// Whether this worker is the one that was preferred for its prompt, as far as it was ranked.
+    fn placement(&self, worker: u64) -> Option<PromptPlacement> {
+        let (_, preferred) = self.state.lock().preferred?;
+        Some(match preferred.contains(&Some(worker)) {
+            true => PromptPlacement::Preferred,
+            false => PromptPlacement::Elsewhere,
+        })
     }
 
     /// Records the worker's statement that the last attempt has not run.
@@ -356,6 +382,12 @@
         Poll::Pending
     }
 
+    /// Its prompt, if it is to go to a worker that is likely to have it cached.
+    pub fn long_prompt(&self) -> Option<Prompt> {
+        let is_placed = self.terms.session_affinity && self.mode == ExchangeMode::Live;
+        self.prompt.filter(|prompt| is_placed && prompt.is_long())
+    }
+
     /// The workers preferred for its prompt, ranked once per age of the worker table.
     pub fn preferred(
         &self,
--- a/crates/mintlb-dispatcher/src/lib.rs
+++ b/crates/mintlb-dispatcher/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod routing;
 pub mod run;
 pub mod shared;
+pub mod statistics;
 pub mod tuning;
 pub mod upstream;
 pub mod wire;
--- a/crates/mintlb-dispatcher/src/permits.rs
+++ b/crates/mintlb-dispatcher/src/permits.rs
@@ -5,6 +5,7 @@
 use crate::prompts::{PREFERRED, Prompt, preferred};
 use crate::routing::ServiceTerms;
 use crate::shared::Shared;
+use crate::statistics::RefusalReason;
 use crate::workers::WorkerEntry;
 use mintlb_core::permit::{Permission, Permit};
 use mintlb_core::work::Payload;
@@ -42,6 +43,11 @@
         }
     }
 
+    fn refused(&self, reason: RefusalReason) -> Permission {
+        self.shared.counters.on_refusal(reason);
+        Permission::Refused
+    }
+
     /// Whether one more request fits there.
     fn has_capacity(
         &self,
@@ -93,8 +99,11 @@
             .routing()
             .map(|table| table.service(&entry.service))
             .unwrap_or_default();
-        if !exchange.may_be_sent() || !self.has_capacity(&entry, exchange.prompt, service) {
-            return Permission::Refused;
+        if !exchange.may_be_sent() {
+            return self.refused(RefusalReason::Attempts);
+        }
+        if !self.has_capacity(&entry, exchange.prompt, service) {
+            return self.refused(RefusalReason::Capacity);
         }
         let load = entry.load();
         let has_free_slot = match exchange.mode {
@@ -102,14 +111,15 @@
             ExchangeMode::Item => load.has_free_slot_for_item(now, entry.requests() as f64),
         };
         if !has_free_slot {
-            return Permission::Refused;
+            return self.refused(RefusalReason::Load);
         }
         if exchange.has_attempted(entry.id) && self.shared.workers.has_alternative(&entry) {
-            return Permission::Refused;
+            return self.refused(RefusalReason::SecondAttempt);
         }
         let wait_until = wu.arrived + exchange.terms.target * WAIT_SHARE;
-        match prompt_to_place(exchange).filter(|_| now < wait_until) {
+        match exchange.long_prompt().filter(|_| now < wait_until) {
             Some(prompt) if self.has_preferred_alternative(exchange, prompt, &entry, service) => {
+                self.refused(RefusalReason::PreferredElsewhere);
                 Permission::NotBefore(wait_until)
             }
             _ => Permission::Granted,
@@ -118,15 +128,7 @@
 
     fn preferred(&self, payload: &Payload) -> Option<u64> {
         let exchange = payload.own.downcast_ref::<Exchange>()?;
-        let prompt = prompt_to_place(exchange)?;
+        let prompt = exchange.long_prompt()?;
         self.preferred_workers(exchange, prompt)[0]
     }
 }
-
-/// The prompt of a request that prefers the workers that have it cached.
-fn prompt_to_place(exchange: &Exchange) -> Option<Prompt> {
-    let prefers_cached = exchange.terms.session_affinity && exchange.mode == ExchangeMode::Live;
-    exchange
-        .prompt
-        .filter(|prompt| prefers_cached && prompt.is_long())
-}
--- a/crates/mintlb-dispatcher/src/shared.rs
+++ b/crates/mintlb-dispatcher/src/shared.rs
@@ -3,6 +3,7 @@
 use crate::load::Load;
 use crate::occupancy::ServiceOccupancies;
 use crate::routing::{RoutingTable, Target};
+use crate::statistics::RequestCounters;
 use crate::workers::{WorkerEntry, WorkerTable};
 use arc_swap::ArcSwapOption;
 use axum::http::HeaderValue;
@@ -32,6 +33,8 @@
     rng: Mutex<Chance>,
     reserved_request_ids: Mutex<FxHashSet<HeaderValue>>,
     occupancies: Mutex<ServiceOccupancies>,
+    /// Counts of the requests of all routes.
+    pub counters: RequestCounters,
 }
 
 /// Reserves the id of a non-idempotent request while its client waits for the response.
@@ -61,6 +64,7 @@
             rng: Mutex::new(Chance::new(seed)),
             reserved_request_ids: Mutex::default(),
             occupancies: Mutex::default(),
+            counters: RequestCounters::default(),
         }
     }
 
