--- a/crates/mintlb-dispatcher/src/occupancy.rs
+++ b/crates/mintlb-dispatcher/src/occupancy.rs
@@ -8,6 +8,8 @@
 
 /// Time constant of the smoothing, in seconds.
 const SMOOTHING_TIME: f64 = 0.25;
+/// The highest occupancy that is believed of a worker: what it reports beyond that is no load, or tells nothing more.
+const MAX_SAMPLE: f64 = 4.0;
 /// An estimate without a sample for this long is void, in seconds.
 const VALIDITY: f64 = 1.0;
 
@@ -33,7 +35,8 @@
             self.0.insert(service.to_string(), Occupancy::default());
         }
         if let Some(occupancy) = self.0.get_mut(service) {
-            occupancy.record((load.running + load.waiting) / load.slots, now);
+            let sample = (load.running + load.waiting) / load.slots;
+            occupancy.record(sample.min(MAX_SAMPLE), now);
         }
     }
 
--- a/crates/mintlb-dispatcher/src/prompts.rs
+++ b/crates/mintlb-dispatcher/src/prompts.rs
@@ -5,6 +5,8 @@
 
 /// Shorter shared prefixes are prefilled faster than a worker that has them cached becomes free.
 const LONG_TOKENS: u64 = 2000;
+/// A declaration of more tokens than this is not believed: no worker has memory for so many.
+const MAX_TOKENS: u64 = 1 << 32;
 /// The workers that are preferred for one subject.
 pub const PREFERRED: usize = 1;
 
@@ -20,7 +22,8 @@
 }
 
 impl Prompt {
-    /// Reads `Mintlb-Prompt-Prefix` (`ID:TOKENS,...`) and `Mintlb-Token-Usage` (`PROMPT,OUT`).
+    /// Reads `Mintlb-Prompt-Prefix` (`ID:TOKENS,...`) and `Mintlb-Token-Usage` (`PROMPT,OUT`). What is no declaration, or
+    /// an absurd one, counts as none.
     pub fn read(prefix: Option<&str>, usage: Option<&str>) -> Option<Prompt> {
         let segments: Vec<(&str, u64)> = prefix
             .unwrap_or_default()
@@ -31,11 +34,11 @@
         let subject = shared
             .iter()
             .fold(HASH_START, |hash, (id, _)| hash_bytes(hash, id.as_bytes()));
-        let used = usage.map(|usage| usage.split(',').filter_map(number).sum());
-        let segment_tokens = segments.iter().map(|(_, tokens)| tokens).sum();
+        let used = usage.map(|usage| sum(usage.split(',').filter_map(number)));
+        let segment_tokens = sum(segments.iter().map(|(_, tokens)| *tokens));
         let tokens = used.unwrap_or(0).max(segment_tokens);
-        let shared_tokens = shared.iter().map(|(_, tokens)| tokens).sum();
-        (tokens > 0).then_some(Prompt {
+        let shared_tokens = sum(shared.iter().map(|(_, tokens)| *tokens));
+        (1..=MAX_TOKENS).contains(&tokens).then_some(Prompt {
             subject,
             shared_tokens,
             tokens,
@@ -53,6 +56,10 @@
     Some((id, tokens.trim().parse().ok()?))
 }
 
+fn sum(tokens: impl Iterator<Item = u64>) -> u64 {
+    tokens.fold(0, u64::saturating_add)
+}
+
 fn number(text: &str) -> Option<u64> {
     text.trim().parse().ok()
 }
--- a/crates/mintlb-dispatcher/tests/item_limit.rs
+++ b/crates/mintlb-dispatcher/tests/item_limit.rs
@@ -118,6 +118,19 @@
     assert_eq!(occupancies.get("a", 9.5), None, "void after a second");
 }
 
+#[test]
+fn an_absurd_report_is_forgotten_like_any_other() {
+    let mut occupancies = ServiceOccupancies::default();
+    occupancies.record("a", load(f64::MAX, f64::MAX, f64::MIN_POSITIVE), 1.0);
+    assert_eq!(occupancies.get("a", 1.0), Some(4.0));
+    for sample in 0..20 {
+        let now = 1.0 + f64::from(sample) * 0.1;
+        occupancies.record("a", load(4.0, 0.0, 8.0), now);
+    }
+    let mean = occupancies.get("a", 3.0).unwrap();
+    assert!((mean - 0.5).abs() < 0.05, "{mean}");
+}
+
 #[test]
 fn a_report_without_slots_tells_nothing() {
     let mut occupancies = ServiceOccupancies::default();
