Batch: counts of failed attempts lie in the shard's log; results under way are recorded at a shutdown

Cause: an item's failed attempts lay with its shard's primary alone, so that a takeover, with the item's owner gone too, began the count anew. At SIGTERM a dispatcher stopped every item, also those that had run and whose result was being recorded: they ran again elsewhere.

Change: a report of a count that is news is an entry of the log (AttemptsFailed, which stores of the release before can't read: upgrade all stores of a tier before counts are reported, or expect replication to wait for it). A shutdown leaves recordings to their end, the process waits for them within its grace, and the leases of the others are released item by item, so that nobody runs anew what is being recorded.

Tests: takeover.rs counts_of_failed_attempts_survive_..., leases.rs (three; failed_attempts_outlive_the_lease became ..._are_counted_by_the_log_and_never_fall with the same cases, as leases hold no counts any more), batch.rs at_a_shutdown_only_items_whose_result_is_recorded_are_kept; fixtures of the new entry and messages. The shutdown of a whole dispatcher with a result under way has no test of its own: the queue's alone.

--- a/crates/mintlb-batch/src/entry.rs
+++ b/crates/mintlb-batch/src/entry.rs
@@ -39,6 +39,19 @@
         #[n(0)]
         job: LogIndex,
     },
+    /// Attempts of an item have failed. The count outlasts a takeover of the shard.
+    #[n(4)]
+    AttemptsFailed {
+        /// Index of the entry that accepted the job.
+        #[n(0)]
+        job: LogIndex,
+        /// Offset of the item within the job.
+        #[n(1)]
+        item: u32,
+        /// Number of its failed attempts so far, over all owners.
+        #[n(2)]
+        attempts: u32,
+    },
 }
 
 /// A job without the payloads of its items.
--- a/crates/mintlb-batch/src/job_table.rs
+++ b/crates/mintlb-batch/src/job_table.rs
@@ -57,6 +57,12 @@
     Ended {
         job: LogIndex,
     },
+    AttemptsFailed {
+        job: LogIndex,
+        item: u32,
+        /// The count before.
+        previous: u32,
+    },
 }
 
 impl JobTable {
--- a/crates/mintlb-batch/src/job_table/apply.rs
+++ b/crates/mintlb-batch/src/job_table/apply.rs
@@ -29,6 +29,11 @@
                 self.apply_result(*job, result)
             }
             Entry::Ended { job } => self.apply_ended(index, *job),
+            Entry::AttemptsFailed {
+                job,
+                item,
+                attempts,
+            } => self.apply_attempts_failed(index, *job, *item, *attempts),
         };
         if matches!(kind, EntryKind::Unreferenced) {
             self.unreferenced.insert(index);
@@ -93,4 +98,28 @@
         self.queued_tokens.subtract(&job.route, tokens);
         EntryKind::Ended { job: job.index }
     }
+
+    /// A count never falls: reports of owners may be delayed.
+    fn apply_attempts_failed(
+        &mut self,
+        index: LogIndex,
+        job: LogIndex,
+        item: u32,
+        attempts: u32,
+    ) -> EntryKind {
+        let Some(job) = self.jobs.get_mut(&job).filter(|job| job.is_pending(item)) else {
+            return EntryKind::Unreferenced;
+        };
+        let counted = &mut job.items[item as usize].failed_attempts;
+        if attempts <= *counted {
+            return EntryKind::Unreferenced;
+        }
+        let previous = std::mem::replace(counted, attempts);
+        job.failure_entries.push(index);
+        EntryKind::AttemptsFailed {
+            job: job.index,
+            item,
+            previous,
+        }
+    }
 }
--- a/crates/mintlb-batch/src/job_table/job.rs
+++ b/crates/mintlb-batch/src/job_table/job.rs
@@ -28,6 +28,8 @@
     pub results: Vec<RecordedResult>,
     /// Index of the entry that ended the job, if it was ended.
     pub ended: Option<LogIndex>,
+    /// Indexes of the entries that count failed attempts, in ascending order.
+    pub(super) failure_entries: Vec<LogIndex>,
     /// Whether the payloads of the items are still on disk.
     pub has_payloads: bool,
     /// When this process applied the entry that accepted the job.
@@ -45,6 +47,8 @@
     pub length: u64,
     /// Position of its result, once recorded.
     pub position: Option<u32>,
+    /// Number of its failed attempts, over all owners.
+    pub failed_attempts: u32,
 }
 
 /// The result of an item, as far as it is kept in memory; its text is on disk only.
@@ -72,6 +76,7 @@
             tokens: item.tokens,
             length: item.length,
             position: None,
+            failed_attempts: 0,
         });
         let mut job = BatchJob {
             index,
@@ -81,6 +86,7 @@
             items: items.collect(),
             results: Vec::new(),
             ended: None,
+            failure_entries: Vec::new(),
             has_payloads: false,
             applied_at: now,
         };
@@ -169,6 +175,9 @@
     /// Index of the job's last entry: the job's state is final only once that is committed.
     pub(super) fn last_index(&self) -> LogIndex {
         let last_result = self.results.last().map_or(self.index, |last| last.index);
-        last_result.max(self.ended.unwrap_or(0))
+        let last_failure = self.failure_entries.last().copied();
+        last_result
+            .max(self.ended.unwrap_or(0))
+            .max(last_failure.unwrap_or(0))
     }
 }
--- a/crates/mintlb-batch/src/job_table/retention.rs
+++ b/crates/mintlb-batch/src/job_table/retention.rs
@@ -81,6 +81,7 @@
             return;
         };
         remove.extend(job.results.iter().map(|result| result.index));
+        remove.extend(&job.failure_entries);
         remove.extend(job.ended);
         remove.push(index);
         self.forget(index);
--- a/crates/mintlb-batch/src/job_table/truncate.rs
+++ b/crates/mintlb-batch/src/job_table/truncate.rs
@@ -18,6 +18,11 @@
                 EntryKind::Accepted => self.forget(index),
                 EntryKind::Result { job } => self.undo_result(job),
                 EntryKind::Ended { job } => self.undo_ended(job),
+                EntryKind::AttemptsFailed {
+                    job,
+                    item,
+                    previous,
+                } => self.undo_attempts_failed(job, item, previous),
             }
         }
     }
@@ -38,6 +43,14 @@
         }
     }
 
+    fn undo_attempts_failed(&mut self, job: LogIndex, item: u32, previous: u32) {
+        let Some(job) = self.jobs.get_mut(&job) else {
+            return;
+        };
+        job.failure_entries.pop();
+        job.items[item as usize].failed_attempts = previous;
+    }
+
     fn undo_ended(&mut self, job: LogIndex) {
         let Some(job) = self.jobs.get_mut(&job) else {
             return;
--- a/crates/mintlb-batch/src/leases.rs
+++ b/crates/mintlb-batch/src/leases.rs
@@ -88,22 +88,6 @@
         lost
     }
 
-    /// Notes how many attempts of an item an owner knows to have failed.
-    pub fn record_failures(&mut self, job: &BatchJob, item: u32, failures: u32) {
-        if (item as usize) < job.items.len() {
-            let lease = self.jobs.entry(job.index).or_default().item_mut(item);
-            // A delayed report must not lower the count.
-            lease.failures = lease.failures.max(failures);
-        }
-    }
-
-    /// Failed attempts of an item, as far as its owners reported them to this primary.
-    pub fn failures(&self, item: ItemRef) -> u32 {
-        self.jobs
-            .get(&item.job)
-            .map_or(0, |leases| leases.item(item.item).failures)
-    }
-
     /// Gives all leases of an owner back.
     pub fn release(&mut self, owner: DispatcherId) {
         self.jobs
--- a/crates/mintlb-batch/src/leases/job_leases.rs
+++ b/crates/mintlb-batch/src/leases/job_leases.rs
@@ -16,12 +16,11 @@
     items: Vec<ItemLease>,
 }
 
-/// The lease of an item. Failed attempts are counted over all owners.
+/// The lease of an item.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct ItemLease {
     pub(super) owner: DispatcherId,
     renewed_at: Timestamp,
-    pub(super) failures: u32,
 }
 
 impl ItemLease {
--- a/crates/mintlb-batch/src/messages/response.rs
+++ b/crates/mintlb-batch/src/messages/response.rs
@@ -132,7 +132,7 @@
     /// Length of the payload in bytes.
     #[n(6)]
     pub length: u64,
-    /// Failed attempts so far, as far as earlier owners reported them to this primary.
+    /// Failed attempts so far, as far as owners have reported them.
     #[n(7)]
     #[cbor(default)]
     pub failures: u32,
--- a/crates/mintlb-batch/src/replica/serving/leasing.rs
+++ b/crates/mintlb-batch/src/replica/serving/leasing.rs
@@ -1,8 +1,9 @@
 //! Leasing of items to dispatchers.
 
 use super::Replica;
+use crate::entry::Entry;
 use crate::leases::ItemRef;
-use crate::messages::{DispatcherId, LeasedItemHeader, LeasedItems, RenewResult};
+use crate::messages::{DispatcherId, ItemFailures, LeasedItemHeader, LeasedItems, RenewResult};
 use crate::replica::PayloadLocation;
 use crate::timestamp::Timestamp;
 
@@ -61,7 +62,7 @@
             item: stored.id.to_string(),
             tokens: stored.tokens,
             length: stored.length,
-            failures: self.leases.failures(item),
+            failures: stored.failed_attempts,
             host_placed: self.is_host_placed(job).then_some(true),
         };
         let payload = PayloadLocation {
@@ -100,16 +101,35 @@
         leased: &LeasedItems,
         now: Timestamp,
     ) -> Vec<u32> {
+        self.count_failures(leased, now);
         let Some(job) = self.jobs.find(&leased.job) else {
             return leased.items.clone();
         };
-        for failed in &leased.failures {
-            self.leases
-                .record_failures(job, failed.item, failed.attempts);
-        }
         self.leases.renew(job, &leased.items, owner, now)
     }
 
+    /// Appends the counts of failed attempts that are news.
+    fn count_failures(&mut self, leased: &LeasedItems, now: Timestamp) {
+        let Some(job) = self.jobs.find(&leased.job) else {
+            return;
+        };
+        let index = job.index;
+        let is_news = |failed: &&ItemFailures| {
+            let item = job.items.get(failed.item as usize);
+            job.is_pending(failed.item)
+                && item.is_some_and(|item| item.failed_attempts < failed.attempts)
+        };
+        let counted: Vec<ItemFailures> = leased.failures.iter().filter(is_news).copied().collect();
+        for ItemFailures { item, attempts } in counted {
+            let entry = Entry::AttemptsFailed {
+                job: index,
+                item,
+                attempts,
+            };
+            self.append_as_primary(&entry, &[], now);
+        }
+    }
+
     /// Whether there are items that nobody owns.
     pub fn has_unleased_items(&self, now: Timestamp) -> bool {
         self.unleased_items(now).next().is_some()
--- a/crates/mintlb-batch/tests/leases.rs
+++ b/crates/mintlb-batch/tests/leases.rs
@@ -58,13 +58,18 @@
         self.leases.renew(job, items, owner, now)
     }
 
-    fn record_failures(&mut self, item: u32, failures: u32) {
-        let job = self.jobs.get(JOB).unwrap();
-        self.leases.record_failures(job, item, failures);
+    fn apply_failures(&mut self, index: u64, item: u32, attempts: u32) {
+        let entry = Entry::AttemptsFailed {
+            job: JOB,
+            item,
+            attempts,
+        };
+        self.jobs.apply(index, &entry, 1, 0, Timestamp::ZERO);
     }
 
-    fn failures(&self, item: u32) -> u32 {
-        self.leases.failures(ItemRef { job: JOB, item })
+    fn failures(&self) -> Vec<u32> {
+        let items = self.job().items.iter();
+        items.map(|item| item.failed_attempts).collect()
     }
 }
 
@@ -137,16 +142,43 @@
 }
 
 #[test]
-fn failed_attempts_outlive_the_lease() {
+fn failed_attempts_are_counted_by_the_log_and_never_fall() {
     let mut fixture = Fixture::new();
+    fixture.apply_failures(2, 1, 2);
+    // A delayed report of fewer attempts, and one of an item that does not exist.
+    fixture.apply_failures(3, 1, 1);
+    fixture.apply_failures(4, 900, 1);
+    assert_eq!(fixture.failures(), [0, 2, 0]);
     fixture
         .leases
         .grant_all(JOB, 3, FIRST_OWNER, Timestamp::ZERO);
-    fixture.record_failures(1, 2);
-    // A delayed report of fewer attempts, and one of an item that does not exist.
-    fixture.record_failures(1, 1);
-    fixture.record_failures(900, 1);
     fixture.leases.release(FIRST_OWNER);
     fixture.grant(1, SECOND_OWNER, Timestamp::ZERO + LEASE_DURATION);
-    assert_eq!([1, 0, 900].map(|item| fixture.failures(item)), [2, 0, 0]);
+    assert_eq!(fixture.failures(), [0, 2, 0], "they outlive the lease");
+}
+
+#[test]
+fn a_truncated_count_of_failed_attempts_is_undone() {
+    let mut fixture = Fixture::new();
+    fixture.apply_failures(2, 1, 2);
+    fixture.apply_failures(3, 1, 5);
+    fixture.apply_failures(4, 0, 1);
+    fixture.jobs.truncate(2);
+    assert_eq!(fixture.failures(), [0, 2, 0]);
+    fixture.jobs.truncate(1);
+    assert_eq!(fixture.failures(), [0, 0, 0]);
+}
+
+#[test]
+fn counts_of_failed_attempts_leave_the_disk_with_their_job() {
+    let mut fixture = Fixture::new();
+    fixture.apply_failures(2, 1, 2);
+    // Without an effect: dropped at once.
+    fixture.apply_failures(3, 1, 1);
+    let late = Timestamp::ZERO + Duration::from_secs(100_000);
+    let dropped = fixture.jobs.sweep(1, Duration::ZERO, late);
+    assert!(dropped.remove.is_empty(), "not while they are uncommitted");
+    let dropped = fixture.jobs.sweep(3, Duration::ZERO, late);
+    assert_eq!(dropped.remove, [1, 2, 3]);
+    assert_eq!(fixture.jobs.bytes(), 0);
 }
--- a/crates/mintlb-batch/tests/takeover.rs
+++ b/crates/mintlb-batch/tests/takeover.rs
@@ -305,3 +305,43 @@
         .collect();
     assert_eq!(failures, [(0, 0), (1, 2), (2, 0)]);
 }
+
+/// The failed attempts that a lease of all items reports, by item.
+fn leased_failures(cluster: &mut ShardCluster, store_index: usize) -> Vec<(u32, u32)> {
+    // The first request has the followers confirm the primary.
+    cluster.lease(store_index);
+    cluster.run_until_idle();
+    let now = cluster.now.into();
+    let replica = cluster.replica_mut(store_index);
+    assert!(replica.confirm(now));
+    let plans = replica.lease(9, 10, u64::MAX, now);
+    let failures = plans
+        .iter()
+        .map(|plan| (plan.head.index, plan.head.failures));
+    failures.collect()
+}
+
+#[test]
+fn counts_of_failed_attempts_survive_a_takeover_and_the_loss_of_the_primary() {
+    let mut cluster = ShardCluster::of_three();
+    cluster.submit(0, "a".to_string(), 3);
+    cluster.run_until_idle();
+    for (item, attempts) in [(1, 1), (1, 2), (0, 4)] {
+        let leased = LeasedItems {
+            job: name("a"),
+            items: vec![0, 1, 2],
+            failures: vec![ItemFailures { item, attempts }],
+        };
+        let now = cluster.now.into();
+        let mut result = RenewResult::default();
+        cluster.replica_mut(0).renew(7, &leased, &mut result, now);
+        cluster.run_effects(0);
+        cluster.run_until_idle();
+    }
+    cluster.stores[0].partitioned = true;
+    cluster.take_over(2, &[2, 3, 1], &[1, 2, 3]);
+    // Owners of the earlier primary may renew until then.
+    (0..5).for_each(|_| cluster.tick(LONG_TICK));
+    let failures = leased_failures(&mut cluster, 1);
+    assert_eq!(failures, [(0, 4), (1, 2), (2, 0)]);
+}
--- a/crates/mintlb-batch/tests/wire_fixtures.rs
+++ b/crates/mintlb-batch/tests/wire_fixtures.rs
@@ -452,6 +452,12 @@
         b"",
     );
     fixtures.check("ended", Entry::Ended { job: 260 }, b"");
+    let attempts_failed = Entry::AttemptsFailed {
+        job: 260,
+        item: 1,
+        attempts: 2,
+    };
+    fixtures.check("attempts_failed", attempts_failed, b"");
     fixtures.check(
         "meta",
         ShardMeta {
--- a/crates/mintlb-control/src/store/requests/lease.rs
+++ b/crates/mintlb-control/src/store/requests/lease.rs
@@ -79,6 +79,7 @@
             let shard = shard_with_job(&mut shard_host, &leased.job);
             let replica = shard_host.replica(shard);
             replica.renew(renew.owner, leased, &mut renewed, now);
+            shard_host.run_effects(shard, now);
         }
         renewed.open = shard_host
             .replicas()
--- a/crates/mintlb-control/tests/controller_wire_fixtures.rs
+++ b/crates/mintlb-control/tests/controller_wire_fixtures.rs
@@ -10,13 +10,16 @@
 use bytes::Bytes;
 use fixture::{Fixtures, path};
 use mintlb_common::placement::{Placement, ShardAssignment, StoreEntry, StoreId};
+use mintlb_common::record::{WorkerRecord, WorkerState};
 use mintlb_common::transport::{Channel, ResponseFuture, Service, Transport};
 use mintlb_control::controller::contact::messages::{LeaderEpoch, PeerStatus, Ping, Pong};
 use mintlb_control::controller::register;
 use mintlb_control::controller::register::acceptor_file;
 use mintlb_control::controller::register::acceptor_storage::{AcceptorStorage, FILE};
 use mintlb_control::controller::register::local_replica::LocalReplica;
+use mintlb_control::controller::register::messages::{RegisterRequest, RegisterResponse};
 use mintlb_control::controller::register::replica_core::{Commit, Completion, StateWrite};
+use mintlb_control::controller::register::stopped_workers::StoppedWorker;
 use mintlb_control::controller::singleton::messages::{
     ControllerRequest, ControllerResponse, RetirementRequest, RetirementStatus, encode,
 };
@@ -432,3 +435,30 @@
     fixtures.same("call-grant", &received[2]);
     fixtures.same("call-read", &received[4]);
 }
+
+#[test]
+fn a_stopped_worker_on_the_registers_channel_and_on_disk() {
+    let mut fixtures = Fixtures::read("stopped_workers.txt");
+    let record = WorkerRecord {
+        instance_id: "i-1".to_string(),
+        service: "s".to_string(),
+        address: "10.1.0.1:80".to_string(),
+        zone: "zone-1".to_string(),
+        capacity_slots: 12,
+        state: WorkerState::Draining,
+        call_sequence: 300,
+        slow_start_until_ms: 0,
+    };
+    let stored = StoppedWorker {
+        record: record.clone(),
+        stored_at_ms: 1_700_000_000_000,
+    };
+    let request = RegisterRequest::StoreStoppedWorker {
+        target: ReplicaId(ID),
+        record,
+    };
+    fixtures.check("request", &request);
+    fixtures.check("response", &RegisterResponse::StoppedWorkerStored);
+    fixtures.check("entry", &stored);
+    fixtures.done();
+}
--- a/crates/mintlb-dispatcher/src/batch/calls.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls.rs
@@ -79,6 +79,10 @@
         }
     }
 
+    fn is_recording(&self) -> bool {
+        self.runner.is_recording()
+    }
+
     fn start_draining(&self) {
         self.draining.store(true, Relaxed);
         self.runner.start_draining();
--- a/crates/mintlb-dispatcher/src/batch/queue.rs
+++ b/crates/mintlb-dispatcher/src/batch/queue.rs
@@ -19,6 +19,8 @@
     waiting: BTreeMap<(u64, ItemNumber), LeasedItem>,
     leased: HashMap<JobKey, HashSet<u32>>,
     running: HashMap<ItemNumber, (JobKey, u32)>,
+    /// Those of them whose result is being recorded.
+    recording: HashSet<ItemNumber>,
     /// Failed attempts of the items that run.
     failures: HashMap<JobKey, BTreeMap<u32, u32>>,
     /// The jobs that ended last, as a set and in order.
@@ -57,11 +59,49 @@
 
     /// Removes a running item: recorded, ended or released.
     pub fn finish(&mut self, number: ItemNumber) {
+        self.recording.remove(&number);
         if let Some((key, index)) = self.running.remove(&number) {
             self.remove_lease(&key, index);
         }
     }
 
+    /// Notes that the result of a running item is being recorded.
+    pub fn begin_recording(&mut self, number: ItemNumber) {
+        if self.running.contains_key(&number) {
+            self.recording.insert(number);
+        }
+    }
+
+    /// Whether results are being recorded.
+    pub fn is_recording(&self) -> bool {
+        !self.recording.is_empty()
+    }
+
+    /// Drops all items but those whose results are being recorded. Returns the dropped ones by job, for the release of
+    /// their leases, and the numbers of those that run.
+    pub fn drain(&mut self) -> (Vec<LeasedJob>, Vec<ItemNumber>) {
+        self.waiting.clear();
+        let recorded: HashSet<(JobKey, u32)> = self
+            .recording
+            .iter()
+            .filter_map(|number| self.running.get(number).cloned())
+            .collect();
+        let mut dropped = Vec::new();
+        self.leased.retain(|key, items| {
+            let is_recorded = |index: &u32| recorded.contains(&(key.clone(), *index));
+            let released = items.extract_if(|index| !is_recorded(index)).collect();
+            dropped.push(leased_job(key.clone(), released));
+            !items.is_empty()
+        });
+        dropped.retain(|job| !job.items.is_empty());
+        let recording = &self.recording;
+        let stopped = self
+            .running
+            .keys()
+            .filter(|number| !recording.contains(number));
+        (dropped, stopped.copied().collect())
+    }
+
     /// Records a running item's failed attempts, over all lease holders. Returns the renewal that reports them.
     pub fn failed(&mut self, number: ItemNumber, count: u32) -> Option<LeasedJob> {
         let (key, index) = self.running.get(&number).filter(|_| count > 0)?;
@@ -154,13 +194,10 @@
             self.remove_lease(&key, item.index);
             excess.entry(key).or_default().push(item.index);
         }
-        let job = |((host, job_id), items)| LeasedJob {
-            host,
-            job_id,
-            items,
-            failures: Vec::new(),
-        };
-        excess.into_iter().map(job).collect()
+        excess
+            .into_iter()
+            .map(|(key, items)| leased_job(key, items))
+            .collect()
     }
 
     /// Items that wait to run.
@@ -188,3 +225,13 @@
         }
     }
 }
+
+/// Items of a job, without counts of failed attempts.
+fn leased_job((host, job_id): JobKey, items: Vec<u32>) -> LeasedJob {
+    LeasedJob {
+        host,
+        job_id,
+        items,
+        failures: Vec::new(),
+    }
+}
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -129,16 +129,19 @@
         self.cancel(&stopped);
     }
 
-    /// Stops all items and releases their leases, as the process shuts down.
+    /// Stops all items and releases their leases, as the process shuts down. Results that are being recorded go on: their
+    /// items have run.
     pub fn start_draining(self: &Arc<Self>) {
         self.draining.store(true, Relaxed);
-        *self.queue.lock() = ItemQueue::default();
-        self.running
-            .lock()
-            .values()
-            .for_each(CancellationToken::cancel);
+        let (released, stopped) = self.queue.lock().drain();
+        self.cancel(&stopped);
         let (client, dispatcher_id) = (self.client.clone(), self.dispatcher_id);
-        tokio::spawn(async move { client.release(dispatcher_id).await });
+        tokio::spawn(async move { client.release_items(dispatcher_id, released).await });
+    }
+
+    /// Whether results are being recorded.
+    pub fn is_recording(&self) -> bool {
+        self.queue.lock().is_recording()
     }
 
     fn cancel(&self, numbers: &[ItemNumber]) {
@@ -159,9 +162,12 @@
             self.running.lock().insert(number, stop.clone());
             let runner = self.clone();
             tokio::spawn(async move {
-                tokio::select! {
-                    () = runner.run(number, item) => {}
-                    () = stop.cancelled() => {}
+                let result = tokio::select! {
+                    result = runner.run(number, &item) => result,
+                    () = stop.cancelled() => None,
+                };
+                if let Some(result) = result {
+                    runner.record(&item, result).await;
                 }
                 runner.running.lock().remove(&number);
                 runner.queue.lock().finish(number);
@@ -170,23 +176,37 @@
         }
     }
 
-    /// Runs an item until it has a result that is recorded.
-    async fn run(self: &Arc<Self>, number: ItemNumber, item: LeasedItem) {
-        let Some((id, headers)) = request_headers(&item) else {
-            return self.record(&item, ItemResult::Unrecoverable).await;
+    /// Runs an item until it has a result, which is to be recorded.
+    async fn run(self: &Arc<Self>, number: ItemNumber, item: &LeasedItem) -> Option<ItemResult> {
+        let result = self.run_to_result(number, item).await;
+        if result.is_some() {
+            // Before the next wait: from now on no shutdown stops it.
+            self.queue.lock().begin_recording(number);
+        }
+        result
+    }
+
+    /// The result of an item; none if its lease is lost before.
+    async fn run_to_result(
+        self: &Arc<Self>,
+        number: ItemNumber,
+        item: &LeasedItem,
+    ) -> Option<ItemResult> {
+        let Some((id, headers)) = request_headers(item) else {
+            return Some(ItemResult::Unrecoverable);
         };
         let mut progress = Progress::after_failures(item.failures);
         if progress.has_exhausted_attempts(&item.terms) {
-            return self.record(&item, ItemResult::Unrecoverable).await;
+            return Some(ItemResult::Unrecoverable);
         }
         while self.queue.lock().is_leased(number) {
             let outcome = self
-                .attempt(&item, id.clone(), headers.clone(), &mut progress)
+                .attempt(item, id.clone(), headers.clone(), &mut progress)
                 .await;
             let next = progress.ended(&outcome, &item.terms, self.now_ms());
             let failed = self.queue.lock().failed(number, progress.failures());
             match next {
-                Next::Record(result) => return self.record(&item, result).await,
+                Next::Record(result) => return Some(result),
                 Next::RunAgain(backoff) => {
                     // Reported at once, so that another lease holder does not restart the count.
                     if let Some(failed) = failed.filter(|_| outcome == AttemptOutcome::Failed) {
@@ -196,6 +216,7 @@
                 }
             }
         }
+        None
     }
 
     /// Adapts the limit of concurrent items to the occupancy that an item's service has now.
--- a/crates/mintlb-dispatcher/src/batch_executor.rs
+++ b/crates/mintlb-dispatcher/src/batch_executor.rs
@@ -38,6 +38,10 @@
     fn handle(&self, call: BatchCall) -> Pin<Box<dyn Future<Output = Response> + Send>>;
     /// Starts the graceful shutdown: no new work may begin.
     fn start_draining(&self) {}
+    /// Whether results are being recorded, which the process must not end before.
+    fn is_recording(&self) -> bool {
+        false
+    }
 }
 
 /// A batch item to execute.
--- a/crates/mintlb-dispatcher/src/dispatcher.rs
+++ b/crates/mintlb-dispatcher/src/dispatcher.rs
@@ -431,7 +431,8 @@
             self.shared.end();
             self.step(Event::LastCall);
         }
-        let quiet = self.reducer.held() == 0 && self.downstream.connected() == 0;
+        let is_recording = self.batch.iter().any(|batch| batch.is_recording());
+        let quiet = self.reducer.held() == 0 && self.downstream.connected() == 0 && !is_recording;
         let over = since >= self.grace - EXIT_MARGIN
             || quiet && since >= MIN_SHUTDOWN.min(self.grace - FINAL_RESPONSE_MARGIN);
         if over {
--- a/crates/mintlb-dispatcher/tests/batch.rs
+++ b/crates/mintlb-dispatcher/tests/batch.rs
@@ -1,7 +1,7 @@
 //! Batch jobs at a dispatcher: submission, rejection, retry and resumption of items, order of the queue.
 
 use axum::http::StatusCode;
-use mintlb_batch::client::{CommittedResult, Item, ItemResult, LeasedItem};
+use mintlb_batch::client::{CommittedResult, Item, ItemResult, LeasedItem, LeasedJob};
 use mintlb_batch::entry::{ItemState, JobTerms};
 use mintlb_batch::messages::ItemFailures;
 use mintlb_common::configuration::Configuration;
@@ -426,3 +426,39 @@
     never.ended(&AttemptOutcome::CannotBeDone, &TERMS, 2_000);
     assert!(Progress::after_failures(never.failures()).has_exhausted_attempts(&TERMS));
 }
+
+/// Jobs and items, sorted.
+fn items_by_job(jobs: Vec<LeasedJob>) -> Vec<(String, Vec<u32>)> {
+    let sorted = |mut job: LeasedJob| {
+        job.items.sort_unstable();
+        (job.job_id, job.items)
+    };
+    let mut jobs: Vec<_> = jobs.into_iter().map(sorted).collect();
+    jobs.sort();
+    jobs
+}
+
+#[test]
+fn at_a_shutdown_only_items_whose_result_is_recorded_are_kept() {
+    let mut queue = ItemQueue::default();
+    for (job, index) in [("a", 0), ("a", 1), ("a", 2), ("b", 0)] {
+        queue.add(leased(job, index, 0));
+    }
+    let (recorded, item) = queue.start(2).unwrap();
+    assert_eq!((item.job_id.as_str(), item.index), ("a", 0));
+    let (running, _) = queue.start(2).unwrap();
+    queue.begin_recording(recorded);
+    assert!(queue.is_recording());
+    let (released, stopped) = queue.drain();
+    assert_eq!(
+        items_by_job(released),
+        [("a".to_string(), vec![1, 2]), ("b".to_string(), vec![0])]
+    );
+    assert_eq!(stopped, [running]);
+    assert!(queue.is_leased(recorded) && !queue.is_leased(running));
+    queue.finish(running);
+    assert!(queue.is_recording(), "the process has to wait");
+    queue.finish(recorded);
+    assert!(!queue.is_recording());
+    assert_eq!((queue.waiting(), queue.running()), (0, 0));
+}
