Controllers: a drain needs no neighbor's confirmation where a quorum publishes it

What kept gossip's confirmation away was not found; it is not needed: each process that is requested to store a drain now publishes it, so that a majority spreads it. A replica that is a majority alone still waits for a neighbor.

--- a/crates/mintlb-control/src/controller/register/client.rs
+++ b/crates/mintlb-control/src/controller/register/client.rs
@@ -42,6 +42,9 @@
 /// A callback for each value newly known to be chosen.
 pub type ChosenListener = Box<dyn Fn(&AcceptedValue) + Send + Sync>;
 
+/// A callback for each worker that another process requests to store.
+pub type StoppedWorkerListener = Box<dyn Fn(&WorkerRecord) + Send + Sync>;
+
 /// This process's access to the register.
 pub struct RegisterClient {
     transport: Arc<Transport>,
@@ -54,6 +57,7 @@
     /// The start of the newest round that a majority answered.
     majority_at: Mutex<Option<Instant>>,
     listener: Mutex<Option<ChosenListener>>,
+    stopped_worker_listener: Mutex<Option<StoppedWorkerListener>>,
 }
 
 impl RegisterClient {
@@ -73,6 +77,7 @@
             proposal_lock: tokio::sync::Mutex::default(),
             majority_at: Mutex::default(),
             listener: Mutex::default(),
+            stopped_worker_listener: Mutex::default(),
         }
     }
 
@@ -81,6 +86,23 @@
         *self.listener.lock() = Some(listener);
     }
 
+    /// Sets the callback for each worker that another process requests to store.
+    pub fn on_stopped_worker(&self, listener: StoppedWorkerListener) {
+        *self.stopped_worker_listener.lock() = Some(listener);
+    }
+
+    /// Stores a worker for another process that has announced its drain or end. Returns whether it is
+    /// on the disk of the local replica, which has to be this one.
+    pub(super) async fn store_for_peer(&self, target: ReplicaId, record: WorkerRecord) -> bool {
+        let Some(replica) = self.local(target) else {
+            return false;
+        };
+        if let Some(listener) = &*self.stopped_worker_listener.lock() {
+            listener(&record);
+        }
+        replica.store_stopped_worker(record).await.is_ok()
+    }
+
     /// The replica of this process.
     pub fn replica(&self) -> Option<&Arc<LocalReplica>> {
         self.replica.as_ref()
--- a/crates/mintlb-control/src/controller/register/service.rs
+++ b/crates/mintlb-control/src/controller/register/service.rs
@@ -70,12 +70,8 @@
         target: ReplicaId,
         record: WorkerRecord,
     ) -> Option<RegisterResponse> {
-        let replica = self.client.replica()?;
-        if replica.identity().id != target {
-            return None;
-        }
-        replica.store_stopped_worker(record).await.ok()?;
-        Some(RegisterResponse::StoppedWorkerStored)
+        let stored = self.client.store_for_peer(target, record).await;
+        stored.then_some(RegisterResponse::StoppedWorkerStored)
     }
 
     fn status(&self) -> RegisterResponse {
--- a/crates/mintlb-control/src/controller/register/worker_log.rs
+++ b/crates/mintlb-control/src/controller/register/worker_log.rs
@@ -2,8 +2,9 @@
 //!
 //! Such an announcement is acknowledged only once a quorum of the replica set has synced it, so that it
 //! outlasts a power loss of all of them, together with the loss of as many disks as is tolerated. Each
-//! replica publishes what its disk holds when its process starts. Replicas also store what reaches them
-//! by gossip: one that joins the set, or missed a request, has it then.
+//! process that is requested to store one publishes it as well, so that a quorum spreads what one of
+//! them has acknowledged. Each replica publishes what its disk holds when its process starts. Replicas
+//! also store what reaches them by gossip: one that joins the set, or missed a request, has it then.
 //!
 //! There is no order among the entries and no agreement: of two records of one worker the one with the
 //! higher version is in force, as everywhere.
@@ -21,6 +22,15 @@
 use tokio::task::JoinSet;
 use tokio::time::timeout;
 
+/// Who has stored an announcement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredBy {
+    /// A quorum with another process in it, which publishes it as well.
+    OthersToo,
+    /// The replica of this process, which is a quorum by itself.
+    ThisProcessAlone,
+}
+
 /// The reason for which an announcement is not known to be durable. It may be on some disks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum NotStored {
@@ -53,7 +63,7 @@
         &self,
         record: &WorkerRecord,
         time_limit: Duration,
-    ) -> Result<(), NotStored> {
+    ) -> Result<StoredBy, NotStored> {
         let set = self.register.set().ok_or(NotStored::QuorumUnavailable)?;
         if !set.remains_durable_after(self.settings.tolerated_failures()) {
             return Err(NotStored::TooFewReplicas);
@@ -68,10 +78,16 @@
             );
             requests.spawn(request);
         }
-        match timeout(time_limit, quorum_stored(&set, &mut requests)).await {
-            Ok(true) => Ok(()),
-            _ => Err(NotStored::QuorumUnavailable),
-        }
+        let stored = timeout(time_limit, stored_quorum(&set, &mut requests))
+            .await
+            .ok()
+            .flatten()
+            .ok_or(NotStored::QuorumUnavailable)?;
+        let own = self.register.replica_id();
+        Ok(match stored.iter().any(|id| Some(*id) != own) {
+            true => StoredBy::OthersToo,
+            false => StoredBy::ThisProcessAlone,
+        })
     }
 }
 
@@ -88,20 +104,34 @@
     stored.then_some(replica.id)
 }
 
-/// Waits until a quorum has stored it; false if all requests have ended before.
-async fn quorum_stored(set: &ReplicaSet, requests: &mut JoinSet<Option<ReplicaId>>) -> bool {
+/// Waits for a quorum that has stored it; `None` if all requests have ended before.
+async fn stored_quorum(
+    set: &ReplicaSet,
+    requests: &mut JoinSet<Option<ReplicaId>>,
+) -> Option<FxHashSet<ReplicaId>> {
     let mut stored = FxHashSet::default();
     while let Some(ended) = requests.join_next().await {
         stored.extend(ended.ok().flatten());
         if set.is_quorum(|id| stored.contains(&id)) {
-            return true;
+            return Some(stored);
         }
     }
-    false
+    None
+}
+
+/// Connects the log with gossip: what other processes request to store is published, what the disk of
+/// the local replica holds too, and what gossip brings is stored there from now on.
+pub fn connect(register: &RegisterClient, gossip: &Arc<GossipService>) {
+    let publisher = gossip.clone();
+    register.on_stopped_worker(Box::new(move |record| {
+        publisher.publish_now(record.to_record());
+    }));
+    if let Some(replica) = register.replica() {
+        connect_replica(replica.clone(), gossip);
+    }
 }
 
-/// Publishes what the disk of the local replica holds, and stores there what gossip brings from now on.
-pub fn connect(replica: Arc<LocalReplica>, gossip: &GossipService) {
+fn connect_replica(replica: Arc<LocalReplica>, gossip: &GossipService) {
     let retained = replica.retained_stopped_workers();
     if !retained.is_empty() {
         log::info!(
--- a/crates/mintlb-control/src/controller/startup.rs
+++ b/crates/mintlb-control/src/controller/startup.rs
@@ -109,12 +109,10 @@
         let own_address = transport.local_address();
         let replica = open_replica(&settings, own_address, random)?;
         let gossip = start_gossip(&settings, transport.clone());
-        if let Some(replica) = &replica {
-            worker_log::connect(replica.clone(), &gossip);
-        }
         let first_start = settings.first_start;
         let register = register::start(transport.clone(), replica, random.u64(..), first_start);
         follow_published_set(&register, &gossip);
+        worker_log::connect(&register, &gossip);
         let publisher = start_publisher(&register, gossip.clone());
         let contact = ContactMonitor::new(register.clone(), own_address, random.u64(..));
         let contact = Arc::new(contact);
--- a/crates/mintlb-control/src/controller/workers/registry.rs
+++ b/crates/mintlb-control/src/controller/workers/registry.rs
@@ -35,7 +35,7 @@
 struct RegisteredWorker {
     /// The record that this controller published last.
     published: WorkerRecord,
-    /// Whether a neighbor has confirmed it.
+    /// Whether a quorum of disks and another process have it.
     confirmed: bool,
     /// The highest call sequence received.
     call_sequence: u64,
@@ -128,7 +128,7 @@
         superseded || repeated
     }
 
-    /// The published drain of a worker that reports it again, unless a neighbor has confirmed it.
+    /// The published drain of a worker that reports it again, unless that was confirmed.
     fn unconfirmed_drain(&self, reported: &WorkerRecord) -> Option<WorkerRecord> {
         let worker = self
             .workers
@@ -138,7 +138,7 @@
         (is_draining(reported) && is_draining(&worker.published)).then(|| worker.published.clone())
     }
 
-    /// Records that a neighbor has confirmed this record.
+    /// Records that a quorum of disks and another process have this record.
     pub fn confirmed(&mut self, record: &WorkerRecord) {
         if let Some(worker) = self.workers.get_mut(&record.instance_id)
             && worker.published == *record
--- a/crates/mintlb-control/src/controller/workers/service.rs
+++ b/crates/mintlb-control/src/controller/workers/service.rs
@@ -7,7 +7,7 @@
 use super::registry::{HeartbeatOutcome, Registry, newer_record};
 use super::unclaimed_workers::id_hash;
 use crate::controller::contact::monitor::ContactMonitor;
-use crate::controller::register::worker_log::{NotStored, WorkerLog};
+use crate::controller::register::worker_log::{NotStored, StoredBy, WorkerLog};
 use mintlb_common::record::{WORKER_PREFIX, WorkerRecord, WorkerState};
 use mintlb_gossip::GossipService;
 use parking_lot::Mutex;
@@ -29,7 +29,7 @@
     /// This process is out of contact with a majority of the register's replicas.
     #[error("M444 this controller is out of contact with a majority of the register's replicas")]
     OutOfContact,
-    /// No neighbor has confirmed the record in time.
+    /// No other process is known to have the record.
     #[error("M445 no other process has confirmed it yet")]
     Unconfirmed,
     /// It is not known to be on the disks of a quorum of the register's replicas.
@@ -151,25 +151,22 @@
     }
 
     /// Publishes the record of a worker that must not get new requests. That is acknowledged only
-    /// once a neighbor has the record and a quorum of the register's replicas has it on disk, and by
-    /// a process that is in contact at that moment: otherwise a partition could hide it from the
-    /// dispatchers, or a power loss make all forget it.
+    /// once another process publishes it, too, and a quorum of the register's replicas has it on disk,
+    /// and by a process that is in contact at that moment: otherwise a partition could hide it from
+    /// the dispatchers, or a power loss make all forget it.
     async fn publish_confirmed(&self, record: WorkerRecord) -> Result<(), NotAcknowledged> {
-        let (published, stored) = tokio::join!(
-            self.gossip
-                .publish(record.to_record(), CONFIRMATION_TIMEOUT),
-            self.log.store(&record, CONFIRMATION_TIMEOUT),
-        );
-        let confirmed = published.is_ok();
+        self.gossip.publish_now(record.to_record());
+        let stored = self.log.store(&record, CONFIRMATION_TIMEOUT).await;
         log::debug!(
-            "workers: published worker {} as {:?}, confirmed: {confirmed}, stored: {}",
+            "workers: published worker {} as {:?}, stored: {stored:?}",
             record.instance_id,
-            record.state,
-            stored.is_ok()
+            record.state
         );
-        stored?;
-        if !confirmed {
-            return Err(NotAcknowledged::Unconfirmed);
+        if stored? == StoredBy::ThisProcessAlone {
+            self.gossip
+                .publish(record.to_record(), CONFIRMATION_TIMEOUT)
+                .await
+                .map_err(|_| NotAcknowledged::Unconfirmed)?;
         }
         if !self.contact.is_in_contact() {
             return Err(NotAcknowledged::OutOfContact);
--- a/crates/mintlb-simulation/src/controller/mod.rs
+++ b/crates/mintlb-simulation/src/controller/mod.rs
@@ -143,6 +143,7 @@
             Call::Batch(..) => (),
             Call::StoreStoppedWorker { target, record } => {
                 if target == self.replica.identity().id {
+                    self.publish_worker(context, &record);
                     self.store_stopped_worker(context, record, ReplyTo::Remote(caller));
                 } else {
                     context.answer(&caller, Answer::StoppedWorkerStored(false));
