Configuration: tenants are read and checked; of their keys only digests are kept

Cause: `tenant_list` and `public_access` were unknown fields, which pass unchecked.

Both are typed now. A key given twice or empty, a name that is empty, taken or no header's value, a negative, absurd or non-numeric limit is M203 with the field for the operator, M202 for a dispatcher. Field rules stand once and serve both ways to parse.

--- a/crates/mintlb-common/src/configuration.rs
+++ b/crates/mintlb-common/src/configuration.rs
@@ -8,15 +8,30 @@
 //!   with the validators of `schematic`, at about three times the cost. Controllers use it for what
 //!   an operator submits.
 
+mod api_key;
 mod error;
 mod field_validators;
 mod lookup;
+mod tenant;
 mod types;
 mod validation;
 
+pub use api_key::{ApiKeyDigest, ApiKeys};
 pub use error::{ConfigurationError, FieldViolation};
+pub use tenant::Tenant;
 pub use types::{ClientLimits, Configuration, Engine, Route, RouteType, Service, WeightedService};
 
+use serde::de::DeserializeOwned;
+
+/// Parses JSON; an error names the field.
+fn from_json<T: DeserializeOwned>(json: &[u8]) -> Result<T, ConfigurationError> {
+    let mut deserializer = serde_json::Deserializer::from_slice(json);
+    let parsed = serde_path_to_error::deserialize(&mut deserializer)
+        .map_err(ConfigurationError::malformed)?;
+    deserializer.end().map_err(ConfigurationError::malformed)?;
+    Ok(parsed)
+}
+
 impl Configuration {
     /// Parses and validates a configuration in JSON.
     ///
@@ -25,8 +40,7 @@
     /// [`ConfigurationError::Malformed`] if it is not JSON of the expected shape,
     /// [`ConfigurationError::Invalid`] with the first field that violates a rule.
     pub fn parse(json: &[u8]) -> Result<Configuration, ConfigurationError> {
-        let configuration: Configuration =
-            serde_json::from_slice(json).map_err(ConfigurationError::malformed)?;
+        let configuration: Configuration = from_json(json)?;
         validation::check(&configuration)?;
         Ok(configuration)
     }
--- a/crates/mintlb-common/src/configuration/field_validators.rs
+++ b/crates/mintlb-common/src/configuration/field_validators.rs
@@ -5,15 +5,18 @@
 //! around it, a context (none here) and a flag for the final merge (unused, as there is one source
 //! only).
 
+use super::api_key::ApiKeys;
+use super::tenant::{
+    PartialTenant, first_duplicate, keys_violation, limit_violation, name_violation,
+};
 use super::types::{PartialConfiguration, PartialRoute, PartialService, PartialWeightedService};
-use super::{ConfigurationError, FieldViolation};
+use super::{ConfigurationError, FieldViolation, from_json};
 use schematic::{ConfigError, PartialConfig, Path, PathSegment, ValidateError, ValidateResult};
 use std::collections::HashSet;
 
 /// Checks all rules and reports all violations.
 pub(super) fn check_all(json: &[u8]) -> Result<(), ConfigurationError> {
-    let partial: PartialConfiguration =
-        serde_json::from_slice(json).map_err(ConfigurationError::malformed)?;
+    let partial: PartialConfiguration = from_json(json)?;
     match partial.validate(&(), true) {
         Ok(()) => Ok(()),
         Err(ConfigError::Validator { error, .. }) => {
@@ -132,6 +135,48 @@
     }
 }
 
+/// The name of a tenant can be sent as the value of a header.
+pub(super) fn tenant_name(name: &str, _: &PartialTenant, _: &(), _: bool) -> ValidateResult {
+    result_of(name_violation(name))
+}
+
+/// No key of a tenant is empty.
+pub(super) fn tenant_keys(keys: &ApiKeys, _: &PartialTenant, _: &(), _: bool) -> ValidateResult {
+    result_of(keys_violation(keys))
+}
+
+/// A rate or a burst of a tenant is a number of requests.
+pub(super) fn tenant_limit(requests: &f64, _: &PartialTenant, _: &(), _: bool) -> ValidateResult {
+    result_of(limit_violation(*requests))
+}
+
+/// No two tenants share a name or a key, and no tenant has a key twice.
+pub(super) fn unique_tenants(
+    tenants: &[PartialTenant],
+    _: &PartialConfiguration,
+    _: &(),
+    _: bool,
+) -> ValidateResult {
+    let named = tenants.iter().map(|tenant| {
+        let name = tenant.name.as_deref().unwrap_or_default();
+        (name, tenant.api_keys.as_ref())
+    });
+    match first_duplicate(named) {
+        Some(duplicate) => Err(ValidateError::with_path(
+            duplicate.reason,
+            element_path(duplicate.index, duplicate.field),
+        )),
+        None => Ok(()),
+    }
+}
+
+fn result_of(violation: Option<&'static str>) -> ValidateResult {
+    match violation {
+        Some(reason) => Err(ValidateError::new(reason)),
+        None => Ok(()),
+    }
+}
+
 /// The path of a field of a list's element, relative to the list.
 fn element_path(index: usize, field: &str) -> Path {
     Path::new(vec![
--- a/crates/mintlb-common/src/configuration/types.rs
+++ b/crates/mintlb-common/src/configuration/types.rs
@@ -2,8 +2,9 @@
 //! gives the key.
 
 use super::field_validators::{
-    known_services, path_prefix, positive_timeout, unique_locations, valid_weights,
+    known_services, path_prefix, positive_timeout, unique_locations, unique_tenants, valid_weights,
 };
+use super::tenant::Tenant;
 use schematic::{Config, ConfigEnum};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -21,6 +22,11 @@
     /// All services.
     #[setting(nested, validate = known_services)]
     pub service_list: Vec<Service>,
+    /// All tenants. If the list is there, even an empty one, requests have to carry a key of one of
+    /// them, except on routes with `public_access`.
+    #[serde(default)]
+    #[setting(nested, validate = unique_tenants)]
+    pub tenant_list: Option<Vec<Tenant>>,
     /// Limits on clients' requests and connections.
     #[serde(default)]
     #[setting(nested)]
@@ -62,6 +68,9 @@
     #[serde(default = "one_attempt")]
     #[setting(default = 1)]
     pub max_attempts: u32,
+    /// Whether its requests need no key of a tenant.
+    #[serde(default)]
+    pub public_access: bool,
     /// Whether requests name the prefixes of their prompts, for prefix-cache affinity.
     #[serde(default)]
     pub session_affinity: bool,
--- a/crates/mintlb-common/src/configuration/validation.rs
+++ b/crates/mintlb-common/src/configuration/validation.rs
@@ -3,6 +3,7 @@
 //! The rules are those of [`super::field_validators`]: the tests check that both accept the same
 //! documents.
 
+use super::tenant::{first_duplicate, keys_violation, limit_violation, name_violation};
 use super::{Configuration, ConfigurationError, FieldViolation, Route};
 use std::collections::HashSet;
 
@@ -30,7 +31,38 @@
             }));
         }
     }
-    Ok(())
+    match tenant_violation(configuration) {
+        Some(violation) => Err(ConfigurationError::Invalid(violation)),
+        None => Ok(()),
+    }
+}
+
+fn tenant_violation(configuration: &Configuration) -> Option<FieldViolation> {
+    let tenants = || configuration.tenant_list.iter().flatten();
+    let violation = |index: usize, field: &str, reason: &str| FieldViolation {
+        field: format!("tenant_list[{index}].{field}"),
+        reason: reason.to_string(),
+    };
+    for (index, tenant) in tenants().enumerate() {
+        let checks = [
+            ("name", name_violation(&tenant.name)),
+            ("api_keys", keys_violation(&tenant.api_keys)),
+            ("rate_per_s", limit_violation(tenant.rate_per_s)),
+            ("burst_limit", limit_violation(tenant.burst_limit)),
+        ];
+        for (field, reason) in checks {
+            if let Some(reason) = reason {
+                return Some(violation(index, field, reason));
+            }
+        }
+    }
+    let named = tenants().map(|tenant| (tenant.name.as_str(), Some(&tenant.api_keys)));
+    let duplicate = first_duplicate(named)?;
+    Some(violation(
+        duplicate.index,
+        duplicate.field,
+        duplicate.reason,
+    ))
 }
 
 fn route_violation(
--- a/crates/mintlb-common/tests/wire_fixtures.rs
+++ b/crates/mintlb-common/tests/wire_fixtures.rs
@@ -146,6 +146,7 @@
         target_service: Some("wuno".to_string()),
         traffic_split: Vec::new(),
         max_attempts: 1,
+        public_access: false,
         session_affinity: false,
         resumable: false,
         max_event_gap_ms: None,
@@ -172,6 +173,7 @@
         target_service: Some("huvo".to_string()),
         traffic_split: vec![weighted("huvo", 90.5), weighted("wuno", 9.5)],
         max_attempts: 4,
+        public_access: false,
         session_affinity: true,
         resumable: true,
         max_event_gap_ms: Some(250.5),
@@ -202,6 +204,7 @@
             service("huvo", Some("/health"), 320, Some(engine)),
             service("wuno", None, 0, None),
         ],
+        tenant_list: None,
         limits: ClientLimits {
             max_header_bytes: 16_001,
             max_body_bytes: 4_000_002,
--- a/crates/mintlb-control/tests/controller_configuration.rs
+++ b/crates/mintlb-control/tests/controller_configuration.rs
@@ -57,6 +57,66 @@
     );
 }
 
+/// The text of a configuration in this version with these tenants, as an operator may write it:
+/// line feeds, an escape, a field that the controllers don't know.
+fn configuration_with_tenants(version: u64, tenant_list: &str) -> String {
+    let text = configuration_text(version);
+    let without_end = text.strip_suffix('}').unwrap();
+    format!("{without_end},\n  \"tenant_list\" : {tenant_list} }}\n")
+}
+
+const TENANT_LIST: &str = r#"[
+    {"name":"huka270","api_keys":["ftimaj3nr26tta828m82","thhkmgjqnirth5mgjy5r"],"priority":1,"rate_per_s":119,"burst_limit":119},
+    {"burst_limit":0, "api_keys":["q7wzzp04xk1vd9bohn3\u0063"], "name":"dexo514", "surplus":[1.50]}
+]"#;
+
+#[test]
+fn the_tenants_are_read_back_byte_for_byte() {
+    let mut cluster = Cluster::of_size(3);
+    let first = configuration_with_tenants(4, TENANT_LIST);
+    assert_eq!(cluster.configure(1, 0, &first), StatusCode::OK);
+    for index in 0..3 {
+        assert_eq!(
+            cluster.read_configuration(index),
+            (StatusCode::OK, first.clone())
+        );
+    }
+    // A key is taken away, and a tenant loses all that it has.
+    let fewer_keys = TENANT_LIST
+        .replace(r#","thhkmgjqnirth5mgjy5r""#, "")
+        .replace(r#"["q7wzzp04xk1vd9bohn3\u0063"]"#, "[]");
+    let second = configuration_with_tenants(9, &fewer_keys);
+    assert_eq!(cluster.configure(2, 4, &second), StatusCode::OK);
+    (0..3).for_each(|index| cluster.kill(index));
+    (0..3).for_each(|index| cluster.restart(index));
+    for index in 0..3 {
+        assert_eq!(
+            cluster.read_configuration(index),
+            (StatusCode::OK, second.clone()),
+            "after the restart of all"
+        );
+    }
+}
+
+#[test]
+fn a_configuration_in_which_two_tenants_share_a_key_is_invalid() {
+    let cluster = Cluster::of_size(3);
+    let valid = configuration_with_tenants(4, TENANT_LIST);
+    assert_eq!(cluster.configure(0, 0, &valid), StatusCode::OK);
+    let shared = TENANT_LIST.replace(r"q7wzzp04xk1vd9bohn3\u0063", "ftimaj3nr26tta828m82");
+    let (status, text) = cluster.call(
+        1,
+        Method::PUT,
+        "/v1/configuration",
+        Some(4),
+        &configuration_with_tenants(5, &shared),
+    );
+    assert_eq!(status, StatusCode::BAD_REQUEST, "{text}");
+    assert!(text.contains("tenant_list[1].api_keys"), "{text}");
+    assert!(!text.contains("ftimaj3nr26tta828m82"), "{text}");
+    assert_eq!(cluster.read_configuration(2), (StatusCode::OK, valid));
+}
+
 #[test]
 fn one_of_three_controllers_accepts_no_change() {
     let mut cluster = Cluster::of_size(3);
