--- a/crates/mintlb-batch/src/client.rs
+++ b/crates/mintlb-batch/src/client.rs
@@ -16,8 +16,8 @@
 
 pub use error::{JobError, RecordError, SubmitError};
 pub use types::{
-    CommittedResult, Item, ItemResult, Leased, LeasedItem, LeasedJob, Renewed, ResultPage,
-    Submission, Submitted,
+    CommittedResult, Item, ItemResult, JobAccess, Leased, LeasedItem, LeasedJob, Renewed,
+    ResultPage, Submission, Submitted,
 };
 
 use host_placed::HostPlacedJobs;
--- a/crates/mintlb-batch/src/client/error.rs
+++ b/crates/mintlb-batch/src/client/error.rs
@@ -29,6 +29,9 @@
     /// help.
     #[error("no such job or item")]
     NotFound,
+    /// The job belongs to another tenant (HTTP 403). Retrying does not help.
+    #[error("the job belongs to another tenant")]
+    OtherTenant,
     /// No active primary answered before the time-out. The call is idempotent and may be repeated
     /// (HTTP 503).
     #[error("no active primary answered")]
--- a/crates/mintlb-batch/src/client/jobs.rs
+++ b/crates/mintlb-batch/src/client/jobs.rs
@@ -1,7 +1,9 @@
 //! Calls on one accepted job: results, bodies, the end, and the record of a result. All are
 //! idempotent.
 
-use super::{BatchClient, CommittedResult, ItemResult, JobError, RecordError, ResultPage};
+use super::{
+    BatchClient, CommittedResult, ItemResult, JobAccess, JobError, RecordError, ResultPage,
+};
 use crate::entry::{ItemPayload, ItemState};
 use crate::messages::{self, ItemName, JobName, Record, StoreRequest, StoreResponse};
 use bytes::Bytes;
@@ -21,6 +23,7 @@
     /// [`JobError`].
     pub async fn read(
         &self,
+        access: &JobAccess,
         host: &str,
         job_id: &str,
         start_after: u64,
@@ -29,15 +32,16 @@
     ) -> Result<ResultPage, JobError> {
         let deadline = Instant::now() + wait + READ_TIMEOUT;
         let job = job_name(host, job_id);
-        let request = StoreRequest::Read(messages::Read {
+        let request = access.restrict(StoreRequest::Read(messages::Read {
             job: job.clone(),
             start_after,
             wait_ms: wait.as_millis() as u64,
             max_bytes: max_bytes as u64,
-        });
+        }));
         match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Page(page), raw) => result_page(page, raw),
             (StoreResponse::NotFound, _) => Err(JobError::NotFound),
+            (StoreResponse::OtherTenant, _) => Err(JobError::OtherTenant),
             _ => Err(JobError::Unavailable),
         }
     }
@@ -48,22 +52,24 @@
     /// [`JobError`]; [`JobError::NotFound`] also if the item has a result or the job is ended.
     pub async fn body(
         &self,
+        access: &JobAccess,
         host: &str,
         job_id: &str,
         instance_id: &str,
     ) -> Result<Bytes, JobError> {
         let deadline = Instant::now() + READ_TIMEOUT;
         let job = job_name(host, job_id);
-        let request = StoreRequest::Body(ItemName {
+        let request = access.restrict(StoreRequest::Body(ItemName {
             job: job.clone(),
             item: instance_id.to_string(),
-        });
+        }));
         match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Body, raw) => {
                 let (_, body) = ItemPayload::decode(&raw).ok_or(JobError::Unavailable)?;
                 Ok(body)
             }
             (StoreResponse::NotFound, _) => Err(JobError::NotFound),
+            (StoreResponse::OtherTenant, _) => Err(JobError::OtherTenant),
             _ => Err(JobError::Unavailable),
         }
     }
@@ -72,13 +78,14 @@
     ///
     /// # Errors
     /// [`JobError`].
-    pub async fn end(&self, host: &str, job_id: &str) -> Result<(), JobError> {
+    pub async fn end(&self, access: &JobAccess, host: &str, job_id: &str) -> Result<(), JobError> {
         let deadline = Instant::now() + READ_TIMEOUT;
         let job = job_name(host, job_id);
-        let request = StoreRequest::End(job.clone());
+        let request = access.restrict(StoreRequest::End(job.clone()));
         match self.call_about_job(&job, request, &[], deadline).await? {
             (StoreResponse::Ended, _) => Ok(()),
             (StoreResponse::NotFound, _) => Err(JobError::NotFound),
+            (StoreResponse::OtherTenant, _) => Err(JobError::OtherTenant),
             _ => Err(JobError::Unavailable),
         }
     }
--- a/crates/mintlb-batch/src/client/leases.rs
+++ b/crates/mintlb-batch/src/client/leases.rs
@@ -180,6 +180,7 @@
     Some(LeasedItem {
         host: header.job.host,
         route: header.route,
+        tenant: header.tenant,
         job_id: header.job.id,
         terms: header.terms,
         index: header.index,
--- a/crates/mintlb-batch/src/client/submit.rs
+++ b/crates/mintlb-batch/src/client/submit.rs
@@ -119,6 +119,7 @@
                 route: job.route,
                 terms: job.terms,
                 items: items.collect(),
+                tenant: job.tenant,
             },
         };
         SubmitRequest {
--- a/crates/mintlb-batch/src/client/types.rs
+++ b/crates/mintlb-batch/src/client/types.rs
@@ -1,7 +1,7 @@
 //! Arguments and results of the client's calls.
 
 use crate::entry::{ItemState, JobTerms};
-use crate::messages::{ItemFailures, JobName, LeasedItems};
+use crate::messages::{ItemFailures, JobName, LeasedItems, StoreRequest, TenantRequest};
 use bytes::Bytes;
 
 /// A job to submit.
@@ -11,11 +11,13 @@
     pub host: String,
     /// The name of its route.
     pub route: String,
+    /// The name of the tenant that submits it, if it is one.
+    pub tenant: Option<String>,
     /// The id that its client chose.
     pub job_id: String,
     /// When it was sent, when its results are due, how often its items are attempted.
     pub terms: JobTerms,
-    /// The route's limit of queued tokens; 0 means no limit.
+    /// The limit of the tenant's queued tokens on the route; 0 means no limit.
     pub max_queued_tokens: u64,
     /// Its items, in the client's order.
     pub items: Vec<Item>,
@@ -36,6 +38,36 @@
     pub tokens: u64,
 }
 
+/// Which jobs a call may be about.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum JobAccess {
+    /// All of them.
+    Unrestricted,
+    /// Those of one tenant and those without a tenant; only the latter if `None`.
+    OfTenant(Option<String>),
+}
+
+impl JobAccess {
+    /// The name of the tenant.
+    pub fn tenant(&self) -> Option<&str> {
+        match self {
+            JobAccess::Unrestricted => None,
+            JobAccess::OfTenant(tenant) => tenant.as_deref(),
+        }
+    }
+
+    /// The request, to be executed only if it is about such a job.
+    pub(super) fn restrict(&self, request: StoreRequest) -> StoreRequest {
+        match self {
+            JobAccess::Unrestricted => request,
+            JobAccess::OfTenant(tenant) => StoreRequest::ForTenant(Box::new(TenantRequest {
+                tenant: tenant.clone(),
+                request,
+            })),
+        }
+    }
+}
+
 /// A submission that a quorum of its shard has committed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Submitted {
@@ -81,6 +113,8 @@
     pub host: String,
     /// The job's route.
     pub route: String,
+    /// The name of the tenant that submitted the job, if it was one.
+    pub tenant: Option<String>,
     /// The job's id.
     pub job_id: String,
     /// The job's times and limits.
--- a/crates/mintlb-batch/src/entry.rs
+++ b/crates/mintlb-batch/src/entry.rs
@@ -72,6 +72,9 @@
     /// Its items, in the client's order.
     #[n(4)]
     pub items: Vec<ItemHeader>,
+    /// The name of the tenant that submitted it, if it was one.
+    #[n(5)]
+    pub tenant: Option<String>,
 }
 
 /// Deadlines and retry limits of a job.
--- a/crates/mintlb-batch/src/job_table.rs
+++ b/crates/mintlb-batch/src/job_table.rs
@@ -16,6 +16,7 @@
 
 use crate::epoch_history::LogIndex;
 use crate::messages::JobName;
+use crate::quota::QuotaAccount;
 use queued_tokens::QueuedTokens;
 use rustc_hash::FxHashMap;
 use std::collections::{BTreeMap, BTreeSet};
@@ -98,9 +99,9 @@
         self.jobs.values()
     }
 
-    /// Tokens of the pending items of a route.
-    pub fn queued_tokens(&self, route: &str) -> u64 {
-        self.queued_tokens.of(route)
+    /// Tokens of the pending items of an account.
+    pub fn queued_tokens(&self, account: &QuotaAccount) -> u64 {
+        self.queued_tokens.of(account)
     }
 
     /// Index and length in bytes of each entry on disk after `index`.
@@ -125,7 +126,8 @@
         let Some(job) = self.jobs.remove(&index) else {
             return;
         };
-        self.queued_tokens.subtract(&job.route, job.queued_tokens());
+        self.queued_tokens
+            .subtract(&job.account, job.queued_tokens());
         self.open_by_due_time.remove(&job.due_order());
         self.strip_candidates.remove(&index);
         // Another job may have taken the name since.
--- a/crates/mintlb-batch/src/job_table/job.rs
+++ b/crates/mintlb-batch/src/job_table/job.rs
@@ -3,6 +3,7 @@
 use crate::entry::{ItemState, JobHeader, JobTerms};
 use crate::epoch_history::LogIndex;
 use crate::messages::JobName;
+use crate::quota::QuotaAccount;
 use crate::timestamp::Timestamp;
 use std::ops::Range;
 use std::time::Duration;
@@ -17,8 +18,8 @@
     pub index: LogIndex,
     /// Host and client-assigned id.
     pub name: JobName,
-    /// Name of the route that the job's tokens are accounted to.
-    pub route: String,
+    /// The route and the tenant that the job's tokens are counted by.
+    pub account: QuotaAccount,
     /// Deadlines and retry limits.
     pub terms: JobTerms,
     /// The items, in the client's order.
@@ -81,7 +82,7 @@
         let mut job = BatchJob {
             index,
             name: header.name(),
-            route: header.route.clone(),
+            account: QuotaAccount::from(header),
             terms: header.terms,
             items: items.collect(),
             results: Vec::new(),
--- a/crates/mintlb-batch/src/messages.rs
+++ b/crates/mintlb-batch/src/messages.rs
@@ -7,7 +7,7 @@
 mod request;
 mod response;
 
-pub use request::{Lease, Read, Record, ReleaseItems, Renew, StoreRequest, Submit};
+pub use request::{Lease, Read, Record, ReleaseItems, Renew, StoreRequest, Submit, TenantRequest};
 pub use response::{LeasedItemHeader, Page, PageResult, RenewResult, StoreResponse};
 
 use minicbor::{Decode, Encode};
--- a/crates/mintlb-batch/src/messages/request.rs
+++ b/crates/mintlb-batch/src/messages/request.rs
@@ -39,15 +39,29 @@
     /// Asks whether the host's shard still has jobs of this host that lie there by their host.
     #[n(9)]
     HasHostPlacedJobs(#[n(0)] String),
-    /// Asks the counter of a route for a larger allowance.
+    /// Asks the counter of an account for a larger allowance.
     #[n(10)]
     AcquireAllowance(#[n(0)] AcquireAllowance),
-    /// The counter of a route recalls allowances that are not in use.
+    /// The counter of an account recalls allowances that are not in use.
     #[n(11)]
     RecallAllowances(#[n(0)] RecallAllowances),
     /// Gives the leases of some items back.
     #[n(12)]
     ReleaseItems(#[n(0)] ReleaseItems),
+    /// A read of a job, or its end, for a tenant.
+    #[n(13)]
+    ForTenant(#[n(0)] Box<TenantRequest>),
+}
+
+/// A request about a job that is executed only if the job belongs to this tenant, or to none.
+#[derive(Clone, Debug, PartialEq, Encode, Decode)]
+pub struct TenantRequest {
+    /// The name of the tenant; `None` is a client without one.
+    #[n(0)]
+    pub tenant: Option<String>,
+    /// The request.
+    #[n(1)]
+    pub request: StoreRequest,
 }
 
 /// Submission of a job.
@@ -60,7 +74,7 @@
     /// The dispatcher that leases the items with the submission.
     #[n(1)]
     pub owner: DispatcherId,
-    /// Limit of queued tokens on the job's route; 0 is no limit.
+    /// Limit of the tenant's queued tokens on the job's route; 0 is no limit.
     #[n(2)]
     pub max_queued_tokens: u64,
     /// The job without its payloads.
--- a/crates/mintlb-batch/src/messages/response.rs
+++ b/crates/mintlb-batch/src/messages/response.rs
@@ -25,7 +25,7 @@
         #[n(0)]
         leased: bool,
     },
-    /// The job exceeds the limit of queued tokens on its route.
+    /// The job exceeds its tenant's limit of queued tokens on its route.
     #[n(4)]
     QuotaExceeded,
     /// Another job has this name.
@@ -78,6 +78,9 @@
     /// What the primaries of the shards have left.
     #[n(18)]
     Recalled(#[n(0)] Vec<ShardAllowance>),
+    /// The job belongs to another tenant.
+    #[n(19)]
+    OtherTenant,
 }
 
 /// A page of results.
@@ -139,6 +142,9 @@
     /// Present if the job lies on its host's shard, see [`JobName::host_shard`].
     #[n(8)]
     pub host_placed: Option<bool>,
+    /// The name of the tenant that submitted the job, if it was one.
+    #[n(9)]
+    pub tenant: Option<String>,
 }
 
 /// Outcome of a renewal.
--- a/crates/mintlb-batch/src/quota.rs
+++ b/crates/mintlb-batch/src/quota.rs
@@ -1,12 +1,13 @@
-//! The quota of a route, `max_queued_tokens`, counted once over all shards.
+//! The quota of a tenant on a route, `max_queued_tokens`, counted once over all shards.
 //!
-//! The jobs of a route lie on all shards. The primary of one of them, drawn from the route's name,
-//! is the route's *counter*. It hands out *allowances*: the primary of a shard admits jobs as long
+//! The jobs of an account, that is of a tenant on a route, lie on all shards. The primary of one of
+//! them, drawn from the account's names, is the account's *counter*. It hands out *allowances*: the primary of a shard admits jobs as long
 //! as their queued tokens stay within the shard's allowance, and acquires more when they don't. The
 //! allowances of all shards never exceed the quota together.
 //!
 //! - [`Allowances`]: what the primary of a shard may admit.
-//! - [`QuotaCounter`]: what the counter of a route has handed out.
+//! - [`QuotaCounter`]: what the counter of an account has handed out.
+//! - [`QuotaAccount`]: what tokens are counted by.
 //!
 //! Both are kept in memory only and need no clock:
 //!
@@ -19,16 +20,18 @@
 //! - The next primary of a shard starts with the tokens that its log holds. The former one can't
 //!   commit anything any more, whatever it was allowed to.
 
+mod account;
 mod allowances;
 mod counter;
 
+pub use account::QuotaAccount;
 pub use allowances::{Allowances, Shortage};
 pub use counter::{QuotaCounter, Verdict};
 
 use crate::epoch_history::Epoch;
 use minicbor::{Decode, Encode};
 
-/// Request of a shard's primary to the counter of a route.
+/// Request of a shard's primary to the counter of an account.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct AcquireAllowance {
     /// The route.
@@ -46,6 +49,19 @@
     /// The tokens that it needs beyond that.
     #[n(4)]
     pub tokens: u64,
+    /// The tenant, if the account has one.
+    #[n(5)]
+    pub tenant: Option<String>,
+}
+
+impl AcquireAllowance {
+    /// The account whose counter is asked.
+    pub fn account(&self) -> QuotaAccount {
+        QuotaAccount {
+            route: self.route.clone(),
+            tenant: self.tenant.clone(),
+        }
+    }
 }
 
 /// The allowance of one shard.
@@ -65,7 +81,7 @@
     pub tokens: u64,
 }
 
-/// Request of a route's counter to the primaries of shards: they give up what they don't use.
+/// Request of an account's counter to the primaries of shards: they give up what they don't use.
 #[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
 pub struct RecallAllowances {
     /// The route.
@@ -77,4 +93,17 @@
     /// The shards that the receiver is thought to lead.
     #[n(2)]
     pub shards: Vec<u32>,
+    /// The tenant, if the account has one.
+    #[n(3)]
+    pub tenant: Option<String>,
+}
+
+impl RecallAllowances {
+    /// The account whose counter recalls.
+    pub fn account(&self) -> QuotaAccount {
+        QuotaAccount {
+            route: self.route.clone(),
+            tenant: self.tenant.clone(),
+        }
+    }
 }
--- a/crates/mintlb-batch/src/quota/allowances.rs
+++ b/crates/mintlb-batch/src/quota/allowances.rs
@@ -1,13 +1,13 @@
 //! What the primary of a shard may admit.
 
-use super::ShardAllowance;
+use super::{QuotaAccount, ShardAllowance};
 use crate::epoch_history::Epoch;
 use rustc_hash::FxHashMap;
 
-/// The allowances of one shard's primary, by route. Dropped when it steps down.
+/// The allowances of one shard's primary, by account. Dropped when it steps down.
 #[derive(Clone, Debug, Default)]
 pub struct Allowances {
-    by_route: FxHashMap<String, Allowance>,
+    by_account: FxHashMap<QuotaAccount, Allowance>,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -39,12 +39,12 @@
     /// [`Shortage`] if it does not.
     pub fn admit(
         &mut self,
-        route: &str,
+        account: &QuotaAccount,
         limit: u64,
         queued: u64,
         job_tokens: u64,
     ) -> Result<(), Shortage> {
-        let allowance = self.entry(route);
+        let allowance = self.entry(account);
         if allowance.limit != limit {
             // What was handed out under the former quota is void, also what is on its way: under a
             // lower one even the tokens in use may be too many.
@@ -70,8 +70,8 @@
     }
 
     /// Takes what the counter handed out beyond `held`; false if it is void.
-    pub fn raise(&mut self, route: &str, held: &ShardAllowance, tokens: u64) -> bool {
-        let allowance = self.entry(route);
+    pub fn raise(&mut self, account: &QuotaAccount, held: &ShardAllowance, tokens: u64) -> bool {
+        let allowance = self.entry(account);
         let is_current = allowance.generation == held.generation;
         if is_current {
             allowance.tokens = held.tokens.saturating_add(tokens);
@@ -79,18 +79,18 @@
         is_current
     }
 
-    /// The generation of a route's allowance.
-    pub fn generation(&self, route: &str) -> u64 {
-        self.by_route
-            .get(route)
+    /// The generation of an account's allowance.
+    pub fn generation(&self, account: &QuotaAccount) -> u64 {
+        self.by_account
+            .get(account)
             .map_or(0, |allowance| allowance.generation)
     }
 
     /// Begins another generation: a request got no response, or the counter knows a later
     /// generation, that of an earlier process of this store. What is handed out for earlier
     /// generations is void.
-    pub fn begin_generation_after(&mut self, route: &str, generation: u64) {
-        let allowance = self.entry(route);
+    pub fn begin_generation_after(&mut self, account: &QuotaAccount, generation: u64) {
+        let allowance = self.entry(account);
         allowance.generation = allowance.generation.max(generation) + 1;
     }
 
@@ -98,11 +98,11 @@
     /// counter that has been replaced.
     pub fn recall(
         &mut self,
-        route: &str,
+        account: &QuotaAccount,
         counter_epoch: Epoch,
         queued: u64,
     ) -> Option<ShardAllowance> {
-        let allowance = self.entry(route);
+        let allowance = self.entry(account);
         if counter_epoch < allowance.counter_epoch {
             return None;
         }
@@ -116,7 +116,7 @@
         })
     }
 
-    fn entry(&mut self, route: &str) -> &mut Allowance {
-        self.by_route.entry(route.to_string()).or_default()
+    fn entry(&mut self, account: &QuotaAccount) -> &mut Allowance {
+        self.by_account.entry(account.clone()).or_default()
     }
 }
--- a/crates/mintlb-batch/src/quota/counter.rs
+++ b/crates/mintlb-batch/src/quota/counter.rs
@@ -1,4 +1,4 @@
-//! What the counter of a route has handed out.
+//! What the counter of an account has handed out.
 
 use super::ShardAllowance;
 
@@ -6,7 +6,7 @@
 /// needs a request: one in so many.
 const SURPLUS_DIVISOR: u64 = 32;
 
-/// The counter of one route, for as long as its shard keeps its primary.
+/// The counter of one account, for as long as its shard keeps its primary.
 #[derive(Clone, Debug)]
 pub struct QuotaCounter {
     limit: u64,
--- a/crates/mintlb-batch/src/replica/serving/leasing.rs
+++ b/crates/mintlb-batch/src/replica/serving/leasing.rs
@@ -56,7 +56,7 @@
         let stored = &job.items[offset];
         let head = LeasedItemHeader {
             job: job.name.clone(),
-            route: job.route.clone(),
+            route: job.account.route.clone(),
             terms: job.terms,
             index: item.item,
             item: stored.id.to_string(),
@@ -64,6 +64,7 @@
             length: stored.length,
             failures: stored.failed_attempts,
             host_placed: self.is_host_placed(job).then_some(true),
+            tenant: job.account.tenant.clone(),
         };
         let payload = PayloadLocation {
             entry: job.index,
--- a/crates/mintlb-batch/src/replica/serving/proposing.rs
+++ b/crates/mintlb-batch/src/replica/serving/proposing.rs
@@ -4,7 +4,7 @@
 use crate::entry::{Entry, ItemState, JobHeader};
 use crate::epoch_history::LogIndex;
 use crate::messages::{JobName, StoreResponse, Submit};
-use crate::quota::{ShardAllowance, Shortage};
+use crate::quota::{QuotaAccount, ShardAllowance, Shortage};
 use crate::timestamp::Timestamp;
 use bytes::Bytes;
 
@@ -34,7 +34,7 @@
 }
 
 impl Replica {
-    /// Accepts a job if it fits into the shard's allowance of its route's quota, and leases its
+    /// Accepts a job if it fits into the shard's allowance of its account's quota, and leases its
     /// items to the submitting dispatcher. `raw` is the concatenated payloads.
     pub fn submit(&mut self, submit: &Submit, raw: &Bytes, now: Timestamp) -> Proposal {
         if !self.is_serving() || submit.epoch != self.assignment.epoch {
@@ -70,10 +70,11 @@
             return Ok(());
         }
         let tokens: u64 = header.items.iter().map(|item| item.tokens).sum();
-        let queued = self.jobs.queued_tokens(&header.route);
+        let account = QuotaAccount::from(header);
+        let queued = self.jobs.queued_tokens(&account);
         let admitted = self
             .allowances
-            .admit(&header.route, max_queued_tokens, queued, tokens);
+            .admit(&account, max_queued_tokens, queued, tokens);
         admitted.map_err(|shortage| Shortage {
             held: ShardAllowance {
                 shard: self.shard,
@@ -84,10 +85,11 @@
         })
     }
 
-    /// Whether a job's header on disk has the same items as a submitted one. The driver compares
-    /// the payloads.
+    /// Whether a job's header on disk has the same items as a submitted one, and the same tenant or
+    /// none: it may have been accepted before there were tenants. The driver compares the payloads.
     pub fn same_items(stored: &JobHeader, submitted: &JobHeader) -> bool {
-        stored.items == submitted.items
+        let is_same_tenant = stored.tenant.is_none() || stored.tenant == submitted.tenant;
+        is_same_tenant && stored.items == submitted.items
     }
 
     /// Records the result of an item, unless it has one. `text` is the result's text.
--- a/crates/mintlb-batch/src/replica/serving/quota.rs
+++ b/crates/mintlb-batch/src/replica/serving/quota.rs
@@ -3,32 +3,41 @@
 use super::Replica;
 use crate::epoch_history::Epoch;
 use crate::job_table::BatchJob;
-use crate::quota::ShardAllowance;
+use crate::quota::{QuotaAccount, ShardAllowance};
 
 impl Replica {
-    /// Whether this replica's store counts the routes of the shard, in this epoch of it.
+    /// Whether this replica's store counts the accounts of the shard, in this epoch of it.
     pub fn is_counter(&self, epoch: Epoch) -> bool {
         self.is_serving() && self.assignment.epoch == epoch
     }
 
     /// Takes what a counter handed out for `held`; false if that is void by now.
-    pub fn raise_allowance(&mut self, route: &str, held: ShardAllowance, tokens: u64) -> bool {
-        held.epoch == self.assignment.epoch && self.allowances.raise(route, &held, tokens)
+    pub fn raise_allowance(
+        &mut self,
+        account: &QuotaAccount,
+        held: ShardAllowance,
+        tokens: u64,
+    ) -> bool {
+        held.epoch == self.assignment.epoch && self.allowances.raise(account, &held, tokens)
     }
 
     /// Makes everything void that is handed out for this generation or an earlier one.
-    pub fn void_allowances_through(&mut self, route: &str, generation: u64) {
-        self.allowances.begin_generation_after(route, generation);
+    pub fn void_allowances_through(&mut self, account: &QuotaAccount, generation: u64) {
+        self.allowances.begin_generation_after(account, generation);
     }
 
     /// Gives up what is not in use of an allowance, and returns the rest. `None` unless this is the
     /// active primary, or if the counter has been replaced.
-    pub fn recall_allowance(&mut self, route: &str, counter: Epoch) -> Option<ShardAllowance> {
+    pub fn recall_allowance(
+        &mut self,
+        account: &QuotaAccount,
+        counter: Epoch,
+    ) -> Option<ShardAllowance> {
         if !self.is_serving() {
             return None;
         }
-        let queued = self.jobs.queued_tokens(route);
-        let left = self.allowances.recall(route, counter, queued)?;
+        let queued = self.jobs.queued_tokens(account);
+        let left = self.allowances.recall(account, counter, queued)?;
         Some(ShardAllowance {
             shard: self.shard,
             epoch: self.assignment.epoch,
--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -101,6 +101,7 @@
     Submission {
         host: "h".to_string(),
         route: "r".to_string(),
+        tenant: None,
         job_id: "l".to_string(),
         terms: JobTerms::default(),
         max_queued_tokens: 0,
@@ -194,6 +195,7 @@
         length: 0,
         failures: 0,
         host_placed: None,
+        tenant: None,
     };
     let payload = ItemPayload::default().encode(b"");
     let header = LeasedItemHeader {
--- a/crates/mintlb-batch/tests/leases.rs
+++ b/crates/mintlb-batch/tests/leases.rs
@@ -31,6 +31,7 @@
             route: "r".into(),
             terms: JobTerms::default(),
             items: ["a", "b", "c"].map(item).to_vec(),
+            tenant: None,
         };
         let mut fixture = Fixture::default();
         let accepted = Entry::Accepted(header);
--- a/crates/mintlb-batch/tests/quota.rs
+++ b/crates/mintlb-batch/tests/quota.rs
@@ -1,13 +1,19 @@
 //! The quota of a route under lost, late and reordered messages, while counters and primaries are
 //! replaced: what all shards have admitted never exceeds it.
 
-use mintlb_batch::quota::{Allowances, QuotaCounter, ShardAllowance, Shortage, Verdict};
+use mintlb_batch::quota::{
+    Allowances, QuotaAccount, QuotaCounter, ShardAllowance, Shortage, Verdict,
+};
 
-const ROUTE: &str = "r";
 const SHARDS: usize = 4;
 const STEPS: usize = 2000;
 const SEEDS: u64 = 300;
 
+/// The account of all jobs.
+fn account() -> QuotaAccount {
+    QuotaAccount::of_route("r")
+}
+
 /// A generator of random numbers (SplitMix64).
 struct Random(u64);
 
@@ -142,7 +148,7 @@
         let primary = &mut self.primaries[shard];
         let admitted = primary
             .allowances
-            .admit(ROUTE, limit, primary.queued, tokens);
+            .admit(&account(), limit, primary.queued, tokens);
         match admitted {
             Ok(()) => {
                 primary.queued += tokens;
@@ -203,7 +209,7 @@
                 let primary = &mut self.primaries[shard];
                 let left = primary
                     .allowances
-                    .recall(ROUTE, counter_epoch, primary.queued);
+                    .recall(&account(), counter_epoch, primary.queued);
                 if let Some(left) = left {
                     let left = ShardAllowance {
                         shard: shard as u32,
@@ -289,7 +295,7 @@
             counter.quota.on_recalled(ShardAllowance {
                 shard,
                 epoch: primary.epoch,
-                generation: primary.allowances.generation(ROUTE),
+                generation: primary.allowances.generation(&account()),
                 tokens: 0,
             });
         }
@@ -304,19 +310,19 @@
         primary.waiting = None;
         match verdict {
             Verdict::Granted(tokens) if is_void_taken => {
-                let generation = primary.allowances.generation(ROUTE);
+                let generation = primary.allowances.generation(&account());
                 let held = ShardAllowance {
                     generation,
                     ..request.held
                 };
-                primary.allowances.raise(ROUTE, &held, tokens);
+                primary.allowances.raise(&account(), &held, tokens);
             }
             Verdict::Granted(tokens) => {
-                primary.allowances.raise(ROUTE, &request.held, tokens);
-            }
-            Verdict::Outdated { generation } => {
-                primary.allowances.begin_generation_after(ROUTE, generation)
+                primary.allowances.raise(&account(), &request.held, tokens);
             }
+            Verdict::Outdated { generation } => primary
+                .allowances
+                .begin_generation_after(&account(), generation),
             Verdict::NeedsRecall | Verdict::Exceeded | Verdict::Unknown => (),
         }
     }
@@ -327,7 +333,9 @@
         let primary = &mut self.primaries[shard];
         if let Some(request) = primary.waiting.take() {
             let generation = request.held.generation;
-            primary.allowances.begin_generation_after(ROUTE, generation);
+            primary
+                .allowances
+                .begin_generation_after(&account(), generation);
         }
     }
 
@@ -416,9 +424,9 @@
 #[test]
 fn what_is_on_its_way_is_void_once_the_quota_has_changed() {
     let mut allowances = Allowances::default();
-    let shortage = allowances.admit(ROUTE, 1000, 0, 600).unwrap_err();
-    let lowered = allowances.admit(ROUTE, 100, 0, 600).unwrap_err();
+    let shortage = allowances.admit(&account(), 1000, 0, 600).unwrap_err();
+    let lowered = allowances.admit(&account(), 100, 0, 600).unwrap_err();
     assert!(lowered.held.generation > shortage.held.generation);
-    assert!(!allowances.raise(ROUTE, &shortage.held, 600));
-    assert!(allowances.admit(ROUTE, 100, 0, 600).is_err());
+    assert!(!allowances.raise(&account(), &shortage.held, 600));
+    assert!(allowances.admit(&account(), 100, 0, 600).is_err());
 }
--- a/crates/mintlb-batch/tests/shard_cluster/requests.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/requests.rs
@@ -5,7 +5,7 @@
 use mintlb_batch::entry::{Entry, ItemHeader, ItemState, JobHeader, JobTerms};
 use mintlb_batch::framing;
 use mintlb_batch::messages::{JobName, StoreResponse, Submit};
-use mintlb_batch::quota::{QuotaCounter, Shortage, Verdict};
+use mintlb_batch::quota::{QuotaAccount, QuotaCounter, Shortage, Verdict};
 use mintlb_batch::replica::Proposal;
 
 /// The route of all jobs.
@@ -54,6 +54,7 @@
             route: ROUTE.to_string(),
             terms,
             items: heads.collect(),
+            tenant: None,
         };
         let submit = Submit {
             epoch: replica.epoch(),
@@ -67,6 +68,7 @@
 
     /// Submits a job, and acquires an allowance for it if it needs one.
     fn admit(&mut self, store_index: usize, submit: &Submit, raw: &Bytes) -> Proposal {
+        let account = QuotaAccount::from(&submit.job);
         loop {
             let replica = self.stores[store_index].replica.as_mut().unwrap();
             let proposal = replica.submit(submit, raw, self.now.into());
@@ -83,9 +85,11 @@
             }
             let replica = self.stores[store_index].replica.as_mut().unwrap();
             match verdict {
-                Verdict::Granted(tokens) => assert!(replica.raise_allowance(ROUTE, held, tokens)),
+                Verdict::Granted(tokens) => {
+                    assert!(replica.raise_allowance(&account, held, tokens))
+                }
                 Verdict::Outdated { generation } if generation >= held.generation => {
-                    replica.void_allowances_through(ROUTE, generation)
+                    replica.void_allowances_through(&account, generation)
                 }
                 _ => return Proposal::Immediate(StoreResponse::QuotaExceeded),
             }
--- a/crates/mintlb-batch/tests/shard_cluster/scripted.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/scripted.rs
@@ -5,6 +5,7 @@
 use super::{ShardCluster, requests::name};
 use mintlb_batch::job_table::JobTable;
 use mintlb_batch::peer::PeerMessage;
+use mintlb_batch::quota::QuotaAccount;
 use mintlb_batch::replica::Replica;
 use mintlb_common::placement::{Placement, ShardAssignment, StoreId};
 
@@ -96,7 +97,8 @@
     }
 
     pub fn queued_tokens(&self, store_index: usize) -> u64 {
-        self.jobs(store_index).queued_tokens("r")
+        self.jobs(store_index)
+            .queued_tokens(&QuotaAccount::of_route("r"))
     }
 
     pub fn is_serving(&self, store_index: usize) -> bool {
--- a/crates/mintlb-batch/tests/wire_fixtures.rs
+++ b/crates/mintlb-batch/tests/wire_fixtures.rs
@@ -125,6 +125,7 @@
         route: text("route-1"),
         terms: terms(),
         items,
+        tenant: None,
     }
 }
 
@@ -191,6 +192,7 @@
         length: 3,
         failures,
         host_placed: None,
+        tenant: None,
     }
 }
 
@@ -487,3 +489,28 @@
         Some((payload, Bytes::from_static(b"{\"prompt\":\"a\"}")))
     );
 }
+
+#[test]
+fn messages_and_entries_of_tenants() {
+    let mut fixtures = Fixtures::of("tenants.txt");
+    let tenant = || Some(text("t-1"));
+    let accepted = JobHeader {
+        tenant: tenant(),
+        ..job()
+    };
+    fixtures.check("accepted", Entry::Accepted(accepted), b"payload");
+    for (name, tenant) in [("for_tenant", tenant()), ("for_no_tenant", None)] {
+        let request = TenantRequest {
+            tenant,
+            request: StoreRequest::End(self::name("lot-1")),
+        };
+        fixtures.check(name, StoreRequest::ForTenant(Box::new(request)), b"");
+    }
+    fixtures.check("other_tenant", StoreResponse::OtherTenant, b"");
+    let leased = LeasedItemHeader {
+        tenant: tenant(),
+        ..leased(4)
+    };
+    fixtures.check("leased", StoreResponse::Leased(vec![leased]), b"abc");
+    fixtures.end();
+}
--- a/crates/mintlb-common/src/placement.rs
+++ b/crates/mintlb-common/src/placement.rs
@@ -91,11 +91,19 @@
         shard_of_bytes(host.bytes().map(|byte| byte.to_ascii_lowercase()))
     }
 
-    /// The shard whose primary counts the queued tokens of a route.
+    /// The shard whose primary counts the queued tokens of a route without tenants.
     pub fn shard_of_route(route: &str) -> u32 {
         shard_of_bytes(route.bytes())
     }
 
+    /// The shard whose primary counts the queued tokens of a tenant on a route.
+    pub fn shard_of_account(route: &str, tenant: Option<&str>) -> u32 {
+        match tenant {
+            Some(tenant) => shard_of_bytes(route.bytes().chain([0]).chain(tenant.bytes())),
+            None => Placement::shard_of_route(route),
+        }
+    }
+
     /// The store with this identity.
     pub fn store(&self, id: StoreId) -> Option<&StoreEntry> {
         self.stores.iter().find(|store| store.id == id)
--- a/crates/mintlb-control/src/store/load.rs
+++ b/crates/mintlb-control/src/store/load.rs
@@ -69,6 +69,7 @@
             | StoreRequest::ReleaseItems(_)
             | StoreRequest::HasHostPlacedJobs(_) => MessageKind::Other,
             StoreRequest::InHostShard(request) => MessageKind::of(request),
+            StoreRequest::ForTenant(request) => MessageKind::of(&request.request),
         }
     }
 }
--- a/crates/mintlb-control/src/store/quota/acquire.rs
+++ b/crates/mintlb-control/src/store/quota/acquire.rs
@@ -1,11 +1,11 @@
-//! The primary of a shard acquires allowances from the counter of a route.
+//! The primary of a shard acquires allowances from the counter of an account.
 
+use super::shard_of;
 use crate::store::handle::Store;
 use bytes::Bytes;
 use mintlb_batch::framing;
 use mintlb_batch::messages::{StoreRequest, StoreResponse};
-use mintlb_batch::quota::{AcquireAllowance, RecallAllowances, Shortage};
-use mintlb_common::placement::Placement;
+use mintlb_batch::quota::{AcquireAllowance, QuotaAccount, RecallAllowances, Shortage};
 use mintlb_common::transport::Channel;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -23,7 +23,7 @@
 /// Why an allowance was not raised.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum AcquireError {
-    /// The quota of the route is used up.
+    /// The quota of the account is used up.
     #[error("the quota is used up")]
     Exceeded,
     /// The counter did not answer in time, or could not reach all primaries.
@@ -34,7 +34,7 @@
 /// A call to a store; see [`Store::call_store`].
 type StoreCall<'a> = Pin<Box<dyn Future<Output = Option<StoreResponse>> + Send + 'a>>;
 
-/// The counter of a route.
+/// The counter of an account.
 #[derive(Clone, Copy, Debug)]
 struct CounterEndpoint {
     address: SocketAddr,
@@ -42,30 +42,35 @@
 }
 
 impl Store {
-    /// To be locked while an allowance of this shard and route is acquired.
-    pub(in crate::store) fn allowance_turn(&self, shard: u32, route: &str) -> Arc<Mutex<()>> {
-        self.quotas().turn(shard, route)
+    /// To be locked while an allowance of this shard and account is acquired.
+    pub(in crate::store) fn allowance_turn(
+        &self,
+        shard: u32,
+        account: &QuotaAccount,
+    ) -> Arc<Mutex<()>> {
+        self.quotas().turn(shard, account)
     }
 
-    /// Acquires what is missing from the counter of the route. After `Ok` the job is to be proposed
+    /// Acquires what is missing from the counter of the account. After `Ok` the job is to be proposed
     /// again; its allowance may have been recalled meanwhile.
     pub(in crate::store) async fn acquire_allowance(
         &self,
-        route: &str,
+        account: &QuotaAccount,
         limit: u64,
         shortage: &Shortage,
         deadline: Instant,
     ) -> Result<(), AcquireError> {
         let Shortage { held, .. } = *shortage;
-        let response = match self.counter_of(route) {
+        let response = match self.counter_of(account) {
             // An earlier counter than one that is known must not be asked.
             Some(counter) if counter.epoch >= shortage.counter_epoch => {
                 let request = StoreRequest::AcquireAllowance(AcquireAllowance {
-                    route: route.to_string(),
+                    route: account.route.clone(),
                     limit,
                     counter_epoch: counter.epoch,
                     held,
                     tokens: shortage.tokens,
+                    tenant: account.tenant.clone(),
                 });
                 let left = deadline.saturating_duration_since(Instant::now());
                 let timeout = left.min(ACQUIRE_TIMEOUT);
@@ -77,27 +82,27 @@
             Some(StoreResponse::AllowanceRaised { tokens }) => {
                 let mut shard_host = self.shard_host();
                 let replica = shard_host.replica(held.shard);
-                replica.raise_allowance(route, held, tokens);
+                replica.raise_allowance(account, held, tokens);
                 Ok(())
             }
             Some(StoreResponse::QuotaExceeded) => Err(AcquireError::Exceeded),
             Some(StoreResponse::AllowanceOutdated { generation }) => {
-                self.void_allowances(held.shard, route, generation);
+                self.void_allowances(held.shard, account, generation);
                 self.pause_before_retry(deadline).await
             }
             _ => {
                 // What a lost response may have handed out must not be taken later.
-                self.void_allowances(held.shard, route, held.generation);
+                self.void_allowances(held.shard, account, held.generation);
                 self.pause_before_retry(deadline).await
             }
         }
     }
 
-    fn void_allowances(&self, shard: u32, route: &str, through: u64) {
+    fn void_allowances(&self, shard: u32, account: &QuotaAccount, through: u64) {
         let mut shard_host = self.shard_host();
         shard_host
             .replica(shard)
-            .void_allowances_through(route, through);
+            .void_allowances_through(account, through);
     }
 
     async fn pause_before_retry(&self, deadline: Instant) -> Result<(), AcquireError> {
@@ -108,9 +113,9 @@
         Ok(())
     }
 
-    /// The primary that counts a route, by the placement that this store applies.
-    fn counter_of(&self, route: &str) -> Option<CounterEndpoint> {
-        let shard = Placement::shard_of_route(route);
+    /// The primary that counts an account, by the placement that this store applies.
+    fn counter_of(&self, account: &QuotaAccount) -> Option<CounterEndpoint> {
+        let shard = shard_of(account);
         let shard_host = self.shard_host();
         let placement = shard_host.placement();
         Some(CounterEndpoint {
@@ -121,6 +126,7 @@
 
     /// A counter recalls what the shards that this store leads don't use.
     pub(in crate::store) fn give_up_allowances(&self, recall: &RecallAllowances) -> StoreResponse {
+        let account = recall.account();
         let mut shard_host = self.shard_host();
         let shards = recall.shards.iter().copied();
         let left = shards
@@ -129,7 +135,7 @@
             .into_iter()
             .filter_map(|shard| {
                 let replica = shard_host.replica(shard);
-                replica.recall_allowance(&recall.route, recall.counter_epoch)
+                replica.recall_allowance(&account, recall.counter_epoch)
             });
         StoreResponse::Recalled(left.collect())
     }
--- a/crates/mintlb-control/src/store/quota/hand_out.rs
+++ b/crates/mintlb-control/src/store/quota/hand_out.rs
@@ -1,10 +1,11 @@
-//! The counter of a route hands out allowances, and recalls what is not in use.
+//! The counter of an account hands out allowances, and recalls what is not in use.
 
+use super::shard_of;
 use crate::store::handle::Store;
 use futures_util::future::join_all;
 use mintlb_batch::messages::{StoreRequest, StoreResponse};
 use mintlb_batch::quota::{AcquireAllowance, QuotaCounter, RecallAllowances, Verdict};
-use mintlb_common::placement::{Placement, SHARD_COUNT};
+use mintlb_common::placement::SHARD_COUNT;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -13,7 +14,7 @@
 /// The time-out of a recall at one store.
 const RECALL_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// The counter of one route, and the epoch of the shard in which it counts.
+/// The counter of one account, and the epoch of the shard in which it counts.
 pub struct CounterState {
     epoch: u64,
     counter: QuotaCounter,
@@ -45,7 +46,7 @@
         request: &AcquireAllowance,
     ) -> StoreResponse {
         let arrived = Instant::now();
-        let counter = self.quotas().counter(&request.route);
+        let counter = self.quotas().counter(&request.account());
         let mut state = counter.lock().await;
         if !self.is_confirmed_counter(request).await {
             return StoreResponse::NotPrimary;
@@ -74,7 +75,7 @@
     }
 
     async fn is_confirmed_counter(&self, request: &AcquireAllowance) -> bool {
-        let shard = Placement::shard_of_route(&request.route);
+        let shard = shard_of(&request.account());
         let is_counter = {
             let mut shard_host = self.shard_host();
             shard_host.replica(shard).is_counter(request.counter_epoch)
@@ -92,6 +93,7 @@
                     route: request.route.clone(),
                     counter_epoch: request.counter_epoch,
                     shards,
+                    tenant: request.tenant.clone(),
                 });
                 self.call_store(address, &recall, RECALL_TIMEOUT).await
             },
--- a/crates/mintlb-control/src/store/requests/mod.rs
+++ b/crates/mintlb-control/src/store/requests/mod.rs
@@ -4,6 +4,7 @@
 //! - [`read`]: results of a job, and payloads of its items.
 //! - [`lease`]: leases on items.
 //! - [`location`]: which shard a request about a job goes to.
+//! - [`tenant`]: which tenant a job belongs to.
 //!
 //! Requests about quotas are answered in [`super::quota`].
 
@@ -12,6 +13,7 @@
 mod read;
 mod record;
 mod submit;
+mod tenant;
 
 use super::handle::Store;
 use super::shard_host::ShardHost;
@@ -54,6 +56,13 @@
         raw: Bytes,
         location: JobLocation,
     ) -> Bytes {
+        let request = match request {
+            StoreRequest::ForTenant(request) => match self.authorize(*request, location).await {
+                Ok(request) => request,
+                Err(response) => return encode(&response),
+            },
+            request => request,
+        };
         let response = match request {
             StoreRequest::Submit(submit) => self.submit(submit, raw, location).await,
             StoreRequest::Read(read) => return self.read(read, location).await,
@@ -68,7 +77,7 @@
             StoreRequest::AcquireAllowance(acquire) => self.hand_out_allowance(&acquire).await,
             StoreRequest::RecallAllowances(recall) => self.give_up_allowances(&recall),
             // Not sent within one another.
-            StoreRequest::InHostShard(_) => StoreResponse::NotPrimary,
+            StoreRequest::InHostShard(_) | StoreRequest::ForTenant(_) => StoreResponse::NotPrimary,
         };
         encode(&response)
     }
--- a/crates/mintlb-control/src/store/requests/submit.rs
+++ b/crates/mintlb-control/src/store/requests/submit.rs
@@ -7,6 +7,7 @@
 use mintlb_batch::entry::{Entry, JobHeader};
 use mintlb_batch::framing;
 use mintlb_batch::messages::{StoreResponse, Submit};
+use mintlb_batch::quota::QuotaAccount;
 use mintlb_batch::replica::{Proposal, Replica};
 use std::time::Duration;
 use tokio::time::Instant;
@@ -87,10 +88,10 @@
             return first;
         }
         let deadline = Instant::now() + ALLOWANCE_TIMEOUT;
-        let route = &submit.job.route;
-        // One request at a time for a route and shard. The job is proposed under the same lock, so
+        let account = QuotaAccount::from(&submit.job);
+        // One request at a time for an account and shard. The job is proposed under the same lock, so
         // that no other one takes what was handed out for it.
-        let turn = self.allowance_turn(shard, route);
+        let turn = self.allowance_turn(shard, &account);
         let Ok(_turn) = tokio::time::timeout_at(deadline, turn.lock()).await else {
             return self.reject_proposal(RejectionCause::QuotaUnknown);
         };
@@ -100,7 +101,7 @@
                 return proposed;
             };
             let limit = submit.max_queued_tokens;
-            let acquired = self.acquire_allowance(route, limit, shortage, deadline);
+            let acquired = self.acquire_allowance(&account, limit, shortage, deadline);
             let cause = match acquired.await {
                 Ok(()) => continue,
                 Err(AcquireError::Exceeded) => RejectionCause::OverQuota,
--- a/crates/mintlb-control/tests/single_replica/mod.rs
+++ b/crates/mintlb-control/tests/single_replica/mod.rs
@@ -115,6 +115,7 @@
                 ..JobTerms::default()
             },
             items: (0..ITEMS).map(item).collect(),
+            tenant: None,
         };
         let raw = Bytes::from(vec![number as u8; ITEMS * item_bytes]);
         let submit = Submit {
--- a/crates/mintlb-control/tests/soak/control_plane.rs
+++ b/crates/mintlb-control/tests/soak/control_plane.rs
@@ -5,7 +5,7 @@
 use crate::cluster::network::Network;
 use crate::cluster::{ClusterSize, SoakCluster};
 use crate::spawn_each;
-use mintlb_batch::client::{BatchClient, Item, ItemResult, Submission, SubmitError};
+use mintlb_batch::client::{BatchClient, Item, ItemResult, JobAccess, Submission, SubmitError};
 use mintlb_batch::entry::JobTerms;
 use mintlb_batch::messages::DispatcherId;
 use mintlb_common::placement::Placement;
@@ -93,6 +93,7 @@
     Submission {
         host: HOST.to_string(),
         route: "soak".to_string(),
+        tenant: None,
         job_id: id.to_string(),
         terms: JobTerms {
             retention_ms: 600_000,
@@ -157,7 +158,16 @@
 
 /// Reads a job; whether it was answered.
 async fn read(client: &BatchClient, oracle: &Mutex<Oracle>, id: &str, is_last: bool) -> bool {
-    let page = client.read(HOST, id, 0, Duration::ZERO, 1 << 20).await;
+    let page = client
+        .read(
+            &JobAccess::Unrestricted,
+            HOST,
+            id,
+            0,
+            Duration::ZERO,
+            1 << 20,
+        )
+        .await;
     let page = match page {
         Ok(page) => page,
         Err(mintlb_batch::client::JobError::Unavailable) => return false,
--- a/crates/mintlb-control/tests/store_cluster.rs
+++ b/crates/mintlb-control/tests/store_cluster.rs
@@ -3,7 +3,7 @@
 
 mod stores;
 
-use mintlb_batch::client::{ItemResult, JobError, LeasedJob, SubmitError, Submitted};
+use mintlb_batch::client::{ItemResult, JobAccess, JobError, LeasedJob, SubmitError, Submitted};
 use mintlb_batch::entry::ItemState;
 use mintlb_batch::messages::ItemFailures;
 use mintlb_common::placement::StoreId;
@@ -81,10 +81,22 @@
     assert_eq!(cluster.results("a", 0).await, expected);
     assert_eq!(cluster.results("a", 1).await, expected[1..]);
 
-    assert_eq!(client.body(HOST, "a", "a-1").await, Ok(payload(1)));
-    assert_eq!(client.body(HOST, "a", "a-2").await, Err(JobError::NotFound));
     assert_eq!(
-        client.read(HOST, "x", 0, Duration::ZERO, 1000).await,
+        client
+            .body(&JobAccess::Unrestricted, HOST, "a", "a-1")
+            .await,
+        Ok(payload(1))
+    );
+    assert_eq!(
+        client
+            .body(&JobAccess::Unrestricted, HOST, "a", "a-2")
+            .await,
+        Err(JobError::NotFound)
+    );
+    assert_eq!(
+        client
+            .read(&JobAccess::Unrestricted, HOST, "x", 0, Duration::ZERO, 1000)
+            .await,
         Err(JobError::NotFound)
     );
 
@@ -113,10 +125,24 @@
     );
     client.release(DISPATCHER).await;
 
-    assert_eq!(client.end(HOST, "a").await, Ok(()));
-    assert_eq!(client.end(HOST, "a").await, Ok(()));
-    assert_eq!(client.end(HOST, "x").await, Err(JobError::NotFound));
-    assert_eq!(client.body(HOST, "a", "a-1").await, Err(JobError::NotFound));
+    assert_eq!(
+        client.end(&JobAccess::Unrestricted, HOST, "a").await,
+        Ok(())
+    );
+    assert_eq!(
+        client.end(&JobAccess::Unrestricted, HOST, "a").await,
+        Ok(())
+    );
+    assert_eq!(
+        client.end(&JobAccess::Unrestricted, HOST, "x").await,
+        Err(JobError::NotFound)
+    );
+    assert_eq!(
+        client
+            .body(&JobAccess::Unrestricted, HOST, "a", "a-1")
+            .await,
+        Err(JobError::NotFound)
+    );
     assert_eq!(
         client.renew(DISPATCHER, vec![leased.clone()]).await.lost,
         vec![LeasedJob {
@@ -144,7 +170,13 @@
     cluster.apply_placement(takeover.epoch(3).shard_epoch(2).build());
 
     assert_eq!(cluster.results("a", 0).await, [completed("a-1", "one")]);
-    assert_eq!(cluster.client.body(HOST, "a", "a-2").await, Ok(payload(2)));
+    assert_eq!(
+        cluster
+            .client
+            .body(&JobAccess::Unrestricted, HOST, "a", "a-2")
+            .await,
+        Ok(payload(2))
+    );
     assert_eq!(cluster.submit(JobBuilder::new("b")).await, ACCEPTED);
 
     // The first two are restarted with their disks, under new addresses.
@@ -175,10 +207,20 @@
         let id = format!("r{i}");
         cluster.submit(JobBuilder::new(&id).items(1)).await.unwrap();
         client
-            .read(HOST, &id, 0, Duration::from_millis(5), 1000)
+            .read(
+                &JobAccess::Unrestricted,
+                HOST,
+                &id,
+                0,
+                Duration::from_millis(5),
+                1000,
+            )
+            .await
+            .unwrap();
+        client
+            .end(&JobAccess::Unrestricted, HOST, &id)
             .await
             .unwrap();
-        client.end(HOST, &id).await.unwrap();
     }
     let waiting = || cluster.nodes[0].store.jobs_with_waiting_readers();
     let mut ticks = tokio::time::interval(Duration::from_millis(10));
--- a/crates/mintlb-control/tests/store_disk_fixture.rs
+++ b/crates/mintlb-control/tests/store_disk_fixture.rs
@@ -8,6 +8,7 @@
 mod store_fixture;
 
 use mintlb_batch::entry::ItemState;
+use mintlb_batch::quota::QuotaAccount;
 use mintlb_batch::replica::Replica;
 use mintlb_common::placement::StoreId;
 use mintlb_control::store::storage::{LoadedStorage, ShardStorage};
@@ -39,7 +40,9 @@
         ),
         format!(
             "shard {shard}: open {open:?}, {} tokens",
-            replica.jobs().queued_tokens("route-1")
+            replica
+                .jobs()
+                .queued_tokens(&QuotaAccount::of_route("route-1"))
         ),
     ];
     for job in replica.jobs().iter() {
@@ -49,7 +52,7 @@
         let (retention, attempts) = (terms.retention_ms, terms.max_attempts);
         let terms = format!("terms {sent} {target} {retention} {attempts}");
         let end = format!("ended {:?} payloads {}", job.ended, job.has_payloads);
-        let name = format!("{} {} {}", job.name.host, job.name.id, job.route);
+        let name = format!("{} {} {}", job.name.host, job.name.id, job.account.route);
         lines.push(format!("shard {shard}: lot {index} {name} {terms} {end}"));
         for item in &job.items {
             lines.push(format!(
--- a/crates/mintlb-control/tests/store_entries/mod.rs
+++ b/crates/mintlb-control/tests/store_entries/mod.rs
@@ -36,6 +36,7 @@
         route: "r".to_string(),
         terms: JobTerms::default(),
         items,
+        tenant: None,
     };
     framing::encode(&Entry::Accepted(header), &[payload])
 }
--- a/crates/mintlb-control/tests/store_fixture/mod.rs
+++ b/crates/mintlb-control/tests/store_fixture/mod.rs
@@ -140,6 +140,7 @@
             max_attempts: 5,
         },
         items: items.collect(),
+        tenant: None,
     };
     framing::encode(&Entry::Accepted(header), &[&pattern(lengths.iter().sum())])
 }
--- a/crates/mintlb-control/tests/store_full_disk.rs
+++ b/crates/mintlb-control/tests/store_full_disk.rs
@@ -6,7 +6,7 @@
 
 use bytes::Bytes;
 use faulty_file::Disk;
-use mintlb_batch::client::{JobError, SubmitError, Submitted};
+use mintlb_batch::client::{JobAccess, JobError, SubmitError, Submitted};
 use mintlb_batch::entry::Entry;
 use mintlb_common::placement::StoreId;
 use mintlb_control::store::storage::file::FILE_NAME;
@@ -41,7 +41,10 @@
 }
 
 async fn body(cluster: &Cluster, job: &str) -> Result<Bytes, JobError> {
-    cluster.client.body(HOST, job, &format!("{job}-1")).await
+    cluster
+        .client
+        .body(&JobAccess::Unrestricted, HOST, job, &format!("{job}-1"))
+        .await
 }
 
 #[tokio::test]
@@ -71,7 +74,7 @@
     );
     let read = cluster
         .client
-        .read(HOST, "x", 0, Duration::ZERO, 1000)
+        .read(&JobAccess::Unrestricted, HOST, "x", 0, Duration::ZERO, 1000)
         .await;
     assert_eq!(read, Err(JobError::Unavailable), "503, not 404");
 
--- a/crates/mintlb-control/tests/store_host_placed.rs
+++ b/crates/mintlb-control/tests/store_host_placed.rs
@@ -5,7 +5,9 @@
 mod stores;
 
 use bytes::Bytes;
-use mintlb_batch::client::{Item, ItemResult, JobError, LeasedJob, Submission, Submitted};
+use mintlb_batch::client::{
+    Item, ItemResult, JobAccess, JobError, LeasedJob, Submission, Submitted,
+};
 use mintlb_batch::entry::{ItemHeader, ItemPayload, JobHeader, JobTerms};
 use mintlb_batch::messages::{JobName, Submit};
 use mintlb_common::placement::StoreId;
@@ -34,6 +36,7 @@
     Submission {
         host: name.host.clone(),
         route: "r".to_string(),
+        tenant: None,
         job_id: name.id.clone(),
         terms: JobTerms {
             retention_ms: 60_000,
@@ -75,6 +78,7 @@
             route: job.route.clone(),
             terms: job.terms,
             items: items.collect(),
+            tenant: None,
         },
     };
     replica
@@ -106,9 +110,20 @@
     assert_eq!(name.host_shard(), SHARD);
     let cluster = upgraded_cluster(&name).await;
     let client = &cluster.client;
-    let read = client.read(host, id, 0, Duration::ZERO, 1000).await;
+    let read = client
+        .read(&JobAccess::Unrestricted, host, id, 0, Duration::ZERO, 1000)
+        .await;
     assert_eq!(read.unwrap().total, ITEMS as u64);
-    let unknown = client.read(host, "unknown", 0, Duration::ZERO, 1000).await;
+    let unknown = client
+        .read(
+            &JobAccess::Unrestricted,
+            host,
+            "unknown",
+            0,
+            Duration::ZERO,
+            1000,
+        )
+        .await;
     assert_eq!(unknown, Err(JobError::NotFound));
 
     // Submitted again it is the same job, and is not stored a second time.
@@ -119,7 +134,9 @@
             items_leased: false
         })
     );
-    let body = client.body(host, id, &format!("{id}-1")).await;
+    let body = client
+        .body(&JobAccess::Unrestricted, host, id, &format!("{id}-1"))
+        .await;
     assert_eq!(body, Ok(Bytes::from(vec![1; 10])));
 
     let mut leased = client.lease(DISPATCHER, 10).await.items;
@@ -141,12 +158,12 @@
     let result = ItemResult::Completed("one".into());
     assert_eq!(client.record(host, id, 1, result).await, Ok(()));
     let page = client
-        .read(host, id, 0, Duration::ZERO, 1000)
+        .read(&JobAccess::Unrestricted, host, id, 0, Duration::ZERO, 1000)
         .await
         .unwrap();
     let results: Vec<String> = page.results.into_iter().map(|r| r.instance_id).collect();
     assert_eq!(results, [completed(&format!("{id}-1"), "one").item]);
-    assert_eq!(client.end(host, id).await, Ok(()));
+    assert_eq!(client.end(&JobAccess::Unrestricted, host, id).await, Ok(()));
 }
 
 #[tokio::test]
@@ -161,8 +178,13 @@
         .client
         .submit(submission(&other), DISPATCHER, TEST_TIMEOUT);
     assert_eq!(submitted.await, ACCEPTED);
-    let read = cluster
-        .client
-        .read(&other.host, &other.id, 0, Duration::ZERO, 1000);
+    let read = cluster.client.read(
+        &JobAccess::Unrestricted,
+        &other.host,
+        &other.id,
+        0,
+        Duration::ZERO,
+        1000,
+    );
     assert_eq!(read.await.unwrap().total, ITEMS as u64);
 }
--- a/crates/mintlb-control/tests/store_spread.rs
+++ b/crates/mintlb-control/tests/store_spread.rs
@@ -2,7 +2,7 @@
 
 mod stores;
 
-use mintlb_batch::client::{ItemResult, SubmitError, Submitted};
+use mintlb_batch::client::{ItemResult, JobAccess, SubmitError, Submitted};
 use mintlb_batch::heartbeat::ShardReport;
 use mintlb_common::placement::SHARD_COUNT;
 use mintlb_control::store::rejections::RejectionCause;
@@ -36,7 +36,14 @@
             let recorded = cluster.client.record(HOST, &id, item, text).await;
             assert_eq!(recorded, Ok(()));
         }
-        let page = cluster.client.read(HOST, &id, 0, Duration::ZERO, 1 << 20);
+        let page = cluster.client.read(
+            &JobAccess::Unrestricted,
+            HOST,
+            &id,
+            0,
+            Duration::ZERO,
+            1 << 20,
+        );
         assert_eq!(page.await.unwrap().results.len(), ITEMS);
     }
     let sent: Vec<u64> = cluster
@@ -97,7 +104,10 @@
         .iter()
         .position(|outcome| *outcome == ACCEPTED)
         .unwrap();
-    let ended = cluster.client.end(HOST, &format!("first-{id}")).await;
+    let ended = cluster
+        .client
+        .end(&JobAccess::Unrestricted, HOST, &format!("first-{id}"))
+        .await;
     assert_eq!(ended, Ok(()));
     let second = submit_at_once(&cluster, ids("second", FITTING_JOBS)).await;
     assert_eq!(accepted(&second), 1, "{second:?}");
--- a/crates/mintlb-control/tests/stores/mod.rs
+++ b/crates/mintlb-control/tests/stores/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code)]
 
 use bytes::Bytes;
-use mintlb_batch::client::{BatchClient, Item, Submission, SubmitError, Submitted};
+use mintlb_batch::client::{BatchClient, Item, JobAccess, Submission, SubmitError, Submitted};
 use mintlb_batch::entry::{ItemState, JobTerms};
 use mintlb_batch::replica::ReplicaSettings;
 use mintlb_common::placement::{Placement, SHARD_COUNT, ShardAssignment, StoreEntry, StoreId};
@@ -178,6 +178,8 @@
     id: String,
     items: usize,
     max_queued_tokens: u64,
+    route: String,
+    tenant: Option<String>,
 }
 
 impl JobBuilder {
@@ -186,6 +188,8 @@
             id: id.to_string(),
             items: 3,
             max_queued_tokens: 0,
+            route: "r".to_string(),
+            tenant: None,
         }
     }
 
@@ -195,6 +199,18 @@
         self
     }
 
+    /// The route, if it is another one than usual.
+    pub fn route(mut self, route: &str) -> JobBuilder {
+        self.route = route.to_string();
+        self
+    }
+
+    /// The tenant that submits it.
+    pub fn tenant(mut self, tenant: &str) -> JobBuilder {
+        self.tenant = Some(tenant.to_string());
+        self
+    }
+
     /// The limit of tokens that are queued on the job's route.
     pub fn max_queued_tokens(mut self, tokens: u64) -> JobBuilder {
         self.max_queued_tokens = tokens;
@@ -213,7 +229,8 @@
         Submission {
             items: items.collect(),
             host: HOST.to_string(),
-            route: "r".to_string(),
+            route: self.route,
+            tenant: self.tenant,
             job_id: self.id,
             terms: JobTerms {
                 sent_at_ms: 1,
@@ -321,7 +338,14 @@
     pub async fn results(&self, id: &str, start: u64) -> Vec<ReadResult> {
         let page = self
             .client
-            .read(HOST, id, start, Duration::ZERO, 1 << 20)
+            .read(
+                &JobAccess::Unrestricted,
+                HOST,
+                id,
+                start,
+                Duration::ZERO,
+                1 << 20,
+            )
             .await
             .unwrap();
         let results = page.results.into_iter().map(|result| ReadResult {
--- a/crates/mintlb-dispatcher/src/batch/calls.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls.rs
@@ -11,12 +11,12 @@
 use axum::body::Body;
 use axum::http::{Method, StatusCode};
 use axum::response::{IntoResponse, Response};
-use mintlb_batch::client::{BatchClient, JobError};
+use mintlb_batch::client::{BatchClient, JobAccess};
 use mintlb_batch::messages::DispatcherId;
 use mintlb_common::record::{ENDED_JOB_PREFIX, Record};
 use mintlb_gossip::GossipService;
 use request_fields::{Resource, host_name, milliseconds, parameter, resource};
-use responses::{Answer, answer, bad_request, json, unavailable};
+use responses::{Answer, answer, bad_request, job_error, json, unavailable};
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
@@ -131,19 +131,15 @@
         let wait = milliseconds(&call.headers, "mintlb-wait-ms")
             .unwrap_or_default()
             .min(MAX_READ_WAIT);
-        let (client, host, job_id) = (
-            self.client.clone(),
-            host_name(&call.host),
-            job_id.to_string(),
-        );
+        let (client, access) = (self.client.clone(), JobAccess::Unrestricted);
+        let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
             match client
-                .read(&host, &job_id, start_after, wait, MAX_PAGE_BYTES)
+                .read(&access, &host, &job_id, start_after, wait, MAX_PAGE_BYTES)
                 .await
             {
                 Ok(found) => json(page::to_json(found.total, found.next, &found.results)),
-                Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => unavailable(),
+                Err(error) => job_error(error),
             }
         })
     }
@@ -152,16 +148,12 @@
         let Some(instance_id) = parameter(query, "instance_id").map(str::to_string) else {
             return bad_request("M416 instance_id: one is needed".to_string());
         };
-        let (client, host, job_id) = (
-            self.client.clone(),
-            host_name(&call.host),
-            job_id.to_string(),
-        );
+        let (client, access) = (self.client.clone(), JobAccess::Unrestricted);
+        let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
-            match client.body(&host, &job_id, &instance_id).await {
+            match client.body(&access, &host, &job_id, &instance_id).await {
                 Ok(body) => Response::new(Body::from(body)),
-                Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => unavailable(),
+                Err(error) => job_error(error),
             }
         })
     }
@@ -172,9 +164,10 @@
             self.runner.clone(),
             self.gossip.clone(),
         );
+        let access = JobAccess::Unrestricted;
         let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
-            match client.end(&host, &job_id).await {
+            match client.end(&access, &host, &job_id).await {
                 Ok(()) => {
                     runner.job_ended(&host, &job_id);
                     gossip.publish_now(Record {
@@ -185,8 +178,7 @@
                     });
                     StatusCode::OK.into_response()
                 }
-                Err(JobError::NotFound) => StatusCode::NOT_FOUND.into_response(),
-                Err(JobError::Unavailable) => unavailable(),
+                Err(error) => job_error(error),
             }
         })
     }
--- a/crates/mintlb-dispatcher/src/batch/calls/responses.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls/responses.rs
@@ -3,6 +3,7 @@
 use axum::http::header::{CONTENT_TYPE, RETRY_AFTER};
 use axum::http::{HeaderValue, StatusCode};
 use axum::response::{IntoResponse, Response};
+use mintlb_batch::client::JobError;
 use std::future::Future;
 use std::pin::Pin;
 
@@ -11,6 +12,9 @@
 /// `Retry-After` of a submission over the quota, in seconds.
 const QUOTA_RETRY_AFTER_SECONDS: &str = "1";
 
+/// The text of a 403.
+const OTHER_TENANT: &str = "M427 the lot belongs to another tenant";
+
 /// The response to a call, once it is known.
 pub(super) type Answer = Pin<Box<dyn Future<Output = Response> + Send>>;
 
@@ -29,7 +33,16 @@
     retry_later(StatusCode::SERVICE_UNAVAILABLE, RETRY_AFTER_SECONDS)
 }
 
-/// The submission does not fit into its route's quota; it may be repeated later.
+/// The response to a call on an accepted job that failed.
+pub(super) fn job_error(error: JobError) -> Response {
+    match error {
+        JobError::NotFound => StatusCode::NOT_FOUND.into_response(),
+        JobError::OtherTenant => (StatusCode::FORBIDDEN, OTHER_TENANT).into_response(),
+        JobError::Unavailable => unavailable(),
+    }
+}
+
+/// The submission does not fit into its tenant's quota; it may be repeated later.
 pub(super) fn over_quota() -> Response {
     retry_later(StatusCode::TOO_MANY_REQUESTS, QUOTA_RETRY_AFTER_SECONDS)
 }
--- a/crates/mintlb-dispatcher/src/batch/calls/submit.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls/submit.rs
@@ -31,6 +31,7 @@
     Submission {
         host: host_name(&call.host),
         route: route.name.clone(),
+        tenant: None,
         job_id: job_id.to_string(),
         terms: terms(route, now_ms),
         max_queued_tokens: route.max_queued_tokens,
@@ -72,6 +73,7 @@
     let Submission {
         host,
         route,
+        tenant,
         job_id,
         terms,
         items,
@@ -80,6 +82,7 @@
     let leased = |(index, item)| LeasedItem {
         host: host.clone(),
         route: route.clone(),
+        tenant: tenant.clone(),
         job_id: job_id.clone(),
         terms,
         index: index as u32,
--- a/crates/mintlb-dispatcher/tests/batch.rs
+++ b/crates/mintlb-dispatcher/tests/batch.rs
@@ -251,6 +251,7 @@
     LeasedItem {
         host: "a.example".into(),
         route: "notices".into(),
+        tenant: None,
         job_id: job.into(),
         terms: JobTerms {
             sent_at_ms,
--- a/crates/mintlb-simulation/src/job_client.rs
+++ b/crates/mintlb-simulation/src/job_client.rs
@@ -90,6 +90,7 @@
         route: "r".to_string(),
         terms,
         items: (0..items).map(head).collect(),
+        tenant: None,
     };
     ClientRequest::Batch(
         StoreRequest::Submit(Submit {
