Configuration: names of several words are valid, and no error quotes a value of a tenant

A name is 1 to 256 printable ASCII characters without a space at an end. For a path under tenant_list the parser's message is replaced by one without values.

--- a/crates/mintlb-common/src/configuration.rs
+++ b/crates/mintlb-common/src/configuration.rs
@@ -23,15 +23,26 @@
 
 use serde::de::DeserializeOwned;
 
+/// The path of the tenants in a document.
+const TENANTS: &str = "tenant_list";
+
 /// Parses JSON; an error names the field.
 fn from_json<T: DeserializeOwned>(json: &[u8]) -> Result<T, ConfigurationError> {
     let mut deserializer = serde_json::Deserializer::from_slice(json);
-    let parsed = serde_path_to_error::deserialize(&mut deserializer)
-        .map_err(ConfigurationError::malformed)?;
+    let parsed = serde_path_to_error::deserialize(&mut deserializer).map_err(malformed)?;
     deserializer.end().map_err(ConfigurationError::malformed)?;
     Ok(parsed)
 }
 
+/// The parser quotes values, and a value of a tenant may have been meant as a key.
+fn malformed(error: serde_path_to_error::Error<serde_json::Error>) -> ConfigurationError {
+    let path = error.path().to_string();
+    match path.starts_with(TENANTS) && error.inner().is_data() {
+        true => ConfigurationError::malformed(format!("{path}: is missing or has another type")),
+        false => ConfigurationError::malformed(error),
+    }
+}
+
 impl Configuration {
     /// Parses and validates a configuration in JSON.
     ///
--- a/crates/mintlb-common/src/configuration/tenant.rs
+++ b/crates/mintlb-common/src/configuration/tenant.rs
@@ -37,9 +37,10 @@
 
 /// Why a tenant's name is invalid.
 pub(super) fn name_violation(name: &str) -> Option<&'static str> {
-    let is_visible = name.bytes().all(|byte| byte.is_ascii_graphic());
-    let is_name = !name.is_empty() && name.len() <= MAX_NAME_BYTES && is_visible;
-    (!is_name).then_some("has to be 1 to 256 visible ASCII characters")
+    let is_printable = name.bytes().all(|byte| matches!(byte, b' '..=b'~'));
+    let is_trimmed = name.trim_matches(' ') == name;
+    let is_name = !name.is_empty() && name.len() <= MAX_NAME_BYTES && is_printable && is_trimmed;
+    (!is_name).then_some("has to be 1 to 256 printable ASCII characters, without a space at an end")
 }
 
 /// Why a tenant's keys are invalid, whatever other tenants have.
