Dispatcher: each request is of the tenant that holds its key; the key stays here

Operators saw UNASKED (a back end got work that nobody had sent), ROUTE (requests ran where no configuration sends them) and CONFIG (a change that was not in force in time). One cause, the class being a check that nobody owned: no part of the dispatcher compared a key with the configuration.

The tenants lie in the routing table, by the digests of their keys, and are swapped with the routes. One place, through which requests, continued streams and calls on batch jobs pass, asks it for each request: 401 with M424 to M426 without a known key, none needed on a public route, 404 and 503 as before. The worker gets Mintlb-Tenant in place of Authorization; an exchange keeps it for retries and continuations, an item for all its runs. A call on a job is made for the caller's tenant. A tenant's priority takes the place of its route's: a priority of a route is a project type of its own.

--- a/crates/mintlb-dispatcher/src/batch/calls.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls.rs
@@ -11,7 +11,7 @@
 use axum::body::Body;
 use axum::http::{Method, StatusCode};
 use axum::response::{IntoResponse, Response};
-use mintlb_batch::client::{BatchClient, JobAccess};
+use mintlb_batch::client::BatchClient;
 use mintlb_batch::messages::DispatcherId;
 use mintlb_common::record::{ENDED_JOB_PREFIX, Record};
 use mintlb_gossip::GossipService;
@@ -131,7 +131,7 @@
         let wait = milliseconds(&call.headers, "mintlb-wait-ms")
             .unwrap_or_default()
             .min(MAX_READ_WAIT);
-        let (client, access) = (self.client.clone(), JobAccess::Unrestricted);
+        let (client, access) = (self.client.clone(), call.access.clone());
         let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
             match client
@@ -148,7 +148,7 @@
         let Some(instance_id) = parameter(query, "instance_id").map(str::to_string) else {
             return bad_request("M416 instance_id: one is needed".to_string());
         };
-        let (client, access) = (self.client.clone(), JobAccess::Unrestricted);
+        let (client, access) = (self.client.clone(), call.access.clone());
         let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
             match client.body(&access, &host, &job_id, &instance_id).await {
@@ -164,7 +164,7 @@
             self.runner.clone(),
             self.gossip.clone(),
         );
-        let access = JobAccess::Unrestricted;
+        let access = call.access.clone();
         let (host, job_id) = (host_name(&call.host), job_id.to_string());
         Box::pin(async move {
             match client.end(&access, &host, &job_id).await {
--- a/crates/mintlb-dispatcher/src/batch/calls/submit.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls/submit.rs
@@ -31,7 +31,7 @@
     Submission {
         host: host_name(&call.host),
         route: route.name.clone(),
-        tenant: None,
+        tenant: call.access.tenant().map(str::to_string),
         job_id: job_id.to_string(),
         terms: terms(route, now_ms),
         max_queued_tokens: route.max_queued_tokens,
--- a/crates/mintlb-dispatcher/src/batch/runner.rs
+++ b/crates/mintlb-dispatcher/src/batch/runner.rs
@@ -239,6 +239,7 @@
             path: item.item.path.clone(),
             id,
             headers,
+            tenant: item.tenant.clone(),
             body: item.item.body.clone(),
             time: MAX_ATTEMPT_TIME,
             last_event_id: progress.last_event(),
--- a/crates/mintlb-dispatcher/src/batch_executor.rs
+++ b/crates/mintlb-dispatcher/src/batch_executor.rs
@@ -5,9 +5,11 @@
 use crate::exchange::{BodyChunk, ClientRequest, Exchange, ExchangeMode, NewExchange, Refusal};
 use crate::request::{LAST_EVENT_ID, strip_connection_headers, strip_own_headers};
 use crate::shared::Shared;
+use crate::tenants::replace_credentials;
 use axum::http::{HeaderMap, HeaderValue, Method, StatusCode};
 use axum::response::Response;
 use bytes::Bytes;
+use mintlb_batch::client::JobAccess;
 use mintlb_common::configuration::Configuration;
 use std::future::{Future, poll_fn};
 use std::pin::Pin;
@@ -30,6 +32,8 @@
     pub configuration: Arc<Configuration>,
     /// Index of its route in `route_list`; `None` for calls under `/v1/`.
     pub route: Option<usize>,
+    /// Which jobs it may be about.
+    pub access: JobAccess,
 }
 
 /// Handles calls on batch jobs.
@@ -54,6 +58,8 @@
     pub id: HeaderValue,
     /// Its headers.
     pub headers: HeaderMap,
+    /// The name of the tenant that submitted its job, if one did.
+    pub tenant: Option<String>,
     /// Its decoded body.
     pub body: Bytes,
     /// Time limit of the execution.
@@ -113,16 +119,22 @@
         let target = self
             .shared
             .routing()
-            .and_then(|table| self.shared.target(&table, host, path));
+            .and_then(|table| self.shared.target(&table, host, path, None));
         target.is_some_and(|target| self.shared.workers.serves(&target.service))
     }
 
     /// Executes an item. Dropping the returned value cancels the execution.
     pub fn run(&self, item: ItemRequest) -> ItemRun {
-        let target = self
-            .shared
-            .routing()
-            .and_then(|table| self.shared.target(&table, &item.host, &item.path));
+        let tenant = item.tenant.as_deref();
+        let routing = self.shared.routing();
+        let tenants = routing.as_ref().and_then(|table| table.tenants.as_ref());
+        let has_tenants = tenants.is_some();
+        let priority = tenants
+            .zip(tenant)
+            .and_then(|(tenants, name)| tenants.named(name)?.priority);
+        let target = routing
+            .as_ref()
+            .and_then(|table| self.shared.target(table, &item.host, &item.path, priority));
         let Some(target) = target else {
             return ItemRun {
                 exchange: None,
@@ -134,12 +146,14 @@
             path,
             id,
             mut headers,
+            tenant,
             body,
             time,
             last_event_id,
         } = item;
         strip_connection_headers(&mut headers);
         strip_own_headers(&mut headers);
+        replace_credentials(&mut headers, has_tenants, tenant.as_deref());
         if let Ok(host) = HeaderValue::from_str(&host) {
             headers.insert("host", host);
         }
@@ -155,6 +169,7 @@
             body,
             terms: target.terms,
             service: target.service,
+            priority: target.priority,
             mode: ExchangeMode::Item,
             project_type: target.project_type,
             time_budget: time.as_secs_f64(),
--- a/crates/mintlb-dispatcher/src/downstream.rs
+++ b/crates/mintlb-dispatcher/src/downstream.rs
@@ -9,7 +9,8 @@
 use crate::request::{DEADLINE, REQUEST_ID, strip_connection_headers, strip_own_headers};
 use crate::routing::{RoutingTable, Target};
 use crate::shared::Shared;
-use axum::http::header::{CONNECTION, HOST, RETRY_AFTER};
+use crate::tenants::{Access, AuthenticationError, TenantTerms, replace_credentials};
+use axum::http::header::{CONNECTION, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
 use axum::http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
@@ -17,6 +18,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use mintlb_batch::client::JobAccess;
 use mintlb_common::configuration::{ClientLimits, RouteType};
 use mintlb_core::room::{Held, Room};
 use mintlb_core::standing::Standing;
@@ -97,6 +99,13 @@
     reservation: (Held, Option<Held>),
 }
 
+/// Who sent a request, by the configuration in force when it was read.
+struct Client {
+    /// Whether that has tenants.
+    has_tenants: bool,
+    tenant: Option<Arc<TenantTerms>>,
+}
+
 impl Downstream {
     /// Creates a server that does not listen yet.
     pub fn new(config: DownstreamConfig) -> Arc<Downstream> {
@@ -319,34 +328,56 @@
         })
     }
 
-    /// Routes a request by the configuration in force now.
+    /// Serves a request by the configuration in force now.
     async fn respond(&self, received: ReceivedRequest) -> Answer {
         let Some(table) = self.shared.routing() else {
             return service_unavailable(RETRY_AFTER_SECONDS);
         };
-        let path = received
-            .path_and_query
-            .split('?')
-            .next()
-            .unwrap_or_default();
-        let route = table.route(&received.host, path);
+        let route = table.route(&received.host, received.path());
         let is_submission = route.is_some_and(|(_, terms)| terms.route_type == RouteType::Batch)
             && received.method == Method::POST;
-        if is_submission || BATCH_PATHS.iter().any(|prefix| path.starts_with(prefix)) {
+        let is_batch_call = BATCH_PATHS
+            .iter()
+            .any(|prefix| received.path().starts_with(prefix));
+        if is_submission || is_batch_call {
             let route = route.map(|(index, _)| index).filter(|_| is_submission);
             return self.batch(received, &table, route).await;
         }
-        let id = received.headers.get(REQUEST_ID).cloned();
-        let Some(id) = id.filter(|id| !id.is_empty()) else {
-            return status_only(StatusCode::BAD_REQUEST);
-        };
-        let Some(target) = self.shared.target(&table, &received.host, path) else {
+        let Some((_, terms)) = route else {
             return status_only(StatusCode::NOT_FOUND);
         };
+        let access = Access::of(terms.public_access);
+        let tenant = match table.identify(&received.headers, access) {
+            Ok(tenant) => tenant.cloned(),
+            Err(error) => return unauthorized(error),
+        };
+        if received.id().is_none() {
+            return status_only(StatusCode::BAD_REQUEST);
+        }
         if self.is_too_late() {
             return service_unavailable(RETRY_AFTER_SECONDS);
         }
-        self.live(received, id, target).await
+        let client = Client {
+            has_tenants: table.tenants.is_some(),
+            tenant,
+        };
+        self.forward(received, client).await
+    }
+
+    /// Sends a request to a worker, by the configuration in force now.
+    async fn forward(&self, received: ReceivedRequest, client: Client) -> Answer {
+        let Some(id) = received.id() else {
+            return status_only(StatusCode::BAD_REQUEST);
+        };
+        let priority = client.tenant.as_ref().and_then(|tenant| tenant.priority);
+        let target = self.shared.routing().and_then(|table| {
+            self.shared
+                .target(&table, &received.host, received.path(), priority)
+        });
+        match target {
+            Some(target) => self.live(received, id, client, target).await,
+            None => status_only(StatusCode::NOT_FOUND),
+        }
     }
 
     /// Whether the shutdown began so long ago that a request accepted now might be cut by its end.
@@ -364,6 +395,10 @@
         let Some(handler) = &self.batch else {
             return service_unavailable(RETRY_AFTER_SECONDS);
         };
+        let access = match job_access(&received, table, route) {
+            Ok(access) => access,
+            Err(error) => return unauthorized(error),
+        };
         let call = BatchCall {
             method: received.method,
             host: received.host,
@@ -372,11 +407,18 @@
             body: received.body,
             configuration: table.configuration.clone(),
             route,
+            access,
         };
         handler.handle(call).await.map(Source::Boxed)
     }
 
-    async fn live(&self, received: ReceivedRequest, id: HeaderValue, target: Target) -> Answer {
+    async fn live(
+        &self,
+        received: ReceivedRequest,
+        id: HeaderValue,
+        client: Client,
+        target: Target,
+    ) -> Answer {
         let ReceivedRequest {
             method,
             path_and_query,
@@ -403,6 +445,8 @@
         let last_event_id = last_event_id(&headers);
         strip_connection_headers(&mut headers);
         strip_own_headers(&mut headers);
+        let tenant = client.tenant.as_ref().map(|tenant| tenant.name.as_str());
+        replace_credentials(&mut headers, client.has_tenants, tenant);
         let request = ClientRequest {
             method,
             target: path_and_query,
@@ -417,6 +461,7 @@
                 .max(0.0),
             terms: target.terms,
             service: target.service,
+            priority: target.priority,
             mode: ExchangeMode::Live,
             project_type: target.project_type,
         };
@@ -435,6 +480,36 @@
     }
 }
 
+impl ReceivedRequest {
+    fn path(&self) -> &str {
+        self.path_and_query.split('?').next().unwrap_or_default()
+    }
+
+    fn id(&self) -> Option<HeaderValue> {
+        let id = self.headers.get(REQUEST_ID)?;
+        (!id.is_empty()).then(|| id.clone())
+    }
+}
+
+/// Which batch jobs a call may be about. `route` is the index of its route, if it submits a job.
+fn job_access(
+    received: &ReceivedRequest,
+    table: &RoutingTable,
+    route: Option<usize>,
+) -> Result<JobAccess, AuthenticationError> {
+    if table.tenants.is_none() {
+        return Ok(JobAccess::Unrestricted);
+    }
+    let is_public = match route {
+        Some(index) => table.configuration.route_list[index].public_access,
+        None => table.has_public_batch_route(&received.host),
+    };
+    let tenant = table.identify(&received.headers, Access::of(is_public))?;
+    Ok(JobAccess::OfTenant(
+        tenant.map(|tenant| tenant.name.clone()),
+    ))
+}
+
 /// When a connection is closed if nothing more is received.
 fn idle_deadline(sniffer: &Seen, limits: &ClientLimits) -> Instant {
     let idle = limits.idle_timeout() + IDLE_MARGIN;
@@ -483,10 +558,23 @@
     answer
 }
 
+/// A 401 with the numbered error.
+fn unauthorized(error: AuthenticationError) -> Answer {
+    let mut answer = Response::new(Source::Complete(Some(error.to_string().into())));
+    *answer.status_mut() = StatusCode::UNAUTHORIZED;
+    let scheme = HeaderValue::from_static("Bearer");
+    answer.headers_mut().insert(WWW_AUTHENTICATE, scheme);
+    answer
+}
+
 /// A 503: the request has not run and never will.
 fn service_unavailable(retry_after: f64) -> Answer {
+    retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after)
+}
+
+fn retry_later(status: StatusCode, retry_after: f64) -> Answer {
     let mut answer = Response::new(Source::Complete(None));
-    *answer.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+    *answer.status_mut() = status;
     if let Ok(after) = HeaderValue::from_str(&format!("{:.3}", retry_after.max(0.001))) {
         answer.headers_mut().insert(RETRY_AFTER, after);
     }
--- a/crates/mintlb-dispatcher/src/exchange.rs
+++ b/crates/mintlb-dispatcher/src/exchange.rs
@@ -128,6 +128,8 @@
     pub terms: Arc<RouteTerms>,
     /// The service drawn for it.
     pub service: Arc<str>,
+    /// Its priority.
+    pub priority: u32,
     /// What its headers say of its prompt.
     pub prompt: Option<Prompt>,
     /// How workers' failures are handled.
@@ -151,6 +153,8 @@
     /// See [`Exchange`].
     pub service: Arc<str>,
     /// See [`Exchange`].
+    pub priority: u32,
+    /// See [`Exchange`].
     pub mode: ExchangeMode,
     /// Its project type.
     pub project_type: usize,
@@ -166,6 +170,7 @@
             body,
             terms,
             service,
+            priority,
             mode,
             project_type,
             time_budget,
@@ -187,6 +192,7 @@
             body,
             terms,
             service,
+            priority,
             prompt,
             mode,
             arrived,
@@ -485,7 +491,8 @@
         };
         if retry {
             let table = self.shared.routing();
-            let number = table.and_then(|table| table.type_of(&self.terms.name, &self.service));
+            let number = table
+                .and_then(|table| table.type_of(&self.terms.name, &self.service, self.priority));
             match number {
                 Some(number) => self.submit(number, now),
                 None => {
--- a/crates/mintlb-dispatcher/src/lib.rs
+++ b/crates/mintlb-dispatcher/src/lib.rs
@@ -6,10 +6,10 @@
 //!                   └─────────────────── exchange <────────────────────────┘
 //! ```
 //!
-//! Reducer and scheduler are those of `mintlb serve`; a project type is a pair of route and service of the operator's
-//! configuration. Routes and workers are known from gossip records.
+//! Reducer and scheduler are those of `mintlb serve`; a project type is a route and a service of the operator's
+//! configuration with a priority. Routes and workers are known from gossip records.
 //!
-//! - Pure: [`routing`], [`tuning`], [`prompts`], [`events`], [`wire`], [`load`].
+//! - Pure: [`routing`], [`tenants`], [`tuning`], [`prompts`], [`events`], [`wire`], [`load`].
 //! - State of one request: [`exchange`]. Shared state: [`shared`] with [`workers`], updated by [`cluster_state`].
 //! - Sockets: [`downstream`] with [`body`], [`readiness`], [`upstream`] with [`connection`], [`request`], [`answer`].
 //! - Admission to workers: [`permits`]. Batch jobs: [`batch_executor`], [`batch`].
@@ -37,6 +37,7 @@
 pub mod run;
 pub mod shared;
 pub mod statistics;
+pub mod tenants;
 pub mod tuning;
 pub mod upstream;
 pub mod wire;
--- a/crates/mintlb-dispatcher/src/shared.rs
+++ b/crates/mintlb-dispatcher/src/shared.rs
@@ -119,9 +119,17 @@
         self.occupancies.lock().get(service, self.clock.now())
     }
 
-    /// The target of a request by these routes; draws the service by weight.
-    pub fn target(&self, table: &RoutingTable, host: &str, path: &str) -> Option<Target> {
+    /// The target of a request by these routes; draws the service by weight. `priority` is its tenant's, if that has one.
+    pub fn target(
+        &self,
+        table: &RoutingTable,
+        host: &str,
+        path: &str,
+        priority: Option<u32>,
+    ) -> Option<Target> {
         let draw = self.rng.lock().draw();
-        table.target(host, path, draw, |service| self.workers.serves(service))
+        table.target(host, path, priority, draw, |service| {
+            self.workers.serves(service)
+        })
     }
 }
--- a/crates/mintlb-dispatcher/src/tuning.rs
+++ b/crates/mintlb-dispatcher/src/tuning.rs
@@ -2,7 +2,7 @@
 //!
 //! Pure.
 
-use crate::routing::type_name;
+use crate::routing::{priorities, type_name};
 use mintlb_common::configuration::{Configuration, Route, RouteType};
 use mintlb_scheduler::decide::Repeats;
 use mintlb_scheduler::settings::Terms;
@@ -45,26 +45,30 @@
     }
 }
 
-/// One project type for each route and service, by name.
+/// One project type for each route, service and priority of its requests, by name.
 pub fn project_types(
     configuration: &Configuration,
     services: &mut ServiceNumbers,
 ) -> Vec<(String, ProjectType)> {
     let (mut types, mut named) = (Vec::new(), HashSet::new());
     for route in &configuration.route_list {
+        let priorities = priorities(configuration, route);
         for (service, _) in route.targets().filter(|(_, weight)| *weight > 0.0) {
-            let name = type_name(&route.name, service);
-            if named.insert(name.clone()) {
-                types.push((name, project_type(route, services.of(service))));
+            let kind = services.of(service);
+            for priority in &priorities {
+                let name = type_name(route, service, *priority);
+                if named.insert(name.clone()) {
+                    types.push((name, project_type(route, kind, *priority)));
+                }
             }
         }
     }
     types
 }
 
-fn project_type(route: &Route, kind: u16) -> ProjectType {
+fn project_type(route: &Route, kind: u16, priority: u32) -> ProjectType {
     let batch = route.route_type == RouteType::Batch;
-    let rank = RANK_WEIGHT.powi((MAX_RANK - route.priority.min(MAX_RANK)) as i32);
+    let rank = RANK_WEIGHT.powi((MAX_RANK - priority.min(MAX_RANK)) as i32);
     let seconds = |ms: u64| ms as f64 / 1e3;
     let target = Some(route.target_latency_ms)
         .filter(|ms| *ms > 0)
--- a/crates/mintlb-dispatcher/tests/items.rs
+++ b/crates/mintlb-dispatcher/tests/items.rs
@@ -16,6 +16,7 @@
         path: "/b/3/91c4".to_string(),
         id: HeaderValue::from_static(id),
         headers,
+        tenant: None,
         body: "the item".into(),
         time: Duration::from_secs(20),
         last_event_id,
--- a/crates/mintlb-dispatcher/tests/routing.rs
+++ b/crates/mintlb-dispatcher/tests/routing.rs
@@ -48,7 +48,11 @@
 #[test]
 fn shares_go_by_weight_and_none_to_a_weight_of_0() {
     let (table, types) = table();
-    let drawn = |draw| table.target("one.example", "/x/1", draw, |_| true).unwrap();
+    let drawn = |draw| {
+        table
+            .target("one.example", "/x/1", None, draw, |_| true)
+            .unwrap()
+    };
     assert_eq!((&*drawn(0.0).service, &*drawn(0.89).service), ("s", "s"));
     assert_eq!(
         (&*drawn(0.91).service, &*drawn(0.999_999).service),
@@ -56,7 +60,7 @@
     );
     let only_t = |draw| {
         table
-            .target("one.example", "/x/1", draw, |service| service == "t")
+            .target("one.example", "/x/1", None, draw, |service| service == "t")
             .unwrap()
     };
     assert_eq!(
@@ -66,7 +70,7 @@
     );
     assert_eq!(
         &*table
-            .target("one.example", "/x/1", 0.0, |_| false)
+            .target("one.example", "/x/1", None, 0.0, |_| false)
             .unwrap()
             .service,
         "s"
@@ -82,13 +86,13 @@
     assert_eq!(name(drawn(0.0).project_type), "a@s");
     assert_eq!(name(drawn(0.95).project_type), "a@t");
     assert!(types.iter().all(|named| named.name != "a@u"));
-    assert_eq!(table.type_of("a", "t").map(name).as_deref(), Some("a@t"));
-    let other = table.type_of("gone", "t").map(name).unwrap();
+    assert_eq!(table.type_of("a", "t", 0).map(name).as_deref(), Some("a@t"));
+    let other = table.type_of("gone", "t", 0).map(name).unwrap();
     assert!(
         other.ends_with("@t"),
         "a stream whose route is gone goes on at its service, as {other}"
     );
-    assert_eq!(table.type_of("gone", "gone"), None);
+    assert_eq!(table.type_of("gone", "gone", 0), None);
 }
 
 #[test]
