Rate limits of tenants over all dispatchers together, in slices that controllers own

Operators saw QUOTA: a customer got more than its limit. Cause: nothing counts a tenant's requests; the class is a limit that each node sees only a part of.

mintlb-quota (pure): a tenant's token bucket is divided into slices, each owned by a controller of the register's replica set, by rendezvous hashing. A dispatcher asks an owner for one token while the request waits, so that no tokens are outstanding, whoever dies, freezes or is cut off; nothing has to be agreed between owners. Drivers: QuotaService at the controller, QuotaClient at the dispatcher (owners that are silent for 20 ms are asked beside the next one). Over the limit: 429 with Retry-After, before anything runs; nobody to ask: 503. Log line `admission: ...` by cause and tenant.

In wire_fixtures.rs a field more, no assertion changed.

--- a/crates/mintlb-common/src/settings/bounds.rs
+++ b/crates/mintlb-common/src/settings/bounds.rs
@@ -34,8 +34,11 @@
     /// Time limit for an accepted batch job to be known to all dispatchers, in ms.
     #[serde(rename = "settle_ms")]
     pub batch_visibility_ms: u64,
-    /// Fraction by which queued tokens may exceed `max_queued_tokens`.
+    /// Fraction by which queued tokens may exceed `max_queued_tokens`, and a tenant's requests in a
+    /// window its limit.
     pub quota_overage: f64,
+    /// Requests by which a tenant may exceed its limit in a window, beside `quota_overage`.
+    pub quota_slack: f64,
     /// Time limit for a recovered machine to catch up, in s.
     pub catch_up_s: f64,
 }
@@ -53,6 +56,7 @@
             cancel_ms: 3000,
             batch_visibility_ms: 1000,
             quota_overage: 0.1,
+            quota_slack: 20.0,
             catch_up_s: 5.0,
         }
     }
--- a/crates/mintlb-common/src/transport/service.rs
+++ b/crates/mintlb-common/src/transport/service.rs
@@ -21,14 +21,17 @@
     Batch = 3,
     /// Heartbeats of stores, and operators' requests forwarded between controllers.
     Control = 4,
+    /// Rate limits of tenants, between dispatchers and controllers.
+    Quota = 5,
 }
 
 impl Channel {
-    const ALL: [Channel; 4] = [
+    const ALL: [Channel; 5] = [
         Channel::Gossip,
         Channel::Register,
         Channel::Batch,
         Channel::Control,
+        Channel::Quota,
     ];
 
     fn from_byte(byte: u8) -> Option<Channel> {
--- a/crates/mintlb-common/tests/wire_fixtures.rs
+++ b/crates/mintlb-common/tests/wire_fixtures.rs
@@ -84,6 +84,7 @@
             cancel_ms: 3106,
             batch_visibility_ms: 1107,
             quota_overage: 0.25,
+            quota_slack: 20.0,
             catch_up_s: 5.75,
         },
     };
@@ -128,6 +129,7 @@
         cancel_ms: 3000,
         batch_visibility_ms: 1000,
         quota_overage: 0.1,
+        quota_slack: 20.0,
         catch_up_s: 5.0,
     };
     assert_eq!(read.bounds, bounds);
--- a/crates/mintlb-control/src/controller/mod.rs
+++ b/crates/mintlb-control/src/controller/mod.rs
@@ -17,6 +17,7 @@
 pub mod error;
 pub mod http;
 pub mod process;
+pub mod quota;
 pub mod register;
 pub mod settings;
 pub mod settings_reload;
--- a/crates/mintlb-control/src/controller/startup.rs
+++ b/crates/mintlb-control/src/controller/startup.rs
@@ -5,6 +5,7 @@
 use super::http::HttpApi;
 use super::http::configuration_api::ConfigurationApi;
 use super::http::retirement_api::RetirementApi;
+use super::quota::QuotaService;
 use super::register::acceptor_storage::AcceptorStorage;
 use super::register::discovery::{Discovery, follow_published_set};
 use super::register::local_replica::LocalReplica;
@@ -26,6 +27,7 @@
 use mintlb_common::settings::{InternalPort, NodeSettings};
 use mintlb_common::transport::{Channel, Transport};
 use mintlb_gossip::{GossipConfig, GossipService, Member, Role};
+use mintlb_quota::slices::Division;
 use mintlb_register::replica_set::{Replica, ReplicaId};
 use std::hash::{BuildHasher, RandomState};
 use std::net::SocketAddr;
@@ -68,6 +70,11 @@
     components
         .transport
         .register_service(Channel::Control, Arc::new(components.control_service()));
+    let quota = Arc::new(components.quota_service());
+    components
+        .transport
+        .register_service(Channel::Quota, quota.clone());
+    tasks.spawn(quota.follow_members());
     tasks.spawn(components.pinger().run());
     tasks.spawn(components.leader().run());
     let controller = Controller {
@@ -171,6 +178,13 @@
         )
     }
 
+    fn quota_service(&self) -> QuotaService {
+        let division = Division {
+            slack: self.settings.get().bounds.quota_slack,
+        };
+        QuotaService::new(self.register.clone(), division)
+    }
+
     fn pinger(&self) -> Pinger {
         Pinger::new(
             self.contact.clone(),
--- a/crates/mintlb-dispatcher/src/dispatcher.rs
+++ b/crates/mintlb-dispatcher/src/dispatcher.rs
@@ -1,5 +1,6 @@
 //! The event loop around the reducer: events go in, its actions are carried out.
 
+use crate::admission::{RateLimiter, Unlimited};
 use crate::batch_executor::{BatchExecutor, BatchHandler};
 use crate::cluster_state::{ClusterUpdate, Numbering};
 use crate::downstream::{Downstream, DownstreamConfig};
@@ -81,6 +82,8 @@
     pub update_sender: UnboundedSender<ClusterUpdate>,
     /// Handler of calls on batch jobs.
     pub batch: Option<Arc<dyn BatchHandler>>,
+    /// Counts the requests of tenants.
+    pub rate_limiter: Arc<dyn RateLimiter>,
     config: DispatcherConfig,
     events: UnboundedReceiver<Event>,
     updates: UnboundedReceiver<ClusterUpdate>,
@@ -123,6 +126,7 @@
             shared,
             update_sender,
             batch: None,
+            rate_limiter: Arc::new(Unlimited),
             config,
             events,
             updates,
@@ -145,6 +149,7 @@
             shared,
             update_sender: _update_sender,
             batch,
+            rate_limiter,
             config,
             mut events,
             mut updates,
@@ -166,6 +171,7 @@
             lifecycle: lifecycle.clone(),
             late_accept_seconds: LATE_ACCEPT.min(config.grace_period_s * LATE_ACCEPT_SHARE),
             batch: batch.clone(),
+            rate_limiter,
         });
         let readiness_lifecycle = lifecycle.clone();
         tokio::spawn(readiness::listen(
@@ -389,6 +395,10 @@
         for line in self.shared.counters.take_lines() {
             log::info!("dispatch: {line}");
         }
+        let admissions = self.shared.admissions.take();
+        if !admissions.is_empty() {
+            log::info!("admission: {admissions}");
+        }
     }
 
     /// Housekeeping; returns whether the process may exit.
--- a/crates/mintlb-dispatcher/src/downstream.rs
+++ b/crates/mintlb-dispatcher/src/downstream.rs
@@ -3,11 +3,12 @@
 //! A request is read completely before it is forwarded. Its response is streamed; if the client disconnects, the body
 //! is dropped and the reducer is notified. An invalid request gets an error, and its connection is closed.
 
+use crate::admission::{Admission, RateLimiter};
 use crate::batch_executor::{BatchCall, BatchHandler, last_event_id};
 use crate::body::{Relay, ResponseBody, Source};
 use crate::exchange::{ClientRequest, Exchange, ExchangeMode, NewExchange, Refusal};
 use crate::request::{DEADLINE, REQUEST_ID, strip_connection_headers, strip_own_headers};
-use crate::routing::{RoutingTable, Target};
+use crate::routing::{RouteTerms, RoutingTable, Target};
 use crate::shared::Shared;
 use crate::tenants::{Access, AuthenticationError, TenantTerms, replace_credentials};
 use axum::http::header::{CONNECTION, HOST, RETRY_AFTER, WWW_AUTHENTICATE};
@@ -53,6 +54,10 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(500);
 /// Path prefixes of calls on batch jobs.
 const BATCH_PATHS: [&str; 2] = ["/v1/lots/", "/v1/items/"];
+/// The share of its route's latency target for which a request may wait for its admission.
+const ADMISSION_TARGET_SHARE: f64 = 0.25;
+/// The latency target of a route without one, in seconds.
+const DEFAULT_TARGET: f64 = 1.0;
 /// Bytes reserved for a body of undeclared length.
 const DEFAULT_BODY_SIZE: u64 = 64 << 10;
 /// The smallest buffer that hyper accepts.
@@ -72,6 +77,8 @@
     pub late_accept_seconds: f64,
     /// Handler of calls on batch jobs, if there is one.
     pub batch: Option<Arc<dyn BatchHandler>>,
+    /// Counts the requests of tenants.
+    pub rate_limiter: Arc<dyn RateLimiter>,
 }
 
 /// Accepts clients' connections and serves their requests.
@@ -82,6 +89,7 @@
     lifecycle: Arc<Mutex<Standing>>,
     late_accept_seconds: f64,
     batch: Option<Arc<dyn BatchHandler>>,
+    rate_limiter: Arc<dyn RateLimiter>,
 }
 
 /// A response to a client.
@@ -116,6 +124,7 @@
             lifecycle,
             late_accept_seconds,
             batch,
+            rate_limiter,
         } = config;
         let slots = Places::new(connections, Duration::from_millis(500));
         Arc::new(Downstream {
@@ -125,6 +134,7 @@
             lifecycle,
             late_accept_seconds,
             batch,
+            rate_limiter,
         })
     }
 
@@ -349,7 +359,7 @@
         let access = Access::of(terms.public_access);
         let tenant = match table.identify(&received.headers, access) {
             Ok(tenant) => tenant.cloned(),
-            Err(error) => return unauthorized(error),
+            Err(error) => return self.unauthorized(error),
         };
         if received.id().is_none() {
             return status_only(StatusCode::BAD_REQUEST);
@@ -357,6 +367,11 @@
         if self.is_too_late() {
             return service_unavailable(RETRY_AFTER_SECONDS);
         }
+        if let Some(tenant) = &tenant
+            && let Err(answer) = self.admit(tenant, terms).await
+        {
+            return answer;
+        }
         let client = Client {
             has_tenants: table.tenants.is_some(),
             tenant,
@@ -364,7 +379,35 @@
         self.forward(received, client).await
     }
 
-    /// Sends a request to a worker, by the configuration in force now.
+    /// Lets a request of a tenant pass if it is within the tenant's limit; else returns its answer.
+    async fn admit(&self, tenant: &TenantTerms, route: &RouteTerms) -> Result<(), Answer> {
+        if tenant.limit.is_none() {
+            return Ok(());
+        }
+        let (started, counters) = (Instant::now(), &self.shared.admissions);
+        let time_limit = admission_time_limit(route);
+        match self.rate_limiter.admit(tenant, time_limit).await {
+            Admission::Admitted => {
+                counters.on_admitted(started.elapsed());
+                Ok(())
+            }
+            Admission::Rejected { retry_after } => {
+                counters.on_over_limit(&tenant.name, started.elapsed());
+                Err(over_limit(retry_after.as_secs_f64()))
+            }
+            Admission::Unavailable => {
+                counters.on_undecided(started.elapsed());
+                Err(service_unavailable(RETRY_AFTER_SECONDS))
+            }
+        }
+    }
+
+    fn unauthorized(&self, error: AuthenticationError) -> Answer {
+        self.shared.admissions.on_unauthenticated(error);
+        unauthorized(error)
+    }
+
+    /// Sends an admitted request to a worker, by the configuration in force now.
     async fn forward(&self, received: ReceivedRequest, client: Client) -> Answer {
         let Some(id) = received.id() else {
             return status_only(StatusCode::BAD_REQUEST);
@@ -397,7 +440,7 @@
         };
         let access = match job_access(&received, table, route) {
             Ok(access) => access,
-            Err(error) => return unauthorized(error),
+            Err(error) => return self.unauthorized(error),
         };
         let call = BatchCall {
             method: received.method,
@@ -510,6 +553,16 @@
     ))
 }
 
+/// How long a request may wait for its admission: one that is refused later would cost its client the target.
+fn admission_time_limit(route: &RouteTerms) -> Duration {
+    let target = if route.target > 0.0 {
+        route.target
+    } else {
+        DEFAULT_TARGET
+    };
+    Duration::from_secs_f64(target * ADMISSION_TARGET_SHARE)
+}
+
 /// When a connection is closed if nothing more is received.
 fn idle_deadline(sniffer: &Seen, limits: &ClientLimits) -> Instant {
     let idle = limits.idle_timeout() + IDLE_MARGIN;
@@ -567,6 +620,11 @@
     answer
 }
 
+/// A 429: the request is over its tenant's limit. It has not run and never will.
+fn over_limit(retry_after: f64) -> Answer {
+    retry_later(StatusCode::TOO_MANY_REQUESTS, retry_after)
+}
+
 /// A 503: the request has not run and never will.
 fn service_unavailable(retry_after: f64) -> Answer {
     retry_later(StatusCode::SERVICE_UNAVAILABLE, retry_after)
--- a/crates/mintlb-dispatcher/src/lib.rs
+++ b/crates/mintlb-dispatcher/src/lib.rs
@@ -12,9 +12,12 @@
 //! - Pure: [`routing`], [`tenants`], [`tuning`], [`prompts`], [`events`], [`wire`], [`load`].
 //! - State of one request: [`exchange`]. Shared state: [`shared`] with [`workers`], updated by [`cluster_state`].
 //! - Sockets: [`downstream`] with [`body`], [`readiness`], [`upstream`] with [`connection`], [`request`], [`answer`].
-//! - Admission to workers: [`permits`]. Batch jobs: [`batch_executor`], [`batch`].
+//! - Admission by tenants' rate limits: [`admission`], [`quota_client`], counted by [`admission_statistics`]; to workers:
+//!   [`permits`]. Batch jobs: [`batch_executor`], [`batch`].
 //! - Event loop: [`dispatcher`], started by [`mod@run`].
 
+pub mod admission;
+pub mod admission_statistics;
 pub mod answer;
 pub mod batch;
 pub mod batch_executor;
@@ -31,6 +34,7 @@
 pub mod occupancy;
 pub mod permits;
 pub mod prompts;
+pub mod quota_client;
 pub mod readiness;
 pub mod request;
 pub mod routing;
--- a/crates/mintlb-dispatcher/src/run.rs
+++ b/crates/mintlb-dispatcher/src/run.rs
@@ -4,6 +4,7 @@
 use crate::cluster_state::{self, ClusterUpdate};
 use crate::dispatcher::{Dispatcher, DispatcherConfig};
 use crate::error::DispatchError;
+use crate::quota_client::QuotaClient;
 use crate::shared::Shared;
 use mintlb_common::incarnation::Incarnation;
 use mintlb_common::record::Record;
@@ -11,6 +12,7 @@
 use mintlb_common::signals::Signals;
 use mintlb_common::transport::Transport;
 use mintlb_gossip::{GossipConfig, GossipService, Member, Role};
+use mintlb_quota::slices::Division;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
@@ -70,11 +72,20 @@
     let dispatcher_id = config.seed;
     let mut dispatcher = Dispatcher::new(config);
     dispatcher.batch = Some(batch::start(
-        transport,
+        transport.clone(),
         gossip.clone(),
         dispatcher.batch_executor(),
         dispatcher_id,
     ));
+    let quota = Arc::new(QuotaClient::new(
+        transport.clone(),
+        Division {
+            slack: settings.bounds.quota_slack,
+        },
+        dispatcher_id,
+    ));
+    dispatcher.rate_limiter = quota.clone();
+    gossip.subscribe(Arc::new(move |record: &Record| quota.apply_record(record)));
     let update_sender = dispatcher.update_sender.clone();
     gossip.subscribe(Arc::new(move |record: &Record| {
         if let Some(known) = cluster_state::read(record) {
--- a/crates/mintlb-dispatcher/src/shared.rs
+++ b/crates/mintlb-dispatcher/src/shared.rs
@@ -1,5 +1,6 @@
 //! State shared by the dispatcher's tasks: clock, worker table, routes in force, ids in progress.
 
+use crate::admission_statistics::AdmissionCounters;
 use crate::load::Load;
 use crate::occupancy::ServiceOccupancies;
 use crate::routing::{RoutingTable, Target};
@@ -35,6 +36,8 @@
     occupancies: Mutex<ServiceOccupancies>,
     /// Counts of the requests of all routes.
     pub counters: RequestCounters,
+    /// Counts of admissions.
+    pub admissions: AdmissionCounters,
 }
 
 /// Reserves the id of a non-idempotent request while its client waits for the response.
@@ -65,6 +68,7 @@
             reserved_request_ids: Mutex::default(),
             occupancies: Mutex::default(),
             counters: RequestCounters::default(),
+            admissions: AdmissionCounters::default(),
         }
     }
 
--- a/crates/mintlb-dispatcher/src/tenants.rs
+++ b/crates/mintlb-dispatcher/src/tenants.rs
@@ -5,6 +5,7 @@
 use axum::http::header::AUTHORIZATION;
 use axum::http::{HeaderMap, HeaderValue};
 use mintlb_common::configuration::{ApiKeyDigest, Configuration, Tenant};
+use mintlb_quota::messages::RateLimit;
 use rustc_hash::FxHashMap;
 use std::sync::Arc;
 
@@ -20,6 +21,8 @@
     pub name: String,
     /// The priority of its requests, in place of their route's.
     pub priority: Option<u32>,
+    /// Its limit over all dispatchers together, if it has one.
+    pub limit: Option<RateLimit>,
 }
 
 /// Why a request is not accepted. The client gets the text with a 401.
@@ -68,7 +71,7 @@
         let tenants = configuration.tenant_list.as_ref()?;
         let (mut by_key, mut by_name) = (FxHashMap::default(), FxHashMap::default());
         for tenant in tenants {
-            let terms = Arc::new(TenantTerms::from(tenant));
+            let terms = Arc::new(TenantTerms::new(tenant, configuration.config_version));
             by_key.extend(tenant.api_keys.iter().map(|key| (*key, terms.clone())));
             by_name.insert(tenant.name.clone(), terms);
         }
@@ -101,11 +104,17 @@
     }
 }
 
-impl From<&Tenant> for TenantTerms {
-    fn from(tenant: &Tenant) -> TenantTerms {
+impl TenantTerms {
+    fn new(tenant: &Tenant, version: u64) -> TenantTerms {
+        let limit = (tenant.rate_per_s > 0.0).then_some(RateLimit {
+            version,
+            rate: tenant.rate_per_s,
+            burst: tenant.burst_limit,
+        });
         TenantTerms {
             name: tenant.name.clone(),
             priority: tenant.priority,
+            limit,
         }
     }
 }
--- a/crates/mintlb-dispatcher/tests/machine/mod.rs
+++ b/crates/mintlb-dispatcher/tests/machine/mod.rs
@@ -51,6 +51,12 @@
 
 impl Machine {
     pub async fn start() -> Machine {
+        Machine::start_with(Arc::new(mintlb_dispatcher::admission::Unlimited)).await
+    }
+
+    pub async fn start_with(
+        rate_limiter: Arc<dyn mintlb_dispatcher::admission::RateLimiter>,
+    ) -> Machine {
         let config = DispatcherConfig {
             zone: "a".to_string(),
             zones: vec!["a".to_string(), "b".to_string()],
@@ -59,7 +65,8 @@
             grace_period_s: 5.0,
             seed: 1,
         };
-        let dispatcher = Dispatcher::new(config);
+        let mut dispatcher = Dispatcher::new(config);
+        dispatcher.rate_limiter = rate_limiter;
         let (frontend, readiness) = (listener().await, listener().await);
         let (stop, stopped) = oneshot::channel();
         let (end, ended) = oneshot::channel();
--- /dev/null
+++ b/crates/mintlb-dispatcher/tests/quota_owners.rs
@@ -0,0 +1,151 @@
+//! A dispatcher's questions to owners that are silent, or whose responses come while it has no processor time.
+
+use bytes::Bytes;
+use mintlb_common::record::{REPLICAS, Record};
+use mintlb_common::transport::{Channel, ResponseFuture, Service, Transport};
+use mintlb_dispatcher::admission::{Admission, RateLimiter};
+use mintlb_dispatcher::quota_client::QuotaClient;
+use mintlb_dispatcher::tenants::TenantTerms;
+use mintlb_quota::messages::{AdmitResponse, RateLimit};
+use mintlb_quota::slices::Division;
+use mintlb_register::replica_set::{Replica, ReplicaId, ReplicaSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::TcpListener;
+
+/// A quarter of a latency target of 200 ms.
+const TIME_LIMIT: Duration = Duration::from_millis(50);
+
+struct Admits;
+impl Service for Admits {
+    fn on_request(&self, _: SocketAddr, _: Bytes) -> ResponseFuture {
+        Box::pin(async { minicbor::to_vec(AdmitResponse::Admitted).unwrap().into() })
+    }
+}
+
+fn replica(id: u64, address: SocketAddr) -> Replica {
+    Replica {
+        id: ReplicaId(id),
+        address: address.to_string(),
+        node_name: format!("n{id}"),
+        zone: "a".into(),
+    }
+}
+
+fn record(current: Vec<Replica>) -> Record {
+    let set = ReplicaSet {
+        epoch: 1,
+        previous: Vec::new(),
+        current,
+    };
+    Record {
+        key: REPLICAS.into(),
+        version: 1,
+        ttl_s: 0,
+        body: minicbor::to_vec(&set).unwrap().into(),
+    }
+}
+
+fn tenant() -> TenantTerms {
+    TenantTerms {
+        name: "acme".into(),
+        priority: None,
+        limit: Some(RateLimit {
+            version: 1,
+            rate: 100.0,
+            burst: 100.0,
+        }),
+    }
+}
+
+/// Eight owners of nine are well; one has lost power.
+#[tokio::test]
+async fn one_owner_that_is_silent_does_not_refuse_a_request() {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let silent = TcpListener::bind(any).await.unwrap();
+    let mut keep = Vec::new();
+    let mut replicas = vec![replica(1, silent.local_addr().unwrap())];
+    for id in 2..10 {
+        let transport = Transport::start(any).await.unwrap();
+        transport.register_service(Channel::Quota, Arc::new(Admits));
+        replicas.push(replica(id, transport.local_address()));
+        keep.push(transport);
+    }
+    let record = record(replicas);
+    let (mut refused, mut all) = (0, 0);
+    for seed in 0..60 {
+        let client = QuotaClient::new(
+            Transport::start(any).await.unwrap(),
+            Division { slack: 20.0 },
+            seed,
+        );
+        client.apply_record(&record);
+        for _ in 0..3 {
+            all += 1;
+            let started = std::time::Instant::now();
+            let admission = client.admit(&tenant(), TIME_LIMIT).await;
+            if admission != Admission::Admitted {
+                refused += 1;
+                println!("seed {seed}: {admission:?} after {:?}", started.elapsed());
+            }
+        }
+    }
+    assert_eq!(
+        refused, 0,
+        "of {all} requests; eight of nine owners answer at once"
+    );
+}
+
+/// The owner's answer is there, but the dispatcher gets no processor time for 110 ms.
+#[test]
+fn an_answer_that_came_while_the_dispatcher_had_no_processor_counts() {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+    let (address_sender, addresses) = std::sync::mpsc::channel();
+    std::thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .unwrap();
+        runtime.block_on(async move {
+            let transport = Transport::start(any).await.unwrap();
+            transport.register_service(Channel::Quota, Arc::new(Admits));
+            address_sender.send(transport.local_address()).unwrap();
+            std::future::pending::<()>().await;
+        })
+    });
+    let address = addresses.recv().unwrap();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async move {
+        let client = Arc::new(QuotaClient::new(
+            Transport::start(any).await.unwrap(),
+            Division { slack: 20.0 },
+            1,
+        ));
+        client.apply_record(&record(vec![replica(1, address)]));
+        // Opens the connection.
+        assert_eq!(
+            client.admit(&tenant(), Duration::from_secs(1)).await,
+            Admission::Admitted
+        );
+        let mut unavailable = 0;
+        for _ in 0..6 {
+            let asking = client.clone();
+            let asked = tokio::spawn(async move { asking.admit(&tenant(), TIME_LIMIT).await });
+            // The question is sent.
+            for _ in 0..20 {
+                tokio::task::yield_now().await;
+            }
+            std::thread::sleep(Duration::from_millis(110));
+            unavailable += usize::from(asked.await.unwrap() != Admission::Admitted);
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        assert_eq!(
+            unavailable, 0,
+            "of 6 though the answer came within a millisecond"
+        );
+    });
+}
--- a/crates/mintlb-dispatcher/tests/tenant_changes.rs
+++ b/crates/mintlb-dispatcher/tests/tenant_changes.rs
@@ -1,10 +1,68 @@
 //! Places where the configuration of tenants changes under a request.
 
+mod machine;
+
+use machine::{CONFIGURATION, Machine, Worker, header, on_one_thread};
 use mintlb_common::configuration::Configuration;
+use mintlb_common::record::WorkerState;
 use mintlb_core::types::Types;
+use mintlb_dispatcher::admission::{Admission, AdmissionFuture, RateLimiter};
 use mintlb_dispatcher::routing::RoutingTable;
+use mintlb_dispatcher::tenants::TenantTerms;
 use mintlb_dispatcher::tuning::{ServiceNumbers, project_types};
 use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::Notify;
+
+/// Admits a request once it is released.
+#[derive(Default)]
+struct Held {
+    asked: Notify,
+    released: Notify,
+}
+
+impl RateLimiter for Held {
+    fn admit<'a>(&'a self, _: &'a TenantTerms, _: Duration) -> AdmissionFuture<'a> {
+        Box::pin(async {
+            self.asked.notify_one();
+            self.released.notified().await;
+            Admission::Admitted
+        })
+    }
+}
+
+fn without_tenants(version: u64) -> String {
+    let field = format!(r#""config_version":{version},"#);
+    CONFIGURATION.replacen(r#""config_version":3,"#, &field, 1)
+}
+
+fn with_tenants(version: u64, tenants: &str) -> String {
+    let field = format!(r#""config_version":{version},"tenant_list":{tenants},"#);
+    CONFIGURATION.replacen(r#""config_version":3,"#, &field, 1)
+}
+
+/// UNASKED: the worker would get the key.
+#[test]
+fn a_key_is_not_forwarded_though_the_tenants_go_while_its_request_waits() {
+    on_one_thread(async {
+        let held = Arc::new(Held::default());
+        let machine = Machine::start_with(held.clone()).await;
+        let mut worker = Worker::start("i-1", "s").await;
+        let tenants = r#"[{"name":"north","api_keys":["north-key"],"rate_per_s":9}]"#;
+        machine.configure(&with_tenants(3, tenants)).await;
+        machine.set_worker(&worker, WorkerState::InService, 1).await;
+        let mut client = machine.client().await;
+        let key = "Authorization: Bearer north-key\r\n";
+        client.post("/p/1", "id-1", key, "x").await;
+        held.asked.notified().await;
+        machine.configure(&without_tenants(4)).await;
+        held.released.notify_one();
+        let received = worker.next_request().await;
+        let tenant = header(&received.head, "mintlb-tenant");
+        assert_eq!(tenant.as_deref(), Some("north"), "{}", received.head);
+        assert!(!received.head.contains("north-key"), "{}", received.head);
+    });
+}
 
 /// Ten routes and a batch route of priority 2, and tenants of these priorities.
 fn table(priorities: &[u32]) -> (RoutingTable, Types) {
