Quota: times to come back end with a flood, remembered rejections tell the owners' time; tests of drivers and admission

A bucket's time for the next rejected request grew with each rejection and never came back: 419 s were told a minute after a flood where a token came in 0.5 s, and rejections counted as crowded beside full slices. It begins anew once the bucket is full. A request turned away without a question was told the rest of 50 ms in place of the owners' time. An owner that was silent for 20 ms counts as suspected; a request without time asks nobody; admission waits no longer than its client.

--- a/crates/mintlb-dispatcher/src/downstream.rs
+++ b/crates/mintlb-dispatcher/src/downstream.rs
@@ -367,10 +367,11 @@
         if self.is_too_late() {
             return service_unavailable(RETRY_AFTER_SECONDS);
         }
-        if let Some(tenant) = &tenant
-            && let Err(answer) = self.admit(tenant, terms).await
-        {
-            return answer;
+        if let Some(tenant) = &tenant {
+            let time_limit = admission_time_limit(terms, &received.headers);
+            if let Err(answer) = self.admit(tenant, time_limit).await {
+                return answer;
+            }
         }
         let client = Client {
             has_tenants: table.tenants.is_some(),
@@ -380,12 +381,11 @@
     }
 
     /// Lets a request of a tenant pass if it is within the tenant's limit; else returns its answer.
-    async fn admit(&self, tenant: &TenantTerms, route: &RouteTerms) -> Result<(), Answer> {
+    async fn admit(&self, tenant: &TenantTerms, time_limit: Duration) -> Result<(), Answer> {
         if tenant.limit.is_none() {
             return Ok(());
         }
         let (started, counters) = (Instant::now(), &self.shared.admissions);
-        let time_limit = admission_time_limit(route);
         match self.rate_limiter.admit(tenant, time_limit).await {
             Admission::Admitted => {
                 counters.on_admitted(started.elapsed());
@@ -479,12 +479,7 @@
                 None => return status_only(StatusCode::BAD_GATEWAY),
             },
         };
-        let deadline = headers
-            .get(DEADLINE)
-            .and_then(|ms| ms.to_str().ok()?.trim().parse::<f64>().ok());
-        let deadline = deadline
-            .filter(|ms| *ms >= 0.0)
-            .map_or(f64::INFINITY, |ms| ms / 1e3);
+        let deadline = client_deadline(&headers);
         let last_event_id = last_event_id(&headers);
         strip_connection_headers(&mut headers);
         strip_own_headers(&mut headers);
@@ -554,13 +549,23 @@
 }
 
 /// How long a request may wait for its admission: one that is refused later would cost its client the target.
-fn admission_time_limit(route: &RouteTerms) -> Duration {
+fn admission_time_limit(route: &RouteTerms, headers: &HeaderMap) -> Duration {
     let target = if route.target > 0.0 {
         route.target
     } else {
         DEFAULT_TARGET
     };
-    Duration::from_secs_f64(target * ADMISSION_TARGET_SHARE)
+    let seconds = client_deadline(headers).min(target * ADMISSION_TARGET_SHARE);
+    Duration::from_secs_f64(seconds)
+}
+
+/// Seconds for which the client waits from when it sent the request; infinite if it does not say.
+fn client_deadline(headers: &HeaderMap) -> f64 {
+    let deadline = headers.get(DEADLINE);
+    let milliseconds = deadline.and_then(|ms| ms.to_str().ok()?.trim().parse::<f64>().ok());
+    milliseconds
+        .filter(|ms| *ms >= 0.0)
+        .map_or(f64::INFINITY, |ms| ms / 1e3)
 }
 
 /// When a connection is closed if nothing more is received.
--- a/crates/mintlb-dispatcher/src/quota_client.rs
+++ b/crates/mintlb-dispatcher/src/quota_client.rs
@@ -25,9 +25,8 @@
 const HEDGE_DELAY: Duration = Duration::from_millis(20);
 /// Questions of one request that are open at the same time.
 const MAX_OPEN_QUESTIONS: usize = 3;
-/// An owner that has not responded for this long when its request is decided is suspected of being down.
-const SUSPICION_DELAY: Duration = Duration::from_millis(50);
-/// A suspected owner is asked after all others for this long.
+/// An owner that was silent for [`HEDGE_DELAY`] when its request was decided is suspected of being down, and asked after
+/// all others for this long.
 const SUSPICION_TIME: Duration = Duration::from_millis(1000);
 /// The time-out of a question, beyond that of any request.
 const CALL_TIMEOUT: Duration = Duration::from_millis(2000);
@@ -48,8 +47,17 @@
     rng: Mutex<Chance>,
     /// Until when an owner is suspected of being down.
     suspects: Mutex<FxHashMap<SocketAddr, Instant>>,
-    /// Until when the requests of a tenant are rejected without a question.
-    rejected: Mutex<FxHashMap<String, Instant>>,
+    /// The last rejection of a tenant.
+    rejected: Mutex<FxHashMap<String, RememberedRejection>>,
+}
+
+/// A rejection that holds for further requests of its tenant.
+#[derive(Clone, Copy)]
+struct RememberedRejection {
+    /// Until then they are rejected without a question.
+    until: Instant,
+    /// When they may come back.
+    returns_at: Instant,
 }
 
 /// A question to an owner, and its response; none if it can't be reached.
@@ -95,6 +103,9 @@
         if let Some(retry_after) = self.remembered_rejection(tenant) {
             return Admission::Rejected { retry_after };
         }
+        if time_limit.is_zero() {
+            return Admission::Unavailable;
+        }
         let deadline = Instant::now() + time_limit;
         let request = AdmitRequest {
             tenant: tenant.to_string(),
@@ -189,7 +200,7 @@
         let silent = questions
             .asked
             .iter()
-            .filter(|(_, asked_at)| asked_at.elapsed() >= SUSPICION_DELAY);
+            .filter(|(_, asked_at)| asked_at.elapsed() >= HEDGE_DELAY);
         silent.for_each(|(owner, _)| self.suspect(*owner));
     }
 
@@ -198,22 +209,25 @@
         let now = Instant::now();
         let mut rejected = self.rejected.lock();
         if rejected.len() >= MAX_REMEMBERED {
-            rejected.retain(|_, until| *until > now);
+            rejected.retain(|_, rejection| rejection.until > now);
         }
         if rejected.len() < MAX_REMEMBERED {
-            let until = now + retry_after.min(MAX_REJECTION_MEMORY);
-            rejected.insert(tenant.to_string(), until);
+            let rejection = RememberedRejection {
+                until: now + retry_after.min(MAX_REJECTION_MEMORY),
+                returns_at: now + retry_after,
+            };
+            rejected.insert(tenant.to_string(), rejection);
         }
         Admission::Rejected { retry_after }
     }
 
-    /// The rest of the time for which the requests of a tenant are rejected without a question.
+    /// When a request of a tenant may come back, if it is rejected without a question.
     fn remembered_rejection(&self, tenant: &str) -> Option<Duration> {
         let now = Instant::now();
         let mut rejected = self.rejected.lock();
-        let until = *rejected.get(tenant)?;
-        if until > now {
-            return Some(until - now);
+        let rejection = *rejected.get(tenant)?;
+        if rejection.until > now {
+            return Some(rejection.returns_at - now);
         }
         rejected.remove(tenant);
         None
--- a/crates/mintlb-dispatcher/tests/machine/mod.rs
+++ b/crates/mintlb-dispatcher/tests/machine/mod.rs
@@ -4,14 +4,18 @@
 
 pub mod raw;
 
+use axum::body::Body;
+use axum::response::Response;
 use mintlb_common::configuration::Configuration;
 use mintlb_common::record::{WorkerRecord, WorkerState};
-use mintlb_dispatcher::batch_executor::BatchExecutor;
+use mintlb_dispatcher::admission::RateLimiter;
+use mintlb_dispatcher::batch_executor::{BatchCall, BatchExecutor, BatchHandler};
 use mintlb_dispatcher::cluster_state::ClusterUpdate;
 use mintlb_dispatcher::dispatcher::{Dispatcher, DispatcherConfig};
 use mintlb_dispatcher::shared::Shared;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering::Relaxed};
 use std::time::Duration;
@@ -49,14 +53,20 @@
     pub ended: oneshot::Receiver<()>,
 }
 
+/// What a test puts in place of a dispatcher's own parts.
+#[derive(Default)]
+pub struct Parts {
+    pub rate_limiter: Option<Arc<dyn RateLimiter>>,
+    pub batch: Option<Arc<dyn BatchHandler>>,
+}
+
 impl Machine {
     pub async fn start() -> Machine {
-        Machine::start_with(Arc::new(mintlb_dispatcher::admission::Unlimited)).await
+        Machine::start_with(Parts::default()).await
     }
 
-    pub async fn start_with(
-        rate_limiter: Arc<dyn mintlb_dispatcher::admission::RateLimiter>,
-    ) -> Machine {
+    /// One with parts of the test.
+    pub async fn start_with(parts: Parts) -> Machine {
         let config = DispatcherConfig {
             zone: "a".to_string(),
             zones: vec!["a".to_string(), "b".to_string()],
@@ -66,7 +76,10 @@
             seed: 1,
         };
         let mut dispatcher = Dispatcher::new(config);
-        dispatcher.rate_limiter = rate_limiter;
+        if let Some(rate_limiter) = parts.rate_limiter {
+            dispatcher.rate_limiter = rate_limiter;
+        }
+        dispatcher.batch = parts.batch;
         let (frontend, readiness) = (listener().await, listener().await);
         let (stop, stopped) = oneshot::channel();
         let (end, ended) = oneshot::channel();
@@ -145,6 +158,24 @@
     }
 }
 
+/// Stands in for the batch modules: records each call and answers 200.
+pub struct RecordedCalls(UnboundedSender<BatchCall>);
+
+impl RecordedCalls {
+    /// It, and the calls that it gets.
+    pub fn new() -> (Arc<RecordedCalls>, UnboundedReceiver<BatchCall>) {
+        let (sender, calls) = unbounded_channel();
+        (Arc::new(RecordedCalls(sender)), calls)
+    }
+}
+
+impl BatchHandler for RecordedCalls {
+    fn handle(&self, call: BatchCall) -> Pin<Box<dyn Future<Output = Response> + Send>> {
+        self.0.send(call).ok();
+        Box::pin(async { Response::new(Body::from("handled")) })
+    }
+}
+
 /// What the records say of a worker.
 pub fn worker_record(worker: &Worker, state: WorkerState, call: u64) -> WorkerRecord {
     WorkerRecord {
--- a/crates/mintlb-dispatcher/tests/tenant_changes.rs
+++ b/crates/mintlb-dispatcher/tests/tenant_changes.rs
@@ -2,7 +2,7 @@
 
 mod machine;
 
-use machine::{CONFIGURATION, Machine, Worker, header, on_one_thread};
+use machine::{CONFIGURATION, Machine, Parts, Worker, header, on_one_thread};
 use mintlb_common::configuration::Configuration;
 use mintlb_common::record::WorkerState;
 use mintlb_core::types::Types;
@@ -46,7 +46,11 @@
 fn a_key_is_not_forwarded_though_the_tenants_go_while_its_request_waits() {
     on_one_thread(async {
         let held = Arc::new(Held::default());
-        let machine = Machine::start_with(held.clone()).await;
+        let parts = Parts {
+            rate_limiter: Some(held.clone()),
+            ..Parts::default()
+        };
+        let machine = Machine::start_with(parts).await;
         let mut worker = Worker::start("i-1", "s").await;
         let tenants = r#"[{"name":"north","api_keys":["north-key"],"rate_per_s":9}]"#;
         machine.configure(&with_tenants(3, tenants)).await;
--- a/crates/mintlb-quota/src/token_bucket.rs
+++ b/crates/mintlb-quota/src/token_bucket.rs
@@ -77,6 +77,10 @@
         self.updated_at = self.updated_at.max(now);
         let filled = self.tokens + self.limit.rate * elapsed.as_secs_f64();
         self.tokens = filled.min(self.limit.burst);
+        if filled >= self.limit.burst {
+            // Nobody has come back for them.
+            self.next_return = now;
+        }
     }
 
     /// The time in which so many tokens come, rounded up: who comes back then finds them.
