Soak: tenants, their keys and limits through overlapping restarts and changes

A third kind of run with a whole tier of real processes: keys are taken away, added and moved, a limit is lowered, one tenant sends far beyond its limit, while controllers, dispatchers and stores are killed, frozen, restarted and signalled and clients keep their connections. Checked by what workers, clients and operator saw: no key at a worker or in a log, the right tenant, no dropped key served and no valid one refused later than 2.5 s after an acknowledgement, the window of 5 s, no 429 below the limit in calm, other tenants' jobs, the configuration read back.

--- a/crates/mintlb-control/tests/soak/cluster/faults.rs
+++ b/crates/mintlb-control/tests/soak/cluster/faults.rs
@@ -75,12 +75,13 @@
         if !matches!(fault, Fault::Terminate | Fault::HangUp) {
             cluster.note_disturbance(machine);
         }
+        cluster.note_event(machine, &format!("{fault:?}"));
         let target = &mut cluster.machines[machine];
         match fault {
             Fault::Kill => target.kill(),
             Fault::LoseDisk => target.lose_disk(),
             Fault::Terminate => target.terminate(),
-            Fault::Freeze => target.freeze(),
+            Fault::Freeze => cluster.freeze(machine),
             Fault::HangUp => return target.hang_up(),
         }
         let lasts = self.random.u64(SHORTEST_FAULT_MS..LONGEST_FAULT_MS);
@@ -118,10 +119,12 @@
         if cluster.is_retired(self.machine) {
             return true;
         }
-        let machine = &mut cluster.machines[self.machine];
         match self.fault {
-            Fault::Freeze => machine.thaw(),
-            Fault::Terminate if !machine.has_ended() => return false,
+            Fault::Freeze => {
+                cluster.note_event(self.machine, "thawed");
+                cluster.thaw(self.machine);
+            }
+            Fault::Terminate if !cluster.machines[self.machine].has_ended() => return false,
             _ => cluster.start_machine(self.machine),
         }
         true
--- a/crates/mintlb-control/tests/soak/cluster/machine.rs
+++ b/crates/mintlb-control/tests/soak/cluster/machine.rs
@@ -6,7 +6,7 @@
 use std::fs::File;
 use std::os::unix::process::CommandExt;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, Command, ExitStatus, Stdio};
 use std::time::{Duration, Instant};
 
 /// The test program starts itself with this test to be a dispatcher, see
@@ -183,17 +183,21 @@
         true
     }
 
-    /// Whether the process has ended by itself.
-    pub fn has_ended_by_itself(&mut self) -> bool {
-        let process = self.process.as_mut();
-        let has_ended = process.is_some_and(|process| process.try_wait().unwrap().is_some());
-        has_ended && self.terminated_at.is_none()
+    /// How the process has ended, if it has by itself.
+    pub fn end_by_itself(&mut self) -> Option<ExitStatus> {
+        let status = self.process.as_mut()?.try_wait().unwrap()?;
+        self.terminated_at.is_none().then_some(status)
+    }
+
+    /// All that its processes have logged.
+    pub fn log(&self) -> String {
+        std::fs::read_to_string(self.log_path()).unwrap_or_default()
     }
 
     /// The last lines of its log.
     pub fn end_of_log(&self) -> String {
         const LINES: usize = 30;
-        let log = std::fs::read_to_string(self.log_path()).unwrap_or_default();
+        let log = self.log();
         let lines: Vec<&str> = log.lines().collect();
         lines[lines.len().saturating_sub(LINES)..].join("\n")
     }
--- a/crates/mintlb-control/tests/soak/cluster/mod.rs
+++ b/crates/mintlb-control/tests/soak/cluster/mod.rs
@@ -11,6 +11,7 @@
 use std::collections::HashSet;
 use std::sync::Arc;
 use tempfile::TempDir;
+use tokio::time::Instant;
 
 /// How many machines of each role a cluster has.
 #[derive(Clone, Copy, Debug)]
@@ -26,6 +27,23 @@
 /// Processes that were killed or frozen: what they cut off is no fault of theirs.
 pub type Disturbed = Arc<Mutex<HashSet<Incarnation>>>;
 
+/// The time in which a process was frozen.
+#[derive(Clone, Copy, Debug)]
+pub struct Freeze {
+    pub process: Incarnation,
+    pub began: Instant,
+    /// `None` while it is frozen.
+    pub ended: Option<Instant>,
+}
+
+/// What happened to the processes.
+#[derive(Default)]
+pub struct FaultLog {
+    pub freezes: Vec<Freeze>,
+    /// Everything, as text.
+    pub events: Vec<(Instant, String)>,
+}
+
 pub struct SoakCluster {
     /// Controllers first, then stores, then dispatchers.
     pub machines: Vec<Machine>,
@@ -34,6 +52,7 @@
     pub disturbed: Disturbed,
     /// Numbers of the machines that the operator was told to take away.
     pub retired: Arc<Mutex<HashSet<usize>>>,
+    pub fault_log: Arc<Mutex<FaultLog>>,
     _root: TempDir,
 }
 
@@ -59,6 +78,7 @@
             machines,
             disturbed: Disturbed::default(),
             retired: Arc::default(),
+            fault_log: Arc::default(),
             _root: root,
         };
         (0..cluster.machines.len()).for_each(|position| cluster.start_machine(position));
@@ -68,6 +88,7 @@
     /// Starts the process of the machine at this position.
     fn start_machine(&mut self, position: usize) {
         self.newest.lock()[position].1 += 1;
+        self.note_event(position, "started");
         self.machines[position].start();
     }
 
@@ -102,14 +123,41 @@
         self.disturbed.lock().insert(incarnation);
     }
 
+    /// Notes what happens to the process at this position.
+    fn note_event(&self, position: usize, event: &str) {
+        let (_, incarnation) = self.newest.lock()[position];
+        let text = format!("{}.{incarnation}: {event}", self.machines[position]);
+        self.fault_log.lock().events.push((Instant::now(), text));
+    }
+
+    /// Freezes the process at this position.
+    fn freeze(&mut self, position: usize) {
+        self.fault_log.lock().freezes.push(Freeze {
+            process: self.newest.lock()[position],
+            began: Instant::now(),
+            ended: None,
+        });
+        self.machines[position].freeze();
+    }
+
+    /// Thaws the process at this position.
+    fn thaw(&mut self, position: usize) {
+        self.machines[position].thaw();
+        let process = self.newest.lock()[position];
+        for freeze in &mut self.fault_log.lock().freezes {
+            if freeze.process == process && freeze.ended.is_none() {
+                freeze.ended = Some(Instant::now());
+            }
+        }
+    }
+
     /// No process ends by itself.
     fn check_processes(&mut self) {
         for machine in &mut self.machines {
-            assert!(
-                !machine.has_ended_by_itself(),
-                "{machine} has ended by itself\n{}",
-                machine.end_of_log()
-            );
+            if let Some(status) = machine.end_by_itself() {
+                let log = machine.end_of_log();
+                panic!("{machine} has ended by itself: {status}\n{log}");
+            }
         }
     }
 }
--- a/crates/mintlb-control/tests/soak/tier.rs
+++ b/crates/mintlb-control/tests/soak/tier.rs
@@ -110,7 +110,8 @@
     }
 }
 
-async fn wait_until_ready(network: Network, dispatchers: &[usize], time: Duration) {
+/// Waits until these dispatchers are ready for clients.
+pub async fn wait_until_ready(network: Network, dispatchers: &[usize], time: Duration) {
     let deadline = Instant::now() + time;
     for dispatcher in dispatchers {
         while !is_ready(network, *dispatcher).await {
--- a/crates/mintlb-control/tests/soak/workers.rs
+++ b/crates/mintlb-control/tests/soak/workers.rs
@@ -17,12 +17,14 @@
 use std::time::Duration;
 use tokio::net::TcpListener;
 use tokio::task::JoinSet;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep};
 
 /// The service that all workers belong to.
 pub const SERVICE: &str = "app";
 /// Paths of batch items begin with this.
 pub const BATCH_PREFIX: &str = "/batch/";
+/// Each key of a tenant contains this: no worker may see it.
+pub const KEY_MARKER: &str = "soak-key";
 /// Workers listen at the address of a machine that has no process of the tier.
 const WORKER_MACHINE: usize = 250;
 const WORKERS: usize = 3;
@@ -34,11 +36,49 @@
 const REPLACEMENT_INTERVAL: Duration = Duration::from_millis(2500);
 const LONGEST_RUN_MS: u64 = 120;
 
+/// A request that reached a worker.
+pub struct Arrival {
+    pub at: Instant,
+    /// `None` if it has no id.
+    pub id: Option<String>,
+    /// The tenant that it names.
+    pub tenant: Option<String>,
+    /// Whether it carried `Authorization`, or a key anywhere in its head.
+    pub has_credentials: bool,
+    /// Whether it is an item of a batch job.
+    pub is_item: bool,
+}
+
+impl Arrival {
+    fn of(request: &Request<Incoming>) -> Arrival {
+        let text = |name: &str| {
+            let value = request.headers().get(name)?.to_str().ok()?;
+            Some(value.to_string())
+        };
+        let has_key = |bytes: &[u8]| {
+            bytes
+                .windows(KEY_MARKER.len())
+                .any(|part| part == KEY_MARKER.as_bytes())
+        };
+        let headers = request.headers();
+        Arrival {
+            at: Instant::now(),
+            id: text("mintlb-request-id"),
+            tenant: text("mintlb-tenant"),
+            has_credentials: headers.contains_key("authorization")
+                || headers.values().any(|value| has_key(value.as_bytes()))
+                || has_key(request.uri().to_string().as_bytes()),
+            is_item: request.uri().path().starts_with(BATCH_PREFIX),
+        }
+    }
+}
+
 /// What the workers have run, by the ids of requests.
 #[derive(Default)]
 pub struct RunLog {
     counts: HashMap<String, u32>,
     finished: HashSet<String>,
+    arrivals: Vec<Arrival>,
 }
 
 /// The log that all workers write.
@@ -50,6 +90,11 @@
         self.counts.get(id).copied().unwrap_or(0)
     }
 
+    /// All requests that reached a worker, in their order.
+    pub fn arrivals(&self) -> &[Arrival] {
+        &self.arrivals
+    }
+
     /// Whether a run of a request is over.
     pub fn is_finished(&self, id: &str) -> bool {
         self.finished.contains(id)
@@ -199,6 +244,7 @@
     if request.method() == "GET" {
         return Ok(health(&worker));
     }
+    runs.lock().arrivals.push(Arrival::of(&request));
     let response = Response::builder();
     let Some(id) = header("mintlb-request-id") else {
         return Ok(refusal(response.status(400)));
