--- a/crates/mintlb-dispatcher/tests/quota_client.rs
+++ b/crates/mintlb-dispatcher/tests/quota_client.rs
@@ -22,8 +22,12 @@
 const AMPLE: Duration = Duration::from_secs(10);
 /// A time limit in which more owners than three could be asked, one each 20 ms.
 const SHORT: Duration = Duration::from_millis(150);
-/// A busy machine delays a response by this at most.
-const DELAY: Duration = Duration::from_millis(500);
+/// The step in which a stopped clock is advanced while a request is decided.
+const STEP: Duration = Duration::from_millis(5);
+/// The turns of the runtime after which all that the sockets have is handled: owners and client share its thread.
+const SETTLED: usize = 100;
+/// After this long without a response the next owner is asked, too.
+const HEDGE_DELAY: Duration = Duration::from_millis(20);
 /// A test that waits for this long with a stopped clock waits for nothing.
 const HANG: Duration = Duration::from_secs(5);
 /// As long as an owner is suspected of being down.
@@ -171,6 +175,28 @@
         .await
 }
 
+/// Has a request decided while the clock advances in steps, each once all that the sockets have is handled. Returns the
+/// decision and the time that it took by that clock, however busy the machine is.
+async fn admit_in_steps(
+    clock: &StoppedClock,
+    client: &Arc<QuotaClient>,
+    time_limit: Duration,
+) -> (Admission, Duration) {
+    let started = Instant::now();
+    let asking = client.clone();
+    let asked = tokio::spawn(async move { admit(&asking, time_limit).await });
+    loop {
+        for _ in 0..SETTLED {
+            tokio::task::yield_now().await;
+        }
+        if asked.is_finished() {
+            return (asked.await.unwrap(), started.elapsed());
+        }
+        assert!(started.elapsed() < HANG, "it is never decided");
+        clock.advance(STEP).await;
+    }
+}
+
 /// While it exists the clock stands still: a response counts however busy the machine is.
 struct StoppedClock(std::sync::mpsc::Sender<()>);
 
@@ -414,17 +440,17 @@
 
 #[tokio::test]
 async fn a_silent_owner_is_passed_over_in_time_and_asked_last_for_a_second() {
+    let clock = StoppedClock::new();
     let owners = Owner::start_all(&[Answer::Silence, ADMITTED, ADMITTED]).await;
-    let client = client_of(&addresses(&owners)).await;
+    let client = Arc::new(client_of(&addresses(&owners)).await);
     let mut requests = 0;
     while owners[0].take_questions() == 0 {
-        let started = Instant::now();
-        assert_eq!(admit(&client, AMPLE).await, Admission::Admitted);
-        assert!(started.elapsed() < DELAY, "{:?}", started.elapsed());
+        let (admission, elapsed) = admit_in_steps(&clock, &client, AMPLE).await;
+        assert_eq!(admission, Admission::Admitted);
+        assert!(elapsed < HEDGE_DELAY + 2 * STEP, "{elapsed:?}");
         requests += 1;
         assert!(requests < 100, "the silent owner is never asked");
     }
-    let clock = StoppedClock::new();
     // It would respond again.
     owners[0].set(ADMITTED);
     for _ in 0..30 {
@@ -451,15 +477,13 @@
     let closed = ClosedAddress::reserve();
     let down = closed.address;
     let client = client_of(&[down, running[0].address, running[1].address]).await;
+    let clock = StoppedClock::new();
     for _ in 0..20 {
-        let started = Instant::now();
         assert_eq!(admit(&client, AMPLE).await, Admission::Admitted);
-        assert!(started.elapsed() < DELAY, "{:?}", started.elapsed());
     }
     // Another dispatcher, which knows no other owner at first and so has to meet this one.
     let client = client_of(&[down]).await;
     assert_eq!(admit(&client, AMPLE).await, Admission::Unavailable);
-    let clock = StoppedClock::new();
     let all = [down, running[0].address, running[1].address];
     client.apply_record(&record(2, &[], &all));
     // It comes back, and is not asked before the second is over.
@@ -480,24 +504,26 @@
 async fn a_request_is_undecided_in_time_while_all_owners_are_down() {
     let closed: Vec<ClosedAddress> = (0..9).map(|_| ClosedAddress::reserve()).collect();
     let addresses: Vec<SocketAddr> = closed.iter().map(|closed| closed.address).collect();
-    let client = client_of(&addresses).await;
-    let started = Instant::now();
-    assert_eq!(admit(&client, SHORT).await, Admission::Unavailable);
-    assert!(started.elapsed() < SHORT + DELAY, "{:?}", started.elapsed());
+    let client = Arc::new(client_of(&addresses).await);
+    let clock = StoppedClock::new();
+    let (admission, elapsed) = admit_in_steps(&clock, &client, SHORT).await;
+    assert_eq!(admission, Admission::Unavailable);
+    assert!(elapsed < SHORT + 2 * STEP, "{elapsed:?}");
 }
 
 #[tokio::test]
 async fn silent_owners_are_given_no_more_than_the_time_limit_of_the_call() {
     let owners = Owner::start_all(&[Answer::Silence; 9]).await;
-    let client = client_of(&addresses(&owners)).await;
-    let started = Instant::now();
-    assert_eq!(admit(&client, SHORT).await, Admission::Unavailable);
-    let elapsed = started.elapsed();
-    assert!((SHORT..SHORT + DELAY).contains(&elapsed), "{elapsed:?}");
+    let client = Arc::new(client_of(&addresses(&owners)).await);
+    let clock = StoppedClock::new();
+    let (admission, elapsed) = admit_in_steps(&clock, &client, SHORT).await;
+    assert_eq!(admission, Admission::Unavailable);
+    assert!((SHORT..SHORT + 2 * STEP).contains(&elapsed), "{elapsed:?}");
     // Three questions are open at the same time, at most.
     assert_eq!(take_questions(&owners).into_iter().sum::<usize>(), 3);
     // Also with some of them suspected.
-    assert_eq!(admit(&client, SHORT).await, Admission::Unavailable);
+    let (admission, _) = admit_in_steps(&clock, &client, SHORT).await;
+    assert_eq!(admission, Admission::Unavailable);
     assert_eq!(take_questions(&owners).into_iter().sum::<usize>(), 3);
 }
 
@@ -530,7 +556,7 @@
     assert_eq!(admit(&client, AMPLE).await, Admission::Unavailable);
     client.apply_record(&record(1, &[], &[]));
     assert_eq!(admit(&client, AMPLE).await, Admission::Unavailable);
-    assert!(started.elapsed() < DELAY);
+    assert!(started.elapsed() < STEP);
 }
 
 #[tokio::test]
