--- a/review/stand-ins/tier.rs
+++ b/review/stand-ins/tier.rs
@@ -283,6 +283,11 @@
         }
     }
 
+    /// The process id of a node that runs.
+    pub fn pid(&self, name: &str) -> Option<u32> {
+        self.nodes[self.index(name)].child.as_ref().map(Child::id)
+    }
+
     /// The exit of a process, if it has ended.
     pub fn has_ended(&mut self, name: &str) -> Option<String> {
         let index = self.index(name);
