--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -7,7 +7,7 @@
 use std::collections::BTreeMap;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering::SeqCst};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering::SeqCst};
 use std::sync::{Arc, Mutex};
 use std::thread::{sleep, spawn};
 use std::time::Duration;
@@ -15,8 +15,9 @@
 
 const HOST: &str = "desk.example";
 /// Changes of the route's `timeout_ms`, one after the other.
-const CHANGES: u64 = 70;
-const GAP: Duration = Duration::from_millis(400);
+const CHANGES: u64 = 66;
+/// The shortest pause between changes in the site file (`config_race`, `gap_s` 0.85).
+const GAP: Duration = Duration::from_millis(850);
 const WORKERS_OF_A: usize = 42;
 const WORKERS_OF_B: usize = 2;
 /// An event of a stream comes this often.
@@ -27,68 +28,59 @@
 /// Which service ran which request.
 type Runs = Arc<Mutex<BTreeMap<String, &'static str>>>;
 
-fn start_worker(address: SocketAddr, service: &'static str, runs: Runs, over: Arc<AtomicBool>) {
+fn start_worker(worker: usize, address: SocketAddr, service: &'static str, runs: Runs, over: Arc<AtomicBool>) {
     let listener = TcpListener::bind(address).expect("the worker's address");
+    let running = Arc::new(AtomicU32::new(0));
     spawn(move || {
         for stream in listener.incoming().flatten() {
-            let (runs, over) = (runs.clone(), over.clone());
-            spawn(move || serve(stream, service, &runs, &over));
+            let (runs, over, running) = (runs.clone(), over.clone(), running.clone());
+            spawn(move || serve(stream, worker, service, &runs, &over, &running));
         }
     });
 }
 
 /// A request whose path ends with `long` is answered by a stream that lasts until the case is over, any other by one event.
-fn serve(mut stream: TcpStream, service: &'static str, runs: &Runs, over: &AtomicBool) {
+fn serve(
+    mut stream: TcpStream,
+    worker: usize,
+    service: &'static str,
+    runs: &Runs,
+    over: &AtomicBool,
+    running: &AtomicU32,
+) {
     stream.set_nodelay(true).ok();
     let mut bytes = Vec::new();
     while let Some(request) = read_request(&mut stream, &mut bytes) {
-        if request.method == "GET" {
-            stream.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").ok();
+        if answers_without_run(&mut stream, &request, worker) {
             continue;
         }
+        let now_running = running.fetch_add(1, SeqCst) + 1;
         let id = request.id();
         runs.lock().unwrap().insert(id.clone(), service);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nMintlb-Request-Id: {id}\r\nMintlb-Response-Signature: sig-{id}\r\nMintlb-Instance-Load: 1,0,48\r\n\
+            "HTTP/1.1 200 OK\r\nMintlb-Request-Id: {id}\r\nMintlb-Response-Signature: sig-{id}\r\nMintlb-Instance-Load: {now_running},0,48\r\n\
              Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
         );
-        if stream.write_all(head.as_bytes()).is_err() {
-            return;
-        }
+        let mut is_open = stream.write_all(head.as_bytes()).is_ok();
         for number in 1.. {
-            let event = format!("id: {number}\ndata: token {number}\n\n");
-            if stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_err() {
-                return;
+            if !is_open {
+                break;
             }
+            let event = format!("id: {number}\ndata: token {number}\n\n");
+            is_open = stream.write_all(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes()).is_ok();
             if !request.path.ends_with("long") || over.load(SeqCst) {
                 break;
             }
             sleep(EVENT_GAP);
         }
-        if stream.write_all(b"0\r\n\r\n").is_err() {
+        is_open = is_open && stream.write_all(b"0\r\n\r\n").is_ok();
+        running.fetch_sub(1, SeqCst);
+        if !is_open {
             return;
         }
     }
 }
 
-fn start_heartbeats(controllers: Vec<SocketAddr>, workers: Vec<(String, SocketAddr, &'static str)>) {
-    spawn(move || {
-        for sequence in 1u64.. {
-            for (id, address, service) in &workers {
-                let body = heartbeat(service, *address, "in_service", 48, sequence);
-                for to in &controllers {
-                    let answer = call(*to, "PUT", &format!("/v1/instances/{id}"), "control",
-                        &[("Content-Type", "application/json")], body.as_bytes(), ms(1000));
-                    if answer.is_ok_and(|answer| answer.status == 200) {
-                        break;
-                    }
-                }
-            }
-            sleep(ms(1000));
-        }
-    });
-}
-
 fn configuration(version: u64, timeout_ms: u64, service: &str) -> String {
     format!(
         "{{\"config_version\":{version},\"route_list\":[{{\"name\":\"agreement-draft\",\"host_name\":\"{HOST}\",\"path_prefix\":\"/draft/\",\
@@ -103,7 +95,7 @@
 /// Opens a long stream and reads it on a thread of its own. Returns whether its first event came.
 fn open_stream(to: SocketAddr, id: &str, running: &Arc<Mutex<BTreeMap<String, bool>>>) -> bool {
     let Ok(mut stream) = TcpStream::connect(to) else { return false };
-    let headers = [("Mintlb-Request-Id", id), ("Mintlb-Deadline-Ms", "70000")];
+    let headers = [("Mintlb-Request-Id", id), ("Mintlb-Deadline-Ms", "100000")];
     stream.write_all(&request("POST", "/draft/long", HOST, &headers, b"{}")).ok();
     stream.set_read_timeout(Some(Duration::from_secs(3))).ok();
     let mut buffer = [0; 4096];
@@ -134,11 +126,11 @@
     for number in 1..=WORKERS_OF_A + WORKERS_OF_B {
         let service = if number <= WORKERS_OF_A { "desk-llm" } else { "desk-llm-2" };
         let address = tier.worker_address(number);
-        start_worker(address, service, runs.clone(), over.clone());
-        workers.push((format!("i-{number}"), address, service));
+        start_worker(number, address, service, runs.clone(), over.clone());
+        workers.push((number, address, service, 48));
     }
     tier.start_all();
-    tier.put_configuration(0, &configuration(1, 60_000, "desk-llm"), Duration::from_secs(20));
+    tier.put_configuration(0, &configuration(1, 100_000, "desk-llm"), Duration::from_secs(20));
     start_heartbeats((1..=3).map(|n| tier.control_plane(&format!("controller-{n}"))).collect(), workers);
     tier.wait_until_ready(&["dispatcher-1", "dispatcher-2", "dispatcher-3"], Duration::from_secs(20));
     sleep(Duration::from_secs(5)); // calm, longer than contact_ms
@@ -149,7 +141,7 @@
     let mut opened = 0;
     for number in 1..=CHANGES {
         if trouble() {
-            tier.put_configuration(version, &configuration(version + 1, 60_000 + number, "desk-llm"), Duration::from_secs(5));
+            tier.put_configuration(version, &configuration(version + 1, 100_000 + number, "desk-llm"), Duration::from_secs(5));
             version += 1;
         }
         sleep(GAP);
@@ -157,7 +149,7 @@
     }
     let now_running = running.lock().unwrap().values().filter(|runs| **runs).count();
     note(format!("clients: {opened} long streams opened at dispatcher-1, {now_running} of them are being served"));
-    tier.put_configuration(version, &configuration(version + 1, 60_000, "desk-llm-2"), Duration::from_secs(5));
+    tier.put_configuration(version, &configuration(version + 1, 100_000, "desk-llm-2"), Duration::from_secs(5));
     note(format!("operator: version {} moves the route from desk-llm to desk-llm-2; waiting for config_apply_ms (2 s) and 1 s more", version + 1));
     sleep(Duration::from_secs(3));
     let mut ran: BTreeMap<(String, &str), u32> = BTreeMap::new();
--- a/review/stand-ins/tier.rs
+++ b/review/stand-ins/tier.rs
@@ -20,8 +20,11 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn prctl(option: i32, signal: u64) -> i32;
 }
 
+const PR_SET_PDEATHSIG: i32 = 1;
+
 /// Exit codes of a case.
 pub const HELD: i32 = 0;
 pub const BROKEN: i32 = 1;
@@ -247,6 +250,13 @@
             .stdin(Stdio::null())
             .stdout(log.try_clone().unwrap())
             .stderr(log);
+        // However this program ends, the processes that it started end with it.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL as u64);
+                Ok(())
+            });
+        }
         match command.spawn() {
             Ok(child) => node.child = Some(child),
             Err(error) => {
@@ -565,6 +575,49 @@
     }
 }
 
+/// Heartbeats of workers (number, service, slots), about every `heartbeat_ms`. The next controller is called where one does not
+/// acknowledge; `call_sequence` rises with each call.
+pub fn start_heartbeats(controllers: Vec<SocketAddr>, workers: Vec<(usize, SocketAddr, &'static str, u32)>) {
+    std::thread::spawn(move || {
+        let mut sequence = 0;
+        loop {
+            let start = Instant::now();
+            for (number, address, service, slots) in &workers {
+                for to in &controllers {
+                    sequence += 1;
+                    let body = heartbeat(service, *address, "in_service", *slots, sequence);
+                    let headers = [("Content-Type", "application/json")];
+                    let path = format!("/v1/instances/i-{number}");
+                    let answer = call(*to, "PUT", &path, "control", &headers, body.as_bytes(), ms(1000));
+                    if answer.is_ok_and(|answer| answer.status == 200) {
+                        break;
+                    }
+                }
+            }
+            sleep(ms(1200).saturating_sub(start.elapsed()));
+        }
+    });
+}
+
+/// Answers what a worker does not run: its health check, and a request that names another worker. Whether it was such a one.
+pub fn answers_without_run(stream: &mut TcpStream, request: &WorkerRequest, number: usize) -> bool {
+    let own = format!("i-{number}");
+    if request.method == "GET" {
+        let answer = format!("HTTP/1.1 200 OK\r\nMintlb-Instance-Id: {own}\r\nContent-Length: 0\r\n\r\n");
+        stream.write_all(answer.as_bytes()).ok();
+        return true;
+    }
+    if request.header("mintlb-target-instance").is_some_and(|target| target != own) {
+        let answer = format!(
+            "HTTP/1.1 421 Misdirected Request\r\nMintlb-Request-Id: {}\r\nMintlb-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+            request.id()
+        );
+        stream.write_all(answer.as_bytes()).ok();
+        return true;
+    }
+    false
+}
+
 /// The body of a worker's heartbeat.
 pub fn heartbeat(service: &str, address: SocketAddr, state: &str, slots: u32, sequence: u64) -> String {
     format!(
