Review: cases 4 and 5, accepted batch jobs are lost in losses that the settings allow

Cause: fault_tolerance.zones, fault_tolerance.regions and counts_toward_quorum are read and used nowhere: a shard's replicas may lie in one region, or on machines of which any number may go.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -4,4 +4,4 @@
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/review-2/lab-2 ] && [ -x target/release/mintlb ] && [ -x target/release/mintlb-control ] || exit 2
-exec target/review-2/lab-2 same-name "$here/record.txt"
+exec target/review-2/lab-2 region "$here/record.txt"
--- a/review/lab-2/lab.rs
+++ b/review/lab-2/lab.rs
@@ -160,8 +160,12 @@
     pub machines: Vec<Machine>,
     repository: PathBuf,
     pub memory_mb: u64,
-    /// More lines of the `bounds` of the settings.
-    pub bounds: String,
+    /// `fault_tolerance`: machines, zones and regions.
+    pub tolerance: (u32, u32, u32),
+    /// Machines with a disk whose `counts_toward_quorum` is false.
+    pub uncounted: Vec<u8>,
+    /// Zones, among which the machines take turns by their numbers; three zones a region if there are nine.
+    pub zones: u8,
 }
 
 impl Lab {
@@ -175,7 +179,9 @@
             machines: Vec::new(),
             repository: repository.to_path_buf(),
             memory_mb: 260,
-            bounds: String::new(),
+            tolerance: (1, 0, 0),
+            uncounted: Vec::new(),
+            zones: 3,
         }
     }
 
@@ -251,26 +257,30 @@
         let node = |serves: &str| format!("{serves}-{number}");
         format!(
             "node_name = \"{}\"\nrole = \"{}\"\nmachine_class = \"{class}\"\nserves = [\"{serves}\"]\n\
-             ip_address = \"{}\"\nzone = \"z{}\"\nregion = \"r\"\ninternal_ports = [{}, {}]\nseed_nodes = [{}]\n\
+             ip_address = \"{}\"\nzone = \"z{}\"\nregion = \"{}\"\ninternal_ports = [{}, {}]\nseed_nodes = [{}]\n\
              first_start = {}\ncounts_toward_quorum = {}\nheartbeat_ms = 1200\n{disk}\
-             [zones]\nz0 = \"r\"\nz1 = \"r\"\nz2 = \"r\"\n[listen_addresses]\n{listen}\n\
+             [zones]\n{}[listen_addresses]\n{listen}\n\
              [limits]\ncpu_share = 0.5\ncpu_cores = 1\nmemory_mb = {}\nmax_open_files = 4100\nlink_mbps = 1000.0\n\
-             disk_mb = 580\n[fault_tolerance]\nmachines = 1\nzones = 0\nregions = 0\n\
+             disk_mb = 580\n[fault_tolerance]\nmachines = {}\nzones = {}\nregions = {}\n\
              [bounds]\nseed_lag_s = 3\naddress_reuse_s = 2\ncontact_ms = 3000\nack_ms = 4000\ncatch_up_s = 5\n\
              drain_ms = 2000\ngrace_period_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = 2000\n\
              rollback_slack_ms = 250\nmax_stretch_ms = 5000\nrecovery_s = 12\npass_ms = 120\nagain_s = 0\n\
-             finish_s = 10\nstatus_s = 120\ncancel_ms = 3000\nsettle_ms = 1000\nquota_overage = 0.1\n{}",
+             finish_s = 10\nstatus_s = 120\ncancel_ms = 3000\nsettle_ms = 1000\nquota_overage = 0.1\n",
             node(serves),
             serves,
             network.ip(number),
-            number % 3,
+            number % self.zones,
+            self.region(number % self.zones),
             network.base,
             network.base + 15,
             seeds.join(", "),
             !machine.started_before,
-            machine.role != Role::Dispatcher,
+            machine.role != Role::Dispatcher && !self.uncounted.contains(&number),
+            (0..self.zones).map(|zone| format!("z{zone} = \"{}\"\n", self.region(zone))).collect::<String>(),
             self.memory_mb,
-            self.bounds,
+            self.tolerance.0,
+            self.tolerance.1,
+            self.tolerance.2,
         )
     }
 
@@ -282,6 +292,27 @@
         self.start_all();
     }
 
+    fn region(&self, zone: u8) -> String {
+        match self.zones {
+            9 => format!("r{}", zone / 3),
+            _ => "r".to_string(),
+        }
+    }
+
+    /// The machines of some zones.
+    pub fn in_zones(&self, zones: &[u8]) -> Vec<usize> {
+        let is_there = |index: &usize| zones.contains(&(self.machines[*index].number % self.zones));
+        (0..self.machines.len()).filter(is_there).collect()
+    }
+
+    /// A machine goes, with its disk.
+    pub fn lose_disk(&mut self, index: usize) {
+        self.machines[index].kill();
+        let data = self.machines[index].directory.join("data");
+        fs::remove_dir_all(&data).ok();
+        fs::create_dir_all(&data).ok();
+    }
+
     pub fn controllers(&self) -> Vec<SocketAddr> {
         let controllers = self.machines.iter().filter(|machine| machine.role == Role::Controller);
         controllers.map(|machine| self.network.control(machine.number)).collect()
--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -41,6 +41,10 @@
             "bad-configuration" => bad_configuration(&mut lab, trouble),
             "stale-quota" => stale_quota(&mut lab, trouble),
             "cut-answer" => cut_answer(&mut lab, trouble),
+            "region" => lost_place(&mut lab, trouble, Loss::Region),
+            "zone" => lost_place(&mut lab, trouble, Loss::Zone),
+            "uncounted" => lost_place(&mut lab, trouble, Loss::Uncounted),
+            "two-zones" => lost_place(&mut lab, trouble, Loss::TwoZones),
             "uploads" => uploads(&mut lab, trouble),
             "header-limit" => header_limit(&mut lab, trouble),
             _ => Verdict::CouldNotRun("there is no such case".into()),
@@ -423,3 +427,137 @@
         count => Verdict::Broken(format!("MIXED: {count} of {CALLS} clients got a complete 200 without the worker's whole body")),
     }
 }
+
+/// Submits batch jobs at this dispatcher; returns the ids of those that got 202.
+fn submit_jobs(lab: &Lab, front: std::net::SocketAddr, count: usize) -> Vec<String> {
+    let ids = (0..count).map(|number| format!("cc{number:02}"));
+    let accepted = ids.filter(|id| {
+        let status = job(id, 3, 100).send(front).map_or(0, |answer| answer.status);
+        lab.record.note(format!("client: batch job {id}, 3 items, at {front}: {status}"));
+        status == 202
+    });
+    accepted.collect()
+}
+
+/// Reads each batch job at these dispatchers, all at once and again for up to `limit`; returns the ids of those that no
+/// dispatcher could read.
+fn unreadable(lab: &Lab, fronts: &[std::net::SocketAddr], ids: &[String], limit: Duration) -> Vec<String> {
+    let readers: Vec<_> = ids
+        .iter()
+        .map(|id| {
+            let (id, fronts) = (id.clone(), fronts.to_vec());
+            thread::spawn(move || {
+                let started = std::time::Instant::now();
+                let mut last = String::new();
+                while started.elapsed() < limit {
+                    for front in &fronts {
+                        let call = Call::new("GET", &format!("/v1/lots/{id}?start_after=0"))
+                            .header("Host", "a.example")
+                            .timeout(Duration::from_millis(2500));
+                        last = match call.send(*front) {
+                            Ok(answer) if answer.status == 200 => return None,
+                            Ok(answer) => format!("{} at {front}", answer.status),
+                            Err(error) => format!("{error} at {front}"),
+                        };
+                        thread::sleep(Duration::from_millis(300));
+                    }
+                }
+                Some((id, last))
+            })
+        })
+        .collect();
+    let left: Vec<(String, String)> = readers.into_iter().filter_map(|reader| reader.join().unwrap()).collect();
+    for (id, last) in &left {
+        lab.record.note(format!("client: GET /v1/lots/{id}: never 200 in {} s, last {last}", limit.as_secs()));
+    }
+    lab.record.note(format!("client: {} of {} batch jobs can be read", ids.len() - left.len(), ids.len()));
+    left.into_iter().map(|(id, _)| id).collect()
+}
+
+const BATCH: &str = r#"{"name":"sum","host_name":"a.example","path_prefix":"/sum/","route_type":"batch","timeout_ms":8000,"target_latency_ms":500,"completion_target_ms":8000,"retention_s":90,"priority":2,"target_service":"app","max_attempts":3,"max_queued_tokens":1000000}"#;
+
+/// The losses that `fault_tolerance` names: a region, or a zone, or two zones one after the other.
+#[derive(Clone, Copy, PartialEq)]
+enum Loss {
+    /// One machine, or one region of three zones. A region is lost with its disks.
+    Region,
+    /// One zone. A zone is lost with its disks.
+    Zone,
+    /// One machine, and any number of those that don't count. Both stores that don't count are lost for good.
+    Uncounted,
+    /// One machine, or one zone. A zone loses power and comes back; later another is lost with its disks.
+    TwoZones,
+}
+
+fn lost_place(lab: &mut Lab, trouble: bool, loss: Loss) -> Verdict {
+    let (stores, place): (u8, &[u8]) = match loss {
+        Loss::Region => (9, &[3, 4, 5]),
+        Loss::Zone => (3, &[1]),
+        Loss::Uncounted => (5, &[]),
+        Loss::TwoZones => (6, &[1]),
+    };
+    (lab.zones, lab.tolerance) = match loss {
+        Loss::Region => (9, (1, 0, 1)),
+        Loss::Zone => (3, (0, 1, 0)),
+        Loss::TwoZones => (3, (1, 1, 0)),
+        Loss::Uncounted => (3, (1, 0, 0)),
+    };
+    if loss == Loss::Uncounted {
+        lab.uncounted = vec![14, 15];
+    }
+    (1..=lab.zones).for_each(|number| lab.add(Role::Controller, number));
+    (0..stores).for_each(|number| lab.add(Role::Store, 11 + number));
+    // Three dispatchers; the clients use those that are not in the place that is lost.
+    [21, 24, 27].iter().for_each(|number| lab.add(Role::Dispatcher, *number));
+    lab.start_all();
+    let answer = || Action::Answer(200, vec![("Content-Type".into(), "text/event-stream".into())], b"id: 1\ndata: x\n\n".to_vec());
+    let _worker = Worker::start(lab, 101, "app", Arc::new(move |_, _| answer()));
+    thread::sleep(Duration::from_secs(3));
+    let configuration = format!(r#"{{"config_version":3,"route_list":[{BATCH}],{SERVICES},{LIMITS}}}"#);
+    if lab.configure(0, &configuration) != 200 || ![21, 24, 27].iter().all(|number| lab.wait_ready(*number, Duration::from_secs(15))) {
+        return Verdict::CouldNotRun("not ready".into());
+    }
+    thread::sleep(Duration::from_secs(6));
+    let lost = match loss {
+        Loss::Uncounted => vec![lab.index(14), lab.index(15)],
+        _ => lab.in_zones(place),
+    };
+    let fronts: Vec<_> = [21, 24, 27]
+        .iter()
+        .filter(|number| !lost.contains(&lab.index(**number)))
+        .map(|number| lab.network.frontend(*number))
+        .collect();
+    let ids = submit_jobs(lab, fronts[0], 72);
+    if ids.len() < 12 {
+        return Verdict::CouldNotRun("the batch jobs were not taken".into());
+    }
+    thread::sleep(Duration::from_secs(3));
+    let names = |lab: &Lab, lost: &[usize]| {
+        let names: Vec<&str> = lost.iter().map(|index| lab.machines[*index].name.as_str()).collect();
+        names.join(", ")
+    };
+    if trouble && loss == Loss::TwoZones {
+        let dark = lab.in_zones(&[2]);
+        dark.iter().for_each(|index| lab.machines[*index].kill());
+        lab.record.note(format!("platform: zone z2 has no power: {}", names(lab, &dark)));
+        thread::sleep(Duration::from_secs(10));
+        dark.iter().for_each(|index| lab.start(*index));
+        lab.record.note("platform: zone z2 is back, with its disks");
+        thread::sleep(Duration::from_secs(15));
+    }
+    if trouble {
+        lost.iter().for_each(|index| lab.lose_disk(*index));
+        lab.record.note(format!("platform: lost with their disks: {}", names(lab, &lost)));
+        thread::sleep(Duration::from_secs(2));
+        if loss != Loss::Uncounted {
+            lost.iter().for_each(|index| lab.start(*index));
+            lab.record.note("platform: they are back, with empty disks");
+        }
+        thread::sleep(Duration::from_secs(14));
+    }
+    let gone = unreadable(lab, &fronts, &ids, Duration::from_secs(20));
+    match gone.is_empty() {
+        true => Verdict::Held,
+        false => Verdict::Broken(format!("LOST: {} of {} accepted batch jobs can't be read any more", gone.len(), ids.len())),
+    }
+}
