--- a/review/lab-2/main.rs
+++ b/review/lab-2/main.rs
@@ -44,6 +44,7 @@
             "region" => lost_place(&mut lab, trouble, Loss::Region),
             "zone" => lost_place(&mut lab, trouble, Loss::Zone),
             "uncounted" => lost_place(&mut lab, trouble, Loss::Uncounted),
+            "uncounted-controllers" => uncounted_controllers(&mut lab, trouble),
             "two-zones" => lost_place(&mut lab, trouble, Loss::TwoZones),
             "uploads" => uploads(&mut lab, trouble),
             "header-limit" => header_limit(&mut lab, trouble),
@@ -561,3 +562,40 @@
         false => Verdict::Broken(format!("LOST: {} of {} accepted batch jobs can't be read any more", gone.len(), ids.len())),
     }
 }
+
+/// Three controllers count, four don't. Those four are lost for good.
+fn uncounted_controllers(lab: &mut Lab, trouble: bool) -> Verdict {
+    lab.uncounted = vec![4, 5, 6, 7];
+    (1..=7).for_each(|number| lab.add(Role::Controller, number));
+    lab.start_all();
+    thread::sleep(Duration::from_secs(4));
+    if lab.configure(0, &format!(r#"{{"config_version":3,"route_list":[],{SERVICES},{LIMITS}}}"#)) != 200 {
+        return Verdict::CouldNotRun("the configuration was not taken".into());
+    }
+    thread::sleep(Duration::from_secs(6));
+    if trouble {
+        for number in 4..8 {
+            let index = lab.index(number);
+            lab.lose_disk(index);
+        }
+        lab.record.note("platform: controllers 4 to 7, which don't count, are gone for good");
+    }
+    thread::sleep(Duration::from_secs(20));
+    let started = std::time::Instant::now();
+    let mut last = String::new();
+    while started.elapsed() < Duration::from_secs(20) {
+        for number in 1..4 {
+            let call = Call::new("GET", "/v1/configuration").header("Host", "control").timeout(Duration::from_secs(1));
+            last = match call.send(lab.network.control(number)) {
+                Ok(answer) if answer.status == 200 => {
+                    lab.record.note("operator: GET /v1/configuration: 200");
+                    return Verdict::Held;
+                }
+                Ok(answer) => format!("{} {}", answer.status, String::from_utf8_lossy(&answer.body)),
+                Err(error) => error,
+            };
+        }
+        thread::sleep(Duration::from_millis(300));
+    }
+    Verdict::Broken(format!("LOST: the acknowledged configuration doesn't come, last {last}"))
+}
