--- a/crates/mintlb-common/src/lib.rs
+++ b/crates/mintlb-common/src/lib.rs
@@ -5,6 +5,7 @@
 //! - [`record`]: the versioned records that gossip replicates to every process.
 //! - [`incarnation`]: the identity of one run of a process.
 //! - [`placement`]: the assignment of shards to stores.
+//! - [`quorum`]: failure domains, and quorums that outlast their loss.
 //! - [`transport`]: framed messages between the tier's own processes.
 //! - [`signals`]: the signals of the platform.
 //! - [`logging`]: the log of a process.
@@ -16,6 +17,7 @@
 pub mod logging;
 pub mod mix64;
 pub mod placement;
+pub mod quorum;
 pub mod record;
 pub mod settings;
 pub mod signals;
--- a/crates/mintlb-common/src/settings.rs
+++ b/crates/mintlb-common/src/settings.rs
@@ -5,6 +5,7 @@
 mod internal_port;
 mod loading;
 
+pub use crate::quorum::FaultTolerance;
 pub use bounds::Bounds;
 pub use error::{InvalidSettings, SettingsError};
 pub use internal_port::InternalPort;
@@ -94,20 +95,6 @@
     pub disk_mb: Option<u64>,
 }
 
-/// The number of simultaneous failures under which all guarantees still hold.
-#[derive(Clone, Debug, Default, Deserialize, PartialEq)]
-pub struct FaultTolerance {
-    /// Machines for which `counts_toward_quorum` is true.
-    #[serde(default)]
-    pub machines: usize,
-    /// Entire zones.
-    #[serde(default)]
-    pub zones: usize,
-    /// Entire regions.
-    #[serde(default)]
-    pub regions: usize,
-}
-
 impl NodeSettings {
     /// The address on which this process listens for messages from the tier's own processes.
     pub fn internal_address(&self, port: InternalPort) -> SocketAddr {
