--- a/crates/mintlb-batch/src/heartbeat.rs
+++ b/crates/mintlb-batch/src/heartbeat.rs
@@ -35,6 +35,9 @@
     /// Whether it is shutting down: its shards need other primaries.
     #[n(6)]
     pub draining: bool,
+    /// The region of the zone. `None` if the store is of a release that does not tell.
+    #[n(7)]
+    pub region: Option<String>,
 }
 
 impl StoreHeartbeat {
@@ -46,6 +49,7 @@
             address: self.address.clone(),
             zone: self.zone.clone(),
             decommissioning: false,
+            region: self.region.clone(),
         }
     }
 }
--- a/crates/mintlb-batch/src/placement_planner/decommission.rs
+++ b/crates/mintlb-batch/src/placement_planner/decommission.rs
@@ -2,7 +2,8 @@
 //! then the machine can be taken away.
 
 use super::cluster_snapshot::ClusterSnapshot;
-use mintlb_common::placement::{Placement, ShardAssignment, StoreEntry, StoreId};
+use super::policy::{PlacementPolicy, PolicyInForce};
+use mintlb_common::placement::{Placement, StoreEntry, StoreId};
 use std::time::Duration;
 use thiserror::Error;
 
@@ -41,8 +42,8 @@
     Decommissioned,
 }
 
-/// Begins to decommission the store on a machine. More than `tolerance` other stores have to
-/// remain, so that shards can still commit.
+/// Begins to decommission the store on a machine. The other stores have to make up a write quorum,
+/// so that shards can still commit.
 ///
 /// # Errors
 /// [`DecommissionError`].
@@ -50,7 +51,7 @@
     current: &Placement,
     snapshot: &ClusterSnapshot,
     node_name: &str,
-    tolerance: usize,
+    policy: &PlacementPolicy,
 ) -> Result<DecommissionStart, DecommissionError> {
     let is_on_node = |entry: &&StoreEntry| entry.node_name == node_name;
     let mut stores = current.stores.iter().filter(is_on_node).peekable();
@@ -60,7 +61,7 @@
     if stores.all(|entry| entry.decommissioning) {
         return Ok(DecommissionStart::AlreadyStarted);
     }
-    check_remaining(current, snapshot, node_name, tolerance)?;
+    check_remaining(current, snapshot, node_name, policy.in_force(snapshot))?;
     let mut next = Placement {
         epoch: current.epoch + 1,
         ..current.clone()
@@ -75,21 +76,23 @@
     current: &Placement,
     snapshot: &ClusterSnapshot,
     node_name: &str,
-    tolerance: usize,
+    policy: PolicyInForce,
 ) -> Result<(), DecommissionError> {
     let remains = |entry: &&StoreEntry| {
         entry.node_name != node_name
             && !entry.decommissioning
             && snapshot.since_heartbeat(entry.id) < REMAINING_TIMEOUT
     };
-    let remaining: Vec<&StoreEntry> = current.stores.iter().filter(remains).collect();
-    if remaining.len() <= tolerance {
+    let remaining = current.stores.iter().filter(remains);
+    let remaining: Vec<StoreId> = remaining.map(|entry| entry.id).collect();
+    if !policy.quorums(current, &remaining).has_write_quorum() {
         return Err(DecommissionError::TooFewStores);
     }
     let staying = remaining
-        .iter()
-        .filter(|entry| !snapshot.is_draining(entry.id));
-    if staying.count() <= tolerance {
+        .into_iter()
+        .filter(|id| !snapshot.is_draining(*id));
+    let staying: Vec<StoreId> = staying.collect();
+    if !policy.quorums(current, &staying).has_write_quorum() {
         return Err(DecommissionError::StoreDraining);
     }
     Ok(())
@@ -98,22 +101,21 @@
 /// How far the store on a machine is decommissioned; `None` if this was not ordered.
 ///
 /// It is complete when no shard names the store any more, and each shard has caught up without it.
-/// Then more than `tolerance` live replicas of each shard have the complete log, none of which is
-/// shutting down: any `tolerance` of them may be lost.
+/// Then a write quorum of live replicas of each shard has the complete log, none of which is
+/// shutting down: one of them outlasts any tolerated loss.
 pub fn decommission_status(
     current: &Placement,
     snapshot: &ClusterSnapshot,
     node_name: &str,
-    tolerance: usize,
+    policy: &PlacementPolicy,
 ) -> Option<DecommissionStatus> {
+    let policy = policy.in_force(snapshot);
     let is_ordered = |entry: &&StoreEntry| entry.node_name == node_name && entry.decommissioning;
     let mut stores = current.stores.iter().filter(is_ordered).peekable();
     stores.peek()?;
     let is_assigned = stores.any(|entry| is_assigned(current, entry.id));
-    let mut shards = current.shards.iter().enumerate();
-    let has_caught_up = |(shard, assignment): (usize, &ShardAssignment)| {
-        has_caught_up(snapshot, shard, assignment, tolerance)
-    };
+    let mut shards = 0..current.shards.len();
+    let has_caught_up = |shard: usize| has_caught_up(current, snapshot, shard, policy);
     if is_assigned || !shards.all(has_caught_up) {
         Some(DecommissionStatus::InProgress)
     } else {
@@ -128,13 +130,14 @@
 }
 
 /// Whether a shard is active, all its replicas but unresponsive ones have caught up, and enough of
-/// them stay.
+/// them stay to outlast any tolerated loss.
 fn has_caught_up(
+    placement: &Placement,
     snapshot: &ClusterSnapshot,
     shard: usize,
-    assignment: &ShardAssignment,
-    tolerance: usize,
+    policy: PolicyInForce,
 ) -> bool {
+    let assignment = &placement.shards[shard];
     let Some(report) = snapshot.primary_report(shard, assignment) else {
         return false;
     };
@@ -147,8 +150,9 @@
     if assignment.replicas.iter().any(is_behind) {
         return false;
     }
-    let in_sync = assignment.replicas.iter().filter(|id| {
-        snapshot.is_live(**id) && !snapshot.is_draining(**id) && report.caught_up.contains(id)
+    let in_sync = assignment.replicas.iter().copied().filter(|id| {
+        snapshot.is_live(*id) && !snapshot.is_draining(*id) && report.caught_up.contains(id)
     });
-    in_sync.count() > tolerance
+    let in_sync: Vec<StoreId> = in_sync.collect();
+    policy.quorums(placement, &in_sync).has_write_quorum()
 }
--- a/crates/mintlb-batch/src/placement_planner/handover.rs
+++ b/crates/mintlb-batch/src/placement_planner/handover.rs
@@ -29,7 +29,7 @@
             .filter(|id| self.is_available(*id) && caught_up.contains(id))
             .collect();
         let has_new_replica = in_sync.iter().any(|id| self.is_new(*id));
-        let may_shrink = in_sync.len() > self.tolerance && has_new_replica;
+        let may_shrink = self.quorums(&in_sync).has_write_quorum() && has_new_replica;
         if in_sync.is_empty() || successor.is_none() && !may_shrink {
             return false;
         }
--- a/crates/mintlb-batch/src/placement_planner/initial_placement.rs
+++ b/crates/mintlb-batch/src/placement_planner/initial_placement.rs
@@ -2,6 +2,7 @@
 
 use super::cluster_snapshot::ClusterSnapshot;
 use super::planner::Planner;
+use super::policy::PolicyInForce;
 use super::store_status::StoreStatus;
 use mintlb_common::placement::{Placement, SHARD_COUNT, ShardAssignment, StoreId};
 use std::time::Duration;
@@ -18,15 +19,19 @@
 pub(super) fn plan(
     mut next: Placement,
     snapshot: &ClusterSnapshot,
-    tolerance: usize,
+    policy: PolicyInForce,
 ) -> Option<Placement> {
     let live: Vec<&StoreStatus> = snapshot.live_stores().collect();
-    if live.len() <= tolerance || !has_waited_enough(&live) {
+    if !has_waited_enough(&live) {
         return None;
     }
     next.stores = live.iter().map(|store| store.heartbeat.entry()).collect();
+    let ids: Vec<StoreId> = next.stores.iter().map(|entry| entry.id).collect();
+    if !policy.quorums(&next, &ids).has_write_quorum() {
+        return None;
+    }
     next.shards = vec![ShardAssignment::default(); SHARD_COUNT as usize];
-    let mut planner = Planner::new(next, snapshot, tolerance);
+    let mut planner = Planner::new(next, snapshot, policy);
     for shard in 0..SHARD_COUNT as usize {
         planner.assign(shard);
     }
@@ -43,18 +48,11 @@
 impl Planner<'_> {
     /// Assigns a shard that has no replicas yet.
     fn assign(&mut self, shard: usize) {
-        let count = self.target_replicas();
-        let mut replicas = Vec::with_capacity(count);
-        while replicas.len() < count
-            && let Some(store) = self.candidate(shard, &replicas)
-        {
-            replicas.push(store);
-            // The load of the stores counts for the next candidate.
-            self.next.shards[shard].replicas = replicas.clone();
-        }
+        let mut replicas = self.preferred_replicas(shard, &[]);
         self.lead_with_least_loaded(shard, &mut replicas);
         self.next.shards[shard] = ShardAssignment {
             epoch: 1,
+            rule: self.policy.rule(&self.next, &replicas),
             replicas,
             ..ShardAssignment::default()
         };
--- a/crates/mintlb-batch/src/placement_planner/membership.rs
+++ b/crates/mintlb-batch/src/placement_planner/membership.rs
@@ -18,13 +18,15 @@
     in_sync: Vec<StoreId>,
     /// The replica that should go.
     outgoing: Option<StoreId>,
-    /// The store that could come.
+    /// The store that could come in its place.
     candidate: Option<StoreId>,
+    /// The store that the shard lacks to survive any two losses.
+    missing: Option<StoreId>,
 }
 
 impl Planner<'_> {
-    /// Brings the replicas to their target number, without lost and decommissioned ones, as far as
-    /// more than `tolerance` replicas stay in sync.
+    /// Lets the replicas survive any two losses, without lost and decommissioned ones, as far as a
+    /// write quorum of them stays in sync.
     pub(super) fn change_members(
         &mut self,
         shard: usize,
@@ -40,11 +42,12 @@
                 .collect(),
             outgoing: self.outgoing_replica(replicas),
             candidate: self.candidate(shard, replicas),
+            missing: self.missing_replica(shard, replicas),
         };
         if self.has_to_wait_for_fills(&membership) {
             return;
         }
-        let Some(mut members) = self.next_members(&membership) else {
+        let Some(mut members) = self.next_members(shard, &membership) else {
             return;
         };
         // Only a replica with the complete log may lead.
@@ -54,14 +57,23 @@
 
     /// The replica that should go: one that is lost, else one that is decommissioned.
     fn outgoing_replica(&self, replicas: &[StoreId]) -> Option<StoreId> {
-        let live = replicas.iter().filter(|id| self.snapshot.is_live(**id));
-        let can_lose_another = live.count() > self.tolerance + 1;
+        let live = replicas.iter().copied();
+        let live: Vec<StoreId> = live.filter(|id| self.snapshot.is_live(*id)).collect();
+        let can_lose_another = self.can_lose_any(&live);
         let is_lost = |id: &&StoreId| self.is_lost(**id, self.timeout(**id, can_lose_another));
         let lost = replicas.iter().find(is_lost);
         let outgoing = lost.or_else(|| replicas.iter().find(|id| self.is_decommissioning(**id)));
         outgoing.copied()
     }
 
+    /// Whether these replicas can commit without any single one of them.
+    fn can_lose_any(&self, replicas: &[StoreId]) -> bool {
+        let can_commit = |without_one: &[StoreId]| self.quorums(without_one).has_write_quorum();
+        replicas
+            .iter()
+            .all(|id| can_commit(&without(replicas, *id)))
+    }
+
     /// For how long a replica may be unresponsive before it is replaced.
     fn timeout(&self, id: StoreId, can_lose_another: bool) -> Duration {
         if can_lose_another && !self.has_successor(id) {
@@ -77,22 +89,25 @@
         let is_outgoing_dead = membership
             .outgoing
             .is_some_and(|id| !self.snapshot.is_live(id));
-        let is_missing = is_outgoing_dead || membership.replicas.len() < self.target_replicas();
+        let is_missing = is_outgoing_dead || membership.missing.is_some();
         let is_busy = |id: StoreId| self.pending_fills(id) >= MAX_CONCURRENT_FILLS;
         !is_missing && membership.candidate.is_some_and(is_busy)
     }
 
     /// The next replicas, in any order; `None` if nothing can be changed.
-    fn next_members(&self, membership: &Membership) -> Option<Vec<StoreId>> {
+    fn next_members(&self, shard: usize, membership: &Membership) -> Option<Vec<StoreId>> {
         match (membership.outgoing, membership.candidate) {
-            (Some(outgoing), Some(candidate)) => self.replace(membership, outgoing, candidate),
+            (Some(outgoing), Some(candidate)) => {
+                self.replace(shard, membership, outgoing, candidate)
+            }
             (Some(outgoing), None) => self.remove(membership, outgoing),
-            (None, candidate) => self.resize(membership, candidate),
+            (None, _) => self.resize(membership),
         }
     }
 
     fn replace(
         &self,
+        shard: usize,
         membership: &Membership,
         outgoing: StoreId,
         candidate: StoreId,
@@ -107,8 +122,8 @@
             return Some(members);
         }
         // One more replica for a while, until enough others have caught up.
-        let limit = self.target_replicas().max(self.tolerance + 1);
-        let has_capacity = membership.replicas.len() <= limit;
+        let preferred = self.preferred_replicas(shard, membership.replicas).len();
+        let has_capacity = membership.replicas.len() <= preferred.max(self.min_write_quorum());
         has_capacity.then(|| with(membership.replicas, candidate))
     }
 
@@ -124,32 +139,41 @@
         may_go.then(|| without(membership.replicas, outgoing))
     }
 
-    fn resize(&self, membership: &Membership, candidate: Option<StoreId>) -> Option<Vec<StoreId>> {
+    /// The number of replicas that any write quorum has at least.
+    fn min_write_quorum(&self) -> usize {
+        self.policy.tolerance.min_members() / 2 + 1
+    }
+
+    fn resize(&self, membership: &Membership) -> Option<Vec<StoreId>> {
         let replicas = membership.replicas;
-        if let Some(candidate) = candidate
-            && replicas.len() < self.target_replicas()
-        {
-            return Some(with(replicas, candidate));
-        }
-        if replicas.len() <= self.max_replicas() {
-            return None;
+        if let Some(missing) = membership.missing {
+            return Some(with(replicas, missing));
         }
         let surplus = self.surplus(replicas)?;
         let may_go = self.keeps_quorum_without(membership, surplus);
         may_go.then(|| without(replicas, surplus))
     }
 
-    /// Of too many replicas the one that goes: one that is not live, else the last.
+    /// A replica without which the shard would survive as much: one that is not live, else the last
+    /// such one.
     fn surplus(&self, replicas: &[StoreId]) -> Option<StoreId> {
-        let dead = replicas.iter().find(|id| !self.snapshot.is_live(**id));
-        dead.or(replicas.last()).copied()
+        if replicas.len() <= self.min_write_quorum() {
+            return None;
+        }
+        let shortfall = self.quorums(replicas).shortfall();
+        let is_surplus =
+            |id: &&StoreId| self.quorums(&without(replicas, **id)).shortfall() <= shortfall;
+        let is_dead = |id: &&StoreId| !self.snapshot.is_live(**id);
+        let surplus: Vec<&StoreId> = replicas.iter().filter(is_surplus).collect();
+        let dead = surplus.iter().copied().find(is_dead);
+        dead.or(surplus.last().copied()).copied()
     }
 
-    /// Whether more than `tolerance` replicas are in sync without this one, so that any `tolerance`
-    /// of them may be lost.
+    /// Whether the replicas in sync without this one are a write quorum: what is committed outlasts
+    /// the next loss.
     fn keeps_quorum_without(&self, membership: &Membership, outgoing: StoreId) -> bool {
-        let in_sync = membership.in_sync.iter();
-        in_sync.filter(|id| **id != outgoing).count() > self.tolerance
+        let in_sync = without(&membership.in_sync, outgoing);
+        self.quorums(&in_sync).has_write_quorum()
     }
 }
 
--- a/crates/mintlb-batch/src/placement_planner/planner.rs
+++ b/crates/mintlb-batch/src/placement_planner/planner.rs
@@ -1,7 +1,9 @@
 //! One run of the planner: the next step of each shard.
 
 use super::cluster_snapshot::ClusterSnapshot;
+use super::policy::PolicyInForce;
 use mintlb_common::placement::{Placement, ShardAssignment, StoreId};
+use mintlb_common::quorum::QuorumSystem;
 use std::time::Duration;
 
 /// A primary without a heartbeat for this time is replaced by another replica.
@@ -13,23 +15,27 @@
 pub(super) struct Planner<'a> {
     pub(super) next: Placement,
     pub(super) snapshot: &'a ClusterSnapshot,
-    /// How many machines may be lost at once.
-    pub(super) tolerance: usize,
+    pub(super) policy: PolicyInForce,
 }
 
 impl<'a> Planner<'a> {
     pub(super) fn new(
         next: Placement,
         snapshot: &'a ClusterSnapshot,
-        tolerance: usize,
+        policy: PolicyInForce,
     ) -> Planner<'a> {
         Planner {
             next,
             snapshot,
-            tolerance,
+            policy,
         }
     }
 
+    /// The quorums that these stores would have as the replicas of a shard.
+    pub(super) fn quorums(&self, stores: &[StoreId]) -> QuorumSystem {
+        self.policy.quorums(&self.next, stores)
+    }
+
     pub(super) fn into_placement(self) -> Placement {
         self.next
     }
@@ -59,7 +65,9 @@
         caught_up: &[StoreId],
     ) {
         if !assignment.previous.is_empty() {
-            self.next.shards[shard].previous.clear();
+            let confirmed = &mut self.next.shards[shard];
+            confirmed.previous.clear();
+            confirmed.previous_rule = None;
             return;
         }
         if self.hand_over(shard, assignment, caught_up) {
@@ -69,6 +77,17 @@
             self.replace_primary(shard, assignment, primary);
         } else {
             self.change_members(shard, assignment, caught_up);
+            self.renew_rule(shard, assignment);
+        }
+    }
+
+    /// Begins another epoch of a shard whose rule has changed, unless it gets one anyway: the first
+    /// rule after an upgrade, or another tolerance or domain.
+    fn renew_rule(&mut self, shard: usize, assignment: &ShardAssignment) {
+        let rule = self.policy.rule(&self.next, &assignment.replicas);
+        let is_planned = self.next.shards[shard].epoch != assignment.epoch;
+        if !is_planned && rule.is_some() && rule != assignment.rule {
+            self.change(shard, assignment, assignment.replicas.clone());
         }
     }
 
@@ -117,16 +136,26 @@
         assignment: &ShardAssignment,
         replicas: Vec<StoreId>,
     ) {
-        let (previous, last_active_epoch) = if assignment.previous.is_empty() {
-            (assignment.replicas.clone(), Some(assignment.epoch))
-        } else {
-            // The replicas of an epoch without an active primary have acknowledged nothing.
-            (assignment.previous.clone(), assignment.last_active_epoch)
+        // The replicas of an epoch without an active primary have acknowledged nothing.
+        let is_active = assignment.previous.is_empty();
+        let (previous, previous_rule, last_active_epoch) = match is_active {
+            true => (
+                &assignment.replicas,
+                &assignment.rule,
+                Some(assignment.epoch),
+            ),
+            false => (
+                &assignment.previous,
+                &assignment.previous_rule,
+                assignment.last_active_epoch,
+            ),
         };
         self.next.shards[shard] = ShardAssignment {
             epoch: assignment.epoch + 1,
+            rule: self.policy.rule(&self.next, &replicas),
             replicas,
-            previous,
+            previous: previous.clone(),
+            previous_rule: previous_rule.clone(),
             last_active_epoch,
         };
     }
--- a/crates/mintlb-batch/src/placement_planner/store_list.rs
+++ b/crates/mintlb-batch/src/placement_planner/store_list.rs
@@ -20,7 +20,7 @@
             .iter_mut()
             .find(|entry| entry.id == heartbeat.id);
         match known {
-            Some(entry) => entry.address.clone_from(&heartbeat.address),
+            Some(entry) => update_entry(entry, heartbeat),
             None => next.stores.push(new_entry(next, heartbeat)),
         }
     }
@@ -29,6 +29,12 @@
         .retain(|entry| assigned.contains(&entry.id) || !is_expired(entry, snapshot));
 }
 
+fn update_entry(entry: &mut StoreEntry, heartbeat: &StoreHeartbeat) {
+    entry.address.clone_from(&heartbeat.address);
+    entry.zone.clone_from(&heartbeat.zone);
+    entry.region.clone_from(&heartbeat.region);
+}
+
 /// The entry of a new store. If its machine is being decommissioned and has lost its disk, the new
 /// store is decommissioned as well.
 fn new_entry(next: &Placement, heartbeat: &StoreHeartbeat) -> StoreEntry {
--- a/crates/mintlb-batch/src/placement_planner/store_selection.rs
+++ b/crates/mintlb-batch/src/placement_planner/store_selection.rs
@@ -10,15 +10,48 @@
 /// down.
 const NEW_STORE_PERIOD: Duration = Duration::from_secs(60);
 
+/// The replicas of a shard at most, for each that the tolerance requires at least: uneven zones and
+/// regions may take more than the least.
+const MAX_REPLICA_FACTOR: usize = 2;
+
 impl Planner<'_> {
-    /// How many replicas a shard should have.
-    pub(super) fn target_replicas(&self) -> usize {
-        self.max_replicas().min(self.usable().count())
+    /// The replicas that a shard should have: the fewest stores that survive any two tolerated losses
+    /// or, if there are too few domains, come closest to it. Current replicas are preferred among
+    /// equals.
+    pub(super) fn preferred_replicas(&self, shard: usize, current: &[StoreId]) -> Vec<StoreId> {
+        let limit = self.max_replicas();
+        let mut replicas = Vec::new();
+        let mut best = (usize::MAX, 0);
+        while replicas.len() < limit
+            && best.0 > 0
+            && let Some(store) = self.best_addition(shard, &replicas, current)
+        {
+            replicas.push(store);
+            let shortfall = self.quorums(&replicas).shortfall();
+            if shortfall < best.0 {
+                best = (shortfall, replicas.len());
+            }
+        }
+        replicas.truncate(best.1);
+        replicas
+    }
+
+    /// The first store that the shard lacks to survive any two tolerated losses; `None` if it does, or
+    /// no store brings it closer.
+    pub(super) fn missing_replica(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
+        let shortfall = self.quorums(replicas).shortfall();
+        if shortfall == 0 || replicas.len() >= self.max_replicas() {
+            return None;
+        }
+        let preferred = self.preferred_replicas(shard, replicas);
+        let is_better = self.quorums(&preferred).shortfall() < shortfall;
+        let missing = preferred.into_iter().find(|id| !replicas.contains(id));
+        missing.filter(|_| is_better)
     }
 
-    /// With 2f + 1 replicas, f + 1 remain after a loss of any f: enough to commit.
+    /// The replicas of a shard at most.
     pub(super) fn max_replicas(&self) -> usize {
-        2 * self.tolerance + 1
+        MAX_REPLICA_FACTOR * self.policy.tolerance.min_members() + 1
     }
 
     /// Live stores that are not decommissioned, or all live ones while too few others are left.
@@ -30,15 +63,16 @@
     /// Whether a store is to lose its replicas now: it is decommissioned, and the others are enough
     /// to commit.
     fn can_decommission(&self, entry: &StoreEntry) -> bool {
-        entry.decommissioning && self.remaining_stores() > self.tolerance
+        entry.decommissioning && self.quorums(&self.remaining_stores()).has_write_quorum()
     }
 
-    /// The number of live stores that are neither decommissioned nor shutting down.
-    fn remaining_stores(&self) -> usize {
+    /// The live stores that are neither decommissioned nor shutting down.
+    fn remaining_stores(&self) -> Vec<StoreId> {
         let stores = self.next.stores.iter();
         stores
             .filter(|entry| !entry.decommissioning && self.is_available(entry.id))
-            .count()
+            .map(|entry| entry.id)
+            .collect()
     }
 
     /// Whether a store is to lose its replicas now, or is not listed at all.
@@ -89,31 +123,59 @@
         self.snapshot.is_draining(id) || self.usable().any(is_newer)
     }
 
-    /// The best usable store for one more replica: of the zone with the fewest replicas of the
-    /// shard, then with the fewest shards.
+    /// The best usable store for one more replica: of the region, if regions may be lost, and of the
+    /// zone with the fewest replicas of the shard, then with the fewest shards.
     pub(super) fn candidate(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
+        let staying = replicas.iter().copied();
+        let staying: Vec<StoreId> = staying
+            .filter(|id| self.snapshot.is_live(*id) && !self.is_decommissioning(*id))
+            .collect();
         let others = self
             .usable()
             .filter(|entry| !replicas.contains(&entry.id) && !self.snapshot.is_draining(entry.id));
-        let best = others.min_by_key(|entry| {
+        self.best_of(others, shard, &staying, &[])
+    }
+
+    /// The best usable store besides those chosen. A current replica that is shutting down may come
+    /// back; another store in that state is of no use.
+    fn best_addition(
+        &self,
+        shard: usize,
+        chosen: &[StoreId],
+        current: &[StoreId],
+    ) -> Option<StoreId> {
+        let others = self.usable().filter(|entry| {
+            let id = entry.id;
+            !chosen.contains(&id) && (current.contains(&id) || !self.snapshot.is_draining(id))
+        });
+        self.best_of(others, shard, chosen, current)
+    }
+
+    fn best_of<'a>(
+        &self,
+        stores: impl Iterator<Item = &'a StoreEntry>,
+        shard: usize,
+        replicas: &[StoreId],
+        preferred: &[StoreId],
+    ) -> Option<StoreId> {
+        let entries = replicas.iter().filter_map(|id| self.next.store(*id));
+        let entries: Vec<&StoreEntry> = entries.collect();
+        let may_lose_regions = self.policy.tolerance.regions > 0;
+        let best = stores.min_by_key(|store| {
+            let in_region = |other: &&&StoreEntry| other.region == store.region;
+            let in_zone = |other: &&&StoreEntry| other.zone == store.zone;
+            let shares_region = entries.iter().filter(in_region).count();
             (
-                self.replicas_in_zone(replicas, &entry.zone),
-                self.shards_on(entry.id),
-                spread(shard, entry.id),
+                if may_lose_regions { shares_region } else { 0 },
+                entries.iter().filter(in_zone).count(),
+                !preferred.contains(&store.id),
+                self.shards_on(store.id),
+                spread(shard, store.id),
             )
         });
         best.map(|entry| entry.id)
     }
 
-    /// How many of the replicas that stay lie in a zone.
-    fn replicas_in_zone(&self, replicas: &[StoreId], zone: &str) -> usize {
-        let staying = replicas
-            .iter()
-            .filter(|id| self.snapshot.is_live(**id) && !self.is_decommissioning(**id));
-        let entries = staying.filter_map(|id| self.next.store(*id));
-        entries.filter(|entry| entry.zone == zone).count()
-    }
-
     /// The number of shards that a store has a replica of.
     fn shards_on(&self, id: StoreId) -> usize {
         let shards = self.next.shards.iter();
--- a/crates/mintlb-batch/src/placement_planner/takeover.rs
+++ b/crates/mintlb-batch/src/placement_planner/takeover.rs
@@ -8,9 +8,8 @@
     /// Whether too few replicas are left to commit: the others are unresponsive for long, or their
     /// disks are lost.
     pub(super) fn lacks_quorum(&self, assignment: &ShardAssignment) -> bool {
-        let replicas = assignment.replicas.iter();
-        let left = replicas.filter(|id| !self.is_lost(**id, REPLICA_TIMEOUT));
-        left.count() <= self.tolerance
+        let quorums = assignment.quorums(self.policy.tolerance.machines);
+        !quorums.is_write_quorum(|id| !self.is_lost(id, REPLICA_TIMEOUT))
     }
 
     /// Puts live stores in place of unresponsive replicas. Returns whether the shard was changed.
@@ -22,7 +21,7 @@
         shard: usize,
         assignment: &ShardAssignment,
     ) -> bool {
-        let count = self.takeover_replicas(assignment);
+        let count = self.takeover_replicas(shard, assignment);
         let replicas = self.live_replicas(shard, assignment, count);
         if replicas.iter().all(|id| assignment.replicas.contains(id)) {
             return false;
@@ -32,7 +31,7 @@
 
     /// Lets another store take over, as the current primary does not become active.
     pub(super) fn restart_takeover(&mut self, shard: usize, assignment: &ShardAssignment) {
-        let count = self.takeover_replicas(assignment);
+        let count = self.takeover_replicas(shard, assignment);
         let mut replicas = self.live_replicas(shard, assignment, count);
         if replicas.len() > 1 && replicas.first() == assignment.replicas.first() {
             replicas.rotate_left(1);
@@ -60,12 +59,15 @@
     }
 
     /// How many replicas the shard is to have. It does not shrink while stores are unresponsive.
-    fn takeover_replicas(&self, assignment: &ShardAssignment) -> usize {
-        let current = assignment.replicas.len().min(self.max_replicas());
-        self.target_replicas().max(current)
+    fn takeover_replicas(&self, shard: usize, assignment: &ShardAssignment) -> usize {
+        let least = self.policy.tolerance.min_members();
+        let current = assignment.replicas.len().min(least);
+        let preferred = self.preferred_replicas(shard, &assignment.replicas);
+        preferred.len().max(current)
     }
 
-    /// Up to `count` live stores: those that may have the shard's log, then others.
+    /// Up to `count` live stores: those that may have the shard's log, then others; more if only they
+    /// make up a write quorum.
     fn live_replicas(
         &self,
         shard: usize,
@@ -73,10 +75,18 @@
         count: usize,
     ) -> Vec<StoreId> {
         let mut replicas = self.live_sources(assignment, count);
-        while replicas.len() < count
-            && let Some(candidate) = self.candidate(shard, &replicas)
-        {
-            replicas.push(candidate);
+        while replicas.len() < count || !self.quorums(&replicas).has_write_quorum() {
+            let Some(candidate) = self.candidate(shard, &replicas) else {
+                break;
+            };
+            let mut extended = replicas.clone();
+            extended.push(candidate);
+            let is_closer =
+                self.quorums(&extended).shortfall() < self.quorums(&replicas).shortfall();
+            if replicas.len() >= count && !is_closer {
+                break;
+            }
+            replicas = extended;
         }
         replicas
     }
@@ -93,7 +103,9 @@
         let current = available(&assignment.replicas);
         // With fewer of the previous replicas no quorum of them can be read: then only a replica
         // that has begun the current epoch is sure to have the complete log.
-        let can_read_previous = previous.len() + self.tolerance >= assignment.previous.len();
+        let quorums = assignment.previous_quorums(self.policy.tolerance.machines);
+        let can_read_previous =
+            assignment.previous.is_empty() || quorums.is_read_quorum(|id| previous.contains(&id));
         let ordered = if can_read_previous {
             [previous, current]
         } else {
--- a/crates/mintlb-batch/src/replica.rs
+++ b/crates/mintlb-batch/src/replica.rs
@@ -3,8 +3,8 @@
 //! Pure: messages and the time go in, [`Effect`]s come out; the driver owns disk, network and
 //! clock.
 //!
-//! - An entry is committed once it is on the disks of `tolerance + 1` replicas, so that it outlives
-//!   the loss of any `tolerance` of them (Schneider 1990; Oki and Liskov 1988).
+//! - An entry is committed once it is on the disks of a write quorum of the replicas, so that it
+//!   outlasts any tolerated loss of them ([`mintlb_common::quorum`]).
 //! - Each assignment of the shard starts a new epoch with one primary. A replica that has entered
 //!   an epoch rejects messages of earlier ones, so that a deposed primary can't commit anything
 //!   more.
@@ -40,7 +40,7 @@
 use crate::quota::Allowances;
 use crate::timestamp::Timestamp;
 use bytes::Bytes;
-use mintlb_common::placement::{ShardAssignment, StoreId};
+use mintlb_common::placement::{ReplicaQuorums, ShardAssignment, StoreId};
 use role::Role;
 use std::time::Duration;
 
@@ -64,6 +64,8 @@
     leases: Leases,
     allowances: Allowances,
     assignment: ShardAssignment,
+    /// The quorums of the assignment's replicas.
+    quorums: ReplicaQuorums,
     role: Role,
     effects: Vec<Effect>,
     last_tick: Timestamp,
@@ -98,6 +100,7 @@
             leases: Leases::default(),
             allowances: Allowances::default(),
             assignment: ShardAssignment::default(),
+            quorums: ReplicaQuorums::default(),
             role: Role::Follower,
             effects: Vec::new(),
             last_tick: now,
@@ -123,6 +126,7 @@
         }
         let is_new_epoch = assignment.epoch > self.assignment.epoch;
         self.assignment = assignment.clone();
+        self.quorums = assignment.quorums(self.settings.tolerance);
         if assignment.epoch < self.meta.current_epoch {
             return;
         }
@@ -283,11 +287,6 @@
         &self.jobs
     }
 
-    /// Number of replicas that have to have an entry before it is committed.
-    fn quorum(&self) -> usize {
-        self.settings.tolerance + 1
-    }
-
     /// Gives up the role of primary, or the takeover.
     fn step_down(&mut self) {
         if let Role::Primary(_) = std::mem::replace(&mut self.role, Role::Follower) {
--- a/crates/mintlb-batch/src/replica/primary.rs
+++ b/crates/mintlb-batch/src/replica/primary.rs
@@ -6,7 +6,7 @@
 
 use crate::epoch_history::{Epoch, LogIndex};
 use crate::timestamp::Timestamp;
-use mintlb_common::placement::StoreId;
+use mintlb_common::placement::{ReplicaQuorums, StoreId};
 use std::time::Duration;
 
 /// For this long after its start a primary expects its followers to be starting as well.
@@ -19,6 +19,8 @@
 #[derive(Debug)]
 pub(super) struct Primary {
     pub epoch: Epoch,
+    /// This store.
+    own: StoreId,
     /// End of the log when this process became the primary: the first entry of the epoch or, after
     /// a restart within it, a later one. Anything up to here may have been acknowledged to a
     /// client, so nothing is served before it is committed.
@@ -38,12 +40,14 @@
 impl Primary {
     pub(super) fn new(
         epoch: Epoch,
+        own: StoreId,
         base_index: LogIndex,
         followers: impl Iterator<Item = StoreId>,
         now: Timestamp,
     ) -> Primary {
         Primary {
             epoch,
+            own,
             base_index,
             is_active: false,
             durable_index: 0,
@@ -93,16 +97,15 @@
         })
     }
 
-    /// The highest index that `quorum` replicas have on disk, this one among them; `None` if no
-    /// entry may be committed yet.
+    /// The highest index that a write quorum of the replicas has on disk; `None` if no entry may be
+    /// committed yet.
     ///
     /// As in Raft (section 5.4.2), entries of earlier epochs are committed only together with one
     /// of this epoch.
-    pub(super) fn quorum_index(&self, quorum: usize) -> Option<LogIndex> {
-        let mut matched: Vec<LogIndex> = self.followers.iter().filter_map(|f| f.matched).collect();
-        matched.push(self.durable_index);
-        matched.sort_unstable_by(|a, b| b.cmp(a));
-        let index = *matched.get(quorum - 1)?;
+    pub(super) fn quorum_index(&self, quorums: &ReplicaQuorums) -> Option<LogIndex> {
+        let followers = self.followers.iter();
+        let matched = followers.filter_map(|follower| Some((follower.id, follower.matched?)));
+        let index = self.highest_at_quorum(quorums, self.durable_index, matched)?;
         (self.base_index..=self.durable_index)
             .contains(&index)
             .then_some(index)
@@ -117,18 +120,37 @@
         }
     }
 
-    /// The latest time up to which `others` followers are known not to have entered a later epoch.
-    pub(super) fn confirmed_at(&self, others: usize, now: Timestamp) -> Option<Timestamp> {
-        let Some(rank) = others.checked_sub(1) else {
-            return Some(now);
-        };
-        let mut times: Vec<Timestamp> = self
-            .followers
-            .iter()
-            .filter_map(|follower| follower.confirmed_at)
-            .collect();
-        times.sort_unstable_by(|a, b| b.cmp(a));
-        times.get(rank).copied()
+    /// The latest time up to which a write quorum of the replicas, this one among them, is known not
+    /// to have entered a later epoch.
+    pub(super) fn confirmed_at(
+        &self,
+        quorums: &ReplicaQuorums,
+        now: Timestamp,
+    ) -> Option<Timestamp> {
+        let followers = self.followers.iter();
+        let times = followers.filter_map(|follower| Some((follower.id, follower.confirmed_at?)));
+        self.highest_at_quorum(quorums, now, times)
+    }
+
+    /// The highest value that a write quorum of the replicas has reached, where `own` is what this
+    /// one has.
+    fn highest_at_quorum<T: Ord + Copy>(
+        &self,
+        quorums: &ReplicaQuorums,
+        own: T,
+        followers: impl Iterator<Item = (StoreId, T)>,
+    ) -> Option<T> {
+        let reached: Vec<(StoreId, T)> = followers.chain([(self.own, own)]).collect();
+        let mut values: Vec<T> = reached.iter().map(|(_, value)| *value).collect();
+        values.sort_unstable_by(|a, b| b.cmp(a));
+        values.into_iter().find(|least| {
+            let has_reached = |id| {
+                reached
+                    .iter()
+                    .any(|(other, value)| *other == id && value >= least)
+            };
+            quorums.is_write_quorum(has_reached)
+        })
     }
 
     /// The followers that have the log up to `index`, or up to the base of the epoch if that is
--- a/crates/mintlb-batch/src/replica/replication.rs
+++ b/crates/mintlb-batch/src/replica/replication.rs
@@ -1,4 +1,4 @@
-//! The primary brings its log to the followers, and commits what a quorum has.
+//! The primary brings its log to the followers, and commits what a write quorum has.
 
 use super::log_transfer::{LogRange, MAX_APPEND_BYTES};
 use super::primary::{FollowerProgress, Primary};
@@ -97,16 +97,15 @@
             .filter(|primary| primary.epoch == epoch)
     }
 
-    /// Commits what a quorum of replicas has on disk.
+    /// Commits what a write quorum of the replicas has on disk.
     fn advance_commit(&mut self, now: Timestamp) {
-        let quorum = self.quorum();
         let Some(primary) = self.role.primary_mut() else {
             return;
         };
         if let Some(replicated) = primary.advance_replicated() {
             self.effects.push(Effect::Replicated(replicated));
         }
-        let Some(quorum_index) = primary.quorum_index(quorum) else {
+        let Some(quorum_index) = primary.quorum_index(&self.quorums) else {
             return;
         };
         if !primary.is_active {
@@ -230,16 +229,15 @@
         }
     }
 
-    /// Whether reads may be answered: a quorum has confirmed a moment ago that this is still the
+    /// Whether reads may be answered: a write quorum has confirmed a moment ago that this is still the
     /// primary, so that everything committed before is known here (cf. Raft's ReadIndex). If not,
     /// the followers are probed; [`Effect::Confirmed`] tells when to call again.
     pub fn confirm(&mut self, now: Timestamp) -> bool {
-        let others = self.quorum() - 1;
         let Some(primary) = self.role.primary() else {
             return false;
         };
         if primary
-            .confirmed_at(others, now)
+            .confirmed_at(&self.quorums, now)
             .is_some_and(|at| now.saturating_since(at) <= CONFIRMATION_VALIDITY)
         {
             return true;
--- a/crates/mintlb-batch/src/replica/state.rs
+++ b/crates/mintlb-batch/src/replica/state.rs
@@ -39,7 +39,8 @@
 pub struct ReplicaSettings {
     /// Identity of the store.
     pub store_id: StoreId,
-    /// Number of stores that may be lost at once (`fault_tolerance.machines`).
+    /// Number of stores that may be lost at once (`fault_tolerance.machines`), for assignments that
+    /// hold no quorum rule.
     pub tolerance: usize,
     /// How long a job has to be readable after its submission (`status_s`).
     pub result_retention: Duration,
--- a/crates/mintlb-batch/src/replica/takeover.rs
+++ b/crates/mintlb-batch/src/replica/takeover.rs
@@ -1,10 +1,10 @@
 //! Taking over a shard as the primary of a new epoch.
 //!
 //! The new primary makes replicas enter its epoch and reads which log each has, adopts the log that
-//! ends at the highest position among enough of the previous replicas, and starts its epoch on top
-//! of that. Every committed entry is in that log, as any `tolerance + 1` of the previous replicas
-//! intersect with those read (the view change of Viewstamped Replication; the discovery and
-//! synchronization phases of Zab).
+//! ends at the highest position among a read quorum of the previous replicas, and starts its epoch on
+//! top of that. Every committed entry is in that log, as each write quorum of the previous replicas
+//! intersects with those read (the view change of Viewstamped Replication; the discovery and
+//! synchronization phases of Zab). Both go by the rule of the previous assignment.
 //!
 //! Fewer logs are enough in two cases, see [`Replica::is_complete`]: an earlier takeover that never
 //! became active may already have left such a log at a replica, and the primary of the last active
@@ -138,13 +138,6 @@
         self.on_epoch_ack(self.settings.store_id, epoch, log, now);
     }
 
-    /// How many of the previous replicas have to be read: all but `tolerance`, as every committed
-    /// entry is at `tolerance + 1` of them.
-    fn acks_needed(&self) -> usize {
-        let previous = self.assignment.previous.len();
-        previous.saturating_sub(self.settings.tolerance).max(1)
-    }
-
     /// Whether the log of this replica alone is sure to have everything that was committed.
     ///
     /// It has if it holds an entry of an epoch after the last active one: that epoch was started on
@@ -168,9 +161,9 @@
         log: EpochHistory,
         now: Timestamp,
     ) {
-        let needed = self.acks_needed();
         let is_previous = self.assignment.previous.contains(&from);
         let is_complete = self.is_complete(from, &log);
+        let previous_quorums = self.assignment.previous_quorums(self.settings.tolerance);
         let Some(takeover) = self.role.takeover_mut() else {
             return;
         };
@@ -178,7 +171,8 @@
             return;
         }
         takeover.add(EpochAck { store: from, log });
-        if takeover.acks.len() < needed && !is_complete {
+        let has_acked = |id| takeover.acks.iter().any(|ack| ack.store == id);
+        if !previous_quorums.is_read_quorum(has_acked) && !is_complete {
             return;
         }
         if let Some(best) = takeover.best() {
@@ -274,7 +268,7 @@
         let replicas = self.assignment.replicas.iter().copied();
         let followers = replicas.filter(|id| *id != own);
         let through = self.meta.log.last();
-        self.role = Role::Primary(Primary::new(epoch, through, followers, now));
+        self.role = Role::Primary(Primary::new(epoch, own, through, followers, now));
         self.leases.restart(now);
         self.after_sync(AfterSync::LogPersisted { epoch, through });
     }
--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -84,6 +84,7 @@
         address: address.to_string(),
         zone: String::new(),
         decommissioning: false,
+        region: None,
     };
     let shard = ShardAssignment {
         epoch: EPOCH,
--- a/crates/mintlb-batch/tests/decommission.rs
+++ b/crates/mintlb-batch/tests/decommission.rs
@@ -13,7 +13,7 @@
 /// Orders that the store on a machine is decommissioned, and applies the planned placement.
 fn order(cluster: &mut PlannerHarness, node: &str) -> Result<DecommissionStart, DecommissionError> {
     let snapshot = cluster.table.snapshot(&cluster.placement, cluster.now);
-    let order = start_decommission(&cluster.placement, &snapshot, node, cluster.tolerance);
+    let order = start_decommission(&cluster.placement, &snapshot, node, &cluster.policy);
     if let Ok(DecommissionStart::Planned(next)) = &order {
         cluster.placement = next.clone();
     }
@@ -30,7 +30,7 @@
 
 fn status(cluster: &mut PlannerHarness, node: &str) -> Option<DecommissionStatus> {
     let snapshot = cluster.table.snapshot(&cluster.placement, cluster.now);
-    decommission_status(&cluster.placement, &snapshot, node, cluster.tolerance)
+    decommission_status(&cluster.placement, &snapshot, node, &cluster.policy)
 }
 
 const IN_PROGRESS: Option<DecommissionStatus> = Some(DecommissionStatus::InProgress);
--- a/crates/mintlb-batch/tests/placement_losses.rs
+++ b/crates/mintlb-batch/tests/placement_losses.rs
@@ -227,7 +227,7 @@
 fn random_event(cluster: &mut SimulatedCluster, u: &mut Unstructured) -> Result<()> {
     let machine = u.int_in_range(0..=cluster.machines.len() - 1)?;
     let time = STEP * u.int_in_range(5..=45)?;
-    if u.ratio(1, 8)? && cluster.lost_machines() < cluster.tolerance {
+    if u.ratio(1, 8)? && cluster.lost_machines() < cluster.tolerance.machines {
         cluster.lose_controller(time.min(STEP * 25), u.arbitrary()?);
         return Ok(());
     }
--- a/crates/mintlb-batch/tests/planner_harness/mod.rs
+++ b/crates/mintlb-batch/tests/planner_harness/mod.rs
@@ -1,9 +1,13 @@
 //! The planner with stores whose primaries become active at once and whose replicas catch up at
 //! once, in virtual time. Every planned placement is checked.
 
+// Each test binary uses a part of it.
+#![allow(dead_code)]
+
 use mintlb_batch::heartbeat::{ShardReport, StoreHeartbeat};
-use mintlb_batch::placement_planner::{StoreTable, plan};
+use mintlb_batch::placement_planner::{PlacementPolicy, StoreTable, plan};
 use mintlb_common::placement::{Placement, ShardAssignment, StoreId};
+use mintlb_common::quorum::FaultTolerance;
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
@@ -14,6 +18,8 @@
 #[derive(Clone)]
 pub struct Machine {
     pub zone: String,
+    /// `None` if its store is of a release that does not tell.
+    pub region: Option<String>,
     pub node: String,
 }
 
@@ -21,7 +27,7 @@
     pub now: Duration,
     pub table: StoreTable,
     pub placement: Placement,
-    pub tolerance: usize,
+    pub policy: PlacementPolicy,
     pub live: BTreeMap<StoreId, Machine>,
     /// Stores that never catch up.
     pub lagging: BTreeSet<StoreId>,
@@ -36,22 +42,30 @@
 impl PlannerHarness {
     /// Stores 1, 2... on machines node-1, node-2... in these zones, without a placement yet.
     pub fn new(zones: &[&str], tolerance: usize) -> PlannerHarness {
+        let mut harness = PlannerHarness::without_stores(FaultTolerance::of_machines(tolerance));
+        for (id, zone) in (1..).zip(zones) {
+            harness.add(StoreId(id), zone, &format!("node-{id}"));
+        }
+        harness
+    }
+
+    /// No stores yet.
+    pub fn without_stores(tolerance: FaultTolerance) -> PlannerHarness {
         let now = Duration::from_secs(100);
-        let mut harness = PlannerHarness {
+        PlannerHarness {
             now,
             table: StoreTable::new(now),
             placement: Placement::default(),
-            tolerance,
+            policy: PlacementPolicy {
+                tolerance,
+                supports_quorum_rules: true,
+            },
             live: BTreeMap::new(),
             lagging: BTreeSet::new(),
             draining: BTreeSet::new(),
             idle: false,
             changes: 0,
-        };
-        for (id, zone) in (1..).zip(zones) {
-            harness.add(StoreId(id), zone, &format!("node-{id}"));
         }
-        harness
     }
 
     /// The same, once the placement no longer changes.
@@ -62,8 +76,13 @@
     }
 
     pub fn add(&mut self, id: StoreId, zone: &str, node: &str) {
+        self.add_in_region(id, zone, "region", node);
+    }
+
+    pub fn add_in_region(&mut self, id: StoreId, zone: &str, region: &str, node: &str) {
         let machine = Machine {
             zone: zone.to_string(),
+            region: Some(region.to_string()),
             node: node.to_string(),
         };
         self.live.insert(id, machine);
@@ -73,14 +92,14 @@
         (0..time.as_millis() / STEP.as_millis()).for_each(|_| self.step());
     }
 
-    fn step(&mut self) {
+    pub fn step(&mut self) {
         self.now += STEP;
         for (id, machine) in &self.live {
             let heartbeat = self.heartbeat(*id, machine);
             self.table.record_heartbeat(heartbeat, self.now);
         }
         let snapshot = self.table.snapshot(&self.placement, self.now);
-        if let Some(next) = plan(&self.placement, &snapshot, self.tolerance) {
+        if let Some(next) = plan(&self.placement, &snapshot, &self.policy) {
             self.check(&next);
             self.changes += 1;
             self.placement = next;
@@ -97,6 +116,7 @@
             node_name: machine.node.clone(),
             address: format!("{}:1", machine.node),
             zone: machine.zone.clone(),
+            region: machine.region.clone(),
             shards: reports.collect(),
             placement: self.placement.epoch,
             draining: self.draining.contains(&id),
@@ -108,10 +128,11 @@
         let caught_up: Vec<StoreId> = replicas
             .filter(|id| self.live.contains_key(id) && !self.lagging.contains(id))
             .collect();
+        let quorums = assignment.quorums(self.policy.tolerance.machines);
         ShardReport {
             shard,
             epoch: assignment.epoch,
-            active: self.idle || caught_up.len() > self.tolerance,
+            active: self.idle || quorums.is_write_quorum(|id| caught_up.contains(&id)),
             caught_up,
         }
     }
--- a/crates/mintlb-batch/tests/shard_cluster/controller.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/controller.rs
@@ -2,7 +2,9 @@
 
 use super::{START, ShardCluster};
 use mintlb_batch::heartbeat::StoreHeartbeat;
-use mintlb_batch::placement_planner::{DecommissionStatus, decommission_status, plan};
+use mintlb_batch::placement_planner::{
+    DecommissionStatus, PlacementPolicy, decommission_status, plan,
+};
 use mintlb_common::placement::{Placement, ShardAssignment, StoreId};
 
 impl ShardCluster {
@@ -21,7 +23,8 @@
                 id: store.id,
                 address: format!("{node}:1"),
                 node_name: node,
-                zone: store.zone.clone(),
+                zone: store.domain.zone.clone(),
+                region: Some(store.domain.region.clone()),
                 shards: replica.report().into_iter().collect(),
                 placement: 0,
                 draining: store.machine.stops_at.is_some_and(|at| at <= self.now),
@@ -33,7 +36,7 @@
         }
         let current = self.placements.last().unwrap().clone();
         let view = self.table.snapshot(&current, self.now);
-        if let Some(mut next) = plan(&current, &view, self.tolerance) {
+        if let Some(mut next) = plan(&current, &view, &self.policy()) {
             // The simulation has one shard only.
             next.shards.truncate(1);
             if next.shards.first().map(epoch_of) != current.shards.first().map(epoch_of) {
@@ -44,12 +47,19 @@
         self.finish_decommissions();
     }
 
+    pub(super) fn policy(&self) -> PlacementPolicy {
+        PlacementPolicy {
+            tolerance: self.tolerance,
+            supports_quorum_rules: true,
+        }
+    }
+
     /// Takes decommissioned stores away with their disks.
     fn finish_decommissions(&mut self) {
         let current: Placement = self.placements.last().unwrap().clone();
         let view = self.table.snapshot(&current, self.now);
         for node in self.decommissioning.clone() {
-            if decommission_status(&current, &view, &node, self.tolerance)
+            if decommission_status(&current, &view, &node, &self.policy())
                 != Some(DecommissionStatus::Decommissioned)
             {
                 continue;
--- a/crates/mintlb-batch/tests/shard_cluster/machines.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/machines.rs
@@ -92,7 +92,8 @@
         let machine = &self.stores[store_index].machine;
         let is_changing =
             machine.removed || machine.successor.is_some() || machine.stops_at.is_some();
-        !is_changing && (self.counts_as_lost(store_index) || self.lost_count() < self.tolerance)
+        !is_changing
+            && (self.counts_as_lost(store_index) || self.lost_count() < self.tolerance.machines)
     }
 
     /// Kills the process; a prefix of its unsynced writes, perhaps an empty one, becomes durable.
@@ -124,7 +125,7 @@
             .iter()
             .filter(|(other, at)| **other != id && counts_as_lost(other, at))
             .count();
-        if lost_count >= self.tolerance {
+        if lost_count >= self.tolerance.machines {
             return false;
         }
         self.wipe(store_index);
@@ -165,7 +166,7 @@
         let node = self.stores[store_index].machine.node();
         let current = self.placements.last().unwrap().clone();
         let view = self.table.snapshot(&current, self.now);
-        let order = start_decommission(&current, &view, &node, self.tolerance);
+        let order = start_decommission(&current, &view, &node, &self.policy());
         let Ok(DecommissionStart::Planned(next)) = order else {
             return false;
         };
--- a/crates/mintlb-batch/tests/shard_cluster/mod.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/mod.rs
@@ -22,6 +22,7 @@
 use mintlb_batch::quota::QuotaCounter;
 use mintlb_batch::replica::{AfterSync, DiskWrite, Replica, ReplicaSettings};
 use mintlb_common::placement::{Placement, StoreId};
+use mintlb_common::quorum::{FailureDomain, FaultTolerance};
 use oracle::Oracle;
 use random::Random;
 use std::collections::BTreeMap;
@@ -57,7 +58,7 @@
     pub pending: Vec<(u64, Expected)>,
     /// Index of the newest placement it has received.
     pub placement: usize,
-    pub zone: String,
+    pub domain: FailureDomain,
     pub partitioned: bool,
     /// Its process is suspended; messages to it wait.
     pub frozen: bool,
@@ -67,7 +68,7 @@
 pub struct ShardCluster {
     pub random: Random,
     pub now: Duration,
-    pub tolerance: usize,
+    pub tolerance: FaultTolerance,
     pub stores: Vec<Store>,
     pub messages: Vec<(Envelope, Bytes)>,
     /// All placements, in the order in which the register accepted them.
@@ -95,7 +96,18 @@
 }
 
 impl ShardCluster {
+    /// Stores in three zones by turns, of which any `tolerance` may be lost.
     pub fn new(seed: u64, count: usize, tolerance: usize) -> ShardCluster {
+        let domains = (1..=count as u64).map(domain_of_turn);
+        ShardCluster::in_domains(seed, domains, FaultTolerance::of_machines(tolerance))
+    }
+
+    /// Stores in these domains.
+    pub fn in_domains(
+        seed: u64,
+        domains: impl IntoIterator<Item = FailureDomain>,
+        tolerance: FaultTolerance,
+    ) -> ShardCluster {
         let now = START;
         let mut cluster = ShardCluster {
             random: Random(seed),
@@ -110,7 +122,7 @@
             lost_disks: BTreeMap::new(),
             decommissioning: Vec::new(),
             just_accepted: false,
-            catch_up: Duration::from_secs(if tolerance == 1 { 5 } else { 6 }),
+            catch_up: Duration::from_secs(if tolerance.machines == 2 { 6 } else { 5 }),
             idle: false,
             paused_until: Duration::ZERO,
             history: Vec::new(),
@@ -119,13 +131,17 @@
             losses: 0,
             takeovers: 0,
         };
-        for _ in 0..count {
-            cluster.add_store();
+        for domain in domains {
+            cluster.add_store_in(domain);
         }
         cluster
     }
 
     pub fn add_store(&mut self) {
+        self.add_store_in(domain_of_turn(self.next_id));
+    }
+
+    fn add_store_in(&mut self, domain: FailureDomain) {
         let id = StoreId(self.next_id);
         self.next_id += 1;
         self.stores.push(Store {
@@ -135,7 +151,7 @@
             replica: None,
             pending: Vec::new(),
             placement: 0,
-            zone: format!("z{}", id.0 % 3),
+            domain,
             partitioned: false,
             frozen: false,
             machine: Machine::new(id.0, self.now),
@@ -147,7 +163,7 @@
     fn settings(&self, id: StoreId) -> ReplicaSettings {
         ReplicaSettings {
             store_id: id,
-            tolerance: self.tolerance,
+            tolerance: self.tolerance.machines,
             result_retention: RESULT_RETENTION,
         }
     }
@@ -168,3 +184,12 @@
         store.machine.on_started(self.now);
     }
 }
+
+/// The domain of stores that are spread over three zones by turns.
+fn domain_of_turn(turn: u64) -> FailureDomain {
+    FailureDomain {
+        zone: format!("z{}", turn % 3),
+        region: "r".to_string(),
+        counts_toward_quorum: true,
+    }
+}
--- a/crates/mintlb-batch/tests/shard_cluster/scripted.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/scripted.rs
@@ -40,6 +40,7 @@
             replicas: store_ids(replicas),
             previous: store_ids(previous),
             last_active_epoch: Some(last_active_epoch),
+            ..ShardAssignment::default()
         };
         self.placements.push(Placement {
             epoch: self.placements.len() as u64,
@@ -48,6 +49,11 @@
         });
     }
 
+    /// The assignment that the register has accepted last, which no store has received yet.
+    pub fn last_assignment(&mut self) -> &mut ShardAssignment {
+        &mut self.placements.last_mut().unwrap().shards[0]
+    }
+
     /// A takeover from the first three stores that becomes active and is confirmed by the register.
     pub fn take_over(&mut self, epoch: u64, replicas: &[u64], previous: &[u64]) {
         self.assign(epoch, replicas, previous);
--- a/crates/mintlb-batch/tests/shard_losses.rs
+++ b/crates/mintlb-batch/tests/shard_losses.rs
@@ -54,7 +54,7 @@
         return;
     }
     let time = Duration::from_millis(300 + cluster.random.below(4000));
-    if cluster.lost_count() < cluster.tolerance && cluster.random.percent(10) {
+    if cluster.lost_count() < cluster.tolerance.machines && cluster.random.percent(10) {
         return lose_controller(cluster, time / 2);
     }
     let event = Event::draw(cluster);
@@ -125,7 +125,7 @@
     store_indexes.sort_by_key(|store_index| cluster.stores[*store_index].machine.disk_since);
     let oldest = cluster.random.percent(50);
     let mut left = if cluster.lost_count() == 0 {
-        cluster.tolerance
+        cluster.tolerance.machines
     } else {
         0
     };
--- a/crates/mintlb-batch/tests/simulated_cluster/machine.rs
+++ b/crates/mintlb-batch/tests/simulated_cluster/machine.rs
@@ -3,6 +3,7 @@
 use super::{START, SimulatedCluster};
 use mintlb_batch::placement_planner::StoreTable;
 use mintlb_common::placement::StoreId;
+use mintlb_common::quorum::{FailureDomain, QuorumSystem};
 use std::cell::Cell;
 use std::time::Duration;
 
@@ -36,6 +37,8 @@
     pub id: StoreId,
     /// The number of the machine, in its name and address.
     number: u64,
+    /// Where it runs.
+    pub domain: FailureDomain,
     state: State,
     up_since: Duration,
     /// Since when the machine has its disk.
@@ -53,10 +56,11 @@
 }
 
 impl Machine {
-    pub fn new(id: StoreId, now: Duration) -> Machine {
+    pub fn new(id: StoreId, domain: FailureDomain, now: Duration) -> Machine {
         Machine {
             id,
             number: id.0,
+            domain,
             state: State::Up,
             up_since: now,
             disk_since: now,
@@ -73,10 +77,6 @@
         format!("node-{}", self.number)
     }
 
-    pub fn zone(&self) -> String {
-        format!("zone-{}", self.number % 3)
-    }
-
     pub fn is_up(&self) -> bool {
         self.state == State::Up
     }
@@ -119,7 +119,7 @@
     fn add_successor_if_due(&mut self, machine: usize) {
         let successor_at = self.machines[machine].successor_at;
         if successor_at.is_some_and(|at| at <= self.now) {
-            let successor = self.add_machine();
+            let successor = self.add_successor(machine);
             self.machines[machine].successor_at = None;
             self.machines[machine].successor = Some(successor);
         }
@@ -196,10 +196,12 @@
         let stores = (0..self.machines.len())
             .filter(|machine| self.counts_as_lost(*machine) && !is_counted_at_successor(*machine))
             .count();
-        let controller_back_at = self.controller_lost_until + self.times.catch_up;
-        let is_controller_lost =
-            self.controller_lost_until > Duration::ZERO && self.now < controller_back_at;
-        stores + usize::from(is_controller_lost)
+        stores + usize::from(self.is_controller_lost())
+    }
+
+    fn is_controller_lost(&self) -> bool {
+        let back_at = self.controller_lost_until + self.times.catch_up;
+        self.controller_lost_until > Duration::ZERO && self.now < back_at
     }
 
     /// The leading controller is lost, and another one leads after a pause: one that has received
@@ -217,11 +219,31 @@
 
     /// Whether the operators' limits let this machine be lost now.
     pub fn may_lose(&self, machine: usize) -> bool {
-        let state = &self.machines[machine];
-        state.is_up()
-            && state.shutdown.is_none()
-            && state.successor.is_none()
-            && (self.counts_as_lost(machine) || self.lost_machines() < self.tolerance)
+        self.may_lose_all(&[machine])
+    }
+
+    /// Whether the operators' limits let these machines be lost now: together with those that count as
+    /// lost they fit into one tolerated loss.
+    pub fn may_lose_all(&self, machines: &[usize]) -> bool {
+        let is_able = |machine: &usize| {
+            let state = &self.machines[*machine];
+            state.is_up() && state.shutdown.is_none() && state.successor.is_none()
+        };
+        let is_new_loss = |machine: &&usize| !self.counts_as_lost(**machine);
+        let new_losses = machines.iter().filter(is_new_loss).count();
+        let is_within_machines = self.lost_machines() + new_losses <= self.tolerance.machines;
+        machines.iter().all(is_able)
+            && (new_losses == 0 || is_within_machines || self.fit_into_a_domain_loss(machines))
+    }
+
+    /// Whether these machines and those that count as lost lie in so many zones, or regions, as may be
+    /// lost. A lost controller may be anywhere.
+    fn fit_into_a_domain_loss(&self, machines: &[usize]) -> bool {
+        let domains = self.machines.iter().map(|machine| &machine.domain);
+        let system = QuorumSystem::new(self.tolerance, domains);
+        let is_left =
+            |machine: usize| !machines.contains(&machine) && !self.counts_as_lost(machine);
+        !self.is_controller_lost() && system.is_read_quorum(is_left)
     }
 
     /// The machine loses power and comes back with its disk.
@@ -255,7 +277,7 @@
     pub fn replace_planned(&mut self, machine: usize, after: Duration) {
         let node = self.machines[machine].node();
         self.log(format!("{node} is replaced, shuts down in {after:?}"));
-        let successor = self.add_machine();
+        let successor = self.add_successor(machine);
         self.machines[machine].successor = Some(successor);
         self.machines[machine].shutdown_at = Some(self.now + after);
     }
--- a/crates/mintlb-batch/tests/simulated_cluster/mod.rs
+++ b/crates/mintlb-batch/tests/simulated_cluster/mod.rs
@@ -2,7 +2,10 @@
 //!
 //! Of a replica's log only the position of the last entry is kept; takeover, replication and commit
 //! follow the rules of `mintlb_batch::replica`. Machines are lost within the operators' limits: at
-//! most `tolerance` count as lost at once.
+//! most what `tolerance` allows counts as lost at once.
+
+// Each test binary uses a part of it.
+#![allow(dead_code)]
 
 pub mod machine;
 pub mod shard;
@@ -10,10 +13,11 @@
 use machine::Machine;
 use mintlb_batch::heartbeat::StoreHeartbeat;
 use mintlb_batch::placement_planner::{
-    DecommissionStart, DecommissionStatus, StoreTable, decommission_status, plan,
+    DecommissionStart, DecommissionStatus, PlacementPolicy, StoreTable, decommission_status, plan,
     start_decommission,
 };
 use mintlb_common::placement::{Placement, StoreId};
+use mintlb_common::quorum::{FailureDomain, FaultTolerance, QuorumSystem};
 use shard::SimulatedShard;
 use std::time::Duration;
 
@@ -37,7 +41,7 @@
 
 pub struct SimulatedCluster {
     now: Duration,
-    pub tolerance: usize,
+    pub tolerance: FaultTolerance,
     times: RepairTimes,
     pub machines: Vec<Machine>,
     pub placement: Placement,
@@ -55,8 +59,19 @@
 }
 
 impl SimulatedCluster {
-    /// Machines with empty disks, once all shards are active.
+    /// Machines with empty disks, in three zones by turns, once all shards are active.
     pub fn new(count: usize, tolerance: usize, times: RepairTimes) -> SimulatedCluster {
+        let domains = (1..=count as u64).map(domain_of_turn);
+        let tolerance = FaultTolerance::of_machines(tolerance);
+        SimulatedCluster::in_domains(domains, tolerance, times)
+    }
+
+    /// Machines with empty disks in these domains, once all shards are active.
+    pub fn in_domains(
+        domains: impl IntoIterator<Item = FailureDomain>,
+        tolerance: FaultTolerance,
+        times: RepairTimes,
+    ) -> SimulatedCluster {
         let mut cluster = SimulatedCluster {
             now: START,
             tolerance,
@@ -71,8 +86,8 @@
             idle: false,
             events: Vec::new(),
         };
-        for _ in 0..count {
-            cluster.add_machine();
+        for domain in domains {
+            cluster.add_machine_in(domain);
         }
         cluster.run(STARTUP_TIME);
         cluster
@@ -80,11 +95,31 @@
 
     /// Adds a machine with an empty disk; returns its index.
     pub fn add_machine(&mut self) -> usize {
+        self.add_machine_in(domain_of_turn(self.next_id))
+    }
+
+    /// Adds a machine that replaces another one. Where only machines may be lost, it comes anywhere.
+    fn add_successor(&mut self, machine: usize) -> usize {
+        let is_by_machines = self.tolerance == FaultTolerance::of_machines(self.tolerance.machines);
+        match is_by_machines {
+            true => self.add_machine(),
+            false => self.add_machine_in(self.machines[machine].domain.clone()),
+        }
+    }
+
+    fn add_machine_in(&mut self, domain: FailureDomain) -> usize {
         let id = self.new_store_id();
-        self.machines.push(Machine::new(id, self.now));
+        self.machines.push(Machine::new(id, domain, self.now));
         self.machines.len() - 1
     }
 
+    fn policy(&self) -> PlacementPolicy {
+        PlacementPolicy {
+            tolerance: self.tolerance,
+            supports_quorum_rules: true,
+        }
+    }
+
     fn new_store_id(&mut self) -> StoreId {
         let id = StoreId(self.next_id);
         self.next_id += 1;
@@ -118,7 +153,7 @@
 
     fn run_planner(&mut self) {
         let snapshot = self.table.snapshot(&self.placement, self.now);
-        if let Some(next) = plan(&self.placement, &snapshot, self.tolerance) {
+        if let Some(next) = plan(&self.placement, &snapshot, &self.policy()) {
             self.set_placement(next);
         }
     }
@@ -145,7 +180,8 @@
                 id: machine.id,
                 node_name: machine.node(),
                 address: format!("{}:1", machine.node()),
-                zone: machine.zone(),
+                zone: machine.domain.zone.clone(),
+                region: Some(machine.domain.region.clone()),
                 shards: reports,
                 placement: self.placement.epoch,
                 draining: machine.shutdown.is_some(),
@@ -158,7 +194,7 @@
     pub fn decommission(&mut self, machine: usize) -> bool {
         let node = self.machines[machine].node();
         let snapshot = self.table.snapshot(&self.placement, self.now);
-        match start_decommission(&self.placement, &snapshot, &node, self.tolerance) {
+        match start_decommission(&self.placement, &snapshot, &node, &self.policy()) {
             Ok(DecommissionStart::Planned(next)) => self.set_placement(next),
             Ok(DecommissionStart::AlreadyStarted) => (),
             Err(_) => return false,
@@ -171,8 +207,9 @@
     /// Takes decommissioned machines away, with their disks.
     fn remove_decommissioned(&mut self) {
         let snapshot = self.table.snapshot(&self.placement, self.now);
+        let policy = self.policy();
         let is_complete = |node: &str| {
-            decommission_status(&self.placement, &snapshot, node, self.tolerance)
+            decommission_status(&self.placement, &snapshot, node, &policy)
                 == Some(DecommissionStatus::Decommissioned)
         };
         let orders = std::mem::take(&mut self.decommissioning);
@@ -210,7 +247,7 @@
         let usable = live
             .filter(|machine| !self.decommissioning.contains(&machine.node()))
             .count();
-        let target = (2 * self.tolerance + 1).min(usable);
+        let target = self.tolerance.min_members().min(usable);
         for assignment in &self.placement.shards {
             let replicas = assignment.replicas.iter();
             let live = replicas.filter(|id| self.is_store_up(**id)).count();
@@ -222,6 +259,21 @@
         }
     }
 
+    /// Asserts that the live replicas of every shard survive any two tolerated losses.
+    pub fn assert_survives_any_two_losses(&self) {
+        for assignment in &self.placement.shards {
+            let live =
+                |machine: &&Machine| machine.is_up() && assignment.replicas.contains(&machine.id);
+            let live = self.machines.iter().filter(live);
+            let quorums = QuorumSystem::new(self.tolerance, live.map(|machine| &machine.domain));
+            assert!(
+                quorums.survives_any_two_losses(),
+                "{assignment:?}\n{}",
+                self.event_log()
+            );
+        }
+    }
+
     fn is_store_up(&self, id: StoreId) -> bool {
         self.machines
             .iter()
@@ -237,3 +289,12 @@
         self.events.join("\n")
     }
 }
+
+/// The domain of machines that are spread over three zones by turns.
+fn domain_of_turn(turn: u64) -> FailureDomain {
+    FailureDomain {
+        zone: format!("zone-{}", turn % 3),
+        region: "region".to_string(),
+        counts_toward_quorum: true,
+    }
+}
--- a/crates/mintlb-batch/tests/simulated_cluster/shard.rs
+++ b/crates/mintlb-batch/tests/simulated_cluster/shard.rs
@@ -50,11 +50,10 @@
         }
         self.replicate(shard, assignment);
         let last = self.shards[shard].logs[&assignment.replicas[0]];
-        let is_equal = |id: &&StoreId| {
-            self.is_store_up(**id) && self.shards[shard].logs.get(id) == Some(&last)
-        };
-        let copies = assignment.replicas.iter().filter(is_equal).count();
-        if copies <= self.tolerance {
+        let is_equal =
+            |id: StoreId| self.is_store_up(id) && self.shards[shard].logs.get(&id) == Some(&last);
+        let quorums = assignment.quorums(self.tolerance.machines);
+        if !quorums.is_write_quorum(is_equal) {
             return;
         }
         self.shards[shard].active = true;
@@ -136,8 +135,8 @@
         if let Some(complete) = later_epochs.max() {
             return Some(complete);
         }
-        let needed = assignment.previous.len().saturating_sub(self.tolerance);
-        if previous.len() < needed.max(1) {
+        let quorums = assignment.previous_quorums(self.tolerance.machines);
+        if !quorums.is_read_quorum(|id| self.is_store_up(id)) {
             return None;
         }
         previous.into_iter().max()
@@ -181,11 +180,13 @@
         };
         let replicas = assignment.replicas.iter().copied();
         let caught_up: Vec<StoreId> = replicas.filter(is_close).collect();
-        let live = caught_up.iter().filter(|id| self.is_store_up(**id)).count();
+        let quorums = assignment.quorums(self.tolerance.machines);
+        let can_commit =
+            quorums.is_write_quorum(|id| self.is_store_up(id) && caught_up.contains(&id));
         Some(ShardReport {
             shard: shard as u32,
             epoch: assignment.epoch,
-            active: state.active && (self.idle || live > self.tolerance),
+            active: state.active && (self.idle || can_commit),
             caught_up,
         })
     }
--- a/crates/mintlb-batch/tests/store_table.rs
+++ b/crates/mintlb-batch/tests/store_table.rs
@@ -23,6 +23,7 @@
         shards: vec![report],
         placement: epoch,
         draining: false,
+        region: None,
     }
 }
 
--- a/crates/mintlb-batch/tests/wire_fixtures.rs
+++ b/crates/mintlb-batch/tests/wire_fixtures.rs
@@ -426,12 +426,30 @@
         shards,
         placement: 19,
         draining,
+        region: None,
     };
     fixtures.check("heartbeat", heartbeat(shards, false), b"");
     fixtures.check("heartbeat_leaving", heartbeat(Vec::new(), true), b"");
     fixtures.end();
 }
 
+#[test]
+fn a_heartbeat_with_a_region() {
+    let heartbeat = StoreHeartbeat {
+        id: StoreId(LONG),
+        node_name: text("node-1"),
+        address: text("10.0.0.1:7001"),
+        zone: text("zone-b"),
+        shards: Vec::new(),
+        placement: 19,
+        draining: false,
+        region: Some(text("region-1")),
+    };
+    let mut fixtures = Fixtures::of("failure_domains.txt");
+    fixtures.check("heartbeat_with_region", heartbeat, b"");
+    fixtures.end();
+}
+
 #[test]
 fn entries_of_a_log() {
     let mut fixtures = Fixtures::of("entries.txt");
--- a/crates/mintlb-common/src/placement.rs
+++ b/crates/mintlb-common/src/placement.rs
@@ -4,6 +4,7 @@
 //! register, is changed there by the controller that holds the singleton role, and reaches every
 //! process as the record [`crate::record::PLACEMENT`].
 
+use crate::quorum::{FailureDomain, FaultTolerance, QuorumSystem};
 use minicbor::{Decode, Encode};
 use std::fmt;
 
@@ -56,6 +57,32 @@
     /// it.
     #[n(4)]
     pub decommissioning: bool,
+    /// The region of the zone. `None` if the store is of a release that does not tell.
+    #[n(5)]
+    pub region: Option<String>,
+}
+
+impl StoreEntry {
+    /// Where the store runs; `None` if it does not tell.
+    pub fn domain(&self) -> Option<FailureDomain> {
+        Some(FailureDomain {
+            zone: self.zone.clone(),
+            region: self.region.clone()?,
+            counts_toward_quorum: true,
+        })
+    }
+}
+
+/// What the quorums of a list of replicas follow from. It is part of the placement, so that the
+/// primary that commits and the one that takes over later go by the same rule.
+#[derive(Clone, Debug, PartialEq, Eq, Encode, Decode)]
+pub struct QuorumRule {
+    /// The losses that are tolerated.
+    #[n(0)]
+    pub tolerance: FaultTolerance,
+    /// Where each replica runs, in the order of the replicas.
+    #[n(1)]
+    pub domains: Vec<FailureDomain>,
 }
 
 /// The replicas of a shard.
@@ -76,6 +103,72 @@
     /// complete: it has every acknowledged entry. `None` if unknown.
     #[n(3)]
     pub last_active_epoch: Option<u64>,
+    /// The rule of quorums of `replicas`. `None` in an assignment of a release that goes by the
+    /// number of replicas alone.
+    #[n(4)]
+    pub rule: Option<QuorumRule>,
+    /// The rule of quorums of `previous`, if they had one.
+    #[n(5)]
+    pub previous_rule: Option<QuorumRule>,
+}
+
+impl ShardAssignment {
+    /// The quorums of `replicas`. Without a rule any `machines` of them may be lost.
+    pub fn quorums(&self, machines: usize) -> ReplicaQuorums {
+        ReplicaQuorums::new(&self.replicas, self.rule.as_ref(), machines)
+    }
+
+    /// The quorums of `previous`. Without a rule any `machines` of them may be lost.
+    pub fn previous_quorums(&self, machines: usize) -> ReplicaQuorums {
+        ReplicaQuorums::new(&self.previous, self.previous_rule.as_ref(), machines)
+    }
+}
+
+/// The quorums of a list of replicas.
+#[derive(Clone, Debug)]
+pub struct ReplicaQuorums {
+    replicas: Vec<StoreId>,
+    system: QuorumSystem,
+}
+
+impl ReplicaQuorums {
+    fn new(replicas: &[StoreId], rule: Option<&QuorumRule>, machines: usize) -> ReplicaQuorums {
+        let system = match rule {
+            // A replica without a domain would share one with all others of that kind.
+            Some(rule) => {
+                let unknown = FailureDomain::default();
+                let domains = rule.domains.iter().chain(std::iter::repeat(&unknown));
+                QuorumSystem::new(rule.tolerance, domains.take(replicas.len()))
+            }
+            None => QuorumSystem::by_count(machines, replicas.len()),
+        };
+        ReplicaQuorums {
+            replicas: replicas.to_vec(),
+            system,
+        }
+    }
+
+    /// Whether an entry that the replicas which satisfy `contains` have on disk outlasts any
+    /// tolerated loss.
+    pub fn is_write_quorum(&self, contains: impl Fn(StoreId) -> bool) -> bool {
+        self.system
+            .is_write_quorum(|position| contains(self.replicas[position]))
+    }
+
+    /// Whether the replicas that satisfy `contains` have every committed entry among them.
+    pub fn is_read_quorum(&self, contains: impl Fn(StoreId) -> bool) -> bool {
+        self.replicas.iter().any(|id| contains(*id))
+            && self
+                .system
+                .is_read_quorum(|position| contains(self.replicas[position]))
+    }
+}
+
+impl Default for ReplicaQuorums {
+    /// The quorums of no replicas: there are none.
+    fn default() -> ReplicaQuorums {
+        ReplicaQuorums::new(&[], None, 0)
+    }
 }
 
 impl Placement {
--- a/crates/mintlb-common/src/quorum.rs
+++ b/crates/mintlb-common/src/quorum.rs
@@ -43,6 +43,18 @@
         }
     }
 
+    /// Whether only the loss of machines is tolerated, whichever zones they are in.
+    pub fn is_of_machines(&self) -> bool {
+        self.zones == 0 && self.regions == 0
+    }
+
+    /// Whether all losses that `other` tolerates are tolerated.
+    pub fn includes(&self, other: &FaultTolerance) -> bool {
+        self.machines >= other.machines
+            && self.zones >= other.zones
+            && self.regions >= other.regions
+    }
+
     /// The size of the smallest set that can survive any two tolerated losses.
     pub fn min_members(&self) -> usize {
         2 * self.machines.max(self.zones).max(self.regions) + 1
--- a/crates/mintlb-common/tests/wire_fixtures.rs
+++ b/crates/mintlb-common/tests/wire_fixtures.rs
@@ -15,7 +15,10 @@
     ClientLimits, Configuration, Engine, Route, RouteType, Service, WeightedService,
 };
 use mintlb_common::incarnation::Incarnation;
-use mintlb_common::placement::{Placement, SHARD_COUNT, ShardAssignment, StoreEntry, StoreId};
+use mintlb_common::placement::{
+    Placement, QuorumRule, SHARD_COUNT, ShardAssignment, StoreEntry, StoreId,
+};
+use mintlb_common::quorum::FailureDomain;
 use mintlb_common::record::{
     CONFIGURATION, ENDED_JOB_PREFIX, PLACEMENT, REPLICAS, WORKER_PREFIX, WorkerRecord, WorkerState,
 };
@@ -322,6 +325,99 @@
     fixtures.done();
 }
 
+fn store_with_region() -> StoreEntry {
+    StoreEntry {
+        id: StoreId(21),
+        node_name: "disk-21".to_string(),
+        address: "10.21.0.36:7662".to_string(),
+        zone: "zone-21".to_string(),
+        decommissioning: false,
+        region: Some("region-1".to_string()),
+    }
+}
+
+fn shard_with_rules() -> ShardAssignment {
+    let domain = |zone: &str, region: &str| FailureDomain {
+        zone: zone.to_string(),
+        region: region.to_string(),
+        counts_toward_quorum: true,
+    };
+    let rule = |domains| QuorumRule {
+        tolerance: FaultTolerance {
+            machines: 2,
+            zones: 1,
+            regions: 1,
+        },
+        domains,
+    };
+    let moved = vec![domain("zone-21", "region-1"), domain("zone-22", "region-2")];
+    ShardAssignment {
+        epoch: 8,
+        replicas: vec![StoreId(21), StoreId(22)],
+        previous: vec![StoreId(22)],
+        last_active_epoch: Some(7),
+        rule: Some(rule(moved)),
+        previous_rule: Some(rule(vec![domain("zone-22", "region-2")])),
+    }
+}
+
+/// A store and a shard as releases have them that know neither regions nor rules.
+#[derive(Debug, PartialEq, minicbor::Decode)]
+struct FormerStoreEntry {
+    #[n(0)]
+    id: StoreId,
+    #[n(1)]
+    node_name: String,
+    #[n(2)]
+    address: String,
+    #[n(3)]
+    zone: String,
+    #[n(4)]
+    decommissioning: bool,
+}
+
+#[derive(Debug, PartialEq, minicbor::Decode)]
+struct FormerShardAssignment {
+    #[n(0)]
+    epoch: u64,
+    #[n(1)]
+    replicas: Vec<StoreId>,
+    #[n(2)]
+    previous: Vec<StoreId>,
+    #[n(3)]
+    last_active_epoch: Option<u64>,
+}
+
+#[test]
+fn placements_with_rules() {
+    let mut fixtures = Fixtures::read("failure_domains.txt");
+    fixtures.check("store-with-region", &store_with_region());
+    fixtures.check("shard-with-rules", &shard_with_rules());
+    fixtures.done();
+}
+
+#[test]
+fn an_earlier_release_reads_placements_with_rules() {
+    let (store, shard) = (store_with_region(), shard_with_rules());
+    let bytes = minicbor::to_vec(&store).unwrap();
+    let former: FormerStoreEntry = minicbor::decode(&bytes).unwrap();
+    assert_eq!((former.id, former.zone), (store.id, store.zone));
+    assert_eq!(former.node_name, store.node_name);
+    assert_eq!(
+        (former.address, former.decommissioning),
+        (store.address, false)
+    );
+    let bytes = minicbor::to_vec(&shard).unwrap();
+    let former: FormerShardAssignment = minicbor::decode(&bytes).unwrap();
+    let expected = FormerShardAssignment {
+        epoch: shard.epoch,
+        replicas: shard.replicas,
+        previous: shard.previous,
+        last_active_epoch: shard.last_active_epoch,
+    };
+    assert_eq!(former, expected);
+}
+
 #[test]
 fn placements() {
     let store = |id: u64, decommissioning| StoreEntry {
@@ -330,18 +426,21 @@
         address: format!("10.{id}.0.36:7662"),
         zone: format!("zone-{id}"),
         decommissioning,
+        region: None,
     };
     let joint = ShardAssignment {
         epoch: 8,
         replicas: vec![StoreId(21), StoreId(22)],
         previous: vec![StoreId(22)],
         last_active_epoch: Some(7),
+        ..ShardAssignment::default()
     };
     let active = ShardAssignment {
         epoch: 9,
         replicas: vec![StoreId(22)],
         previous: vec![],
         last_active_epoch: None,
+        ..ShardAssignment::default()
     };
     let mut fixtures = Fixtures::read("placements.txt");
     fixtures.check("store", &store(21, false));
--- a/crates/mintlb-control/src/cli.rs
+++ b/crates/mintlb-control/src/cli.rs
@@ -4,6 +4,7 @@
 use crate::store::{self, StoreError};
 use bpaf::{OptionParser, Parser};
 use mintlb_common::settings::{NodeSettings, SettingsError};
+use std::collections::BTreeSet;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
@@ -64,6 +65,30 @@
     /// There are no seeds.
     #[error("seed_nodes: names nobody")]
     NoSeeds,
+    /// More zones are to be tolerated as lost than the deployment can bear.
+    #[error(
+        "fault_tolerance.zones: to bear the loss of {tolerated}, {needed} zones are needed; zones lists {listed}"
+    )]
+    TooFewZones {
+        /// The zones that may be lost.
+        tolerated: usize,
+        /// The zones that this takes.
+        needed: usize,
+        /// The zones of the settings.
+        listed: usize,
+    },
+    /// The same for regions.
+    #[error(
+        "fault_tolerance.regions: to bear the loss of {tolerated}, {needed} regions are needed; zones lists {listed}"
+    )]
+    TooFewRegions {
+        /// The regions that may be lost.
+        tolerated: usize,
+        /// The regions that this takes.
+        needed: usize,
+        /// The regions of the settings.
+        listed: usize,
+    },
 }
 
 fn joined(settings: &[UnsuitableSetting]) -> String {
@@ -114,10 +139,12 @@
     match verb {
         Verb::Controller => {
             let _log = start_log();
+            warn_of_too_few_domains(&settings);
             controller::run(settings)?;
         }
         Verb::Store => {
             let _log = start_log();
+            warn_of_too_few_domains(&settings);
             store::run(settings)?;
         }
         Verb::Check => check(&settings)?,
@@ -165,5 +192,42 @@
     if settings.seed_nodes.is_empty() {
         unsuitable.push(UnsuitableSetting::NoSeeds);
     }
+    unsuitable.extend(too_few_domains(settings));
     unsuitable
 }
+
+/// The kinds of domains of which the deployment has too few to bear the tolerated losses.
+fn too_few_domains(settings: &NodeSettings) -> Vec<UnsuitableSetting> {
+    let tolerance = &settings.fault_tolerance;
+    let zones: BTreeSet<&String> = settings.zones.keys().chain([&settings.zone]).collect();
+    let regions: BTreeSet<&String> = settings.zones.values().chain([&settings.region]).collect();
+    let mut unsuitable = Vec::new();
+    if zones.len() < domains_needed(tolerance.zones) {
+        unsuitable.push(UnsuitableSetting::TooFewZones {
+            tolerated: tolerance.zones,
+            needed: domains_needed(tolerance.zones),
+            listed: zones.len(),
+        });
+    }
+    if regions.len() < domains_needed(tolerance.regions) {
+        unsuitable.push(UnsuitableSetting::TooFewRegions {
+            tolerated: tolerance.regions,
+            needed: domains_needed(tolerance.regions),
+            listed: regions.len(),
+        });
+    }
+    unsuitable
+}
+
+/// The domains of one kind that it takes for a quorum to be left, and to outlast the next loss, after
+/// `tolerated` of them are lost.
+fn domains_needed(tolerated: usize) -> usize {
+    2 * tolerated + 1
+}
+
+/// The process runs all the same: it acknowledges only what outlasts the losses.
+fn warn_of_too_few_domains(settings: &NodeSettings) {
+    for setting in too_few_domains(settings) {
+        log::warn!("settings: {setting}");
+    }
+}
--- a/crates/mintlb-control/src/controller/http/configuration_api.rs
+++ b/crates/mintlb-control/src/controller/http/configuration_api.rs
@@ -104,7 +104,7 @@
         base,
         version,
         body: body.to_vec(),
-        tolerated_failures: api.settings.tolerated_failures(),
+        tolerance: api.settings.fault_tolerance(),
         durability_suffices: api.started_at.elapsed() >= JOIN_PERIOD,
     };
     match api.register.change(change, REGISTER_TIMEOUT).await {
@@ -153,7 +153,7 @@
         ChangeOutcome::HistoryCompacted => unavailable(&format!(
             "M406 config_version: is so old that it can't be told whether it was taken; current is {current}"
         )),
-        ChangeOutcome::TooFewReplicas | ChangeOutcome::SetFull => {
+        ChangeOutcome::TooFewReplicas | ChangeOutcome::SetFull | ChangeOutcome::UnknownDomain => {
             retry_response(SHORT_RETRY_AFTER, "M405 there are too few replicas yet")
         }
     }
--- a/crates/mintlb-control/src/controller/register/client.rs
+++ b/crates/mintlb-control/src/controller/register/client.rs
@@ -5,6 +5,7 @@
 use super::register_cache::RegisterCache;
 use super::replica_calls::{ReplicaReply, send_request};
 use mintlb_common::mix64::{SPLITMIX64_INCREMENT, mix64};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_common::record::WorkerRecord;
 use mintlb_common::transport::{Channel, Transport};
 use mintlb_register::ballot::Ballot;
@@ -134,15 +135,16 @@
         self.cache.lock().hint(set);
     }
 
-    /// Initializes the register with the replica of this process as its only member.
+    /// Initializes the register with the replica of this process as its only member, and the losses that
+    /// are to be tolerated.
     ///
     /// # Errors
     ///
     /// If there is no replica here, it is not new, or the value could not be made durable.
-    pub async fn bootstrap(&self) -> Result<(), BootstrapError> {
+    pub async fn bootstrap(&self, tolerance: FaultTolerance) -> Result<(), BootstrapError> {
         let replica = self.replica.as_ref().ok_or(BootstrapError::NoReplica)?;
         let ballot = Ballot::default().next(self.next_proposer());
-        let accepted = replica.bootstrap(ballot).await?;
+        let accepted = replica.bootstrap(ballot, tolerance).await?;
         self.record_chosen(accepted);
         Ok(())
     }
--- a/crates/mintlb-control/src/controller/register/discovery.rs
+++ b/crates/mintlb-control/src/controller/register/discovery.rs
@@ -106,7 +106,8 @@
     }
 
     async fn bootstrap(&self) {
-        if self.register.bootstrap().await.is_ok() {
+        let tolerance = self.settings.fault_tolerance();
+        if self.register.bootstrap(tolerance).await.is_ok() {
             log::info!(
                 "register: initialized with replica {:x} as the only member",
                 self.register.replica_id().unwrap_or_default().0
--- a/crates/mintlb-control/src/controller/register/local_replica.rs
+++ b/crates/mintlb-control/src/controller/register/local_replica.rs
@@ -4,6 +4,7 @@
 use super::replica_core::Completion;
 pub use super::replica_core::NotDurable;
 use super::stopped_workers::StoppedWorker;
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_common::record::WorkerRecord;
 use mintlb_common::wall_clock::unix_ms;
 use mintlb_register::ballot::Ballot;
@@ -117,10 +118,14 @@
     /// # Errors
     ///
     /// If the value could not be made durable, or the replica is not new.
-    pub async fn bootstrap(&self, ballot: Ballot) -> Result<AcceptedValue, BootstrapError> {
+    pub async fn bootstrap(
+        &self,
+        ballot: Ballot,
+        tolerance: FaultTolerance,
+    ) -> Result<AcceptedValue, BootstrapError> {
         let proposed = AcceptedValue {
             ballot,
-            state: Arc::new(ControlState::bootstrap(self.identity.clone())),
+            state: Arc::new(ControlState::bootstrap(self.identity.clone(), tolerance)),
         };
         let request = Request {
             target: self.identity.id,
--- a/crates/mintlb-control/src/controller/register/membership.rs
+++ b/crates/mintlb-control/src/controller/register/membership.rs
@@ -116,12 +116,12 @@
         let Ok(chosen) = self.register.read(READ_TIMEOUT).await else {
             return;
         };
-        let min_replicas = self.settings.min_replicas();
+        let tolerance = self.settings.fault_tolerance();
         let set = &chosen.state.replicas;
-        if set.current_replica(id).is_none() || set.current.len() <= min_replicas {
+        if set.current_replica(id).is_none() || !set.can_spare(id, &tolerance) {
             return;
         }
-        let removal = Change::RemoveReplica { id, min_replicas };
+        let removal = Change::RemoveReplica { id, tolerance };
         let removed = self
             .register
             .change(removal, RECONFIGURATION_TIMEOUT)
@@ -194,7 +194,7 @@
             has_silent_member: self.contact.has_silent_member(set),
             waited,
             was_member: self.was_member.load(Relaxed),
-            min_replicas: self.settings.min_replicas(),
+            tolerance: self.settings.fault_tolerance(),
             max_replicas: MAX_REPLICAS,
         };
         view.next_change()
--- a/crates/mintlb-control/src/controller/register/worker_log.rs
+++ b/crates/mintlb-control/src/controller/register/worker_log.rs
@@ -65,7 +65,7 @@
         time_limit: Duration,
     ) -> Result<StoredBy, NotStored> {
         let set = self.register.set().ok_or(NotStored::QuorumUnavailable)?;
-        if !set.remains_durable_after(self.settings.tolerated_failures()) {
+        if !set.remains_durable_after(&self.settings.fault_tolerance()) {
             return Err(NotStored::TooFewReplicas);
         }
         let mut requests = JoinSet::new();
--- a/crates/mintlb-control/src/controller/settings.rs
+++ b/crates/mintlb-control/src/controller/settings.rs
@@ -1,6 +1,9 @@
 //! The settings in force, shared by the parts of a controller.
 
+use mintlb_batch::placement_planner::PlacementPolicy;
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_common::settings::NodeSettings;
+use mintlb_register::replica_set::ReplicaSet;
 use parking_lot::Mutex;
 use std::sync::Arc;
 
@@ -23,13 +26,16 @@
         *self.0.lock() = Arc::new(settings);
     }
 
-    /// The number of machines whose simultaneous loss is tolerated.
-    pub fn tolerated_failures(&self) -> usize {
-        self.get().fault_tolerance.machines
+    /// The losses that are tolerated at once.
+    pub fn fault_tolerance(&self) -> FaultTolerance {
+        self.get().fault_tolerance
     }
 
-    /// The size of the smallest replica set that tolerates these losses: a majority remains.
-    pub fn min_replicas(&self) -> usize {
-        2 * self.tolerated_failures() + 1
+    /// What placements of shards have to bear, where these controllers hold the register.
+    pub fn placement_policy(&self, set: &ReplicaSet) -> PlacementPolicy {
+        PlacementPolicy {
+            tolerance: self.fault_tolerance(),
+            supports_quorum_rules: set.members().all(|replica| replica.region.is_some()),
+        }
     }
 }
--- a/crates/mintlb-control/src/controller/settings_reload.rs
+++ b/crates/mintlb-control/src/controller/settings_reload.rs
@@ -71,7 +71,8 @@
 fn changed_fields(old: &NodeSettings, new: &NodeSettings) -> Vec<&'static str> {
     let fields = [
         ("node_name", old.node_name != new.node_name),
-        ("zone", old.zone != new.zone),
+        ("zone (at the next start)", old.zone != new.zone),
+        ("region (at the next start)", old.region != new.region),
         ("seed_nodes", old.seed_nodes != new.seed_nodes),
         ("first_start", old.first_start != new.first_start),
         ("heartbeat_ms", old.heartbeat_ms != new.heartbeat_ms),
--- a/crates/mintlb-control/src/controller/singleton/leader.rs
+++ b/crates/mintlb-control/src/controller/singleton/leader.rs
@@ -2,6 +2,7 @@
 
 use super::replica_removal::ReplicaRemoval;
 use super::shard_placement::ShardPlacement;
+use super::tolerance_update::ToleranceUpdate;
 use super::worker_expiry::WorkerExpiry;
 use crate::controller::contact::messages::LeaderEpoch;
 use crate::controller::contact::monitor::ContactMonitor;
@@ -21,6 +22,7 @@
 pub struct Leader {
     contact: Arc<ContactMonitor>,
     work: Arc<Notify>,
+    tolerance: ToleranceUpdate,
     placement: ShardPlacement,
     replica_removal: ReplicaRemoval,
     worker_expiry: WorkerExpiry,
@@ -31,6 +33,7 @@
     pub fn new(
         contact: Arc<ContactMonitor>,
         work: Arc<Notify>,
+        tolerance: ToleranceUpdate,
         placement: ShardPlacement,
         replica_removal: ReplicaRemoval,
         worker_expiry: WorkerExpiry,
@@ -38,6 +41,7 @@
         Leader {
             contact,
             work,
+            tolerance,
             placement,
             replica_removal,
             worker_expiry,
@@ -72,6 +76,9 @@
 
     async fn maintain_cluster(&self, epoch: LeaderEpoch) {
         self.placement.refresh().await;
+        if self.contact.is_leader(epoch) {
+            self.tolerance.update().await;
+        }
         if self.contact.is_leader(epoch) {
             self.placement.place_shards().await;
         }
--- a/crates/mintlb-control/src/controller/singleton/mod.rs
+++ b/crates/mintlb-control/src/controller/singleton/mod.rs
@@ -17,6 +17,7 @@
 pub mod service;
 pub mod shard_placement;
 pub mod store_monitor;
+pub mod tolerance_update;
 pub mod worker_expiry;
 
 use std::time::Duration;
--- a/crates/mintlb-control/src/controller/singleton/replica_removal.rs
+++ b/crates/mintlb-control/src/controller/singleton/replica_removal.rs
@@ -36,14 +36,15 @@
             return;
         };
         let set = &chosen.state.replicas;
-        let min_replicas = self.settings.min_replicas();
-        if set.is_joint() || set.current.len() <= min_replicas {
+        if set.is_joint() {
             return;
         }
-        let Some(id) = self.contact.unresponsive_replicas(set).first().copied() else {
+        let tolerance = self.settings.fault_tolerance();
+        let mut unresponsive = self.contact.unresponsive_replicas(set).into_iter();
+        let Some(id) = unresponsive.find(|id| set.can_spare(*id, &tolerance)) else {
             return;
         };
-        let change = Change::RemoveReplica { id, min_replicas };
+        let change = Change::RemoveReplica { id, tolerance };
         let Ok(outcome) = self.register.change(change, CHANGE_TIMEOUT).await else {
             return;
         };
--- a/crates/mintlb-control/src/controller/singleton/retirement.rs
+++ b/crates/mintlb-control/src/controller/singleton/retirement.rs
@@ -8,7 +8,7 @@
 use crate::controller::settings::SharedSettings;
 use mintlb_batch::placement_planner::{
     ClusterSnapshot, DecommissionError, DecommissionStart, DecommissionStatus, LIVE_TIMEOUT,
-    decommission_status, start_decommission,
+    PlacementPolicy, decommission_status, start_decommission,
 };
 use mintlb_common::placement::Placement;
 use mintlb_register::change::Change;
@@ -53,7 +53,6 @@
     /// planned again.
     pub async fn handle(&self, request: &RetirementRequest) -> RetirementStatus {
         let deadline = Instant::now() + RESPONSE_TIMEOUT;
-        let tolerance = self.settings.tolerated_failures();
         let node_name = &request.node_name;
         loop {
             if !self.contact.is_in_contact() {
@@ -64,6 +63,7 @@
                 return RetirementStatus::Unavailable;
             };
             let placement = &chosen.state.placement;
+            let policy = self.settings.placement_policy(&chosen.state.replicas);
             let snapshot = self.stores.snapshot(placement);
             let heartbeats_complete = self.contact.in_contact_for() >= MIN_CONTACT;
             if !request.begin {
@@ -71,11 +71,11 @@
                     placement,
                     &snapshot,
                     node_name,
-                    tolerance,
+                    &policy,
                     heartbeats_complete,
                 );
             }
-            let next = match start_decommission(placement, &snapshot, node_name, tolerance) {
+            let next = match start_decommission(placement, &snapshot, node_name, &policy) {
                 Ok(DecommissionStart::AlreadyStarted) => return RetirementStatus::Ordered,
                 Err(DecommissionError::UnknownNode) => return RetirementStatus::NotFound,
                 _ if !heartbeats_complete => return RetirementStatus::Unavailable,
@@ -100,10 +100,10 @@
     placement: &Placement,
     snapshot: &ClusterSnapshot,
     node_name: &str,
-    tolerance: usize,
+    policy: &PlacementPolicy,
     heartbeats_complete: bool,
 ) -> RetirementStatus {
-    match decommission_status(placement, snapshot, node_name, tolerance) {
+    match decommission_status(placement, snapshot, node_name, policy) {
         Some(DecommissionStatus::Decommissioned)
             if heartbeats_complete && all_primaries_live(placement, snapshot) =>
         {
--- a/crates/mintlb-control/src/controller/singleton/shard_placement.rs
+++ b/crates/mintlb-control/src/controller/singleton/shard_placement.rs
@@ -4,10 +4,11 @@
 use super::store_monitor::StoreMonitor;
 use crate::controller::register::RegisterClient;
 use crate::controller::settings::SharedSettings;
-use mintlb_batch::placement_planner::plan;
+use mintlb_batch::placement_planner::{Protection, plan, protection};
 use mintlb_common::record::PLACEMENT;
 use mintlb_gossip::GossipService;
 use mintlb_register::change::Change;
+use parking_lot::Mutex;
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -21,6 +22,8 @@
     gossip: Arc<GossipService>,
     stores: Arc<StoreMonitor>,
     settings: Arc<SharedSettings>,
+    /// The protection of the shards that was logged last.
+    logged: Mutex<Protection>,
 }
 
 impl ShardPlacement {
@@ -36,6 +39,7 @@
             gossip,
             stores,
             settings,
+            logged: Mutex::default(),
         }
     }
 
@@ -63,9 +67,16 @@
             return;
         };
         let placement = &chosen.state.placement;
-        let snapshot = self.stores.snapshot(placement);
-        let Some(next) = plan(placement, &snapshot, self.settings.tolerated_failures()) else {
+        let set = &chosen.state.replicas;
+        let policy = self.settings.placement_policy(set);
+        let is_first = placement.shards.is_empty();
+        if is_first && !set.remains_durable_after(&policy.tolerance) {
+            // Nothing can be lost yet; what is accepted under a placement has to find it again.
             return;
+        }
+        let snapshot = self.stores.snapshot(placement);
+        let Some(next) = plan(placement, &snapshot, &policy) else {
+            return self.log_protection(protection(placement, &snapshot, &policy));
         };
         let epoch = next.epoch;
         let change = Change::SetPlacement(next);
@@ -80,4 +91,22 @@
             Err(error) => log::info!("singleton: placement epoch {epoch} is unconfirmed: {error}"),
         }
     }
+    /// Logs how well the shards of a settled placement are protected, when that has changed.
+    fn log_protection(&self, protection: Protection) {
+        let mut logged = self.logged.lock();
+        if *logged == protection {
+            return;
+        }
+        *logged = protection;
+        if protection.is_complete() {
+            log::info!("singleton: all shards outlast the tolerated losses and go on after them");
+            return;
+        }
+        log::warn!(
+            "singleton: too few stores or domains: {} shards can't commit, {} would stop at a second loss, {} go by the number of replicas",
+            protection.without_write_quorum,
+            protection.stopped_by_second_loss,
+            protection.without_rule
+        );
+    }
 }
--- a/crates/mintlb-control/src/controller/startup.rs
+++ b/crates/mintlb-control/src/controller/startup.rs
@@ -20,6 +20,7 @@
 use super::singleton::service::ControlService;
 use super::singleton::shard_placement::ShardPlacement;
 use super::singleton::store_monitor::StoreMonitor;
+use super::singleton::tolerance_update::ToleranceUpdate;
 use super::singleton::worker_expiry::WorkerExpiry;
 use super::workers::service::WorkerService;
 use super::{Controller, ControllerError};
@@ -215,6 +216,7 @@
         Leader::new(
             self.contact.clone(),
             self.leader_work.clone(),
+            ToleranceUpdate::new(self.register.clone(), self.settings.clone()),
             placement,
             replica_removal,
             worker_expiry,
@@ -263,6 +265,7 @@
         address: own_address.to_string(),
         node_name: settings.node_name.clone(),
         zone: settings.zone.clone(),
+        region: Some(settings.region.clone()),
     };
     Ok(Some(Arc::new(LocalReplica::new(opened, identity))))
 }
--- a/crates/mintlb-control/src/store/heartbeats.rs
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -58,6 +58,7 @@
         shards,
         placement: placement_epoch,
         draining: store.is_draining(),
+        region: Some(settings.region.clone()),
     };
     framing::encode(&heartbeat, &[])
 }
--- a/crates/mintlb-control/tests/builders/mod.rs
+++ b/crates/mintlb-control/tests/builders/mod.rs
@@ -25,6 +25,7 @@
         address: address(id).to_string(),
         node_name: format!("edge-{id}"),
         zone: "z".to_string(),
+        region: None,
     }
 }
 
@@ -39,6 +40,7 @@
         epoch,
         previous: Vec::new(),
         current: replicas(ids),
+        tolerance: None,
     }
 }
 
--- a/crates/mintlb-control/tests/contact_simulation/mod.rs
+++ b/crates/mintlb-control/tests/contact_simulation/mod.rs
@@ -72,11 +72,13 @@
             address: address(index).to_string(),
             node_name: format!("edge-{index}"),
             zone: String::new(),
+            region: None,
         };
         let set = ReplicaSet {
             epoch: 1,
             previous: Vec::new(),
             current: (0..replicas).map(replica).collect(),
+            tolerance: None,
         };
         let count = replicas + others;
         let mut node = |index: usize| {
--- a/crates/mintlb-control/tests/controller_cli.rs
+++ b/crates/mintlb-control/tests/controller_cli.rs
@@ -82,3 +82,36 @@
     let no_seeds = EDGE.replace("[\"10.1.0.35:8146\"]", "[]");
     assert!(of(&no_seeds)[0].starts_with("seed_nodes"));
 }
+
+/// The settings with three zones in these regions, of which so many may be lost.
+fn with_zones(regions: [&str; 3], zones_lost: usize, regions_lost: usize) -> String {
+    let zones = ["hba", "lst", "dvp"].iter().zip(regions);
+    let zones: String = zones
+        .map(|(zone, region)| format!("{zone} = \"{region}\"\n"))
+        .collect();
+    EDGE.replace(
+        "machines = 1\n",
+        &format!("machines = 1\nzones = {zones_lost}\nregions = {regions_lost}\n[zones]\n{zones}"),
+    )
+}
+
+#[test]
+fn a_tolerance_that_the_zones_and_regions_can_not_bear_is_named() {
+    assert!(of(&with_zones(["tas", "tas", "tas"], 1, 0)).is_empty());
+    assert!(of(&with_zones(["tas", "vic", "nsw"], 1, 1)).is_empty());
+    let one_region = of(&with_zones(["tas", "tas", "tas"], 0, 1));
+    assert_eq!(
+        one_region,
+        ["fault_tolerance.regions: to bear the loss of 1, 3 regions are needed; zones lists 1"]
+    );
+    let two_regions = of(&with_zones(["tas", "vic", "vic"], 0, 1));
+    assert!(two_regions[0].starts_with("fault_tolerance.regions"));
+    let few_zones = of(&with_zones(["tas", "tas", "tas"], 2, 0));
+    assert_eq!(
+        few_zones,
+        ["fault_tolerance.zones: to bear the loss of 2, 5 zones are needed; zones lists 3"]
+    );
+    // Without a list of zones the process knows of its own one alone.
+    let unlisted = EDGE.replace("machines = 1", "machines = 1\nzones = 1");
+    assert!(of(&unlisted)[0].starts_with("fault_tolerance.zones"));
+}
--- a/crates/mintlb-control/tests/controller_retirement.rs
+++ b/crates/mintlb-control/tests/controller_retirement.rs
@@ -1,12 +1,24 @@
 //! When the completion of a store's retirement may be reported.
 
 use mintlb_batch::heartbeat::{ShardReport, StoreHeartbeat};
-use mintlb_batch::placement_planner::{ClusterSnapshot, LIVE_TIMEOUT, StoreStatus};
+use mintlb_batch::placement_planner::{
+    ClusterSnapshot, LIVE_TIMEOUT, PlacementPolicy, StoreStatus,
+};
 use mintlb_common::placement::{Placement, ShardAssignment, StoreEntry, StoreId};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_control::controller::singleton::messages::RetirementStatus;
 use mintlb_control::controller::singleton::retirement::progress;
 use std::time::Duration;
 
+const POLICY: PlacementPolicy = PlacementPolicy {
+    tolerance: FaultTolerance {
+        machines: 1,
+        zones: 0,
+        regions: 0,
+    },
+    supports_quorum_rules: true,
+};
+
 fn entry(id: u64, decommissioning: bool) -> StoreEntry {
     let (node_name, address) = (format!("storage-{id}"), format!("10.0.1.{id}:7662"));
     StoreEntry {
@@ -15,6 +27,7 @@
         address,
         zone: String::new(),
         decommissioning,
+        region: None,
     }
 }
 
@@ -24,7 +37,7 @@
         epoch: 4,
         replicas: vec![StoreId(2), StoreId(3), StoreId(4)],
         previous: Vec::new(),
-        last_active_epoch: None,
+        ..ShardAssignment::default()
     };
     let stores = vec![
         entry(1, true),
@@ -73,12 +86,12 @@
 fn completion_requires_recent_reports_of_the_primaries() {
     let recent = snapshot(LIVE_TIMEOUT - Duration::from_millis(1));
     assert_eq!(
-        progress(&placement(), &recent, "storage-1", 1, true),
+        progress(&placement(), &recent, "storage-1", &POLICY, true),
         RetirementStatus::Completed
     );
     let stale = snapshot(LIVE_TIMEOUT);
     assert_eq!(
-        progress(&placement(), &stale, "storage-1", 1, true),
+        progress(&placement(), &stale, "storage-1", &POLICY, true),
         RetirementStatus::Unavailable
     );
 }
@@ -87,11 +100,11 @@
 fn completion_is_not_reported_just_after_a_partition() {
     let recent = snapshot(Duration::ZERO);
     assert_eq!(
-        progress(&placement(), &recent, "storage-1", 1, false),
+        progress(&placement(), &recent, "storage-1", &POLICY, false),
         RetirementStatus::Unavailable
     );
     assert_eq!(
-        progress(&placement(), &recent, "storage-7", 1, false),
+        progress(&placement(), &recent, "storage-7", &POLICY, false),
         RetirementStatus::NotFound
     );
     assert_eq!(
@@ -99,7 +112,7 @@
             &placement(),
             &ClusterSnapshot::default(),
             "storage-1",
-            1,
+            &POLICY,
             false
         ),
         RetirementStatus::Running
--- a/crates/mintlb-control/tests/controller_wire_fixtures.rs
+++ b/crates/mintlb-control/tests/controller_wire_fixtures.rs
@@ -10,6 +10,7 @@
 use bytes::Bytes;
 use fixture::{Fixtures, path};
 use mintlb_common::placement::{Placement, ShardAssignment, StoreEntry, StoreId};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_common::record::{WorkerRecord, WorkerState};
 use mintlb_common::transport::{Channel, ResponseFuture, Service, Transport};
 use mintlb_control::controller::contact::messages::{LeaderEpoch, PeerStatus, Ping, Pong};
@@ -56,6 +57,7 @@
         address,
         node_name: format!("edge-{id}"),
         zone: format!("zone-{id}"),
+        region: None,
     }
 }
 
@@ -69,12 +71,14 @@
         address: "10.21.0.36:7662".to_string(),
         zone: "zone-21".to_string(),
         decommissioning: true,
+        region: None,
     };
     let shard = ShardAssignment {
         epoch: 8,
         replicas: vec![StoreId(21)],
         previous: vec![StoreId(21)],
         last_active_epoch: Some(7),
+        ..ShardAssignment::default()
     };
     let state = ControlState {
         revision: 11,
@@ -82,6 +86,7 @@
             epoch: 5,
             previous: vec![replica(ID)],
             current: vec![replica(ID), replica(42)],
+            tolerance: None,
         },
         configuration_version: 9,
         configuration: br#"{"config_version":9,"route_list":[],"service_list":[]}"#.to_vec(),
@@ -99,11 +104,22 @@
     }
 }
 
+/// The first set of a register, as releases write it that go by majorities.
+fn first_set(replica: Replica) -> ReplicaSet {
+    ReplicaSet {
+        tolerance: None,
+        ..ReplicaSet::bootstrap(replica, FaultTolerance::default())
+    }
+}
+
 /// The first value of a register with one replica.
 fn bootstrapped() -> AcceptedValue {
     AcceptedValue {
         ballot: ballot(6),
-        state: Arc::new(ControlState::bootstrap(replica(ID))),
+        state: Arc::new(ControlState {
+            replicas: first_set(replica(ID)),
+            ..ControlState::bootstrap(replica(ID), FaultTolerance::default())
+        }),
     }
 }
 
@@ -417,13 +433,13 @@
     let to = seed.local_address();
     let status = register.status_of(to, WAIT).await.unwrap();
     assert!(status.has_disk);
-    assert_eq!(status.replica_set, Some(ReplicaSet::bootstrap(replica(42))));
+    assert_eq!(status.replica_set, Some(first_set(replica(42))));
     let status = register.status_of(to, WAIT).await.unwrap();
     assert_eq!((status.has_disk, status.replica_set), (false, None));
     assert!(register.request_bootstrap_vote(to, WAIT).await);
     assert!(!register.request_bootstrap_vote(to, WAIT).await);
     let register = register::start(reader, None, 2, false);
-    register.hint(ReplicaSet::bootstrap(Replica {
+    register.hint(first_set(Replica {
         address: to.to_string(),
         ..replica(ID)
     }));
--- a/crates/mintlb-control/tests/stores/mod.rs
+++ b/crates/mintlb-control/tests/stores/mod.rs
@@ -113,6 +113,7 @@
             address: node.address.to_string(),
             zone: "z".to_string(),
             decommissioning: false,
+            region: None,
         });
         let mut builder = PlacementBuilder {
             stores: stores.collect(),
@@ -149,6 +150,7 @@
             replicas: self.replicas,
             previous: self.previous,
             last_active_epoch: Some(self.shard_epoch - 1),
+            ..ShardAssignment::default()
         };
         Placement {
             epoch: self.epoch,
--- a/crates/mintlb-dispatcher/tests/quota_client.rs
+++ b/crates/mintlb-dispatcher/tests/quota_client.rs
@@ -123,6 +123,7 @@
         address: address.to_string(),
         node_name: format!("edge-{index}"),
         zone: "a".to_string(),
+        region: None,
     };
     addresses.iter().enumerate().map(replica).collect()
 }
@@ -132,6 +133,7 @@
         epoch,
         previous: replicas(previous, 101),
         current: replicas(current, 1),
+        tolerance: None,
     };
     Record {
         key: REPLICAS.to_string(),
--- a/crates/mintlb-dispatcher/tests/quota_owners.rs
+++ b/crates/mintlb-dispatcher/tests/quota_owners.rs
@@ -31,6 +31,7 @@
         address: address.to_string(),
         node_name: format!("n{id}"),
         zone: "a".into(),
+        region: None,
     }
 }
 
@@ -39,6 +40,7 @@
         epoch: 1,
         previous: Vec::new(),
         current,
+        tolerance: None,
     };
     Record {
         key: REPLICAS.into(),
--- a/crates/mintlb-register/src/change.rs
+++ b/crates/mintlb-register/src/change.rs
@@ -5,6 +5,7 @@
 
 use crate::replica_set::{Replica, ReplicaId};
 use mintlb_common::placement::Placement;
+use mintlb_common::quorum::FaultTolerance;
 
 /// A change of the value.
 #[derive(Clone, Debug, PartialEq)]
@@ -19,8 +20,8 @@
         version: u64,
         /// Its text.
         body: Vec<u8>,
-        /// How many disks may be lost at once. Without enough replicas for that the change is rejected.
-        tolerated_failures: usize,
+        /// The losses that it has to outlast. Without enough replicas for that the change is rejected.
+        tolerance: FaultTolerance,
         /// Whether it is enough that the configuration survives on some disk after such a loss, though no quorum may be
         /// left: for deployments that will never have enough replicas for one.
         durability_suffices: bool,
@@ -31,18 +32,24 @@
         replica: Replica,
         /// Members that have not responded for long.
         unresponsive: Vec<ReplicaId>,
-        /// In a set of this size or more, and in a full one, the first unresponsive member is replaced.
-        replacement_size: usize,
-        /// Size of a full set, which grows no more.
+        /// The losses that the set has to go on after. In a set that does, an unresponsive member is replaced; one that
+        /// does not grows.
+        tolerance: FaultTolerance,
+        /// Whether an unresponsive member is replaced in a full set only.
+        replaces_in_full_set_only: bool,
+        /// Size of a full set. It grows no more, and a member that responds is replaced only if the set has to go on
+        /// after a loss that it would not.
         max_replicas: usize,
     },
     /// Takes the vote from a replica, by way of a joint set.
     RemoveReplica {
         /// The replica.
         id: ReplicaId,
-        /// The set gets no smaller than this.
-        min_replicas: usize,
+        /// The losses that the set has to go on after without it.
+        tolerance: FaultTolerance,
     },
+    /// Sets the losses that each quorum of the set outlasts.
+    SetFaultTolerance(FaultTolerance),
     /// Ends a joint set: from now on the current members alone vote.
     LeaveJoint,
     /// Replaces the placement by the one with the next epoch.
@@ -67,6 +74,8 @@
     TooFewReplicas,
     /// The set is full and each member responds. May be retried once a member is unresponsive or removed.
     SetFull,
+    /// A member does not tell its failure domain. May be retried once its controller is upgraded or removed.
+    UnknownDomain,
 }
 
 impl ChangeOutcome {
--- a/crates/mintlb-register/src/join.rs
+++ b/crates/mintlb-register/src/join.rs
@@ -7,7 +7,8 @@
 //! member has lasted long enough, and takes its place.
 
 use crate::change::Change;
-use crate::replica_set::{Replica, ReplicaId, ReplicaSet};
+use crate::replica_set::{Replica, ReplicaId, ReplicaSet, survives_any_two_losses};
+use mintlb_common::quorum::FaultTolerance;
 use std::time::Duration;
 
 /// The longest time for which a replica puts off its join because a member is silent.
@@ -29,8 +30,8 @@
     /// Whether it was a member since its process started. One that was removed in that time does not take
     /// another one's place: two that can't reach each other would replace each other without end.
     pub was_member: bool,
-    /// The size of a set that bears the tolerated losses.
-    pub min_replicas: usize,
+    /// The losses that the set has to go on after.
+    pub tolerance: FaultTolerance,
     /// The size of a full set.
     pub max_replicas: usize,
 }
@@ -41,20 +42,18 @@
         if self.should_wait() {
             return None;
         }
-        let replacement_size = match self.was_member {
-            true => self.max_replicas,
-            false => self.min_replicas,
-        };
         Some(Change::AddReplica {
             replica: self.replica.clone(),
             unresponsive: self.unresponsive.clone(),
-            replacement_size,
+            tolerance: self.tolerance,
+            replaces_in_full_set_only: self.was_member,
             max_replicas: self.max_replicas,
         })
     }
 
     fn should_wait(&self) -> bool {
-        let may_replace = !self.was_member && self.set.current.len() >= self.min_replicas;
+        let may_replace =
+            !self.was_member && survives_any_two_losses(&self.set.current, &self.tolerance);
         may_replace
             && !self.has_predecessor()
             && self.unresponsive.is_empty()
--- a/crates/mintlb-register/src/lib.rs
+++ b/crates/mintlb-register/src/lib.rs
@@ -1,4 +1,4 @@
-//! A replicated register: one value, changed by compare-and-set at a majority of replicas.
+//! A replicated register: one value, changed by compare-and-set at a quorum of replicas.
 //!
 //! The algorithm is CASPaxos (D. Rystsov, "CASPaxos: Replicated State Machines without logs", 2018), which is
 //! single-decree Paxos (L. Lamport, "Paxos Made Simple", 2001) run again for each change. A [`proposal`] learns the
@@ -32,9 +32,11 @@
 //! - **Recovery before change.** A proposal applies a change only to a value that it knows to be chosen. A value that was
 //!   perhaps accepted by some replicas only is first written again, unchanged, at the proposal's own ballot.
 //! - **Quorum intersection.** A change of the set passes through a joint set (D. Ongaro and J. Ousterhout, "In Search of
-//!   an Understandable Consensus Algorithm", 2014, section 6), whose quorums hold a majority of the set before and of the
-//!   set after. Each set's quorums thus hold a majority of the `current` members of the value before it, and meet the
+//!   an Understandable Consensus Algorithm", 2014, section 6), whose quorums hold a quorum of the set before and of the
+//!   set after. Each set's quorums thus hold a quorum of the `current` members of the value before it, and meet the
 //!   quorums of anything else that builds on that value.
+//! - **Durability.** Once the set is large enough for it, each quorum outlasts any loss of machines, zones or regions
+//!   that is tolerated ([`mintlb_common::quorum`]). The tolerance is part of the value, as the members are.
 
 pub mod acceptor;
 pub mod applied_history;
--- a/crates/mintlb-register/src/replica_set.rs
+++ b/crates/mintlb-register/src/replica_set.rs
@@ -1,6 +1,7 @@
 //! Replicas, the sets that they form, and the quorums of a set.
 
 use minicbor::{Decode, Encode};
+use mintlb_common::quorum::{FailureDomain, FaultTolerance, QuorumSystem};
 use std::fmt;
 
 /// Identity of a replica together with its disk.
@@ -32,6 +33,9 @@
     /// Zone of its machine.
     #[n(3)]
     pub zone: String,
+    /// Region of that zone. `None` if the controller is of a release that does not tell.
+    #[n(4)]
+    pub region: Option<String>,
 }
 
 impl Replica {
@@ -39,14 +43,23 @@
     pub fn is_predecessor_of(&self, replica: &Replica) -> bool {
         self.id == replica.id || self.address == replica.address
     }
+
+    /// Where it runs. Replicas that don't tell share one unknown region.
+    fn domain(&self) -> FailureDomain {
+        FailureDomain {
+            zone: self.zone.clone(),
+            region: self.region.clone().unwrap_or_default(),
+            counts_toward_quorum: true,
+        }
+    }
 }
 
 /// The replicas that vote.
 ///
 /// A change of the set takes two steps, as Raft's joint consensus does: [`Change::AddReplica`] or
 /// [`Change::RemoveReplica`] leads to a joint set with `previous` and `current` members, [`Change::LeaveJoint`] ends it.
-/// While the set is joint, a quorum needs a majority of both sides, so that it meets each quorum of the set before and
-/// each quorum of the set after.
+/// While the set is joint, a quorum needs a quorum of both sides, so that it meets each quorum of the set before and each
+/// quorum of the set after.
 ///
 /// [`Change::AddReplica`]: crate::change::Change::AddReplica
 /// [`Change::RemoveReplica`]: crate::change::Change::RemoveReplica
@@ -62,15 +75,19 @@
     /// The members from now on.
     #[n(2)]
     pub current: Vec<Replica>,
+    /// The losses that each quorum outlasts. `None` in a set of a release whose quorums are majorities.
+    #[n(3)]
+    pub tolerance: Option<FaultTolerance>,
 }
 
 impl ReplicaSet {
     /// The first set of a register, with one member.
-    pub fn bootstrap(replica: Replica) -> ReplicaSet {
+    pub fn bootstrap(replica: Replica, tolerance: FaultTolerance) -> ReplicaSet {
         ReplicaSet {
             epoch: 1,
             previous: Vec::new(),
             current: vec![replica],
+            tolerance: Some(tolerance),
         }
     }
 
@@ -83,9 +100,19 @@
         self.current.iter().chain(previous_only)
     }
 
-    /// Whether the replicas that satisfy `predicate` form a quorum: a majority of each side.
+    /// Whether the replicas that satisfy `predicate` form a quorum of each side.
+    ///
+    /// Any two quorums meet. Those of a side that outlasts the tolerated losses as a whole outlast them, too.
     pub fn is_quorum(&self, predicate: impl Fn(ReplicaId) -> bool) -> bool {
-        self.every_side(|side| is_majority(side, &predicate))
+        self.every_side(|side| self.is_quorum_of(side, &predicate))
+    }
+
+    fn is_quorum_of(&self, side: &[Replica], predicate: impl Fn(ReplicaId) -> bool) -> bool {
+        let contains = |position: usize| predicate(side[position].id);
+        match self.tolerance {
+            Some(tolerance) => quorums(side, tolerance).is_mutual_quorum(contains),
+            None => QuorumSystem::by_count(0, side.len()).is_majority(contains),
+        }
     }
 
     /// Whether a change of the set is in progress.
@@ -93,16 +120,49 @@
         !self.previous.is_empty()
     }
 
-    /// Whether a quorum remains after the loss of any `lost` disks, so that accepted values stay readable and changes
-    /// go on.
-    pub fn remains_available_after(&self, lost: usize) -> bool {
-        self.every_side(|side| side.len() > 2 * lost)
+    /// Whether a quorum remains after any tolerated loss, so that accepted values stay readable and changes go on.
+    pub fn remains_available_after(&self, tolerance: &FaultTolerance) -> bool {
+        match self.tolerance {
+            Some(own) => {
+                own.includes(tolerance)
+                    && self.every_side(|side| quorums(side, *tolerance).survives_any_two_losses())
+            }
+            None => {
+                tolerance.is_of_machines()
+                    && self.every_side(|side| side.len() > 2 * tolerance.machines)
+            }
+        }
+    }
+
+    /// Whether a value that a quorum has accepted is still on some disk after any tolerated loss. There may be no quorum
+    /// left to read it.
+    pub fn remains_durable_after(&self, tolerance: &FaultTolerance) -> bool {
+        match self.tolerance {
+            Some(own) => {
+                own.includes(tolerance)
+                    && self.every_side(|side| quorums(side, *tolerance).has_write_quorum())
+            }
+            None => {
+                tolerance.is_of_machines()
+                    && self.every_side(|side| side.len() / 2 + 1 > tolerance.machines)
+            }
+        }
+    }
+
+    /// Whether the current members could lose one of them for good and still go on after any tolerated loss.
+    pub fn can_spare(&self, id: ReplicaId, tolerance: &FaultTolerance) -> bool {
+        let others: Vec<Replica> = self
+            .current
+            .iter()
+            .filter(|replica| replica.id != id)
+            .cloned()
+            .collect();
+        survives_any_two_losses(&others, tolerance)
     }
 
-    /// Whether a value that a quorum has accepted is still on some disk after the loss of any `lost` ones. There may be
-    /// no quorum left to read it.
-    pub fn remains_durable_after(&self, lost: usize) -> bool {
-        self.every_side(|side| side.len() / 2 + 1 > lost)
+    /// Whether all current members tell their failure domains.
+    pub fn knows_all_domains(&self) -> bool {
+        self.current.iter().all(|replica| replica.region.is_some())
     }
 
     /// The replica with this identity on the current side.
@@ -116,6 +176,7 @@
             epoch: self.epoch + 1,
             previous: self.current.clone(),
             current: members,
+            tolerance: self.tolerance,
         }
     }
 
@@ -125,6 +186,7 @@
             epoch: self.epoch + 1,
             previous: Vec::new(),
             current: self.current.clone(),
+            tolerance: self.tolerance,
         }
     }
 
@@ -138,7 +200,18 @@
     side.iter().any(|replica| replica.id == id)
 }
 
-fn is_majority(side: &[Replica], predicate: impl Fn(ReplicaId) -> bool) -> bool {
-    let count = side.iter().filter(|replica| predicate(replica.id)).count();
-    2 * count > side.len()
+/// The quorums of these members under a tolerance.
+fn quorums(members: &[Replica], tolerance: FaultTolerance) -> QuorumSystem {
+    let domains: Vec<FailureDomain> = members.iter().map(Replica::domain).collect();
+    QuorumSystem::new(tolerance, &domains)
+}
+
+/// Whether these members have a quorum left after any tolerated loss.
+pub(crate) fn survives_any_two_losses(members: &[Replica], tolerance: &FaultTolerance) -> bool {
+    quorums(members, *tolerance).survives_any_two_losses()
+}
+
+/// How far these members are from that; 0 if they do.
+pub(crate) fn shortfall(members: &[Replica], tolerance: &FaultTolerance) -> usize {
+    quorums(members, *tolerance).shortfall()
 }
--- a/crates/mintlb-register/src/state.rs
+++ b/crates/mintlb-register/src/state.rs
@@ -4,6 +4,7 @@
 use crate::replica_set::{Replica, ReplicaSet};
 use minicbor::{Decode, Encode};
 use mintlb_common::placement::Placement;
+use mintlb_common::quorum::FaultTolerance;
 use std::cmp::Ordering;
 
 /// The value of the register. Each change writes all of it.
@@ -34,11 +35,11 @@
 }
 
 impl ControlState {
-    /// The first value of a register, with one replica.
-    pub fn bootstrap(replica: Replica) -> ControlState {
+    /// The first value of a register, with one replica and the losses that are to be tolerated.
+    pub fn bootstrap(replica: Replica, tolerance: FaultTolerance) -> ControlState {
         ControlState {
             revision: 1,
-            replicas: ReplicaSet::bootstrap(replica),
+            replicas: ReplicaSet::bootstrap(replica, tolerance),
             applied_history: Some(AppliedHistory::default()),
             ..ControlState::default()
         }
--- a/crates/mintlb-register/src/transition.rs
+++ b/crates/mintlb-register/src/transition.rs
@@ -2,9 +2,10 @@
 
 use crate::applied_history::HistoryLookup;
 use crate::change::{Change, ChangeOutcome};
-use crate::replica_set::{Replica, ReplicaId};
+use crate::replica_set::{Replica, ReplicaId, ReplicaSet, shortfall, survives_any_two_losses};
 use crate::state::ControlState;
 use mintlb_common::placement::Placement;
+use mintlb_common::quorum::FaultTolerance;
 
 /// Result of the application of a change to a chosen value.
 pub(crate) enum Transition {
@@ -25,6 +26,7 @@
             Change::SetConfiguration { .. }
             | Change::AddReplica { .. }
             | Change::RemoveReplica { .. }
+            | Change::SetFaultTolerance(_)
             | Change::SetPlacement(_) => leave_joint(state).ok().map(|next| successor(state, next)),
         }
     }
@@ -45,30 +47,32 @@
                 base,
                 version,
                 body,
-                tolerated_failures,
+                tolerance,
                 durability_suffices,
             } => {
                 let set = &state.replicas;
-                let has_enough_replicas = set.remains_available_after(*tolerated_failures)
-                    || (*durability_suffices && set.remains_durable_after(*tolerated_failures));
+                let has_enough_replicas = set.remains_available_after(tolerance)
+                    || (*durability_suffices && set.remains_durable_after(tolerance));
                 set_configuration(state, *base, *version, body, has_enough_replicas)
             }
             Change::AddReplica {
                 replica,
                 unresponsive,
-                replacement_size,
+                tolerance,
+                replaces_in_full_set_only,
                 max_replicas,
             } => {
-                let replacement_size = *replacement_size.min(max_replicas);
-                add_replica(
-                    state,
+                let addition = Addition {
                     replica,
                     unresponsive,
-                    replacement_size,
-                    *max_replicas,
-                )
+                    tolerance,
+                    replaces_in_full_set_only: *replaces_in_full_set_only,
+                    max_replicas: *max_replicas,
+                };
+                addition.apply(state)
             }
-            Change::RemoveReplica { id, min_replicas } => remove_replica(state, *id, *min_replicas),
+            Change::RemoveReplica { id, tolerance } => remove_replica(state, *id, tolerance),
+            Change::SetFaultTolerance(tolerance) => set_fault_tolerance(state, tolerance),
             Change::LeaveJoint => leave_joint(state),
             Change::SetPlacement(placement) => set_placement(state, placement),
         }
@@ -108,61 +112,109 @@
     Ok(state.with_configuration(version, body))
 }
 
-fn add_replica(
-    state: &ControlState,
-    replica: &Replica,
-    unresponsive: &[ReplicaId],
-    replacement_size: usize,
+/// The addition of a replica to the set.
+struct Addition<'a> {
+    replica: &'a Replica,
+    unresponsive: &'a [ReplicaId],
+    tolerance: &'a FaultTolerance,
+    replaces_in_full_set_only: bool,
     max_replicas: usize,
-) -> Result<ControlState, ChangeOutcome> {
-    let mut members = state.replicas.current.clone();
-    if members.contains(replica) {
-        return Err(ChangeOutcome::AlreadyApplied);
-    }
-    let replaceable = match members.len() >= replacement_size {
-        true => unresponsive,
-        false => &[],
-    };
-    match replaced_member(&members, replica, replaceable) {
-        Some(index) => members[index] = replica.clone(),
-        None if members.len() >= max_replicas => return Err(ChangeOutcome::SetFull),
-        None => members.push(replica.clone()),
-    }
-    Ok(enter_joint(state, members))
 }
 
-/// Index of the member that `replica` replaces: the one with its identity or address, or the first replaceable one.
-fn replaced_member(
-    members: &[Replica],
-    replica: &Replica,
-    replaceable: &[ReplicaId],
-) -> Option<usize> {
-    let predecessor = members
-        .iter()
-        .position(|member| member.is_predecessor_of(replica));
-    predecessor.or_else(|| {
-        members
+impl Addition<'_> {
+    fn apply(&self, state: &ControlState) -> Result<ControlState, ChangeOutcome> {
+        let mut members = state.replicas.current.clone();
+        if members.contains(self.replica) {
+            return Err(ChangeOutcome::AlreadyApplied);
+        }
+        let is_full = members.len() >= self.max_replicas;
+        match self.replaced_member(&members, is_full) {
+            Some(index) => members[index] = self.replica.clone(),
+            None if is_full => return Err(ChangeOutcome::SetFull),
+            None => members.push(self.replica.clone()),
+        }
+        Ok(enter_joint(state, members))
+    }
+
+    /// Index of the member that the replica replaces: the one with its identity or address, an unresponsive one or, in a
+    /// full set that would not go on after some loss, one whose place the replica fills better.
+    fn replaced_member(&self, members: &[Replica], is_full: bool) -> Option<usize> {
+        let predecessor = members
             .iter()
-            .position(|member| replaceable.contains(&member.id))
-    })
+            .position(|member| member.is_predecessor_of(self.replica));
+        predecessor
+            .or_else(|| self.unresponsive_member(members, is_full))
+            .or_else(|| is_full.then(|| self.misplaced_member(members)).flatten())
+    }
+
+    /// The first unresponsive member without which the set goes on after any loss; in a full set just the first one.
+    fn unresponsive_member(&self, members: &[Replica], is_full: bool) -> Option<usize> {
+        let may_replace = is_full
+            || !self.replaces_in_full_set_only && survives_any_two_losses(members, self.tolerance);
+        if !may_replace {
+            return None;
+        }
+        let unresponsive =
+            (0..members.len()).filter(|index| self.unresponsive.contains(&members[*index].id));
+        let replaceable = unresponsive
+            .clone()
+            .find(|index| self.shortfall_in_place_of(members, *index) == 0);
+        replaceable.or_else(|| is_full.then(|| unresponsive.clone().next()).flatten())
+    }
+
+    /// The member in whose place the replica brings the set closest to going on after any loss, if it does at all.
+    fn misplaced_member(&self, members: &[Replica]) -> Option<usize> {
+        let best =
+            (0..members.len()).min_by_key(|index| self.shortfall_in_place_of(members, *index))?;
+        let is_better =
+            self.shortfall_in_place_of(members, best) < shortfall(members, self.tolerance);
+        is_better.then_some(best)
+    }
+
+    fn shortfall_in_place_of(&self, members: &[Replica], index: usize) -> usize {
+        let mut members = members.to_vec();
+        members[index] = self.replica.clone();
+        shortfall(&members, self.tolerance)
+    }
 }
 
 fn remove_replica(
     state: &ControlState,
     id: ReplicaId,
-    min_replicas: usize,
+    tolerance: &FaultTolerance,
 ) -> Result<ControlState, ChangeOutcome> {
-    let mut members = state.replicas.current.clone();
     if state.replicas.current_replica(id).is_none() {
         return Err(ChangeOutcome::AlreadyApplied);
     }
-    if members.len() <= min_replicas {
+    if !state.replicas.can_spare(id, tolerance) {
         return Err(ChangeOutcome::TooFewReplicas);
     }
+    let mut members = state.replicas.current.clone();
     members.retain(|member| member.id != id);
     Ok(enter_joint(state, members))
 }
 
+/// The tolerance takes no joint set: the value with it needs a quorum by the former tolerance as well.
+fn set_fault_tolerance(
+    state: &ControlState,
+    tolerance: &FaultTolerance,
+) -> Result<ControlState, ChangeOutcome> {
+    if state.replicas.tolerance == Some(*tolerance) {
+        return Err(ChangeOutcome::AlreadyApplied);
+    }
+    if !state.replicas.knows_all_domains() {
+        return Err(ChangeOutcome::UnknownDomain);
+    }
+    Ok(ControlState {
+        replicas: ReplicaSet {
+            epoch: state.replicas.epoch + 1,
+            tolerance: Some(*tolerance),
+            ..state.replicas.clone()
+        },
+        ..state.clone()
+    })
+}
+
 fn enter_joint(state: &ControlState, members: Vec<Replica>) -> ControlState {
     ControlState {
         replicas: state.replicas.enter_joint(members),
--- a/crates/mintlb-register/tests/register/bootstrap.rs
+++ b/crates/mintlb-register/tests/register/bootstrap.rs
@@ -2,6 +2,7 @@
 
 use crate::support::replica;
 use arbtest::arbtest;
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::bootstrap::{Bootstrap, BootstrapStep, BootstrapVote, SeedStatus};
 use mintlb_register::replica_set::{ReplicaId, ReplicaSet};
 
@@ -56,7 +57,7 @@
 }
 
 fn first_set() -> ReplicaSet {
-    ReplicaSet::bootstrap(replica(1))
+    ReplicaSet::bootstrap(replica(1), FaultTolerance::of_machines(1))
 }
 
 /// The answer of a seed that knows no set.
--- a/crates/mintlb-register/tests/register/configuration_changes.rs
+++ b/crates/mintlb-register/tests/register/configuration_changes.rs
@@ -16,13 +16,13 @@
             base,
             version,
             body,
-            tolerated_failures,
+            tolerance,
             ..
         } => Change::SetConfiguration {
             base,
             version,
             body,
-            tolerated_failures,
+            tolerance,
             durability_suffices: true,
         },
         other => other,
--- a/crates/mintlb-register/tests/register/fault_scenarios/controller.rs
+++ b/crates/mintlb-register/tests/register/fault_scenarios/controller.rs
@@ -131,7 +131,7 @@
         {
             let change = Change::RemoveReplica {
                 id,
-                min_replicas: self.min_replicas(),
+                tolerance: self.tolerance(),
             };
             return self.start_change(index, change, Purpose::EnterJoint);
         }
@@ -153,7 +153,7 @@
             has_silent_member: members().any(|id| !is_reachable(id)),
             waited: Duration::from_millis(self.now - since),
             was_member: self.machines[index].was_member,
-            min_replicas: self.min_replicas(),
+            tolerance: self.tolerance(),
             max_replicas: MAX_REPLICAS,
         };
         view.next_change()
@@ -251,7 +251,7 @@
             base,
             version,
             body: version.to_be_bytes().to_vec(),
-            tolerated_failures: self.tolerated_failures,
+            tolerance: self.tolerance(),
             durability_suffices: false,
         };
         self.start_change(index, change, Purpose::Configure { base, version });
--- a/crates/mintlb-register/tests/register/fault_scenarios/faults.rs
+++ b/crates/mintlb-register/tests/register/fault_scenarios/faults.rs
@@ -231,7 +231,7 @@
         self.note(format!("machine {index} is told to stop"));
         let change = Change::RemoveReplica {
             id: self.machines[index].id(),
-            min_replicas: self.min_replicas(),
+            tolerance: self.tolerance(),
         };
         self.start_change(index, change, Purpose::RemoveSelf);
         self.schedule(STOP_TIMEOUT_MS, Event::Stopped { machine: index });
--- a/crates/mintlb-register/tests/register/fault_scenarios/simulation.rs
+++ b/crates/mintlb-register/tests/register/fault_scenarios/simulation.rs
@@ -4,6 +4,7 @@
 use crate::support::checker::Checker;
 use crate::support::rng::Rng;
 use crate::support::{accepted_first, address, replica_at, replica_set, state};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::message::{Reply, Request};
 use mintlb_register::proposal::Input;
 use mintlb_register::replica_set::ReplicaId;
@@ -161,6 +162,11 @@
         simulation
     }
 
+    /// The failures that are tolerated.
+    pub fn tolerance(&self) -> FaultTolerance {
+        FaultTolerance::of_machines(self.tolerated_failures)
+    }
+
     /// The smallest set that tolerates the failures.
     pub fn min_replicas(&self) -> usize {
         2 * self.tolerated_failures + 1
--- a/crates/mintlb-register/tests/register/main.rs
+++ b/crates/mintlb-register/tests/register/main.rs
@@ -8,6 +8,7 @@
 mod bootstrap;
 mod configuration_changes;
 mod configuration_retries;
+mod domain_losses;
 mod fault_scenarios;
 mod membership_changes;
 mod membership_losses;
--- a/crates/mintlb-register/tests/register/membership_changes.rs
+++ b/crates/mintlb-register/tests/register/membership_changes.rs
@@ -2,6 +2,7 @@
 
 use crate::support::cluster::Cluster;
 use crate::support::{MAX_REPLICAS, add, address, replica, replica_at};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::change::{Change, ChangeOutcome};
 use mintlb_register::join::{JoinView, MAX_JOIN_DELAY};
 use mintlb_register::replica_set::{Replica, ReplicaId, ReplicaSet};
@@ -61,7 +62,8 @@
     let add_to_full_set = |unresponsive| Change::AddReplica {
         replica: replica(6),
         unresponsive,
-        replacement_size: 3,
+        tolerance: FaultTolerance::of_machines(1),
+        replaces_in_full_set_only: false,
         max_replicas: 3,
     };
     assert_eq!(
@@ -83,29 +85,33 @@
 }
 
 #[test]
-fn a_set_below_the_replacement_size_grows_though_a_replica_is_unresponsive() {
+fn a_set_that_may_not_go_on_after_a_loss_grows_though_a_replica_is_unresponsive() {
     let mut cluster = Cluster::new(3);
     cluster.set_unreachable([3]);
-    let add = |id, replacement_size| Change::AddReplica {
+    // A set of five goes on after the loss of any two.
+    let add = |id| Change::AddReplica {
         replica: replica(id),
         unresponsive: vec![ReplicaId(3)],
-        replacement_size,
+        tolerance: FaultTolerance::of_machines(2),
+        replaces_in_full_set_only: false,
         max_replicas: MAX_REPLICAS,
     };
-    assert_eq!(cluster.outcome(add(6, 4)), Some(ChangeOutcome::Applied));
-    assert_eq!(cluster.replica_set().current.len(), 4);
-    assert_eq!(
-        cluster.outcome(Change::LeaveJoint),
-        Some(ChangeOutcome::Applied)
-    );
-    assert_eq!(cluster.outcome(add(7, 4)), Some(ChangeOutcome::Applied));
+    for (id, size) in [(6, 4), (8, 5)] {
+        assert_eq!(cluster.outcome(add(id)), Some(ChangeOutcome::Applied));
+        assert_eq!(cluster.replica_set().current.len(), size);
+        assert_eq!(
+            cluster.outcome(Change::LeaveJoint),
+            Some(ChangeOutcome::Applied)
+        );
+    }
+    assert_eq!(cluster.outcome(add(7)), Some(ChangeOutcome::Applied));
     let members: Vec<ReplicaId> = cluster
         .replica_set()
         .current
         .iter()
         .map(|replica| replica.id)
         .collect();
-    assert_eq!(members, [1, 2, 7, 6].map(ReplicaId), "in place of it");
+    assert_eq!(members, [1, 2, 7, 6, 8].map(ReplicaId), "in place of it");
 }
 
 /// A replica's view of a set of three, with these members silent and unresponsive.
@@ -117,17 +123,18 @@
         has_silent_member: true,
         waited: Duration::ZERO,
         was_member: false,
-        min_replicas: 3,
+        tolerance: FaultTolerance::of_machines(1),
         max_replicas: MAX_REPLICAS,
     }
 }
 
-/// The size from which on the change replaces an unresponsive member.
-fn replacement_size(change: Option<Change>) -> Option<usize> {
+/// Whether the change replaces an unresponsive member in a full set only.
+fn replaces_in_full_set_only(change: Option<Change>) -> Option<bool> {
     match change {
         Some(Change::AddReplica {
-            replacement_size, ..
-        }) => Some(replacement_size),
+            replaces_in_full_set_only,
+            ..
+        }) => Some(replaces_in_full_set_only),
         _ => None,
     }
 }
@@ -139,7 +146,7 @@
     let waiting = join_view(&set, &newcomer, &[]);
     assert_eq!(waiting.next_change(), None);
     let known = join_view(&set, &newcomer, &[3]);
-    assert_eq!(replacement_size(known.next_change()), Some(3));
+    assert_eq!(replaces_in_full_set_only(known.next_change()), Some(false));
     let all_respond = JoinView {
         has_silent_member: false,
         ..waiting.clone()
@@ -151,7 +158,7 @@
     };
     assert!(has_waited.next_change().is_some());
     let needed = JoinView {
-        min_replicas: 4,
+        tolerance: FaultTolerance::of_machines(2),
         ..waiting
     };
     assert!(needed.next_change().is_some(), "the set is too small");
@@ -172,7 +179,7 @@
         was_member: true,
         ..join_view(&set, &removed, &[3])
     };
-    assert_eq!(replacement_size(view.next_change()), Some(MAX_REPLICAS));
+    assert_eq!(replaces_in_full_set_only(view.next_change()), Some(true));
     let view = JoinView {
         unresponsive: Vec::new(),
         ..view
@@ -186,7 +193,7 @@
     cluster.set_unreachable([4]);
     let remove = |id| Change::RemoveReplica {
         id: ReplicaId(id),
-        min_replicas: 3,
+        tolerance: FaultTolerance::of_machines(1),
     };
     assert_eq!(cluster.outcome(remove(4)), Some(ChangeOutcome::Applied));
     assert_eq!(
--- a/crates/mintlb-register/tests/register/membership_losses.rs
+++ b/crates/mintlb-register/tests/register/membership_losses.rs
@@ -8,6 +8,7 @@
 use crate::support::{
     MAX_REPLICAS, address, configuration, configuration_tolerating, replica, replica_set,
 };
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::change::{Change, ChangeOutcome};
 use mintlb_register::replica_set::{ReplicaId, ReplicaSet};
 use mintlb_register::state::ControlState;
@@ -187,7 +188,7 @@
         add_at(ReplicaId(101), &address(51)),
         Change::RemoveReplica {
             id: ReplicaId(1),
-            min_replicas: 3,
+            tolerance: FaultTolerance::of_machines(1),
         },
     ] {
         let mut cluster = configured_cluster(3);
--- a/crates/mintlb-register/tests/register/membership_losses/operation.rs
+++ b/crates/mintlb-register/tests/register/membership_losses/operation.rs
@@ -1,6 +1,7 @@
 //! Operations that change a replica set, each as a list of steps.
 
 use crate::support::{MAX_REPLICAS, add, address, replica_at};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::change::Change;
 use mintlb_register::replica_set::ReplicaId;
 
@@ -68,7 +69,7 @@
     let member = ReplicaId(size as u64);
     let remove = || Change::RemoveReplica {
         id: member,
-        min_replicas: 2 * tolerated_failures + 1,
+        tolerance: FaultTolerance::of_machines(tolerated_failures),
     };
     let (one_less, all) = (tolerated_failures - 1, tolerated_failures);
     match operation {
--- a/crates/mintlb-register/tests/register/random_schedules/steps.rs
+++ b/crates/mintlb-register/tests/register/random_schedules/steps.rs
@@ -4,6 +4,7 @@
 use super::operations::OperationKind;
 use super::world::{PlantedFault, TOLERATED_FAILURES, World};
 use arbtest::arbitrary::{Result as Drawn, Unstructured};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::acceptor::AcceptorState;
 use mintlb_register::change::Change;
 use mintlb_register::message::Request;
@@ -139,7 +140,7 @@
         let ids: Vec<ReplicaId> = set.members().map(|replica| replica.id).collect();
         Ok(Change::RemoveReplica {
             id: *u.choose(&ids)?,
-            min_replicas: 2 * TOLERATED_FAILURES + 1,
+            tolerance: FaultTolerance::of_machines(TOLERATED_FAILURES),
         })
     }
 
@@ -157,7 +158,7 @@
             base,
             version,
             body: version.to_be_bytes().to_vec(),
-            tolerated_failures: TOLERATED_FAILURES,
+            tolerance: FaultTolerance::of_machines(TOLERATED_FAILURES),
             durability_suffices: false,
         })
     }
@@ -207,7 +208,7 @@
             .iter()
             .filter(|machine| machine.has_lost_disk && set.current_replica(machine.id()).is_none())
             .count();
-        set.remains_available_after(TOLERATED_FAILURES)
+        set.remains_available_after(&FaultTolerance::of_machines(TOLERATED_FAILURES))
             && lost_members.max(returning) < TOLERATED_FAILURES
     }
 
--- a/crates/mintlb-register/tests/register/random_schedules/world.rs
+++ b/crates/mintlb-register/tests/register/random_schedules/world.rs
@@ -4,6 +4,7 @@
 use super::operations::Operation;
 use crate::support::checker::Checker;
 use crate::support::{FIRST_BALLOT, acceptor_state, add, address, replica_at};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::acceptor::{Acceptor, AcceptorState, DurableWrite};
 use mintlb_register::change::Change;
 use mintlb_register::message::{AcceptedValue, Reply};
@@ -122,7 +123,10 @@
         let replica = replica_at(first.id(), &first.address);
         let value = AcceptedValue {
             ballot: FIRST_BALLOT,
-            state: Arc::new(ControlState::bootstrap(replica)),
+            state: Arc::new(ControlState::bootstrap(
+                replica,
+                FaultTolerance::of_machines(TOLERATED_FAILURES),
+            )),
         };
         first.restart_with(first.id(), acceptor_state(value.clone()));
         World {
--- a/crates/mintlb-register/tests/register/support/mod.rs
+++ b/crates/mintlb-register/tests/register/support/mod.rs
@@ -4,6 +4,7 @@
 pub mod cluster;
 pub mod rng;
 
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::acceptor::AcceptorState;
 use mintlb_register::ballot::Ballot;
 use mintlb_register::change::Change;
@@ -37,6 +38,7 @@
         address: address.to_string(),
         node_name: address.to_string(),
         zone: String::new(),
+        region: None,
     }
 }
 
@@ -46,6 +48,7 @@
         epoch: 1,
         previous: Vec::new(),
         current: members.into_iter().collect(),
+        tolerance: None,
     }
 }
 
@@ -90,7 +93,7 @@
         base,
         version,
         body: text.into(),
-        tolerated_failures,
+        tolerance: FaultTolerance::of_machines(tolerated_failures),
         durability_suffices: false,
     }
 }
@@ -100,7 +103,8 @@
     Change::AddReplica {
         replica,
         unresponsive: Vec::new(),
-        replacement_size: MAX_REPLICAS,
+        tolerance: FaultTolerance::of_machines(1),
+        replaces_in_full_set_only: true,
         max_replicas: MAX_REPLICAS,
     }
 }
--- a/crates/mintlb-register/tests/wire_fixtures.rs
+++ b/crates/mintlb-register/tests/wire_fixtures.rs
@@ -7,6 +7,7 @@
 
 use fixture::Fixtures;
 use mintlb_common::placement::{Placement, ShardAssignment, StoreEntry, StoreId};
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_register::applied_history::{AppliedHistory, HistoryLookup};
 use mintlb_register::ballot::Ballot;
 use mintlb_register::message::{AcceptedValue, Reply, ReportedValue, Request, RequestBody};
@@ -29,15 +30,45 @@
         address: format!("10.{id}.0.35:7661"),
         node_name: format!("edge-{id}"),
         zone: format!("zone-{id}"),
+        region: None,
     }
 }
 
+/// A set as releases write it that go by majorities.
+fn settled_set() -> ReplicaSet {
+    ReplicaSet {
+        tolerance: None,
+        ..ReplicaSet::bootstrap(replica(1), FaultTolerance::default())
+    }
+}
+
+fn founded_state() -> ControlState {
+    ControlState {
+        replicas: settled_set(),
+        ..ControlState::bootstrap(replica(1), FaultTolerance::default())
+    }
+}
+
+fn set_with_tolerance() -> ReplicaSet {
+    let replica = Replica {
+        region: Some("region-1".to_string()),
+        ..replica(1)
+    };
+    let tolerance = FaultTolerance {
+        machines: 2,
+        zones: 1,
+        regions: 1,
+    };
+    ReplicaSet::bootstrap(replica, tolerance)
+}
+
 fn joint_set() -> ReplicaSet {
     let current = [2, 3, 4].map(replica).to_vec();
     ReplicaSet {
         epoch: 5,
         previous: [1, 2, 3].map(replica).to_vec(),
         current,
+        tolerance: None,
     }
 }
 
@@ -55,6 +86,7 @@
         address: format!("10.{id}.0.36:7662"),
         zone: format!("zone-{id}"),
         decommissioning,
+        region: None,
     };
     Placement {
         epoch: 70_000,
@@ -65,12 +97,13 @@
                 replicas: vec![StoreId(21), StoreId(22)],
                 previous: vec![StoreId(22)],
                 last_active_epoch: Some(7),
+                ..ShardAssignment::default()
             },
             ShardAssignment {
                 epoch: 9,
                 replicas: vec![StoreId(22)],
                 previous: vec![],
-                last_active_epoch: None,
+                ..ShardAssignment::default()
             },
         ],
     }
@@ -91,7 +124,7 @@
 fn accepted() -> AcceptedValue {
     AcceptedValue {
         ballot: ballot(6),
-        state: Arc::new(ControlState::bootstrap(replica(1))),
+        state: Arc::new(founded_state()),
     }
 }
 
@@ -110,16 +143,23 @@
     fixtures.done();
 }
 
+#[test]
+fn a_set_with_a_tolerance() {
+    let mut fixtures = Fixtures::read("failure_domains.txt");
+    fixtures.check("set-with-tolerance", &set_with_tolerance());
+    fixtures.done();
+}
+
 #[test]
 fn register_values() {
     let mut fixtures = Fixtures::read("state.txt");
     fixtures.check("replica", &replica(1));
-    fixtures.check("set-settled", &ReplicaSet::bootstrap(replica(1)));
+    fixtures.check("set-settled", &settled_set());
     fixtures.check("set-joint", &joint_set());
     fixtures.check("taken-none", &AppliedHistory::default());
     fixtures.check("taken", &applied_history());
     fixtures.check("state-empty", &ControlState::default());
-    fixtures.check("state-founded", &ControlState::bootstrap(replica(1)));
+    fixtures.check("state-founded", &founded_state());
     fixtures.check(
         "state-without-history",
         &ControlState {
--- a/crates/mintlb-simulation/src/controller/configuration.rs
+++ b/crates/mintlb-simulation/src/controller/configuration.rs
@@ -49,7 +49,7 @@
                     base,
                     version,
                     body,
-                    tolerated_failures: TOLERANCE,
+                    tolerance: TOLERANCE,
                     durability_suffices,
                 };
                 self.change(context, change, REGISTER_TIMEOUT, Purpose::Put(id));
@@ -98,7 +98,8 @@
             }
             ChangeOutcome::HistoryCompacted
             | ChangeOutcome::TooFewReplicas
-            | ChangeOutcome::SetFull => ClientResponse::Unavailable,
+            | ChangeOutcome::SetFull
+            | ChangeOutcome::UnknownDomain => ClientResponse::Unavailable,
         };
         context.out.push(Out::Respond(request_id, response));
     }
--- a/crates/mintlb-simulation/src/controller/membership.rs
+++ b/crates/mintlb-simulation/src/controller/membership.rs
@@ -116,7 +116,10 @@
 
     fn found(&mut self, context: &mut Context) {
         let ballot = Ballot::default().next(context.random.number());
-        let state = Arc::new(ControlState::bootstrap(self.replica.identity().clone()));
+        let state = Arc::new(ControlState::bootstrap(
+            self.replica.identity().clone(),
+            TOLERANCE,
+        ));
         let proposed = AcceptedValue { ballot, state };
         let target = self.replica.identity().id;
         let request = Request {
@@ -219,7 +222,7 @@
                 has_silent_member: self.singleton.has_silent_member(context, set),
                 waited: context.now - since,
                 was_member: self.membership.was_member,
-                min_replicas: 2 * TOLERANCE + 1,
+                tolerance: TOLERANCE,
                 max_replicas: MAX_REPLICAS,
             };
             return match view.next_change() {
--- a/crates/mintlb-simulation/src/controller/shard_placement.rs
+++ b/crates/mintlb-simulation/src/controller/shard_placement.rs
@@ -9,7 +9,7 @@
 use crate::mutations::Mutation;
 use crate::store::SHARDS;
 use mintlb_batch::placement_planner::{
-    DecommissionError, DecommissionStart, plan, start_decommission,
+    DecommissionError, DecommissionStart, PlacementPolicy, plan, start_decommission,
 };
 use mintlb_common::placement::{Placement, StoreId};
 use mintlb_common::record::PLACEMENT;
@@ -26,6 +26,12 @@
 const RETIREMENT_READ_TIMEOUT: Duration = Duration::from_millis(400);
 const RETIREMENT_CHANGE_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// What placements have to bear.
+const POLICY: PlacementPolicy = PlacementPolicy {
+    tolerance: TOLERANCE,
+    supports_quorum_rules: true,
+};
+
 impl Controller {
     /// Runs the singleton tasks one after the other if this process is the leader.
     pub(super) fn run_singleton_work(&mut self, context: &mut Context) {
@@ -54,7 +60,7 @@
         };
         let placement = chosen.state.placement.clone();
         let view = self.singleton.store_snapshot(context, &placement);
-        let Some(mut next) = plan(&placement, &view, TOLERANCE) else {
+        let Some(mut next) = plan(&placement, &view, &POLICY) else {
             return self.remove_unresponsive_replica(context);
         };
         next.shards.truncate(SHARDS as usize);
@@ -121,7 +127,7 @@
         let view = self.singleton.store_snapshot(context, placement);
         let has_listened = self.in_contact_for(context) >= STABILIZATION_DELAY;
         let response = match begin {
-            true => match start_decommission(placement, &view, &node, TOLERANCE) {
+            true => match start_decommission(placement, &view, &node, &POLICY) {
                 Ok(DecommissionStart::AlreadyStarted) => {
                     ClientResponse::Retiring { completed: false }
                 }
@@ -139,7 +145,7 @@
                     );
                 }
             },
-            false => match progress(placement, &view, &node, TOLERANCE, has_listened) {
+            false => match progress(placement, &view, &node, &POLICY, has_listened) {
                 RetirementStatus::Completed => ClientResponse::Retiring { completed: true },
                 RetirementStatus::NotFound => ClientResponse::Refused,
                 _ if context.mutation == Mutation::DecommissionNotAwaited => {
--- a/crates/mintlb-simulation/src/controller/singleton.rs
+++ b/crates/mintlb-simulation/src/controller/singleton.rs
@@ -9,6 +9,7 @@
 use mintlb_batch::heartbeat::StoreHeartbeat;
 use mintlb_batch::placement_planner::{ClusterSnapshot, StoreTable};
 use mintlb_common::placement::Placement;
+use mintlb_common::quorum::FaultTolerance;
 use mintlb_control::controller::contact::messages::{Ping, Pong};
 use mintlb_control::controller::contact::ping_state::{PingState, STEP};
 use mintlb_register::change::{Change, ChangeOutcome};
@@ -22,8 +23,12 @@
 const PING_TIMEOUT: Duration = Duration::from_millis(600);
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(700);
 const FINISH_SET_CHANGE_TIMEOUT: Duration = Duration::from_millis(1500);
-/// `fault_tolerance.machines` of the model.
-pub const TOLERANCE: usize = 1;
+/// `fault_tolerance` of the model.
+pub const TOLERANCE: FaultTolerance = FaultTolerance {
+    machines: 1,
+    zones: 0,
+    regions: 0,
+};
 
 /// State of the singleton role.
 pub struct SingletonRole {
@@ -197,17 +202,20 @@
             return;
         };
         let set = &chosen.state.replicas;
-        let min_replicas = 2 * TOLERANCE + 1;
-        if set.is_joint() || set.current.len() <= min_replicas {
+        if set.is_joint() {
             return;
         }
-        let Some(id) = self.singleton.unresponsive(context, set).first().copied() else {
+        let mut unresponsive = self.singleton.unresponsive(context, set).into_iter();
+        let Some(id) = unresponsive.find(|id| set.can_spare(*id, &TOLERANCE)) else {
             return;
         };
         self.singleton.busy = true;
         self.change(
             context,
-            Change::RemoveReplica { id, min_replicas },
+            Change::RemoveReplica {
+                id,
+                tolerance: TOLERANCE,
+            },
             CHANGE_TIMEOUT,
             Purpose::Remove,
         );
--- a/crates/mintlb-simulation/src/controller/vote.rs
+++ b/crates/mintlb-simulation/src/controller/vote.rs
@@ -71,6 +71,7 @@
             address,
             node_name,
             zone: "z".to_string(),
+            region: Some("r".to_string()),
         };
         let mut core = ReplicaCore::new(disk.id, disk.state.clone());
         plant(context, &mut core);
--- a/crates/mintlb-simulation/src/controller/workers.rs
+++ b/crates/mintlb-simulation/src/controller/workers.rs
@@ -119,7 +119,7 @@
             .gossip
             .publish(context, to_publish, CONFIRMATION_TIMEOUT, request_id);
         self.confirmed(context, &confirmed);
-        if set.remains_durable_after(TOLERANCE) {
+        if set.remains_durable_after(&TOLERANCE) {
             for replica in set.members() {
                 self.store_at(context, request_id, replica, &record);
             }
--- a/crates/mintlb-simulation/src/store/mod.rs
+++ b/crates/mintlb-simulation/src/store/mod.rs
@@ -53,7 +53,7 @@
     ) -> Store {
         let settings = ReplicaSettings {
             store_id: disk.id,
-            tolerance: crate::controller::TOLERANCE,
+            tolerance: crate::controller::TOLERANCE.machines,
             result_retention: STATUS,
         };
         let replicas = (0..SHARDS).map(|shard| {
@@ -297,6 +297,7 @@
             node_name: self.name.clone(),
             address: context.own.to_string(),
             zone: "z".to_string(),
+            region: Some("r".to_string()),
             shards: self.replicas.iter().filter_map(Replica::report).collect(),
             placement: self.placement.epoch,
             draining: false,
