--- a/crates/mintlb-batch/src/heartbeat.rs
+++ b/crates/mintlb-batch/src/heartbeat.rs
@@ -38,6 +38,10 @@
     /// The region of the zone. `None` if the store is of a release that does not tell.
     #[n(7)]
     pub region: Option<String>,
+    /// Whether the loss of the machine counts against the tolerance. `None` if the store is of a
+    /// release that does not tell.
+    #[n(8)]
+    pub counts_toward_quorum: Option<bool>,
 }
 
 impl StoreHeartbeat {
@@ -50,6 +54,7 @@
             zone: self.zone.clone(),
             decommissioning: false,
             region: self.region.clone(),
+            counts_toward_quorum: self.counts_toward_quorum,
         }
     }
 }
--- a/crates/mintlb-batch/src/placement_planner/handover.rs
+++ b/crates/mintlb-batch/src/placement_planner/handover.rs
@@ -38,10 +38,10 @@
         true
     }
 
-    /// Whether a store is shutting down and can still be read. One that is decommissioned is left
+    /// Whether a store is shutting down and can still be read. One that is to go anyway is left
     /// to [`Planner::change_members`].
     fn is_handing_over(&self, id: StoreId) -> bool {
         let can_be_read = self.snapshot.is_live(id) && self.snapshot.is_draining(id);
-        can_be_read && !self.is_decommissioning(id)
+        can_be_read && !self.is_outgoing(id)
     }
 }
--- a/crates/mintlb-batch/src/placement_planner/initial_placement.rs
+++ b/crates/mintlb-batch/src/placement_planner/initial_placement.rs
@@ -45,6 +45,13 @@
     oldest >= MAX_WAIT || oldest >= MIN_WAIT && newest >= MIN_WAIT_AFTER_NEWEST
 }
 
+/// Whether stores have waited for the first placement for the longest time: too few of them count.
+pub(super) fn is_overdue(snapshot: &ClusterSnapshot) -> bool {
+    snapshot
+        .live_stores()
+        .any(|store| store.since_first_heartbeat >= MAX_WAIT)
+}
+
 impl Planner<'_> {
     /// Assigns a shard that has no replicas yet.
     fn assign(&mut self, shard: usize) {
--- a/crates/mintlb-batch/src/placement_planner/membership.rs
+++ b/crates/mintlb-batch/src/placement_planner/membership.rs
@@ -1,4 +1,5 @@
-//! Changes of the replicas of an active shard: lost and decommissioned ones go, others come.
+//! Changes of the replicas of an active shard: lost and decommissioned ones and those that don't
+//! count go, others come.
 
 use super::planner::Planner;
 use super::store_selection::REPLICA_TIMEOUT;
@@ -50,19 +51,34 @@
         let Some(mut members) = self.next_members(shard, &membership) else {
             return;
         };
+        self.complete_write_quorum(shard, &mut members);
+        if self.lacks_counted(&members) {
+            return;
+        }
         // Only a replica with the complete log may lead.
         lead_with(&mut members, &membership.in_sync);
         self.change(shard, assignment, members);
     }
 
-    /// The replica that should go: one that is lost, else one that is decommissioned.
+    /// Adds the stores without which the replicas could not commit. That happens to replicas that an
+    /// earlier release has placed.
+    fn complete_write_quorum(&self, shard: usize, members: &mut Vec<StoreId>) {
+        while !self.quorums(members).has_write_quorum()
+            && members.len() < self.max_replicas()
+            && let Some(candidate) = self.candidate(shard, members)
+        {
+            members.push(candidate);
+        }
+    }
+
+    /// The replica that should go: one that is lost, else one whose store is to lose its replicas.
     fn outgoing_replica(&self, replicas: &[StoreId]) -> Option<StoreId> {
         let live = replicas.iter().copied();
         let live: Vec<StoreId> = live.filter(|id| self.snapshot.is_live(*id)).collect();
         let can_lose_another = self.can_lose_any(&live);
         let is_lost = |id: &&StoreId| self.is_lost(**id, self.timeout(**id, can_lose_another));
         let lost = replicas.iter().find(is_lost);
-        let outgoing = lost.or_else(|| replicas.iter().find(|id| self.is_decommissioning(**id)));
+        let outgoing = lost.or_else(|| replicas.iter().find(|id| self.is_outgoing(**id)));
         outgoing.copied()
     }
 
@@ -128,11 +144,11 @@
     }
 
     /// Without a store to take its place, an unresponsive replica stays, as it may come back. One
-    /// that is decommissioned has to go. So has one whose disk is lost or that has a successor: it
-    /// will not come back, and if it stayed, the next loss would leave too few replicas to read
-    /// from.
+    /// that is decommissioned or does not count has to go. So has one whose disk is lost or that has a
+    /// successor: it will not come back, and if it stayed, the next loss would leave too few replicas
+    /// to read from.
     fn remove(&self, membership: &Membership, outgoing: StoreId) -> Option<Vec<StoreId>> {
-        let will_not_return = self.is_decommissioning(outgoing)
+        let will_not_return = self.is_outgoing(outgoing)
             || self.is_disk_lost(outgoing)
             || self.has_successor(outgoing);
         let may_go = will_not_return && self.keeps_quorum_without(membership, outgoing);
--- a/crates/mintlb-batch/src/placement_planner/planner.rs
+++ b/crates/mintlb-batch/src/placement_planner/planner.rs
@@ -2,7 +2,7 @@
 
 use super::cluster_snapshot::ClusterSnapshot;
 use super::policy::PolicyInForce;
-use mintlb_common::placement::{Placement, ShardAssignment, StoreId};
+use mintlb_common::placement::{Placement, QuorumRule, ShardAssignment, StoreId};
 use mintlb_common::quorum::QuorumSystem;
 use std::time::Duration;
 
@@ -84,7 +84,7 @@
     /// Begins another epoch of a shard whose rule has changed, unless it gets one anyway: the first
     /// rule after an upgrade, or another tolerance or domain.
     fn renew_rule(&mut self, shard: usize, assignment: &ShardAssignment) {
-        let rule = self.policy.rule(&self.next, &assignment.replicas);
+        let rule = self.next_rule(assignment, &assignment.replicas);
         let is_planned = self.next.shards[shard].epoch != assignment.epoch;
         if !is_planned && rule.is_some() && rule != assignment.rule {
             self.change(shard, assignment, assignment.replicas.clone());
@@ -116,11 +116,7 @@
         let available = others.filter(|id| self.is_available(*id));
         let chosen = available.min_by_key(|id| {
             let is_behind = !caught_up.contains(id) && !assignment.previous.contains(id);
-            (
-                self.is_decommissioning(*id),
-                is_behind,
-                self.shards_led_by(*id),
-            )
+            (self.is_outgoing(*id), is_behind, self.shards_led_by(*id))
         });
         let Some(chosen) = chosen else { return };
         let replicas = assignment.replicas.iter().copied();
@@ -129,6 +125,37 @@
         self.change(shard, assignment, replicas);
     }
 
+    /// The rule of the next epoch of a shard with these replicas.
+    ///
+    /// Replicas of an earlier release, or of former settings, may be stores that don't count. As long
+    /// as too few others are there the shard goes on by the rule that it has: by the one of now it could
+    /// not commit, and nothing that it holds could be read.
+    fn next_rule(&self, assignment: &ShardAssignment, replicas: &[StoreId]) -> Option<QuorumRule> {
+        let rule = self.policy.rule(&self.next, replicas)?;
+        if !self.lacks_counted(replicas) {
+            return Some(rule);
+        }
+        let former = assignment.rule.as_ref()?;
+        let domain = |(position, id): (usize, &StoreId)| {
+            let former_position = assignment.replicas.iter().position(|other| other == id);
+            let known = former_position.and_then(|position| former.domains.get(position));
+            known.unwrap_or(&rule.domains[position]).clone()
+        };
+        Some(QuorumRule {
+            tolerance: former.tolerance,
+            domains: replicas.iter().enumerate().map(domain).collect(),
+        })
+    }
+
+    /// Whether these replicas can't commit because some of them don't count.
+    pub(super) fn lacks_counted(&self, replicas: &[StoreId]) -> bool {
+        let counts = |id: &StoreId| {
+            let entry = self.next.store(*id);
+            entry.is_none_or(|entry| self.policy.counts(entry))
+        };
+        !replicas.iter().all(counts) && !self.quorums(replicas).has_write_quorum()
+    }
+
     /// Begins the next epoch of a shard with these replicas, the primary first.
     pub(super) fn change(
         &mut self,
@@ -152,7 +179,7 @@
         };
         self.next.shards[shard] = ShardAssignment {
             epoch: assignment.epoch + 1,
-            rule: self.policy.rule(&self.next, &replicas),
+            rule: self.next_rule(assignment, &replicas),
             replicas,
             previous: previous.clone(),
             previous_rule: previous_rule.clone(),
--- a/crates/mintlb-batch/src/placement_planner/policy.rs
+++ b/crates/mintlb-batch/src/placement_planner/policy.rs
@@ -1,7 +1,7 @@
 //! What placements have to bear, and by what the planner knows where stores run.
 
 use super::cluster_snapshot::ClusterSnapshot;
-use mintlb_common::placement::{Placement, QuorumRule, StoreId};
+use mintlb_common::placement::{Placement, QuorumRule, StoreEntry, StoreId};
 use mintlb_common::quorum::{FailureDomain, FaultTolerance, QuorumSystem};
 
 /// What placements have to bear.
@@ -37,7 +37,7 @@
 #[derive(Clone, Copy, Debug)]
 pub(super) struct PolicyInForce {
     pub(super) tolerance: FaultTolerance,
-    /// Whether assignments get a quorum rule.
+    /// Whether assignments get a quorum rule, and stores that don't count get no replicas.
     pub(super) writes_rules: bool,
 }
 
@@ -56,18 +56,23 @@
     }
 
     fn domains(&self, placement: &Placement, stores: &[StoreId]) -> Vec<FailureDomain> {
-        let stores = stores.iter().map(|id| domain(placement, *id));
+        let stores = stores.iter().map(|id| self.domain(placement.store(*id)));
         stores.collect()
     }
-}
 
-/// Where a store runs. Stores that don't tell share one unknown region.
-fn domain(placement: &Placement, id: StoreId) -> FailureDomain {
-    let entry = placement.store(id);
-    let known = entry.and_then(|entry| entry.domain());
-    known.unwrap_or_else(|| FailureDomain {
-        zone: entry.map(|entry| entry.zone.clone()).unwrap_or_default(),
-        region: String::new(),
-        counts_toward_quorum: true,
-    })
+    /// Where a store runs. Stores that don't tell share one unknown region.
+    fn domain(&self, entry: Option<&StoreEntry>) -> FailureDomain {
+        let zone = entry.map(|entry| entry.zone.clone());
+        let region = entry.and_then(|entry| entry.region.clone());
+        FailureDomain {
+            zone: zone.unwrap_or_default(),
+            region: region.unwrap_or_default(),
+            counts_toward_quorum: entry.is_none_or(|entry| self.counts(entry)),
+        }
+    }
+
+    /// Whether a store counts under this policy. Without rules all do, as in earlier releases.
+    pub(super) fn counts(&self, entry: &StoreEntry) -> bool {
+        entry.counts() || !self.writes_rules
+    }
 }
--- a/crates/mintlb-batch/src/placement_planner/store_list.rs
+++ b/crates/mintlb-batch/src/placement_planner/store_list.rs
@@ -33,6 +33,7 @@
     entry.address.clone_from(&heartbeat.address);
     entry.zone.clone_from(&heartbeat.zone);
     entry.region.clone_from(&heartbeat.region);
+    entry.counts_toward_quorum = heartbeat.counts_toward_quorum;
 }
 
 /// The entry of a new store. If its machine is being decommissioned and has lost its disk, the new
--- a/crates/mintlb-batch/src/placement_planner/store_selection.rs
+++ b/crates/mintlb-batch/src/placement_planner/store_selection.rs
@@ -54,14 +54,20 @@
         MAX_REPLICA_FACTOR * self.policy.tolerance.min_members() + 1
     }
 
-    /// Live stores that are not decommissioned, or all live ones while too few others are left.
+    /// Live stores that count and are not decommissioned, or all that count while too few others are
+    /// left.
     fn usable(&self) -> impl Iterator<Item = &StoreEntry> {
         let stores = self.next.stores.iter();
-        stores.filter(|entry| self.snapshot.is_live(entry.id) && !self.can_decommission(entry))
+        stores.filter(|entry| self.snapshot.is_live(entry.id) && !self.is_outgoing_store(entry))
     }
 
-    /// Whether a store is to lose its replicas now: it is decommissioned, and the others are enough
-    /// to commit.
+    /// Whether a store is to lose its replicas now: it may be lost at any time, or can be
+    /// decommissioned.
+    fn is_outgoing_store(&self, entry: &StoreEntry) -> bool {
+        !self.policy.counts(entry) || self.can_decommission(entry)
+    }
+
+    /// Whether a store is decommissioned, and the others are enough to commit.
     fn can_decommission(&self, entry: &StoreEntry) -> bool {
         entry.decommissioning && self.quorums(&self.remaining_stores()).has_write_quorum()
     }
@@ -76,9 +82,9 @@
     }
 
     /// Whether a store is to lose its replicas now, or is not listed at all.
-    pub(super) fn is_decommissioning(&self, id: StoreId) -> bool {
+    pub(super) fn is_outgoing(&self, id: StoreId) -> bool {
         let entry = self.next.store(id);
-        entry.is_none_or(|entry| self.can_decommission(entry))
+        entry.is_none_or(|entry| self.is_outgoing_store(entry))
     }
 
     /// Whether a store is to be decommissioned but can't be spared yet.
@@ -128,7 +134,7 @@
     pub(super) fn candidate(&self, shard: usize, replicas: &[StoreId]) -> Option<StoreId> {
         let staying = replicas.iter().copied();
         let staying: Vec<StoreId> = staying
-            .filter(|id| self.snapshot.is_live(*id) && !self.is_decommissioning(*id))
+            .filter(|id| self.snapshot.is_live(*id) && !self.is_outgoing(*id))
             .collect();
         let others = self
             .usable()
--- a/crates/mintlb-batch/src/placement_planner/takeover.rs
+++ b/crates/mintlb-batch/src/placement_planner/takeover.rs
@@ -96,7 +96,7 @@
         let available = |replicas: &[StoreId]| -> Vec<StoreId> {
             let replicas = replicas.iter().copied();
             replicas
-                .filter(|id| self.is_available(*id) && !self.is_decommissioning(*id))
+                .filter(|id| self.is_available(*id) && !self.is_outgoing(*id))
                 .collect()
         };
         let previous = available(&assignment.previous);
--- a/crates/mintlb-batch/tests/client.rs
+++ b/crates/mintlb-batch/tests/client.rs
@@ -85,6 +85,7 @@
         zone: String::new(),
         decommissioning: false,
         region: None,
+        counts_toward_quorum: None,
     };
     let shard = ShardAssignment {
         epoch: EPOCH,
--- a/crates/mintlb-batch/tests/domain_losses.rs
+++ b/crates/mintlb-batch/tests/domain_losses.rs
@@ -148,6 +148,73 @@
     cluster.settle(RECOVERY_BOUND);
 }
 
+/// Three machines that count, one in each zone, and so many that don't.
+fn with_uncounted(uncounted: usize) -> SimulatedCluster {
+    let domains = (0..3 + uncounted).map(|machine| FailureDomain {
+        counts_toward_quorum: machine < 3,
+        ..domain(machine % 3, 0)
+    });
+    SimulatedCluster::in_domains(domains, tolerance(1, 0, 0), TIMES)
+}
+
+#[test]
+fn machines_that_do_not_count_are_gone_for_good_and_take_no_acknowledged_entry() {
+    for uncounted in 1..=4 {
+        let mut cluster = with_uncounted(uncounted);
+        for machine in 3..3 + uncounted {
+            cluster.remove(machine);
+        }
+        cluster.run(SECOND * 20);
+        cluster.settle(RECOVERY_BOUND);
+        cluster.assert_survives_any_two_losses();
+    }
+}
+
+#[test]
+fn machines_that_do_not_count_are_lost_together_with_one_that_does() {
+    for counted in 0..3 {
+        let mut cluster = with_uncounted(3);
+        (3..6).for_each(|machine| cluster.remove(machine));
+        cluster.wipe(counted, SECOND * 2);
+        cluster.settle(RECOVERY_BOUND);
+        cluster.assert_survives_any_two_losses();
+    }
+}
+
+/// Machines that count and others that start at any times, in any order; once entries are acknowledged all that don't
+/// count are gone for good, at once or one by one, and then one that counts loses its disk.
+fn random_start(u: &mut Unstructured) -> Result<()> {
+    let counted = u.int_in_range(3..=5)?;
+    let mut machines = Vec::new();
+    for machine in 0..counted + u.int_in_range(1..=6)? {
+        let domain = FailureDomain {
+            counts_toward_quorum: machine < counted,
+            ..domain(u.int_in_range(0..=2)?, 0)
+        };
+        machines.push((domain, STEP * u.int_in_range(0..=150)?));
+    }
+    let mut cluster = SimulatedCluster::starting_at(machines, tolerance(1, 0, 0), TIMES);
+    cluster.run(STEP * u.int_in_range(0..=100)?);
+    while let Some(machine) = (0..cluster.machines.len()).find(|machine| {
+        let state = &cluster.machines[*machine];
+        state.is_up() && !state.domain.counts_toward_quorum
+    }) {
+        cluster.remove(machine);
+        cluster.run(STEP * u.int_in_range(0..=20)?);
+    }
+    let counts = |machine: &usize| cluster.machines[*machine].domain.counts_toward_quorum;
+    let counted: Vec<usize> = (0..cluster.machines.len()).filter(counts).collect();
+    cluster.wipe(*u.choose(&counted)?, SECOND);
+    cluster.settle(RECOVERY_BOUND);
+    cluster.assert_survives_any_two_losses();
+    Ok(())
+}
+
+#[test]
+fn machines_that_do_not_count_start_at_any_time_and_take_no_acknowledged_entry() {
+    arbtest::arbtest(random_start).budget_ms(3000);
+}
+
 /// A random layout in which all tolerated losses can be survived.
 fn random_layout(u: &mut Unstructured) -> Result<(Vec<FailureDomain>, FaultTolerance)> {
     let (zones, regions, tolerance) = match u.int_in_range(0..=4)? {
@@ -167,9 +234,25 @@
             domains.extend((0..zones).map(|zone| domain(zone, region)));
         }
     }
+    for _ in 0..u.int_in_range(0..=3)? {
+        domains.push(FailureDomain {
+            counts_toward_quorum: false,
+            ..domain(u.int_in_range(0..=2)?, 0)
+        });
+    }
     Ok((domains, tolerance))
 }
 
+/// All machines that don't count are lost for good.
+fn remove_uncounted(cluster: &mut SimulatedCluster) {
+    for machine in 0..cluster.machines.len() {
+        let state = &cluster.machines[machine];
+        if state.is_up() && !state.domain.counts_toward_quorum {
+            cluster.remove(machine);
+        }
+    }
+}
+
 /// One random event that the operators' limits allow: of a machine, its zone, or its region.
 fn random_event(cluster: &mut SimulatedCluster, u: &mut Unstructured) -> Result<()> {
     let machine = u.int_in_range(0..=cluster.machines.len() - 1)?;
@@ -182,6 +265,11 @@
     if affected.is_empty() || !cluster.may_lose_all(&affected) {
         return Ok(());
     }
+    let is_uncounted = !cluster.machines[machine].domain.counts_toward_quorum;
+    if is_uncounted && u.arbitrary()? {
+        remove_uncounted(cluster);
+        return Ok(());
+    }
     let kind = u.int_in_range(0..=7)?;
     let is_idle = cluster.lost_machines() == 0 && cluster.decommissioning.is_empty();
     match (kind, affected.as_slice()) {
--- a/crates/mintlb-batch/tests/placement_domains.rs
+++ b/crates/mintlb-batch/tests/placement_domains.rs
@@ -290,6 +290,146 @@
     }
 }
 
+/// Stores 1 to `counted` count, as many after them as `uncounted` says don't, in three zones by turns.
+fn some_uncounted(counted: u64, uncounted: u64) -> PlannerHarness {
+    let mut harness = PlannerHarness::without_stores(FaultTolerance::of_machines(1));
+    for id in 1..=counted + uncounted {
+        harness.add(StoreId(id), &format!("z{}", id % 3), &format!("node-{id}"));
+        if id > counted {
+            harness.live.get_mut(&StoreId(id)).unwrap().counts = Some(false);
+        }
+    }
+    harness
+}
+
+fn assert_only_on(harness: &PlannerHarness, counted: u64) {
+    assert_eq!(harness.placement.shards.len(), 16);
+    for assignment in &harness.placement.shards {
+        let is_counted = |id: &StoreId| id.0 <= counted;
+        assert!(assignment.replicas.iter().all(is_counted), "{assignment:?}");
+    }
+}
+
+#[test]
+fn stores_that_do_not_count_get_no_replicas() {
+    let mut harness = some_uncounted(3, 2);
+    harness.settle();
+    assert_only_on(&harness, 3);
+    assert!(harness.protection().is_complete());
+    // Not in place of one that is gone, either.
+    harness.live.remove(&StoreId(1));
+    harness.run(SECOND * 30);
+    for assignment in &harness.placement.shards {
+        let is_uncounted = |id: &StoreId| id.0 > 3;
+        assert!(
+            !assignment.replicas.iter().any(is_uncounted),
+            "{assignment:?}"
+        );
+    }
+}
+
+#[test]
+fn too_few_stores_that_count_get_no_placement() {
+    let mut harness = some_uncounted(1, 4);
+    harness.run(SECOND * 20);
+    assert!(harness.placement.shards.is_empty());
+}
+
+#[test]
+fn replicas_that_an_earlier_release_placed_leave_stores_that_do_not_count() {
+    let mut harness = some_uncounted(3, 3);
+    for machine in harness.live.values_mut() {
+        (machine.region, machine.counts) = (None, None);
+    }
+    harness.settle();
+    let uncounted = (4..=6).map(|id| harness.replicas_on(StoreId(id)));
+    assert!(uncounted.sum::<usize>() > 16, "they are used");
+    for (id, machine) in &mut harness.live {
+        machine.region = Some("region".to_string());
+        machine.counts = Some(id.0 <= 3);
+    }
+    harness.run(SECOND);
+    for assignment in &harness.placement.shards {
+        let rule = assignment.rule.as_ref().expect("it has a rule");
+        let quorums = QuorumSystem::new(rule.tolerance, &rule.domains);
+        assert!(quorums.has_write_quorum(), "at once: {assignment:?}");
+    }
+    harness.settle();
+    assert_only_on(&harness, 3);
+    assert!(harness.protection().is_complete());
+}
+
+/// Stores that don't count may all be lost at any time, so nothing is placed on them, however long no
+/// others come.
+#[test]
+fn stores_that_do_not_count_and_start_first_get_no_replicas() {
+    let mut harness = some_uncounted(0, 6);
+    harness.run(SECOND * 60);
+    assert!(harness.placement.shards.is_empty());
+    assert_eq!(
+        harness.protection().without_write_quorum,
+        16,
+        "it is logged"
+    );
+    for id in 11..=13 {
+        harness.add(StoreId(id), &format!("z{}", id % 3), &format!("node-{id}"));
+    }
+    harness.settle();
+    assert_eq!(harness.placement.shards.len(), 16);
+    for assignment in &harness.placement.shards {
+        assert!(
+            assignment.replicas.iter().all(|id| id.0 > 10),
+            "{assignment:?}"
+        );
+    }
+    assert!(harness.protection().is_complete());
+}
+
+/// What an earlier release has placed on stores of which too few count stays as it is, and is read.
+#[test]
+fn shards_on_stores_that_do_not_count_go_on_by_their_former_rule() {
+    for counted in 0..=1 {
+        let mut harness = some_uncounted(counted, 3);
+        harness
+            .live
+            .values_mut()
+            .for_each(|machine| machine.counts = None);
+        harness.settle();
+        let former = harness.placement.shards.clone();
+        for (id, machine) in &mut harness.live {
+            machine.counts = Some(id.0 <= counted);
+        }
+        harness.run(SECOND * 30);
+        assert_eq!(harness.placement.shards, former);
+        // A primary that is gone is replaced.
+        harness.live.remove(&StoreId(3));
+        harness.run(SECOND * 30);
+        for assignment in &harness.placement.shards {
+            assert_ne!(assignment.replicas[0], StoreId(3));
+            assert!(assignment.quorums(1).is_write_quorum(|id| id != StoreId(3)));
+        }
+        // Then enough that count come.
+        for id in 11..=13 {
+            harness.add(StoreId(id), &format!("z{}", id % 3), &format!("node-{id}"));
+        }
+        harness.settle();
+        for assignment in &harness.placement.shards {
+            let is_counted = |id: &StoreId| id.0 > 10 || id.0 <= counted;
+            assert!(assignment.replicas.iter().all(is_counted), "{assignment:?}");
+        }
+    }
+}
+
+#[test]
+fn a_store_that_no_longer_counts_loses_its_replicas() {
+    let mut harness = some_uncounted(4, 0);
+    harness.settle();
+    harness.live.get_mut(&StoreId(2)).unwrap().counts = Some(false);
+    harness.settle();
+    assert_eq!(harness.replicas_on(StoreId(2)), 0);
+    assert!(harness.protection().is_complete());
+}
+
 impl PlannerHarness {
     fn protection(&mut self) -> Protection {
         let snapshot = self.table.snapshot(&self.placement, self.now);
--- a/crates/mintlb-batch/tests/planner_harness/mod.rs
+++ b/crates/mintlb-batch/tests/planner_harness/mod.rs
@@ -20,6 +20,8 @@
     pub zone: String,
     /// `None` if its store is of a release that does not tell.
     pub region: Option<String>,
+    /// The same.
+    pub counts: Option<bool>,
     pub node: String,
 }
 
@@ -83,6 +85,7 @@
         let machine = Machine {
             zone: zone.to_string(),
             region: Some(region.to_string()),
+            counts: Some(true),
             node: node.to_string(),
         };
         self.live.insert(id, machine);
@@ -117,6 +120,7 @@
             address: format!("{}:1", machine.node),
             zone: machine.zone.clone(),
             region: machine.region.clone(),
+            counts_toward_quorum: machine.counts,
             shards: reports.collect(),
             placement: self.placement.epoch,
             draining: self.draining.contains(&id),
--- a/crates/mintlb-batch/tests/replica_quorums.rs
+++ b/crates/mintlb-batch/tests/replica_quorums.rs
@@ -114,3 +114,29 @@
     assert!(cluster.has_job(2, "a"));
     assert!(cluster.is_reported_active(2));
 }
+
+/// The third store counts, the others don't.
+#[test]
+fn replicas_that_do_not_count_complete_no_commit() {
+    let mut cluster = ShardCluster::new(1, 4, 1);
+    cluster.assign(1, &[1, 2, 3, 4], &[]);
+    let domain = |counts| FailureDomain {
+        counts_toward_quorum: counts,
+        ..FailureDomain::default()
+    };
+    cluster.last_assignment().rule = Some(QuorumRule {
+        tolerance: FaultTolerance::of_machines(1),
+        domains: [false, false, true, true].map(domain).to_vec(),
+    });
+    cluster.run_until_idle();
+    assert!(cluster.is_serving(0));
+    cluster.stores[3].partitioned = true;
+    cluster.submit(0, "a".to_string(), 1);
+    cluster.run_until_idle();
+    assert!((0..3).all(|store| cluster.has_job(store, "a")));
+    assert!(cluster.oracle.accepted.is_empty(), "one that counts has it");
+    cluster.stores[3].partitioned = false;
+    cluster.tick(std::time::Duration::from_millis(800));
+    cluster.run_until_idle();
+    assert!(cluster.oracle.accepted.contains_key("a"));
+}
--- a/crates/mintlb-batch/tests/shard_cluster/controller.rs
+++ b/crates/mintlb-batch/tests/shard_cluster/controller.rs
@@ -25,6 +25,7 @@
                 node_name: node,
                 zone: store.domain.zone.clone(),
                 region: Some(store.domain.region.clone()),
+                counts_toward_quorum: Some(store.domain.counts_toward_quorum),
                 shards: replica.report().into_iter().collect(),
                 placement: 0,
                 draining: store.machine.stops_at.is_some_and(|at| at <= self.now),
--- a/crates/mintlb-batch/tests/shard_domain_losses.rs
+++ b/crates/mintlb-batch/tests/shard_domain_losses.rs
@@ -105,3 +105,34 @@
         run_scenario(seed, 6, false);
     }
 }
+
+/// Three stores that count, one in each zone, and two that don't. The latter are lost for good right after something was
+/// acknowledged, and with them one that counts, which comes back empty.
+fn lose_uncounted(seed: u64) {
+    let domain = |store: usize| FailureDomain {
+        zone: format!("z{}", store % 3),
+        region: "r".to_string(),
+        counts_toward_quorum: store < 3,
+    };
+    let domains = (0..5).map(domain);
+    let mut cluster = ShardCluster::in_domains(seed, domains, FaultTolerance::of_machines(1));
+    heal(&mut cluster);
+    run_for(&mut cluster, SECOND * 3, true);
+    for store_index in 3..5 {
+        cluster.crash(store_index);
+        cluster.stores[store_index].machine.removed = true;
+        cluster.stores[store_index].machine.decommissioned = true;
+    }
+    let counted = cluster.random.below(3) as usize;
+    cluster.wipe(counted);
+    cluster.stores[counted].machine.returns_at = Some(cluster.now + SECOND);
+    run_for(&mut cluster, SECOND * 2, false);
+    heal(&mut cluster);
+    check_all(&mut cluster);
+    assert!(!cluster.oracle.accepted.is_empty());
+}
+
+#[test]
+fn lost_stores_that_do_not_count_take_nothing_that_was_acknowledged() {
+    (0..12).for_each(lose_uncounted);
+}
--- a/crates/mintlb-batch/tests/store_table.rs
+++ b/crates/mintlb-batch/tests/store_table.rs
@@ -24,6 +24,7 @@
         placement: epoch,
         draining: false,
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
--- a/crates/mintlb-common/src/placement.rs
+++ b/crates/mintlb-common/src/placement.rs
@@ -60,15 +60,24 @@
     /// The region of the zone. `None` if the store is of a release that does not tell.
     #[n(5)]
     pub region: Option<String>,
+    /// Whether the loss of the machine counts against the tolerance; if not, it may be lost at any
+    /// time. `None` if the store is of a release that does not tell.
+    #[n(6)]
+    pub counts_toward_quorum: Option<bool>,
 }
 
 impl StoreEntry {
+    /// Whether the loss of the machine counts against the tolerance, as far as it is known.
+    pub fn counts(&self) -> bool {
+        self.counts_toward_quorum.unwrap_or(true)
+    }
+
     /// Where the store runs; `None` if it does not tell.
     pub fn domain(&self) -> Option<FailureDomain> {
         Some(FailureDomain {
             zone: self.zone.clone(),
             region: self.region.clone()?,
-            counts_toward_quorum: true,
+            counts_toward_quorum: self.counts(),
         })
     }
 }
@@ -136,7 +145,10 @@
         let system = match rule {
             // A replica without a domain would share one with all others of that kind.
             Some(rule) => {
-                let unknown = FailureDomain::default();
+                let unknown = FailureDomain {
+                    counts_toward_quorum: true,
+                    ..FailureDomain::default()
+                };
                 let domains = rule.domains.iter().chain(std::iter::repeat(&unknown));
                 QuorumSystem::new(rule.tolerance, domains.take(replicas.len()))
             }
--- a/crates/mintlb-common/src/quorum.rs
+++ b/crates/mintlb-common/src/quorum.rs
@@ -10,8 +10,6 @@
 //! Each read quorum meets each write quorum. These are the survivor sets and cores of Junqueira and
 //! Marzullo ("Synchronous consensus for dependent process failures", 2003), with quorums that
 //! differ for reading and writing (Howard, Malkhi and Spiegelman, "Flexible Paxos", 2016).
-//!
-//! If no member of a set counts, all are taken to count.
 
 use minicbor::{Decode, Encode};
 use serde::Deserialize;
@@ -134,9 +132,6 @@
                 region: number_of(&mut regions, &domain.region),
             });
         }
-        if members.iter().all(|member| !member.counts) {
-            members.iter_mut().for_each(|member| member.counts = true);
-        }
         QuorumSystem {
             tolerance,
             members,
@@ -148,7 +143,10 @@
     /// The quorums of members of which nothing is known but their number: any `machines` of them
     /// may be lost.
     pub fn by_count(machines: usize, members: usize) -> QuorumSystem {
-        let domain = FailureDomain::default();
+        let domain = FailureDomain {
+            counts_toward_quorum: true,
+            ..FailureDomain::default()
+        };
         QuorumSystem::new(
             FaultTolerance::of_machines(machines),
             std::iter::repeat_n(&domain, members),
--- a/crates/mintlb-common/tests/wire_fixtures.rs
+++ b/crates/mintlb-common/tests/wire_fixtures.rs
@@ -333,6 +333,7 @@
         zone: "zone-21".to_string(),
         decommissioning: false,
         region: Some("region-1".to_string()),
+        counts_toward_quorum: None,
     }
 }
 
@@ -392,6 +393,11 @@
 fn placements_with_rules() {
     let mut fixtures = Fixtures::read("failure_domains.txt");
     fixtures.check("store-with-region", &store_with_region());
+    let uncounted = StoreEntry {
+        counts_toward_quorum: Some(false),
+        ..store_with_region()
+    };
+    fixtures.check("store-uncounted", &uncounted);
     fixtures.check("shard-with-rules", &shard_with_rules());
     fixtures.done();
 }
@@ -427,6 +433,7 @@
         zone: format!("zone-{id}"),
         decommissioning,
         region: None,
+        counts_toward_quorum: None,
     };
     let joint = ShardAssignment {
         epoch: 8,
--- a/crates/mintlb-control/src/controller/register/client.rs
+++ b/crates/mintlb-control/src/controller/register/client.rs
@@ -109,6 +109,13 @@
         self.replica.as_ref()
     }
 
+    /// Whether a replica of this process may begin or join the register: there is a disk, on a
+    /// machine whose loss counts against the tolerance.
+    pub fn may_join(&self) -> bool {
+        let replica = self.replica.as_ref();
+        replica.is_some_and(|replica| replica.identity().counts())
+    }
+
     /// The id of the replica of this process.
     pub fn replica_id(&self) -> Option<ReplicaId> {
         self.replica.as_ref().map(|replica| replica.identity().id)
--- a/crates/mintlb-control/src/controller/register/discovery.rs
+++ b/crates/mintlb-control/src/controller/register/discovery.rs
@@ -70,7 +70,7 @@
         let seed_statuses = self.query_seeds(&seeds).await;
         let bootstrap = Bootstrap {
             first_start: settings.first_start,
-            has_disk: self.register.replica().is_some(),
+            has_disk: self.register.may_join(),
             own_index: seeds.iter().position(|seed| *seed == self.own_address),
             seed_statuses: &seed_statuses,
         };
--- a/crates/mintlb-control/src/controller/register/membership.rs
+++ b/crates/mintlb-control/src/controller/register/membership.rs
@@ -7,7 +7,7 @@
 use crate::controller::settings::SharedSettings;
 use mintlb_register::change::{Change, ChangeOutcome};
 use mintlb_register::join::JoinView;
-use mintlb_register::replica_set::{Replica, ReplicaSet};
+use mintlb_register::replica_set::{Replica, ReplicaId, ReplicaSet};
 use parking_lot::Mutex;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
@@ -43,6 +43,11 @@
     Ok(())
 }
 
+/// Whether a replica that is not in this form in the set may join: it counts, or renews its own entry.
+fn may_join(set: &ReplicaSet, replica: &Replica) -> bool {
+    replica.counts() || set.current_replica(replica.id).is_some()
+}
+
 /// Since when the local replica is about to join.
 #[derive(Default)]
 struct JoinWait(Option<Instant>);
@@ -116,8 +121,12 @@
         let Ok(chosen) = self.register.read(READ_TIMEOUT).await else {
             return;
         };
+        self.remove_self(&chosen.state.replicas, id).await;
+    }
+
+    /// Removes the local replica from the replica set if that can spare it.
+    async fn remove_self(&self, set: &ReplicaSet, id: ReplicaId) {
         let tolerance = self.settings.fault_tolerance();
-        let set = &chosen.state.replicas;
         if set.current_replica(id).is_none() || !set.can_spare(id, &tolerance) {
             return;
         }
@@ -166,7 +175,7 @@
         if let Some(replica) = self.register.replica() {
             replica.catch_up(&chosen).await;
             if !set.current.contains(replica.identity()) {
-                if self.shutting_down.load(Relaxed) {
+                if self.shutting_down.load(Relaxed) || !may_join(set, replica.identity()) {
                     return READ_INTERVAL;
                 }
                 return match self.join_change(set, replica.identity(), join_wait.elapsed()) {
@@ -176,6 +185,10 @@
             }
             self.was_member.store(true, Relaxed);
             *join_wait = JoinWait::default();
+            if !set.is_joint() && !replica.identity().counts() {
+                self.remove_self(set, replica.identity().id).await;
+                return READ_INTERVAL;
+            }
         }
         if set.is_joint() {
             // Without success the next look tries again.
--- a/crates/mintlb-control/src/controller/register/service.rs
+++ b/crates/mintlb-control/src/controller/register/service.rs
@@ -76,14 +76,14 @@
 
     fn status(&self) -> RegisterResponse {
         RegisterResponse::Status {
-            has_disk: self.client.replica().is_some(),
+            has_disk: self.client.may_join(),
             set: self.client.set(),
         }
     }
 
     fn vote(&self, candidate: ReplicaId) -> RegisterResponse {
         let knows_set = self.client.set().is_some();
-        let granted = self.client.replica().is_none()
+        let granted = !self.client.may_join()
             && self
                 .bootstrap_vote
                 .lock()
--- a/crates/mintlb-control/src/controller/settings_reload.rs
+++ b/crates/mintlb-control/src/controller/settings_reload.rs
@@ -73,6 +73,10 @@
         ("node_name", old.node_name != new.node_name),
         ("zone (at the next start)", old.zone != new.zone),
         ("region (at the next start)", old.region != new.region),
+        (
+            "counts_toward_quorum (at the next start)",
+            old.counts_toward_quorum != new.counts_toward_quorum,
+        ),
         ("seed_nodes", old.seed_nodes != new.seed_nodes),
         ("first_start", old.first_start != new.first_start),
         ("heartbeat_ms", old.heartbeat_ms != new.heartbeat_ms),
--- a/crates/mintlb-control/src/controller/startup.rs
+++ b/crates/mintlb-control/src/controller/startup.rs
@@ -258,6 +258,11 @@
     let Some(directory) = &settings.data_directory else {
         return Ok(None);
     };
+    if !settings.counts_toward_quorum {
+        log::info!(
+            "register: this machine does not count toward quorums, its replica neither begins nor joins the register"
+        );
+    }
     let new_id = ReplicaId(random.u64(..));
     let opened = AcceptorStorage::open(directory, new_id)?;
     let identity = Replica {
@@ -266,6 +271,7 @@
         node_name: settings.node_name.clone(),
         zone: settings.zone.clone(),
         region: Some(settings.region.clone()),
+        counts_toward_quorum: Some(settings.counts_toward_quorum),
     };
     Ok(Some(Arc::new(LocalReplica::new(opened, identity))))
 }
--- a/crates/mintlb-control/src/store/heartbeats.rs
+++ b/crates/mintlb-control/src/store/heartbeats.rs
@@ -59,6 +59,7 @@
         placement: placement_epoch,
         draining: store.is_draining(),
         region: Some(settings.region.clone()),
+        counts_toward_quorum: Some(settings.counts_toward_quorum),
     };
     framing::encode(&heartbeat, &[])
 }
--- a/crates/mintlb-control/src/store/startup.rs
+++ b/crates/mintlb-control/src/store/startup.rs
@@ -44,6 +44,9 @@
         storage.id(),
         storage.file_bytes() >> 20
     );
+    if !settings.counts_toward_quorum {
+        log::info!("store: this machine does not count toward quorums, it gets no shards");
+    }
     let loaded = LoadedStorage { storage, shards };
     serve(settings, &directory, loaded, transport, random_seed).map(Some)
 }
--- a/crates/mintlb-control/tests/builders/mod.rs
+++ b/crates/mintlb-control/tests/builders/mod.rs
@@ -26,6 +26,7 @@
         node_name: format!("edge-{id}"),
         zone: "z".to_string(),
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
--- a/crates/mintlb-control/tests/contact_simulation/mod.rs
+++ b/crates/mintlb-control/tests/contact_simulation/mod.rs
@@ -73,6 +73,7 @@
             node_name: format!("edge-{index}"),
             zone: String::new(),
             region: None,
+            counts_toward_quorum: None,
         };
         let set = ReplicaSet {
             epoch: 1,
--- a/crates/mintlb-control/tests/controller_membership.rs
+++ b/crates/mintlb-control/tests/controller_membership.rs
@@ -116,3 +116,49 @@
         set.current_replica(ids[3].unwrap()).is_some()
     });
 }
+
+#[test]
+fn controllers_that_do_not_count_have_no_vote_and_are_gone_for_good() {
+    let mut cluster = Cluster::with_counted(&[true, true, true, false, false, false, false]);
+    assert_eq!(
+        cluster.configure(4, 0, &configuration_text(4)),
+        StatusCode::OK,
+        "they take calls"
+    );
+    (3..7).for_each(|index| cluster.kill(index));
+    cluster.kill(0);
+    for index in [1, 2] {
+        assert_eq!(
+            cluster.read_configuration(index),
+            (StatusCode::OK, configuration_text(4))
+        );
+    }
+    assert_eq!(
+        cluster.configure(1, 4, &configuration_text(5)),
+        StatusCode::OK
+    );
+}
+
+/// The seeds have disks, but their machines may all be lost at any time.
+#[test]
+fn where_no_seed_counts_another_controller_begins_the_register() {
+    let cluster = Cluster::with_counted(&[false, false, false, true, true, true]);
+    let set = cluster.at(0).register.set().unwrap();
+    assert!(set.current.iter().all(|replica| replica.counts()));
+    assert_eq!(
+        cluster.configure(0, 0, &configuration_text(4)),
+        StatusCode::OK
+    );
+}
+
+/// The first seed does not count: it leaves the register to those that do.
+#[test]
+fn a_register_is_begun_by_a_seed_that_counts() {
+    let cluster = Cluster::with_counted(&[false, true, false, true, true]);
+    let set = cluster.at(0).register.set().unwrap();
+    assert!(set.current.iter().all(|replica| replica.counts()));
+    assert_eq!(
+        cluster.configure(0, 0, &configuration_text(4)),
+        StatusCode::OK
+    );
+}
--- a/crates/mintlb-control/tests/controller_retirement.rs
+++ b/crates/mintlb-control/tests/controller_retirement.rs
@@ -28,6 +28,7 @@
         zone: String::new(),
         decommissioning,
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
--- a/crates/mintlb-control/tests/controller_wire_fixtures.rs
+++ b/crates/mintlb-control/tests/controller_wire_fixtures.rs
@@ -58,6 +58,7 @@
         node_name: format!("edge-{id}"),
         zone: format!("zone-{id}"),
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
@@ -72,6 +73,7 @@
         zone: "zone-21".to_string(),
         decommissioning: true,
         region: None,
+        counts_toward_quorum: None,
     };
     let shard = ShardAssignment {
         epoch: 8,
--- a/crates/mintlb-control/tests/stores/mod.rs
+++ b/crates/mintlb-control/tests/stores/mod.rs
@@ -114,6 +114,7 @@
             zone: "z".to_string(),
             decommissioning: false,
             region: None,
+            counts_toward_quorum: None,
         });
         let mut builder = PlacementBuilder {
             stores: stores.collect(),
--- a/crates/mintlb-dispatcher/tests/quota_client.rs
+++ b/crates/mintlb-dispatcher/tests/quota_client.rs
@@ -124,6 +124,7 @@
         node_name: format!("edge-{index}"),
         zone: "a".to_string(),
         region: None,
+        counts_toward_quorum: None,
     };
     addresses.iter().enumerate().map(replica).collect()
 }
--- a/crates/mintlb-dispatcher/tests/quota_owners.rs
+++ b/crates/mintlb-dispatcher/tests/quota_owners.rs
@@ -32,6 +32,7 @@
         node_name: format!("n{id}"),
         zone: "a".into(),
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
--- a/crates/mintlb-register/src/replica_set.rs
+++ b/crates/mintlb-register/src/replica_set.rs
@@ -36,6 +36,10 @@
     /// Region of that zone. `None` if the controller is of a release that does not tell.
     #[n(4)]
     pub region: Option<String>,
+    /// Whether the loss of its machine counts against the tolerance; if not, it may be lost at any time. `None` if the
+    /// controller is of a release that does not tell.
+    #[n(5)]
+    pub counts_toward_quorum: Option<bool>,
 }
 
 impl Replica {
@@ -44,12 +48,17 @@
         self.id == replica.id || self.address == replica.address
     }
 
+    /// Whether the loss of its machine counts against the tolerance, as far as it is known.
+    pub fn counts(&self) -> bool {
+        self.counts_toward_quorum.unwrap_or(true)
+    }
+
     /// Where it runs. Replicas that don't tell share one unknown region.
     fn domain(&self) -> FailureDomain {
         FailureDomain {
             zone: self.zone.clone(),
             region: self.region.clone().unwrap_or_default(),
-            counts_toward_quorum: true,
+            counts_toward_quorum: self.counts(),
         }
     }
 }
@@ -110,7 +119,7 @@
     fn is_quorum_of(&self, side: &[Replica], predicate: impl Fn(ReplicaId) -> bool) -> bool {
         let contains = |position: usize| predicate(side[position].id);
         match self.tolerance {
-            Some(tolerance) => quorums(side, tolerance).is_mutual_quorum(contains),
+            Some(tolerance) => voting_quorums(side, tolerance).is_mutual_quorum(contains),
             None => QuorumSystem::by_count(0, side.len()).is_majority(contains),
         }
     }
@@ -125,7 +134,9 @@
         match self.tolerance {
             Some(own) => {
                 own.includes(tolerance)
-                    && self.every_side(|side| quorums(side, *tolerance).survives_any_two_losses())
+                    && self.every_side(|side| {
+                        do_all_count(side) && survives_any_two_losses(side, tolerance)
+                    })
             }
             None => {
                 tolerance.is_of_machines()
@@ -140,7 +151,9 @@
         match self.tolerance {
             Some(own) => {
                 own.includes(tolerance)
-                    && self.every_side(|side| quorums(side, *tolerance).has_write_quorum())
+                    && self.every_side(|side| {
+                        do_all_count(side) && counted_quorums(side, tolerance).has_write_quorum()
+                    })
             }
             None => {
                 tolerance.is_of_machines()
@@ -149,7 +162,8 @@
         }
     }
 
-    /// Whether the current members could lose one of them for good and still go on after any tolerated loss.
+    /// Whether the current members could lose one of them for good and still go on after any tolerated loss. One that does
+    /// not count can be spared as soon as those that do outlast a tolerated loss.
     pub fn can_spare(&self, id: ReplicaId, tolerance: &FaultTolerance) -> bool {
         let others: Vec<Replica> = self
             .current
@@ -157,7 +171,9 @@
             .filter(|replica| replica.id != id)
             .cloned()
             .collect();
+        let is_uncounted = self.current_replica(id).is_some_and(|own| !own.counts());
         survives_any_two_losses(&others, tolerance)
+            || is_uncounted && counted_quorums(&others, tolerance).has_write_quorum()
     }
 
     /// Whether all current members tell their failure domains.
@@ -200,18 +216,37 @@
     side.iter().any(|replica| replica.id == id)
 }
 
-/// The quorums of these members under a tolerance.
-fn quorums(members: &[Replica], tolerance: FaultTolerance) -> QuorumSystem {
-    let domains: Vec<FailureDomain> = members.iter().map(Replica::domain).collect();
+fn do_all_count(side: &[Replica]) -> bool {
+    side.iter().all(Replica::counts)
+}
+
+/// The quorums by which these members vote: each of them has an equal say.
+///
+/// A set gets members that don't count from earlier releases alone, or from changed settings. It acknowledges nothing before
+/// they have left, so that no vote has to be left out meanwhile: quorums meet those of controllers that know of no difference.
+fn voting_quorums(members: &[Replica], tolerance: FaultTolerance) -> QuorumSystem {
+    let domains: Vec<FailureDomain> = members
+        .iter()
+        .map(|replica| FailureDomain {
+            counts_toward_quorum: true,
+            ..replica.domain()
+        })
+        .collect();
     QuorumSystem::new(tolerance, &domains)
 }
 
-/// Whether these members have a quorum left after any tolerated loss.
+/// The quorums that the members which count would have by themselves.
+fn counted_quorums(members: &[Replica], tolerance: &FaultTolerance) -> QuorumSystem {
+    let domains: Vec<FailureDomain> = members.iter().map(Replica::domain).collect();
+    QuorumSystem::new(*tolerance, &domains)
+}
+
+/// Whether the members that count have a quorum left after any tolerated loss.
 pub(crate) fn survives_any_two_losses(members: &[Replica], tolerance: &FaultTolerance) -> bool {
-    quorums(members, *tolerance).survives_any_two_losses()
+    counted_quorums(members, tolerance).survives_any_two_losses()
 }
 
-/// How far these members are from that; 0 if they do.
+/// How far they are from that; 0 if they do.
 pub(crate) fn shortfall(members: &[Replica], tolerance: &FaultTolerance) -> usize {
-    quorums(members, *tolerance).shortfall()
+    counted_quorums(members, tolerance).shortfall()
 }
--- a/crates/mintlb-register/tests/register/domain_losses.rs
+++ b/crates/mintlb-register/tests/register/domain_losses.rs
@@ -314,3 +314,113 @@
         assert_eq!(cluster.read().configuration_version, 2);
     }
 }
+
+/// Replicas 1, 2... of one zone: so many that count, and after them so many that don't.
+fn with_uncounted(counted: u64, uncounted: u64) -> Cluster {
+    let zones = vec!["a1"; (counted + uncounted) as usize];
+    let mut state = configured_state(&zones, FaultTolerance::of_machines(1));
+    for (id, member) in (1..).zip(&mut state.replicas.current) {
+        member.counts_toward_quorum = Some(id <= counted);
+    }
+    Cluster::with_state(state).with_max_rounds(MAX_ROUNDS)
+}
+
+#[test]
+fn replicas_that_do_not_count_can_be_spared_once_the_others_outlast_a_loss() {
+    let tolerance = FaultTolerance::of_machines(1);
+    for (counted, is_spared) in [(1, false), (2, true), (3, true)] {
+        let mut cluster = with_uncounted(counted, 3);
+        for id in counted + 1..=counted + 3 {
+            let removal = Change::RemoveReplica {
+                id: ReplicaId(id),
+                tolerance,
+            };
+            let expected = match is_spared {
+                true => ChangeOutcome::Applied,
+                false => ChangeOutcome::TooFewReplicas,
+            };
+            assert_eq!(cluster.outcome(removal), Some(expected), "{counted} count");
+            cluster.outcome(Change::LeaveJoint);
+        }
+    }
+}
+
+/// A register that machines which don't count have begun, of an earlier release: what it has accepted stays readable while
+/// those that count join and the others leave, whichever one that counts is lost meanwhile.
+#[test]
+fn a_register_moves_to_the_machines_that_count() {
+    let tolerance = FaultTolerance::of_machines(1);
+    let newcomer = |id: u64| Replica {
+        counts_toward_quorum: Some(true),
+        ..replica_in(id, "a1")
+    };
+    let remove = |id: u64| Change::RemoveReplica {
+        id: ReplicaId(id),
+        tolerance,
+    };
+    let steps: Vec<Change> = [11, 12, 13]
+        .map(|id| add(newcomer(id), tolerance))
+        .into_iter()
+        .chain([1, 2, 3].map(remove))
+        .flat_map(|change| [change, Change::LeaveJoint])
+        .collect();
+    for last in 0..steps.len() {
+        for rotation in 0..6 {
+            for lost in [11, 12, 13] {
+                let mut cluster = with_uncounted(0, 3);
+                for step in &steps[..=last] {
+                    let outcome = cluster.change_at_minimal_quorum(step.clone(), rotation);
+                    assert_eq!(outcome.unwrap().change, ChangeOutcome::Applied);
+                }
+                cluster.lose(ReplicaId(lost));
+                let newest = cluster.change(Change::Identity);
+                let case = format!("{} steps, {lost} lost, rotation {rotation}", last + 1);
+                let newest = newest.expect(&case).chosen;
+                assert_eq!(newest.state.configuration_version, 1, "LOST: {case}");
+            }
+        }
+    }
+}
+
+/// Whatever is acknowledged lies with members that count alone.
+#[test]
+fn a_set_with_a_member_that_does_not_count_acknowledges_nothing() {
+    let tolerance = FaultTolerance::of_machines(1);
+    for (counted, uncounted) in [(0, 3), (1, 4), (2, 1), (3, 1), (3, 4)] {
+        for durability_suffices in [false, true] {
+            let mut cluster = with_uncounted(counted, uncounted);
+            let outcome = cluster.outcome(Change::SetConfiguration {
+                base: 1,
+                version: 2,
+                body: b"2".to_vec(),
+                tolerance,
+                durability_suffices,
+            });
+            let case = format!("{counted} count, {uncounted} don't");
+            assert_eq!(outcome, Some(ChangeOutcome::TooFewReplicas), "{case}");
+        }
+    }
+}
+
+/// A set of an earlier release may be full of members that don't count.
+#[test]
+fn a_replica_that_counts_joins_a_full_set_in_place_of_one_that_does_not() {
+    let tolerance = FaultTolerance::of_machines(1);
+    let mut cluster = with_uncounted(0, 3);
+    for id in 11..=13 {
+        let addition = Change::AddReplica {
+            replica: Replica {
+                counts_toward_quorum: Some(true),
+                ..replica_in(id, "a1")
+            },
+            unresponsive: Vec::new(),
+            tolerance,
+            replaces_in_full_set_only: false,
+            max_replicas: 3,
+        };
+        assert_eq!(cluster.outcome(addition), Some(ChangeOutcome::Applied));
+        cluster.outcome(Change::LeaveJoint);
+    }
+    let outcome = cluster.outcome(configuration(1, 2, tolerance));
+    assert_eq!(outcome, Some(ChangeOutcome::Applied), "all three count");
+}
--- a/crates/mintlb-register/tests/register/support/mod.rs
+++ b/crates/mintlb-register/tests/register/support/mod.rs
@@ -39,6 +39,7 @@
         node_name: address.to_string(),
         zone: String::new(),
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
--- a/crates/mintlb-register/tests/wire_fixtures.rs
+++ b/crates/mintlb-register/tests/wire_fixtures.rs
@@ -31,6 +31,7 @@
         node_name: format!("edge-{id}"),
         zone: format!("zone-{id}"),
         region: None,
+        counts_toward_quorum: None,
     }
 }
 
@@ -87,6 +88,7 @@
         zone: format!("zone-{id}"),
         decommissioning,
         region: None,
+        counts_toward_quorum: None,
     };
     Placement {
         epoch: 70_000,
@@ -147,6 +149,12 @@
 fn a_set_with_a_tolerance() {
     let mut fixtures = Fixtures::read("failure_domains.txt");
     fixtures.check("set-with-tolerance", &set_with_tolerance());
+    let uncounted = Replica {
+        region: Some("region-1".to_string()),
+        counts_toward_quorum: Some(false),
+        ..replica(1)
+    };
+    fixtures.check("replica-uncounted", &uncounted);
     fixtures.done();
 }
 
--- a/crates/mintlb-simulation/src/controller/vote.rs
+++ b/crates/mintlb-simulation/src/controller/vote.rs
@@ -72,6 +72,7 @@
             node_name,
             zone: "z".to_string(),
             region: Some("r".to_string()),
+            counts_toward_quorum: Some(true),
         };
         let mut core = ReplicaCore::new(disk.id, disk.state.clone());
         plant(context, &mut core);
--- a/crates/mintlb-simulation/src/store/mod.rs
+++ b/crates/mintlb-simulation/src/store/mod.rs
@@ -298,6 +298,7 @@
             address: context.own.to_string(),
             zone: "z".to_string(),
             region: Some("r".to_string()),
+            counts_toward_quorum: Some(true),
             shards: self.replicas.iter().filter_map(Replica::report).collect(),
             placement: self.placement.epoch,
             draining: false,
