--- a/crates/mintlb-batch/src/client/types.rs
+++ b/crates/mintlb-batch/src/client/types.rs
@@ -9,7 +9,7 @@
 pub struct Submission {
     /// The `Host` of its route.
     pub host: String,
-    /// The name of its route.
+    /// The [`RouteId`](mintlb_common::configuration::RouteId) of its route.
     pub route: String,
     /// The name of the tenant that submits it, if it is one.
     pub tenant: Option<String>,
--- a/crates/mintlb-batch/src/entry.rs
+++ b/crates/mintlb-batch/src/entry.rs
@@ -63,7 +63,8 @@
     /// The id assigned by the client; unique within the host.
     #[n(1)]
     pub id: String,
-    /// Name of its route.
+    /// The [`RouteId`](mintlb_common::configuration::RouteId) of its route; earlier releases wrote the
+    /// route's name.
     #[n(2)]
     pub route: String,
     /// Deadlines and retry limits.
--- a/crates/mintlb-batch/src/job_table.rs
+++ b/crates/mintlb-batch/src/job_table.rs
@@ -126,8 +126,7 @@
         let Some(job) = self.jobs.remove(&index) else {
             return;
         };
-        self.queued_tokens
-            .subtract(&job.account, job.queued_tokens());
+        self.queued_tokens.subtract(&job, job.queued_tokens());
         self.open_by_due_time.remove(&job.due_order());
         self.strip_candidates.remove(&index);
         // Another job may have taken the name since.
--- a/crates/mintlb-batch/src/job_table/apply.rs
+++ b/crates/mintlb-batch/src/job_table/apply.rs
@@ -50,7 +50,7 @@
         now: Timestamp,
     ) -> EntryKind {
         let job = BatchJob::new(index, header, raw_length, now);
-        self.queued_tokens.add(&job.account, job.queued_tokens());
+        self.queued_tokens.add(&job, job.queued_tokens());
         if !job.is_done() {
             self.open_by_due_time.insert(job.due_order());
         }
@@ -83,7 +83,7 @@
             self.open_by_due_time.remove(&job.due_order());
             self.strip_candidates.insert(job.index);
         }
-        self.queued_tokens.subtract(&job.account, tokens);
+        self.queued_tokens.subtract(job, tokens);
         EntryKind::Result { job: job.index }
     }
 
@@ -95,7 +95,7 @@
         job.ended = Some(index);
         self.open_by_due_time.remove(&job.due_order());
         self.strip_candidates.insert(job.index);
-        self.queued_tokens.subtract(&job.account, tokens);
+        self.queued_tokens.subtract(job, tokens);
         EntryKind::Ended { job: job.index }
     }
 
--- a/crates/mintlb-batch/src/job_table/truncate.rs
+++ b/crates/mintlb-batch/src/job_table/truncate.rs
@@ -37,7 +37,8 @@
         let item = &mut job.items[result.item as usize];
         item.position = None;
         if job.ended.is_none() {
-            self.queued_tokens.add(&job.account, item.tokens);
+            let tokens = item.tokens;
+            self.queued_tokens.add(job, tokens);
             self.open_by_due_time.insert(job.due_order());
             self.strip_candidates.remove(&job.index);
         }
@@ -57,7 +58,7 @@
         };
         job.ended = None;
         if !job.is_done() {
-            self.queued_tokens.add(&job.account, job.queued_tokens());
+            self.queued_tokens.add(job, job.queued_tokens());
             self.open_by_due_time.insert(job.due_order());
             self.strip_candidates.remove(&job.index);
         }
--- a/crates/mintlb-batch/tests/tenant_quota.rs
+++ b/crates/mintlb-batch/tests/tenant_quota.rs
@@ -376,3 +376,47 @@
         assert_eq!(shard, Placement::shard_of_route(route));
     }
 }
+
+/// Earlier releases counted by the route's name. Their jobs still count while they wait, for each route of their host.
+#[test]
+fn jobs_that_an_earlier_release_accepted_count_for_the_routes_of_their_host() {
+    let mut cluster = ShardCluster::of_three();
+    let place = format!("{HOST}/p/");
+    let (former, now) = (account(ROUTE, Some("a")), account(&place, Some("a")));
+    raise(&mut cluster, 0, &former, LIMIT);
+    accept(&mut cluster, 0, header(&former, "former", LIMIT));
+    assert_eq!(queued(&cluster, 0, &now), LIMIT);
+    for other in [
+        account(&place, Some("b")),
+        account(&place, None),
+        account("other.example/p/", Some("a")),
+    ] {
+        assert_eq!(queued(&cluster, 0, &other), 0, "{other}");
+    }
+    // What the shard's primary tells the account's counter includes them.
+    let proposal = submit(&mut cluster, 0, LIMIT, header(&now, "next", 1));
+    let Proposal::NeedsAllowance(shortage) = proposal else {
+        panic!("{proposal:?}");
+    };
+    assert_eq!((shortage.held.tokens, shortage.tokens), (LIMIT, 1));
+    // Once they are done they don't.
+    let name = name("former");
+    let at = cluster.now.into();
+    let replica = cluster.replica_mut(0);
+    replica.record(&name, 0, ItemState::Completed, &Bytes::new(), at);
+    cluster.run_effects(0);
+    cluster.run_until_idle();
+    assert_eq!(queued(&cluster, 0, &now), 0);
+}
+
+#[test]
+fn jobs_on_two_routes_of_a_host_are_counted_apart() {
+    let mut cluster = ShardCluster::of_three();
+    let [one, other] = ["/p/", "/q/"].map(|prefix| account(&format!("{HOST}{prefix}"), None));
+    for route in [&one, &other] {
+        raise(&mut cluster, 0, route, LIMIT);
+        accept(&mut cluster, 0, header(route, &route.route, LIMIT));
+    }
+    assert_eq!(queued(&cluster, 0, &one), LIMIT);
+    assert_eq!(queued(&cluster, 0, &other), LIMIT);
+}
--- a/crates/mintlb-common/src/configuration.rs
+++ b/crates/mintlb-common/src/configuration.rs
@@ -12,12 +12,14 @@
 mod error;
 mod field_validators;
 mod lookup;
+mod route_id;
 mod tenant;
 mod types;
 mod validation;
 
 pub use api_key::{ApiKeyDigest, ApiKeys};
 pub use error::{ConfigurationError, FieldViolation};
+pub use route_id::{RouteId, escaped};
 pub use tenant::Tenant;
 pub use types::{ClientLimits, Configuration, Engine, Route, RouteType, Service, WeightedService};
 
--- a/crates/mintlb-dispatcher/src/batch/calls/submit.rs
+++ b/crates/mintlb-dispatcher/src/batch/calls/submit.rs
@@ -30,7 +30,7 @@
 ) -> Submission {
     Submission {
         host: host_name(&call.host),
-        route: route.name.clone(),
+        route: route.id().as_str().to_string(),
         tenant: call.access.tenant().map(str::to_string),
         job_id: job_id.to_string(),
         terms: job_terms(route, now_ms),
--- a/crates/mintlb-dispatcher/src/exchange.rs
+++ b/crates/mintlb-dispatcher/src/exchange.rs
@@ -241,10 +241,14 @@
 
     // Methods called by the upstream side.
 
-    /// Whether another attempt is allowed. Attempts of batch items are limited by the batch runner.
+    /// Whether another attempt is allowed, by the request's own route, whatever project type it has at the scheduler.
+    /// Attempts of batch items are limited by the batch runner.
     pub fn may_be_sent(&self) -> bool {
         let state = self.state.lock();
-        state.attempts < self.route.max_attempts || self.mode == ExchangeMode::Item
+        let may_run_again = self.route.idempotent || !state.may_have_run;
+        let has_attempts_left =
+            state.attempts < self.route.max_attempts || self.mode == ExchangeMode::Item;
+        may_run_again && has_attempts_left
     }
 
     /// Whether the request was sent to this worker before.
@@ -272,7 +276,7 @@
             target_latency: self.route.target_latency,
             placement,
         };
-        self.shared.counters.on_start(&self.route.name, start);
+        self.shared.counters.on_start(&self.route.label, start);
     }
 
     /// Whether this worker is one of those preferred for the prompt; `None` if workers were not ranked.
@@ -496,9 +500,8 @@
         };
         if retry {
             let table = self.shared.routing();
-            let number = table.and_then(|table| {
-                table.project_type(&self.route.name, &self.service, self.priority)
-            });
+            let number = table
+                .and_then(|table| table.project_type(&self.route.id, &self.service, self.priority));
             match number {
                 Some(number) => self.submit(number, now),
                 None => {
--- a/crates/mintlb-dispatcher/src/response_reader.rs
+++ b/crates/mintlb-dispatcher/src/response_reader.rs
@@ -524,7 +524,7 @@
         if is_late && exchange.mode == ExchangeMode::Live && !self.counted {
             self.counted = true;
             let counters = &exchange.shared().counters;
-            counters.on_late_pause(&exchange.route.name);
+            counters.on_late_pause(&exchange.route.label);
         }
     }
 }
--- a/crates/mintlb-dispatcher/src/routing.rs
+++ b/crates/mintlb-dispatcher/src/routing.rs
@@ -4,7 +4,7 @@
 
 use crate::tenants::{Access, AuthenticationError, TenantSettings, TenantTable};
 use axum::http::HeaderMap;
-use mintlb_common::configuration::{Configuration, Route, RouteType};
+use mintlb_common::configuration::{Configuration, Route, RouteId, RouteType, escaped};
 use mintlb_core::project_types::NamedProjectType;
 use rustc_hash::FxHashMap;
 use std::cmp::Reverse;
@@ -15,8 +15,10 @@
 /// changes them.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteSettings {
-    /// The route's name.
-    pub name: String,
+    /// The route's identity. Its name is none: other routes may have the same.
+    pub id: RouteId,
+    /// What log lines call the route: its name, followed by its identity if other routes have the same name.
+    pub label: String,
     /// Determines whether requests are idempotent and whether their responses are streams.
     pub route_type: RouteType,
     /// Whether a broken stream may be resumed at another worker, after the last event that the client has.
@@ -61,7 +63,7 @@
     pub tenants: Option<TenantTable>,
     hosts: FxHashMap<String, Vec<RouteEntry>>,
     /// Numbers of project types by route, service and priority.
-    project_types: FxHashMap<(String, String, u32), usize>,
+    project_types: FxHashMap<(RouteId, String, u32), usize>,
     services: FxHashMap<String, WorkerLimits>,
 }
 
@@ -102,11 +104,13 @@
 }
 
 /// The name of the project type of a route, a service and a priority: `ROUTE@SERVICE`, followed by the priority unless it
-/// is the route's own. The name is unambiguous, as service and priority follow the last `@`.
+/// is the route's own. The route stands there by its identity. The name is unambiguous, as `@` and space are escaped in its
+/// parts.
 pub fn project_type_name(route: &Route, service: &str, priority: u32) -> String {
+    let (id, service) = (route.id(), escaped(service, &[]));
     match priority == route.priority {
-        true => format!("{}@{service}", route.name),
-        false => format!("{}@{service} {priority}", route.name),
+        true => format!("{id}@{service}"),
+        false => format!("{id}@{service} {priority}"),
     }
 }
 
@@ -123,9 +127,14 @@
 const DEFAULT_TIMEOUT: f64 = 60.0;
 
 impl RouteSettings {
-    fn new(route: &Route) -> RouteSettings {
+    fn new(route: &Route, is_name_unique: bool) -> RouteSettings {
+        let id = route.id();
         RouteSettings {
-            name: route.name.clone(),
+            label: match is_name_unique {
+                true => route.name.clone(),
+                false => format!("{} ({id})", route.name),
+            },
+            id,
             route_type: route.route_type,
             resumable: route.resumable || route.route_type == RouteType::Batch,
             idempotent: route.is_idempotent(),
@@ -149,6 +158,10 @@
             types.iter().map(|t| (t.name.as_str(), t.number)).collect();
         let mut hosts: FxHashMap<String, Vec<RouteEntry>> = FxHashMap::default();
         let mut project_types = FxHashMap::default();
+        let mut routes_by_name: FxHashMap<&str, usize> = FxHashMap::default();
+        for route in &configuration.route_list {
+            *routes_by_name.entry(&route.name).or_default() += 1;
+        }
         for (index, route) in configuration.route_list.iter().enumerate() {
             let sum: f64 = route.targets().map(|(_, weight)| weight).sum();
             let priorities = priorities(&configuration, route);
@@ -164,7 +177,7 @@
                     continue;
                 }
                 for (priority, number) in &types {
-                    let key = (route.name.clone(), service.to_string(), *priority);
+                    let key = (route.id(), service.to_string(), *priority);
                     project_types.insert(key, *number);
                 }
                 shares.push(ServiceShare {
@@ -173,7 +186,8 @@
                     types,
                 });
             }
-            let settings = Arc::new(RouteSettings::new(route));
+            let is_name_unique = routes_by_name[route.name.as_str()] == 1;
+            let settings = Arc::new(RouteSettings::new(route, is_name_unique));
             let entry = RouteEntry {
                 path_prefix: route.path_prefix.clone(),
                 index,
@@ -295,8 +309,8 @@
 
     /// The project type for the retry of a request. If the configuration no longer has this priority, another one of the
     /// route is taken; if it no longer has the route, one of another route to the service.
-    pub fn project_type(&self, route: &str, service: &str, priority: u32) -> Option<usize> {
-        let key = (route.to_string(), service.to_string(), priority);
+    pub fn project_type(&self, route: &RouteId, service: &str, priority: u32) -> Option<usize> {
+        let key = (route.clone(), service.to_string(), priority);
         if let Some(number) = self.project_types.get(&key) {
             return Some(*number);
         }
@@ -304,7 +318,7 @@
             .project_types
             .iter()
             .filter(|((_, to, _), _)| to == service);
-        let is_of_route = |from: &str| from == route;
+        let is_of_route = |from: &RouteId| from == route;
         to_service
             .max_by_key(|((from, _, priority), _)| (is_of_route(from), Reverse(*priority)))
             .map(|(_, number)| *number)
--- a/crates/mintlb-dispatcher/src/upstream.rs
+++ b/crates/mintlb-dispatcher/src/upstream.rs
@@ -117,8 +117,10 @@
     }
 
     async fn execute(&self) -> WorkerResult {
-        // A response of which part was forwarded and that can't be resumed must not start again.
-        if self.exchange.has_begun() && !self.exchange.can_resume() {
+        // A response of which part was forwarded and that can't be resumed must not start again, nor a request that its
+        // own route does not permit to run again.
+        let may_start = !self.exchange.has_begun() || self.exchange.can_resume();
+        if !may_start || !self.exchange.may_be_sent() {
             return WorkerResult::from_outcome(Outcome::Moot);
         }
         let id = self.exchange.request.id.as_bytes();
--- a/crates/mintlb-dispatcher/tests/routing.rs
+++ b/crates/mintlb-dispatcher/tests/routing.rs
@@ -1,7 +1,7 @@
 //! Routes, traffic splits, project types, and prefix-cache affinity of prompts.
 
 use arbtest::arbtest;
-use mintlb_common::configuration::Configuration;
+use mintlb_common::configuration::{Configuration, RouteId};
 use mintlb_core::project_types::NamedProjectType;
 use mintlb_dispatcher::prefix_affinity::{Prompt, preferred_workers};
 use mintlb_dispatcher::routing::RoutingTable;
@@ -36,7 +36,11 @@
 #[test]
 fn longest_prefix_of_the_host_wins() {
     let (table, _) = table();
-    let route = |host, path| table.route(host, path).map(|(_, terms)| terms.name.clone());
+    let route = |host, path| {
+        table
+            .route(host, path)
+            .map(|(_, terms)| terms.label.clone())
+    };
     assert_eq!(route("one.example", "/x/1").as_deref(), Some("a"));
     assert_eq!(route("ONE.example:80", "/x/y/1").as_deref(), Some("b"));
     assert_eq!(route("one.example", "/x/y").as_deref(), Some("a"));
@@ -83,19 +87,21 @@
             .name
             .clone()
     };
-    assert_eq!(name(drawn(0.0).project_type), "a@s");
-    assert_eq!(name(drawn(0.95).project_type), "a@t");
-    assert!(types.iter().all(|named| named.name != "a@u"));
+    assert_eq!(name(drawn(0.0).project_type), "one.example/x/@s");
+    assert_eq!(name(drawn(0.95).project_type), "one.example/x/@t");
+    assert!(types.iter().all(|named| named.name != "one.example/x/@u"));
+    let a = RouteId::new("one.example", "/x/");
     assert_eq!(
-        table.project_type("a", "t", 0).map(name).as_deref(),
-        Some("a@t")
+        table.project_type(&a, "t", 0).map(name).as_deref(),
+        Some("one.example/x/@t")
     );
-    let other = table.project_type("gone", "t", 0).map(name).unwrap();
+    let gone = RouteId::new("gone.example", "/x/");
+    let other = table.project_type(&gone, "t", 0).map(name).unwrap();
     assert!(
         other.ends_with("@t"),
         "the retry of a request whose route was removed has project type {other}"
     );
-    assert_eq!(table.project_type("gone", "gone", 0), None);
+    assert_eq!(table.project_type(&gone, "gone", 0), None);
 }
 
 #[test]
@@ -108,23 +114,36 @@
             .unwrap()
             .project_type
     };
-    assert_eq!(of("a@s").idempotency, Idempotency::Idempotent);
-    assert_eq!(of("b@t").idempotency, Idempotency::NonIdempotent);
+    assert_eq!(of("one.example/x/@s").idempotency, Idempotency::Idempotent);
+    assert_eq!(
+        of("one.example/x/y/@t").idempotency,
+        Idempotency::NonIdempotent
+    );
     assert_eq!(
-        of("c@t").idempotency,
+        of("two.example/x/@t").idempotency,
         Idempotency::Idempotent,
         "resumable streams are idempotent"
     );
     assert_eq!(
-        (of("c@t").promised_turnaround, of("c@t").hard_limit),
+        (
+            of("two.example/x/@t").promised_turnaround,
+            of("two.example/x/@t").hard_limit
+        ),
         (0.1, 2.0)
     );
     assert!(
-        of("a@s").credit > of("c@t").credit && of("c@t").credit > of("b@t").credit,
+        of("one.example/x/@s").credit > of("two.example/x/@t").credit
+            && of("two.example/x/@t").credit > of("one.example/x/y/@t").credit,
         "priority 0 has the highest weight"
     );
-    assert_eq!(of("a@t").machine_kind, of("b@t").machine_kind);
-    assert_ne!(of("a@s").machine_kind, of("a@t").machine_kind);
+    assert_eq!(
+        of("one.example/x/@t").machine_kind,
+        of("one.example/x/y/@t").machine_kind
+    );
+    assert_ne!(
+        of("one.example/x/@s").machine_kind,
+        of("one.example/x/@t").machine_kind
+    );
 }
 
 #[test]
--- a/crates/mintlb-dispatcher/tests/tenant_changes.rs
+++ b/crates/mintlb-dispatcher/tests/tenant_changes.rs
@@ -3,7 +3,7 @@
 mod harness;
 
 use harness::{CONFIGURATION, Overrides, TestDispatcher, Worker, header, run_single_threaded};
-use mintlb_common::configuration::Configuration;
+use mintlb_common::configuration::{Configuration, RouteId};
 use mintlb_common::record::WorkerState;
 use mintlb_core::project_types::ProjectTypes;
 use mintlb_dispatcher::admission::{Admission, AdmissionFuture, RateLimiter};
@@ -107,9 +107,10 @@
 fn retry_keeps_its_route_if_its_priority_was_removed() {
     let (table, types) = table(&[0, 1]);
     for route in (0..10).map(|number| format!("r{number}")) {
-        let number = table.project_type(&route, "s", 5).unwrap();
+        let id = RouteId::new(&format!("{route}.example"), "/");
+        let number = table.project_type(&id, "s", 5).unwrap();
         let found = name(&types, number);
-        assert!(found.starts_with(&format!("{route}@")), "{found}");
+        assert!(found.starts_with(&format!("{id}@")), "{found}");
     }
 }
 
@@ -119,7 +120,7 @@
     let host = "lots.example";
     let target = table.target(host, "/x", None, 0.0, |_| true).unwrap();
     assert_eq!(target.priority, 2);
-    assert_eq!(name(&types, target.project_type), "lots@s");
+    assert_eq!(name(&types, target.project_type), "lots.example/@s");
 }
 
 #[test]
@@ -128,5 +129,5 @@
     let host = "r3.example";
     let target = table.target(host, "/x", Some(7), 0.0, |_| true).unwrap();
     assert_eq!(target.priority, 2);
-    assert_eq!(name(&types, target.project_type), "r3@s");
+    assert_eq!(name(&types, target.project_type), "r3.example/@s");
 }
--- a/crates/mintlb-dispatcher/tests/tenant_priority.rs
+++ b/crates/mintlb-dispatcher/tests/tenant_priority.rs
@@ -139,7 +139,9 @@
     let (open, b) = (built.weight("/open/1", Some(5)), built.weight("/b/1", None));
     assert_eq!(open / b, ratio(3, 0));
     let names = built.types.iter().map(|named| named.name.as_str());
-    let open = names.filter(|name| name.starts_with("open@")).count();
+    let open = names
+        .filter(|name| name.starts_with("one.example/open/@"))
+        .count();
     assert_eq!(open, 1);
 }
 
@@ -149,7 +151,9 @@
     for (route, path) in [("a", "/a/1"), ("b", "/b/1"), ("lots", "/lots/1")] {
         for priority in [None, Some(0), Some(5)] {
             let target = built.target(path, priority);
-            let again = built.table.project_type(route, "s", target.priority);
+            let again = built
+                .table
+                .project_type(&target.route.id, "s", target.priority);
             assert_eq!(again, Some(target.project_type), "{route}, {priority:?}");
         }
     }
@@ -161,7 +165,9 @@
     for (route, path) in [("open", "/open/1"), ("free", "/free/1")] {
         for priority in [None, Some(0), Some(5)] {
             let target = built.target(path, priority);
-            let again = built.table.project_type(route, "s", target.priority);
+            let again = built
+                .table
+                .project_type(&target.route.id, "s", target.priority);
             let name = |number: usize| built.types[number].name.as_str();
             assert_eq!(
                 again.map(name),
@@ -189,7 +195,10 @@
 fn without_tenants_each_route_has_one_project_type() {
     let built = build(&format!(r#"{{"config_version":1,{ROUTES}}}"#));
     let names: Vec<&str> = built.types.iter().map(|named| &*named.name).collect();
-    assert_eq!(names, ["a@s", "b@s", "lots@s", "open@s", "free@s"]);
+    assert_eq!(
+        names,
+        ["a", "b", "lots", "open", "free"].map(|route| format!("one.example/{route}/@s"))
+    );
 }
 
 #[test]
@@ -202,7 +211,7 @@
         names.filter(|name| name.starts_with(route)).count()
     };
     assert_eq!(
-        [count("a@"), count("b@"), count("lots@"), count("open@")],
+        ["a", "b", "lots", "open"].map(|route| count(&format!("one.example/{route}/@"))),
         [3, 2, 3, 1]
     );
 }
