--- a/crates/mintlb-core/src/reducer.rs
+++ b/crates/mintlb-core/src/reducer.rs
@@ -149,7 +149,7 @@
         if let Some((responder, work_unit)) =
             held.and_then(|held| Some((held.responder.take()?, &held.work_unit)))
         {
-            let project_type = Some(work_unit.project_type);
+            let project_type = Some(work_unit.project_type());
             self.actions.push(Action::Answer {
                 work_unit: id,
                 project_type,
@@ -212,7 +212,7 @@
                 .immediate_results
                 .push(AttemptResult::from_outcome(id, Outcome::Moot)),
             (Some(endpoint), Some(held)) => {
-                let (project_type, customer) = (work_unit.project_type, work_unit.customer);
+                let (project_type, customer) = (work_unit.project_type(), work_unit.customer);
                 let (payload, deadline) =
                     (held.payload.clone(), work_unit.deadline - self.send_margin);
                 let reservation = reservation.flatten();
@@ -328,22 +328,13 @@
 
     /// Replaces the project types and terms for new work. Events received before must be reduced before, as they use
     /// the previous project type numbers.
-    ///
-    /// # Errors
-    /// If no project type number is free. Nothing has changed then.
-    pub fn reconfigure(
-        &mut self,
-        types: &[(String, ProjectType)],
-        terms: &ReloadableSettings,
-    ) -> Result<(), String> {
+    pub fn reconfigure(&mut self, types: &[(String, ProjectType)], terms: &ReloadableSettings) {
         let held: FxHashSet<usize> = self
             .held
             .values()
-            .map(|held| held.work_unit.project_type)
+            .map(|held| held.work_unit.project_type())
             .collect();
-        let changes = self
-            .project_types
-            .update(types, |number| held.contains(&number))?;
+        let changes = self.project_types.update(types, &held);
         let ReloadableSettings {
             retry_policy,
             excess_credit,
@@ -356,7 +347,22 @@
             (excess_credit, max_retry_after),
             costs,
         );
-        Ok(())
+        self.give_up_former_numbers();
+    }
+
+    /// Work units of former project types take the numbers of active ones, if there are too many numbers.
+    fn give_up_former_numbers(&mut self) {
+        let successors = self.project_types.successors();
+        if successors.is_empty() {
+            return;
+        }
+        let mut held: Vec<&HeldWorkUnit> = self.held.values().collect();
+        held.sort_unstable_by_key(|held| held.work_unit.id);
+        for held in held {
+            if let Some(number) = successors.get(&held.work_unit.project_type()) {
+                self.scheduler.replace_number(&held.work_unit, *number);
+            }
+        }
     }
 
     /// Current values for the metrics page.
--- a/crates/mintlb-dispatcher/src/dispatcher.rs
+++ b/crates/mintlb-dispatcher/src/dispatcher.rs
@@ -107,8 +107,6 @@
     downstream: Arc<Downstream>,
     batch: Option<Arc<dyn BatchHandler>>,
     version: Option<u64>,
-    /// A configuration that the reducer could not apply yet; it is retried by the housekeeping.
-    deferred: Option<(u64, Arc<Configuration>)>,
     configured_at: Option<Instant>,
     joined: bool,
     recheck_at: Option<Instant>,
@@ -205,7 +203,6 @@
             downstream,
             batch,
             version: None,
-            deferred: None,
             configured_at: None,
             joined: false,
             recheck_at: None,
@@ -253,7 +250,7 @@
                             HOUSEKEEPING_INTERVAL
                         };
                         next_housekeeping = Instant::now() + interval;
-                        if event_loop.run_housekeeping(&mut events) {
+                        if event_loop.run_housekeeping() {
                             return;
                         }
                     }
@@ -351,15 +348,8 @@
         }
         let types =
             scheduler_settings::project_types(&configuration, &mut self.scheduler_ids.services);
-        if let Err(error) = self
-            .reducer
-            .reconfigure(&types, &scheduler_settings::reloadable_settings())
-        {
-            log::warn!("dispatch: configuration {version} deferred: {error}");
-            self.deferred = Some((version, configuration));
-            return;
-        }
-        self.deferred = None;
+        self.reducer
+            .reconfigure(&types, &scheduler_settings::reloadable_settings());
         self.version = Some(version);
         self.configured_at = self.configured_at.or(Some(Instant::now()));
         self.executor
@@ -432,13 +422,7 @@
     }
 
     /// Runs periodic tasks; returns whether the process may exit.
-    fn run_housekeeping(&mut self, events: &mut UnboundedReceiver<Event>) -> bool {
-        if let Some((version, configuration)) = self.deferred.take() {
-            while let Ok(event) = events.try_recv() {
-                self.handle_event(event);
-            }
-            self.apply_configuration(version, configuration);
-        }
+    fn run_housekeeping(&mut self) -> bool {
         self.update_readiness();
         self.log_statistics();
         self.shared.workers.sweep();
--- a/crates/mintlb-scheduler/src/decide.rs
+++ b/crates/mintlb-scheduler/src/decide.rs
@@ -119,8 +119,8 @@
     /// When the scheduler gives up a queued work unit: its promised turnaround is over, or only its run time is left.
     /// If work waited longer, new work would wait behind it, and under overload all of it would be late.
     fn queue_timeout_at(&self, wu: &WorkUnit) -> f64 {
-        let t = &self.types[wu.project_type];
-        let run_time = self.run_times[wu.project_type].min(t.hard_limit / 4.0);
+        let t = &self.types[wu.project_type()];
+        let run_time = self.run_times[wu.project_type()].min(t.hard_limit / 4.0);
         (wu.arrived_at + t.promised_turnaround).min(wu.deadline - run_time)
     }
 
@@ -436,7 +436,7 @@
     /// workers would build long queues; `max_unstarted` does for the fleet what `concurrency_limit` does for a worker.
     /// Attempts unstarted for longer than `max_delay` do not count, so that they do not stop all other work.
     fn may_add_unstarted(&self, now: f64, queues: &Queues) -> bool {
-        let max_delay = |wu: Rc<WorkUnit>| queues.max_delay(wu.project_type);
+        let max_delay = |wu: Rc<WorkUnit>| queues.max_delay(wu.project_type());
         let is_waiting = |a: &&Rc<Attempt>| {
             a.work_unit
                 .upgrade()
@@ -463,8 +463,8 @@
         wu.attempts.borrow_mut().push(attempt.clone());
         self.unstarted.push(attempt.clone());
         self.workers.track(w);
-        w.health.borrow_mut()[wu.project_type].next_trial =
-            now + self.trial_intervals[wu.project_type];
+        w.health.borrow_mut()[wu.project_type()].next_trial =
+            now + self.trial_intervals[wu.project_type()];
         w.record_send(wu.slots, run_time);
         self.peers.record_change(w, self.shares_load);
     }
@@ -480,9 +480,9 @@
     fn mark_lost(&mut self, host: &mut dyn Host, now: f64, attempt: &Attempt, wu: &WorkUnit) {
         attempt.mark_lost(wu.slots);
         self.peers.record_change(&attempt.worker, self.shares_load);
-        self.last_lost[wu.project_type] = attempt.sent_at;
+        self.last_lost[wu.project_type()] = attempt.sent_at;
         self.unstarted.retain(|a| !std::ptr::eq(&**a, attempt));
-        self.update_health(host, now, &attempt.worker, wu.project_type, 1.0);
+        self.update_health(host, now, &attempt.worker, wu.project_type(), 1.0);
     }
 
     fn record_start(&mut self, now: f64, attempt: &Attempt, slots: f64) {
@@ -554,7 +554,7 @@
             w.concurrency_limit
                 .set((w.concurrency_limit.get() + 1.0).min(ceiling));
         }
-        self.update_health(host, now, w, wu.project_type, failed);
+        self.update_health(host, now, w, wu.project_type(), failed);
     }
 
     /// Outlier detection: a worker whose failure rate for a project type is far above the fleet's median becomes a
@@ -735,12 +735,12 @@
         // A repeated notice, or one after the outcome, says nothing of what was sent since.
         let is_new = attempt.outcome.get().is_none() && attempt.started_at.get().is_none();
         if let Some(wu) = attempt.work_unit.upgrade().filter(|_| is_new) {
-            attempt.worker.health.borrow_mut()[wu.project_type].last_start = now;
+            attempt.worker.health.borrow_mut()[wu.project_type()].last_start = now;
             self.fleet.record_start(now, attempt, wu.slots);
-            let is_too_late = now - attempt.sent_at > self.queues.max_delay(wu.project_type);
+            let is_too_late = now - attempt.sent_at > self.queues.max_delay(wu.project_type());
             self.fleet.adjust_max_unstarted(
                 is_too_late,
-                1.0 - self.queues.types[wu.project_type].late_credit,
+                1.0 - self.queues.types[wu.project_type()].late_credit,
             );
             self.queues.queue_of(&wu).remove(&wu);
             let attempts = wu.attempts.borrow();
@@ -778,9 +778,9 @@
         self.fleet.record_outcome(host, now, attempt, &wu, outcome);
         if outcome == Outcome::Completed {
             let run_time = attempt.run_time(now);
-            let usual_run_time = &mut self.queues.run_times[wu.project_type];
+            let usual_run_time = &mut self.queues.run_times[wu.project_type()];
             *usual_run_time += (run_time - *usual_run_time) * FLEET_GAIN;
-            attempt.worker.run_times.borrow_mut()[wu.project_type]
+            attempt.worker.run_times.borrow_mut()[wu.project_type()]
                 .add(run_time, 1.0 - 1.0 / RUN_TIME_MEMORY);
             attempt
                 .worker
@@ -800,7 +800,7 @@
 
     /// Puts a work unit whose attempt has ended without completing it at the front of its queue, or gives it up.
     fn requeue(&mut self, host: &mut dyn Host, now: f64, wu: &Rc<WorkUnit>, outcome: Outcome) {
-        let idempotency = self.queues.types[wu.project_type].idempotency;
+        let idempotency = self.queues.types[wu.project_type()].idempotency;
         let is_over = outcome == Outcome::Moot || now >= self.queues.queue_timeout_at(wu);
         if is_over
             || !self
@@ -820,10 +820,10 @@
     pub fn give_up(&mut self, host: &mut dyn Host, now: f64, wu: &Rc<WorkUnit>) {
         if self
             .retry
-            .is_deferrable(self.queues.types[wu.project_type].idempotency, wu)
+            .is_deferrable(self.queues.types[wu.project_type()].idempotency, wu)
             && now < wu.deadline
         {
-            let turnaround = self.queues.types[wu.project_type].promised_turnaround;
+            let turnaround = self.queues.types[wu.project_type()].promised_turnaround;
             host.defer(wu, (turnaround / 2.0).min(self.queues.max_retry_after));
         } else {
             host.abort(wu);
@@ -892,8 +892,8 @@
     /// schedulers, such work would make all work behind it late, too.
     fn on_queue_timeout(&mut self, host: &mut dyn Host, now: f64, wu: &Rc<WorkUnit>) {
         let (t, max_delay) = (
-            &self.queues.types[wu.project_type],
-            self.queues.max_delay(wu.project_type),
+            &self.queues.types[wu.project_type()],
+            self.queues.max_delay(wu.project_type()),
         );
         if wu.queued.get() && !wu.has_open_attempt() {
             return self.give_up(host, now, wu);
@@ -932,7 +932,7 @@
         else {
             return;
         };
-        let (i, may_queue) = (wu.project_type, !wu.ended.get() && !wu.queued.get());
+        let (i, may_queue) = (wu.project_type(), !wu.ended.get() && !wu.queued.get());
         if self.queues.types[i].idempotency == Idempotency::NonIdempotent {
             self.fleet.mark_lost(host, now, &attempt, &wu);
         } else if may_queue
@@ -1014,7 +1014,7 @@
             return false;
         };
         self.queues.queue_of(&wu).remove(&wu);
-        let i = wu.project_type;
+        let i = wu.project_type();
         let attempt = Attempt::new(&wu, w, now);
         self.fleet
             .record_send(now, &attempt, &wu, self.queues.run_times[i]);
--- a/crates/mintlb-scheduler/src/decide/reconfigure.rs
+++ b/crates/mintlb-scheduler/src/decide/reconfigure.rs
@@ -11,7 +11,7 @@
     }
 
     pub(super) fn queue_of(&mut self, wu: &WorkUnit) -> &mut Queue {
-        &mut self.queues[2 * wu.project_type + wu.over_share.get() as usize]
+        &mut self.queues[2 * wu.project_type() + wu.over_share.get() as usize]
     }
 
     /// Mean run time over the project types in service, in seconds.
@@ -69,6 +69,17 @@
 }
 
 impl Scheduler {
+    /// Gives a work unit another project type of the same kind of worker and the same idempotency, so that the number of its
+    /// former one can be used again. It waits and is retried by the terms of the other one from now on.
+    pub fn replace_number(&mut self, wu: &Rc<WorkUnit>, number: usize) {
+        let is_queued = wu.queued.get();
+        self.queues.queue_of(wu).remove(wu);
+        wu.project_type.set(number);
+        if is_queued {
+            self.queues.queue_of(wu).insert_by_arrival(wu);
+        }
+    }
+
     /// The listed worker with this id.
     pub fn worker(&self, id: u64) -> Option<&Rc<Worker>> {
         self.fleet.workers.get(id)
--- a/crates/mintlb-scheduler/src/lib.rs
+++ b/crates/mintlb-scheduler/src/lib.rs
@@ -327,6 +327,13 @@
         }
     }
 
+    /// Adds a work unit behind those that arrived before it.
+    pub(crate) fn insert_by_arrival(&mut self, wu: &Rc<WorkUnit>) {
+        wu.queued.set(true);
+        let at = self.0.iter().rposition(|w| w.arrived_at <= wu.arrived_at);
+        self.0.insert(at.map_or(0, |at| at + 1), wu.clone());
+    }
+
     pub(crate) fn remove(&mut self, wu: &Rc<WorkUnit>) {
         if wu.queued.replace(false) {
             self.0
@@ -354,7 +361,8 @@
 #[derive(Debug)]
 pub struct WorkUnit {
     pub id: u64,
-    pub project_type: usize,
+    /// Number of its project type.
+    pub(crate) project_type: Cell<usize>,
     /// `None` if the host has no customers configured.
     pub customer: Option<usize>,
     /// Slots that it takes up at a worker, at least 1.
@@ -398,7 +406,7 @@
     ) -> Rc<WorkUnit> {
         Rc::new(WorkUnit {
             id,
-            project_type,
+            project_type: Cell::new(project_type),
             customer,
             slots: if slots.is_finite() {
                 slots.max(1.0)
@@ -415,6 +423,12 @@
         })
     }
 
+    /// Number of its project type. It changes if the number is given up, see
+    /// [`Scheduler::replace_number`](crate::decide::Scheduler::replace_number).
+    pub fn project_type(&self) -> usize {
+        self.project_type.get()
+    }
+
     pub fn attempt(&self, number: u16) -> Option<Rc<Attempt>> {
         self.attempts.borrow().get(number as usize).cloned()
     }
--- a/crates/mintlb/src/serve.rs
+++ b/crates/mintlb/src/serve.rs
@@ -361,12 +361,13 @@
                         handle_event(&mut executor, &mut reducer, clock.now(), event);
                     }
                     let rejection = new.rejection(&configuration, &operator, reducer.project_types());
-                    match rejection.map_or_else(|| reducer.reconfigure(&new.types, &new.terms), Err) {
-                        Err(why) => {
+                    match rejection {
+                        Some(why) => {
                             reject_reload(why);
                             None
                         }
-                        Ok(()) => {
+                        None => {
+                            reducer.reconfigure(&new.types, &new.terms);
                             metrics.configs_applied.fetch_add(1, Relaxed);
                             started.reload(&new.subsystems);
                             executor.set_project_types(reducer.project_types());
